--- /dev/null
+++ b/src/rowanlab/__init__.py
@@ -0,0 +1,1 @@
+"""Test laboratory: stand-ins, fleet, simulator, load and reports."""
--- /dev/null
+++ b/src/rowanlab/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point for ``python -m rowanlab``."""
+
+from rowanlab.cli import main
+
+main()
--- /dev/null
+++ b/src/rowanlab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of a test fleet on one machine."""
--- /dev/null
+++ b/src/rowanlab/fleet/forwarder.py
@@ -0,0 +1,188 @@
+"""Forwarders: TCP links with a delay, which can be cut in either direction.
+
+What is sent over a cut link is lost without a word. When the link heals, connections
+that lost bytes are closed, as the operating systems at both ends would do in time.
+"""
+
+import asyncio
+import enum
+
+import msgspec
+
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
+from rowanrail.rpc.codec import message
+from rowanrail.rpc.tcp import TcpNetwork, split_address
+
+
+class Link(msgspec.Struct, frozen=True):
+    """One link: from ``source`` to ``target`` (names), listening on ``listen``."""
+
+    source: str
+    target: str
+    source_zone: str
+    target_zone: str
+    listen: str
+    address: str
+    delay_seconds: float
+
+
+class ForwarderSettings(msgspec.Struct, frozen=True):
+    """Settings of a forwarder process."""
+
+    rpc_listen: str
+    links: list[Link]
+
+
+class Direction(enum.Enum):
+    """Which direction of a place's traffic is cut."""
+
+    BOTH = "both"
+    IN = "in"
+    OUT = "out"
+
+
+@message
+class CutRequest(msgspec.Struct, frozen=True):
+    """Cut a place (process or zone) off from other zones, or heal it."""
+
+    place: str
+    direction: Direction
+    cut: bool
+
+
+class LinkState:
+    """Whether the link's two directions are cut."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.forward_cuts: set[str] = set()
+        self.backward_cuts: set[str] = set()
+        self.connections: set[_Side] = set()
+
+    def apply(self, request: CutRequest) -> None:
+        """Apply a cut, or heal it."""
+        link = self.link
+        outward = request.direction in (Direction.BOTH, Direction.OUT)
+        inward = request.direction in (Direction.BOTH, Direction.IN)
+        if request.place in (link.source, link.source_zone):
+            self._set(request, forward=outward, backward=inward)
+        elif request.place in (link.target, link.target_zone):
+            self._set(request, forward=inward, backward=outward)
+
+    def _set(self, request: CutRequest, forward: bool, backward: bool) -> None:
+        if not request.cut:
+            self.forward_cuts.discard(request.place)
+            self.backward_cuts.discard(request.place)
+            for side in list(self.connections):
+                side.close_if_lossy()
+            return
+        if forward:
+            self.forward_cuts.add(request.place)
+        if backward:
+            self.backward_cuts.add(request.place)
+
+
+class _Side(asyncio.Protocol):
+    """One end of a forwarded connection."""
+
+    def __init__(self, state: LinkState, is_caller: bool) -> None:
+        self._state = state
+        self._is_caller = is_caller
+        self._transport: asyncio.Transport | None = None
+        self._peer: _Side | None = None
+        self._early: list[bytes] = []
+        self._lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._state.connections.add(self)
+        if self._is_caller:
+            task = asyncio.ensure_future(self._connect())
+            task.add_done_callback(lambda done: done.exception())
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        link = self._state.link
+        await asyncio.sleep(2 * link.delay_seconds)  # the handshake's round trip
+        if self._state.forward_cuts or self._state.backward_cuts:
+            self._lost = True
+            return
+        host, port = split_address(link.address)
+        try:
+            _, peer = await loop.create_connection(lambda: _Side(self._state, False), host, port)
+        except OSError:
+            self.close()
+            return
+        peer._peer = self
+        self._peer = peer
+        early, self._early = self._early, []
+        for data in early:
+            self._forward(data)
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_caller and self._peer is None:
+            self._early.append(data)
+        else:
+            self._forward(data)
+
+    def _forward(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._state.link.delay_seconds, self._deliver, data)
+
+    def _deliver(self, data: bytes) -> None:
+        cuts = self._state.forward_cuts if self._is_caller else self._state.backward_cuts
+        if cuts or self._lost:
+            self._lost = True
+            return
+        if self._peer is not None and self._peer._transport is not None:
+            self._peer._transport.write(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._state.connections.discard(self)
+        peer = self._peer
+        if peer is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._state.link.delay_seconds, self._close_peer, peer)
+
+    def _close_peer(self, peer: "_Side") -> None:
+        if self._state.forward_cuts or self._state.backward_cuts:
+            peer._lost = True  # the end of the connection is lost as well
+        else:
+            peer.close()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def close_if_lossy(self) -> None:
+        """Close both ends if bytes were lost."""
+        peer = self._peer
+        if self._lost or (peer is not None and peer._lost):
+            if peer is not None and peer._transport is not None:
+                peer._transport.abort()
+            if self._transport is not None:
+                self._transport.abort()
+
+
+async def run_forwarder(settings: ForwarderSettings) -> None:
+    """Run the links until a stop signal."""
+    loop = asyncio.get_running_loop()
+    states = [LinkState(link) for link in settings.links]
+
+    async def handle(request: msgspec.Struct) -> msgspec.Struct | None:
+        if isinstance(request, CutRequest):
+            for state in states:
+                state.apply(request)
+        return request
+
+    network = TcpNetwork()
+    await network.serve(settings.rpc_listen, handle)
+    for state in states:
+        host, port = split_address(state.link.listen)
+
+        def new_side(state: LinkState = state) -> _Side:
+            return _Side(state, True)
+
+        await loop.create_server(new_side, host, port, backlog=1024)
+    await wait_for_stop_signal()
--- /dev/null
+++ b/src/rowanlab/fleet/profiles.py
@@ -0,0 +1,53 @@
+"""The two deployments, in the sizes of the users' brief."""
+
+import msgspec
+
+
+class Profile(msgspec.Struct, frozen=True):
+    """Sizes and delays of a deployment.
+
+    :param zone_delay_seconds: one-way delay between zones.
+    :param caller_delay_seconds: one-way delay between callers and their proxy.
+    """
+
+    name: str
+    region: str
+    zones: list[str]
+    groups: list[str]
+    slots: int
+    connections: int
+    zone_delay_seconds: float
+    region_delay_seconds: float
+    caller_delay_seconds: float
+    connect_seconds: float = 0.01
+    read_share: float = 0.9
+    members_per_group: int = 3
+
+
+BLUE_MAHOE = Profile(
+    name="blue-mahoe",
+    region="jamaica",
+    zones=["kingston", "montego", "mandeville"],
+    groups=["registry-a", "registry-b", "registry-c"],
+    slots=5,
+    connections=40,
+    zone_delay_seconds=0.0015,
+    region_delay_seconds=0.020,
+    caller_delay_seconds=0.003,
+    read_share=0.95,
+)
+
+HALLERBACH = Profile(
+    name="hallerbach",
+    region="austria",
+    zones=["linz", "wien", "graz"],
+    groups=["cues-a", "cues-b", "delivery"],
+    slots=10,
+    connections=100,
+    zone_delay_seconds=0.0005,
+    region_delay_seconds=0.010,
+    caller_delay_seconds=0.003,
+    read_share=0.7,
+)
+
+PROFILES = {profile.name: profile for profile in (BLUE_MAHOE, HALLERBACH)}
--- /dev/null
+++ b/src/rowanlab/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, oracle and measurements."""
--- /dev/null
+++ b/src/rowanlab/load/demo.py
@@ -0,0 +1,113 @@
+"""``rowanlab demo``: a short load with a primary killed midway, judged by the oracle."""
+
+import asyncio
+import time
+from pathlib import Path
+
+import msgspec
+
+from rowanlab.fleet.layout import FleetOptions
+from rowanlab.fleet.profiles import BLUE_MAHOE
+from rowanlab.fleet.runner import Fleet, free_subnet
+from rowanlab.load.oracle import Oracle, Verdict
+from rowanlab.load.workload import Caller, LoadOptions, final_rows, prepare
+
+SUBNET = 30
+CALLERS = 24
+SECONDS = 12.0
+KILL_AFTER_SECONDS = 5.0
+
+
+class DemoSummary(msgspec.Struct):
+    """What the demonstration measured."""
+
+    verdict: Verdict
+    replica_read_share: float
+    failover_gap_seconds: float
+    killed: str
+
+    @property
+    def passed(self) -> bool:
+        """Whether nothing was lost, doubled, stale or mixed, and work went on."""
+        return self.verdict.violations == 0 and self.verdict.acknowledged > 0
+
+
+def primary_of(fleet: Fleet, group: str) -> str:
+    """Return the name of a group's primary, as the proxies report it."""
+    status = fleet.client().request("GET", "/v1/status").body
+    best = ("", -1)
+    for report in status["proxies"]:
+        for member in report["groups"]:
+            is_primary = member["group"] == group and member["role"] == "primary"
+            if is_primary and member["reachable"] and member["term"] > best[1]:
+                best = (member["member"], member["term"])
+    return best[0]
+
+
+def replica_share(fleet: Fleet) -> float:
+    """Return the share of the reads that the rules allow which replicas served."""
+    status = fleet.client().request("GET", "/v1/status").body
+    replica = sum(report["replica_reads"] for report in status["proxies"])
+    primary = sum(report["primary_reads"] for report in status["proxies"])
+    return float(replica / (replica + primary)) if replica + primary else 0.0
+
+
+async def run_demo(fleet: Fleet) -> DemoSummary:
+    """Run the load on a fleet that serves, and kill a primary midway."""
+    database = fleet.file.groups[0].database
+    await prepare(fleet.file, database)
+    oracle = Oracle()
+    options = LoadOptions(CALLERS, SECONDS, BLUE_MAHOE.read_share, seed=1)
+    callers = [
+        Caller(f"caller{number}", fleet.file, database, oracle, options)
+        for number in range(CALLERS)
+    ]
+    began = time.monotonic()
+    tasks = [
+        asyncio.ensure_future(caller.run(lambda: time.monotonic() - began > SECONDS))
+        for caller in callers
+    ]
+    await asyncio.sleep(KILL_AFTER_SECONDS)
+    killed = await asyncio.to_thread(primary_of, fleet, fleet.file.groups[0].name)
+    killed_at = time.monotonic()
+    await asyncio.to_thread(fleet.kill, killed)
+    await asyncio.gather(*tasks)
+    verdict = oracle.judge(await final_rows(fleet.file, database))
+    acknowledged = sorted(at for caller in callers for at in caller.write_times.acknowledged)
+    before = max((at for at in acknowledged if at <= killed_at), default=killed_at)
+    # Writes that the old primary committed just before it died may still be confirmed.
+    after = [at for at in acknowledged if at > killed_at]
+    times = [before, *after]
+    gap = max((b - a for a, b in zip(times, times[1:], strict=False)), default=float("inf"))
+    share = await asyncio.to_thread(replica_share, fleet)
+    return DemoSummary(verdict, share, gap, killed)
+
+
+def demo(folder: Path) -> bool:
+    """Start a fleet, run the demonstration, print its summary; return whether it passed."""
+    options = FleetOptions(subnet=free_subnet(SUBNET), groups=1)
+    fleet = Fleet(BLUE_MAHOE, options, folder)
+    print("starting 3 control nodes, 3 proxies, 3 database members, links with delays ...")
+    try:
+        fleet.start()
+        print(f"fleet ready; load for {SECONDS:.0f} s, a primary is killed midway ...")
+        summary = asyncio.run(run_demo(fleet))
+    finally:
+        fleet.stop()
+    verdict = summary.verdict
+    print(f"killed primary            {summary.killed}")
+    print(f"acknowledged writes       {verdict.acknowledged}")
+    print(f"refused as not run        {verdict.not_run}")
+    print(f"outcome unknown           {verdict.unknown}")
+    print(f"reads                     {verdict.reads}")
+    print(f"replica share of reads    {summary.replica_read_share:.1%}")
+    print(f"failover gap              {summary.failover_gap_seconds * 1000:.0f} ms")
+    print(f"lost writes               {verdict.lost}")
+    print(f"doubled writes            {verdict.doubled}")
+    print(f"stale reads               {verdict.stale_reads}")
+    print(f"mixed answers             {verdict.mixed}")
+    print(f"false 'not run'           {verdict.false_not_run}")
+    for example in verdict.examples:
+        print(f"  {example}")
+    print("passed" if summary.passed else "FAILED")
+    return summary.passed
--- /dev/null
+++ b/src/rowanlab/load/oracle.py
@@ -0,0 +1,128 @@
+"""The oracle: plain maps of what callers were told, judged against what the database holds.
+
+It shares no code with the product.
+"""
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.Enum):
+    """What a caller was told of a write."""
+
+    ACKNOWLEDGED = "acknowledged"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+
+
+class Write(msgspec.Struct):
+    """One write as its caller saw it. ``parts`` is the number of rows that it makes."""
+
+    operation: str
+    key: str
+    number: int
+    parts: int
+    outcome: Outcome = Outcome.UNKNOWN
+
+
+class Verdict(msgspec.Struct):
+    """Counts of what went wrong, and of what was done."""
+
+    acknowledged: int = 0
+    unknown: int = 0
+    not_run: int = 0
+    failed: int = 0
+    reads: int = 0
+    lost: int = 0
+    doubled: int = 0
+    stale_reads: int = 0
+    mixed: int = 0
+    false_not_run: int = 0
+    examples: list[str] = []
+
+    @property
+    def violations(self) -> int:
+        """Number of broken guarantees."""
+        return self.lost + self.doubled + self.stale_reads + self.mixed + self.false_not_run
+
+
+class Oracle:
+    """Histories of keys and writes. Every key has one writer, whose numbers only grow."""
+
+    def __init__(self) -> None:
+        self.verdict = Verdict()
+        self._writes: dict[str, Write] = {}
+        self._acknowledged: dict[str, int] = {}
+        self._attempted: dict[str, int] = {}
+
+    def begin_write(self, operation: str, key: str, parts: int = 1) -> Write:
+        """Note that a write is about to be sent and return it with its number."""
+        number = self._attempted.get(key, 0) + 1
+        self._attempted[key] = number
+        write = Write(operation, key, number, parts)
+        self._writes[operation] = write
+        return write
+
+    def end_write(self, write: Write, outcome: Outcome) -> None:
+        """Note what the caller was told."""
+        write.outcome = outcome
+        if outcome is Outcome.ACKNOWLEDGED:
+            self.verdict.acknowledged += 1
+            known = self._acknowledged.get(write.key, 0)
+            self._acknowledged[write.key] = max(known, write.number)
+        elif outcome is Outcome.UNKNOWN:
+            self.verdict.unknown += 1
+        elif outcome is Outcome.NOT_RUN:
+            self.verdict.not_run += 1
+        else:
+            self.verdict.failed += 1
+
+    def expected(self, key: str) -> int:
+        """Return the number that a read which begins now must at least see."""
+        return self._acknowledged.get(key, 0)
+
+    def keys(self) -> list[str]:
+        """Return all keys, sorted."""
+        return sorted(self._attempted)
+
+    def end_read(self, key: str, expected: int, seen: int, where: str) -> None:
+        """Judge a read: ``seen`` is the highest number that it returned for ``key``."""
+        self.verdict.reads += 1
+        if seen < expected:
+            self.verdict.stale_reads += 1
+            self._example(f"stale read of {key} by {where}: saw {seen}, expected {expected}")
+        if seen > self._attempted.get(key, 0):
+            self.verdict.mixed += 1
+            self._example(f"read of {key} by {where} saw {seen}, which nobody wrote")
+
+    def note_mixed(self, message: str) -> None:
+        """Note that a caller got what belongs to another."""
+        self.verdict.mixed += 1
+        self._example(message)
+
+    def judge(self, rows: dict[str, int]) -> Verdict:
+        """Judge the database's final contents: number of rows by operation."""
+        for write in self._writes.values():
+            found = rows.get(write.operation, 0)
+            if found > write.parts:
+                self.verdict.doubled += 1
+                self._example(f"{write.operation} is there {found} times")
+            elif 0 < found < write.parts:
+                self.verdict.mixed += 1
+                self._example(f"{write.operation} is there in part")
+            if write.outcome is Outcome.ACKNOWLEDGED and found == 0:
+                self.verdict.lost += 1
+                self._example(f"{write.operation} was acknowledged and is not there")
+            if write.outcome in (Outcome.NOT_RUN, Outcome.FAILED) and found:
+                self.verdict.false_not_run += 1
+                self._example(f"{write.operation} was refused as not run and is there")
+        for operation in rows:
+            if operation not in self._writes:
+                self.note_mixed(f"{operation} is there and nobody wrote it")
+        return self.verdict
+
+    def _example(self, message: str) -> None:
+        if len(self.verdict.examples) < 20:
+            self.verdict.examples.append(message)
--- /dev/null
+++ b/src/rowanlab/load/workload.py
@@ -0,0 +1,251 @@
+"""The load: callers that write, read and roam between proxies, watched by the oracle.
+
+Each caller owns keys that only it writes. Its writes are inserts into ``edits``, so that
+a doubled or lost one shows. Reads go through the same connection, through another proxy
+with the session's token, or through a new connection without one.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from rowanlab.fleet.layout import FleetFile, Process
+from rowanlab.load.driver import CallerConnection, CallError
+from rowanlab.load.oracle import Oracle, Outcome, Write
+
+KEYS_PER_CALLER = 3
+MAXIMUM_REPEATS = 20
+PAUSE_SECONDS = 0.02
+
+CREATE_EDITS = (
+    "CREATE TABLE IF NOT EXISTS edits (operation VARCHAR(80), part INT, owner VARCHAR(40), "
+    "name VARCHAR(40), number BIGINT)"
+)
+CREATE_INDEX = "CREATE INDEX edits_by_name ON edits (name, number)"
+
+
+class LoadOptions(msgspec.Struct, frozen=True):
+    """Size of the load.
+
+    :param pause_seconds: pause between a caller's requests.
+    """
+
+    callers: int
+    seconds: float
+    read_share: float
+    seed: int
+    pause_seconds: float = PAUSE_SECONDS
+
+
+class WriteTimes:
+    """When writes were acknowledged, to find the gaps."""
+
+    def __init__(self) -> None:
+        self.acknowledged: list[float] = []
+
+    def note(self) -> None:
+        """Note an acknowledged write."""
+        self.acknowledged.append(time.monotonic())
+
+    def longest_gap_seconds(self, begin: float, end: float) -> float:
+        """Return the longest time without an acknowledged write between two times."""
+        times = [begin, *[at for at in self.acknowledged if begin <= at <= end], end]
+        return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+
+
+class Caller:
+    """One caller with its own keys, connection and random choices."""
+
+    def __init__(
+        self, name: str, fleet: FleetFile, database: str, oracle: Oracle, options: LoadOptions
+    ) -> None:
+        self.name = name
+        self.latencies_seconds: list[tuple[bool, float]] = []
+        self.write_times = WriteTimes()
+        self._fleet = fleet
+        self._database = database
+        self._oracle = oracle
+        self._options = options
+        self._random = random.Random(f"{options.seed}/{name}")
+        self._keys = [f"{name}.{number}" for number in range(KEYS_PER_CALLER)]
+        self._connection: CallerConnection | None = None
+        self._operations = 0
+
+    async def run(self, until: Callable[[], bool]) -> None:
+        """Send requests until ``until`` says so."""
+        while not until():
+            began = time.monotonic()
+            is_read = self._random.random() < self._options.read_share
+            try:
+                if is_read:
+                    await self._read()
+                else:
+                    await self._write()
+                self.latencies_seconds.append((is_read, time.monotonic() - began))
+            except CallError as error:
+                await self._after_error(error)
+            pause = self._options.pause_seconds * self._random.uniform(0.5, 1.5)
+            await asyncio.sleep(pause)
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _after_error(self, error: CallError) -> None:
+        if error.connection_lost:
+            self._drop()
+        await asyncio.sleep(min(1.0, max(error.retry_after_seconds, PAUSE_SECONDS)))
+
+    def _drop(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _open(self, proxy: Process | None = None) -> CallerConnection:
+        chosen = proxy or self._random.choice(self._fleet.proxies)
+        return await CallerConnection.open(
+            chosen.host, chosen.port, self._fleet.user, self._fleet.password, self._database
+        )
+
+    async def _own(self) -> CallerConnection:
+        if self._connection is None:
+            self._connection = await self._open()
+        return self._connection
+
+    # Writes
+
+    def _next_operation(self, kind: str) -> str:
+        self._operations += 1
+        return f"{int(time.time())}-{self.name}-{kind}-{self._operations}"
+
+    def _insert(self, write: Write, part: int) -> str:
+        return (
+            "INSERT INTO edits (operation, part, owner, name, number) VALUES "
+            f"('{write.operation}', {part}, '{self.name}', '{write.key}', {write.number})"
+        )
+
+    async def _write(self) -> None:
+        key = self._random.choice(self._keys)
+        kind = self._random.choice(["plain", "recorded", "recorded", "transaction"])
+        connection = await self._own()
+        if kind == "transaction":
+            write = self._oracle.begin_write(self._next_operation(kind), key, parts=2)
+            await self._finish(write, self._transaction(connection, write))
+        elif kind == "recorded":
+            write = self._oracle.begin_write(self._next_operation(kind), key)
+            await self._finish(write, self._recorded(write))
+        else:
+            write = self._oracle.begin_write(self._next_operation(kind), key)
+            await self._finish(write, connection.execute(self._insert(write, 1)))
+
+    async def _finish(self, write: Write, work: Awaitable[object]) -> None:
+        try:
+            await work
+        except CallError as error:
+            self._oracle.end_write(write, error.outcome)
+            raise
+        self._oracle.end_write(write, Outcome.ACKNOWLEDGED)
+        self.write_times.note()
+
+    async def _recorded(self, write: Write) -> None:
+        """Write with a request id, and repeat it until its outcome is known."""
+        sent = False
+        for _ in range(MAXIMUM_REPEATS):
+            try:
+                connection = await self._own()
+                await connection.execute(f"SET @rowanrail_request_id = '{write.operation}'")
+                sent = True
+                await connection.execute(self._insert(write, 1))
+                return
+            except CallError as error:
+                if error.connection_lost or error.outcome is Outcome.UNKNOWN:
+                    self._drop()
+                elif not sent or error.outcome is not Outcome.NOT_RUN:
+                    raise
+                await asyncio.sleep(max(PAUSE_SECONDS, error.retry_after_seconds))
+        raise CallError(Outcome.UNKNOWN, "given up", 0.0)
+
+    async def _transaction(self, connection: CallerConnection, write: Write) -> None:
+        committing = False
+        try:
+            await connection.execute("BEGIN")
+            await connection.execute(self._insert(write, 1))
+            query = f"SELECT COUNT(*) FROM edits WHERE operation = '{write.operation}'"
+            count = (await connection.execute(query))[0][0]
+            if count != 1:
+                self._oracle.note_mixed(f"{write.operation} sees {count} rows of its own")
+            await connection.execute(self._insert(write, 2))
+            committing = True
+            await connection.execute("COMMIT")
+        except CallError as error:
+            if not committing:
+                # Nothing was committed, whatever became of the statement.
+                error.outcome = Outcome.NOT_RUN
+                if not error.connection_lost:
+                    await connection.execute("ROLLBACK")
+            raise
+
+    # Reads
+
+    async def _read(self) -> None:
+        way = self._random.choice(["same", "same", "token", "new"])
+        if way == "same":
+            await self._read_through(await self._own(), self._random.choice(self._keys), way)
+        elif way == "token":
+            await self._read_with_token()
+        else:
+            keys = self._oracle.keys() or self._keys
+            connection = await self._open()
+            try:
+                await self._read_through(connection, self._random.choice(keys), way)
+            finally:
+                connection.close()
+
+    async def _read_with_token(self) -> None:
+        own = await self._own()
+        token = (await own.execute("SELECT @@rowanrail_token"))[0][0]
+        connection = await self._open()
+        try:
+            await connection.execute(f"SET @rowanrail_token = '{token}'")
+            await self._read_through(connection, self._random.choice(self._keys), "token")
+        finally:
+            connection.close()
+
+    async def _read_through(self, connection: CallerConnection, key: str, way: str) -> None:
+        expected = self._oracle.expected(key)
+        rows = await connection.execute(
+            f"SELECT MAX(number), COUNT(*) FROM edits WHERE name = '{key}'"
+        )
+        self._oracle.end_read(key, expected, int(rows[0][0] or 0), f"{self.name} ({way})")
+
+
+async def prepare(fleet: FleetFile, database: str) -> None:
+    """Create the tables of the load."""
+    proxy = fleet.proxies[0]
+    connection = await CallerConnection.open(
+        proxy.host, proxy.port, fleet.user, fleet.password, database
+    )
+    await connection.execute(CREATE_EDITS)
+    await connection.execute(CREATE_INDEX)
+    connection.close()
+
+
+async def final_rows(fleet: FleetFile, database: str) -> dict[str, int]:
+    """Return the number of rows by operation, as a new session sees them."""
+    last_error: CallError | None = None
+    for attempt in range(100):
+        proxy = fleet.proxies[attempt % len(fleet.proxies)]
+        try:
+            connection = await CallerConnection.open(
+                proxy.host, proxy.port, fleet.user, fleet.password, database
+            )
+            rows = await connection.execute(
+                "SELECT operation, COUNT(*) FROM edits GROUP BY operation"
+            )
+            connection.close()
+            return {str(row[0]): int(row[1]) for row in rows}
+        except CallError as error:
+            last_error = error
+            await asyncio.sleep(0.1)
+    raise last_error or RuntimeError("no attempt was made")
--- /dev/null
+++ b/src/rowanlab/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation in virtual time."""
--- /dev/null
+++ b/src/rowanlab/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems."""
--- /dev/null
+++ b/src/rowanlab/standin/member.py
@@ -0,0 +1,322 @@
+"""A stand-in member of a database group.
+
+The group's log is the product's own replicated log with other settings. The primary
+commits locally and may acknowledge before a majority has the entry, which is the worst
+that a real group does; and it does not step down when it is cut off.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from rowanlab.standin.engine import Engine
+from rowanrail.config.settings import NodeAddress
+from rowanrail.consensus.messages import Entry, EntryKind
+from rowanrail.consensus.node import (
+    CONSENSUS_MESSAGES,
+    ConsensusNode,
+    NodeOptions,
+    NotLeaderError,
+    StateMachine,
+)
+from rowanrail.consensus.policies import LearnerFirst
+from rowanrail.consensus.raft import RaftConfig
+from rowanrail.consensus.storage import Identity, Storage
+from rowanrail.control.bootstrap import FolderOwner, join_until_admitted, open_folder
+from rowanrail.control.membership import MembershipManager, name_of
+from rowanrail.control.messages import JoinRequest, NodesRequest, ReportsReply, ReportsRequest
+from rowanrail.kernel.disk import Disk
+from rowanrail.kernel.errors import BackendRefusedError, TransportError
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import MemberRole, MemberStatus, Position
+from rowanrail.rpc.codec import message
+from rowanrail.rpc.network import Listener, Network
+
+READ_ONLY_CODE = 1290
+LOCK_WAIT_CODE = 1205
+NEVER_COMPACT = 10**9
+
+
+class MemberSettings(msgspec.Struct, frozen=True):
+    """Settings of a stand-in member.
+
+    :param semi_synchronous: acknowledge a commit only once a majority has it.
+    """
+
+    group: str
+    name: str
+    zone: str
+    listen: str
+    rpc_listen: str
+    data_folder: str
+    nodes: list[NodeAddress]
+    user: str = "rowanrail"
+    password: str = ""
+    routes: dict[str, str] = {}
+    slots: int = 5
+    connections: int = 40
+    connect_seconds: float = 0.01
+    service_seconds: float = 0.001
+    semi_synchronous: bool = False
+    heartbeat_seconds: float = 0.05
+    election_timeout_seconds: float = 0.4
+    lock_wait_seconds: float = 3.0
+
+
+class Faults(msgspec.Struct):
+    """Faults that the lab can set while a member runs."""
+
+    lag_seconds: float = 0.0
+    answer_delay_seconds: float = 0.0
+    leaving: bool = False
+
+
+@message
+class FaultRequest(msgspec.Struct, frozen=True):
+    """Set faults; None leaves one as it is."""
+
+    lag_seconds: float | None = None
+    answer_delay_seconds: float | None = None
+    leaving: bool | None = None
+
+
+class _Due(msgspec.Struct, frozen=True):
+    at: float
+    entry: Entry
+
+
+class MemberMachine(StateMachine):
+    """Applies the group's log to the engine, late if the member lags."""
+
+    def __init__(self, engine: Engine, faults: Faults) -> None:
+        self.engine = engine
+        self.executed = Position()
+        self.local: dict[int, int] = {}
+        self.committed_before: Callable[[int], list[Entry]] = lambda index: []
+        self._faults = faults
+        self._queue: deque[_Due] = deque()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def apply(self, entry: Entry) -> object:
+        """See :meth:`StateMachine.apply`."""
+        now = asyncio.get_running_loop().time()
+        self._queue.append(_Due(now + self._faults.lag_seconds, entry))
+        self.run_due()
+        return None
+
+    def run_due(self) -> None:
+        """Execute the queued entries that are due."""
+        loop = asyncio.get_running_loop()
+        while self._queue and self._queue[0].at <= loop.time():
+            self._execute(self._queue.popleft().entry)
+        if self._queue and self._timer is None:
+            self._timer = loop.call_at(self._queue[0].at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.run_due()
+
+    def drain(self) -> None:
+        """Execute everything that is queued, due or not."""
+        while self._queue:
+            self._execute(self._queue.popleft().entry)
+
+    def _execute(self, entry: Entry) -> None:
+        known_term = self.local.pop(entry.index, None)
+        if known_term is not None and known_term != entry.term:
+            # Another primary's entry won: what was committed only here has to go.
+            self.rebuild(self.committed_before(entry.index))
+            known_term = None
+        if known_term is None and entry.kind is EntryKind.COMMAND:
+            self.engine.apply(msgspec.msgpack.decode(entry.data, type=list[str]))
+        self.executed = Position(entry.term, entry.index)
+
+    def rebuild(self, entries: list[Entry]) -> None:
+        """Build the database anew from committed entries."""
+        self.engine.reset()
+        self.local = {}
+        waiting = list(self._queue)
+        self._queue.clear()
+        for entry in entries:
+            self._execute(entry)
+        self._queue.extend(due for due in waiting if due.entry.index > self.executed.index)
+
+    def snapshot(self) -> bytes:
+        """Not used: the stand-in keeps its whole log."""
+        return b""
+
+    def restore(self, data: bytes) -> None:
+        """Not used, see :meth:`snapshot`."""
+
+
+class Member:
+    """One member: log, engine, and the statements of its sessions."""
+
+    def __init__(
+        self,
+        settings: MemberSettings,
+        network: Network,
+        disk: Disk,
+        database: Path,
+        randomness: random.Random,
+        registry: Registry,
+    ) -> None:
+        self.settings = settings
+        self.faults = Faults()
+        self.engine = Engine(database)
+        self.machine = MemberMachine(self.engine, self.faults)
+        self.incarnation = f"{randomness.getrandbits(48):012x}"
+        self.write_lock = asyncio.Lock()
+        self.slots = asyncio.Semaphore(settings.slots)
+        self.on_demoted: list[asyncio.Event] = []
+        self._network = network
+        self._storage = Storage(disk)
+        self._random = randomness
+        self._registry = registry
+        self._listener: Listener | None = None
+        self._joining: asyncio.Task[None] | None = None
+        self._admitted = asyncio.Event()
+        self._was_leader = False
+        self.generation = 0
+
+    async def start(self, bootstrap: bool) -> None:
+        """Open the folder and take part in the group."""
+        settings = self.settings
+        owner = FolderOwner(settings.group, settings.name, settings.nodes, settings.data_folder)
+        identity = await open_folder(
+            owner, self._storage, self._network, self._random, LearnerFirst(), bootstrap
+        )
+        self.node = self._create_node(identity)
+        self.members = MembershipManager(self.node, settings.group)
+        self.machine.committed_before = lambda index: self.node.raft.log.between(1, index - 1)
+        self.node.on_change = self._on_change
+        self._listener = await self._network.serve(settings.rpc_listen, self.handle)
+        self.node.start()
+        self.members.start()
+        if identity.node not in self.node.raft.membership.addresses():
+            self._joining = asyncio.ensure_future(
+                join_until_admitted(owner, identity, self._network, self._admitted)
+            )
+
+    def _create_node(self, identity: Identity) -> ConsensusNode:
+        settings = self.settings
+        addresses = {node.name: node.address for node in settings.nodes}
+        raft = RaftConfig(
+            settings.heartbeat_seconds, settings.election_timeout_seconds, check_quorum=False
+        )
+        return ConsensusNode(
+            identity,
+            self._storage,
+            self._network,
+            self.machine,
+            NodeOptions(raft, NEVER_COMPACT),
+            self._random,
+            self._registry,
+            fallback_address=lambda node: addresses.get(name_of(node), ""),
+        )
+
+    async def stop(self) -> None:
+        """Stop."""
+        if self._joining is not None:
+            self._joining.cancel()
+        if self._listener is not None:
+            await self._listener.close()
+        await self.members.stop()
+        await self.node.stop()
+        self.engine.close()
+
+    async def handle(self, request: msgspec.Struct) -> msgspec.Struct | None:
+        """Answer a message from another member or from the lab."""
+        if isinstance(request, CONSENSUS_MESSAGES):
+            self.node.receive(request)
+            return None
+        if isinstance(request, JoinRequest):
+            return await self.members.join(request)
+        if isinstance(request, NodesRequest):
+            return self.members.view()
+        if isinstance(request, ReportsRequest):
+            return ReportsReply(self.node.identity.node, max(0, self.node.applied - 2), [])
+        if isinstance(request, FaultRequest):
+            self.set_faults(request)
+            return request
+        raise TransportError(f"unexpected {type(request).__name__}", step="handle")
+
+    def set_faults(self, request: FaultRequest) -> None:
+        """Set the faults that the request names."""
+        for name in ("lag_seconds", "answer_delay_seconds", "leaving"):
+            value = getattr(request, name)
+            if value is not None:
+                setattr(self.faults, name, value)
+
+    def _on_change(self) -> None:
+        raft = self.node.raft
+        if self.node.identity.node in raft.membership.addresses():
+            self._admitted.set()
+        if self._was_leader and not raft.is_leader:
+            self._demote()
+        self._was_leader = raft.is_leader
+
+    def _demote(self) -> None:
+        """Drop what was committed only here."""
+        self.generation += 1
+        self.engine.roll_back()
+        if self.machine.local:
+            self.machine.rebuild(self.node.raft.log.between(1, self.node.applied))
+
+    # What sessions need
+
+    @property
+    def is_writable(self) -> bool:
+        """Whether the member is an established primary that has applied its log."""
+        return self.node.raft.is_established_leader
+
+    def check_writable(self) -> None:
+        """Refuse a write on a replica.
+
+        :raises BackendRefusedError: if the member is not the primary.
+        """
+        if not self.is_writable:
+            raise BackendRefusedError(
+                READ_ONLY_CODE, "The member is running with the --read-only option"
+            )
+
+    def commit(self, statements: list[str]) -> Position:
+        """Commit the write transaction locally and ship it.
+
+        :raises BackendRefusedError: if the member is no primary any more.
+        """
+        self.machine.drain()
+        try:
+            entry = self.node.append(msgspec.msgpack.encode(statements))
+        except NotLeaderError as error:
+            self.engine.roll_back()
+            raise BackendRefusedError(READ_ONLY_CODE, str(error)) from error
+        self.machine.local[entry.index] = entry.term
+        self.engine.commit()
+        return Position(entry.term, entry.index)
+
+    def position(self) -> Position:
+        """Return the last position in the log, under the current term."""
+        raft = self.node.raft
+        return Position(raft.log.last_term, raft.log.last_index)
+
+    def status(self) -> MemberStatus:
+        """Return what the member says of itself."""
+        raft = self.node.raft
+        role = MemberRole.REPLICA
+        if self.node.identity.node not in raft.membership.voters:
+            role = MemberRole.LEARNER
+        elif self.is_writable:
+            role = MemberRole.PRIMARY
+        return MemberStatus(
+            role=role,
+            term=raft.term,
+            received=self.position(),
+            committed=self.machine.executed,
+            leaving=self.faults.leaving,
+            incarnation=self.incarnation,
+        )
--- /dev/null
+++ b/src/rowanrail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the product."""
--- /dev/null
+++ b/src/rowanrail/cli/client.py
@@ -0,0 +1,60 @@
+"""HTTP client of the operators' commands. Tries the control nodes one after the other."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from rowanrail.kernel.errors import RowanrailError
+
+TIMEOUT_SECONDS = 12.0
+
+
+class Answer(msgspec.Struct):
+    """A control node's answer."""
+
+    status: int
+    body: Any
+
+
+class ControlUnavailableError(RowanrailError):
+    """No control node could serve the request."""
+
+
+class ControlClient:
+    """Talks to whichever control node answers."""
+
+    def __init__(self, controls: list[str], token: str) -> None:
+        self._controls = controls
+        self._token = token
+
+    def request(self, method: str, path: str, body: Any = None) -> Answer:
+        """Send a request and return the answer.
+
+        A change may be sent to several nodes: its change id makes that safe.
+
+        :raises ControlUnavailableError: if no node serves it.
+        """
+        return asyncio.run(self._request(method, path, body))
+
+    async def _request(self, method: str, path: str, body: Any) -> Answer:
+        problems: list[str] = []
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS, connect=3.0)
+        headers = {"Authorization": f"Bearer {self._token}"}
+        data = msgspec.json.encode(body) if body is not None else None
+        async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+            for control in self._controls:
+                try:
+                    url = f"http://{control}{path}"
+                    async with session.request(method, url, data=data) as response:
+                        answer = Answer(response.status, msgspec.json.decode(await response.read()))
+                except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+                    problems.append(f"{control}: {error or 'no answer in time'}")
+                    continue
+                if answer.status != 503:
+                    return answer
+                problems.append(f"{control}: {answer.body.get('error')}")
+        raise ControlUnavailableError(
+            "no control node could serve the request: " + "; ".join(problems), step=method
+        )
--- /dev/null
+++ b/src/rowanrail/cli/inspect.py
@@ -0,0 +1,70 @@
+"""``rowanrail inspect``: what a control node's data folder holds."""
+
+from pathlib import Path
+
+import click
+import msgspec
+
+from rowanrail.cli.output import ExitCode, OutputFormat, fail, format_table, show
+from rowanrail.consensus.storage import Storage
+from rowanrail.control.policies import ExpectedVersion
+from rowanrail.control.state import ConfigurationState
+from rowanrail.kernel.disk import ReadOnlyDisk
+from rowanrail.kernel.errors import StorageError
+
+
+class FolderView(msgspec.Struct):
+    """What a folder holds."""
+
+    cluster: str
+    node: str
+    term: int
+    vote: str
+    snapshot_index: int
+    last_index: int
+    snapshot_version: int
+    voters: list[str]
+    learners: list[str]
+    unsynced_tail_bytes: int
+
+
+def look(folder: Path) -> FolderView:
+    """Return what a folder holds, without changing it.
+
+    :raises StorageError: if it is empty or damaged.
+    """
+    storage = Storage(ReadOnlyDisk(folder))
+    identity = storage.identity()
+    if identity is None:
+        raise StorageError("the folder is empty", step="inspect", peer=str(folder))
+    hard_state, log = storage.load()
+    state = ConfigurationState(ExpectedVersion())
+    if log.snapshot is not None:
+        state.restore(log.snapshot.data)
+    return FolderView(
+        cluster=identity.cluster,
+        node=identity.node,
+        term=hard_state.term,
+        vote=hard_state.vote,
+        snapshot_index=log.snapshot_index,
+        last_index=log.last_index,
+        snapshot_version=state.current.version,
+        voters=sorted(log.membership.voters),
+        learners=sorted(log.membership.learners),
+        unsynced_tail_bytes=storage.cut_bytes,
+    )
+
+
+@click.command()
+@click.argument("folder", metavar="DIR")
+@click.option("--output", type=click.Choice([item.value for item in OutputFormat]), default="table")
+def inspect(folder: str, output: str) -> None:
+    """Show what a control node's data folder holds. The node should be stopped."""
+    if not Path(folder).is_dir():
+        fail([f"{folder}: no such folder"], ExitCode.USAGE)
+    try:
+        view = look(Path(folder))
+    except StorageError as error:
+        fail([str(error)])
+    rows = [(name, str(value)) for name, value in msgspec.to_builtins(view).items()]
+    show(OutputFormat(output), view, format_table(("FIELD", "VALUE"), rows))
--- /dev/null
+++ b/src/rowanrail/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declarative configuration and daemon settings."""
--- /dev/null
+++ b/src/rowanrail/config/diff.py
@@ -0,0 +1,61 @@
+"""Differences between two configurations, and hiding of secrets."""
+
+from typing import Any
+
+import msgspec
+
+from rowanrail.config.checks import HIDDEN_SECRET
+from rowanrail.config.model import Configuration
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One changed path; an empty side means that the path is not there."""
+
+    path: str
+    before: str
+    after: str
+
+
+def plain(configuration: Configuration) -> dict[str, Any]:
+    """Return a configuration as plain values with its secrets hidden."""
+    content: dict[str, Any] = msgspec.to_builtins(configuration)
+    for group in content["groups"]:
+        if group["backend"]["password"]:
+            group["backend"]["password"] = HIDDEN_SECRET
+    for user in content["users"]:
+        user["password_hash"] = HIDDEN_SECRET
+    return content
+
+
+def difference(before: Configuration, after: Configuration) -> list[Change]:
+    """Return what changed; secrets are compared but not shown."""
+    old = _flatten(msgspec.to_builtins(before), "")
+    new = _flatten(msgspec.to_builtins(after), "")
+    changes = []
+    for path in sorted(old.keys() | new.keys()):
+        if old.get(path) != new.get(path):
+            secret = path.endswith((".password", ".password_hash"))
+            changes.append(Change(path, _show(old.get(path), secret), _show(new.get(path), secret)))
+    return changes
+
+
+def _show(value: object, secret: bool) -> str:
+    if value is None:
+        return ""
+    return HIDDEN_SECRET if secret else str(value)
+
+
+def _flatten(value: Any, path: str) -> dict[str, object]:
+    if isinstance(value, dict):
+        flat: dict[str, object] = {}
+        for key, item in value.items():
+            flat.update(_flatten(item, f"{path}.{key}" if path else key))
+        return flat
+    if isinstance(value, list) and value and isinstance(value[0], dict) and "name" in value[0]:
+        flat = {}
+        for item in value:
+            flat.update(_flatten(item, f"{path}[{item['name']}]"))
+        return flat
+    if isinstance(value, list):
+        return {path: ", ".join(str(item) for item in value)}
+    return {path: value}
--- /dev/null
+++ b/src/rowanrail/config/settings.py
@@ -0,0 +1,180 @@
+"""Settings files of the daemons."""
+
+import enum
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rowanrail.config.checks import check_address
+from rowanrail.config.reader import convert, read_yaml
+from rowanrail.kernel.events import Level, LogFormat
+
+
+class Daemon(enum.Enum):
+    """Which daemon a settings file is for."""
+
+    PROXY = "proxy"
+    CONTROL = "control"
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Logging of a daemon."""
+
+    format: LogFormat = LogFormat.LINES
+    level: Level = Level.INFO
+
+
+class ProxySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of ``rowanrail proxy``."""
+
+    name: str
+    zone: str
+    listen: str
+    admin_listen: str
+    rpc_listen: str
+    controls: list[str]
+    zone_peers: list[str] = []
+    routes: dict[str, str] = {}
+    directory: str = ""
+    region_peers: list[str] = []
+    stop_seconds: float = 20.0
+    log: LogSettings = LogSettings()
+
+
+class NodeAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A control node as the others reach it."""
+
+    name: str
+    address: str
+
+
+class OperatorSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator; ``token_hash`` is the SHA-256 of the token, in hex."""
+
+    name: str
+    token_hash: str
+
+
+class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of ``rowanrail control``."""
+
+    name: str
+    zone: str
+    cluster: str
+    data_folder: str
+    rpc_listen: str
+    http_listen: str
+    nodes: list[NodeAddress]
+    operators: list[OperatorSpec]
+    routes: dict[str, str] = {}
+    heartbeat_seconds: float = 0.1
+    election_timeout_seconds: float = 0.6
+    snapshot_entries: int = 1000
+    log: LogSettings = LogSettings()
+
+
+FIELD_HELP: dict[str, str] = {
+    "ProxySettings.name": "Name of the proxy, unique in the system.",
+    "ProxySettings.zone": "Zone that the proxy is in.",
+    "ProxySettings.listen": "`IP:port` for callers (MySQL protocol).",
+    "ProxySettings.admin_listen": "`IP:port` for metrics, health and readiness (HTTP).",
+    "ProxySettings.rpc_listen": "`IP:port` for the other proxies of the zone.",
+    "ProxySettings.controls": "`IP:port` of the control nodes, the nearest first.",
+    "ProxySettings.zone_peers": "`IP:port` (their `rpc_listen`) of other proxies of the zone.",
+    "ProxySettings.region_peers": "`IP:port` of proxies elsewhere, asked when the zone is silent.",
+    "ProxySettings.routes": "Address translation: a member's configured address to the address at "
+    "which this proxy reaches it.",
+    "ProxySettings.directory": "URL of the platform's list of live and leaving machines.",
+    "ProxySettings.stop_seconds": "Longest time that a planned stop waits for open transactions.",
+    "ProxySettings.log": "Logging.",
+    "LogSettings.format": "`lines` or `json`.",
+    "LogSettings.level": "Lowest level that is written: `info`, `warning` or `error`.",
+    "ControlSettings.name": "Name of the control node.",
+    "ControlSettings.zone": "Zone that the node is in.",
+    "ControlSettings.cluster": "Name of the system; a data folder of another one is refused.",
+    "ControlSettings.data_folder": "Folder for the node's durable state.",
+    "ControlSettings.rpc_listen": "`IP:port` for control nodes and proxies.",
+    "ControlSettings.http_listen": "`IP:port` for operators (HTTP and JSON).",
+    "ControlSettings.nodes": "The first control nodes, this one included, with their `rpc_listen`.",
+    "ControlSettings.operators": "Operators and the SHA-256 hex of their tokens.",
+    "ControlSettings.routes": "Address translation between control nodes.",
+    "ControlSettings.heartbeat_seconds": "Interval of the leader's heartbeats.",
+    "ControlSettings.election_timeout_seconds": "Silence after which a new leader is elected.",
+    "ControlSettings.snapshot_entries": "Log entries after which a snapshot is taken.",
+    "ControlSettings.log": "Logging.",
+    "NodeAddress.name": "Name of the control node.",
+    "NodeAddress.address": "Its `rpc_listen`.",
+    "OperatorSpec.name": "Name of the operator, recorded as author.",
+    "OperatorSpec.token_hash": "SHA-256 of the operator's token, in hex.",
+}
+
+
+def load_settings(
+    path: Path, daemon: Daemon, overrides: dict[str, Any]
+) -> Result[ProxySettings | ControlSettings, list[str]]:
+    """Return a daemon's settings with flags laid over them, or all problems."""
+    document = read_yaml(path)
+    if isinstance(document, Failure):
+        return document
+    content = document.unwrap()
+    if isinstance(content, dict):
+        content = {**content, **overrides}
+    if daemon is Daemon.PROXY:
+        return convert(content, ProxySettings, str(path)).bind(
+            lambda settings: _checked(settings, _proxy_addresses(settings), str(path))
+        )
+    return convert(content, ControlSettings, str(path)).bind(
+        lambda settings: _checked(settings, _control_addresses(settings), str(path))
+    )
+
+
+def _proxy_addresses(settings: ProxySettings) -> dict[str, str]:
+    addresses = {
+        "listen": settings.listen,
+        "admin_listen": settings.admin_listen,
+        "rpc_listen": settings.rpc_listen,
+    }
+    for name in ("controls", "zone_peers", "region_peers"):
+        for position, address in enumerate(getattr(settings, name)):
+            addresses[f"{name}[{position}]"] = address
+    for member, address in settings.routes.items():
+        addresses[f"routes.{member}"] = address
+    return addresses
+
+
+def _control_addresses(settings: ControlSettings) -> dict[str, str]:
+    addresses = {"rpc_listen": settings.rpc_listen, "http_listen": settings.http_listen}
+    for position, node in enumerate(settings.nodes):
+        addresses[f"nodes[{position}].address"] = node.address
+    return addresses
+
+
+def _checked(settings: Any, addresses: dict[str, str], source: str) -> Result[Any, list[str]]:
+    problems = [
+        f"{source}: {path}: {wrong}"
+        for path, address in addresses.items()
+        if (wrong := check_address(address))
+    ]
+    if isinstance(settings, ControlSettings):
+        problems += _check_control(settings, source)
+    elif not settings.controls:
+        problems.append(f"{source}: controls: empty; name the control nodes")
+    return Failure(problems) if problems else Success(settings)
+
+
+def _check_control(settings: ControlSettings, source: str) -> list[str]:
+    problems = []
+    if settings.name not in [node.name for node in settings.nodes]:
+        problems.append(f"{source}: nodes: {settings.name!r} itself is missing; add it")
+    if len(settings.nodes) not in (1, 3, 5):
+        problems.append(f"{source}: nodes: {len(settings.nodes)} nodes; use 3 or 5")
+    if not settings.operators:
+        problems.append(f"{source}: operators: empty; nobody could apply a configuration")
+    if settings.election_timeout_seconds < 3 * settings.heartbeat_seconds:
+        problems.append(
+            f"{source}: election_timeout_seconds: must be at least three heartbeats "
+            f"({3 * settings.heartbeat_seconds} s)"
+        )
+    return problems
--- /dev/null
+++ b/src/rowanrail/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: pure state machine, storage and the shell around them."""
--- /dev/null
+++ b/src/rowanrail/consensus/node.py
@@ -0,0 +1,343 @@
+"""The shell around the replicated log: drives :class:`Raft` with I/O and time."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    ConsensusMessage,
+    Entry,
+    EntryKind,
+    Membership,
+    Snapshot,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from rowanrail.consensus.raft import Effects, NotLeader, Raft, RaftConfig
+from rowanrail.consensus.storage import Identity, Storage
+from rowanrail.kernel.errors import RowanrailError, StorageError
+from rowanrail.kernel.registry import Registry
+from rowanrail.rpc.network import Network
+
+CONSENSUS_MESSAGES = (VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest)
+
+
+class NotLeaderError(RowanrailError):
+    """The node can't serve the request; ``leader`` is the address to ask, if known."""
+
+    def __init__(self, leader: str, step: str) -> None:
+        super().__init__(f"not the leader (leader: {leader or 'none known'})", step=step)
+        self.leader = leader
+
+
+class SupersededError(RowanrailError):
+    """The proposed entry was replaced by another leader's; it will never be applied."""
+
+
+class LeadershipLostError(RowanrailError):
+    """The leader changed while the entry was under way; it may still be applied."""
+
+
+class StateMachine(ABC):
+    """What the log's commands act on. Must depend on nothing but the commands."""
+
+    @abstractmethod
+    def apply(self, entry: Entry) -> object:
+        """Apply a committed entry and return its result."""
+
+    @abstractmethod
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    @abstractmethod
+    def restore(self, data: bytes) -> None:
+        """Replace the state."""
+
+
+class NodeOptions(msgspec.Struct, frozen=True):
+    """How a node runs.
+
+    :param snapshot_entries: number of log entries after which a snapshot is taken.
+    """
+
+    raft: RaftConfig = RaftConfig()
+    snapshot_entries: int = 1000
+
+
+class ConsensusNode:
+    """One node of the replicated log with its state machine."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        storage: Storage,
+        network: Network,
+        machine: StateMachine,
+        options: NodeOptions,
+        randomness: random.Random,
+        registry: Registry,
+        fallback_address: Callable[[str], str] = lambda node: "",
+    ) -> None:
+        """Load the folder.
+
+        :param fallback_address: address of a node that is in no membership known here yet.
+        """
+        self.identity = identity
+        self.machine = machine
+        self.failure: StorageError | None = None
+        self.on_change: Callable[[], None] = lambda: None
+        self._storage = storage
+        self._network = network
+        self._options = options
+        self._fallback_address = fallback_address
+        self._proposals: dict[int, tuple[int, asyncio.Future[object]]] = {}
+        self._reads: dict[int, asyncio.Future[int]] = {}
+        self._next_read = 0
+        self._applied_waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        hard_state, log = storage.load()
+        if log.snapshot is not None and log.snapshot.data:
+            machine.restore(log.snapshot.data)
+        self.applied = log.snapshot_index
+        self.raft = Raft(
+            identity.node,
+            options.raft,
+            log,
+            hard_state,
+            randomness,
+            registry.create("consensus-guard", "check-quorum"),
+            self._now(),
+        )
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    # Lifecycle
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Stop taking part; pending requests fail."""
+        if self._task is not None:
+            self._task.cancel()
+        self._fail_pending(LeadershipLostError("the node stops", step="propose"))
+
+    # Requests
+
+    def leader_address(self) -> str:
+        """Return the leader's address as this node knows it, or an empty string."""
+        return self.raft.membership.addresses().get(self.raft.leader, "")
+
+    def append(self, data: bytes) -> Entry:
+        """Append a command without waiting for it to commit.
+
+        :raises NotLeaderError: if the node does not lead.
+        """
+        self._check_failure("propose")
+        try:
+            entry = self.raft.propose(EntryKind.COMMAND, data, self._now())
+        except NotLeader as error:
+            raise NotLeaderError(self.leader_address(), "propose") from error
+        self._wake.set()
+        return entry
+
+    async def propose(self, data: bytes) -> object:
+        """Append a command and return its result once applied.
+
+        :raises NotLeaderError: if the node does not lead; nothing was appended.
+        :raises SupersededError: if the entry was lost for good.
+        :raises LeadershipLostError: if the outcome is unknown.
+        """
+        entry = self.append(data)
+        return await self._await_entry(entry)
+
+    async def change_membership(self, membership: Membership) -> None:
+        """Commit a new membership.
+
+        :raises NotLeaderError: if the node does not lead.
+        :raises MembershipBusy: if another change is under way.
+        """
+        try:
+            entry = self.raft.change_membership(membership, self._now())
+        except NotLeader as error:
+            raise NotLeaderError(self.leader_address(), "change membership") from error
+        self._wake.set()
+        await self._await_entry(entry)
+
+    async def _await_entry(self, entry: Entry) -> object:
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        self._proposals[entry.index] = (entry.term, future)
+        return await future
+
+    async def read_barrier(self) -> None:
+        """Return once the state machine holds all that was committed before the call.
+
+        :raises NotLeaderError: if the node does not lead, or can't confirm that it does.
+        """
+        self._check_failure("read")
+        self._next_read += 1
+        token = self._next_read
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._reads[token] = future
+        try:
+            self.raft.read(token, self._now())
+        except NotLeader as error:
+            del self._reads[token]
+            raise NotLeaderError(self.leader_address(), "read") from error
+        self._wake.set()
+        try:
+            await self.wait_applied(await future)
+        finally:
+            self._reads.pop(token, None)
+
+    async def wait_applied(self, index: int) -> None:
+        """Return once the entry at ``index`` has been applied here."""
+        if self.applied >= index:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._applied_waiters.append((index, future))
+        await future
+
+    def receive(self, incoming: ConsensusMessage) -> None:
+        """Handle a message from another node."""
+        if self.failure is None:
+            self.raft.receive(incoming, self._now())
+            self._wake.set()
+
+    def _check_failure(self, step: str) -> None:
+        if self.failure is not None:
+            raise StorageError(self.failure.message, step=step, peer=self.failure.peer)
+
+    # The loop
+
+    async def _run(self) -> None:
+        while self.failure is None:
+            await self._wait_for_input()
+            self.raft.tick(self._now())
+            try:
+                self._carry_out(self.raft.take_effects())
+            except StorageError as error:
+                # What was not made durable may not be promised: the node takes no further part.
+                self.failure = error
+                self._fail_pending(error)
+            self.on_change()
+
+    async def _wait_for_input(self) -> None:
+        remaining_seconds = self.raft.next_due() - self._now()
+        if remaining_seconds > 0:
+            try:
+                async with asyncio.timeout(remaining_seconds):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+        self._wake.clear()
+
+    def _carry_out(self, effects: Effects) -> None:
+        self._persist(effects)
+        self._send(effects)
+        self._apply(effects)
+        self._answer_reads(effects)
+        self._compact()
+
+    def _persist(self, effects: Effects) -> None:
+        if effects.hard_state is not None:
+            self._storage.save_hard_state(effects.hard_state)
+        if effects.install is not None:
+            self._storage.save_snapshot(effects.install, whole=True)
+        if effects.truncate_from is not None:
+            self._storage.truncate_from(effects.truncate_from)
+        if effects.append:
+            self._storage.append(effects.append)
+
+    def _send(self, effects: Effects) -> None:
+        addresses = self.raft.membership.addresses()
+        for peer, outgoing in effects.messages:
+            address = addresses.get(peer) or self._fallback_address(peer)
+            if address:
+                self._network.notify(address, outgoing)
+
+    def _apply(self, effects: Effects) -> None:
+        if effects.install is not None:
+            self.machine.restore(effects.install.data)
+            self.applied = effects.install.index
+        for entry in effects.committed:
+            result = self.machine.apply(entry)
+            self.applied = entry.index
+            self._settle(entry, result)
+        if effects.committed or effects.install:
+            self._wake_applied_waiters()
+
+    def _settle(self, entry: Entry, result: object) -> None:
+        pending = self._proposals.pop(entry.index, None)
+        if pending is None or pending[1].done():
+            return
+        term, future = pending
+        if term == entry.term:
+            future.set_result(result)
+        else:
+            future.set_exception(SupersededError("another leader's entry won", step="propose"))
+
+    def _wake_applied_waiters(self) -> None:
+        waiting = []
+        for index, future in self._applied_waiters:
+            if self.applied < index:
+                waiting.append((index, future))
+            elif not future.done():
+                future.set_result(None)
+        self._applied_waiters = waiting
+
+    def _answer_reads(self, effects: Effects) -> None:
+        for token, index in effects.ready_reads:
+            future = self._reads.get(token)
+            if future is not None and not future.done():
+                future.set_result(index)
+        for token in effects.failed_reads:
+            future = self._reads.get(token)
+            if future is not None and not future.done():
+                future.set_exception(NotLeaderError(self.leader_address(), "read"))
+        if not self.raft.is_leader and self._proposals:
+            error = LeadershipLostError("the leader changed", step="propose")
+            for _, pending in self._proposals.values():
+                if not pending.done():
+                    pending.set_exception(error)
+            self._proposals = {}
+
+    def _fail_pending(self, error: RowanrailError) -> None:
+        futures: list[asyncio.Future[object]] = [future for _, future in self._proposals.values()]
+        for future in futures:
+            if not future.done():
+                future.set_exception(error)
+        for read in self._reads.values():
+            if not read.done():
+                read.set_exception(error)
+        for _, waiter in self._applied_waiters:
+            if not waiter.done():
+                waiter.set_exception(error)
+
+    def _compact(self) -> None:
+        if self.raft.log.size < self._options.snapshot_entries or self.applied <= 0:
+            return
+        if self.applied - self.raft.log.snapshot_index < self._options.snapshot_entries:
+            return
+        snapshot = self.make_snapshot()
+        self._storage.save_snapshot(snapshot)
+        self.raft.compact(snapshot)
+
+    def make_snapshot(self) -> Snapshot:
+        """Return a snapshot of what has been applied."""
+        return Snapshot(
+            index=self.applied,
+            term=self.raft.log.term_of(self.applied),
+            membership=self.raft.log.membership_at(self.applied),
+            data=self.machine.snapshot(),
+        )
--- /dev/null
+++ b/src/rowanrail/consensus/policies.py
@@ -0,0 +1,21 @@
+"""Guards of the replicated log, as plug-ins of kind ``consensus-guard``."""
+
+from rowanrail.kernel.registry import register
+
+
+@register("consensus-guard", "check-quorum")
+class QuorumCheck:
+    """A leader acts only while a majority of voters answers it."""
+
+    def has_quorum(self, answered: int, voters: int) -> bool:
+        """Return whether ``answered`` voters, the leader included, are a majority."""
+        return answered > voters // 2
+
+
+@register("consensus-guard", "learner-first")
+class LearnerFirst:
+    """A node with an empty data folder is a new node: it has no vote until admitted."""
+
+    def identity(self, name: str, fresh_identity: str) -> str:
+        """Return the node id of a node whose data folder is empty."""
+        return f"{name}@{fresh_identity}"
--- /dev/null
+++ b/src/rowanrail/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control node: configuration service, watch streams and operators' API."""
--- /dev/null
+++ b/src/rowanrail/control/bootstrap.py
@@ -0,0 +1,116 @@
+"""Opening a control node's data folder: first start, restart, or joining as a new node."""
+
+import asyncio
+import random
+
+import msgspec
+
+from rowanrail.config.settings import NodeAddress
+from rowanrail.consensus.messages import Membership, Snapshot
+from rowanrail.consensus.policies import LearnerFirst
+from rowanrail.consensus.storage import Identity, Storage
+from rowanrail.control.events import JOIN_REFUSED, NODE_JOINING
+from rowanrail.control.messages import JoinRequest, ReportsReply, ReportsRequest
+from rowanrail.kernel.errors import RowanrailError, StorageError, TransportError
+from rowanrail.kernel.events import emit
+from rowanrail.rpc.network import Network
+
+FIRST_IDENTITY = "1"
+JOIN_CALL_SECONDS = 3.0
+JOIN_RETRY_SECONDS = 0.5
+
+
+class FolderOwner(msgspec.Struct, frozen=True):
+    """Whose folder it should be, and the nodes that a new system begins with."""
+
+    cluster: str
+    name: str
+    nodes: list[NodeAddress]
+    folder: str = ""
+
+    def address(self) -> str:
+        """Return the node's own address."""
+        return next((node.address for node in self.nodes if node.name == self.name), "")
+
+
+def first_membership(owner: FolderOwner) -> Membership:
+    """Return the membership of a new system."""
+    return Membership(
+        voters={f"{node.name}@{FIRST_IDENTITY}": node.address for node in owner.nodes}
+    )
+
+
+async def open_folder(
+    owner: FolderOwner,
+    storage: Storage,
+    network: Network,
+    randomness: random.Random,
+    learner_first: LearnerFirst,
+    bootstrap: bool,
+) -> Identity:
+    """Return the identity of the folder, setting the folder up if it is empty.
+
+    :param bootstrap: set up a new system, unless another node already knows one.
+    :raises StorageError: if the folder is damaged or belongs to another system or node.
+    """
+    identity = storage.identity()
+    if identity is not None:
+        _check_owner(identity, owner, storage)
+        return identity
+    if bootstrap and not await _system_exists(owner, network):
+        identity = Identity(owner.cluster, f"{owner.name}@{FIRST_IDENTITY}")
+        storage.create(identity, Snapshot(1, 1, first_membership(owner), b""))
+        return identity
+    fresh = f"{randomness.getrandbits(48):012x}"
+    node = learner_first.identity(owner.name, fresh)
+    identity = Identity(owner.cluster, node)
+    emit(NODE_JOINING, node=node)
+    storage.create(identity, None)
+    return identity
+
+
+def _check_owner(identity: Identity, owner: FolderOwner, storage: Storage) -> None:
+    found = f"{identity.cluster}/{identity.node.split('@')[0]}"
+    wanted = f"{owner.cluster}/{owner.name}"
+    if found != wanted:
+        raise StorageError(
+            f"the folder belongs to {found}, the settings say {wanted}; name the right folder",
+            step="open",
+            peer=owner.folder,
+        )
+
+
+async def _system_exists(owner: FolderOwner, network: Network) -> bool:
+    """Ask the other nodes whether any of them has accepted a configuration."""
+    for node in owner.nodes:
+        if node.name == owner.name:
+            continue
+        try:
+            reply = await network.call(node.address, ReportsRequest(), 1.0)
+        except TransportError:
+            continue
+        if isinstance(reply, ReportsReply) and reply.version > 0:
+            return True
+    return False
+
+
+async def join_until_admitted(
+    owner: FolderOwner, identity: Identity, network: Network, is_member: asyncio.Event
+) -> None:
+    """Ask the other nodes, one after the other, to be admitted, until it happens."""
+    request = JoinRequest(
+        owner.name,
+        identity.node,
+        owner.address(),
+        owner.cluster,
+    )
+    while not is_member.is_set():
+        for node in owner.nodes:
+            if node.name == owner.name or is_member.is_set():
+                continue
+            try:
+                await network.call(node.address, request, JOIN_CALL_SECONDS)
+                break
+            except RowanrailError as error:
+                emit(JOIN_REFUSED, peer=node.name, error=error)
+        await asyncio.sleep(JOIN_RETRY_SECONDS)
--- /dev/null
+++ b/src/rowanrail/control/events.py
@@ -0,0 +1,44 @@
+"""Log events of the control node (numbers 100 to 199)."""
+
+from rowanrail.kernel.events import Level, define
+
+CONTROL_STARTED = define(
+    100,
+    Level.INFO,
+    "control node {node} started, rpc {rpc}, http {http}",
+    "The daemon serves. Nothing to do.",
+)
+CONTROL_STOPPED = define(101, Level.INFO, "control node {node} stopped", "A planned stop ended.")
+LEADER_CHANGED = define(
+    110,
+    Level.INFO,
+    "leader of term {term} is {leader}",
+    "An election ended. Often: the leader's machine or its links are unsteady.",
+)
+VERSION_ACCEPTED = define(
+    111, Level.INFO, "version {version} is committed", "A configuration change was accepted."
+)
+NODE_JOINING = define(
+    120,
+    Level.WARNING,
+    "the data folder is empty: joining as the new node {node}",
+    "Expected on a new or replaced machine. The node has no vote until it is admitted.",
+)
+TAIL_CUT = define(
+    121,
+    Level.WARNING,
+    "{bytes} bytes of an unsynced log tail were cut",
+    "Expected after a power loss or kill. Nothing that was promised is lost.",
+)
+STORAGE_FAILED = define(
+    122,
+    Level.ERROR,
+    "the data folder failed, the node takes no further part: {error}",
+    "Do what the error says; the other nodes go on while a majority is left.",
+)
+JOIN_REFUSED = define(
+    123,
+    Level.WARNING,
+    "joining through {peer} failed: {error}",
+    "The node tries the next peer. If it stays: start a majority of the others.",
+)
--- /dev/null
+++ b/src/rowanrail/control/membership.py
@@ -0,0 +1,139 @@
+"""Admission and removal of control nodes, one at a time, through the log.
+
+A node with an empty data folder is a new node, whatever its name. It joins as a learner,
+is brought up to date, takes the place of an older node of the same name, and only then
+gets a vote.
+"""
+
+import asyncio
+
+import msgspec
+
+from rowanrail.consensus.messages import Membership
+from rowanrail.consensus.node import ConsensusNode, NotLeaderError
+from rowanrail.consensus.raft import MembershipBusy
+from rowanrail.control.messages import JoinRequest, NodesReply, NodesRequest, NodeView
+from rowanrail.kernel.errors import InvalidRequestError, RowanrailError
+
+CAUGHT_UP_ENTRIES = 10
+STEP_SECONDS = 0.2
+
+
+def name_of(node: str) -> str:
+    """Return the name in a node id (``name@identity``)."""
+    return node.split("@")[0]
+
+
+class MembershipManager:
+    """Carries out membership changes while its node leads."""
+
+    def __init__(self, node: ConsensusNode, cluster: str) -> None:
+        self._node = node
+        self._cluster = cluster
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to promote learners whenever this node leads."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def join(self, request: JoinRequest) -> NodesReply:
+        """Admit a node as a learner.
+
+        :raises InvalidRequestError: if it belongs to another system.
+        """
+        if request.cluster != self._cluster:
+            raise InvalidRequestError(
+                f"the node belongs to {request.cluster!r}, this is {self._cluster!r}",
+                step="join",
+                peer=request.name,
+            )
+        membership = self._node.raft.membership
+        if request.node not in membership.addresses():
+            learners = {
+                node: address
+                for node, address in membership.learners.items()
+                if name_of(node) != request.name
+            }
+            learners[request.node] = request.address
+            await self._change(msgspec.structs.replace(membership, learners=learners))
+        return self.view()
+
+    async def nodes(self, request: NodesRequest) -> NodesReply:
+        """List the nodes, after removing one if the request asks for it.
+
+        :raises InvalidRequestError: if the node to remove is unknown or the last one.
+        """
+        await self._node.read_barrier()
+        if request.remove:
+            await self._remove(request.remove)
+        return self.view()
+
+    async def _remove(self, name: str) -> None:
+        membership = self._node.raft.membership
+        voters = {node: a for node, a in membership.voters.items() if name_of(node) != name}
+        learners = {node: a for node, a in membership.learners.items() if name_of(node) != name}
+        if len(voters) == len(membership.voters) and len(learners) == len(membership.learners):
+            raise InvalidRequestError(f"no control node is named {name!r}", step="remove")
+        if not voters:
+            raise InvalidRequestError("the last control node can't be removed", step="remove")
+        await self._change(Membership(voters, learners))
+
+    async def _change(self, membership: Membership) -> None:
+        try:
+            await self._node.change_membership(membership)
+        except MembershipBusy as error:
+            raise RowanrailError("another membership change is under way", step="join") from error
+
+    def view(self) -> NodesReply:
+        """Return the nodes as this node sees them."""
+        raft = self._node.raft
+        now = asyncio.get_running_loop().time()
+        views = []
+        for node, address in sorted(raft.membership.addresses().items()):
+            is_self = node == self._node.identity.node
+            match = raft.log.last_index if is_self else raft.match_of(node)
+            views.append(
+                NodeView(
+                    name=name_of(node),
+                    node=node,
+                    address=address,
+                    voter=node in raft.membership.voters,
+                    leader=node == raft.leader,
+                    behind=raft.log.last_index - match,
+                    answered_seconds_ago=0.0 if is_self else raft.answered_seconds_ago(node, now),
+                )
+            )
+        return NodesReply(raft.term, views)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_SECONDS)
+            if self._node.raft.is_established_leader:
+                try:
+                    await self._promote_one()
+                except (RowanrailError, MembershipBusy, NotLeaderError):
+                    continue
+
+    async def _promote_one(self) -> None:
+        raft = self._node.raft
+        for learner, address in sorted(raft.membership.learners.items()):
+            match = raft.match_of(learner)
+            if match == 0 or raft.log.last_index - match > CAUGHT_UP_ENTRIES:
+                continue
+            older = [n for n in raft.membership.voters if name_of(n) == name_of(learner)]
+            voters = dict(raft.membership.voters)
+            if older:
+                # First the lost node goes, then the new one comes: each step changes one voter.
+                for node in older:
+                    del voters[node]
+                await self._change(Membership(voters, dict(raft.membership.learners)))
+                return
+            voters[learner] = address
+            learners = {n: a for n, a in raft.membership.learners.items() if n != learner}
+            await self._change(Membership(voters, learners))
+            return
--- /dev/null
+++ b/src/rowanrail/control/messages.py
@@ -0,0 +1,258 @@
+"""Messages of the control plane, and the commands in its log."""
+
+import enum
+
+import msgspec
+
+from rowanrail.config.diff import Change
+from rowanrail.config.model import Configuration, GroupSpec, SiteSpec, UserSpec
+from rowanrail.rpc.codec import message
+
+
+class ConfigurationDelta(msgspec.Struct, frozen=True):
+    """What to put into and remove from a configuration; removals are by name."""
+
+    sites: list[SiteSpec] = []
+    groups: list[GroupSpec] = []
+    users: list[UserSpec] = []
+    removed_sites: list[str] = []
+    removed_groups: list[str] = []
+    removed_users: list[str] = []
+    drained: list[str] = []
+    undrained: list[str] = []
+
+
+class ChangeCommand(msgspec.Struct, frozen=True):
+    """A command in the log: a change of the configuration.
+
+    :param change_id: names the change; a resend carries the same one.
+    :param base_version: version that the delta was made against.
+    :param explicit: whether the operator demanded that version.
+    :param digest: digest of the operator's request, to tell a resend from another change.
+    """
+
+    change_id: str
+    author: str
+    time: str
+    base_version: int
+    explicit: bool
+    digest: str
+    delta: ConfigurationDelta
+    changes: list[Change] = []
+
+
+class Verdict(enum.Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    CONFLICT = "conflict"
+    REBASE = "rebase"
+    REUSED_ID = "reused-id"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Result of a change, the same for each resend.
+
+    :param winner: on a conflict, the author and change id that were first.
+    """
+
+    verdict: Verdict
+    version: int
+    winner: str = ""
+
+
+class Revision(msgspec.Struct, frozen=True):
+    """One accepted version in the history."""
+
+    version: int
+    change_id: str
+    author: str
+    time: str
+    changes: list[Change]
+
+
+@message
+class ApplyRequest(msgspec.Struct, frozen=True):
+    """An operator's configuration; sent to the leader."""
+
+    change_id: str
+    author: str
+    expected_version: int | None
+    configuration: Configuration
+
+
+@message
+class DrainRequest(msgspec.Struct, frozen=True):
+    """Drain members (``group/member``), or end their drain."""
+
+    change_id: str
+    author: str
+    members: list[str]
+    drain: bool
+
+
+@message
+class RollbackRequest(msgspec.Struct, frozen=True):
+    """Make the contents of an earlier version a new version."""
+
+    change_id: str
+    author: str
+    version: int
+
+
+@message
+class ChangeReply(msgspec.Struct, frozen=True):
+    """Answer to the requests above."""
+
+    outcome: Outcome
+
+
+@message
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Read the configuration and history through the leader."""
+
+
+@message
+class ReadReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`ReadRequest`."""
+
+    version: int
+    configuration: Configuration
+    drained: list[str]
+    history: list[Revision]
+
+
+class GroupReport(msgspec.Struct, frozen=True):
+    """What a proxy tells of one member of a group."""
+
+    group: str
+    member: str
+    zone: str
+    role: str
+    term: int
+    position: int
+    lag_seconds: float
+    leaving: bool
+    reachable: bool
+    connections: int = 0
+
+
+class ProxyReport(msgspec.Struct, frozen=True):
+    """What a control node knows of a proxy."""
+
+    proxy: str
+    zone: str
+    incarnation: str
+    version: int
+    replica_reads: int = 0
+    primary_reads: int = 0
+    groups: list[GroupReport] = []
+    seconds_ago: float = 0.0
+
+
+@message
+class WatchRequest(msgspec.Struct, frozen=True):
+    """A proxy's heartbeat and its question for a newer configuration.
+
+    :param known_version: version that the proxy holds, 0 for none.
+    :param hold_seconds: how long the answer may be held back when nothing is newer.
+    """
+
+    report: ProxyReport
+    known_version: int
+    known_digest: str
+    hold_seconds: float
+
+
+@message
+class WatchReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`WatchRequest`: a delta, or the whole configuration, or nothing newer.
+
+    :param confirmed: whether the leader confirmed that nothing newer was accepted.
+    """
+
+    version: int
+    digest: str
+    confirmed: bool
+    whole: bool
+    delta: ConfigurationDelta | None
+
+
+@message
+class ReportsRequest(msgspec.Struct, frozen=True):
+    """Ask a control node for the proxies that it knows."""
+
+
+@message
+class ReportsReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`ReportsRequest`."""
+
+    node: str
+    version: int
+    reports: list[ProxyReport]
+
+
+@message
+class BarrierRequest(msgspec.Struct, frozen=True):
+    """Ask the leader for the newest accepted version."""
+
+
+@message
+class BarrierReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`BarrierRequest`: an index that holds all accepted changes."""
+
+    index: int
+
+
+@message
+class JoinRequest(msgspec.Struct, frozen=True):
+    """A node with an empty data folder asks to be admitted."""
+
+    name: str
+    node: str
+    address: str
+    cluster: str
+
+
+@message
+class NodesRequest(msgspec.Struct, frozen=True):
+    """Ask for the control nodes, or change them (``add`` or ``remove`` by name)."""
+
+    remove: str = ""
+
+
+class NodeView(msgspec.Struct, frozen=True):
+    """One control node as the leader sees it."""
+
+    name: str
+    node: str
+    address: str
+    voter: bool
+    leader: bool
+    behind: int
+    answered_seconds_ago: float
+
+
+@message
+class NodesReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`NodesRequest`, and to :class:`JoinRequest`."""
+
+    term: int
+    nodes: list[NodeView]
+
+
+@message
+class PeerConfigurationRequest(msgspec.Struct, frozen=True):
+    """A proxy asks another proxy for the configuration that it has in force."""
+
+    zone: str
+
+
+@message
+class PeerConfigurationReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`PeerConfigurationRequest`."""
+
+    version: int
+    configuration: Configuration
+    drained: list[str]
--- /dev/null
+++ b/src/rowanrail/control/node.py
@@ -0,0 +1,120 @@
+"""One control node, apart from its process: folder, log, service and membership.
+
+The daemon and the simulator both build it, each with its own network and disk.
+"""
+
+import asyncio
+import random
+
+from rowanrail.config.settings import ControlSettings
+from rowanrail.consensus.node import ConsensusNode, NodeOptions
+from rowanrail.consensus.raft import RaftConfig
+from rowanrail.consensus.storage import Identity, Storage
+from rowanrail.control.bootstrap import FolderOwner, join_until_admitted, open_folder
+from rowanrail.control.events import (
+    LEADER_CHANGED,
+    STORAGE_FAILED,
+    TAIL_CUT,
+    VERSION_ACCEPTED,
+)
+from rowanrail.control.membership import name_of
+from rowanrail.control.service import ControlService
+from rowanrail.control.state import ConfigurationState
+from rowanrail.kernel.disk import Disk
+from rowanrail.kernel.events import emit
+from rowanrail.kernel.registry import Registry
+from rowanrail.rpc.network import Listener, Network
+
+
+class ControlNode:
+    """Opens the folder, serves the other processes, and takes part in the log."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        network: Network,
+        disk: Disk,
+        randomness: random.Random,
+        registry: Registry,
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._storage = Storage(disk)
+        self._random = randomness
+        self._registry = registry
+        self._listener: Listener | None = None
+        self._joining: asyncio.Task[None] | None = None
+        self._admitted = asyncio.Event()
+        self._seen_leader = ("", 0)
+        self._seen_version = 0
+
+    async def start(self, bootstrap: bool) -> None:
+        """Open the folder and begin to serve.
+
+        :raises StorageError: if the folder can't be used.
+        """
+        settings = self._settings
+        owner = FolderOwner(settings.cluster, settings.name, settings.nodes, settings.data_folder)
+        identity = await open_folder(
+            owner,
+            self._storage,
+            self._network,
+            self._random,
+            self._registry.create("consensus-guard", "learner-first"),
+            bootstrap,
+        )
+        self.state = ConfigurationState(self._registry.create("control-guard", "expected-version"))
+        self.consensus = self._create_consensus(identity)
+        self.service = ControlService(self.consensus, self.state, self._network, settings.cluster)
+        self.consensus.on_change = self._on_change
+        if self._storage.cut_bytes:
+            emit(TAIL_CUT, bytes=self._storage.cut_bytes)
+        self._listener = await self._network.serve(settings.rpc_listen, self.service.handle)
+        self.consensus.start()
+        self.service.members.start()
+        if identity.node not in self.consensus.raft.membership.addresses():
+            self._joining = asyncio.ensure_future(
+                join_until_admitted(owner, identity, self._network, self._admitted)
+            )
+
+    def _create_consensus(self, identity: Identity) -> ConsensusNode:
+        settings = self._settings
+        addresses = {node.name: node.address for node in settings.nodes}
+        options = NodeOptions(
+            raft=RaftConfig(settings.heartbeat_seconds, settings.election_timeout_seconds),
+            snapshot_entries=settings.snapshot_entries,
+        )
+        return ConsensusNode(
+            identity,
+            self._storage,
+            self._network,
+            self.state,
+            options,
+            self._random,
+            self._registry,
+            fallback_address=lambda node: addresses.get(name_of(node), ""),
+        )
+
+    def _on_change(self) -> None:
+        self.service.watches.notice_change()
+        raft = self.consensus.raft
+        if self.consensus.identity.node in raft.membership.addresses():
+            self._admitted.set()
+        if self.consensus.failure is not None:
+            emit(STORAGE_FAILED, error=self.consensus.failure)
+        leader = (raft.leader, raft.term)
+        if raft.leader and leader != self._seen_leader:
+            self._seen_leader = leader
+            emit(LEADER_CHANGED, leader=raft.leader, term=raft.term)
+        if self.state.current.version != self._seen_version:
+            self._seen_version = self.state.current.version
+            emit(VERSION_ACCEPTED, version=self._seen_version)
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._joining is not None:
+            self._joining.cancel()
+        if self._listener is not None:
+            await self._listener.close()
+        await self.service.members.stop()
+        await self.consensus.stop()
--- /dev/null
+++ b/src/rowanrail/control/service.py
@@ -0,0 +1,270 @@
+"""The configuration service of one control node."""
+
+import asyncio
+import datetime
+import hashlib
+
+import msgspec
+
+from rowanrail.config.checks import check_configuration
+from rowanrail.config.diff import Change, difference
+from rowanrail.config.model import Configuration
+from rowanrail.consensus.messages import ConsensusMessage
+from rowanrail.consensus.node import (
+    CONSENSUS_MESSAGES,
+    ConsensusNode,
+    NotLeaderError,
+    SupersededError,
+)
+from rowanrail.control.delta import make_delta
+from rowanrail.control.membership import MembershipManager
+from rowanrail.control.messages import (
+    ApplyRequest,
+    BarrierReply,
+    BarrierRequest,
+    ChangeCommand,
+    ChangeReply,
+    ConfigurationDelta,
+    DrainRequest,
+    JoinRequest,
+    NodesRequest,
+    Outcome,
+    ProxyReport,
+    ReadReply,
+    ReadRequest,
+    ReportsReply,
+    ReportsRequest,
+    RollbackRequest,
+    Verdict,
+    WatchRequest,
+)
+from rowanrail.control.state import ConfigurationState
+from rowanrail.control.watch import WatchHub
+from rowanrail.kernel.errors import InvalidRequestError, RowanrailError, TransportError
+from rowanrail.rpc.network import Network
+
+LEADER_CALL_SECONDS = 3.0
+REQUEST_SECONDS = 8.0
+RETRY_SECONDS = 0.1
+BARRIER_SECONDS = 1.0
+READ_HISTORY = 200
+
+ChangeRequest = ApplyRequest | DrainRequest | RollbackRequest
+LEADER_REQUESTS = (
+    ApplyRequest,
+    DrainRequest,
+    RollbackRequest,
+    ReadRequest,
+    BarrierRequest,
+    NodesRequest,
+    JoinRequest,
+)
+
+
+class ControlService:
+    """Handles the messages of proxies and control nodes, and the operators' requests."""
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        state: ConfigurationState,
+        network: Network,
+        cluster: str,
+    ) -> None:
+        self.node = node
+        self.state = state
+        self.watches = WatchHub(state)
+        self.members = MembershipManager(node, cluster)
+        self._network = network
+        node.on_change = self.watches.notice_change
+
+    # Messages from other processes
+
+    async def handle(self, request: msgspec.Struct) -> msgspec.Struct | None:
+        """Answer a message from another process."""
+        if isinstance(request, CONSENSUS_MESSAGES):
+            consensus: ConsensusMessage = request
+            self.node.receive(consensus)
+            return None
+        if isinstance(request, WatchRequest):
+            return await self._watch(request)
+        if isinstance(request, ReportsRequest):
+            version = self.state.current.version
+            return ReportsReply(self.node.identity.node, version, self.watches.reports())
+        return await self._serve_as_leader(request)
+
+    async def _serve_as_leader(self, request: msgspec.Struct) -> msgspec.Struct:
+        if isinstance(request, ApplyRequest | DrainRequest | RollbackRequest):
+            return ChangeReply(await self._change(request))
+        if isinstance(request, ReadRequest):
+            return await self._read()
+        if isinstance(request, BarrierRequest):
+            await self.node.read_barrier()
+            return BarrierReply(self.node.applied)
+        if isinstance(request, JoinRequest):
+            return await self.members.join(request)
+        if isinstance(request, NodesRequest):
+            return await self.members.nodes(request)
+        raise TransportError(f"unexpected {type(request).__name__}", step="handle")
+
+    async def _watch(self, request: WatchRequest) -> msgspec.Struct:
+        confirmed = False
+        if request.known_version == 0:
+            confirmed = await self._catch_up()
+        return await self.watches.watch(request, confirmed)
+
+    async def _catch_up(self) -> bool:
+        """Bring this node up to all that was accepted; return whether that was possible."""
+        try:
+            async with asyncio.timeout(BARRIER_SECONDS):
+                reply = await self.on_leader(BarrierRequest())
+                assert isinstance(reply, BarrierReply)
+                await self.node.wait_applied(reply.index)
+        except (RowanrailError, TimeoutError):
+            return False
+        return True
+
+    # Requests that only the leader can serve
+
+    async def on_leader(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Serve a request here if this node leads, else at the leader.
+
+        :raises RowanrailError: if no leader served it; a change may or may not have run.
+        """
+        leader = self.node.leader_address()
+        if self.node.raft.is_leader or not leader:
+            return await self._serve_as_leader(request)
+        return await self._network.call(leader, request, LEADER_CALL_SECONDS)
+
+    async def request(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Like :meth:`on_leader`, and wait for a leader for a while if there is none.
+
+        Repeating is safe: a change carries an id, and its first outcome is remembered.
+
+        :raises RowanrailError: if no leader served it in time.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + REQUEST_SECONDS
+        while True:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    return await self.on_leader(request)
+            except InvalidRequestError:
+                raise
+            except (RowanrailError, TimeoutError) as error:
+                if loop.time() + RETRY_SECONDS >= deadline:
+                    raise self._no_leader(error) from error
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _no_leader(self, error: Exception) -> RowanrailError:
+        voters = sorted(self.node.raft.membership.voters)
+        return TransportError(
+            f"no majority of the control nodes {', '.join(voters)} answers ({error}); "
+            "start or reconnect the missing ones, then send the change again with the same id",
+            step="find leader",
+            peer=self.node.identity.node,
+        )
+
+    async def _read(self) -> ReadReply:
+        await self.node.read_barrier()
+        current = self.state.current
+        history = list(self.state.history)[-READ_HISTORY:]
+        return ReadReply(current.version, current.configuration, current.drained, history)
+
+    async def _change(self, request: ChangeRequest) -> Outcome:
+        digest = hashlib.sha256(msgspec.msgpack.encode(request)).hexdigest()
+        while True:
+            await self.node.read_barrier()
+            known = self.state.recorded(request.change_id, digest)
+            if known is not None:
+                return known
+            command = self._command(request, digest)
+            try:
+                outcome = await self.node.propose(msgspec.msgpack.encode(command))
+            except SupersededError as error:
+                raise NotLeaderError(self.node.leader_address(), "propose") from error
+            assert isinstance(outcome, Outcome)
+            if outcome.verdict is not Verdict.REBASE:
+                return outcome
+
+    def _command(self, request: ChangeRequest, digest: str) -> ChangeCommand:
+        current = self.state.current
+        expected = request.expected_version if isinstance(request, ApplyRequest) else None
+        delta, changes = self._delta(request)
+        return ChangeCommand(
+            change_id=request.change_id,
+            author=request.author,
+            time=datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds"),
+            base_version=current.version if expected is None else expected,
+            explicit=expected is not None,
+            digest=digest,
+            delta=delta,
+            changes=changes,
+        )
+
+    def _delta(self, request: ChangeRequest) -> tuple[ConfigurationDelta, list[Change]]:
+        current = self.state.current.configuration
+        if isinstance(request, DrainRequest):
+            return self._drain_delta(request)
+        if isinstance(request, RollbackRequest):
+            target = self.state.at_version(request.version)
+            if target is None:
+                raise InvalidRequestError(
+                    f"version {request.version} is not remembered; apply its files instead",
+                    step="rollback",
+                )
+        else:
+            target = request.configuration
+            problems = check_configuration(target)
+            if problems:
+                raise InvalidRequestError("; ".join(problems), step="apply")
+        return make_delta(current, target), difference(current, target)
+
+    def _drain_delta(self, request: DrainRequest) -> tuple[ConfigurationDelta, list[Change]]:
+        current = self.state.current
+        known = _member_names(current.configuration)
+        unknown = [member for member in request.members if member not in known]
+        if unknown:
+            raise InvalidRequestError(
+                f"no such member: {', '.join(unknown)}; write group/member", step="drain"
+            )
+        drained = set(current.drained)
+        members = [name for name in request.members if (name in drained) != request.drain]
+        states = ("", "drained") if request.drain else ("drained", "")
+        changes = [Change(f"drained.{name}", *states) for name in members]
+        if request.drain:
+            return ConfigurationDelta(drained=members), changes
+        return ConfigurationDelta(undrained=members), changes
+
+    async def all_reports(self) -> tuple[list[ProxyReport], list[str]]:
+        """Return the proxies that any control node knows, and the nodes that are silent."""
+        silent: list[str] = []
+        newest: dict[str, ProxyReport] = {}
+        replies: list[list[ProxyReport]] = [self.watches.reports()]
+        addresses = self.node.raft.membership.addresses()
+        peers = [
+            (name, address)
+            for name, address in addresses.items()
+            if name != self.node.identity.node
+        ]
+        results = await asyncio.gather(
+            *(self._network.call(address, ReportsRequest(), 1.0) for _, address in peers),
+            return_exceptions=True,
+        )
+        for (name, _), result in zip(peers, results, strict=True):
+            if isinstance(result, ReportsReply):
+                replies.append(result.reports)
+            else:
+                silent.append(name)
+        for reports in replies:
+            for report in reports:
+                known = newest.get(report.proxy)
+                if known is None or report.seconds_ago < known.seconds_ago:
+                    newest[report.proxy] = report
+        return [newest[proxy] for proxy in sorted(newest)], silent
+
+
+def _member_names(configuration: Configuration) -> set[str]:
+    return {
+        f"{group.name}/{member.name}" for group in configuration.groups for member in group.members
+    }
--- /dev/null
+++ b/src/rowanrail/control/state.py
@@ -0,0 +1,120 @@
+"""The replicated state machine: the configuration, its history and the outcomes of changes."""
+
+from collections import deque
+
+import msgspec
+
+from rowanrail.config.model import Configuration, VersionedConfiguration
+from rowanrail.consensus.messages import Entry, EntryKind
+from rowanrail.consensus.node import StateMachine
+from rowanrail.control.delta import apply_delta, is_empty
+from rowanrail.control.messages import ChangeCommand, Outcome, Revision, Verdict
+from rowanrail.control.policies import ExpectedVersion
+
+REMEMBERED_OUTCOMES = 10_000
+REMEMBERED_REVISIONS = 1_000
+REMEMBERED_CONFIGURATIONS = 50
+
+
+class RecordedOutcome(msgspec.Struct, frozen=True):
+    """The outcome of a change, with the digest of its request."""
+
+    digest: str
+    outcome: Outcome
+
+
+class SavedState(msgspec.Struct, frozen=True):
+    """The whole state, as it stands in a snapshot."""
+
+    current: VersionedConfiguration
+    earlier: list[VersionedConfiguration]
+    history: list[Revision]
+    outcomes: dict[str, RecordedOutcome]
+
+
+class ConfigurationState(StateMachine):
+    """Accepts changes one after the other; depends on nothing but the log."""
+
+    def __init__(self, expected_version: ExpectedVersion) -> None:
+        self._expected_version = expected_version
+        self.current = VersionedConfiguration()
+        self.history: deque[Revision] = deque(maxlen=REMEMBERED_REVISIONS)
+        self.earlier: deque[VersionedConfiguration] = deque(maxlen=REMEMBERED_CONFIGURATIONS)
+        self._outcomes: dict[str, RecordedOutcome] = {}
+
+    def recorded(self, change_id: str, digest: str) -> Outcome | None:
+        """Return the outcome of an earlier change with this id, if there was one."""
+        known = self._outcomes.get(change_id)
+        if known is None:
+            return None
+        if known.digest != digest:
+            return Outcome(Verdict.REUSED_ID, known.outcome.version)
+        return known.outcome
+
+    def at_version(self, version: int) -> Configuration | None:
+        """Return the configuration at a version, if it is still remembered."""
+        for candidate in (self.current, *self.earlier):
+            if candidate.version == version:
+                return candidate.configuration
+        return None
+
+    def apply(self, entry: Entry) -> object:
+        """See :meth:`StateMachine.apply`."""
+        if entry.kind is not EntryKind.COMMAND:
+            return None
+        return self._change(msgspec.msgpack.decode(entry.data, type=ChangeCommand))
+
+    def _change(self, command: ChangeCommand) -> Outcome:
+        known = self.recorded(command.change_id, command.digest)
+        if known is not None:
+            return known
+        outcome = self._decide(command)
+        if outcome.verdict is not Verdict.REBASE:
+            self._outcomes[command.change_id] = RecordedOutcome(command.digest, outcome)
+            if len(self._outcomes) > REMEMBERED_OUTCOMES:
+                del self._outcomes[next(iter(self._outcomes))]
+        return outcome
+
+    def _decide(self, command: ChangeCommand) -> Outcome:
+        if not self._expected_version.matches(command.base_version, self.current.version):
+            if not command.explicit:
+                return Outcome(Verdict.REBASE, self.current.version)
+            winner = self._winner_after(command.base_version)
+            return Outcome(Verdict.CONFLICT, self.current.version, winner)
+        if is_empty(command.delta):
+            return Outcome(Verdict.UNCHANGED, self.current.version)
+        self.earlier.append(self.current)
+        self.current = apply_delta(self.current, command.delta)
+        self.history.append(
+            Revision(
+                self.current.version,
+                command.change_id,
+                command.author,
+                command.time,
+                command.changes,
+            )
+        )
+        return Outcome(Verdict.ACCEPTED, self.current.version)
+
+    def _winner_after(self, base_version: int) -> str:
+        for revision in self.history:
+            if revision.version == base_version + 1:
+                return f"{revision.author} (change {revision.change_id})"
+        return ""
+
+    def snapshot(self) -> bytes:
+        """See :meth:`StateMachine.snapshot`."""
+        state = SavedState(
+            self.current, list(self.earlier), list(self.history), dict(self._outcomes)
+        )
+        return msgspec.msgpack.encode(state)
+
+    def restore(self, data: bytes) -> None:
+        """See :meth:`StateMachine.restore`."""
+        if not data:
+            return
+        state = msgspec.msgpack.decode(data, type=SavedState)
+        self.current = state.current
+        self.earlier = deque(state.earlier, maxlen=REMEMBERED_CONFIGURATIONS)
+        self.history = deque(state.history, maxlen=REMEMBERED_REVISIONS)
+        self._outcomes = dict(state.outcomes)
--- /dev/null
+++ b/src/rowanrail/control/watch.py
@@ -0,0 +1,97 @@
+"""Watch streams from a control node to proxies, and what the proxies report."""
+
+import asyncio
+
+import msgspec
+
+from rowanrail.config.model import VersionedConfiguration
+from rowanrail.control.delta import view_delta, view_for_zone
+from rowanrail.control.messages import (
+    ConfigurationDelta,
+    ProxyReport,
+    WatchReply,
+    WatchRequest,
+)
+from rowanrail.control.state import ConfigurationState
+
+MAXIMUM_HOLD_SECONDS = 5.0
+FORGET_REPORT_SECONDS = 60.0
+
+
+class _Heard(msgspec.Struct):
+    report: ProxyReport
+    at: float
+
+
+class WatchHub:
+    """Answers watches as soon as a newer version is committed here."""
+
+    def __init__(self, state: ConfigurationState) -> None:
+        self._state = state
+        self._changed = asyncio.Event()
+        self._seen_version = -1
+        self._reports: dict[str, _Heard] = {}
+        self._views: dict[tuple[str, int], tuple[VersionedConfiguration, str]] = {}
+
+    def notice_change(self) -> None:
+        """Wake the watches if the configuration changed."""
+        if self._state.current.version != self._seen_version:
+            self._seen_version = self._state.current.version
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def watch(self, request: WatchRequest, confirmed: bool) -> WatchReply:
+        """Return what is newer than the proxy knows, or nothing after the hold time."""
+        loop = asyncio.get_running_loop()
+        self._reports[request.report.proxy] = _Heard(request.report, loop.time())
+        if self._state.current.version <= request.known_version:
+            changed = self._changed
+            try:
+                async with asyncio.timeout(min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        return self._reply(request, confirmed)
+
+    def _reply(self, request: WatchRequest, confirmed: bool) -> WatchReply:
+        zone = request.report.zone
+        current, digest = self._view(zone, self._state.current)
+        if current.version <= request.known_version:
+            return WatchReply(current.version, digest, confirmed, False, None)
+        for earlier in self._state.earlier:
+            if earlier.version == request.known_version:
+                known, known_digest = self._view(zone, earlier)
+                if known_digest == request.known_digest:
+                    delta = view_delta(known, current)
+                    return WatchReply(current.version, digest, confirmed, False, delta)
+        whole = ConfigurationDelta(
+            sites=current.configuration.sites,
+            groups=current.configuration.groups,
+            users=current.configuration.users,
+            drained=current.drained,
+        )
+        return WatchReply(current.version, digest, confirmed, True, whole)
+
+    def _view(self, zone: str, whole: VersionedConfiguration) -> tuple[VersionedConfiguration, str]:
+        key = (zone, whole.version)
+        view = self._views.get(key)
+        if view is None:
+            part = view_for_zone(whole, zone)
+            view = (part, part.digest())
+            self._views[key] = view
+            while len(self._views) > 100:
+                del self._views[next(iter(self._views))]
+        return view
+
+    def reports(self) -> list[ProxyReport]:
+        """Return the newest report of each proxy that was heard lately."""
+        now = asyncio.get_running_loop().time()
+        self._reports = {
+            proxy: heard
+            for proxy, heard in self._reports.items()
+            if now - heard.at < FORGET_REPORT_SECONDS
+        }
+        return [
+            msgspec.structs.replace(heard.report, seconds_ago=now - heard.at)
+            for heard in self._reports.values()
+        ]
--- /dev/null
+++ b/src/rowanrail/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-in registry, errors, events, lifecycle and the disk port."""
--- /dev/null
+++ b/src/rowanrail/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""MySQL protocol adapters towards callers and back ends."""
--- /dev/null
+++ b/src/rowanrail/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, routing, pools and confirmation."""
--- /dev/null
+++ b/src/rowanrail/proxy/config_watch.py
@@ -0,0 +1,159 @@
+"""How a proxy gets its configuration, and reports what it has in force.
+
+The proxy asks its control nodes in turn, with long polls. At its start it asks for what
+the leader confirms. If no control node can confirm, it takes the highest version that
+its control nodes and the other proxies know, and says so.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.config.model import Configuration, VersionedConfiguration
+from rowanrail.control.delta import apply_delta
+from rowanrail.control.messages import (
+    PeerConfigurationReply,
+    PeerConfigurationRequest,
+    ProxyReport,
+    WatchReply,
+    WatchRequest,
+)
+from rowanrail.kernel.errors import TransportError
+from rowanrail.kernel.events import emit
+from rowanrail.proxy.core import ProxyCore
+from rowanrail.proxy.events import CONTROL_UNREACHABLE, UNCONFIRMED_CONFIGURATION
+from rowanrail.rpc.network import Network
+
+HOLD_SECONDS = 2.0
+CALL_SECONDS = 5.0
+PEER_CALL_SECONDS = 1.0
+RETRY_SECONDS = 0.2
+
+
+class ConfigurationWatch:
+    """Keeps the core's configuration up to date."""
+
+    def __init__(
+        self,
+        core: ProxyCore,
+        network: Network,
+        controls: list[str],
+        peers: list[str],
+        make_report: Callable[[], ProxyReport],
+    ) -> None:
+        self._core = core
+        self._network = network
+        self._controls = controls
+        self._peers = peers
+        self._make_report = make_report
+        self._next_control = 0
+        self._held = VersionedConfiguration()
+        self._task: asyncio.Task[None] | None = None
+        self.silent = False
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def answer_peer(self, request: msgspec.Struct) -> msgspec.Struct | None:
+        """Answer another proxy that asks for the configuration in force here."""
+        if not isinstance(request, PeerConfigurationRequest):
+            raise TransportError(f"unexpected {type(request).__name__}", step="handle")
+        held = self._core.in_force
+        return PeerConfigurationReply(held.version, held.configuration, held.drained)
+
+    async def _run(self) -> None:
+        await self._start_up()
+        while True:
+            if not await self._watch_once():
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _start_up(self) -> None:
+        """Take the leader's version; without one, the highest that anybody near knows."""
+        while self._core.in_force.version == 0:
+            replies = await asyncio.gather(*(self._ask(address, 0.0) for address in self._controls))
+            known = [reply for reply in replies if reply is not None]
+            confirmed = [reply for reply in known if reply.confirmed]
+            if confirmed:
+                newest = max(confirmed, key=lambda reply: reply.version)
+                if newest.version == 0:
+                    return  # nothing was ever accepted: wait for the first version by watching
+                self._take(newest)
+                return
+            await self._take_unconfirmed(known)
+            if self._core.in_force.version == 0:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _take_unconfirmed(self, known: list[WatchReply]) -> None:
+        offers: list[tuple[VersionedConfiguration, str]] = []
+        for reply in known:
+            if reply.version and reply.delta is not None:
+                offers.append((_from_whole(reply), "a control node"))
+        request = PeerConfigurationRequest("")
+        answers = await asyncio.gather(
+            *(self._network.call(peer, request, PEER_CALL_SECONDS) for peer in self._peers),
+            return_exceptions=True,
+        )
+        for peer, answer in zip(self._peers, answers, strict=True):
+            if isinstance(answer, PeerConfigurationReply) and answer.version:
+                offered = VersionedConfiguration(
+                    answer.version, answer.configuration, answer.drained
+                )
+                offers.append((offered, peer))
+        if offers:
+            newest, source = max(offers, key=lambda offer: offer[0].version)
+            emit(UNCONFIRMED_CONFIGURATION, version=newest.version, source=source)
+            self._held = newest
+            self._core.apply(newest)
+
+    async def _watch_once(self) -> bool:
+        address = self._controls[self._next_control % len(self._controls)]
+        reply = await self._ask(address, HOLD_SECONDS)
+        if reply is None:
+            self._next_control += 1
+            return False
+        self._take(reply)
+        return True
+
+    async def _ask(self, address: str, hold_seconds: float) -> WatchReply | None:
+        request = WatchRequest(
+            self._make_report(), self._held.version, self._held.digest(), hold_seconds
+        )
+        try:
+            reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
+        except TransportError as error:
+            if not self.silent:
+                emit(CONTROL_UNREACHABLE, peer=address, error=error)
+            self.silent = True
+            return None
+        self.silent = False
+        return reply if isinstance(reply, WatchReply) else None
+
+    def _take(self, reply: WatchReply) -> None:
+        if reply.delta is None or not reply.version:
+            return
+        offered = _from_whole(reply) if reply.whole else _from_delta(self._held, reply)
+        if offered.digest() != reply.digest:
+            # A gap: forget what is held, so that the next answer is the whole configuration.
+            self._held = VersionedConfiguration()
+            return
+        if self._core.apply(offered):
+            self._held = offered
+
+
+def _from_whole(reply: WatchReply) -> VersionedConfiguration:
+    assert reply.delta is not None
+    configuration = Configuration(reply.delta.sites, reply.delta.groups, reply.delta.users)
+    return VersionedConfiguration(reply.version, configuration, reply.delta.drained)
+
+
+def _from_delta(held: VersionedConfiguration, reply: WatchReply) -> VersionedConfiguration:
+    assert reply.delta is not None
+    changed = apply_delta(held, reply.delta)
+    return VersionedConfiguration(reply.version, changed.configuration, changed.drained)
--- /dev/null
+++ b/src/rowanrail/proxy/core.py
@@ -0,0 +1,242 @@
+"""The proxy's core: groups as configured, sessions, and the planned stop.
+
+It knows no wire protocol; the MySQL adapter and the simulator both drive it.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import random
+import time
+from collections.abc import Callable
+
+from rowanrail.config.model import GroupSpec, VersionedConfiguration
+from rowanrail.control.policies import VersionMonotonic
+from rowanrail.kernel.errors import BackendRefusedError, NotRunError, UnknownDatabaseError
+from rowanrail.kernel.events import emit
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import BackendDriver
+from rowanrail.proxy.events import CONFIGURATION_IN_FORCE, OLDER_CONFIGURATION
+from rowanrail.proxy.group import GroupOptions
+from rowanrail.proxy.policies import DrainWait
+from rowanrail.proxy.services import GroupServices, SessionHost
+from rowanrail.proxy.session import Session
+
+REAPER_SECONDS = 0.5
+STOP_RETRY_AFTER_SECONDS = 0.5
+STOP_POLL_SECONDS = 0.05
+
+
+class ProxyCore(SessionHost):
+    """Sessions and groups of one proxy."""
+
+    def __init__(
+        self,
+        zone: str,
+        routes: dict[str, str],
+        driver: BackendDriver,
+        registry: Registry,
+        randomness: random.Random,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.registry = registry
+        self.in_force = VersionedConfiguration()
+        self.sessions: set[Session] = set()
+        self.stopping = False
+        self.on_session_ended_by_stop: Callable[[Session], None] = lambda session: None
+        self._zone = zone
+        self._routes = routes
+        self._driver = driver
+        self._random = randomness
+        self._wall_clock = wall_clock
+        self._monotonic: VersionMonotonic = registry.create("control-guard", "version-monotonic")
+        self._drain_wait: DrainWait = registry.create("proxy-guard", "drain-wait")
+        self._services: dict[str, GroupServices] = {}
+        self._by_database: dict[str, GroupServices] = {}
+        self._listed_leaving: set[str] = set()
+        self._proxies = 1
+        self._reaper: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to enforce the limits of transactions."""
+        self._reaper = asyncio.ensure_future(self._reap())
+
+    # Configuration
+
+    def apply(self, offered: VersionedConfiguration) -> bool:
+        """Put a configuration in force if it is newer than the one in force."""
+        if not self._monotonic.accepts(self.in_force.version, offered.version):
+            if offered.version < self.in_force.version:
+                emit(OLDER_CONFIGURATION, offered=offered.version, in_force=self.in_force.version)
+            return False
+        self.in_force = offered
+        wanted = {spec.name: spec for spec in offered.configuration.groups}
+        for name in list(self._services):
+            if wanted.get(name) != self._services[name].spec:
+                self._services.pop(name).group.stop()
+        for name, spec in wanted.items():
+            if name not in self._services:
+                self._services[name] = self._create_services(spec)
+        self._by_database = {
+            database: services
+            for services in self._services.values()
+            for database in services.spec.databases
+        }
+        self._update_leaving()
+        emit(CONFIGURATION_IN_FORCE, version=offered.version)
+        return True
+
+    def _create_services(self, spec: GroupSpec) -> GroupServices:
+        options = GroupOptions(self._zone, self._routes, self._proxies)
+        randomness = random.Random(self._random.getrandbits(64))
+        services = GroupServices(spec, options, self._driver, self.registry, randomness)
+        services.group.start()
+        return services
+
+    def set_listed_leaving(self, addresses: set[str]) -> None:
+        """Note which member addresses the platform lists as leaving."""
+        self._listed_leaving = addresses
+        self._update_leaving()
+
+    def set_proxies(self, proxies: int) -> None:
+        """Note how many proxies share the members' connections."""
+        self._proxies = proxies
+        for services in self._services.values():
+            services.group.set_proxies(proxies)
+
+    def _update_leaving(self) -> None:
+        drained = set(self.in_force.drained)
+        for services in self._services.values():
+            addresses = {member.name: member.address for member in services.spec.members}
+            for member in services.group.members:
+                member.drained = f"{services.spec.name}/{member.name}" in drained
+                member.listed_leaving = addresses[member.name] in self._listed_leaving
+
+    def services(self) -> list[GroupServices]:
+        """Return what serves the groups, by name."""
+        return [self._services[name] for name in sorted(self._services)]
+
+    # Sessions
+
+    def check_password(self, user: str, password_hash: str) -> bool:
+        """Return whether ``password_hash`` is the double SHA-1 of the user's password."""
+        stored = self.stored_password_hash(user)
+        return stored is not None and hmac.compare_digest(stored, password_hash.lower())
+
+    def stored_password_hash(self, user: str) -> str | None:
+        """Return the stored double SHA-1 of a user's password, or None if unknown."""
+        for spec in self.in_force.configuration.users:
+            if spec.name == user:
+                return spec.password_hash.lstrip("*").lower()
+        return None
+
+    def open_session(self, user: str, database: str) -> Session:
+        """Open a session for an authenticated user.
+
+        :raises CallerError: if the proxy stops, or the database can't be used.
+        """
+        if self.stopping:
+            raise self._stopping_error()
+        if database:
+            self.group_spec(user, database)
+        session = Session(self, user, database)
+        self.sessions.add(session)
+        return session
+
+    def group_spec(self, user: str, database: str) -> GroupSpec:
+        """See :meth:`SessionHost.group_spec`."""
+        spec = next(
+            (known for known in self.in_force.configuration.users if known.name == user), None
+        )
+        if spec is None or (spec.databases and database not in spec.databases):
+            raise BackendRefusedError(
+                1044, f"Access denied for user '{user}' to database '{database}'", sqlstate="42000"
+            )
+        services = self._by_database.get(database)
+        if services is None:
+            raise UnknownDatabaseError(
+                f"no group serves database {database!r}; check the name, or apply a "
+                "configuration that has it",
+                step="use",
+                peer=database,
+            )
+        return services.spec
+
+    def database_group(self, database: str) -> str:
+        """See :meth:`SessionHost.database_group`."""
+        services = self._by_database.get(database)
+        return services.spec.name if services else ""
+
+    def find_group(self, database: str) -> GroupServices | None:
+        """See :meth:`SessionHost.find_group`."""
+        return self._by_database.get(database)
+
+    def wall_clock(self) -> float:
+        """See :meth:`SessionHost.wall_clock`."""
+        return self._wall_clock()
+
+    async def _reap(self) -> None:
+        while True:
+            await asyncio.sleep(REAPER_SECONDS)
+            now = asyncio.get_running_loop().time()
+            for session in list(self.sessions):
+                session.check_limits(now)
+
+    # The planned stop
+
+    def check_accepting(self, session: object) -> None:
+        """See :meth:`SessionHost.check_accepting`. Open transactions may go on."""
+        assert isinstance(session, Session)
+        if self.stopping and not session.in_transaction:
+            raise self._stopping_error()
+
+    @staticmethod
+    def _stopping_error() -> NotRunError:
+        return NotRunError(
+            "this proxy is stopping; connect to another one",
+            retry_after_seconds=STOP_RETRY_AFTER_SECONDS,
+            step="accept",
+        )
+
+    def session_idle(self, session: object) -> None:
+        """See :meth:`SessionHost.session_idle`."""
+
+    def session_closed(self, session: object) -> None:
+        """See :meth:`SessionHost.session_closed`."""
+        assert isinstance(session, Session)
+        self.sessions.discard(session)
+
+    async def stop(self, limit_seconds: float) -> None:
+        """Stop as planned: refuse new work, let what runs end, then close everything.
+
+        Sessions are ended between statements. Transactions that are still open at the limit
+        are rolled back.
+        """
+        self.stopping = True
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_seconds
+        while self.sessions and loop.time() < deadline:
+            waiting = False
+            for session in list(self.sessions):
+                if self._drain_wait.must_wait(session.busy, session.in_transaction):
+                    waiting = True
+                else:
+                    self.on_session_ended_by_stop(session)
+                    self.sessions.discard(session)
+            if waiting:
+                await asyncio.sleep(STOP_POLL_SECONDS)
+        self.close()
+
+    def close(self) -> None:
+        """Close everything at once."""
+        if self._reaper is not None:
+            self._reaper.cancel()
+        for services in self._services.values():
+            services.group.stop()
+        self._services = {}
+        self._by_database = {}
+
+
+def hash_password(password: str) -> str:
+    """Return the double SHA-1 of a password, in hex, as MySQL's native password stores it."""
+    return hashlib.sha1(hashlib.sha1(password.encode()).digest()).hexdigest()
--- /dev/null
+++ b/src/rowanrail/proxy/daemon.py
@@ -0,0 +1,84 @@
+"""The proxy daemon: the core as a process."""
+
+import random
+
+from aiohttp import web
+
+from rowanrail.config.settings import ProxySettings
+from rowanrail.kernel.events import emit
+from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.registry import Registry
+from rowanrail.mysql import backend as _backend_plugin
+from rowanrail.mysql.frontend import MysqlFrontend
+from rowanrail.proxy.config_watch import ConfigurationWatch
+from rowanrail.proxy.core import ProxyCore
+from rowanrail.proxy.directory import DirectoryWatch
+from rowanrail.proxy.events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING
+from rowanrail.proxy.report import ProxyMetrics, make_report
+from rowanrail.rpc.routed import RoutedNetwork
+from rowanrail.rpc.tcp import TcpNetwork
+
+BACKEND_PLUGIN = _backend_plugin.MysqlDriver.__name__
+
+
+def admin_application(core: ProxyCore) -> web.Application:
+    """Return the web application with health, readiness and metrics."""
+    metrics = ProxyMetrics(core)
+
+    async def health(request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def ready(request: web.Request) -> web.Response:
+        is_ready = core.in_force.version > 0 and not core.stopping
+        body = {"ready": is_ready, "version": core.in_force.version, "stopping": core.stopping}
+        return web.json_response(body, status=200 if is_ready else 503)
+
+    async def show_metrics(request: web.Request) -> web.Response:
+        return web.Response(body=metrics.render(), content_type="text/plain")
+
+    application = web.Application()
+    application.router.add_get("/health", health)
+    application.router.add_get("/ready", ready)
+    application.router.add_get("/metrics", show_metrics)
+    return application
+
+
+async def run_proxy(settings: ProxySettings) -> None:
+    """Run a proxy until a stop signal, then stop as planned.
+
+    :raises RowanrailError: if an address can't be used.
+    """
+    registry = Registry()
+    randomness = random.Random()
+    incarnation = f"{randomness.getrandbits(48):012x}"
+    network = RoutedNetwork(TcpNetwork(), settings.routes)
+    core = ProxyCore(
+        settings.zone, settings.routes, registry.create("backend", "mysql"), registry, randomness
+    )
+    watch = ConfigurationWatch(
+        core,
+        network,
+        settings.controls,
+        [*settings.zone_peers, *settings.region_peers],
+        lambda: make_report(core, settings.name, settings.zone, incarnation),
+    )
+    frontend = MysqlFrontend(core)
+    listener = await network.serve(settings.rpc_listen, watch.answer_peer)
+    runner = await serve_http(admin_application(core), settings.admin_listen)
+    await frontend.start(settings.listen)
+    core.start()
+    watch.start()
+    directory = DirectoryWatch(settings.directory, core.set_listed_leaving)
+    if settings.directory:
+        directory.start()
+    emit(PROXY_STARTED, name=settings.name, listen=settings.listen)
+    await wait_for_stop_signal()
+    emit(PROXY_STOPPING, name=settings.name)
+    frontend.stop_accepting()
+    await core.stop(settings.stop_seconds)
+    watch.stop()
+    directory.stop()
+    await listener.close()
+    await runner.cleanup()
+    await network.close()
+    emit(PROXY_STOPPED, name=settings.name)
--- /dev/null
+++ b/src/rowanrail/proxy/directory.py
@@ -0,0 +1,64 @@
+"""The platform's list of live and leaving machines. It lags, so it is one word among three."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from rowanrail.kernel.events import emit
+from rowanrail.proxy.events import DIRECTORY_UNREACHABLE
+
+POLL_SECONDS = 0.5
+TIMEOUT_SECONDS = 2.0
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """One machine of the list."""
+
+    name: str
+    address: str
+    zone: str
+    state: str
+
+
+class MachineList(msgspec.Struct, frozen=True):
+    """The platform's answer."""
+
+    machines: list[Machine]
+
+
+class DirectoryWatch:
+    """Polls the list and tells which addresses are leaving."""
+
+    def __init__(self, url: str, on_leaving: Callable[[set[str]], None]) -> None:
+        self._url = url
+        self._on_leaving = on_leaving
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        silent = False
+        async with aiohttp.ClientSession(timeout=timeout) as client:
+            while True:
+                try:
+                    async with client.get(self._url) as response:
+                        listed = msgspec.json.decode(await response.read(), type=MachineList)
+                    self._on_leaving(
+                        {machine.address for machine in listed.machines if machine.state != "live"}
+                    )
+                    silent = False
+                except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+                    if not silent:
+                        emit(DIRECTORY_UNREACHABLE, error=error)
+                    silent = True
+                await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/src/rowanrail/proxy/group.py
@@ -0,0 +1,302 @@
+"""A database group as one proxy sees it: its members, and rounds over all of them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.config.model import GroupSpec
+from rowanrail.kernel.errors import NotRunError
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import BackendConnection, BackendDriver, MemberStatus, Position
+from rowanrail.proxy.monitor import MemberMonitor
+from rowanrail.proxy.policies import Freshness, LeavingCheck, TermConfirmation
+from rowanrail.proxy.pool import Pool
+
+ROUND_RETRY_SECONDS = 0.005
+ROUND_RETRY_MAXIMUM_SECONDS = 0.05
+SEARCH_SECONDS = 0.02
+RETRY_AFTER_SECONDS = 1.0
+
+
+class GroupOptions(msgspec.Struct, frozen=True):
+    """What a proxy adds to a group's configuration.
+
+    :param proxies: number of proxies among which a member's connections are divided.
+    """
+
+    zone: str
+    routes: dict[str, str]
+    proxies: int = 1
+
+
+class Member:
+    """One member: its pool, its monitor and whether it is leaving."""
+
+    def __init__(self, name: str, zone: str, pool: Pool, monitor: MemberMonitor) -> None:
+        self.name = name
+        self.zone = zone
+        self.pool = pool
+        self.monitor = monitor
+        self.drained = False
+        self.listed_leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the member is leaving: by an operator, by the list, or by its own word."""
+        status = self.monitor.latest
+        return self.drained or self.listed_leaving or (status is not None and status.leaving)
+
+
+class GroupRuntime:
+    """Members of a group, the primary among them, and majority rounds."""
+
+    def __init__(
+        self,
+        spec: GroupSpec,
+        options: GroupOptions,
+        driver: BackendDriver,
+        registry: Registry,
+        randomness: random.Random,
+    ) -> None:
+        self.spec = spec
+        self.freshness: Freshness = registry.create("proxy-guard", "freshness")
+        self.confirmation: TermConfirmation = registry.create("proxy-guard", "term-confirmation")
+        self.leaving_check: LeavingCheck = registry.create("proxy-guard", "leaving-check")
+        self._options = options
+        self._driver = driver
+        self._changed = asyncio.Event()
+        self._term = 0
+        self.members: list[Member] = []
+        self.members = [
+            self._create_member(spec, position, registry, randomness)
+            for position in range(len(spec.members))
+        ]
+
+    def _create_member(
+        self, spec: GroupSpec, position: int, registry: Registry, randomness: random.Random
+    ) -> Member:
+        member = spec.members[position]
+        opener = self._opener(member.address)
+        peer = f"{spec.name}/{member.name}"
+        pool = Pool(
+            peer,
+            self._share(),
+            spec.limits.slots_per_member,
+            opener,
+            registry.create("proxy-guard", "late-answer-discard"),
+        )
+        monitor = MemberMonitor(peer, opener, random.Random(randomness.getrandbits(64)))
+        monitor.on_status = self._on_status
+        return Member(member.name, member.zone, pool, monitor)
+
+    def _opener(self, address: str) -> Callable[[], "asyncio.Future[BackendConnection]"]:
+        routed = self._options.routes.get(address, address)
+        backend = self.spec.backend
+        database = self.spec.databases[0]
+
+        def open_connection() -> "asyncio.Future[BackendConnection]":
+            return asyncio.ensure_future(
+                self._driver.connect(routed, backend.user, backend.password, database)
+            )
+
+        return open_connection
+
+    def _share(self) -> int:
+        # One connection of the share is the monitor's.
+        limit = self.spec.limits.connections_per_member
+        return max(1, limit // max(1, self._options.proxies) - 1)
+
+    def set_proxies(self, proxies: int) -> None:
+        """Divide the members' connections among another number of proxies."""
+        if proxies != self._options.proxies:
+            self._options = msgspec.structs.replace(self._options, proxies=proxies)
+            for member in self.members:
+                member.pool.set_limit(self._share())
+
+    def start(self) -> None:
+        """Begin to watch the members."""
+        for member in self.members:
+            member.monitor.start()
+
+    def stop(self) -> None:
+        """Close everything."""
+        for member in self.members:
+            member.monitor.stop()
+            member.pool.abort_leased()
+            member.pool.close_idle()
+
+    def _on_status(self) -> None:
+        self._changed.set()
+        self.primary()
+
+    # The primary
+
+    def primary(self) -> Member | None:
+        """Return the member that claims to be primary in the highest term seen, if any."""
+        claims = [member for member in self.members if member.monitor.is_primary]
+        best = max(claims, key=_term_of, default=None)
+        if best is None or _term_of(best) < self._highest_term():
+            return None
+        if _term_of(best) > self._term:
+            self._on_new_primary(best)
+        if not self.leaving_check.accepts_work(best.leaving):
+            return None
+        return best
+
+    def _highest_term(self) -> int:
+        """Return the highest term that a majority has reached, as far as is known."""
+        terms = sorted((_term_of(member) for member in self.members), reverse=True)
+        return terms[len(self.members) // 2]
+
+    def _on_new_primary(self, primary: Member) -> None:
+        self._term = _term_of(primary)
+        for member in self.members:
+            if member is not primary:
+                # What runs there can't be confirmed any more: end it now, not at its deadline.
+                member.pool.abort_leased()
+
+    async def wait_primary(self, deadline: float) -> Member:
+        """Return the primary, searching for one until ``deadline`` (loop time).
+
+        :raises NotRunError: if none is found in time.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            found = self.primary()
+            if found is not None:
+                return found
+            if loop.time() >= deadline:
+                raise NotRunError(
+                    "the group has no primary",
+                    retry_after_seconds=RETRY_AFTER_SECONDS,
+                    step="find primary",
+                    peer=self.spec.name,
+                )
+            for member in self.members:
+                member.monitor.kick()
+            await self._wait_change(min(deadline, loop.time() + SEARCH_SECONDS))
+
+    async def _wait_change(self, until: float) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout_at(until):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def suspect(self, member: Member) -> None:
+        """Note that a connection to ``member`` broke: ask it again before it gets more work."""
+        member.monitor.reachable = False
+        for other in self.members:
+            other.monitor.kick()
+
+    # Rounds
+
+    async def round(self, enough: Callable[[list[MemberStatus]], bool]) -> list[MemberStatus]:
+        """Ask all members and return the answers as soon as ``enough`` holds for them.
+
+        All answers were sent after this call. Rounds that begin together share questions.
+        """
+        pending = {asyncio.ensure_future(member.monitor.refresh()) for member in self.members}
+        statuses: list[MemberStatus] = []
+        while pending and not enough(statuses):
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            statuses.extend(status for task in done if (status := task.result()) is not None)
+        return statuses
+
+    async def confirm(self, position: Position, deadline: float) -> bool:
+        """Return whether a majority, in the position's own term, holds ``position``.
+
+        :returns: False as soon as a majority has moved on, or at ``deadline``.
+        """
+        loop = asyncio.get_running_loop()
+        members = len(self.members)
+        pause_seconds = ROUND_RETRY_SECONDS
+
+        def decided(statuses: list[MemberStatus]) -> bool:
+            return self.confirmation.is_confirmed(
+                position, statuses, members
+            ) or self.confirmation.is_replaced(position, statuses, members)
+
+        while loop.time() < deadline:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    statuses = await self.round(decided)
+            except TimeoutError:
+                return False
+            if self.confirmation.is_confirmed(position, statuses, members):
+                return True
+            if self.confirmation.is_replaced(position, statuses, members):
+                return False
+            await asyncio.sleep(pause_seconds)
+            pause_seconds = min(2 * pause_seconds, ROUND_RETRY_MAXIMUM_SECONDS)
+        return False
+
+    async def acknowledged_floor(self, deadline: float) -> Position:
+        """Return a position that covers every write acknowledged before this call.
+
+        :raises NotRunError: if no majority answers in time.
+        """
+        loop = asyncio.get_running_loop()
+        members = len(self.members)
+        majority = members // 2 + 1
+        while True:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    statuses = await self.round(lambda answers: len(answers) >= majority)
+                    floor = self.freshness.acknowledged_floor(statuses, members)
+                    if floor is not None:
+                        return floor
+                    await asyncio.sleep(ROUND_RETRY_MAXIMUM_SECONDS)
+            except TimeoutError:
+                pass
+            if loop.time() >= deadline:
+                raise NotRunError(
+                    "no majority of the group's members answers",
+                    retry_after_seconds=RETRY_AFTER_SECONDS,
+                    step="find position",
+                    peer=self.spec.name,
+                )
+
+    # Replicas
+
+    def fresh_replicas(self, floor: Position) -> list[Member]:
+        """Return the replicas that may serve a read that must see ``floor``."""
+        return [
+            member
+            for member in self.members
+            if member.monitor.is_replica
+            and self.leaving_check.accepts_work(member.leaving)
+            and self.freshness.is_fresh(member.monitor.committed, floor)
+        ]
+
+    def usable_replicas(self) -> list[Member]:
+        """Return the replicas that answer and are not leaving, fresh or not."""
+        return [
+            member
+            for member in self.members
+            if member.monitor.is_replica and self.leaving_check.accepts_work(member.leaving)
+        ]
+
+    async def wait_fresh(self, floor: Position, until: float) -> list[Member]:
+        """Wait until a replica is fresh, at most until ``until`` (loop time)."""
+        loop = asyncio.get_running_loop()
+        while True:
+            fresh = self.fresh_replicas(floor)
+            if fresh or loop.time() >= until or not self.usable_replicas():
+                return fresh
+            for member in self.usable_replicas():
+                member.monitor.kick()
+            await self._wait_change(until)
+
+    def cost(self, member: Member) -> float:
+        """Return the expected seconds for a statement at ``member``."""
+        pool = member.pool
+        waiting = (pool.outstanding + 1) / max(1, min(pool.limit, pool.slots))
+        return pool.latency_seconds * max(1.0, waiting)
+
+
+def _term_of(member: Member) -> int:
+    return member.monitor.latest.term if member.monitor.latest else 0
--- /dev/null
+++ b/src/rowanrail/proxy/lease.py
@@ -0,0 +1,56 @@
+"""A leased back-end connection, ready for a session."""
+
+import asyncio
+
+from rowanrail.proxy.backend import StatementResult
+from rowanrail.proxy.group import Member
+from rowanrail.proxy.pool import PooledConnection, Priority
+
+
+class Lease:
+    """A connection that a session holds, with the member that it leads to."""
+
+    def __init__(self, member: Member, connection: PooledConnection) -> None:
+        self.member = member
+        self.connection = connection
+        self._began = asyncio.get_running_loop().time()
+
+    @classmethod
+    async def acquire(
+        cls, member: Member, deadline: float, priority: Priority, settings: tuple[str, ...]
+    ) -> "Lease":
+        """Lease a connection to ``member`` and carry the session's settings over to it.
+
+        :raises NotRunError: if none is free in time.
+        :raises BackendConnectError: if the member can't be reached.
+        :raises BackendLostError: if the connection broke; only settings were sent.
+        """
+        connection = await member.pool.acquire(deadline, priority, settings)
+        lease = cls(member, connection)
+        if connection.settings != settings:
+            try:
+                for setting in settings:
+                    await connection.execute(setting, deadline)
+            except BaseException:
+                lease.discard()
+                raise
+            connection.settings = settings
+        return lease
+
+    def is_of_known_start(self) -> bool:
+        """Return whether what is known of the member holds for this connection."""
+        latest = self.member.monitor.latest
+        return latest is not None and latest.incarnation == self.connection.incarnation
+
+    async def execute(self, sql: str, deadline: float) -> StatementResult:
+        """Run a statement on the connection."""
+        return await self.connection.execute(sql, deadline)
+
+    def release(self) -> None:
+        """Give the connection back to its pool."""
+        seconds = asyncio.get_running_loop().time() - self._began
+        self.member.pool.release(self.connection, seconds if self.connection.answered else None)
+
+    def discard(self) -> None:
+        """Close the connection: its state is in doubt."""
+        self.member.pool.discard(self.connection)
--- /dev/null
+++ b/src/rowanrail/proxy/monitor.py
@@ -0,0 +1,119 @@
+"""Watching one member: its status, its freshness, and rounds that batch questions."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from rowanrail.kernel.errors import BackendConnectError, BackendLostError, BackendRefusedError
+from rowanrail.proxy.backend import ORIGIN, BackendConnection, MemberRole, MemberStatus, Position
+from rowanrail.proxy.pool import Opener
+
+IDLE_POLL_SECONDS = 0.25
+STATUS_TIMEOUT_SECONDS = 0.3
+RECONNECT_SECONDS = 0.1
+
+
+class MemberMonitor:
+    """Polls a member's status; a question joins the round that begins after it."""
+
+    def __init__(self, peer: str, opener: Opener, randomness: random.Random) -> None:
+        self.peer = peer
+        self.latest: MemberStatus | None = None
+        self.latest_at = float("-inf")
+        self.reachable = False
+        self._opener = opener
+        self._random = randomness
+        self._connection: BackendConnection | None = None
+        self._waiters: list[asyncio.Future[MemberStatus | None]] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.on_status: Callable[[], None] = lambda: None
+
+    @property
+    def committed(self) -> Position:
+        """Last committed position known of the member."""
+        return self.latest.committed if self.latest else ORIGIN
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether the member last said that it is the primary, and still answers."""
+        return self.reachable and self.latest is not None and self.latest.role is MemberRole.PRIMARY
+
+    @property
+    def is_replica(self) -> bool:
+        """Whether the member last said that it is a replica, and still answers."""
+        return self.reachable and self.latest is not None and self.latest.role is MemberRole.REPLICA
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+        self._disconnect()
+        self._answer([*self._waiters], None)
+        self._waiters = []
+
+    async def refresh(self) -> MemberStatus | None:
+        """Return a status that the member sent after this call, or None."""
+        future: asyncio.Future[MemberStatus | None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(future)
+        self._wake.set()
+        return await future
+
+    def kick(self) -> None:
+        """Begin a round soon."""
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wait_for_round()
+            waiters, self._waiters = self._waiters, []
+            status = await self._query()
+            self._note(status)
+            self._answer(waiters, status)
+            if status is None and not self._waiters:
+                await asyncio.sleep(RECONNECT_SECONDS * self._random.uniform(0.5, 1.0))
+
+    async def _wait_for_round(self) -> None:
+        try:
+            async with asyncio.timeout(IDLE_POLL_SECONDS * self._random.uniform(0.8, 1.2)):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    async def _query(self) -> MemberStatus | None:
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+                if self._connection is None:
+                    self._connection = await self._opener()
+                return await self._connection.status()
+        except (BackendConnectError, BackendLostError, BackendRefusedError, TimeoutError):
+            self._disconnect()
+            return None
+        except asyncio.CancelledError:
+            self._disconnect()
+            raise
+
+    def _note(self, status: MemberStatus | None) -> None:
+        self.reachable = status is not None
+        if status is not None:
+            self.latest = status
+            self.latest_at = asyncio.get_running_loop().time()
+        self.on_status()
+
+    @staticmethod
+    def _answer(
+        waiters: "list[asyncio.Future[MemberStatus | None]]", status: MemberStatus | None
+    ) -> None:
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(status)
+
+    def _disconnect(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/src/rowanrail/proxy/pool.py
@@ -0,0 +1,266 @@
+"""Pool of connections to one member: bounded, with bounded waiting.
+
+A connection is idle, leased to one statement or transaction, or closed. What a session
+set on a connection (``settings``) stays with it; it is only reused for sessions with the
+same settings, or closed.
+"""
+
+import asyncio
+import enum
+import heapq
+from collections.abc import Awaitable, Callable
+
+from rowanrail.kernel.errors import (
+    BackendConnectError,
+    BackendLostError,
+    BackendRefusedError,
+    NotRunError,
+)
+from rowanrail.proxy.backend import BackendConnection, MemberStatus, StatementResult
+from rowanrail.proxy.policies import LateAnswerDiscard
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+LATENCY_WEIGHT = 0.1
+INITIAL_LATENCY_SECONDS = 0.005
+MINIMUM_RETRY_SECONDS = 0.05
+CLOSE_GRACE_SECONDS = 1.0
+
+
+class Priority(enum.IntEnum):
+    """Order in which waiting requests get connections."""
+
+    TRANSACTION = 0
+    WRITE = 1
+    READ = 2
+
+
+class PooledConnection:
+    """A connection and whether its last answer came."""
+
+    def __init__(self, connection: BackendConnection, peer: str) -> None:
+        self.peer = peer
+        self.settings: tuple[str, ...] = ()
+        self.incarnation = ""
+        self.answered = True
+        self.closed = False
+        self._connection = connection
+        self._aborted: asyncio.Future[StatementResult] | None = None
+
+    async def execute(self, sql: str, deadline: float) -> StatementResult:
+        """Run a statement until ``deadline`` (loop time).
+
+        :raises BackendRefusedError: if the member refused it.
+        :raises BackendLostError: if it was sent and no answer came.
+        """
+        self.answered = False
+        try:
+            async with asyncio.timeout_at(deadline):
+                result = await self._run(self._connection.execute(sql))
+        except TimeoutError as error:
+            raise BackendLostError("no answer in time", step="execute", peer=self.peer) from error
+        self.answered = True
+        return result
+
+    async def _run(self, work: Awaitable[StatementResult]) -> StatementResult:
+        """Await ``work``, but end at once when :meth:`abort` is called."""
+        loop = asyncio.get_running_loop()
+        aborted: asyncio.Future[StatementResult] = loop.create_future()
+        self._aborted = aborted
+        task = asyncio.ensure_future(work)
+        try:
+            await asyncio.wait([task, aborted], return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                self.answered = not isinstance(task.exception(), BackendLostError)
+                return task.result()
+            raise BackendLostError("the member was replaced", step="execute", peer=self.peer)
+        finally:
+            self._aborted = None
+            if not task.done():
+                task.cancel()
+
+    async def status(self) -> MemberStatus:
+        """Return the member's status."""
+        return await self._connection.status()
+
+    def abort(self) -> None:
+        """Make a running statement end as lost."""
+        if self._aborted is not None and not self._aborted.done():
+            self._aborted.set_result(StatementResult())
+
+    def close(self) -> None:
+        """Close at once."""
+        self.closed = True
+        self._connection.close()
+
+
+Opener = Callable[[], Awaitable[BackendConnection]]
+
+
+class Pool:
+    """Connections to one member. At most ``limit`` are open or being opened."""
+
+    def __init__(
+        self, peer: str, limit: int, slots: int, opener: Opener, late_answers: LateAnswerDiscard
+    ) -> None:
+        self.peer = peer
+        self.limit = limit
+        self.slots = slots
+        self.latency_seconds = INITIAL_LATENCY_SECONDS
+        self.open_count = 0
+        self.leased: set[PooledConnection] = set()
+        self._opener = opener
+        self._late_answers = late_answers
+        self._idle: list[PooledConnection] = []
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._sequence = 0
+        self._failing_until = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a connection."""
+        return len(self._waiting)
+
+    @property
+    def outstanding(self) -> int:
+        """Number of requests that run or wait."""
+        return len(self.leased) + len(self._waiting)
+
+    def expected_wait_seconds(self) -> float:
+        """Return how long a request that arrives now is likely to wait."""
+        parallel = max(1, min(self.limit, self.slots))
+        ahead = len(self._waiting) + max(0, len(self.leased) - parallel)
+        return ahead * self.latency_seconds / parallel
+
+    async def acquire(
+        self, deadline: float, priority: Priority, settings: tuple[str, ...] = ()
+    ) -> PooledConnection:
+        """Lease a connection by ``deadline``.
+
+        A connection with other settings than wanted is closed and replaced.
+
+        :raises NotRunError: if none is to be had in time; nothing was sent.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            leased = self._take_idle(settings)
+            if leased is not None:
+                return leased
+            if self.open_count < self.limit:
+                return await self._open(deadline)
+            if loop.time() + self.expected_wait_seconds() > deadline:
+                raise self._refusal("all connections are busy")
+            await self._wait_turn(deadline, priority)
+
+    def _take_idle(self, settings: tuple[str, ...]) -> PooledConnection | None:
+        for position in range(len(self._idle) - 1, -1, -1):
+            if self._idle[position].settings in (settings, ()):
+                connection = self._idle.pop(position)
+                self.leased.add(connection)
+                return connection
+        if self._idle and self.open_count >= self.limit:
+            self._close(self._idle.pop(0))
+        return None
+
+    async def _open(self, deadline: float) -> PooledConnection:
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._failing_until:
+            raise BackendConnectError("refused a moment ago", step="connect", peer=self.peer)
+        self.open_count += 1
+        try:
+            limit = min(deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
+            async with asyncio.timeout_at(limit):
+                pooled = await self._connect()
+        except (BackendConnectError, BackendLostError, BackendRefusedError, TimeoutError) as error:
+            self._failing_until = loop.time() + MINIMUM_RETRY_SECONDS
+            self._release_place()
+            raise BackendConnectError(str(error), step="connect", peer=self.peer) from error
+        except BaseException:
+            self._release_place()
+            raise
+        self.leased.add(pooled)
+        return pooled
+
+    async def _connect(self) -> PooledConnection:
+        connection = await self._opener()
+        pooled = PooledConnection(connection, self.peer)
+        try:
+            # What is known of a member holds for one start of it: learn which one this is.
+            pooled.incarnation = (await connection.status()).incarnation
+        except BaseException:
+            connection.close()
+            raise
+        return pooled
+
+    async def _wait_turn(self, deadline: float, priority: Priority) -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._sequence += 1
+        entry = (int(priority), self._sequence, future)
+        heapq.heappush(self._waiting, entry)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await future
+        except TimeoutError as error:
+            raise self._refusal("no connection became free in time") from error
+        finally:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            elif future.cancelled():
+                self._wake_one()
+
+    def _refusal(self, message: str) -> NotRunError:
+        retry_after = max(MINIMUM_RETRY_SECONDS, 2 * self.expected_wait_seconds())
+        return NotRunError(message, retry_after_seconds=retry_after, step="acquire", peer=self.peer)
+
+    def release(self, connection: PooledConnection, seconds: float | None = None) -> None:
+        """Give a connection back; one whose answer is late is closed.
+
+        :param seconds: how long the statement took, for the latency estimate.
+        """
+        self.leased.discard(connection)
+        if seconds is not None:
+            self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
+        reusable = self._late_answers.is_reusable(connection.answered)
+        if connection.closed or not reusable or self.open_count > self.limit:
+            self._close(connection)
+        else:
+            self._idle.append(connection)
+            self._wake_one()
+
+    def discard(self, connection: PooledConnection) -> None:
+        """Close a connection in doubt."""
+        self.leased.discard(connection)
+        self._close(connection)
+
+    def _close(self, connection: PooledConnection) -> None:
+        connection.close()
+        self._release_place()
+
+    def _release_place(self) -> None:
+        self.open_count -= 1
+        self._wake_one()
+
+    def _wake_one(self) -> None:
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._close(self._idle.pop())
+
+    def abort_leased(self) -> None:
+        """Make all running statements end as lost, since the member was replaced."""
+        for connection in list(self.leased):
+            connection.abort()
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; surplus idle connections are closed at once."""
+        self.limit = max(1, limit)
+        while self._idle and self.open_count > self.limit:
+            self._close(self._idle.pop(0))
+        for _ in range(self.limit - self.open_count):
+            self._wake_one()
--- /dev/null
+++ b/src/rowanrail/proxy/reads.py
@@ -0,0 +1,122 @@
+"""Reads outside of transactions: the freshest-enough, least loaded member."""
+
+import asyncio
+
+from rowanrail.kernel.errors import (
+    BackendConnectError,
+    BackendLostError,
+    BackendRefusedError,
+    NotRunError,
+)
+from rowanrail.proxy.backend import ORIGIN, Position, StatementResult
+from rowanrail.proxy.group import RETRY_AFTER_SECONDS, GroupRuntime, Member
+from rowanrail.proxy.lease import Lease
+from rowanrail.proxy.policies import OutcomeClassification
+from rowanrail.proxy.pool import Priority
+from rowanrail.proxy.statistics import GroupStatistics
+
+REPLICA_WAIT_SECONDS = 0.03
+RETRY_PAUSE_SECONDS = 0.005
+
+
+class ReadRunner:
+    """Runs reads of one group."""
+
+    def __init__(
+        self, group: GroupRuntime, outcomes: OutcomeClassification, statistics: GroupStatistics
+    ) -> None:
+        self._group = group
+        self._outcomes = outcomes
+        self._statistics = statistics
+
+    async def run(
+        self,
+        sql: str,
+        floor: Position,
+        allow_replica: bool,
+        settings: tuple[str, ...],
+        deadline: float,
+    ) -> StatementResult:
+        """Run a read that must see ``floor``. It is tried again when a member is lost.
+
+        :raises CallerError: the caller's error.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            lease = await self.lease(floor, allow_replica, settings, deadline)
+            try:
+                result = await lease.execute(sql, deadline)
+            except BackendRefusedError:
+                lease.release()
+                raise
+            except BackendLostError as error:
+                lease.release()
+                self._group.suspect(lease.member)
+                if loop.time() + RETRY_PAUSE_SECONDS >= deadline:
+                    raise self._outcomes.after_loss(
+                        str(error),
+                        sent=True,
+                        retry_after_seconds=RETRY_AFTER_SECONDS,
+                        step="read",
+                        peer=lease.member.name,
+                    ) from error
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
+            except BaseException:
+                lease.release()
+                raise
+            lease.release()
+            self._statistics.count_read(lease.member.monitor.is_primary, allow_replica)
+            return result
+
+    async def lease(
+        self, floor: Position, allow_replica: bool, settings: tuple[str, ...], deadline: float
+    ) -> Lease:
+        """Lease a connection to a member that may serve a read that must see ``floor``.
+
+        :raises NotRunError: if there is none in time.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            member = await self._choose(floor, allow_replica, deadline)
+            try:
+                lease = await Lease.acquire(member, deadline, Priority.READ, settings)
+            except (BackendConnectError, BackendLostError) as error:
+                self._group.suspect(member)
+                if loop.time() + RETRY_PAUSE_SECONDS >= deadline:
+                    raise self._unavailable(str(error)) from error
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
+            if floor == ORIGIN or lease.is_of_known_start():
+                return lease
+            # The member was restarted: what it had committed before may not hold any more.
+            lease.release()
+            await member.monitor.refresh()
+            if not lease.is_of_known_start():
+                member.pool.close_idle()
+
+    async def _choose(self, floor: Position, allow_replica: bool, deadline: float) -> Member:
+        loop = asyncio.get_running_loop()
+        group = self._group
+        while True:
+            if allow_replica:
+                wait_until = min(deadline, loop.time() + REPLICA_WAIT_SECONDS)
+                fresh = await group.wait_fresh(floor, wait_until)
+                if fresh:
+                    return min(fresh, key=group.cost)
+            primary = group.primary()
+            if primary is not None and group.freshness.is_fresh(primary.monitor.committed, floor):
+                return primary
+            if loop.time() + RETRY_PAUSE_SECONDS >= deadline:
+                raise self._unavailable("no member is fresh enough")
+            for member in group.members:
+                member.monitor.kick()
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+    def _unavailable(self, message: str) -> NotRunError:
+        return NotRunError(
+            message,
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+            step="choose member",
+            peer=self._group.spec.name,
+        )
--- /dev/null
+++ b/src/rowanrail/proxy/requests.py
@@ -0,0 +1,156 @@
+"""Request ids: each id runs at most once, and its outcome is remembered.
+
+The record is inserted in the same database transaction as the work, under a unique key.
+Ids begin with their time of creation, so that an id past the horizon, whose record may
+be gone, can be refused. After Stripe's idempotency keys.
+"""
+
+import enum
+import hashlib
+import re
+
+import msgspec
+
+from rowanrail.kernel.errors import (
+    BackendRefusedError,
+    InvalidRequestError,
+    NotRunError,
+    RequestConflictError,
+)
+from rowanrail.proxy.backend import Position, StatementResult
+from rowanrail.proxy.pool import PooledConnection
+
+TABLE = "rowanrail_requests"
+DUPLICATE_KEY_CODE = 1062
+NO_SUCH_TABLE_CODE = 1146
+MAXIMUM_ID_CHARACTERS = 100
+CLOCK_SLACK_SECONDS = 300.0
+_ID = re.compile(r"^(\d{9,11})-[A-Za-z0-9._:-]+$")
+
+CREATE_TABLE = (
+    f"CREATE TABLE IF NOT EXISTS {TABLE} (id VARCHAR({MAXIMUM_ID_CHARACTERS}) PRIMARY KEY, "
+    "digest CHAR(32) NOT NULL, state VARCHAR(16) NOT NULL, affected BIGINT NOT NULL, "
+    "insert_id BIGINT NOT NULL, created BIGINT NOT NULL)"
+)
+
+
+class RequestState(enum.Enum):
+    """What a record says of its request."""
+
+    DONE = "done"
+    TOMBSTONE = "tombstone"
+
+
+class RequestRecordRow(msgspec.Struct, frozen=True):
+    """A record as it stands in the database.
+
+    :param position: position at which the record was read.
+    """
+
+    digest: str
+    state: RequestState
+    affected: int
+    insert_id: int
+    position: Position | None
+
+    def result(self, request_id: str, digest: str) -> StatementResult:
+        """Return the recorded outcome.
+
+        :raises RequestConflictError: if the id stands for different work.
+        :raises NotRunError: if the record is a tombstone.
+        """
+        if self.state is RequestState.TOMBSTONE:
+            raise NotRunError(f"request {request_id} did not run and never will", step="repeat")
+        if self.digest != digest:
+            raise RequestConflictError(
+                f"request id {request_id} was used for different work", step="repeat"
+            )
+        return StatementResult(
+            affected_rows=self.affected, insert_id=self.insert_id, position=self.position
+        )
+
+
+def check_request_id(request_id: str, now: float, horizon_seconds: float) -> None:
+    """Check the form and the age of an id.
+
+    :param now: wall-clock time in seconds.
+    :raises InvalidRequestError: if the form is wrong.
+    :raises RequestConflictError: if the id is past the horizon.
+    """
+    match = _ID.match(request_id)
+    if match is None or len(request_id) > MAXIMUM_ID_CHARACTERS:
+        raise InvalidRequestError(
+            f"request id {request_id[:40]!r} is not '<unix seconds>-<unique part>' of at most "
+            f"{MAXIMUM_ID_CHARACTERS} characters",
+            step="request id",
+        )
+    age_seconds = now - int(match.group(1))
+    if age_seconds > horizon_seconds or age_seconds < -CLOCK_SLACK_SECONDS:
+        raise RequestConflictError(
+            f"request id {request_id} is outside of the horizon of {horizon_seconds:.0f} s; "
+            "whether it ran before is not remembered",
+            step="request id",
+        )
+
+
+def request_digest(work: list[str]) -> str:
+    """Return the digest of a request's statements."""
+    return hashlib.sha256("\x00".join(work).encode()).hexdigest()[:32]
+
+
+def _created(request_id: str) -> int:
+    return int(request_id.split("-")[0])
+
+
+async def insert_record(
+    connection: PooledConnection,
+    deadline: float,
+    request_id: str,
+    digest: str,
+    state: RequestState,
+    result: StatementResult,
+) -> None:
+    """Insert the record within the open transaction.
+
+    :raises BackendRefusedError: with :data:`DUPLICATE_KEY_CODE` if the id is taken.
+    """
+    await connection.execute(
+        f"INSERT INTO {TABLE} (id, digest, state, affected, insert_id, created) VALUES "
+        f"('{request_id}', '{digest}', '{state.value}', {result.affected_rows}, "
+        f"{result.insert_id}, {_created(request_id)})",
+        deadline,
+    )
+
+
+async def find_record(
+    connection: PooledConnection, deadline: float, request_id: str
+) -> RequestRecordRow | None:
+    """Return the record of an id, read in a transaction of its own."""
+    await connection.execute("BEGIN", deadline)
+    try:
+        result = await connection.execute(
+            f"SELECT digest, state, affected, insert_id FROM {TABLE} WHERE id = '{request_id}'",
+            deadline,
+        )
+    except BackendRefusedError as error:
+        await connection.execute("ROLLBACK", deadline)
+        if error.code == NO_SUCH_TABLE_CODE:
+            return None
+        raise
+    ended = await connection.execute("COMMIT", deadline)
+    if not result.rows:
+        return None
+    digest, state, affected, insert_id = (_text(value) for value in result.rows[0])
+    return RequestRecordRow(
+        digest, RequestState(state), int(affected), int(insert_id), ended.position
+    )
+
+
+def _text(value: object) -> str:
+    return value.decode() if isinstance(value, bytes) else str(value)
+
+
+def clean_up_statement(now: float, horizon_seconds: float) -> str:
+    """Return the statement that removes records well past the horizon."""
+    limit = int(now - 2 * horizon_seconds - CLOCK_SLACK_SECONDS)
+    return f"DELETE FROM {TABLE} WHERE created < {limit}"
--- /dev/null
+++ b/src/rowanrail/proxy/services.py
@@ -0,0 +1,123 @@
+"""What a session needs of its proxy."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+
+from rowanrail.config.model import Consistency, GroupSpec
+from rowanrail.kernel.errors import NotRunError
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import BackendDriver, Position
+from rowanrail.proxy.group import RETRY_AFTER_SECONDS, GroupOptions, GroupRuntime
+from rowanrail.proxy.policies import OutcomeClassification
+from rowanrail.proxy.reads import ReadRunner
+from rowanrail.proxy.statistics import GroupStatistics
+from rowanrail.proxy.writes import WriteRunner
+
+
+class GroupServices:
+    """Everything that serves one group at a proxy."""
+
+    def __init__(
+        self,
+        spec: GroupSpec,
+        options: GroupOptions,
+        driver: BackendDriver,
+        registry: Registry,
+        randomness: random.Random,
+    ) -> None:
+        self.group = GroupRuntime(spec, options, driver, registry, randomness)
+        self.statistics = GroupStatistics()
+        self.outcomes: OutcomeClassification = registry.create(
+            "proxy-guard", "outcome-classification"
+        )
+        records = registry.create("proxy-guard", "request-record")
+        self.reader = ReadRunner(self.group, self.outcomes, self.statistics)
+        self.writer = WriteRunner(self.group, self.outcomes, records, self.statistics)
+        self.transactions = 0
+        self._floor_round: asyncio.Task[Position] | None = None
+        self._recent_floor = (float("-inf"), Position())
+
+    @property
+    def spec(self) -> GroupSpec:
+        """The group's configuration."""
+        return self.group.spec
+
+    async def floor(self, known: Position | None, deadline: float) -> Position:
+        """Return the position that a read must see, by the group's consistency.
+
+        :param known: the session's own position, None if it has none yet.
+        """
+        consistency = self.spec.consistency
+        if consistency is Consistency.STRICT:
+            acknowledged = await self.group.acknowledged_floor(deadline)
+            return max(acknowledged, known or Position())
+        if consistency is Consistency.BOUNDED:
+            return max(await self._bounded_floor(deadline), known or Position())
+        if known is not None:
+            return known
+        return await self.group.acknowledged_floor(deadline)
+
+    async def _bounded_floor(self, deadline: float) -> Position:
+        loop = asyncio.get_running_loop()
+        taken_at, floor = self._recent_floor
+        if loop.time() - taken_at <= self.spec.maximum_staleness_seconds:
+            return floor
+        asked_at = loop.time()
+        floor = await self.group.acknowledged_floor(deadline)
+        self._recent_floor = (asked_at, floor)
+        return floor
+
+    def check_transactions(self) -> None:
+        """Refuse a transaction when too many are open.
+
+        :raises NotRunError: if the limit is reached.
+        """
+        limit = self.spec.limits.open_transactions
+        if self.transactions >= limit:
+            raise NotRunError(
+                f"{limit} transactions are open at this proxy",
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+                step="begin",
+                peer=self.spec.name,
+            )
+
+
+class SessionHost(ABC):
+    """The proxy as its sessions see it."""
+
+    registry: Registry
+
+    @abstractmethod
+    def group_spec(self, user: str, database: str) -> GroupSpec:
+        """Return the group that serves ``database`` for ``user``.
+
+        :raises CallerError: if there is none, or the user may not use it.
+        """
+
+    @abstractmethod
+    def database_group(self, database: str) -> str:
+        """Return the name of the group that serves ``database``, or an empty string."""
+
+    @abstractmethod
+    def find_group(self, database: str) -> GroupServices | None:
+        """Return what serves ``database``."""
+
+    @abstractmethod
+    def check_accepting(self, session: object) -> None:
+        """Refuse new work while the proxy stops.
+
+        :raises NotRunError: if the session may not begin anything.
+        """
+
+    @abstractmethod
+    def session_idle(self, session: object) -> None:
+        """Note that a session ended a statement."""
+
+    @abstractmethod
+    def session_closed(self, session: object) -> None:
+        """Note that a session ended."""
+
+    @abstractmethod
+    def wall_clock(self) -> float:
+        """Return the time of day in seconds since the epoch."""
--- /dev/null
+++ b/src/rowanrail/proxy/session.py
@@ -0,0 +1,408 @@
+"""A caller's session: what it must see, what it set, and its transaction."""
+
+import asyncio
+
+from rowanrail.config.model import GroupSpec
+from rowanrail.kernel.errors import (
+    BackendLostError,
+    BackendRefusedError,
+    CallerError,
+    InvalidRequestError,
+    OutcomeUnknownError,
+    UnknownDatabaseError,
+)
+from rowanrail.proxy.backend import ORIGIN, Column, Position, StatementResult
+from rowanrail.proxy.classify import Kind, Statement, classify
+from rowanrail.proxy.commands import (
+    REQUEST_VARIABLE,
+    TOKEN_VARIABLE,
+    SetKind,
+    fill_session_functions,
+    is_token_query,
+    parse_set,
+    parse_use,
+    setting_key,
+)
+from rowanrail.proxy.lease import Lease
+from rowanrail.proxy.policies import Pinning
+from rowanrail.proxy.pool import Priority
+from rowanrail.proxy.requests import check_request_id
+from rowanrail.proxy.rules import allows_replica
+from rowanrail.proxy.services import GroupServices, SessionHost
+from rowanrail.proxy.token import decode_token, encode_token
+from rowanrail.proxy.transaction import Transaction, TransactionState
+
+VAR_STRING_TYPE = 253
+REQUEST_ATTRIBUTE = "request_id"
+DEADLINE_ATTRIBUTE = "deadline_ms"
+MAXIMUM_CARRIED_SETTINGS = 50
+_READS = (Kind.READ, Kind.SHOW)
+
+
+class Session:
+    """One caller's session. Statements of a session run one after the other."""
+
+    def __init__(self, host: SessionHost, user: str, database: str) -> None:
+        self.user = user
+        self.database = database
+        self.busy = False
+        self.closed = False
+        self.transaction: Transaction | None = None
+        self._host = host
+        self._pinning: Pinning = host.registry.create("proxy-guard", "pinning")
+        self._positions: dict[str, Position] = {}
+        self._autocommit = True
+        self._settings: tuple[str, ...] = ()
+        self._before_next_transaction: list[str] = []
+        self._request_id = ""
+        self._last_insert_id = 0
+        self._row_count = 0
+        self._pinned: Lease | None = None
+
+    # State that callers see
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self.transaction is not None
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether each statement commits by itself."""
+        return self._autocommit
+
+    def token(self) -> str:
+        """Return the session's token."""
+        return encode_token(self._positions)
+
+    def take_token(self, token: str) -> None:
+        """Make the session see at least what ``token`` stands for.
+
+        :raises InvalidRequestError: if the token is damaged.
+        """
+        decoded = decode_token(token)
+        positions = decoded.value_or(None)
+        if positions is None:
+            raise InvalidRequestError(f"session token: {decoded.failure()}", step="token")
+        for group, position in positions.items():
+            self._raise_floor(group, position)
+
+    def use(self, database: str) -> None:
+        """Change the default database.
+
+        :raises CallerError: if the user may not use it, no group serves it, or a
+            transaction of another group is open.
+        """
+        group = self._host.group_spec(self.user, database)
+        current = self._host.database_group(self.database)
+        if (self.transaction or self._pinned) and group.name != current:
+            raise InvalidRequestError("end the transaction first", step="use", peer=database)
+        self.database = database
+
+    # Statements
+
+    async def execute(self, sql: str, attributes: dict[str, str]) -> StatementResult:
+        """Run a statement.
+
+        :raises CallerError: the caller's error.
+        """
+        self._host.check_accepting(self)
+        self.busy = True
+        try:
+            self._take_attributes(attributes)
+            if is_token_query(sql):
+                return _text_result(TOKEN_VARIABLE, self.token())
+            statement = classify(sql)
+            deadline = self._deadline(attributes)
+            result = await self._dispatch(sql, statement, deadline)
+            self._remember(statement, result)
+            return result
+        finally:
+            self.busy = False
+            self._host.session_idle(self)
+
+    def _take_attributes(self, attributes: dict[str, str]) -> None:
+        token = attributes.get(TOKEN_VARIABLE)
+        if token:
+            self.take_token(token)
+        request_id = attributes.get(REQUEST_ATTRIBUTE) or attributes.get(REQUEST_VARIABLE)
+        if request_id:
+            self._request_id = request_id
+
+    def _deadline(self, attributes: dict[str, str]) -> float:
+        now = asyncio.get_running_loop().time()
+        group = self._host.find_group(self.database)
+        seconds = group.spec.limits.statement_deadline_seconds if group else 5.0
+        given = attributes.get(DEADLINE_ATTRIBUTE, "")
+        if given:
+            if not given.isdigit():
+                raise InvalidRequestError(
+                    f"{DEADLINE_ATTRIBUTE} {given!r} is not a number", step="deadline"
+                )
+            seconds = min(seconds, int(given) / 1000)
+        return now + seconds
+
+    def _remember(self, statement: Statement, result: StatementResult) -> None:
+        if result.insert_id:
+            self._last_insert_id = result.insert_id
+        self._row_count = -1 if result.columns else result.affected_rows
+
+    async def _dispatch(self, sql: str, statement: Statement, deadline: float) -> StatementResult:
+        kind = statement.kind
+        if kind is Kind.EMPTY:
+            raise BackendRefusedError(1065, "Query was empty", sqlstate="42000")
+        if kind is Kind.MULTIPLE:
+            raise InvalidRequestError(
+                "several statements in one request are not served; send them one by one",
+                step="classify",
+            )
+        if kind is Kind.USE:
+            self.use(parse_use(sql))
+            return StatementResult()
+        if kind is Kind.SET:
+            return await self._set(sql, deadline)
+        if kind in (Kind.BEGIN, Kind.BEGIN_READ_ONLY):
+            return await self._begin(sql, statement, deadline)
+        if kind is Kind.COMMIT:
+            return await self._commit(deadline)
+        if kind is Kind.ROLLBACK:
+            return await self._roll_back(deadline)
+        return await self._run(sql, statement, deadline)
+
+    async def _run(self, sql: str, statement: Statement, deadline: float) -> StatementResult:
+        if statement.kind is Kind.DEFINITION and self.transaction is not None:
+            await self._commit(deadline)  # definitions end a transaction in MySQL, too
+        if statement.kind is Kind.PINNING and self._pinned is None and not self.transaction:
+            await self._pin(deadline)
+        if not self._autocommit and not self.transaction and statement.tables:
+            await self._begin("BEGIN", Statement(Kind.BEGIN), deadline)
+        if self.transaction is not None:
+            is_write = statement.kind not in _READS
+            return await self.transaction.execute(sql, is_write, deadline)
+        if self._pinned is not None:
+            return await self._run_pinned(self._pinned, sql, statement, deadline)
+        sql = fill_session_functions(sql, self._last_insert_id, self._row_count)
+        if statement.kind in (*_READS, Kind.SESSION_FUNCTION) and not statement.locking:
+            return await self._read(sql, statement, deadline)
+        return await self._write(sql, deadline)
+
+    async def _read(self, sql: str, statement: Statement, deadline: float) -> StatementResult:
+        services = self._services()
+        spec = services.group.spec
+        allow = allows_replica(spec.rules, statement, self.database, self.user)
+        if statement.kind is Kind.SESSION_FUNCTION or not (statement.tables or statement.schemas):
+            floor, allow = ORIGIN, statement.kind is not Kind.SHOW or allow
+        else:
+            floor = await services.floor(self._positions.get(spec.name), deadline)
+            self._raise_floor(spec.name, floor)
+        return await services.reader.run(sql, floor, allow, self._settings, deadline)
+
+    async def _write(self, sql: str, deadline: float) -> StatementResult:
+        services = self._services()
+        request_id = self._take_request_id(services.group.spec)
+        result = await services.writer.run(sql, request_id, self._settings, deadline)
+        self._note_position(services.group.spec.name, result)
+        return result
+
+    def _take_request_id(self, spec: GroupSpec) -> str:
+        request_id, self._request_id = self._request_id, ""
+        if request_id:
+            horizon_seconds = spec.limits.request_horizon_seconds
+            check_request_id(request_id, self._host.wall_clock(), horizon_seconds)
+        return request_id
+
+    def _services(self) -> GroupServices:
+        if not self.database:
+            raise BackendRefusedError(1046, "No database selected", sqlstate="3D000")
+        self._host.group_spec(self.user, self.database)
+        services = self._host.find_group(self.database)
+        if services is None:
+            raise UnknownDatabaseError(f"no group serves database {self.database!r}")
+        return services
+
+    def _raise_floor(self, group: str, position: Position) -> None:
+        known = self._positions.get(group, ORIGIN)
+        self._positions[group] = max(known, position)
+
+    def _note_position(self, group: str, result: StatementResult) -> None:
+        if result.position is not None:
+            self._raise_floor(group, result.position)
+
+    # Session state
+
+    async def _set(self, sql: str, deadline: float) -> StatementResult:
+        command = parse_set(sql)
+        if command.kind is SetKind.TOKEN:
+            self.take_token(command.value)
+        elif command.kind is SetKind.REQUEST_ID:
+            self._request_id = command.value
+        elif command.kind is SetKind.AUTOCOMMIT:
+            await self._set_autocommit(command.value == "1", deadline)
+        elif command.kind is SetKind.NEXT_TRANSACTION:
+            self._before_next_transaction.append(command.value)
+        elif command.kind is SetKind.COMPUTED:
+            return await self._run(sql, Statement(Kind.PINNING), deadline)
+        elif command.kind is SetKind.CARRIED:
+            return await self._carry(command.value, deadline)
+        return StatementResult()
+
+    async def _set_autocommit(self, on: bool, deadline: float) -> None:
+        if on and self.transaction is not None:
+            await self._commit(deadline)
+        self._autocommit = on
+
+    async def _carry(self, setting: str, deadline: float) -> StatementResult:
+        key = setting_key(setting)
+        kept = [known for known in self._settings if setting_key(known) != key]
+        if len(kept) >= MAXIMUM_CARRIED_SETTINGS:
+            raise InvalidRequestError("too many session variables are set", step="set")
+        settings = (*kept, setting)
+        if self.transaction is not None:
+            await self.transaction.execute(setting, False, deadline)
+        elif self._pinned is not None:
+            await self._pinned.execute(setting, deadline)
+        else:
+            # Tried at once, so that a wrong one is refused here and not at a later statement.
+            reader = self._services().reader
+            lease = await reader.lease(ORIGIN, True, settings, deadline)
+            lease.release()
+        self._settings = settings
+        return StatementResult()
+
+    async def _pin(self, deadline: float) -> None:
+        writer = self._services().writer
+        self._pinned = await writer.lease_primary(deadline, Priority.TRANSACTION, self._settings)
+
+    async def _run_pinned(
+        self, lease: Lease, sql: str, statement: Statement, deadline: float
+    ) -> StatementResult:
+        services = self._services()
+        try:
+            result = await lease.execute(sql, deadline)
+        except BackendLostError as error:
+            self._unpin()
+            raise OutcomeUnknownError(
+                f"{error}; locks and temporary tables of the session are gone",
+                step="execute",
+                peer=lease.member.name,
+            ) from error
+        if statement.kind is Kind.WRITE or statement.kind is Kind.DEFINITION:
+            await services.writer.confirm(result, deadline, lease.member.name)
+            self._note_position(services.group.spec.name, result)
+        return result
+
+    def _unpin(self) -> None:
+        if self._pinned is not None:
+            self._pinned.discard()
+            self._pinned = None
+
+    # Transactions
+
+    async def _begin(self, sql: str, statement: Statement, deadline: float) -> StatementResult:
+        if self.transaction is not None:
+            await self._commit(deadline)
+        services = self._services()
+        spec = services.group.spec
+        services.check_transactions()
+        on_replica = statement.kind is Kind.BEGIN_READ_ONLY and allows_replica(
+            spec.rules, statement, self.database, self.user
+        )
+        if self._pinned is not None:
+            return await self._pinned.execute(sql, deadline)
+        if on_replica:
+            floor = await services.floor(self._positions.get(spec.name), deadline)
+            self._raise_floor(spec.name, floor)
+            lease = await services.reader.lease(floor, True, self._settings, deadline)
+        else:
+            lease = await services.writer.lease_primary(
+                deadline, Priority.TRANSACTION, self._settings
+            )
+        before, self._before_next_transaction = self._before_next_transaction, []
+        transaction = Transaction(
+            lease,
+            services.writer,
+            services.outcomes,
+            self._pinning,
+            on_primary=lease.member.monitor.is_primary,
+        )
+        result = await transaction.begin(sql, before, deadline)
+        self.transaction = transaction
+        services.transactions += 1
+        return result
+
+    async def _commit(self, deadline: float) -> StatementResult:
+        transaction = self.transaction
+        if transaction is None:
+            if self._pinned is not None:
+                return await self._run_pinned(
+                    self._pinned, "COMMIT", Statement(Kind.WRITE), deadline
+                )
+            return StatementResult()
+        services = self._services()
+        request_id = self._take_request_id(services.group.spec)
+        try:
+            result = await transaction.commit(request_id, self._settings, deadline)
+        finally:
+            self._end_transaction(services)
+        self._note_position(services.group.spec.name, result)
+        return result
+
+    async def _roll_back(self, deadline: float) -> StatementResult:
+        self._request_id = ""
+        transaction = self.transaction
+        if transaction is None:
+            if self._pinned is not None:
+                return await self._pinned.execute("ROLLBACK", deadline)
+            return StatementResult()
+        services = self._services()
+        try:
+            return await transaction.roll_back(deadline)
+        finally:
+            self._end_transaction(services)
+
+    def _end_transaction(self, services: GroupServices) -> None:
+        if self.transaction is not None:
+            self.transaction = None
+            services.transactions -= 1
+
+    def check_limits(self, now: float) -> None:
+        """Roll back a transaction that is idle or open for too long."""
+        transaction = self.transaction
+        services = self._host.find_group(self.database)
+        if transaction is None or services is None or self.busy:
+            return
+        limits = services.group.spec.limits
+        if transaction.state is not TransactionState.OPEN:
+            return
+        if now - transaction.used_at > limits.transaction_idle_seconds:
+            transaction.fail(f"idle for more than {limits.transaction_idle_seconds:g} s")
+        elif now - transaction.began_at > limits.transaction_seconds:
+            transaction.fail(f"open for more than {limits.transaction_seconds:g} s")
+
+    # End
+
+    async def reset(self) -> None:
+        """Forget what the session set and roll back its transaction (COM_RESET_CONNECTION)."""
+        await self._abandon()
+        self._settings = ()
+        self._before_next_transaction = []
+        self._request_id = ""
+        self._autocommit = True
+
+    async def close(self) -> None:
+        """End the session; an open transaction is rolled back."""
+        self.closed = True
+        await self._abandon()
+        self._host.session_closed(self)
+
+    async def _abandon(self) -> None:
+        self._unpin()
+        if self.transaction is not None:
+            try:
+                await self._roll_back(asyncio.get_running_loop().time() + 1.0)
+            except CallerError:
+                return
+
+
+def _text_result(name: str, value: str) -> StatementResult:
+    return StatementResult(columns=[Column(name, VAR_STRING_TYPE)], rows=[(value.encode(),)])
