--- /dev/null
+++ b/src/rowanrail/proxy/transaction.py
@@ -0,0 +1,223 @@
+"""A caller's transaction on its pinned back-end connection."""
+
+import asyncio
+import enum
+
+from rowanrail.kernel.errors import (
+    BackendLostError,
+    BackendRefusedError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from rowanrail.proxy.backend import StatementResult
+from rowanrail.proxy.group import RETRY_AFTER_SECONDS
+from rowanrail.proxy.lease import Lease
+from rowanrail.proxy.policies import OutcomeClassification, Pinning
+from rowanrail.proxy.pool import Priority
+from rowanrail.proxy.requests import request_digest
+from rowanrail.proxy.writes import WriteRunner
+
+
+class TransactionState(enum.Enum):
+    """State of a transaction."""
+
+    OPEN = "open"
+    FAILED = "failed"
+    ENDED = "ended"
+
+
+class Transaction:
+    """One transaction, from BEGIN to its end. Lost connections roll it back."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        writer: WriteRunner,
+        outcomes: OutcomeClassification,
+        pinning: Pinning,
+        on_primary: bool,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.state = TransactionState.OPEN
+        self.began_at = now
+        self.used_at = now
+        self.on_primary = on_primary
+        self.failure = ""
+        self._lease = lease
+        self._writer = writer
+        self._outcomes = outcomes
+        self._pinning = pinning
+        self._work: list[str] = []
+        self._last_write = StatementResult()
+
+    async def begin(self, sql: str, before: list[str], deadline: float) -> StatementResult:
+        """Open the transaction at the back end.
+
+        :param before: statements to run just before, for example an isolation level.
+        :raises NotRunError: if the connection broke.
+        """
+        try:
+            for statement in before:
+                await self._lease.execute(statement, deadline)
+            return await self._lease.execute(sql, deadline)
+        except BackendLostError as error:
+            self.fail(str(error))
+            raise self._rolled_back() from error
+
+    async def execute(self, sql: str, is_write: bool, deadline: float) -> StatementResult:
+        """Run a statement within the transaction.
+
+        :raises NotRunError: if the transaction was rolled back; none of it lasts.
+        """
+        if self.state is TransactionState.FAILED:
+            raise self._rolled_back()
+        self.used_at = asyncio.get_running_loop().time()
+        try:
+            result = await self._execute_pinned(sql, deadline)
+        except BackendLostError as error:
+            self.fail(str(error))
+            raise self._rolled_back() from error
+        if is_write:
+            self._work.append(sql)
+            self._last_write = result
+        self.used_at = asyncio.get_running_loop().time()
+        return result
+
+    async def _execute_pinned(self, sql: str, deadline: float) -> StatementResult:
+        if self._pinning.keeps_connection():
+            return await self._lease.execute(sql, deadline)
+        self._lease.release()
+        member = self._lease.member
+        self._lease = await Lease.acquire(
+            member, deadline, Priority.TRANSACTION, self._lease.connection.settings
+        )
+        return await self._lease.execute(sql, deadline)
+
+    async def commit(
+        self, request_id: str, settings: tuple[str, ...], deadline: float
+    ) -> StatementResult:
+        """Commit and confirm.
+
+        :raises NotRunError: if the transaction was rolled back.
+        :raises OutcomeUnknownError: if the commit was sent and its outcome can't be learned.
+        """
+        if self.state is TransactionState.FAILED:
+            self.state = TransactionState.ENDED
+            raise self._rolled_back()
+        digest = request_digest(self._work)
+        recorded = bool(request_id) and self.on_primary
+        if recorded:
+            known = await self._record(request_id, digest, deadline)
+            if known is not None:
+                return known
+        self.state = TransactionState.ENDED
+        try:
+            result = await self._lease.execute("COMMIT", deadline)
+        except BackendRefusedError:
+            self._lease.discard()
+            raise
+        except BackendLostError as error:
+            self._lease.release()
+            if recorded:
+                return await self._writer.settle(request_id, digest, settings, deadline)
+            if not self._work:
+                raise self._rolled_back() from error
+            raise self._outcomes.after_loss(
+                str(error),
+                sent=True,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+                step="commit",
+                peer=self._lease.member.name,
+            ) from error
+        except BaseException:
+            self._lease.discard()
+            raise
+        self._lease.release()
+        if self.on_primary:
+            await self._confirm(result, request_id if recorded else "", digest, settings, deadline)
+        return result
+
+    async def _record(
+        self, request_id: str, digest: str, deadline: float
+    ) -> StatementResult | None:
+        """Insert the request's record; return the outcome if the request ran before."""
+        lease = self._lease
+        try:
+            await self._writer.record(lease, request_id, digest, self._last_write, deadline)
+            return None
+        except BackendRefusedError as error:
+            return await self._repeat(request_id, digest, error, deadline)
+        except BackendLostError as error:
+            self.fail(str(error))
+            self.state = TransactionState.ENDED
+            raise self._rolled_back() from error
+
+    async def _repeat(
+        self, request_id: str, digest: str, error: BackendRefusedError, deadline: float
+    ) -> StatementResult:
+        lease = self._lease
+        self.state = TransactionState.ENDED
+        self.failure = error.message
+        try:
+            await lease.execute("ROLLBACK", deadline)
+            known = await self._writer.known_outcome(lease, request_id, digest, error, deadline)
+            await self._writer.confirm(known, deadline, lease.member.name)
+        except (BackendLostError, BackendRefusedError) as problem:
+            lease.discard()
+            raise self._rolled_back() from problem
+        except BaseException:
+            lease.discard()
+            raise
+        lease.release()
+        return known
+
+    async def _confirm(
+        self,
+        result: StatementResult,
+        request_id: str,
+        digest: str,
+        settings: tuple[str, ...],
+        deadline: float,
+    ) -> None:
+        try:
+            await self._writer.confirm(result, deadline, self._lease.member.name)
+        except OutcomeUnknownError:
+            if not request_id:
+                raise
+            settled = await self._writer.settle(request_id, digest, settings, deadline)
+            result.position = settled.position
+
+    async def roll_back(self, deadline: float) -> StatementResult:
+        """Roll back. A connection that does not answer is closed, which has the same effect."""
+        failed = self.state is not TransactionState.OPEN
+        self.state = TransactionState.ENDED
+        if failed:
+            return StatementResult()
+        try:
+            result = await self._lease.execute("ROLLBACK", deadline)
+        except (BackendLostError, BackendRefusedError):
+            self._lease.discard()
+            return StatementResult()
+        except BaseException:
+            self._lease.discard()
+            raise
+        self._lease.release()
+        return result
+
+    def fail(self, reason: str) -> None:
+        """Roll back by closing the connection; the caller learns of it at its next statement."""
+        if self.state is TransactionState.OPEN:
+            self.state = TransactionState.FAILED
+            self.failure = reason
+            if self._lease.connection.answered:
+                self._lease.discard()
+            else:
+                self._lease.release()
+
+    def _rolled_back(self) -> NotRunError:
+        return NotRunError(
+            f"the transaction was rolled back ({self.failure}); none of it lasts, begin it again",
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+            step="transaction",
+            peer=self._lease.member.name,
+        )
--- /dev/null
+++ b/src/rowanrail/proxy/writes.py
@@ -0,0 +1,307 @@
+"""Writes outside of transactions, and what needs the primary in general."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from rowanrail.kernel.errors import (
+    BackendConnectError,
+    BackendLostError,
+    BackendRefusedError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from rowanrail.proxy.backend import Position, StatementResult
+from rowanrail.proxy.group import RETRY_AFTER_SECONDS, GroupRuntime
+from rowanrail.proxy.lease import Lease
+from rowanrail.proxy.policies import OutcomeClassification, RequestRecord
+from rowanrail.proxy.pool import Priority
+from rowanrail.proxy.requests import (
+    CREATE_TABLE,
+    DUPLICATE_KEY_CODE,
+    NO_SUCH_TABLE_CODE,
+    RequestState,
+    clean_up_statement,
+    find_record,
+    insert_record,
+    request_digest,
+)
+from rowanrail.proxy.statistics import GroupStatistics
+
+RETRY_PAUSE_SECONDS = 0.01
+CLEAN_UP_EVERY_WRITES = 1000
+# The member's own word that it is no primary (any more); nothing ran.
+READ_ONLY_CODES = frozenset({1290, 1792, 1836, 3100})
+
+
+class WriteRunner:
+    """Runs writes of one group."""
+
+    def __init__(
+        self,
+        group: GroupRuntime,
+        outcomes: OutcomeClassification,
+        records: RequestRecord,
+        statistics: GroupStatistics,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._group = group
+        self._outcomes = outcomes
+        self._records = records
+        self._statistics = statistics
+        self._wall_clock = wall_clock
+        self._recorded_writes = 0
+
+    async def run(
+        self, sql: str, request_id: str, settings: tuple[str, ...], deadline: float
+    ) -> StatementResult:
+        """Run a write and confirm it. With a request id it is repeated safely.
+
+        :raises CallerError: the caller's error.
+        """
+        self._statistics.writes += 1
+        if request_id and self._records.is_recorded():
+            return await self._run_recorded(sql, request_id, settings, deadline)
+        return await self._run_once(sql, settings, deadline, repeat=bool(request_id))
+
+    async def lease_primary(
+        self, deadline: float, priority: Priority, settings: tuple[str, ...]
+    ) -> Lease:
+        """Lease a connection to the primary, waiting for a new one if need be.
+
+        :raises NotRunError: if there is none in time; nothing was sent.
+        """
+        loop = asyncio.get_running_loop()
+        until = min(deadline, loop.time() + self._group.spec.limits.failover_wait_seconds)
+        while True:
+            primary = await self._group.wait_primary(until)
+            try:
+                return await Lease.acquire(primary, deadline, priority, settings)
+            except (BackendConnectError, BackendLostError) as error:
+                self._group.suspect(primary)
+                if loop.time() >= until:
+                    raise NotRunError(
+                        str(error),
+                        retry_after_seconds=RETRY_AFTER_SECONDS,
+                        step="connect",
+                        peer=primary.name,
+                    ) from error
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+    async def confirm(self, result: StatementResult, deadline: float, peer: str) -> None:
+        """Return once a majority holds the result's position in its own term.
+
+        :raises OutcomeUnknownError: if that can't be confirmed in time.
+        """
+        position: Position | None = result.position
+        if position is None or not await self._group.confirm(position, deadline):
+            raise OutcomeUnknownError(
+                "the write was not confirmed by a majority; it may be lost or may last",
+                step="confirm",
+                peer=peer,
+            )
+
+    # Without a request id: sent at most once
+
+    async def _run_once(
+        self, sql: str, settings: tuple[str, ...], deadline: float, repeat: bool
+    ) -> StatementResult:
+        while True:
+            lease = await self.lease_primary(deadline, Priority.WRITE, settings)
+            try:
+                result = await lease.execute(sql, deadline)
+            except BackendRefusedError as error:
+                lease.release()
+                if error.code not in READ_ONLY_CODES:
+                    raise
+                self._group.suspect(lease.member)
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
+            except BackendLostError as error:
+                lease.release()
+                self._group.suspect(lease.member)
+                if repeat and asyncio.get_running_loop().time() < deadline:
+                    continue
+                raise self._outcomes.after_loss(
+                    str(error),
+                    sent=True,
+                    retry_after_seconds=RETRY_AFTER_SECONDS,
+                    step="write",
+                    peer=lease.member.name,
+                ) from error
+            except BaseException:
+                lease.release()
+                raise
+            lease.release()
+            await self.confirm(result, deadline, lease.member.name)
+            return result
+
+    # With a request id: repeated until its outcome is known
+
+    async def _run_recorded(
+        self, sql: str, request_id: str, settings: tuple[str, ...], deadline: float
+    ) -> StatementResult:
+        loop = asyncio.get_running_loop()
+        digest = request_digest([sql])
+        sent = False
+        while True:
+            try:
+                lease = await self.lease_primary(deadline, Priority.WRITE, settings)
+            except NotRunError as error:
+                if not sent:
+                    raise
+                raise self._unknown(request_id, str(error)) from error
+            sent = True
+            try:
+                result = await self._attempt(lease, sql, request_id, digest, deadline)
+                await self.confirm(result, deadline, lease.member.name)
+                return result
+            except (BackendLostError, OutcomeUnknownError) as error:
+                self._group.suspect(lease.member)
+                if loop.time() + RETRY_PAUSE_SECONDS >= deadline:
+                    raise self._unknown(request_id, str(error)) from error
+            except BackendRefusedError as error:
+                if error.code not in READ_ONLY_CODES:
+                    raise
+                self._group.suspect(lease.member)
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+    @staticmethod
+    def _unknown(request_id: str, message: str) -> OutcomeUnknownError:
+        return OutcomeUnknownError(
+            f"{message}; repeat the request with the same id {request_id} to learn its outcome",
+            step="write",
+        )
+
+    async def _attempt(
+        self, lease: Lease, sql: str, request_id: str, digest: str, deadline: float
+    ) -> StatementResult:
+        try:
+            await lease.execute("BEGIN", deadline)
+            try:
+                result = await lease.execute(sql, deadline)
+                await self.record(lease, request_id, digest, result, deadline)
+            except BackendRefusedError as error:
+                await lease.execute("ROLLBACK", deadline)
+                known = await self.known_outcome(lease, request_id, digest, error, deadline)
+                lease.release()
+                return known
+            ended = await lease.execute("COMMIT", deadline)
+            result.position = ended.position
+        except NotRunError:
+            lease.release()
+            raise
+        except BackendRefusedError:
+            lease.discard()
+            raise
+        except BaseException:
+            lease.discard()
+            raise
+        self._count_recorded(lease)
+        return result
+
+    async def record(
+        self, lease: Lease, request_id: str, digest: str, result: StatementResult, deadline: float
+    ) -> None:
+        """Insert the record of a request that is about to commit."""
+        await insert_record(
+            lease.connection, deadline, request_id, digest, RequestState.DONE, result
+        )
+
+    async def known_outcome(
+        self,
+        lease: Lease,
+        request_id: str,
+        digest: str,
+        error: BackendRefusedError,
+        deadline: float,
+    ) -> StatementResult:
+        """Return the recorded outcome of a refused repeat, or raise the refusal."""
+        if error.code == NO_SUCH_TABLE_CODE:
+            await lease.execute(CREATE_TABLE, deadline)
+            raise BackendLostError("the request table was created", step="record")
+        record = await find_record(lease.connection, deadline, request_id)
+        if record is None:
+            if error.code == DUPLICATE_KEY_CODE and "rowanrail" in error.message:
+                raise BackendLostError("the request is under way elsewhere", step="record")
+            raise error
+        self._statistics.repeated += 1
+        return record.result(request_id, digest)
+
+    async def settle(
+        self, request_id: str, digest: str, settings: tuple[str, ...], deadline: float
+    ) -> StatementResult:
+        """Find out what became of a request whose commit was lost.
+
+        If it is not recorded, a tombstone makes sure that it never will be.
+
+        :returns: the recorded outcome.
+        :raises NotRunError: once the tombstone is confirmed.
+        :raises OutcomeUnknownError: if neither can be had in time.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() + RETRY_PAUSE_SECONDS < deadline:
+            try:
+                lease = await self.lease_primary(deadline, Priority.WRITE, settings)
+            except NotRunError:
+                break
+            try:
+                return await self._bury(lease, request_id, digest, deadline)
+            except (BackendLostError, BackendRefusedError, OutcomeUnknownError):
+                self._group.suspect(lease.member)
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        raise self._unknown(request_id, "the commit was lost")
+
+    async def _bury(
+        self, lease: Lease, request_id: str, digest: str, deadline: float
+    ) -> StatementResult:
+        connection = lease.connection
+        try:
+            await lease.execute("BEGIN", deadline)
+            try:
+                await insert_record(
+                    connection,
+                    deadline,
+                    request_id,
+                    digest,
+                    RequestState.TOMBSTONE,
+                    StatementResult(),
+                )
+            except BackendRefusedError as error:
+                await lease.execute("ROLLBACK", deadline)
+                known = await self.known_outcome(lease, request_id, digest, error, deadline)
+                await self.confirm(known, deadline, lease.member.name)
+                lease.release()
+                return known
+            ended = await lease.execute("COMMIT", deadline)
+        except NotRunError:
+            lease.release()
+            raise
+        except BaseException:
+            lease.discard()
+            raise
+        lease.release()
+        await self.confirm(ended, deadline, lease.member.name)
+        raise NotRunError(
+            f"request {request_id} did not run and never will: its commit was lost before it "
+            "took effect; send the work again under a new id",
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+            step="commit",
+        )
+
+    def _count_recorded(self, lease: Lease) -> None:
+        self._recorded_writes += 1
+        if self._recorded_writes % CLEAN_UP_EVERY_WRITES:
+            lease.release()
+            return
+        asyncio.ensure_future(self._clean_up(lease))
+
+    async def _clean_up(self, lease: Lease) -> None:
+        limits = self._group.spec.limits
+        deadline = asyncio.get_running_loop().time() + limits.statement_deadline_seconds
+        statement = clean_up_statement(self._wall_clock(), limits.request_horizon_seconds)
+        try:
+            await lease.execute(statement, deadline)
+            lease.release()
+        except (BackendLostError, BackendRefusedError):
+            lease.discard()
--- /dev/null
+++ b/src/rowanrail/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the system's own processes."""
--- /dev/null
+++ b/src/rowanrail/rpc/codec.py
@@ -0,0 +1,81 @@
+"""Encoding of messages between the system's own processes.
+
+A frame is MessagePack: protocol version, frame kind, call id, message tag and body.
+Message types are ``msgspec.Struct`` classes registered with :func:`message`.
+"""
+
+import enum
+from typing import TypeVar
+
+import msgspec
+
+from rowanrail.kernel.errors import TransportError
+
+PROTOCOL_VERSION = 1
+MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024
+
+MessageType = TypeVar("MessageType", bound=type[msgspec.Struct])
+
+_types: dict[str, type[msgspec.Struct]] = {}
+_encoder = msgspec.msgpack.Encoder()
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame is."""
+
+    REQUEST = 1
+    REPLY = 2
+    NOTICE = 3
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    """One framed message. ``call`` matches a reply to its request on a connection."""
+
+    version: int
+    kind: FrameKind
+    call: int
+    tag: str
+    body: msgspec.Raw
+
+
+_frame_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """The reply to a request that the peer could not serve."""
+
+    reason: str
+
+
+def message(message_type: MessageType) -> MessageType:
+    """Register a message type under its class name."""
+    _types[message_type.__name__] = message_type
+    return message_type
+
+
+message(Failure)
+
+
+def encode_frame(kind: FrameKind, call: int, body: msgspec.Struct) -> bytes:
+    """Return the bytes of a frame, without its length prefix."""
+    raw = msgspec.Raw(_encoder.encode(body))
+    return _encoder.encode(Frame(PROTOCOL_VERSION, kind, call, type(body).__name__, raw))
+
+
+def decode_frame(data: bytes) -> tuple[FrameKind, int, msgspec.Struct]:
+    """Return kind, call id and message of a frame.
+
+    :raises TransportError: if the bytes are no valid frame of this protocol version.
+    """
+    try:
+        frame = _frame_decoder.decode(data)
+        if frame.version != PROTOCOL_VERSION:
+            raise TransportError(
+                f"protocol version {frame.version} is not {PROTOCOL_VERSION}", step="decode"
+            )
+        message_type = _types.get(frame.tag)
+        if message_type is None:
+            raise TransportError(f"unknown message {frame.tag!r}", step="decode")
+        return frame.kind, frame.call, msgspec.msgpack.decode(frame.body, type=message_type)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise TransportError(f"invalid frame: {error}", step="decode") from error
--- /dev/null
+++ b/src/rowanrail/rpc/tcp.py
@@ -0,0 +1,217 @@
+"""Network over TCP: length-prefixed frames, one connection for each peer address."""
+
+import asyncio
+import struct
+
+import msgspec
+
+from rowanrail.kernel.errors import TransportError
+from rowanrail.kernel.lifecycle import listen_error
+from rowanrail.kernel.registry import register
+from rowanrail.rpc.codec import (
+    MAXIMUM_FRAME_BYTES,
+    Failure,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
+from rowanrail.rpc.network import Handler, Listener, Network
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
+_LENGTH = struct.Struct("<I")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    :raises TransportError: if the address is malformed.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdigit():
+        raise TransportError(f"{address!r} is not host:port", step="resolve", peer=address)
+    return host, int(port)
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAXIMUM_FRAME_BYTES:
+        raise TransportError(f"frame of {length} bytes is too large", step="receive")
+    return await reader.readexactly(length)
+
+
+def _write_frame(writer: asyncio.StreamWriter, frame: bytes) -> None:
+    writer.write(_LENGTH.pack(len(frame)) + frame)
+
+
+class _Connection:
+    """A client's connection; replies are matched to calls by id."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self._reader = reader
+        self._calls: dict[int, asyncio.Future[msgspec.Struct]] = {}
+        self._next_call = 0
+        self._task = asyncio.ensure_future(self._receive())
+        self.closed = False
+
+    def send_call(self, request: msgspec.Struct) -> "asyncio.Future[msgspec.Struct]":
+        self._next_call += 1
+        future: asyncio.Future[msgspec.Struct] = asyncio.get_running_loop().create_future()
+        self._calls[self._next_call] = future
+        call = self._next_call
+        future.add_done_callback(lambda _: self._calls.pop(call, None))
+        _write_frame(self.writer, encode_frame(FrameKind.REQUEST, call, request))
+        return future
+
+    def send_notice(self, notice: msgspec.Struct) -> None:
+        if self.writer.transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
+            return
+        _write_frame(self.writer, encode_frame(FrameKind.NOTICE, 0, notice))
+
+    async def _receive(self) -> None:
+        try:
+            while True:
+                kind, call, reply = decode_frame(await _read_frame(self._reader))
+                future = self._calls.get(call)
+                if kind is FrameKind.REPLY and future is not None and not future.done():
+                    future.set_result(reply)
+        except (OSError, EOFError, TransportError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        self.closed = True
+        self.writer.close()
+        self._task.cancel()
+        for future in list(self._calls.values()):
+            if not future.done():
+                future.set_exception(TransportError("connection lost", step="receive"))
+
+
+class _TcpListener(Listener):
+    def __init__(self, server: asyncio.Server, writers: set[asyncio.StreamWriter]) -> None:
+        self._server = server
+        self._writers = writers
+
+    async def close(self) -> None:
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+
+@register("network", "tcp")
+class TcpNetwork(Network):
+    """See the module's description."""
+
+    def __init__(self) -> None:
+        self._connections: dict[str, _Connection] = {}
+        self._opening: dict[str, asyncio.Task[_Connection]] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+
+    async def serve(self, address: str, handler: Handler) -> Listener:
+        """See :meth:`Network.serve`."""
+        writers: set[asyncio.StreamWriter] = set()
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.add(writer)
+            try:
+                await self._serve_connection(reader, writer, handler)
+            finally:
+                writers.discard(writer)
+                writer.close()
+
+        host, port = split_address(address)
+        try:
+            server = await asyncio.start_server(accept, host, port, backlog=1024)
+        except OSError as error:
+            raise listen_error(address, error) from error
+        return _TcpListener(server, writers)
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
+    ) -> None:
+        try:
+            while True:
+                kind, call, body = decode_frame(await _read_frame(reader))
+                task = asyncio.ensure_future(self._answer(writer, handler, kind, call, body))
+                self._serving.add(task)
+                task.add_done_callback(self._serving.discard)
+        except (OSError, EOFError, TransportError):
+            return
+
+    @staticmethod
+    async def _answer(
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        kind: FrameKind,
+        call: int,
+        body: msgspec.Struct,
+    ) -> None:
+        try:
+            reply = await handler(body)
+        except Exception as error:  # the peer gets the reason; the connection stays
+            reply = Failure(f"{type(error).__name__}: {error}")
+        if kind is FrameKind.REQUEST and not writer.is_closing():
+            _write_frame(writer, encode_frame(FrameKind.REPLY, call, reply or Failure("no reply")))
+
+    async def call(
+        self, address: str, request: msgspec.Struct, timeout_seconds: float
+    ) -> msgspec.Struct:
+        """See :meth:`Network.call`."""
+        step = type(request).__name__
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                connection = await self._connect(address)
+                reply = await connection.send_call(request)
+        except TimeoutError as error:
+            raise TransportError("no answer in time", step=step, peer=address) from error
+        except OSError as error:
+            raise TransportError(str(error), step=step, peer=address) from error
+        if isinstance(reply, Failure):
+            raise TransportError(reply.reason, step=step, peer=address)
+        return reply
+
+    def notify(self, address: str, notice: msgspec.Struct) -> None:
+        """See :meth:`Network.notify`."""
+        connection = self._connections.get(address)
+        if connection is not None and not connection.closed:
+            connection.send_notice(notice)
+            return
+        task = asyncio.ensure_future(self._connect_and_notify(address, notice))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _connect_and_notify(self, address: str, notice: msgspec.Struct) -> None:
+        try:
+            connection = await self._connect(address)
+            connection.send_notice(notice)
+        except (OSError, TimeoutError, TransportError):
+            return
+
+    async def _connect(self, address: str) -> _Connection:
+        connection = self._connections.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        opening = self._opening.get(address)
+        if opening is None:
+            opening = asyncio.ensure_future(self._open(address))
+            self._opening[address] = opening
+            opening.add_done_callback(lambda _: self._opening.pop(address, None))
+        return await asyncio.shield(opening)
+
+    async def _open(self, address: str) -> _Connection:
+        host, port = split_address(address)
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(host, port)
+        connection = _Connection(reader, writer)
+        self._connections[address] = connection
+        return connection
+
+    async def close(self) -> None:
+        """See :meth:`Network.close`."""
+        for connection in self._connections.values():
+            connection.close()
+        for task in list(self._serving):
+            task.cancel()
--- /dev/null
+++ b/tests/support/closing_line.py
@@ -0,0 +1,50 @@
+"""nose2 plug-in: a closing line with counts, and passing over the tests in KNOWN-RED.txt."""
+
+import sys
+from pathlib import Path
+
+from nose2.events import Event, Plugin
+
+KNOWN_RED = Path(__file__).resolve().parents[2] / "KNOWN-RED.txt"
+
+
+def known_red() -> dict[str, str]:
+    """Return the lines of KNOWN-RED.txt by the test that they name."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
+    return {line.split()[0]: line for line in lines if line and not line.startswith("#")}
+
+
+class ClosingLine(Plugin):
+    """Counts outcomes. A test in KNOWN-RED.txt that fails is printed and passed over."""
+
+    configSection = "closing-line"
+
+    def __init__(self) -> None:
+        self.outcomes: dict[str, str] = {}
+        self.red = known_red()
+        self.seen_red: list[str] = []
+
+    def setTestOutcome(self, event: Event) -> None:
+        name = event.test.id().split("\n")[0]
+        failed = event.outcome in ("failed", "error")
+        if failed and name in self.red and len(self.red) <= 3:
+            event.outcome = "skipped"
+            event.reason = "known red"
+            self.seen_red.append(self.red[name])
+        kept = self.outcomes.get(name, "passed")  # parts of a test count as the test
+        if event.outcome in ("failed", "error"):
+            kept = "failed"
+        elif event.outcome == "skipped" and kept != "failed":
+            kept = "skipped"
+        self.outcomes[name] = kept
+
+    def afterSummaryReport(self, event: Event) -> None:
+        for line in self.seen_red:
+            print(f"KNOWN RED, passed over: {line}", file=sys.stdout)
+        found = list(self.outcomes.values())
+        line = f"{found.count('passed')} passed, {found.count('failed')} failed"
+        if "skipped" in found:
+            line += f", {found.count('skipped')} skipped"
+        print(line, flush=True)
