--- a/src/rowanrail/kernel/lifecycle.py
+++ b/src/rowanrail/kernel/lifecycle.py
@@ -1,6 +1,7 @@
 """Start and stop of daemons."""
 
 import asyncio
+import os
 import signal
 
 from aiohttp import web
@@ -34,8 +35,9 @@
 
 def listen_error(address: str, error: OSError) -> RowanrailError:
     """Return the error for an address that can't be listened on."""
+    reason = os.strerror(error.errno).lower() if error.errno else str(error)
     return RowanrailError(
-        f"{error.strerror or error}; stop what uses the address, or choose another one",
+        f"{reason}; stop what uses the address, or choose another one",
         step="listen",
         peer=address,
     )
--- a/src/rowanrail/mysql/errors.py
+++ b/src/rowanrail/mysql/errors.py
@@ -21,14 +21,17 @@
 
 
 class CallerCode(enum.IntEnum):
-    """Error codes of the proxy; members use codes below 10000."""
+    """Error codes of the proxy; members use codes below 16000.
+
+    Some drivers read codes as signed 16-bit numbers, so they stay below 32768.
+    """
 
     UNKNOWN_DATABASE = 1049
-    NOT_RUN = 50001
-    OUTCOME_UNKNOWN = 50002
-    INVALID_REQUEST = 50003
-    REQUEST_CONFLICT = 50004
-    INTERNAL = 50005
+    NOT_RUN = 30001
+    OUTCOME_UNKNOWN = 30002
+    INVALID_REQUEST = 30003
+    REQUEST_CONFLICT = 30004
+    INTERNAL = 30005
 
 
 @lru_cache(maxsize=1000)
--- a/src/rowanrail/mysql/frontend.py
+++ b/src/rowanrail/mysql/frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Any
 
 from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
@@ -17,7 +18,6 @@
 from rowanrail.proxy.commands import TOKEN_VARIABLE
 from rowanrail.proxy.core import ProxyCore
 from rowanrail.proxy.session import Session
-from rowanrail.proxy.token import decode_token
 from rowanrail.rpc.tcp import split_address
 
 LISTEN_BACKLOG = 1024
@@ -46,23 +46,28 @@
 class CallerSession(ServedSession):
     """Joins one MySQL connection to one session of the core."""
 
-    def __init__(self, core: ProxyCore) -> None:
+    def __init__(self, core: ProxyCore, on_close: Callable[["CallerSession"], None]) -> None:
         super().__init__()
         self._core = core
+        self._on_close = on_close
         self.session: Session | None = None
+        self._replaced: Session | None = None
 
-    async def init(self, connection: ServedConnection) -> None:
+    def login_error(self, connection: ServedConnection) -> MysqlError | None:
         """Open the session, with a token from the connection attributes if there is one."""
-        await super().init(connection)
+        super().login_error(connection)
         assert self.username is not None
+        if self.session is not None and self.session.user == self.username:
+            return None  # COM_CHANGE_USER to the same user; reset() follows
         try:
-            self.session = self._core.open_session(self.username, self.database or "")
+            session = self._core.open_session(self.username, self.database or "")
             token = connection.client_connect_attrs.get(TOKEN_VARIABLE)
-            if token and decode_token(token).value_or(None) is not None:
-                self.session.take_token(token)
+            if token:
+                session.take_token(token)
         except RowanrailError as error:
-            raise to_mysql_error(error) from error
-        connection.set_status(False, True)
+            return to_mysql_error(error)
+        self._replaced, self.session = self.session, session
+        return None
 
     async def handle_query(self, sql: str, attrs: dict[str, str]) -> ResultSet | None:
         """Run a statement and return its rows, if it has any."""
@@ -96,18 +101,17 @@
         """Reset the session (COM_RESET_CONNECTION and COM_CHANGE_USER)."""
         session, connection = self._joined()
         await session.reset()
-        if self.username is not None and self.username != session.user:
-            await session.close()
-            try:
-                self.session = self._core.open_session(self.username, self.database or "")
-            except RowanrailError as error:
-                raise to_mysql_error(error) from error
+        if self._replaced is not None:
+            await self._replaced.close()
+            self._replaced = None
         connection.set_status(False, True)
 
     async def close(self) -> None:
         """End the session."""
-        if self.session is not None:
-            await self.session.close()
+        self._on_close(self)
+        for session in (self.session, self._replaced):
+            if session is not None:
+                await session.close()
 
 
 class MysqlFrontend:
@@ -115,7 +119,6 @@
 
     def __init__(self, core: ProxyCore) -> None:
         self._core = core
-        self._joined: dict[Session, CallerSession] = {}
         self._server = Server(
             session_factory=self._new_session, identity_provider=CallerIdentities(core)
         )
@@ -123,7 +126,7 @@
         self._callers: set[CallerSession] = set()
 
     def _new_session(self) -> CallerSession:
-        session = CallerSession(self._core)
+        session = CallerSession(self._core, self._callers.discard)
         self._callers.add(session)
         return session
 
--- a/src/rowanrail/mysql/wire.py
+++ b/src/rowanrail/mysql/wire.py
@@ -72,14 +72,10 @@
         self.database: str | None = None
         self.connection: ServedConnection | None = None
 
-    async def init(self, connection: Any) -> None:
-        """Begin the session of an authenticated user.
-
-        :raises ConnectionClosed: if the login failed; the error was sent already.
-        """
-        if self.username is None:
-            raise ConnectionClosed
+    def login_error(self, connection: "ServedConnection") -> MysqlError | None:
+        """Begin the session of an authenticated user, or return why it is refused."""
         self.connection = connection
+        return None
 
 
 class ServedConnection(Connection):  # type: ignore[misc]
@@ -90,6 +86,12 @@
     ok_insert_id = 0
     ok_warnings = 0
 
+    login_pending = False
+
+    def __init__(self, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self.set_status(False, True)
+
     def set_ok(
         self, affected_rows: int, insert_id: int, warnings: int = 0, information: bytes = b""
     ) -> None:
@@ -109,7 +111,13 @@
         self.status_flags = flags
 
     def ok(self, **arguments: Any) -> bytes:
-        """Return an OK packet."""
+        """Return an OK packet, or the error of a login that the session refuses."""
+        if self.login_pending:
+            self.login_pending = False
+            error = self.session.login_error(self)
+            if error is not None:
+                self.session.username = None
+                return bytes(self.error(msg=error.msg, code=error.code))
         if arguments.get("eof"):
             return bytes(super().ok(**arguments))
         arguments.setdefault("affected_rows", self.ok_affected_rows)
@@ -122,6 +130,7 @@
     async def authenticate(self, **arguments: Any) -> None:
         """Authenticate; a failed login ends the connection."""
         self.session.username = None
+        self.login_pending = True
         await super().authenticate(**arguments)
         if self.session.username is None:
             raise ConnectionClosed
--- a/src/rowanrail/proxy/session.py
+++ b/src/rowanrail/proxy/session.py
@@ -176,12 +176,13 @@
             await self._pin(deadline)
         if not self._autocommit and not self.transaction and statement.tables:
             await self._begin("BEGIN", Statement(Kind.BEGIN), deadline)
+        if self._pinned is None:
+            sql = fill_session_functions(sql, self._last_insert_id, self._row_count)
         if self.transaction is not None:
             is_write = statement.kind not in _READS
             return await self.transaction.execute(sql, is_write, deadline)
         if self._pinned is not None:
             return await self._run_pinned(self._pinned, sql, statement, deadline)
-        sql = fill_session_functions(sql, self._last_insert_id, self._row_count)
         if statement.kind in (*_READS, Kind.SESSION_FUNCTION) and not statement.locking:
             return await self._read(sql, statement, deadline)
         return await self._write(sql, deadline)
