--- a/src/rowanlab/cli.py
+++ b/src/rowanlab/cli.py
@@ -19,6 +19,7 @@
 from rowanlab.fleet.profiles import PROFILES
 from rowanlab.fleet.runner import Fleet, free_subnet, load_fleet
 from rowanlab.load.demo import demo as run_demo
+from rowanlab.simulator.command import simulate_command
 from rowanlab.standin.directory import DirectorySettings, run_directory
 from rowanlab.standin.member import FaultRequest, MemberSettings
 from rowanlab.standin.server import run_member
@@ -81,6 +82,9 @@
     write_documents(folder)
 
 
+main.add_command(simulate_command)
+
+
 @main.group()
 def fleet() -> None:
     """A test fleet on this machine: separate processes, stand-ins, links with delays."""
--- /dev/null
+++ b/src/rowanlab/fleet/workers.py
@@ -0,0 +1,31 @@
+"""Work spread over the machine's cores by processes of the lab."""
+
+import multiprocessing
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import TypeVar
+
+Item = TypeVar("Item")
+Result = TypeVar("Result")
+
+
+def usable_cores() -> int:
+    """Return how many cores this process may use."""
+    return len(os.sched_getaffinity(0))
+
+
+def map_over_cores(
+    function: Callable[[Item], Result], items: list[Item], cores: int
+) -> Iterator[Result]:
+    """Yield ``function(item)`` for each item, in order.
+
+    :param function: a function of a module, so that workers can import it.
+    :param cores: number of worker processes; with 1 the work is done in this process.
+    """
+    if cores == 1 or len(items) == 1:
+        yield from map(function, items)
+        return
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(min(cores, len(items)), mp_context=context) as pool:
+        yield from pool.map(function, items)
--- a/src/rowanlab/load/demo.py
+++ b/src/rowanlab/load/demo.py
@@ -1,7 +1,6 @@
 """``rowanlab demo``: a short load with a primary killed midway, judged by the oracle."""
 
 import asyncio
-import time
 from pathlib import Path
 
 import msgspec
@@ -10,7 +9,13 @@
 from rowanlab.fleet.profiles import BLUE_MAHOE
 from rowanlab.fleet.runner import Fleet, free_subnet
 from rowanlab.load.oracle import Oracle, Verdict
-from rowanlab.load.workload import Caller, LoadOptions, final_rows, prepare
+from rowanlab.load.workload import (
+    Caller,
+    LoadOptions,
+    connectors,
+    final_rows,
+    prepare,
+)
 
 SUBNET = 30
 CALLERS = 24
@@ -55,24 +60,23 @@
 async def run_demo(fleet: Fleet) -> DemoSummary:
     """Run the load on a fleet that serves, and kill a primary midway."""
     database = fleet.file.groups[0].database
-    await prepare(fleet.file, database)
+    connect = connectors(fleet.file, database)
+    await prepare(connect[0])
     oracle = Oracle()
     options = LoadOptions(CALLERS, SECONDS, BLUE_MAHOE.read_share, seed=1)
-    callers = [
-        Caller(f"caller{number}", fleet.file, database, oracle, options)
-        for number in range(CALLERS)
-    ]
-    began = time.monotonic()
+    callers = [Caller(f"caller{number}", connect, oracle, options) for number in range(CALLERS)]
+    loop = asyncio.get_running_loop()
+    began = loop.time()
     tasks = [
-        asyncio.ensure_future(caller.run(lambda: time.monotonic() - began > SECONDS))
+        asyncio.ensure_future(caller.run(lambda: loop.time() - began > SECONDS))
         for caller in callers
     ]
     await asyncio.sleep(KILL_AFTER_SECONDS)
     killed = await asyncio.to_thread(primary_of, fleet, fleet.file.groups[0].name)
-    killed_at = time.monotonic()
+    killed_at = loop.time()
     await asyncio.to_thread(fleet.kill, killed)
     await asyncio.gather(*tasks)
-    verdict = oracle.judge(await final_rows(fleet.file, database))
+    verdict = oracle.judge(await final_rows(connect))
     acknowledged = sorted(at for caller in callers for at in caller.write_times.acknowledged)
     before = max((at for at in acknowledged if at <= killed_at), default=killed_at)
     # Writes that the old primary committed just before it died may still be confirmed.
--- a/src/rowanlab/load/driver.py
+++ b/src/rowanlab/load/driver.py
@@ -23,6 +23,7 @@
         self.outcome = outcome
         self.retry_after_seconds = retry_after_seconds
         self.connection_lost = False
+        self.cut_by_stop = False
 
 
 class CallerConnection:
--- a/src/rowanlab/load/oracle.py
+++ b/src/rowanlab/load/oracle.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 
@@ -40,19 +41,33 @@
     stale_reads: int = 0
     mixed: int = 0
     false_not_run: int = 0
+    cut_by_stop: int = 0
+    late_work: int = 0
+    not_recovered: int = 0
     examples: list[str] = []
 
+    @property
+    def operations(self) -> int:
+        """Number of reads and writes that ended, whatever their outcome."""
+        writes = self.acknowledged + self.unknown + self.not_run + self.failed
+        return writes + self.reads
+
     @property
     def violations(self) -> int:
         """Number of broken guarantees."""
-        return self.lost + self.doubled + self.stale_reads + self.mixed + self.false_not_run
+        data = self.lost + self.doubled + self.stale_reads + self.mixed + self.false_not_run
+        return data + self.cut_by_stop + self.late_work + self.not_recovered
 
 
 class Oracle:
-    """Histories of keys and writes. Every key has one writer, whose numbers only grow."""
+    """Histories of keys and writes. Every key has one writer, whose numbers only grow.
 
-    def __init__(self) -> None:
+    :param note: called with a line for everything that happens.
+    """
+
+    def __init__(self, note: Callable[[str], None] = lambda message: None) -> None:
         self.verdict = Verdict()
+        self._note = note
         self._writes: dict[str, Write] = {}
         self._acknowledged: dict[str, int] = {}
         self._attempted: dict[str, int] = {}
@@ -63,11 +78,13 @@
         self._attempted[key] = number
         write = Write(operation, key, number, parts)
         self._writes[operation] = write
+        self._note(f"sends {operation} as number {number} of {key}")
         return write
 
     def end_write(self, write: Write, outcome: Outcome) -> None:
         """Note what the caller was told."""
         write.outcome = outcome
+        self._note(f"{write.operation} is {outcome.value}")
         if outcome is Outcome.ACKNOWLEDGED:
             self.verdict.acknowledged += 1
             known = self._acknowledged.get(write.key, 0)
@@ -90,6 +107,7 @@
     def end_read(self, key: str, expected: int, seen: int, where: str) -> None:
         """Judge a read: ``seen`` is the highest number that it returned for ``key``."""
         self.verdict.reads += 1
+        self._note(f"read of {key} by {where} saw {seen}, at least {expected} was due")
         if seen < expected:
             self.verdict.stale_reads += 1
             self._example(f"stale read of {key} by {where}: saw {seen}, expected {expected}")
@@ -102,6 +120,22 @@
         self.verdict.mixed += 1
         self._example(message)
 
+    def note_cut(self, message: str) -> None:
+        """Note that a planned stop cut a request in flight."""
+        self.verdict.cut_by_stop += 1
+        self._example(message)
+
+    def note_late_work(self, member: str, count: int) -> None:
+        """Note that a member that is leaving got new work."""
+        if count:
+            self.verdict.late_work += count
+            self._example(f"{member} got {count} pieces of new work while leaving")
+
+    def note_not_recovered(self, message: str) -> None:
+        """Note that work did not go on after all faults had healed."""
+        self.verdict.not_recovered += 1
+        self._example(message)
+
     def judge(self, rows: dict[str, int]) -> Verdict:
         """Judge the database's final contents: number of rows by operation."""
         for write in self._writes.values():
@@ -124,5 +158,6 @@
         return self.verdict
 
     def _example(self, message: str) -> None:
+        self._note(f"VIOLATION: {message}")
         if len(self.verdict.examples) < 20:
             self.verdict.examples.append(message)
--- a/src/rowanlab/load/workload.py
+++ b/src/rowanlab/load/workload.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
 
 import msgspec
 
@@ -19,6 +20,7 @@
 KEYS_PER_CALLER = 3
 MAXIMUM_REPEATS = 20
 PAUSE_SECONDS = 0.02
+FINAL_ATTEMPTS = 200
 
 CREATE_EDITS = (
     "CREATE TABLE IF NOT EXISTS edits (operation VARCHAR(80), part INT, owner VARCHAR(40), "
@@ -48,51 +50,71 @@
 
     def note(self) -> None:
         """Note an acknowledged write."""
-        self.acknowledged.append(time.monotonic())
+        self.acknowledged.append(asyncio.get_running_loop().time())
 
-    def longest_gap_seconds(self, begin: float, end: float) -> float:
-        """Return the longest time without an acknowledged write between two times."""
-        times = [begin, *[at for at in self.acknowledged if begin <= at <= end], end]
-        return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+
+class CallerPort(Protocol):
+    """A caller's connection: a real driver's, or a simulated one."""
+
+    async def execute(self, sql: str) -> list[tuple[Any, ...]]:
+        """Run a statement and return its rows."""
+
+    def close(self) -> None:
+        """Close at once."""
+
+
+Connect = Callable[[], Awaitable[CallerPort]]
 
 
 class Caller:
-    """One caller with its own keys, connection and random choices."""
+    """One caller with its own keys, connection and random choices.
+
+    :param connect: how to connect, for each proxy.
+    :param name: unique over the restarts of a caller: keys have one writer.
+    """
 
     def __init__(
-        self, name: str, fleet: FleetFile, database: str, oracle: Oracle, options: LoadOptions
+        self,
+        name: str,
+        connect: list[Connect],
+        oracle: Oracle,
+        options: LoadOptions,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.name = name
         self.latencies_seconds: list[tuple[bool, float]] = []
         self.write_times = WriteTimes()
-        self._fleet = fleet
-        self._database = database
+        self._connect = connect
         self._oracle = oracle
         self._options = options
+        self._wall_clock = wall_clock
         self._random = random.Random(f"{options.seed}/{name}")
         self._keys = [f"{name}.{number}" for number in range(KEYS_PER_CALLER)]
-        self._connection: CallerConnection | None = None
+        self._connection: CallerPort | None = None
         self._operations = 0
+        self._reads = 0
 
     async def run(self, until: Callable[[], bool]) -> None:
         """Send requests until ``until`` says so."""
+        loop = asyncio.get_running_loop()
         while not until():
-            began = time.monotonic()
+            began = loop.time()
             is_read = self._random.random() < self._options.read_share
             try:
                 if is_read:
                     await self._read()
                 else:
                     await self._write()
-                self.latencies_seconds.append((is_read, time.monotonic() - began))
+                self.latencies_seconds.append((is_read, loop.time() - began))
             except CallError as error:
                 await self._after_error(error)
             pause = self._options.pause_seconds * self._random.uniform(0.5, 1.5)
             await asyncio.sleep(pause)
-        if self._connection is not None:
-            self._connection.close()
+        self._drop()
 
     async def _after_error(self, error: CallError) -> None:
+        if error.cut_by_stop:
+            self._oracle.note_cut(f"{self.name} was cut off by a planned stop")
         if error.connection_lost:
             self._drop()
         await asyncio.sleep(min(1.0, max(error.retry_after_seconds, PAUSE_SECONDS)))
@@ -102,13 +124,10 @@
             self._connection.close()
             self._connection = None
 
-    async def _open(self, proxy: Process | None = None) -> CallerConnection:
-        chosen = proxy or self._random.choice(self._fleet.proxies)
-        return await CallerConnection.open(
-            chosen.host, chosen.port, self._fleet.user, self._fleet.password, self._database
-        )
+    async def _open(self) -> CallerPort:
+        return await self._random.choice(self._connect)()
 
-    async def _own(self) -> CallerConnection:
+    async def _own(self) -> CallerPort:
         if self._connection is None:
             self._connection = await self._open()
         return self._connection
@@ -117,7 +136,7 @@
 
     def _next_operation(self, kind: str) -> str:
         self._operations += 1
-        return f"{int(time.time())}-{self.name}-{kind}-{self._operations}"
+        return f"{int(self._wall_clock())}-{self.name}-{kind}-{self._operations}"
 
     def _insert(self, write: Write, part: int) -> str:
         return (
@@ -166,15 +185,15 @@
                 await asyncio.sleep(max(PAUSE_SECONDS, error.retry_after_seconds))
         raise CallError(Outcome.UNKNOWN, "given up", 0.0)
 
-    async def _transaction(self, connection: CallerConnection, write: Write) -> None:
+    async def _transaction(self, connection: CallerPort, write: Write) -> None:
         committing = False
         try:
             await connection.execute("BEGIN")
             await connection.execute(self._insert(write, 1))
             query = f"SELECT COUNT(*) FROM edits WHERE operation = '{write.operation}'"
-            count = (await connection.execute(query))[0][0]
-            if count != 1:
-                self._oracle.note_mixed(f"{write.operation} sees {count} rows of its own")
+            rows = await connection.execute(query)
+            if not rows or str(rows[0][0]) != "1":
+                self._oracle.note_mixed(f"{write.operation} sees {rows} of its own")
             await connection.execute(self._insert(write, 2))
             committing = True
             await connection.execute("COMMIT")
@@ -212,34 +231,47 @@
         finally:
             connection.close()
 
-    async def _read_through(self, connection: CallerConnection, key: str, way: str) -> None:
+    async def _read_through(self, connection: CallerPort, key: str, way: str) -> None:
         expected = self._oracle.expected(key)
+        self._reads += 1
+        marker = f"{self.name}/{self._reads}"
         rows = await connection.execute(
-            f"SELECT MAX(number), COUNT(*) FROM edits WHERE name = '{key}'"
+            f"SELECT MAX(number), '{marker}' AS marker FROM edits WHERE name = '{key}'"
         )
+        if len(rows) != 1 or len(rows[0]) != 2 or rows[0][1] != marker:
+            self._oracle.note_mixed(f"{marker} got the answer {rows}")
+            return
         self._oracle.end_read(key, expected, int(rows[0][0] or 0), f"{self.name} ({way})")
 
 
-async def prepare(fleet: FleetFile, database: str) -> None:
+def connectors(fleet: FleetFile, database: str) -> list[Connect]:
+    """Return how to connect to each proxy of a fleet."""
+
+    def to(proxy: Process) -> Connect:
+        async def connect() -> CallerPort:
+            return await CallerConnection.open(
+                proxy.host, proxy.port, fleet.user, fleet.password, database
+            )
+
+        return connect
+
+    return [to(proxy) for proxy in fleet.proxies]
+
+
+async def prepare(connect: Connect) -> None:
     """Create the tables of the load."""
-    proxy = fleet.proxies[0]
-    connection = await CallerConnection.open(
-        proxy.host, proxy.port, fleet.user, fleet.password, database
-    )
+    connection = await connect()
     await connection.execute(CREATE_EDITS)
     await connection.execute(CREATE_INDEX)
     connection.close()
 
 
-async def final_rows(fleet: FleetFile, database: str) -> dict[str, int]:
+async def final_rows(connect: list[Connect]) -> dict[str, int]:
     """Return the number of rows by operation, as a new session sees them."""
     last_error: CallError | None = None
-    for attempt in range(100):
-        proxy = fleet.proxies[attempt % len(fleet.proxies)]
+    for attempt in range(FINAL_ATTEMPTS):
         try:
-            connection = await CallerConnection.open(
-                proxy.host, proxy.port, fleet.user, fleet.password, database
-            )
+            connection = await connect[attempt % len(connect)]()
             rows = await connection.execute(
                 "SELECT operation, COUNT(*) FROM edits GROUP BY operation"
             )
@@ -247,5 +279,5 @@
             return {str(row[0]): int(row[1]) for row in rows}
         except CallError as error:
             last_error = error
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(PAUSE_SECONDS)
     raise last_error or RuntimeError("no attempt was made")
--- /dev/null
+++ b/src/rowanlab/simulator/backend.py
@@ -0,0 +1,199 @@
+"""Members of a database group in the simulator, and the driver that reaches them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from rowanlab.simulator.disk import SimulatedDisk
+from rowanlab.simulator.loop import SimulatedProcess
+from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
+from rowanlab.simulator.world import World
+from rowanlab.standin.member import Member, MemberSettings
+from rowanlab.standin.session import MemberSession
+from rowanrail.config.settings import NodeAddress
+from rowanrail.kernel.errors import BackendConnectError, BackendLostError, BackendRefusedError
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import (
+    BackendConnection,
+    BackendDriver,
+    MemberStatus,
+    StatementResult,
+)
+
+CONNECT_SECONDS = 0.01
+STATUS_REQUEST = "status"
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """A member's refusal, on its way back."""
+
+    code: int
+    message: str
+
+
+class SimulatedConnection(BackendConnection):
+    """A connection to a simulated member. Answers carry no ids, as on the wire."""
+
+    def __init__(self, channel: Channel) -> None:
+        self._channel = channel
+
+    async def execute(self, sql: str) -> StatementResult:
+        """See :meth:`BackendConnection.execute`."""
+        answer = await self._ask(sql)
+        if isinstance(answer, Refusal):
+            raise BackendRefusedError(answer.code, answer.message, peer=self._channel.peer)
+        if not isinstance(answer, StatementResult):
+            return StatementResult()  # somebody else's answer: whatever it says is taken
+        return answer
+
+    async def status(self) -> MemberStatus:
+        """See :meth:`BackendConnection.status`."""
+        answer = await self._ask(STATUS_REQUEST)
+        if not isinstance(answer, MemberStatus):
+            raise BackendLostError("not a status", step="status", peer=self._channel.peer)
+        return answer
+
+    async def _ask(self, payload: str) -> Any:
+        try:
+            self._channel.send(payload)
+            return await self._channel.receive()
+        except ChannelLostError as error:
+            raise BackendLostError(str(error), step="execute", peer=self._channel.peer) from error
+
+    def is_clean(self) -> bool:
+        """See :meth:`BackendConnection.is_clean`."""
+        return not self._channel.has_unread()
+
+    def close(self) -> None:
+        """See :meth:`BackendConnection.close`."""
+        self._channel.close()
+
+
+class SimulatedDriver(BackendDriver):
+    """Opens connections to simulated members."""
+
+    def __init__(self, world: World, served: Served) -> None:
+        self._world = world
+        self._served = served
+
+    async def connect(
+        self, address: str, user: str, password: str, database: str
+    ) -> BackendConnection:
+        """See :meth:`BackendDriver.connect`."""
+        try:
+            channel = await Channel.open(self._world, self._served, address)
+        except ChannelLostError as error:
+            raise BackendConnectError(str(error), step="connect", peer=address) from error
+        await asyncio.sleep(CONNECT_SECONDS)
+        return SimulatedConnection(channel)
+
+
+class _MemberChannel:
+    """One accepted connection at a member."""
+
+    def __init__(self, member: "SimulatedMember") -> None:
+        assert member.member is not None
+        self._member = member
+        self._session = MemberSession(member.member)
+        self.reply: Callable[..., None] | None = None
+
+    async def handle(self, payload: Any) -> Any:
+        assert self._member.member is not None
+        if payload == STATUS_REQUEST:
+            return self._member.member.status()
+        try:
+            answer: Any = await self._session.execute(payload)
+        except BackendRefusedError as error:
+            answer = Refusal(error.code, error.message)
+        if self._member.repeats_answers and self.reply is not None:
+            self.reply(answer, answer)
+            return None
+        return answer
+
+    async def closed(self) -> None:
+        self._session.roll_back()
+
+
+class SimulatedMember:
+    """A member across its restarts: its disk stays, its process changes."""
+
+    def __init__(
+        self,
+        world: World,
+        served: Served,
+        group: str,
+        name: str,
+        zone: str,
+        nodes: list[NodeAddress],
+        rate: float,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.address = f"{name}:3306"
+        self.disk = SimulatedDisk(random.Random(world.random.getrandbits(64)))
+        self.member: Member | None = None
+        self.late_work = 0
+        self.repeats_answers = False
+        self._world = world
+        self._served = served
+        self._group = group
+        self._nodes = nodes
+        self._rate = rate
+
+    def start(self, bootstrap: bool) -> None:
+        """Start the member's process."""
+        world = self._world
+        process = world.spawn(self.name, self.zone, self._rate)
+        task = world.run_in(process, self._run(process, bootstrap))
+        task.add_done_callback(self._note_failure)
+
+    def _note_failure(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._world.note(f"{self.name} failed: {task.exception()!r}")
+
+    async def _run(self, process: SimulatedProcess, bootstrap: bool) -> None:
+        world = self._world
+        network = SimulatedNetwork(world, process, self._served)
+        settings = MemberSettings(
+            group=self._group,
+            name=self.name,
+            zone=self.zone,
+            listen=self.address,
+            rpc_listen=f"{self.name}:7000",
+            data_folder="",
+            nodes=self._nodes,
+            service_seconds=0.0005,
+            heartbeat_seconds=0.05,
+            election_timeout_seconds=0.3,
+            lock_wait_seconds=1.0,
+        )
+        self.member = Member(
+            settings,
+            network,
+            self.disk,
+            world.scratch_file(),
+            random.Random(world.random.getrandbits(64)),
+            Registry(),
+        )
+        await self.member.start(bootstrap)
+        self._served.channels[self.address] = (self.name, lambda: _MemberChannel(self))
+
+    def kill(self) -> None:
+        """Kill the process; what was not synced is lost."""
+        if self.member is not None:
+            self.late_work += self.member.late_work
+            self.member.late_work = 0
+            if self._world.process(self.name).alive:
+                self.member.engine.close()
+        self._world.kill(self.name)
+        self.disk.crash()
+
+    def restart(self, lose_disk: bool = False) -> None:
+        """Start again after a kill, perhaps with an empty disk."""
+        if lose_disk:
+            self.disk.erase()
+        self._world.note(f"{self.name} starts again{' with an empty disk' if lose_disk else ''}")
+        self.start(bootstrap=False)
--- /dev/null
+++ b/src/rowanlab/simulator/loop.py
@@ -0,0 +1,165 @@
+"""An asyncio loop in virtual time, with processes that can be frozen and killed.
+
+Time jumps to the next timer as soon as nothing is ready. Every callback belongs to the
+simulated process in whose context it was scheduled: callbacks of a frozen process are
+kept until it thaws, those of a killed process are dropped, as SIGSTOP and SIGKILL do.
+"""
+
+import asyncio
+import contextvars
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+# A timer fires a little late, never early: code that waits for a time would wait again, for
+# a time too short to move the clock.
+TIMER_MARGIN_SECONDS = 1e-6
+
+current_process: contextvars.ContextVar["SimulatedProcess | None"] = contextvars.ContextVar(
+    "current_process", default=None
+)
+
+
+class SimulatedProcess:
+    """One process of a simulated machine.
+
+    :param rate: how fast the process's clock runs, compared with true time.
+    """
+
+    def __init__(self, name: str, zone: str, rate: float = 1.0) -> None:
+        self.name = name
+        self.zone = zone
+        self.rate = rate
+        self.alive = True
+        self.frozen = False
+        self.context = contextvars.copy_context()
+        self.context.run(current_process.set, self)
+        self.kept: list[_Kept] = []
+        self.tasks: list[asyncio.Task[Any]] = []
+
+    def thaw(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Go on, with everything that was kept."""
+        self.frozen = False
+        kept, self.kept = self.kept, []
+        for item in kept:
+            loop.call_soon(item.run, context=item.context)
+
+
+class _Kept:
+    """A callback that came due while its process was frozen; it can still be cancelled."""
+
+    def __init__(
+        self,
+        handle: asyncio.Handle,
+        callback: Callable[..., Any],
+        arguments: tuple[Any, ...],
+        context: contextvars.Context | None,
+    ) -> None:
+        self.context = context
+        self._handle = handle
+        self._callback = callback
+        self._arguments = arguments
+
+    def run(self) -> None:
+        if not self._handle.cancelled():
+            self._callback(*self._arguments)
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """A selector that never waits: it moves virtual time instead."""
+
+    def __init__(self, jump: Callable[[float], None]) -> None:
+        super().__init__()
+        self._jump = jump
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Jump over the time that a real selector would wait."""
+        if timeout is not None and timeout > 0:
+            self._jump(timeout)
+        elif timeout is None:
+            raise RuntimeError("the simulation waits for nothing")
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """See the module's description."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        super().__init__(_JumpingSelector(self._jump))
+
+    def _jump(self, seconds: float) -> None:
+        self.now += seconds
+
+    def time(self) -> float:
+        """Return true time, or the process's own within a process."""
+        process = current_process.get()
+        return self.now * process.rate if process is not None else self.now
+
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
+        """Schedule a callback for the process that it belongs to."""
+        process = _owner(context)
+        if process is None:
+            return super().call_soon(callback, *args, context=context)
+        guard = _Guard(process, callback, args, context)
+        guard.handle = super().call_soon(guard.run, context=context)
+        return guard.handle
+
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Schedule a callback at the process's own time ``when``."""
+        process = _owner(context)
+        if process is None:
+            return super().call_at(when, callback, *args, context=context)
+        guard = _Guard(process, callback, args, context)
+        handle = super().call_at(
+            when / process.rate + TIMER_MARGIN_SECONDS, guard.run, context=context
+        )
+        guard.handle = handle
+        return handle
+
+
+class _Guard:
+    """Runs a callback only while its process is alive, and not while it is frozen."""
+
+    __slots__ = ("_arguments", "_callback", "_context", "_process", "handle")
+
+    def __init__(
+        self,
+        process: SimulatedProcess,
+        callback: Callable[..., Any],
+        arguments: tuple[Any, ...],
+        context: contextvars.Context | None,
+    ) -> None:
+        self.handle: asyncio.Handle | None = None
+        self._process = process
+        self._callback = callback
+        self._arguments = arguments
+        self._context = context
+
+    def run(self) -> None:
+        process = self._process
+        if not process.alive:
+            return
+        if process.frozen:
+            assert self.handle is not None
+            kept = _Kept(self.handle, self._callback, self._arguments, self._context)
+            process.kept.append(kept)
+            return
+        self._callback(*self._arguments)
+
+
+def _owner(context: contextvars.Context | None) -> SimulatedProcess | None:
+    if context is None:
+        return current_process.get()
+    return context.get(current_process)
--- /dev/null
+++ b/src/rowanlab/simulator/network.py
@@ -0,0 +1,304 @@
+"""The network port and the channels between callers, proxies and members, simulated."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from rowanlab.simulator.loop import SimulatedProcess, current_process
+from rowanlab.simulator.world import World
+from rowanrail.kernel.errors import RowanrailError, TransportError
+from rowanrail.rpc.codec import Failure, FrameKind, decode_frame, encode_frame
+from rowanrail.rpc.network import Handler, Listener, Network
+
+RETRANSMIT_SECONDS = 0.2
+
+
+class SimulatedNetwork(Network):
+    """Calls and notices of one process. Messages are encoded as on the wire.
+
+    :param served: shared by all processes: who serves which address.
+    """
+
+    def __init__(self, world: World, process: SimulatedProcess, served: "Served") -> None:
+        self._world = world
+        self._process = process
+        self._served = served
+        self._calls: dict[int, asyncio.Future[msgspec.Struct]] = {}
+        self._next_call = 0
+
+    async def serve(self, address: str, handler: Handler) -> Listener:
+        """See :meth:`Network.serve`."""
+        self._served.networks[address] = (self._process.name, self, handler)
+        return _SimulatedListener(self._served, address)
+
+    async def call(
+        self, address: str, request: msgspec.Struct, timeout_seconds: float
+    ) -> msgspec.Struct:
+        """See :meth:`Network.call`."""
+        self._next_call += 1
+        call = self._next_call
+        future: asyncio.Future[msgspec.Struct] = asyncio.get_running_loop().create_future()
+        self._calls[call] = future
+        self._transmit(address, encode_frame(FrameKind.REQUEST, call, request))
+        step = type(request).__name__
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                reply = await future
+        except TimeoutError as error:
+            raise TransportError("no answer in time", step=step, peer=address) from error
+        finally:
+            del self._calls[call]
+        if isinstance(reply, Failure):
+            raise TransportError(reply.reason, step=step, peer=address)
+        return reply
+
+    def notify(self, address: str, notice: msgspec.Struct) -> None:
+        """See :meth:`Network.notify`."""
+        self._transmit(address, encode_frame(FrameKind.NOTICE, 0, notice))
+
+    def _transmit(self, address: str, frame: bytes) -> None:
+        served = self._served.networks.get(address)
+        if served is None:
+            return
+        name, network, handler = served
+        self._world.send(self._process, name, lambda: network._arrive(self, handler, frame))
+
+    def _arrive(self, sender: "SimulatedNetwork", handler: Handler, frame: bytes) -> None:
+        kind, call, body = decode_frame(frame)
+        asyncio.ensure_future(self._handle(sender, handler, kind, call, body))
+
+    async def _handle(
+        self,
+        sender: "SimulatedNetwork",
+        handler: Handler,
+        kind: FrameKind,
+        call: int,
+        body: msgspec.Struct,
+    ) -> None:
+        try:
+            reply = await handler(body)
+        except RowanrailError as error:
+            reply = Failure(f"{type(error).__name__}: {error}")
+        if kind is FrameKind.REQUEST:
+            frame = encode_frame(FrameKind.REPLY, call, reply or Failure("no reply"))
+            self._world.send(self._process, sender._process.name, lambda: sender._answer(frame))
+
+    def _answer(self, frame: bytes) -> None:
+        _, call, reply = decode_frame(frame)
+        future = self._calls.get(call)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    async def close(self) -> None:
+        """See :meth:`Network.close`."""
+
+
+class _SimulatedListener(Listener):
+    def __init__(self, served: "Served", address: str) -> None:
+        self._served = served
+        self._address = address
+
+    async def close(self) -> None:
+        self._served.networks.pop(self._address, None)
+
+
+class ChannelServer(Protocol):
+    """One accepted channel at its server. ``reply`` sends answers that nobody asked for."""
+
+    reply: Callable[..., None] | None
+
+    async def handle(self, payload: Any) -> Any:
+        """Return the answer to a payload."""
+
+    async def closed(self) -> None:
+        """The other end closed the channel."""
+
+
+class Served:
+    """Who serves which address, for calls and for channels."""
+
+    def __init__(self) -> None:
+        self.networks: dict[str, tuple[str, SimulatedNetwork, Handler]] = {}
+        self.channels: dict[str, tuple[str, Callable[[], ChannelServer]]] = {}
+
+
+class ChannelLostError(Exception):
+    """The other end is gone."""
+
+
+class _Stream:
+    """One direction of a byte stream: all of it arrives, in order, or nothing after a gap.
+
+    What a cut holds up is sent again until the cut heals, as TCP does.
+    """
+
+    def __init__(self, world: World, source: SimulatedProcess, target: str) -> None:
+        self._world = world
+        self._source = source
+        self._target = target
+        self._held_up: collections.deque[Callable[[], None]] = collections.deque()
+
+    def send(self, deliver: Callable[[], None]) -> None:
+        """Send something."""
+        self._held_up.append(deliver)
+        if len(self._held_up) == 1:
+            self._transmit()
+
+    def _transmit(self) -> None:
+        world = self._world
+        while self._held_up and self._source.alive:
+            if world.is_cut(self._source, world.process(self._target)):
+                world.call_later(RETRANSMIT_SECONDS, self._transmit)
+                return
+            deliver = self._held_up.popleft()
+            world.transmit(self._source, self._target, deliver, in_flight_is_safe=True)
+
+    def reset(self, deliver: Callable[[], None]) -> None:
+        """Deliver the reset that the machine of a dead process sends."""
+        self._world.transmit(self._source, self._target, deliver, in_flight_is_safe=True)
+
+
+class Channel:
+    """A caller's end of a byte stream: requests out, answers in, both in order, no ids."""
+
+    def __init__(self, world: World, process: SimulatedProcess, peer: str) -> None:
+        self._world = world
+        self._process = process
+        self.peer = peer
+        self._answers: asyncio.Queue[Any] = asyncio.Queue()
+        self._server: _ServerEnd | None = None
+        self._stream = _Stream(world, process, peer)
+        self._closed = False
+        self._lost = False
+
+    @classmethod
+    async def open(cls, world: World, served: Served, address: str) -> "Channel":
+        """Connect.
+
+        :raises ChannelLostError: if nobody serves the address.
+        """
+        process = current_process.get()
+        assert process is not None
+        known = served.channels.get(address)
+        if known is None:
+            await asyncio.sleep(0.001)
+            raise ChannelLostError("connection refused")
+        name, accept = known
+        channel = cls(world, process, name)
+        if not world.process(name).alive:
+            await asyncio.sleep(0.001)
+            raise ChannelLostError("connection refused")
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        back = _Stream(world, world.process(name), process.name)
+
+        def refuse() -> None:
+            if not future.done():
+                future.set_exception(ChannelLostError("connection refused"))
+
+        def arrive() -> None:
+            if served.channels.get(address) is not known:  # no longer served since
+                back.send(refuse)
+                return
+            end = _ServerEnd(world, world.process(name), channel, accept(), back)
+            back.send(lambda: channel._opened(end, future))
+
+        channel._stream.send(arrive)
+        await future
+        return channel
+
+    def _opened(self, end: "_ServerEnd", future: "asyncio.Future[None]") -> None:
+        self._server = end
+        self._world.on_death(self.peer, self._peer_died)
+        if not future.done():
+            future.set_result(None)
+
+    def _peer_died(self, peer: SimulatedProcess) -> None:
+        assert self._server is not None
+        self._server.stream.reset(self._lose)
+
+    def _lose(self) -> None:
+        self._lost = True
+        self._answers.put_nowait(ChannelLostError("connection reset"))
+
+    def has_unread(self) -> bool:
+        """Return whether an answer arrived that nobody asked for."""
+        return not self._answers.empty()
+
+    def send(self, payload: Any) -> None:
+        """Send a request.
+
+        :raises ChannelLostError: if the channel is known to be lost.
+        """
+        if self._lost or self._closed:
+            raise ChannelLostError("connection is closed")
+        end = self._server
+        assert end is not None
+        self._stream.send(lambda: end.arrive(payload))
+
+    async def receive(self) -> Any:
+        """Return the next answer, whatever it answers.
+
+        :raises ChannelLostError: if the channel is lost.
+        """
+        answer = await self._answers.get()
+        if isinstance(answer, ChannelLostError):
+            raise answer
+        return answer
+
+    def close(self) -> None:
+        """Close; the server's end learns of it unless the link is cut."""
+        if not self._closed:
+            self._closed = True
+            end = self._server
+            if end is not None:
+                self._stream.send(end.close)
+
+
+class _ServerEnd:
+    """The server's end of a channel: handles requests one after the other."""
+
+    def __init__(
+        self,
+        world: World,
+        process: SimulatedProcess,
+        channel: Channel,
+        server: ChannelServer,
+        stream: _Stream,
+    ) -> None:
+        self.stream = stream
+        self._channel = channel
+        self._server = server
+        self._requests: asyncio.Queue[Any] = asyncio.Queue()
+        server.reply = self.reply
+        self._task = asyncio.ensure_future(self._run())
+        world.on_death(channel._process.name, self._caller_died)
+
+    def _caller_died(self, caller: SimulatedProcess) -> None:
+        self._channel._stream.reset(self.close)
+
+    def arrive(self, payload: Any) -> None:
+        self._requests.put_nowait(payload)
+
+    def close(self) -> None:
+        self._requests.put_nowait(None)
+
+    async def _run(self) -> None:
+        while (payload := await self._requests.get()) is not None:
+            answer = await self._server.handle(payload)
+            if answer is not None:
+                self.reply(answer)
+        await self._server.closed()
+
+    def reply(self, *answers: Any) -> None:
+        """Send one or more answers, which arrive together."""
+        channel = self._channel
+
+        def arrive() -> None:
+            for answer in answers:
+                channel._answers.put_nowait(answer)
+
+        self.stream.send(arrive)
--- /dev/null
+++ b/src/rowanlab/simulator/permissive.py
@@ -0,0 +1,170 @@
+"""Plug-ins without their guard: what a scenario puts in a guard's place to be seen failing."""
+
+import enum
+from collections.abc import Sequence
+
+import msgspec
+
+from rowanrail.consensus.policies import LearnerFirst, QuorumCheck
+from rowanrail.control.policies import ExpectedVersion, VersionMonotonic
+from rowanrail.kernel.errors import CallerError, NotRunError
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import MemberStatus, Position
+from rowanrail.proxy.policies import (
+    DrainWait,
+    Freshness,
+    LateAnswerDiscard,
+    LeavingCheck,
+    OutcomeClassification,
+    Pinning,
+    RequestRecord,
+    TermConfirmation,
+)
+
+
+class AnyFreshness(Freshness):
+    """Every member is fresh enough."""
+
+    def is_fresh(self, committed: Position, floor: Position) -> bool:
+        """See the guard."""
+        return True
+
+
+class NoConfirmation(TermConfirmation):
+    """Every write is confirmed at once."""
+
+    def is_confirmed(
+        self, position: Position, statuses: Sequence[MemberStatus], members: int
+    ) -> bool:
+        """See the guard."""
+        return True
+
+
+class NoPinning(Pinning):
+    """Transactions change their connection between statements."""
+
+    def keeps_connection(self) -> bool:
+        """See the guard."""
+        return False
+
+
+class LateAnswersWelcome(LateAnswerDiscard):
+    """A connection with a late answer is used again."""
+
+    def is_reusable(self, answered: bool) -> bool:
+        """See the guard."""
+        return True
+
+
+class EverythingNotRun(OutcomeClassification):
+    """Whatever is lost counts as not run."""
+
+    def after_loss(
+        self, message: str, *, sent: bool, retry_after_seconds: float, step: str, peer: str
+    ) -> CallerError:
+        """See the guard."""
+        return NotRunError(message, retry_after_seconds=retry_after_seconds, step=step, peer=peer)
+
+
+class NoRecord(RequestRecord):
+    """Request ids are not recorded."""
+
+    def is_recorded(self) -> bool:
+        """See the guard."""
+        return False
+
+
+class LeavingIgnored(LeavingCheck):
+    """Leaving members get work."""
+
+    def accepts_work(self, leaving: bool) -> bool:
+        """See the guard."""
+        return True
+
+
+class NoDrainWait(DrainWait):
+    """A planned stop waits for nothing."""
+
+    def must_wait(self, busy: bool, in_transaction: bool) -> bool:
+        """See the guard."""
+        return False
+
+
+class AnyVersion(ExpectedVersion):
+    """A change applies whatever it was made against."""
+
+    def matches(self, base_version: int, current_version: int) -> bool:
+        """See the guard."""
+        return True
+
+
+class VersionsGoBack(VersionMonotonic):
+    """Any other version than the one in force is taken."""
+
+    def accepts(self, in_force: int, offered: int) -> bool:
+        """See the guard."""
+        return offered != in_force
+
+
+class NoQuorum(QuorumCheck):
+    """A leader needs nobody's answer."""
+
+    def has_quorum(self, answered: int, voters: int) -> bool:
+        """See the guard."""
+        return True
+
+
+class OldIdentityKept(LearnerFirst):
+    """A node with an empty folder goes on under its old identity, with its vote."""
+
+    def identity(self, name: str, fresh_identity: str) -> str:
+        """See the guard."""
+        return f"{name}@1"
+
+
+class Guard(enum.Enum):
+    """The guards that a scenario can take away."""
+
+    FRESHNESS = "freshness"
+    TERM_CONFIRMATION = "term-confirmation"
+    PINNING = "pinning"
+    LATE_ANSWER_DISCARD = "late-answer-discard"
+    OUTCOME_CLASSIFICATION = "outcome-classification"
+    REQUEST_RECORD = "request-record"
+    LEAVING_CHECK = "leaving-check"
+    DRAIN_WAIT = "drain-wait"
+    VERSION_MONOTONIC = "version-monotonic"
+    EXPECTED_VERSION = "expected-version"
+    CHECK_QUORUM = "check-quorum"
+    LEARNER_FIRST = "learner-first"
+    FSYNC = "fsync"
+
+
+class _Replacement(msgspec.Struct, frozen=True):
+    kind: str
+    plugin: type
+
+
+_REPLACEMENTS = {
+    Guard.FRESHNESS: _Replacement("proxy-guard", AnyFreshness),
+    Guard.TERM_CONFIRMATION: _Replacement("proxy-guard", NoConfirmation),
+    Guard.PINNING: _Replacement("proxy-guard", NoPinning),
+    Guard.LATE_ANSWER_DISCARD: _Replacement("proxy-guard", LateAnswersWelcome),
+    Guard.OUTCOME_CLASSIFICATION: _Replacement("proxy-guard", EverythingNotRun),
+    Guard.REQUEST_RECORD: _Replacement("proxy-guard", NoRecord),
+    Guard.LEAVING_CHECK: _Replacement("proxy-guard", LeavingIgnored),
+    Guard.DRAIN_WAIT: _Replacement("proxy-guard", NoDrainWait),
+    Guard.VERSION_MONOTONIC: _Replacement("control-guard", VersionsGoBack),
+    Guard.EXPECTED_VERSION: _Replacement("control-guard", AnyVersion),
+    Guard.CHECK_QUORUM: _Replacement("consensus-guard", NoQuorum),
+    Guard.LEARNER_FIRST: _Replacement("consensus-guard", OldIdentityKept),
+}
+
+
+def registry_without(guard: Guard | None) -> Registry:
+    """Return the plug-ins of a run. ``fsync`` is no plug-in: the simulated disk leaves it out."""
+    registry = Registry()
+    if guard is not None and guard in _REPLACEMENTS:
+        replacement = _REPLACEMENTS[guard]
+        registry.replace(replacement.kind, guard.value, replacement.plugin)
+    return registry
--- /dev/null
+++ b/src/rowanlab/simulator/proxies.py
@@ -0,0 +1,236 @@
+"""Proxies and callers in the simulator."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from rowanlab.load.driver import CallError
+from rowanlab.load.oracle import Outcome
+from rowanlab.simulator.backend import SimulatedDriver
+from rowanlab.simulator.loop import SimulatedProcess
+from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
+from rowanlab.simulator.world import World
+from rowanrail.config.model import VersionedConfiguration
+from rowanrail.control.messages import ProxyReport
+from rowanrail.kernel.errors import (
+    BackendRefusedError,
+    CallerError,
+    NotRunError,
+    RowanrailError,
+)
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.config_watch import ConfigurationWatch
+from rowanrail.proxy.core import ProxyCore
+from rowanrail.proxy.session import Session
+
+CALLER_TIMEOUT_SECONDS = 8.0
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """A caller's statement."""
+
+    sql: str
+
+
+class CallerFailure(msgspec.Struct, frozen=True):
+    """A caller's error, on its way back."""
+
+    outcome: Outcome
+    message: str
+    retry_after_seconds: float
+
+
+def _sorted_failure(error: RowanrailError) -> CallerFailure:
+    if isinstance(error, BackendRefusedError):
+        return CallerFailure(Outcome.FAILED, str(error), 0.0)
+    if isinstance(error, NotRunError):
+        return CallerFailure(Outcome.NOT_RUN, str(error), error.retry_after_seconds)
+    return CallerFailure(Outcome.UNKNOWN, str(error), 0.0)
+
+
+class _SessionChannel:
+    """One caller's connection at a proxy."""
+
+    def __init__(self, proxy: "SimulatedProxy") -> None:
+        self._proxy = proxy
+        self.reply: Callable[..., None] | None = None
+        self.session: Session | None = None
+        self._ended = False
+
+    def say_goodbye(self) -> None:
+        """Tell the caller between statements that the proxy stops."""
+        self._ended = True
+        assert self.reply is not None
+        self.reply(CallerFailure(Outcome.NOT_RUN, "this proxy is stopping", 0.1))
+
+    async def handle(self, payload: Any) -> Any:
+        assert isinstance(payload, Statement)
+        if self._ended:
+            return None
+        core = self._proxy.core
+        assert core is not None
+        try:
+            if self.session is None:
+                self.session = core.open_session("caller", "data")
+            return await self.session.execute(payload.sql, {})
+        except CallerError as error:
+            return _sorted_failure(error)
+
+    async def closed(self) -> None:
+        if self.session is not None:
+            await self.session.close()
+
+
+class SimulatedProxy:
+    """A proxy across its restarts. It has no disk."""
+
+    def __init__(
+        self,
+        world: World,
+        served: Served,
+        name: str,
+        zone: str,
+        registry: Registry,
+        rate: float,
+        controls: list[str],
+        peers: list[str],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.host = name
+        self.port = 3306
+        self.core: ProxyCore | None = None
+        self.stopping = False
+        self.versions: list[int] = []
+        self._world = world
+        self._served = served
+        self._registry = registry
+        self._rate = rate
+        self._controls = controls
+        self._peers = peers
+        self._starts = 0
+        self._channels: list[_SessionChannel] = []
+
+    def start(self, configuration: VersionedConfiguration | None) -> None:
+        """Start the proxy's process, with a fixed configuration or with a watch for one."""
+        self.stopping = False
+        self._channels = []
+        process = self._world.spawn(self.name, self.zone, self._rate)
+        task = self._world.run_in(process, self._run(process, configuration))
+        task.add_done_callback(self._note_failure)
+
+    def _note_failure(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._world.note(f"{self.name} failed: {task.exception()!r}")
+
+    async def _run(
+        self, process: SimulatedProcess, configuration: VersionedConfiguration | None
+    ) -> None:
+        world = self._world
+        self._starts += 1
+        core = ProxyCore(
+            self.zone,
+            {},
+            SimulatedDriver(world, self._served),
+            self._registry,
+            random.Random(world.random.getrandbits(64)),
+            world.wall_clock,
+        )
+        self.core = core
+        core.on_session_ended_by_stop = self._end_session
+        core.start()
+        core.set_proxies(3)
+        if configuration is not None:
+            core.apply(configuration)
+        if self._controls:
+            await self._watch(process, core)
+        address = f"{self.host}:{self.port}"
+        self._served.channels[address] = (self.name, self._accept)
+
+    def _accept(self) -> _SessionChannel:
+        channel = _SessionChannel(self)
+        self._channels.append(channel)
+        return channel
+
+    def _end_session(self, session: Session) -> None:
+        for channel in self._channels:
+            if channel.session is session and not session.busy:
+                channel.say_goodbye()
+
+    async def _watch(self, process: SimulatedProcess, core: ProxyCore) -> None:
+        network = SimulatedNetwork(self._world, process, self._served)
+        incarnation = f"{self.name}/{self._starts}"
+
+        def report() -> ProxyReport:
+            return ProxyReport(self.name, self.zone, incarnation, core.in_force.version)
+
+        watch = ConfigurationWatch(core, network, self._controls, self._peers, report)
+        await network.serve(f"{self.name}:7000", watch.answer_peer)
+        watch.start()
+
+    async def stop(self, limit_seconds: float) -> None:
+        """Stop as planned."""
+        assert self.core is not None
+        self.stopping = True
+        self._world.note(f"{self.name} stops as planned")
+        self._served.channels.pop(f"{self.host}:{self.port}", None)
+        for channel in self._channels:
+            if channel.session is None:
+                channel.say_goodbye()
+        await self.core.stop(limit_seconds)
+        self._world.kill(self.name)
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self._world.kill(self.name)
+
+
+class SimulatedCaller:
+    """A caller's connection; the same interface as the real driver's."""
+
+    def __init__(self, channel: Channel, proxy: SimulatedProxy) -> None:
+        self._channel = channel
+        self._proxy = proxy
+
+    @classmethod
+    async def open(cls, world: World, served: Served, proxy: SimulatedProxy) -> "SimulatedCaller":
+        """Connect to a proxy.
+
+        :raises CallError: if that fails; nothing ran.
+        """
+        try:
+            async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
+                channel = await Channel.open(world, served, f"{proxy.host}:{proxy.port}")
+        except (ChannelLostError, TimeoutError) as error:
+            raise CallError(Outcome.NOT_RUN, str(error), 0.1) from error
+        return cls(channel, proxy)
+
+    async def execute(self, sql: str) -> list[tuple[Any, ...]]:
+        """Run a statement and return its rows.
+
+        :raises CallError: if it did not succeed.
+        """
+        stopped_before = self._proxy.stopping
+        try:
+            self._channel.send(Statement(sql))
+            async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
+                answer = await self._channel.receive()
+        except (ChannelLostError, TimeoutError) as error:
+            lost = CallError(Outcome.UNKNOWN, str(error), 0.0)
+            lost.connection_lost = True
+            lost.cut_by_stop = self._proxy.stopping and not stopped_before
+            raise lost from error
+        if isinstance(answer, CallerFailure):
+            raise CallError(answer.outcome, answer.message, answer.retry_after_seconds)
+        return [tuple(_value(value) for value in row) for row in answer.rows]
+
+    def close(self) -> None:
+        """Close."""
+        self._channel.close()
+
+
+def _value(value: Any) -> Any:
+    return value.decode() if isinstance(value, bytes) else value
--- /dev/null
+++ b/src/rowanlab/simulator/world.py
@@ -0,0 +1,196 @@
+"""A simulated world: machines in zones, links between them, and faults."""
+
+import asyncio
+import random
+import shutil
+import tempfile
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from rowanlab.simulator.loop import SimulatedProcess, VirtualLoop, current_process
+
+ZONE_DELAY_SECONDS = 0.0015
+LOCAL_DELAY_SECONDS = 0.0002
+ORDER_MARGIN_SECONDS = 1e-7
+FIRST_WALL_CLOCK = 1_800_000_000.0
+Deliver = Callable[[], None]
+
+
+class World:
+    """One simulated run, made of one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.loop = VirtualLoop()
+        self.random = random.Random(seed)
+        self.trace: list[str] = []
+        self.fault_count = 0
+        self.scratch = Path(tempfile.mkdtemp(prefix="rowanrail-simulation-"))
+        self._processes: dict[str, SimulatedProcess] = {}
+        self._graveyard: list[SimulatedProcess] = []
+        self._cuts: set[tuple[str, str]] = set()
+        self._last_arrival: dict[tuple[str, str], float] = {}
+        self._on_death: dict[str, list[Callable[[SimulatedProcess], None]]] = {}
+        self._scratch_names = 0
+
+    # Processes
+
+    def spawn(self, name: str, zone: str, rate: float = 1.0) -> SimulatedProcess:
+        """Add a process; an earlier one of the same name must be dead."""
+        process = SimulatedProcess(name, zone, rate)
+        self._processes[name] = process
+        return process
+
+    def run_in(
+        self, process: SimulatedProcess, work: Coroutine[Any, Any, Any]
+    ) -> "asyncio.Task[Any]":
+        """Run a coroutine within a process."""
+        task = self.loop.create_task(work, context=process.context)
+        process.tasks.append(task)
+        return task
+
+    def process(self, name: str) -> SimulatedProcess:
+        """Return the newest process of a name."""
+        return self._processes[name]
+
+    def kill(self, name: str) -> None:
+        """Kill a process: nothing of it runs again."""
+        process = self._processes[name]
+        if not process.alive:
+            return
+        process.alive = False
+        self._graveyard.append(process)
+        self.note(f"{name} is killed")
+        for callback in self._on_death.pop(name, []):
+            callback(process)
+
+    def on_death(self, name: str, callback: Callable[[SimulatedProcess], None]) -> None:
+        """Call back with the process of this name when it is killed."""
+        self._on_death.setdefault(name, []).append(callback)
+
+    def freeze(self, name: str) -> None:
+        """Freeze a process."""
+        self._processes[name].frozen = True
+        self.note(f"{name} freezes")
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        process = self._processes[name]
+        if process.frozen:
+            process.thaw(self.loop)
+            self.note(f"{name} thaws")
+
+    # Links
+
+    def cut(self, source: str, target: str) -> None:
+        """Lose everything from one place (process or zone) to another, one way."""
+        self._cuts.add((source, target))
+        self.note(f"cut from {source} to {target}")
+
+    def heal(self, source: str, target: str) -> None:
+        """End one cut."""
+        self._cuts.discard((source, target))
+        self.note(f"heal from {source} to {target}")
+
+    def heal_all(self) -> None:
+        """Heal all cuts and thaw all processes."""
+        self._cuts.clear()
+        self.note("all cuts heal")
+        for name in sorted(self._processes):
+            if self._processes[name].alive:
+                self.thaw(name)
+
+    def is_cut(self, source: SimulatedProcess, target: SimulatedProcess) -> bool:
+        """Return whether messages from ``source`` to ``target`` are lost."""
+        if not self._cuts:
+            return False
+        if (source.zone, target.zone) in self._cuts:
+            return True
+        return (source.name, target.name) in self._cuts
+
+    def send(self, source: SimulatedProcess, target: str, deliver: Deliver) -> None:
+        """Deliver something to a process after the link's delay, unless it is lost.
+
+        What goes from one process to another arrives in the order of its sending.
+        """
+        if source.alive:
+            self.transmit(source, target, deliver, in_flight_is_safe=False)
+
+    def transmit(
+        self, source: SimulatedProcess, target: str, deliver: Deliver, in_flight_is_safe: bool
+    ) -> None:
+        """Deliver something from a process, or from the machine that it died on.
+
+        :param in_flight_is_safe: whether a cut spares what is under way already.
+        """
+        destination = self._processes.get(target)
+        if destination is None or self.is_cut(source, destination) or self.loop.is_closed():
+            return
+        delay = LOCAL_DELAY_SECONDS if source.zone == destination.zone else ZONE_DELAY_SECONDS
+        arrival = self.loop.now + delay * self.random.uniform(1.0, 1.3)
+        pair = (source.name, target)
+        # Timers for the same moment fire in no certain order: keep them apart.
+        arrival = max(arrival, self._last_arrival.get(pair, 0.0) + ORDER_MARGIN_SECONDS)
+        self._last_arrival[pair] = arrival
+
+        def arrive() -> None:
+            is_lost = not in_flight_is_safe and self.is_cut(source, destination)
+            if destination.alive and not is_lost:
+                self.loop.call_soon(deliver, context=destination.context)
+
+        self.call_later(arrival - self.loop.now, arrive)
+
+    def call_later(self, delay_seconds: float, callback: Callable[[], None]) -> None:
+        """Call back outside of all processes, in true time."""
+        token = current_process.set(None)
+        try:
+            self.loop.call_at(self.loop.now + delay_seconds, callback)
+        finally:
+            current_process.reset(token)
+
+    # Time and notes
+
+    def wall_clock(self) -> float:
+        """Return the time of day."""
+        return FIRST_WALL_CLOCK + self.loop.now
+
+    def note(self, message: str) -> None:
+        """Add a line to the trace."""
+        process = current_process.get()
+        name = process.name if process else "-"
+        self.trace.append(f"{len(self.trace) + 1:6d} {self.loop.now:10.4f} {name:14} {message}")
+
+    def scratch_file(self) -> Path:
+        """Return a new name in the scratch folder."""
+        self._scratch_names += 1
+        return self.scratch / f"{self._scratch_names}.sqlite"
+
+    def run(self, scenario: Awaitable[Any]) -> Any:
+        """Run the scenario to its end and clean up."""
+        asyncio.set_event_loop(self.loop)
+        self.loop.set_exception_handler(self._on_unhandled)
+        try:
+            return self.loop.run_until_complete(scenario)
+        finally:
+            self._discard()
+
+    def _on_unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self.note(f"unhandled: {context.get('message')} {context.get('exception')!r}")
+
+    def _discard(self) -> None:
+        """End all tasks without running any more of them than their cancellation."""
+        for process in [*self._processes.values(), *self._graveyard]:
+            process.alive = True
+            process.frozen = False
+            process.kept = []
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        for _ in range(20):
+            if not asyncio.all_tasks(self.loop):
+                break
+            self.loop.run_until_complete(asyncio.sleep(0.01))
+        self.loop.set_exception_handler(lambda loop, context: None)
+        self.loop.close()
+        asyncio.set_event_loop(None)
+        shutil.rmtree(self.scratch, ignore_errors=True)
--- a/src/rowanlab/standin/member.py
+++ b/src/rowanlab/standin/member.py
@@ -38,6 +38,7 @@
 
 READ_ONLY_CODE = 1290
 LOCK_WAIT_CODE = 1205
+LEAVING_GRACE_SECONDS = 3.0
 NEVER_COMPACT = 10**9
 
 
@@ -182,6 +183,8 @@
         self._admitted = asyncio.Event()
         self._was_leader = False
         self.generation = 0
+        self.leaving_since = float("inf")
+        self.late_work = 0
 
     async def start(self, bootstrap: bool) -> None:
         """Open the folder and take part in the group."""
@@ -251,6 +254,17 @@
             value = getattr(request, name)
             if value is not None:
                 setattr(self.faults, name, value)
+        if request.leaving is not None:
+            self._set_leaving(request.leaving)
+
+    def _set_leaving(self, leaving: bool) -> None:
+        """Hand the primary's role over before leaving, as the platform does."""
+        now = asyncio.get_running_loop().time()
+        self.leaving_since = now if leaving else float("inf")
+        self.node.raft.may_campaign = not leaving
+        if leaving:
+            self.node.raft.step_down(now)
+            self._on_change()
 
     def _on_change(self) -> None:
         raft = self.node.raft
@@ -267,6 +281,12 @@
         if self.machine.local:
             self.machine.rebuild(self.node.raft.log.between(1, self.node.applied))
 
+    def count_new_work(self) -> None:
+        """Count work that begins well after the member said that it is leaving."""
+        now = asyncio.get_running_loop().time()
+        if now > self.leaving_since + LEAVING_GRACE_SECONDS:
+            self.late_work += 1
+
     # What sessions need
 
     @property
--- a/src/rowanlab/standin/session.py
+++ b/src/rowanlab/standin/session.py
@@ -34,6 +34,8 @@
         :raises BackendRefusedError: if it is refused.
         """
         member = self._member
+        if not self._in_transaction:
+            member.count_new_work()
         async with member.slots:
             if member.settings.service_seconds:
                 await asyncio.sleep(member.settings.service_seconds)
--- a/src/rowanrail/consensus/raft.py
+++ b/src/rowanrail/consensus/raft.py
@@ -113,6 +113,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.commit = log.snapshot_index
+        self.may_campaign = True
         self._config = config
         self._random = randomness
         self._quorum_check = quorum_check
@@ -174,7 +175,7 @@
             self._tick_leader(now)
         elif now >= self._election_due:
             self._election_due = self._next_election(now)
-            if self.node in self.membership.voters:
+            if self.may_campaign and self.node in self.membership.voters:
                 self._campaign(now, preliminary=True)
 
     def propose(self, kind: EntryKind, data: bytes, now: float) -> Entry:
@@ -235,6 +236,11 @@
         else:
             self._on_snapshot(incoming, now)
 
+    def step_down(self, now: float) -> None:
+        """Give up leadership of one's own accord."""
+        if self.is_leader:
+            self._become_follower(self.term, "", now)
+
     def compact(self, snapshot: Snapshot) -> None:
         """Forget the log up to a snapshot that the caller has made durable."""
         self.log.compact(snapshot)
--- a/src/rowanrail/control/node.py
+++ b/src/rowanrail/control/node.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+import time
+from collections.abc import Callable
 
 from rowanrail.config.settings import ControlSettings
 from rowanrail.consensus.node import ConsensusNode, NodeOptions
@@ -36,7 +38,9 @@
         disk: Disk,
         randomness: random.Random,
         registry: Registry,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
+        self._wall_clock = wall_clock
         self._settings = settings
         self._network = network
         self._storage = Storage(disk)
@@ -65,7 +69,14 @@
         )
         self.state = ConfigurationState(self._registry.create("control-guard", "expected-version"))
         self.consensus = self._create_consensus(identity)
-        self.service = ControlService(self.consensus, self.state, self._network, settings.cluster)
+        self.service = ControlService(
+            self.consensus,
+            self.state,
+            self._network,
+            settings.cluster,
+            self._wall_clock,
+            self._registry.create("control-guard", "version-monotonic"),
+        )
         self.consensus.on_change = self._on_change
         if self._storage.cut_bytes:
             emit(TAIL_CUT, bytes=self._storage.cut_bytes)
--- a/src/rowanrail/control/service.py
+++ b/src/rowanrail/control/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import hashlib
+from collections.abc import Callable
 
 import msgspec
 
@@ -38,6 +39,7 @@
     Verdict,
     WatchRequest,
 )
+from rowanrail.control.policies import VersionMonotonic
 from rowanrail.control.state import ConfigurationState
 from rowanrail.control.watch import WatchHub
 from rowanrail.kernel.errors import InvalidRequestError, RowanrailError, TransportError
@@ -70,12 +72,15 @@
         state: ConfigurationState,
         network: Network,
         cluster: str,
+        wall_clock: Callable[[], float],
+        monotonic: VersionMonotonic,
     ) -> None:
         self.node = node
         self.state = state
-        self.watches = WatchHub(state)
+        self.watches = WatchHub(state, monotonic)
         self.members = MembershipManager(node, cluster)
         self._network = network
+        self._wall_clock = wall_clock
         node.on_change = self.watches.notice_change
 
     # Messages from other processes
@@ -194,7 +199,7 @@
         return ChangeCommand(
             change_id=request.change_id,
             author=request.author,
-            time=datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds"),
+            time=self._time_of_day(),
             base_version=current.version if expected is None else expected,
             explicit=expected is not None,
             digest=digest,
@@ -202,6 +207,10 @@
             changes=changes,
         )
 
+    def _time_of_day(self) -> str:
+        moment = datetime.datetime.fromtimestamp(self._wall_clock(), datetime.UTC)
+        return moment.isoformat(timespec="milliseconds")
+
     def _delta(self, request: ChangeRequest) -> tuple[ConfigurationDelta, list[Change]]:
         current = self.state.current.configuration
         if isinstance(request, DrainRequest):
--- a/src/rowanrail/control/watch.py
+++ b/src/rowanrail/control/watch.py
@@ -12,6 +12,7 @@
     WatchReply,
     WatchRequest,
 )
+from rowanrail.control.policies import VersionMonotonic
 from rowanrail.control.state import ConfigurationState
 
 MAXIMUM_HOLD_SECONDS = 5.0
@@ -26,8 +27,9 @@
 class WatchHub:
     """Answers watches as soon as a newer version is committed here."""
 
-    def __init__(self, state: ConfigurationState) -> None:
+    def __init__(self, state: ConfigurationState, monotonic: VersionMonotonic) -> None:
         self._state = state
+        self._monotonic = monotonic
         self._changed = asyncio.Event()
         self._seen_version = -1
         self._reports: dict[str, _Heard] = {}
@@ -44,7 +46,7 @@
         """Return what is newer than the proxy knows, or nothing after the hold time."""
         loop = asyncio.get_running_loop()
         self._reports[request.report.proxy] = _Heard(request.report, loop.time())
-        if self._state.current.version <= request.known_version:
+        if not self._is_newer(request):
             changed = self._changed
             try:
                 async with asyncio.timeout(min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)):
@@ -53,10 +55,13 @@
                 pass
         return self._reply(request, confirmed)
 
+    def _is_newer(self, request: WatchRequest) -> bool:
+        return self._monotonic.accepts(request.known_version, self._state.current.version)
+
     def _reply(self, request: WatchRequest, confirmed: bool) -> WatchReply:
         zone = request.report.zone
         current, digest = self._view(zone, self._state.current)
-        if current.version <= request.known_version:
+        if not self._is_newer(request):
             return WatchReply(current.version, digest, confirmed, False, None)
         for earlier in self._state.earlier:
             if earlier.version == request.known_version:
--- a/src/rowanrail/kernel/events.py
+++ b/src/rowanrail/kernel/events.py
@@ -6,6 +6,7 @@
 
 import enum
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -55,9 +56,21 @@
 }
 
 
+Observer = Callable[[Event, str], None]
+_observers: list[Observer] = []
+
+
+def observe(observer: Observer) -> Callable[[], None]:
+    """Call ``observer`` with each event and its message, until the returned function is called."""
+    _observers.append(observer)
+    return lambda: _observers.remove(observer)
+
+
 def emit(event: Event, **fields: object) -> None:
     """Log ``event`` with its fields."""
     message = event.template.format(**fields)
+    for observer in _observers:
+        observer(event, message)
     extra = {"event": event.number, "fields": {name: str(value) for name, value in fields.items()}}
     _LOGGER.log(_LOGBOOK_LEVELS[event.level], message, extra=extra)
 
@@ -95,4 +108,6 @@
     handler.push_application()
 
 
-LOG_DISCARDED = logbook.NullHandler
+def silence() -> None:
+    """Write no log lines; observers still get every event."""
+    logbook.NullHandler().push_application()
--- a/src/rowanrail/mysql/backend.py
+++ b/src/rowanrail/mysql/backend.py
@@ -36,9 +36,29 @@
     def __init__(self, connection: Any, peer: str) -> None:
         self._connection = connection
         self._peer = peer
+        self._waiting = False
+        self._clean = True
+        self._watch_input()
+
+    def _watch_input(self) -> None:
+        """Note bytes that arrive while no statement runs: they answer nothing."""
+        protocol = self._connection._proto
+        original = protocol.buffer_updated
+
+        def buffer_updated(size: int) -> None:
+            if not self._waiting:
+                self._clean = False
+            original(size)
+
+        protocol.buffer_updated = buffer_updated
+
+    def is_clean(self) -> bool:
+        """See :meth:`BackendConnection.is_clean`."""
+        return self._clean
 
     async def execute(self, sql: str) -> StatementResult:
         """See :meth:`BackendConnection.execute`."""
+        self._waiting = True
         try:
             await self._connection.query(sql)
         except MySQLError as error:
@@ -46,6 +66,8 @@
         except (OSError, EOFError, asyncio.IncompleteReadError, AssertionError) as error:
             self.close()
             raise BackendLostError(str(error), step="execute", peer=self._peer) from error
+        finally:
+            self._waiting = False
         return _to_result(self._connection._result)
 
     def _translate(self, error: Any) -> BackendLostError | BackendRefusedError:
--- a/src/rowanrail/mysql/frontend.py
+++ b/src/rowanrail/mysql/frontend.py
@@ -124,6 +124,7 @@
         )
         core.on_session_ended_by_stop = self._end_session
         self._callers: set[CallerSession] = set()
+        self._goodbyes: list[asyncio.Task[None]] = []
 
     def _new_session(self) -> CallerSession:
         session = CallerSession(self._core, self._callers.discard)
@@ -145,6 +146,14 @@
         """Accept no further connections."""
         self._server.close()
 
+    async def finish(self) -> None:
+        """Wait until the callers that were told of the stop have had time to read it.
+
+        A process that ends with requests unread resets its connections, and a reset discards
+        what the other end has not read yet (RFC 1122, 4.2.2.13).
+        """
+        await asyncio.gather(*self._goodbyes)
+
     def _end_session(self, session: Session) -> None:
         """Tell a caller between statements that the proxy stops, and close after that.
 
@@ -153,7 +162,7 @@
         """
         for caller in self._callers:
             if caller.session is session and caller.connection is not None:
-                asyncio.ensure_future(_say_goodbye(caller.connection))
+                self._goodbyes.append(asyncio.ensure_future(_say_goodbye(caller.connection)))
                 self._callers.discard(caller)
                 return
 
--- a/src/rowanrail/proxy/backend.py
+++ b/src/rowanrail/proxy/backend.py
@@ -86,6 +86,10 @@
         :raises BackendLostError: if the connection broke.
         """
 
+    @abstractmethod
+    def is_clean(self) -> bool:
+        """Return whether nothing arrived since the last answer was read."""
+
     @abstractmethod
     def close(self) -> None:
         """Close at once."""
--- a/src/rowanrail/proxy/core.py
+++ b/src/rowanrail/proxy/core.py
@@ -41,7 +41,7 @@
     ) -> None:
         self.registry = registry
         self.in_force = VersionedConfiguration()
-        self.sessions: set[Session] = set()
+        self.sessions: dict[Session, None] = {}  # in the order of their opening
         self.stopping = False
         self.on_session_ended_by_stop: Callable[[Session], None] = lambda session: None
         self._zone = zone
@@ -89,7 +89,9 @@
     def _create_services(self, spec: GroupSpec) -> GroupServices:
         options = GroupOptions(self._zone, self._routes, self._proxies)
         randomness = random.Random(self._random.getrandbits(64))
-        services = GroupServices(spec, options, self._driver, self.registry, randomness)
+        services = GroupServices(
+            spec, options, self._driver, self.registry, randomness, self._wall_clock
+        )
         services.group.start()
         return services
 
@@ -140,7 +142,7 @@
         if database:
             self.group_spec(user, database)
         session = Session(self, user, database)
-        self.sessions.add(session)
+        self.sessions[session] = None
         return session
 
     def group_spec(self, user: str, database: str) -> GroupSpec:
@@ -204,7 +206,7 @@
     def session_closed(self, session: object) -> None:
         """See :meth:`SessionHost.session_closed`."""
         assert isinstance(session, Session)
-        self.sessions.discard(session)
+        self.sessions.pop(session, None)
 
     async def stop(self, limit_seconds: float) -> None:
         """Stop as planned: refuse new work, let what runs end, then close everything.
@@ -222,7 +224,7 @@
                     waiting = True
                 else:
                     self.on_session_ended_by_stop(session)
-                    self.sessions.discard(session)
+                    self.sessions.pop(session, None)
             if waiting:
                 await asyncio.sleep(STOP_POLL_SECONDS)
         self.close()
--- a/src/rowanrail/proxy/daemon.py
+++ b/src/rowanrail/proxy/daemon.py
@@ -76,6 +76,7 @@
     emit(PROXY_STOPPING, name=settings.name)
     frontend.stop_accepting()
     await core.stop(settings.stop_seconds)
+    await frontend.finish()
     watch.stop()
     directory.stop()
     await listener.close()
--- a/src/rowanrail/proxy/pool.py
+++ b/src/rowanrail/proxy/pool.py
@@ -37,21 +37,28 @@
 class PooledConnection:
     """A connection and whether its last answer came."""
 
-    def __init__(self, connection: BackendConnection, peer: str) -> None:
+    def __init__(
+        self, connection: BackendConnection, peer: str, late_answers: LateAnswerDiscard
+    ) -> None:
         self.peer = peer
         self.settings: tuple[str, ...] = ()
         self.incarnation = ""
         self.answered = True
         self.closed = False
         self._connection = connection
+        self._late_answers = late_answers
         self._aborted: asyncio.Future[StatementResult] | None = None
 
     async def execute(self, sql: str, deadline: float) -> StatementResult:
         """Run a statement until ``deadline`` (loop time).
 
         :raises BackendRefusedError: if the member refused it.
-        :raises BackendLostError: if it was sent and no answer came.
+        :raises BackendLostError: if it was sent and no answer came, or if an answer that
+            nobody asked for is already there: the next one read would not be this statement's.
         """
+        self.answered = self.is_reusable()
+        if not self.answered:
+            raise BackendLostError("unexpected answer", step="execute", peer=self.peer)
         self.answered = False
         try:
             async with asyncio.timeout_at(deadline):
@@ -78,6 +85,10 @@
             if not task.done():
                 task.cancel()
 
+    def is_reusable(self) -> bool:
+        """Return whether the last answer came, and nothing after it."""
+        return self._late_answers.is_reusable(self.answered and self._connection.is_clean())
+
     async def status(self) -> MemberStatus:
         """Return the member's status."""
         return await self._connection.status()
@@ -107,7 +118,7 @@
         self.slots = slots
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.open_count = 0
-        self.leased: set[PooledConnection] = set()
+        self.leased: dict[PooledConnection, None] = {}  # in the order of their leases
         self._opener = opener
         self._late_answers = late_answers
         self._idle: list[PooledConnection] = []
@@ -155,7 +166,10 @@
         for position in range(len(self._idle) - 1, -1, -1):
             if self._idle[position].settings in (settings, ()):
                 connection = self._idle.pop(position)
-                self.leased.add(connection)
+                if not connection.is_reusable():
+                    self._close(connection)
+                    continue
+                self.leased[connection] = None
                 return connection
         if self._idle and self.open_count >= self.limit:
             self._close(self._idle.pop(0))
@@ -177,12 +191,12 @@
         except BaseException:
             self._release_place()
             raise
-        self.leased.add(pooled)
+        self.leased[pooled] = None
         return pooled
 
     async def _connect(self) -> PooledConnection:
         connection = await self._opener()
-        pooled = PooledConnection(connection, self.peer)
+        pooled = PooledConnection(connection, self.peer, self._late_answers)
         try:
             # What is known of a member holds for one start of it: learn which one this is.
             pooled.incarnation = (await connection.status()).incarnation
@@ -217,11 +231,10 @@
 
         :param seconds: how long the statement took, for the latency estimate.
         """
-        self.leased.discard(connection)
+        self.leased.pop(connection, None)
         if seconds is not None:
             self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
-        reusable = self._late_answers.is_reusable(connection.answered)
-        if connection.closed or not reusable or self.open_count > self.limit:
+        if connection.closed or not connection.is_reusable() or self.open_count > self.limit:
             self._close(connection)
         else:
             self._idle.append(connection)
@@ -229,7 +242,7 @@
 
     def discard(self, connection: PooledConnection) -> None:
         """Close a connection in doubt."""
-        self.leased.discard(connection)
+        self.leased.pop(connection, None)
         self._close(connection)
 
     def _close(self, connection: PooledConnection) -> None:
--- a/src/rowanrail/proxy/services.py
+++ b/src/rowanrail/proxy/services.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from rowanrail.config.model import Consistency, GroupSpec
 from rowanrail.kernel.errors import NotRunError
@@ -25,6 +26,7 @@
         driver: BackendDriver,
         registry: Registry,
         randomness: random.Random,
+        wall_clock: Callable[[], float],
     ) -> None:
         self.group = GroupRuntime(spec, options, driver, registry, randomness)
         self.statistics = GroupStatistics()
@@ -33,7 +35,7 @@
         )
         records = registry.create("proxy-guard", "request-record")
         self.reader = ReadRunner(self.group, self.outcomes, self.statistics)
-        self.writer = WriteRunner(self.group, self.outcomes, records, self.statistics)
+        self.writer = WriteRunner(self.group, self.outcomes, records, self.statistics, wall_clock)
         self.transactions = 0
         self._floor_round: asyncio.Task[Position] | None = None
         self._recent_floor = (float("-inf"), Position())
--- a/src/rowanrail/proxy/transaction.py
+++ b/src/rowanrail/proxy/transaction.py
@@ -59,10 +59,12 @@
         try:
             for statement in before:
                 await self._lease.execute(statement, deadline)
-            return await self._lease.execute(sql, deadline)
+            result = await self._lease.execute(sql, deadline)
         except BackendLostError as error:
             self.fail(str(error))
             raise self._rolled_back() from error
+        self._pause()
+        return result
 
     async def execute(self, sql: str, is_write: bool, deadline: float) -> StatementResult:
         """Run a statement within the transaction.
@@ -73,7 +75,8 @@
             raise self._rolled_back()
         self.used_at = asyncio.get_running_loop().time()
         try:
-            result = await self._execute_pinned(sql, deadline)
+            await self._resume(deadline)
+            result = await self._lease.execute(sql, deadline)
         except BackendLostError as error:
             self.fail(str(error))
             raise self._rolled_back() from error
@@ -81,17 +84,21 @@
             self._work.append(sql)
             self._last_write = result
         self.used_at = asyncio.get_running_loop().time()
+        self._pause()
         return result
 
-    async def _execute_pinned(self, sql: str, deadline: float) -> StatementResult:
-        if self._pinning.keeps_connection():
-            return await self._lease.execute(sql, deadline)
-        self._lease.release()
-        member = self._lease.member
-        self._lease = await Lease.acquire(
-            member, deadline, Priority.TRANSACTION, self._lease.connection.settings
-        )
-        return await self._lease.execute(sql, deadline)
+    def _pause(self) -> None:
+        """End a statement: only a connection that is not pinned goes back to its pool."""
+        if not self._pinning.keeps_connection():
+            self._lease.release()
+
+    async def _resume(self, deadline: float) -> None:
+        """Begin the next statement."""
+        if not self._pinning.keeps_connection():
+            settings = self._lease.connection.settings
+            self._lease = await Lease.acquire(
+                self._lease.member, deadline, Priority.TRANSACTION, settings
+            )
 
     async def commit(
         self, request_id: str, settings: tuple[str, ...], deadline: float
@@ -104,6 +111,7 @@
         if self.state is TransactionState.FAILED:
             self.state = TransactionState.ENDED
             raise self._rolled_back()
+        await self._resume(deadline)
         digest = request_digest(self._work)
         recorded = bool(request_id) and self.on_primary
         if recorded:
--- a/src/rowanrail/proxy/writes.py
+++ b/src/rowanrail/proxy/writes.py
@@ -1,7 +1,6 @@
 """Writes outside of transactions, and what needs the primary in general."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from rowanrail.kernel.errors import (
@@ -43,7 +42,7 @@
         outcomes: OutcomeClassification,
         records: RequestRecord,
         statistics: GroupStatistics,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float],
     ) -> None:
         self._group = group
         self._outcomes = outcomes
