Confirm every commit of a transaction that may write

Cause: a transaction noted at its beginning whether its member's monitor said "primary" at that moment. A status round that had just timed out made it say no, and the commit was then acknowledged without a majority.

Ruled out: the lease (the right member for what was known), the term rule (never asked), the stand-in (it acknowledges locally, as it should).

Change: whether a commit must be confirmed follows from how the transaction began (read only on a replica, or not), never from the monitor.

--- a/src/rowanrail/proxy/session.py
+++ b/src/rowanrail/proxy/session.py
@@ -324,7 +324,7 @@
             services.writer,
             services.outcomes,
             self._pinning,
-            on_primary=lease.member.monitor.is_primary,
+            may_write=not on_replica,
         )
         result = await transaction.begin(sql, before, deadline)
         self.transaction = transaction
--- a/src/rowanrail/proxy/transaction.py
+++ b/src/rowanrail/proxy/transaction.py
@@ -35,13 +35,13 @@
         writer: WriteRunner,
         outcomes: OutcomeClassification,
         pinning: Pinning,
-        on_primary: bool,
+        may_write: bool,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.state = TransactionState.OPEN
         self.began_at = now
         self.used_at = now
-        self.on_primary = on_primary
+        self.may_write = may_write
         self.failure = ""
         self._lease = lease
         self._writer = writer
@@ -113,7 +113,7 @@
             raise self._rolled_back()
         await self._resume(deadline)
         digest = request_digest(self._work)
-        recorded = bool(request_id) and self.on_primary
+        recorded = bool(request_id) and self.may_write
         if recorded:
             known = await self._record(request_id, digest, deadline)
             if known is not None:
@@ -141,7 +141,7 @@
             self._lease.discard()
             raise
         self._lease.release()
-        if self.on_primary:
+        if self.may_write:
             await self._confirm(result, request_id if recorded else "", digest, settings, deadline)
         return result
 
--- /dev/null
+++ b/tests/simulation/test_regressions.py
@@ -0,0 +1,56 @@
+"""Faults that the simulator found, each as a run of its own."""
+
+import asyncio
+import unittest
+
+from rowanlab.simulator.data_world import DataOptions, DataWorld
+from rowanlab.simulator.permissive import registry_without
+from rowanlab.simulator.world import World
+from rowanrail.kernel.errors import OutcomeUnknownError
+from rowanrail.kernel.events import silence
+
+
+class RegressionTest(unittest.TestCase):
+    def setUp(self):
+        silence()
+        self.world = World(1)
+        options = DataOptions(callers=0, proxies=1)
+        self.data = DataWorld(self.world, registry_without(None), 1, options)
+
+    def run_in_proxy(self, scenario):
+        async def started():
+            await self.data.start()
+            await asyncio.sleep(1.0)
+            process = self.world.process("p1")
+            return await self.world.run_in(process, scenario(self.data.proxies[0].core))
+
+        return self.world.run(started())
+
+    def cut_primary(self):
+        primary = self.data.primary().name
+        for member in self.data.members:
+            if member.name != primary:
+                self.world.cut(primary, member.name)
+                self.world.cut(member.name, primary)
+
+    def test_commit_is_confirmed_though_a_status_round_failed_at_its_beginning(self):
+        """The member's monitor forgot for a moment that it leads to the primary."""
+
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            writer = core.services()[0].writer
+            lease_primary = writer.lease_primary
+
+            async def lease_and_lose_status(*arguments):
+                lease = await lease_primary(*arguments)
+                lease.member.monitor.reachable = False
+                return lease
+
+            writer.lease_primary = lease_and_lose_status
+            await session.execute("BEGIN", {})
+            await session.execute("INSERT INTO edits (operation) VALUES ('x')", {})
+            self.cut_primary()
+            with self.assertRaises(OutcomeUnknownError):
+                await session.execute("COMMIT", {})
+
+        self.run_in_proxy(scenario)
