Begin transactions only on a primary that holds what the session must see

Cause: reads outside of transactions were held to the session's position, but BEGIN and pinned connections took whatever the proxy thought the primary. A proxy that reached only the old primary let a transaction read stale data there; nothing judged such reads until the load read its own keys within transactions.

Ruled out: a majority round for each BEGIN. A primary holds all that was acknowledged in earlier terms and in its own, so comparing terms is enough for a session that has a position; only a session that has none yet asks a majority, in the round that all new sessions share.

Change: lease_primary takes the session's floor; a connection that was opened to a member replaced meanwhile is given back. The load reads within transactions, and the oracle judges it.

--- a/src/rowanlab/load/workload.py
+++ b/src/rowanlab/load/workload.py
@@ -188,7 +188,13 @@
     async def _transaction(self, connection: CallerPort, write: Write) -> None:
         committing = False
         try:
+            expected = self._oracle.expected(write.key)
             await connection.execute("BEGIN")
+            rows = await connection.execute(
+                f"SELECT MAX(number) FROM edits WHERE name = '{write.key}'"
+            )
+            seen = int(rows[0][0] or 0)
+            self._oracle.end_read(write.key, expected, seen, f"{self.name} (transaction)")
             await connection.execute(self._insert(write, 1))
             query = f"SELECT COUNT(*) FROM edits WHERE operation = '{write.operation}'"
             rows = await connection.execute(query)
--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import Callable
 
 import msgspec
@@ -9,7 +10,13 @@
 from rowanrail.config.model import GroupSpec
 from rowanrail.kernel.errors import NotRunError
 from rowanrail.kernel.registry import Registry
-from rowanrail.proxy.backend import BackendConnection, BackendDriver, MemberStatus, Position
+from rowanrail.proxy.backend import (
+    ORIGIN,
+    BackendConnection,
+    BackendDriver,
+    MemberStatus,
+    Position,
+)
 from rowanrail.proxy.monitor import MemberMonitor
 from rowanrail.proxy.policies import Freshness, LeavingCheck, TermConfirmation
 from rowanrail.proxy.pool import Pool
@@ -157,19 +164,25 @@
                 # What runs there can't be confirmed any more: end it now, not at its deadline.
                 member.pool.abort_leased()
 
-    async def wait_primary(self, deadline: float) -> Member:
+    async def wait_primary(self, deadline: float, floor: Position = ORIGIN) -> Member:
         """Return the primary, searching for one until ``deadline`` (loop time).
 
+        :param floor: what it must hold. A primary holds all that was acknowledged in earlier
+            terms (a majority elected it) and in its own, so that its term decides.
         :raises NotRunError: if none is found in time.
         """
         loop = asyncio.get_running_loop()
         while True:
             found = self.primary()
             if found is not None:
-                return found
+                holds = Position(_term_of(found), sys.maxsize)
+                if self.freshness.is_fresh(holds, floor):
+                    return found
             if loop.time() >= deadline:
                 raise NotRunError(
-                    "the group has no primary",
+                    "the group has no primary that holds what the session has seen"
+                    if found is not None
+                    else "the group has no primary",
                     retry_after_seconds=RETRY_AFTER_SECONDS,
                     step="find primary",
                     peer=self.spec.name,
--- a/src/rowanrail/proxy/session.py
+++ b/src/rowanrail/proxy/session.py
@@ -194,10 +194,16 @@
         if statement.kind is Kind.SESSION_FUNCTION or not (statement.tables or statement.schemas):
             floor, allow = ORIGIN, statement.kind is not Kind.SHOW or allow
         else:
-            floor = await services.floor(self._positions.get(spec.name), deadline)
-            self._raise_floor(spec.name, floor)
+            floor = await self._floor(services, deadline)
         return await services.reader.run(sql, floor, allow, self._settings, deadline)
 
+    async def _floor(self, services: GroupServices, deadline: float) -> Position:
+        """Return what a read that begins now must see; from now on the session keeps to it."""
+        name = services.spec.name
+        floor = await services.floor(self._positions.get(name), deadline)
+        self._raise_floor(name, floor)
+        return floor
+
     async def _write(self, sql: str, deadline: float) -> StatementResult:
         services = self._services()
         request_id = self._take_request_id(services.group.spec)
@@ -271,8 +277,11 @@
         return StatementResult()
 
     async def _pin(self, deadline: float) -> None:
-        writer = self._services().writer
-        self._pinned = await writer.lease_primary(deadline, Priority.TRANSACTION, self._settings)
+        services = self._services()
+        floor = await self._floor(services, deadline)
+        self._pinned = await services.writer.lease_primary(
+            deadline, Priority.TRANSACTION, self._settings, floor
+        )
 
     async def _run_pinned(
         self, lease: Lease, sql: str, statement: Statement, deadline: float
@@ -310,13 +319,12 @@
         )
         if self._pinned is not None:
             return await self._pinned.execute(sql, deadline)
+        floor = await self._floor(services, deadline)
         if on_replica:
-            floor = await services.floor(self._positions.get(spec.name), deadline)
-            self._raise_floor(spec.name, floor)
             lease = await services.reader.lease(floor, True, self._settings, deadline)
         else:
             lease = await services.writer.lease_primary(
-                deadline, Priority.TRANSACTION, self._settings
+                deadline, Priority.TRANSACTION, self._settings, floor
             )
         before, self._before_next_transaction = self._before_next_transaction, []
         transaction = Transaction(
--- a/src/rowanrail/proxy/writes.py
+++ b/src/rowanrail/proxy/writes.py
@@ -10,7 +10,7 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from rowanrail.proxy.backend import Position, StatementResult
+from rowanrail.proxy.backend import ORIGIN, Position, StatementResult
 from rowanrail.proxy.group import RETRY_AFTER_SECONDS, GroupRuntime
 from rowanrail.proxy.lease import Lease
 from rowanrail.proxy.policies import OutcomeClassification, RequestRecord
@@ -64,18 +64,26 @@
         return await self._run_once(sql, settings, deadline, repeat=bool(request_id))
 
     async def lease_primary(
-        self, deadline: float, priority: Priority, settings: tuple[str, ...]
+        self,
+        deadline: float,
+        priority: Priority,
+        settings: tuple[str, ...],
+        floor: Position = ORIGIN,
     ) -> Lease:
         """Lease a connection to the primary, waiting for a new one if need be.
 
+        :param floor: what the session must see; an older primary does not serve it.
         :raises NotRunError: if there is none in time; nothing was sent.
         """
         loop = asyncio.get_running_loop()
         until = min(deadline, loop.time() + self._group.spec.limits.failover_wait_seconds)
         while True:
-            primary = await self._group.wait_primary(until)
+            primary = await self._group.wait_primary(until, floor)
             try:
-                return await Lease.acquire(primary, deadline, priority, settings)
+                lease = await Lease.acquire(primary, deadline, priority, settings)
+                if self._group.primary() is primary:
+                    return lease
+                lease.release()  # it was replaced while the connection was being opened
             except (BackendConnectError, BackendLostError) as error:
                 self._group.suspect(primary)
                 if loop.time() >= until:
--- a/tests/simulation/test_regressions.py
+++ b/tests/simulation/test_regressions.py
@@ -6,8 +6,10 @@
 from rowanlab.simulator.data_world import DataOptions, DataWorld
 from rowanlab.simulator.permissive import registry_without
 from rowanlab.simulator.world import World
-from rowanrail.kernel.errors import OutcomeUnknownError
+from rowanrail.kernel.errors import NotRunError, OutcomeUnknownError
 from rowanrail.kernel.events import silence
+from rowanrail.proxy.backend import Position
+from rowanrail.proxy.token import encode_token
 
 
 class RegressionTest(unittest.TestCase):
@@ -54,3 +56,59 @@
                 await session.execute("COMMIT", {})
 
         self.run_in_proxy(scenario)
+
+    def test_transaction_does_not_begin_on_a_primary_older_than_the_session(self):
+        """All that the proxy still reaches is the old primary."""
+
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            await session.execute("INSERT INTO edits (operation) VALUES ('x')", {})
+            self.isolate_primary_and_proxy()
+            session.take_token(encode_token({"group": Position(99, 1)}))
+            with self.assertRaises(NotRunError):
+                await session.execute("BEGIN", {})
+                await session.execute("SELECT COUNT(*) FROM edits", {})
+
+        self.run_in_proxy(scenario)
+
+    def test_new_session_does_not_begin_a_transaction_without_a_majority(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            self.isolate_primary_and_proxy()
+            await asyncio.sleep(2.0)
+            with self.assertRaises(NotRunError):
+                await session.execute("BEGIN", {})
+                await session.execute("SELECT COUNT(*) FROM edits", {})
+
+        self.run_in_proxy(scenario)
+
+    def test_pinned_session_does_not_begin_on_an_old_primary(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            self.isolate_primary_and_proxy()
+            await asyncio.sleep(2.0)
+            with self.assertRaises(NotRunError):
+                await session.execute("CREATE TEMPORARY TABLE scratch (id INT)", {})
+
+        self.run_in_proxy(scenario)
+
+    def test_locking_read_outside_of_a_transaction_is_answered(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            result = await session.execute("SELECT COUNT(*) FROM edits FOR UPDATE", {})
+            self.assertEqual(len(result.rows), 1)
+            self.isolate_primary_and_proxy()
+            await asyncio.sleep(2.0)
+            with self.assertRaises((NotRunError, OutcomeUnknownError)):
+                await session.execute("SELECT COUNT(*) FROM edits FOR UPDATE", {})
+
+        self.run_in_proxy(scenario)
+
+    def isolate_primary_and_proxy(self):
+        """The proxy reaches the primary and no other member; nor does the primary."""
+        primary = self.data.primary().name
+        for member in self.data.members:
+            if member.name != primary:
+                for name in (primary, "p1"):
+                    self.world.cut(name, member.name)
+                    self.world.cut(member.name, name)
--- a/tests/support/control.py
+++ b/tests/support/control.py
@@ -69,9 +69,7 @@
         self.scratch.cleanup()
 
     def command(self, *arguments):
-        return run_command(
-            *arguments, ROWANRAIL_CONTROL=f"{self.host}:7080", ROWANRAIL_TOKEN=TOKEN
-        )
+        return run_command(*arguments, ROWANRAIL_CONTROL=f"{self.host}:7080", ROWANRAIL_TOKEN=TOKEN)
 
     def configuration_file(self, number):
         """Write a configuration whose changes are several kilobytes long."""
