Let scenarios recover for longer than a late answer can hold its locks

A member's answer that is late by up to 3 s keeps its locks until then, and 2 s of recovery were waited. Work went on 2.2 s after the faults ended.

Ruled out: a fault of the product; its statements ended at their deadlines with their final answers, and new ones waited for the member's locks.

--- a/src/rowanlab/simulator/faults.py
+++ b/src/rowanlab/simulator/faults.py
@@ -38,7 +38,7 @@
     seconds: float = 4.0
     at_once: int = 1
     pause_seconds: tuple[float, float] = (0.2, 0.8)
-    recovery_seconds: float = 2.0
+    recovery_seconds: float = 4.0  # longer than a late answer can hold its locks
 
 
 class FaultInjector:
