Bound what a proxy spends for control, and cut no statement by a change

Cause: `rowanlab scale` (new) measured what one more configured group costs an idle proxy.

Ruled out: longer polls alone (memory and reports stay); reports as deltas (state at the control nodes that restarts lose); a list of groups for each proxy in the configuration (operators would have to keep it).

Change: - Of the configured groups a proxy watches the first 16 and those used in the last 300 s; others are created at first use. Watched members share 60 background questions/s; groups with running statements keep 4/s. - A report names the 8 groups used last. The digest of the configuration is kept, not computed for each watch. - The operator's diff flattens only what differs. - A group whose settings change is retired once its statements have ended; before, changing a limit cut them with "outcome unknown".

--- a/src/rowanlab/fleet/workers.py
+++ b/src/rowanlab/fleet/workers.py
@@ -16,16 +16,19 @@
 
 
 def map_over_cores(
-    function: Callable[[Item], Result], items: list[Item], cores: int
+    function: Callable[[Item], Result], items: list[Item], cores: int, fresh: bool = False
 ) -> Iterator[Result]:
     """Yield ``function(item)`` for each item, in order.
 
     :param function: a function of a module, so that workers can import it.
     :param cores: number of worker processes; with 1 the work is done in this process.
+    :param fresh: whether each item gets a process of its own, for example to measure memory.
     """
-    if cores == 1 or len(items) == 1:
+    if not fresh and (cores == 1 or len(items) == 1):
         yield from map(function, items)
         return
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(min(cores, len(items)), mp_context=context) as pool:
+    tasks = 1 if fresh else None
+    workers = min(cores, len(items))
+    with ProcessPoolExecutor(workers, mp_context=context, max_tasks_per_child=tasks) as pool:
         yield from pool.map(function, items)
--- /dev/null
+++ b/src/rowanlab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes: what one more of something costs each role, measured on hollow parts."""
--- /dev/null
+++ b/src/rowanlab/scale/command.py
@@ -0,0 +1,50 @@
+"""The ``rowanlab scale`` command."""
+
+import click
+import msgspec
+
+from rowanlab.fleet.workers import map_over_cores
+from rowanlab.scale.control_side import (
+    CHANGE_UNITS,
+    WATCH_UNITS,
+    change_costs,
+    control_slopes,
+    watch_costs,
+)
+from rowanlab.scale.proxy_side import idle_costs, proxy_slopes
+from rowanlab.scale.slopes import Slope
+
+GROUPS = [50, 100, 200, 400]
+PROXIES = [100, 200, 400, 800]
+
+
+class ScaleReport(msgspec.Struct):
+    """The last line of ``rowanlab scale``."""
+
+    slopes: list[Slope]
+
+
+def measure(cores: int) -> ScaleReport:
+    """Measure all slopes, each size in a process of its own."""
+    proxies = list(map_over_cores(idle_costs, GROUPS, cores, fresh=True))
+    watches = list(map_over_cores(watch_costs, PROXIES, cores, fresh=True))
+    changes = list(map_over_cores(change_costs, GROUPS, cores, fresh=True))
+    return ScaleReport(
+        [
+            *proxy_slopes(GROUPS, proxies),
+            *control_slopes("proxy", WATCH_UNITS, PROXIES, watches),
+            *control_slopes("group", CHANGE_UNITS, GROUPS, changes),
+        ]
+    )
+
+
+@click.command("scale")
+@click.option("--cores", default=2, show_default=True, help="Measurements at a time.")
+def scale_command(cores: int) -> None:
+    """Measure what one more group or proxy costs. The last line is JSON."""
+    report = measure(cores)
+    for slope in report.slopes:
+        click.echo(
+            f"{slope.name:24} {slope.base:14.4f} + {slope.slope:12.5f} a {slope.per:6} {slope.unit}"
+        )
+    click.echo(msgspec.json.encode(report).decode())
--- a/src/rowanrail/config/diff.py
+++ b/src/rowanrail/config/diff.py
@@ -29,8 +29,8 @@
 
 def difference(before: Configuration, after: Configuration) -> list[Change]:
     """Return what changed; secrets are compared but not shown."""
-    old = _flatten(msgspec.to_builtins(before), "")
-    new = _flatten(msgspec.to_builtins(after), "")
+    old = _flatten(msgspec.to_builtins(_without_common(before, after)), "")
+    new = _flatten(msgspec.to_builtins(_without_common(after, before)), "")
     changes = []
     for path in sorted(old.keys() | new.keys()):
         if old.get(path) != new.get(path):
@@ -39,6 +39,18 @@
     return changes
 
 
+def _without_common(configuration: Configuration, other: Configuration) -> Configuration:
+    """Return only what is not the same in ``other``: comparing is cheaper than flattening."""
+    sites = {spec.name: spec for spec in other.sites}
+    groups = {spec.name: spec for spec in other.groups}
+    users = {spec.name: spec for spec in other.users}
+    return Configuration(
+        [spec for spec in configuration.sites if sites.get(spec.name) != spec],
+        [spec for spec in configuration.groups if groups.get(spec.name) != spec],
+        [spec for spec in configuration.users if users.get(spec.name) != spec],
+    )
+
+
 def _show(value: object, secret: bool) -> str:
     if value is None:
         return ""
--- a/src/rowanrail/proxy/config_watch.py
+++ b/src/rowanrail/proxy/config_watch.py
@@ -48,7 +48,7 @@
         self._peers = peers
         self._make_report = make_report
         self._next_control = 0
-        self._held = VersionedConfiguration()
+        self.hold(VersionedConfiguration())
         self._task: asyncio.Task[None] | None = None
         self.silent = False
 
@@ -71,7 +71,7 @@
     async def _run(self) -> None:
         await self._start_up()
         while True:
-            if not await self._watch_once():
+            if not await self.poll_once():
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def _start_up(self) -> None:
@@ -109,10 +109,16 @@
         if offers:
             newest, source = max(offers, key=lambda offer: offer[0].version)
             emit(UNCONFIRMED_CONFIGURATION, version=newest.version, source=source)
-            self._held = newest
+            self.hold(newest)
             self._core.apply(newest)
 
-    async def _watch_once(self) -> bool:
+    def hold(self, configuration: VersionedConfiguration) -> None:
+        """Ask from now on for what is newer than ``configuration``."""
+        self._held = configuration
+        self._held_digest = configuration.digest()
+
+    async def poll_once(self) -> bool:
+        """Ask one control node for what is newer; return whether it answered."""
         address = self._controls[self._next_control % len(self._controls)]
         reply = await self._ask(address, HOLD_SECONDS)
         if reply is None:
@@ -123,7 +129,7 @@
 
     async def _ask(self, address: str, hold_seconds: float) -> WatchReply | None:
         request = WatchRequest(
-            self._make_report(), self._held.version, self._held.digest(), hold_seconds
+            self._make_report(), self._held.version, self._held_digest, hold_seconds
         )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
@@ -141,10 +147,10 @@
         offered = _from_whole(reply) if reply.whole else _from_delta(self._held, reply)
         if offered.digest() != reply.digest:
             # A gap: forget what is held, so that the next answer is the whole configuration.
-            self._held = VersionedConfiguration()
+            self.hold(VersionedConfiguration())
             return
         if self._core.apply(offered):
-            self._held = offered
+            self.hold(offered)
 
 
 def _from_whole(reply: WatchReply) -> VersionedConfiguration:
--- a/src/rowanrail/proxy/core.py
+++ b/src/rowanrail/proxy/core.py
@@ -17,7 +17,7 @@
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import BackendDriver
 from rowanrail.proxy.events import CONFIGURATION_IN_FORCE, OLDER_CONFIGURATION
-from rowanrail.proxy.group import GroupOptions
+from rowanrail.proxy.groups import GroupTable
 from rowanrail.proxy.policies import DrainWait
 from rowanrail.proxy.services import GroupServices, SessionHost
 from rowanrail.proxy.session import Session
@@ -44,21 +44,15 @@
         self.sessions: dict[Session, None] = {}  # in the order of their opening
         self.stopping = False
         self.on_session_ended_by_stop: Callable[[Session], None] = lambda session: None
-        self._zone = zone
-        self._routes = routes
-        self._driver = driver
-        self._random = randomness
+        self.groups = GroupTable(zone, routes, driver, registry, randomness, wall_clock)
         self._wall_clock = wall_clock
         self._monotonic: VersionMonotonic = registry.create("control-guard", "version-monotonic")
         self._drain_wait: DrainWait = registry.create("proxy-guard", "drain-wait")
-        self._services: dict[str, GroupServices] = {}
-        self._by_database: dict[str, GroupServices] = {}
-        self._listed_leaving: set[str] = set()
-        self._proxies = 1
         self._reaper: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin to enforce the limits of transactions."""
+        """Begin to watch the groups and to enforce the limits of transactions."""
+        self.groups.start()
         self._reaper = asyncio.ensure_future(self._reap())
 
     # Configuration
@@ -70,53 +64,21 @@
                 emit(OLDER_CONFIGURATION, offered=offered.version, in_force=self.in_force.version)
             return False
         self.in_force = offered
-        wanted = {spec.name: spec for spec in offered.configuration.groups}
-        for name in list(self._services):
-            if wanted.get(name) != self._services[name].spec:
-                self._services.pop(name).group.stop()
-        for name, spec in wanted.items():
-            if name not in self._services:
-                self._services[name] = self._create_services(spec)
-        self._by_database = {
-            database: services
-            for services in self._services.values()
-            for database in services.spec.databases
-        }
-        self._update_leaving()
+        self.groups.apply(offered.configuration.groups, offered.drained)
         emit(CONFIGURATION_IN_FORCE, version=offered.version)
         return True
 
-    def _create_services(self, spec: GroupSpec) -> GroupServices:
-        options = GroupOptions(self._zone, self._routes, self._proxies)
-        randomness = random.Random(self._random.getrandbits(64))
-        services = GroupServices(
-            spec, options, self._driver, self.registry, randomness, self._wall_clock
-        )
-        services.group.start()
-        return services
-
     def set_listed_leaving(self, addresses: set[str]) -> None:
         """Note which member addresses the platform lists as leaving."""
-        self._listed_leaving = addresses
-        self._update_leaving()
+        self.groups.set_listed_leaving(addresses)
 
     def set_proxies(self, proxies: int) -> None:
         """Note how many proxies share the members' connections."""
-        self._proxies = proxies
-        for services in self._services.values():
-            services.group.set_proxies(proxies)
-
-    def _update_leaving(self) -> None:
-        drained = set(self.in_force.drained)
-        for services in self._services.values():
-            addresses = {member.name: member.address for member in services.spec.members}
-            for member in services.group.members:
-                member.drained = f"{services.spec.name}/{member.name}" in drained
-                member.listed_leaving = addresses[member.name] in self._listed_leaving
+        self.groups.set_proxies(proxies)
 
     def services(self) -> list[GroupServices]:
-        """Return what serves the groups, by name."""
-        return [self._services[name] for name in sorted(self._services)]
+        """Return what serves the groups that are watched, by name."""
+        return self.groups.running()
 
     # Sessions
 
@@ -154,24 +116,23 @@
             raise BackendRefusedError(
                 1044, f"Access denied for user '{user}' to database '{database}'", sqlstate="42000"
             )
-        services = self._by_database.get(database)
-        if services is None:
+        group = self.groups.spec(database)
+        if group is None:
             raise UnknownDatabaseError(
                 f"no group serves database {database!r}; check the name, or apply a "
                 "configuration that has it",
                 step="use",
                 peer=database,
             )
-        return services.spec
+        return group
 
     def database_group(self, database: str) -> str:
         """See :meth:`SessionHost.database_group`."""
-        services = self._by_database.get(database)
-        return services.spec.name if services else ""
+        return self.groups.group_name(database)
 
     def find_group(self, database: str) -> GroupServices | None:
         """See :meth:`SessionHost.find_group`."""
-        return self._by_database.get(database)
+        return self.groups.find(database)
 
     def wall_clock(self) -> float:
         """See :meth:`SessionHost.wall_clock`."""
@@ -233,10 +194,7 @@
         """Close everything at once."""
         if self._reaper is not None:
             self._reaper.cancel()
-        for services in self._services.values():
-            services.group.stop()
-        self._services = {}
-        self._by_database = {}
+        self.groups.close()
 
 
 def hash_password(password: str) -> str:
--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -75,6 +75,7 @@
         self._driver = driver
         self._changed = asyncio.Event()
         self._term = 0
+        self.asked_at = float("-inf")
         self.members: list[Member] = []
         self.members = [
             self._create_member(spec, position, registry, randomness)
@@ -134,6 +135,16 @@
             member.pool.abort_leased()
             member.pool.close_idle()
 
+    @property
+    def outstanding(self) -> int:
+        """Number of requests that run at the members or wait for them."""
+        return sum(member.pool.outstanding for member in self.members)
+
+    def kick(self) -> None:
+        """Ask all members for their status soon."""
+        for member in self.members:
+            member.monitor.kick()
+
     def _on_status(self) -> None:
         self._changed.set()
         self.primary()
@@ -187,8 +198,7 @@
                     step="find primary",
                     peer=self.spec.name,
                 )
-            for member in self.members:
-                member.monitor.kick()
+            self.kick()
             await self._wait_change(min(deadline, loop.time() + SEARCH_SECONDS))
 
     async def _wait_change(self, until: float) -> None:
@@ -202,8 +212,7 @@
     def suspect(self, member: Member) -> None:
         """Note that a connection to ``member`` broke: ask it again before it gets more work."""
         member.monitor.reachable = False
-        for other in self.members:
-            other.monitor.kick()
+        self.kick()
 
     # Rounds
 
--- /dev/null
+++ b/src/rowanrail/proxy/groups.py
@@ -0,0 +1,192 @@
+"""The groups that a proxy serves: which of them it watches, how often, and how they change.
+
+A proxy's cost for control must not grow with the number of configured groups. It watches
+the first :data:`ALWAYS_WATCHED_GROUPS`, used or not, and of the others those that are in
+use. All watched members share one budget of background questions; a group with running
+statements is asked at the full rate.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from rowanrail.config.model import GroupSpec
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import BackendDriver
+from rowanrail.proxy.group import GroupOptions
+from rowanrail.proxy.services import GroupServices
+
+ALWAYS_WATCHED_GROUPS = 16
+UNUSED_GROUP_SECONDS = 300.0
+WATCH_SECONDS = 0.25
+BACKGROUND_QUESTIONS_PER_SECOND = 60.0
+RETIRE_POLL_SECONDS = 0.1
+
+
+class GroupTable:
+    """Groups by name and by database; creates what serves them when it is needed."""
+
+    def __init__(
+        self,
+        zone: str,
+        routes: dict[str, str],
+        driver: BackendDriver,
+        registry: Registry,
+        randomness: random.Random,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._zone = zone
+        self._routes = routes
+        self._driver = driver
+        self._registry = registry
+        self._random = randomness
+        self._wall_clock = wall_clock
+        self._proxies = 1
+        self._specs: dict[str, GroupSpec] = {}
+        self._by_database: dict[str, str] = {}
+        self._running: dict[str, GroupServices] = {}
+        self._retiring: dict[GroupServices, asyncio.Task[None]] = {}
+        self._drained: set[str] = set()
+        self._listed_leaving: set[str] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to watch the groups."""
+        self._task = asyncio.ensure_future(self._watch())
+
+    def close(self) -> None:
+        """Close everything at once."""
+        if self._task is not None:
+            self._task.cancel()
+        for services, task in list(self._retiring.items()):
+            task.cancel()
+            services.group.stop()
+        for services in self._running.values():
+            services.group.stop()
+        self._running = {}
+        self._specs = {}
+        self._by_database = {}
+
+    # Configuration
+
+    def apply(self, specs: list[GroupSpec], drained: list[str]) -> None:
+        """Serve other groups, or the same ones with other settings."""
+        self._specs = {spec.name: spec for spec in specs}
+        self._by_database = {database: spec.name for spec in specs for database in spec.databases}
+        self._drained = set(drained)
+        in_use = [name for name in self._running if name in self._specs]
+        for name, services in list(self._running.items()):
+            if self._specs.get(name) != services.spec:
+                self._retire(self._running.pop(name))
+        for name in [*in_use, *list(self._specs)[:ALWAYS_WATCHED_GROUPS]]:
+            self._run(name)
+        self._update_leaving()
+
+    def _run(self, name: str) -> GroupServices:
+        services = self._running.get(name)
+        if services is None:
+            services = self._create(self._specs[name])
+            self._running[name] = services
+            self._mark_leaving(services)
+        return services
+
+    def _create(self, spec: GroupSpec) -> GroupServices:
+        services = GroupServices(
+            spec,
+            GroupOptions(self._zone, self._routes, self._proxies),
+            self._driver,
+            self._registry,
+            random.Random(self._random.getrandbits(64)),
+            self._wall_clock,
+        )
+        services.used_at = asyncio.get_running_loop().time()
+        services.group.start()
+        return services
+
+    def _retire(self, services: GroupServices) -> None:
+        """Stop a group once what runs there has ended: a change must not cut statements."""
+        if not services.is_busy():
+            services.group.stop()
+            return
+        task = asyncio.ensure_future(self._stop_when_idle(services))
+        self._retiring[services] = task
+        task.add_done_callback(lambda done: self._retiring.pop(services, None))
+
+    @staticmethod
+    async def _stop_when_idle(services: GroupServices) -> None:
+        # Deadlines and the limits of transactions bound this.
+        while services.is_busy():
+            services.group.kick()
+            await asyncio.sleep(RETIRE_POLL_SECONDS)
+        services.group.stop()
+
+    def set_proxies(self, proxies: int) -> None:
+        """Note how many proxies share the members' connections."""
+        self._proxies = proxies
+        for services in self._running.values():
+            services.group.set_proxies(proxies)
+
+    # Leaving members
+
+    def set_listed_leaving(self, addresses: set[str]) -> None:
+        """Note which member addresses the platform lists as leaving."""
+        self._listed_leaving = addresses
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        for services in self._running.values():
+            self._mark_leaving(services)
+
+    def _mark_leaving(self, services: GroupServices) -> None:
+        addresses = {member.name: member.address for member in services.spec.members}
+        for member in services.group.members:
+            member.drained = f"{services.spec.name}/{member.name}" in self._drained
+            member.listed_leaving = addresses[member.name] in self._listed_leaving
+
+    # Use
+
+    def group_name(self, database: str) -> str:
+        """Return the group that serves a database, or an empty string."""
+        return self._by_database.get(database, "")
+
+    def spec(self, database: str) -> GroupSpec | None:
+        """Return the configuration of the group that serves a database."""
+        return self._specs.get(self.group_name(database))
+
+    def find(self, database: str) -> GroupServices | None:
+        """Return what serves a database, and note that it is used."""
+        name = self._by_database.get(database)
+        if name is None:
+            return None
+        services = self._run(name)
+        services.used_at = asyncio.get_running_loop().time()
+        return services
+
+    def running(self) -> list[GroupServices]:
+        """Return the groups that are watched, by name."""
+        return [self._running[name] for name in sorted(self._running)]
+
+    # Watching
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_SECONDS * self._random.uniform(0.8, 1.2))
+            now = asyncio.get_running_loop().time()
+            self._drop_unused(now)
+            interval = self._background_interval()
+            for services in self._running.values():
+                if services.is_busy() or now >= services.group.asked_at + interval:
+                    services.group.asked_at = now
+                    services.group.kick()
+
+    def _background_interval(self) -> float:
+        """Return the seconds between background rounds that the budget allows."""
+        members = sum(len(services.group.members) for services in self._running.values())
+        return max(0.0, members / BACKGROUND_QUESTIONS_PER_SECOND - WATCH_SECONDS / 2)
+
+    def _drop_unused(self, now: float) -> None:
+        kept = set(list(self._specs)[:ALWAYS_WATCHED_GROUPS])
+        for name, services in list(self._running.items()):
+            is_unused = now - services.used_at > UNUSED_GROUP_SECONDS
+            if name not in kept and is_unused and not services.is_busy():
+                self._running.pop(name).group.stop()
--- a/src/rowanrail/proxy/monitor.py
+++ b/src/rowanrail/proxy/monitor.py
@@ -8,13 +8,12 @@
 from rowanrail.proxy.backend import ORIGIN, BackendConnection, MemberRole, MemberStatus, Position
 from rowanrail.proxy.pool import Opener
 
-IDLE_POLL_SECONDS = 0.25
 STATUS_TIMEOUT_SECONDS = 0.3
 RECONNECT_SECONDS = 0.1
 
 
 class MemberMonitor:
-    """Polls a member's status; a question joins the round that begins after it."""
+    """Asks a member for its status; a question joins the round that begins after it."""
 
     def __init__(self, peer: str, opener: Opener, randomness: random.Random) -> None:
         self.peer = peer
@@ -45,7 +44,8 @@
         return self.reachable and self.latest is not None and self.latest.role is MemberRole.REPLICA
 
     def start(self) -> None:
-        """Begin to poll."""
+        """Begin to answer questions, the first of them at once."""
+        self._wake.set()
         self._task = asyncio.ensure_future(self._run())
 
     def stop(self) -> None:
@@ -69,7 +69,8 @@
 
     async def _run(self) -> None:
         while True:
-            await self._wait_for_round()
+            await self._wake.wait()
+            self._wake.clear()
             waiters, self._waiters = self._waiters, []
             status = await self._query()
             self._note(status)
@@ -77,14 +78,6 @@
             if status is None and not self._waiters:
                 await asyncio.sleep(RECONNECT_SECONDS * self._random.uniform(0.5, 1.0))
 
-    async def _wait_for_round(self) -> None:
-        try:
-            async with asyncio.timeout(IDLE_POLL_SECONDS * self._random.uniform(0.8, 1.2)):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
-        self._wake.clear()
-
     async def _query(self) -> MemberStatus | None:
         try:
             async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
--- a/src/rowanrail/proxy/report.py
+++ b/src/rowanrail/proxy/report.py
@@ -8,6 +8,7 @@
 from rowanrail.proxy.core import ProxyCore
 from rowanrail.proxy.services import GroupServices
 
+REPORTED_GROUPS = 8  # the most recently used ones: a report's size must be bounded
 _GROUP_METRICS = (
     ("replica_reads", "Reads served by replicas"),
     ("primary_reads", "Reads that could go to a replica, served by the primary"),
@@ -21,7 +22,10 @@
     """Return the proxy's report."""
     replica_reads = sum(services.statistics.replica_reads for services in core.services())
     primary_reads = sum(services.statistics.primary_reads for services in core.services())
-    groups = [report for services in core.services() for report in _group_reports(services)]
+    newest = sorted(core.services(), key=lambda services: services.used_at, reverse=True)
+    groups = [
+        report for services in newest[:REPORTED_GROUPS] for report in _group_reports(services)
+    ]
     return ProxyReport(
         proxy=name,
         zone=zone,
--- a/src/rowanrail/proxy/services.py
+++ b/src/rowanrail/proxy/services.py
@@ -37,6 +37,7 @@
         self.reader = ReadRunner(self.group, self.outcomes, self.statistics)
         self.writer = WriteRunner(self.group, self.outcomes, records, self.statistics, wall_clock)
         self.transactions = 0
+        self.used_at = 0.0
         self._floor_round: asyncio.Task[Position] | None = None
         self._recent_floor = (float("-inf"), Position())
 
@@ -45,6 +46,10 @@
         """The group's configuration."""
         return self.group.spec
 
+    def is_busy(self) -> bool:
+        """Return whether statements run or wait, or transactions are open."""
+        return self.transactions > 0 or self.group.outstanding > 0
+
     async def floor(self, known: Position | None, deadline: float) -> Position:
         """Return the position that a read must see, by the group's consistency.
 
--- a/tests/simulation/test_regressions.py
+++ b/tests/simulation/test_regressions.py
@@ -3,9 +3,13 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from rowanlab.simulator.data_world import DataOptions, DataWorld
 from rowanlab.simulator.permissive import registry_without
 from rowanlab.simulator.world import World
+from rowanlab.standin.member import FaultRequest
+from rowanrail.config.model import VersionedConfiguration
 from rowanrail.kernel.errors import NotRunError, OutcomeUnknownError
 from rowanrail.kernel.events import silence
 from rowanrail.proxy.backend import Position
@@ -104,6 +108,28 @@
 
         self.run_in_proxy(scenario)
 
+    def test_changed_limit_cuts_no_running_statement(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            for member in self.data.members:
+                member.member.set_faults(FaultRequest(answer_delay_seconds=0.4))
+            running = asyncio.ensure_future(
+                session.execute("INSERT INTO edits (operation) VALUES ('x')", {})
+            )
+            await asyncio.sleep(0.2)
+            held = core.in_force
+            limits = msgspec.structs.replace(held.configuration.groups[0].limits, queue_length=77)
+            group = msgspec.structs.replace(held.configuration.groups[0], limits=limits)
+            changed = msgspec.structs.replace(held.configuration, groups=[group])
+            core.apply(VersionedConfiguration(held.version + 1, changed))
+            result = await running
+            self.assertEqual(result.affected_rows, 1)
+            after = core.open_session("caller", "data")
+            rows = (await after.execute("SELECT COUNT(*) FROM edits", {})).rows
+            self.assertEqual(rows[0][0], b"1")
+
+        self.run_in_proxy(scenario)
+
     def isolate_primary_and_proxy(self):
         """The proxy reaches the primary and no other member; nor does the primary."""
         primary = self.data.primary().name
