--- a/src/rowanrail/control/messages.py
+++ b/src/rowanrail/control/messages.py
@@ -139,7 +139,11 @@
 
 
 class ProxyReport(msgspec.Struct, frozen=True):
-    """What a control node knows of a proxy."""
+    """What a control node knows of a proxy.
+
+    :param primary_reads: reads that a replica might have served, served by the primary.
+    :param primary_only_reads: reads that the rules keep on the primary.
+    """
 
     proxy: str
     zone: str
@@ -147,6 +151,7 @@
     version: int
     replica_reads: int = 0
     primary_reads: int = 0
+    primary_only_reads: int = 0
     groups: list[GroupReport] = []
     seconds_ago: float = 0.0
 
--- a/src/rowanrail/proxy/report.py
+++ b/src/rowanrail/proxy/report.py
@@ -22,6 +22,7 @@
     """Return the proxy's report."""
     replica_reads = sum(services.statistics.replica_reads for services in core.services())
     primary_reads = sum(services.statistics.primary_reads for services in core.services())
+    primary_only_reads = sum(services.statistics.primary_only_reads for services in core.services())
     newest = sorted(core.services(), key=lambda services: services.used_at, reverse=True)
     groups = [
         report for services in newest[:REPORTED_GROUPS] for report in _group_reports(services)
@@ -33,6 +34,7 @@
         version=core.in_force.version,
         replica_reads=replica_reads,
         primary_reads=primary_reads,
+        primary_only_reads=primary_only_reads,
         groups=groups,
     )
 
