Share a member's connections among all proxies that use its group

Cause: each proxy took a member's whole limit for its own (the number of proxies was never told). Three proxies under 90 callers had 5,973 connections refused by the three members in 12 s.

Ruled out: a fixed number of proxies in the settings (wrong as soon as one is added); leases granted by the control leader (a cut-off proxy would lose its connections, though its members are near).

Change: control nodes count the proxies that use each group, tell each other, and tell each proxy with its watch's answer. A silent control node's last count is kept.

--- a/src/rowanlab/simulator/proxies.py
+++ b/src/rowanlab/simulator/proxies.py
@@ -27,6 +27,7 @@
 from rowanrail.proxy.session import Session
 
 CALLER_TIMEOUT_SECONDS = 8.0
+PROXIES = 3
 
 
 class Statement(msgspec.Struct, frozen=True):
@@ -147,9 +148,9 @@
         self.core = core
         core.on_session_ended_by_stop = self._end_session
         core.start()
-        core.set_proxies(3)
         if configuration is not None:
             core.apply(configuration)
+            core.set_users({group.name: PROXIES for group in configuration.configuration.groups})
         if self._controls:
             await self._watch(process, core)
         address = f"{self.host}:{self.port}"
--- a/src/rowanlab/standin/member.py
+++ b/src/rowanlab/standin/member.py
@@ -85,6 +85,31 @@
     leaving: bool | None = None
 
 
+@message
+class FiguresRequest(msgspec.Struct, frozen=True):
+    """Ask a member what it counted."""
+
+
+@message
+class MemberFigures(msgspec.Struct, frozen=True):
+    """Answer to :class:`FiguresRequest`.
+
+    :param refused: connections refused because the limit was reached.
+    """
+
+    connections: int
+    connections_peak: int
+    refused: int
+
+
+class ConnectionCounts(msgspec.Struct):
+    """Connections of callers (here: of proxies) at a member."""
+
+    now: int = 0
+    peak: int = 0
+    refused: int = 0
+
+
 class _Due(msgspec.Struct, frozen=True):
     at: float
     entry: Entry
@@ -168,6 +193,7 @@
     ) -> None:
         self.settings = settings
         self.faults = Faults()
+        self.connections = ConnectionCounts()
         self.engine = Engine(database)
         self.machine = MemberMachine(self.engine, self.faults)
         self.incarnation = f"{randomness.getrandbits(48):012x}"
@@ -246,6 +272,9 @@
         if isinstance(request, FaultRequest):
             self.set_faults(request)
             return request
+        if isinstance(request, FiguresRequest):
+            counts = self.connections
+            return MemberFigures(counts.now, counts.peak, counts.refused)
         raise TransportError(f"unexpected {type(request).__name__}", step="handle")
 
     def set_faults(self, request: FaultRequest) -> None:
--- a/src/rowanlab/standin/server.py
+++ b/src/rowanlab/standin/server.py
@@ -68,9 +68,12 @@
 
     def login_error(self, connection: ServedConnection) -> MysqlError | None:
         settings = self._server.member.settings
-        if self._server.connections >= settings.connections:
+        counts = self._server.member.connections
+        if counts.now >= settings.connections:
+            counts.refused += 1
             return MysqlError("Too many connections", ErrorCode.CON_COUNT_ERROR)
-        self._server.add_connection()
+        counts.now += 1
+        counts.peak = max(counts.peak, counts.now)
         return super().login_error(connection)
 
     async def init(self, connection: Any) -> None:
@@ -105,7 +108,7 @@
 
     async def close(self) -> None:
         if self.connection is not None:
-            self._server.connections -= 1
+            self._server.member.connections.now -= 1
         self._session.roll_back()
 
 
@@ -114,18 +117,11 @@
 
     def __init__(self, member: Member) -> None:
         self.member = member
-        self.connections = 0
-        self.connections_peak = 0
         self._server = Server(
             session_factory=lambda: _WireSession(self),
             identity_provider=_Identities(member.settings),
         )
 
-    def add_connection(self) -> None:
-        """Count a connection."""
-        self.connections += 1
-        self.connections_peak = max(self.connections_peak, self.connections)
-
     async def start(self) -> None:
         """Listen."""
         host, port = split_address(self.member.settings.listen)
--- /dev/null
+++ b/src/rowanrail/control/census.py
@@ -0,0 +1,74 @@
+"""How many proxies use each group, counted over all control nodes.
+
+Every control node knows the proxies that ask it. The nodes tell each other their counts.
+A silent node's last count stays: its proxies may be alive behind the cut with their
+connections. Counting too many only makes shares smaller.
+"""
+
+import asyncio
+from collections import Counter
+
+from rowanrail.consensus.node import ConsensusNode
+from rowanrail.control.messages import CensusReply, CensusRequest
+from rowanrail.control.watch import WatchHub
+from rowanrail.kernel.errors import RowanrailError
+from rowanrail.rpc.network import Network
+
+CENSUS_SECONDS = 2.0
+CALL_SECONDS = 1.0
+
+
+class ProxyCensus:
+    """Counts of this node and, as last told, of the others."""
+
+    def __init__(self, node: ConsensusNode, hub: WatchHub, network: Network) -> None:
+        self._node = node
+        self._hub = hub
+        self._network = network
+        self._others: dict[str, dict[str, int]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to ask the other nodes."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def answer(self) -> CensusReply:
+        """Return this node's own counts."""
+        return CensusReply(self._hub.users())
+
+    def users(self, groups: list[str]) -> dict[str, int]:
+        """Return the number of proxies that use each of the groups.
+
+        :returns: nothing as long as a node has not been heard since this one started.
+        """
+        if any(node not in self._others for node in self._peers()):
+            return {}
+        total = Counter(self._hub.users())
+        for node in self._peers():
+            total.update(self._others[node])
+        return {group: total[group] for group in groups if total[group]}
+
+    def _peers(self) -> dict[str, str]:
+        own = self._node.identity.node
+        addresses = self._node.raft.membership.addresses()
+        return {node: address for node, address in addresses.items() if node != own}
+
+    async def _run(self) -> None:
+        while True:
+            peers = self._peers()
+            await asyncio.gather(*(self._ask(node, peers[node]) for node in peers))
+            self._others = {node: self._others[node] for node in peers if node in self._others}
+            await asyncio.sleep(CENSUS_SECONDS)
+
+    async def _ask(self, node: str, address: str) -> None:
+        try:
+            reply = await self._network.call(address, CensusRequest(), CALL_SECONDS)
+        except RowanrailError:
+            return  # its last count stays
+        if isinstance(reply, CensusReply):
+            self._others[node] = reply.users
--- a/src/rowanrail/control/messages.py
+++ b/src/rowanrail/control/messages.py
@@ -141,6 +141,7 @@
 class ProxyReport(msgspec.Struct, frozen=True):
     """What a control node knows of a proxy.
 
+    :param used: names of the groups to which it has, or may open, connections.
     :param primary_reads: reads that a replica might have served, served by the primary.
     :param primary_only_reads: reads that the rules keep on the primary.
     """
@@ -153,6 +154,7 @@
     primary_reads: int = 0
     primary_only_reads: int = 0
     groups: list[GroupReport] = []
+    used: list[str] = []
     seconds_ago: float = 0.0
 
 
@@ -175,6 +177,7 @@
     """Answer to :class:`WatchRequest`: a delta, or the whole configuration, or nothing newer.
 
     :param confirmed: whether the leader confirmed that nothing newer was accepted.
+    :param users: number of proxies that use each of the groups that the proxy uses.
     """
 
     version: int
@@ -182,6 +185,7 @@
     confirmed: bool
     whole: bool
     delta: ConfigurationDelta | None
+    users: dict[str, int] = {}
 
 
 @message
@@ -198,6 +202,18 @@
     reports: list[ProxyReport]
 
 
+@message
+class CensusRequest(msgspec.Struct, frozen=True):
+    """A control node asks another how many of its proxies use each group."""
+
+
+@message
+class CensusReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`CensusRequest`: number of proxies by group."""
+
+    users: dict[str, int]
+
+
 @message
 class BarrierRequest(msgspec.Struct, frozen=True):
     """Ask the leader for the newest accepted version."""
--- a/src/rowanrail/control/node.py
+++ b/src/rowanrail/control/node.py
@@ -83,6 +83,7 @@
         self._listener = await self._network.serve(settings.rpc_listen, self.service.handle)
         self.consensus.start()
         self.service.members.start()
+        self.service.census.start()
         if identity.node not in self.consensus.raft.membership.addresses():
             self._joining = asyncio.ensure_future(
                 join_until_admitted(owner, identity, self._network, self._admitted)
@@ -127,5 +128,6 @@
             self._joining.cancel()
         if self._listener is not None:
             await self._listener.close()
+        self.service.census.stop()
         await self.service.members.stop()
         await self.consensus.stop()
--- a/src/rowanrail/control/service.py
+++ b/src/rowanrail/control/service.py
@@ -17,12 +17,14 @@
     NotLeaderError,
     SupersededError,
 )
+from rowanrail.control.census import ProxyCensus
 from rowanrail.control.delta import make_delta
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import (
     ApplyRequest,
     BarrierReply,
     BarrierRequest,
+    CensusRequest,
     ChangeCommand,
     ChangeReply,
     ConfigurationDelta,
@@ -79,6 +81,7 @@
         self.state = state
         self.watches = WatchHub(state, monotonic)
         self.members = MembershipManager(node, cluster)
+        self.census = ProxyCensus(node, self.watches, network)
         self._network = network
         self._wall_clock = wall_clock
         node.on_change = self.watches.notice_change
@@ -93,6 +96,8 @@
             return None
         if isinstance(request, WatchRequest):
             return await self._watch(request)
+        if isinstance(request, CensusRequest):
+            return self.census.answer()
         if isinstance(request, ReportsRequest):
             version = self.state.current.version
             return ReportsReply(self.node.identity.node, version, self.watches.reports())
@@ -116,7 +121,9 @@
         confirmed = False
         if request.known_version == 0:
             confirmed = await self._catch_up()
-        return await self.watches.watch(request, confirmed)
+        reply = await self.watches.watch(request, confirmed)
+        users = self.census.users(request.report.used)
+        return msgspec.structs.replace(reply, users=users)
 
     async def _catch_up(self) -> bool:
         """Bring this node up to all that was accepted; return whether that was possible."""
--- a/src/rowanrail/control/watch.py
+++ b/src/rowanrail/control/watch.py
@@ -1,6 +1,7 @@
 """Watch streams from a control node to proxies, and what the proxies report."""
 
 import asyncio
+from collections import Counter
 
 import msgspec
 
@@ -17,6 +18,7 @@
 
 MAXIMUM_HOLD_SECONDS = 5.0
 FORGET_REPORT_SECONDS = 60.0
+LIVE_SECONDS = 15.0
 
 
 class _Heard(msgspec.Struct):
@@ -88,6 +90,15 @@
                 del self._views[next(iter(self._views))]
         return view
 
+    def users(self) -> dict[str, int]:
+        """Return how many of the proxies that were heard lately use each group."""
+        now = asyncio.get_running_loop().time()
+        users: Counter[str] = Counter()
+        for heard in self._reports.values():
+            if now - heard.at < LIVE_SECONDS:
+                users.update(heard.report.used)
+        return dict(users)
+
     def reports(self) -> list[ProxyReport]:
         """Return the newest report of each proxy that was heard lately."""
         now = asyncio.get_running_loop().time()
--- a/src/rowanrail/proxy/config_watch.py
+++ b/src/rowanrail/proxy/config_watch.py
@@ -125,6 +125,7 @@
             self._next_control += 1
             return False
         self._take(reply)
+        self._core.set_users(reply.users)
         return True
 
     async def _ask(self, address: str, hold_seconds: float) -> WatchReply | None:
--- a/src/rowanrail/proxy/core.py
+++ b/src/rowanrail/proxy/core.py
@@ -72,9 +72,9 @@
         """Note which member addresses the platform lists as leaving."""
         self.groups.set_listed_leaving(addresses)
 
-    def set_proxies(self, proxies: int) -> None:
-        """Note how many proxies share the members' connections."""
-        self.groups.set_proxies(proxies)
+    def set_users(self, users: dict[str, int]) -> None:
+        """Note how many proxies use each group."""
+        self.groups.set_users(users)
 
     def services(self) -> list[GroupServices]:
         """Return what serves the groups that are watched, by name."""
--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -20,6 +20,7 @@
 from rowanrail.proxy.monitor import MemberMonitor
 from rowanrail.proxy.policies import Freshness, LeavingCheck, TermConfirmation
 from rowanrail.proxy.pool import Pool
+from rowanrail.proxy.share import UNKNOWN, ConnectionShare
 
 ROUND_RETRY_SECONDS = 0.005
 ROUND_RETRY_MAXIMUM_SECONDS = 0.05
@@ -28,14 +29,10 @@
 
 
 class GroupOptions(msgspec.Struct, frozen=True):
-    """What a proxy adds to a group's configuration.
-
-    :param proxies: number of proxies among which a member's connections are divided.
-    """
+    """What a proxy adds to a group's configuration."""
 
     zone: str
     routes: dict[str, str]
-    proxies: int = 1
 
 
 class Member:
@@ -76,6 +73,7 @@
         self._changed = asyncio.Event()
         self._term = 0
         self.asked_at = float("-inf")
+        self._connection_share = ConnectionShare()
         self.members: list[Member] = []
         self.members = [
             self._create_member(spec, position, registry, randomness)
@@ -114,14 +112,26 @@
     def _share(self) -> int:
         # One connection of the share is the monitor's.
         limit = self.spec.limits.connections_per_member
-        return max(1, limit // max(1, self._options.proxies) - 1)
-
-    def set_proxies(self, proxies: int) -> None:
-        """Divide the members' connections among another number of proxies."""
-        if proxies != self._options.proxies:
-            self._options = msgspec.structs.replace(self._options, proxies=proxies)
-            for member in self.members:
-                member.pool.set_limit(self._share())
+        now = asyncio.get_running_loop().time()
+        return max(1, self._connection_share.connections(limit, now) - 1)
+
+    def set_users(self, proxies: int) -> None:
+        """Note how many proxies use the group, this one included; 0 if that is not known."""
+        self._connection_share.observe(proxies, asyncio.get_running_loop().time())
+        share = self._share()
+        for member in self.members:
+            if member.pool.limit != share:
+                member.pool.set_limit(share)
+
+    def shrink(self) -> None:
+        """Keep no more connections than what runs needs."""
+        for member in self.members:
+            member.pool.set_limit(1)
+
+    def keep_share(self, older: "GroupRuntime") -> None:
+        """Go on with the share of the runtime that this one takes the place of."""
+        self._connection_share = older._connection_share
+        self.set_users(UNKNOWN)
 
     def start(self) -> None:
         """Begin to watch the members."""
--- a/src/rowanrail/proxy/groups.py
+++ b/src/rowanrail/proxy/groups.py
@@ -15,12 +15,14 @@
 from rowanrail.proxy.backend import BackendDriver
 from rowanrail.proxy.group import GroupOptions
 from rowanrail.proxy.services import GroupServices
+from rowanrail.proxy.share import UNKNOWN
 
 ALWAYS_WATCHED_GROUPS = 16
 UNUSED_GROUP_SECONDS = 300.0
 WATCH_SECONDS = 0.25
 BACKGROUND_QUESTIONS_PER_SECOND = 60.0
 RETIRE_POLL_SECONDS = 0.1
+REPORTED_NAMES = 100
 
 
 class GroupTable:
@@ -41,7 +43,6 @@
         self._registry = registry
         self._random = randomness
         self._wall_clock = wall_clock
-        self._proxies = 1
         self._specs: dict[str, GroupSpec] = {}
         self._by_database: dict[str, str] = {}
         self._running: dict[str, GroupServices] = {}
@@ -75,11 +76,16 @@
         self._by_database = {database: spec.name for spec in specs for database in spec.databases}
         self._drained = set(drained)
         in_use = [name for name in self._running if name in self._specs]
+        replaced: dict[str, GroupServices] = {}
         for name, services in list(self._running.items()):
             if self._specs.get(name) != services.spec:
-                self._retire(self._running.pop(name))
+                replaced[name] = self._running.pop(name)
         for name in [*in_use, *list(self._specs)[:ALWAYS_WATCHED_GROUPS]]:
-            self._run(name)
+            services = self._run(name)
+            if name in replaced:
+                services.group.keep_share(replaced[name].group)
+        for services in replaced.values():
+            self._retire(services)
         self._update_leaving()
 
     def _run(self, name: str) -> GroupServices:
@@ -93,7 +99,7 @@
     def _create(self, spec: GroupSpec) -> GroupServices:
         services = GroupServices(
             spec,
-            GroupOptions(self._zone, self._routes, self._proxies),
+            GroupOptions(self._zone, self._routes),
             self._driver,
             self._registry,
             random.Random(self._random.getrandbits(64)),
@@ -108,6 +114,7 @@
         if not services.is_busy():
             services.group.stop()
             return
+        services.group.shrink()
         task = asyncio.ensure_future(self._stop_when_idle(services))
         self._retiring[services] = task
         task.add_done_callback(lambda done: self._retiring.pop(services, None))
@@ -120,11 +127,14 @@
             await asyncio.sleep(RETIRE_POLL_SECONDS)
         services.group.stop()
 
-    def set_proxies(self, proxies: int) -> None:
-        """Note how many proxies share the members' connections."""
-        self._proxies = proxies
-        for services in self._running.values():
-            services.group.set_proxies(proxies)
+    def set_users(self, users: dict[str, int]) -> None:
+        """Note how many proxies use each group."""
+        for name, services in self._running.items():
+            services.group.set_users(users.get(name, UNKNOWN))
+
+    def used(self) -> list[str]:
+        """Return the names of the groups that are watched: to them, connections may be open."""
+        return sorted(self._running)[:REPORTED_NAMES]
 
     # Leaving members
 
--- a/src/rowanrail/proxy/report.py
+++ b/src/rowanrail/proxy/report.py
@@ -35,6 +35,7 @@
         replica_reads=replica_reads,
         primary_reads=primary_reads,
         primary_only_reads=primary_only_reads,
+        used=core.groups.used(),
         groups=groups,
     )
 
