--- /dev/null
+++ b/tests/integration/test_torture.py
@@ -0,0 +1,24 @@
+"""The guarantees on real processes: a load under kills, freezes, cuts and lags."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from rowanlab.fleet.profiles import BLUE_MAHOE, HALLERBACH
+from rowanlab.load.torture import torture
+
+SECONDS = 8.0
+
+
+class TortureTest(unittest.TestCase):
+    def check(self, profile, seed):
+        with tempfile.TemporaryDirectory(prefix="rowanrail-test-") as scratch:
+            report = torture(profile, SECONDS, seed, Path(scratch))
+        self.assertTrue(report.passed, report)
+        self.assertGreater(sum(report.faults.values()), 1)
+
+    def test_blue_mahoe(self):
+        self.check(BLUE_MAHOE, 1)
+
+    def test_hallerbach(self):
+        self.check(HALLERBACH, 2)
