Make a change's delta once for all proxies of a zone

Cause: a control node compared the whole configuration anew for every proxy that it told of a change.

Change: deltas are kept by zone, version and digest, the newest 100 of them. `rowanlab scale` now also measures real control nodes under up to 400 hollow proxies that share a process.

--- a/src/rowanlab/scale/command.py
+++ b/src/rowanlab/scale/command.py
@@ -13,9 +13,11 @@
 )
 from rowanlab.scale.proxy_side import idle_costs, proxy_slopes
 from rowanlab.scale.slopes import Slope
+from rowanlab.scale.watchers import watcher_slopes
 
 GROUPS = [50, 100, 200, 400]
 PROXIES = [100, 200, 400, 800]
+WATCHERS = [50, 100, 200, 400]
 
 
 class ScaleReport(msgspec.Struct):
@@ -34,6 +36,7 @@
             *proxy_slopes(GROUPS, proxies),
             *control_slopes("proxy", WATCH_UNITS, PROXIES, watches),
             *control_slopes("group", CHANGE_UNITS, GROUPS, changes),
+            *watcher_slopes(WATCHERS),
         ]
     )
 
--- a/src/rowanlab/scale/control_side.py
+++ b/src/rowanlab/scale/control_side.py
@@ -9,7 +9,7 @@
 from rowanlab.scale.slopes import Point, Slope, fit, resident_bytes
 from rowanrail.config.diff import difference
 from rowanrail.consensus.messages import Entry, EntryKind
-from rowanrail.control.delta import make_delta
+from rowanrail.control.delta import make_delta, view_for_zone
 from rowanrail.control.messages import (
     ChangeCommand,
     ConfigurationDelta,
@@ -25,6 +25,7 @@
 REPORTED_GROUPS = 3
 CHANGES = 5
 FIXED_GROUPS = 100
+TOLD = 30
 
 
 def _entry(index: int, delta: ConfigurationDelta) -> Entry:
@@ -88,6 +89,7 @@
     memory_bytes = resident_bytes() - before_bytes
     apply_seconds = 0.0
     tell_seconds: list[float] = []
+    told_seconds: list[float] = []
     entry_bytes = 0
     for number in range(CHANGES):
         known = state.current
@@ -100,9 +102,15 @@
         apply_seconds += time.process_time() - began
         entry_bytes = len(entry.data)
         began = time.process_time()
+        digests = [view_for_zone(known, zone).digest() for zone in ZONES]
         for proxy in range(len(ZONES)):
-            await _answer(hub, _request(proxy, known.version, known.digest()))
+            await _answer(hub, _request(proxy, known.version, digests[proxy]))
         tell_seconds.append(time.process_time() - began)
+        frames = [_request(proxy, known.version, digests[proxy % 3]) for proxy in range(TOLD)]
+        began = time.process_time()
+        for frame in frames:
+            await _answer(hub, frame)
+        told_seconds.append((time.process_time() - began) / TOLD)
     began = time.process_time()
     snapshot_bytes = len(state.snapshot())
     snapshot_seconds = time.process_time() - began
@@ -111,6 +119,7 @@
         "bytes": float(memory_bytes),
         "apply_ms": 1000 * apply_seconds / CHANGES,
         "first_views_ms": 1000 * min(tell_seconds),
+        "told_ms": 1000 * min(told_seconds),
         "entry_bytes": float(entry_bytes),
         "snapshot_bytes": float(snapshot_bytes),
         "snapshot_ms": 1000 * snapshot_seconds,
@@ -138,6 +147,7 @@
     "bytes": "bytes",
     "apply_ms": "ms of a core for one change",
     "first_views_ms": "ms of a core for the views of 3 zones and their deltas",
+    "told_ms": "ms of a core for telling one more proxy of a change",
     "entry_bytes": "bytes of the log for one change",
     "snapshot_bytes": "bytes of a snapshot",
     "snapshot_ms": "ms of a core for a snapshot",
--- a/src/rowanrail/control/watch.py
+++ b/src/rowanrail/control/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from typing import TypeVar
 
 import msgspec
 
@@ -19,6 +20,10 @@
 MAXIMUM_HOLD_SECONDS = 5.0
 FORGET_REPORT_SECONDS = 60.0
 LIVE_SECONDS = 15.0
+REMEMBERED_VIEWS = 100
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
 
 
 class _Heard(msgspec.Struct):
@@ -35,6 +40,7 @@
         self._changed = asyncio.Event()
         self._seen_version = -1
         self._reports: dict[str, _Heard] = {}
+        self._deltas: dict[tuple[str, int, str, int], ConfigurationDelta] = {}
         self._views: dict[tuple[str, int], tuple[VersionedConfiguration, str]] = {}
 
     def notice_change(self) -> None:
@@ -65,12 +71,9 @@
         current, digest = self._view(zone, self._state.current)
         if not self._is_newer(request):
             return WatchReply(current.version, digest, confirmed, False, None)
-        for earlier in self._state.earlier:
-            if earlier.version == request.known_version:
-                known, known_digest = self._view(zone, earlier)
-                if known_digest == request.known_digest:
-                    delta = view_delta(known, current)
-                    return WatchReply(current.version, digest, confirmed, False, delta)
+        delta = self._delta(zone, request)
+        if delta is not None:
+            return WatchReply(current.version, digest, confirmed, False, delta)
         whole = ConfigurationDelta(
             sites=current.configuration.sites,
             groups=current.configuration.groups,
@@ -79,6 +82,29 @@
         )
         return WatchReply(current.version, digest, confirmed, True, whole)
 
+    def _delta(self, zone: str, request: WatchRequest) -> ConfigurationDelta | None:
+        """Return what leads to the newest version; None if it is not known any more.
+
+        All proxies of a zone that hold the same version get the same delta, made once.
+        """
+        current = self._state.current
+        key = (zone, request.known_version, request.known_digest, current.version)
+        delta = self._deltas.get(key)
+        if delta is None:
+            delta = self._make_delta(zone, request)
+            if delta is not None:
+                self._deltas[key] = delta
+                _keep_newest(self._deltas)
+        return delta
+
+    def _make_delta(self, zone: str, request: WatchRequest) -> ConfigurationDelta | None:
+        for earlier in self._state.earlier:
+            if earlier.version == request.known_version:
+                known, known_digest = self._view(zone, earlier)
+                if known_digest == request.known_digest:
+                    return view_delta(known, self._view(zone, self._state.current)[0])
+        return None
+
     def _view(self, zone: str, whole: VersionedConfiguration) -> tuple[VersionedConfiguration, str]:
         key = (zone, whole.version)
         view = self._views.get(key)
@@ -86,8 +112,7 @@
             part = view_for_zone(whole, zone)
             view = (part, part.digest())
             self._views[key] = view
-            while len(self._views) > 100:
-                del self._views[next(iter(self._views))]
+            _keep_newest(self._views)
         return view
 
     def users(self) -> dict[str, int]:
@@ -111,3 +136,8 @@
             msgspec.structs.replace(heard.report, seconds_ago=now - heard.at)
             for heard in self._reports.values()
         ]
+
+
+def _keep_newest(remembered: dict[Key, Value]) -> None:
+    while len(remembered) > REMEMBERED_VIEWS:
+        del remembered[next(iter(remembered))]
--- a/src/rowanrail/proxy/config_watch.py
+++ b/src/rowanrail/proxy/config_watch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -21,7 +22,6 @@
 )
 from rowanrail.kernel.errors import TransportError
 from rowanrail.kernel.events import emit
-from rowanrail.proxy.core import ProxyCore
 from rowanrail.proxy.events import CONTROL_UNREACHABLE, UNCONFIRMED_CONFIGURATION
 from rowanrail.rpc.network import Network
 
@@ -31,12 +31,24 @@
 RETRY_SECONDS = 0.2
 
 
+class ConfigurationHolder(Protocol):
+    """Where versions come into force: the proxy's core, or a hollow one."""
+
+    in_force: VersionedConfiguration
+
+    def apply(self, offered: VersionedConfiguration) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+
+    def set_users(self, users: dict[str, int]) -> None:
+        """Note how many proxies use each group."""
+
+
 class ConfigurationWatch:
     """Keeps the core's configuration up to date."""
 
     def __init__(
         self,
-        core: ProxyCore,
+        core: ConfigurationHolder,
         network: Network,
         controls: list[str],
         peers: list[str],
