Give simulated daemons one base

Cause: members, control nodes and proxies of the simulator each had the same start, kill, restart and failure note.

Ruled out: nothing.

Change: SimulatedDaemon and DurableDaemon.

--- a/src/rowanlab/simulator/backend.py
+++ b/src/rowanlab/simulator/backend.py
@@ -1,13 +1,12 @@
 """Members of a database group in the simulator, and the driver that reaches them."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
-from rowanlab.simulator.disk import SimulatedDisk
+from rowanlab.simulator.daemon import DurableDaemon
 from rowanlab.simulator.loop import SimulatedProcess
 from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
 from rowanlab.simulator.world import World
@@ -117,7 +116,7 @@
         self._session.roll_back()
 
 
-class SimulatedMember:
+class SimulatedMember(DurableDaemon):
     """A member across its restarts: its disk stays, its process changes."""
 
     def __init__(
@@ -130,29 +129,19 @@
         nodes: list[NodeAddress],
         rate: float,
     ) -> None:
-        self.name = name
-        self.zone = zone
+        super().__init__(world, name, zone, rate)
         self.address = f"{name}:3306"
-        self.disk = SimulatedDisk(random.Random(world.random.getrandbits(64)))
         self.member: Member | None = None
         self.late_work = 0
         self.repeats_answers = False
-        self._world = world
         self._served = served
         self._group = group
         self._nodes = nodes
-        self._rate = rate
 
     def start(self, bootstrap: bool) -> None:
         """Start the member's process."""
-        world = self._world
-        process = world.spawn(self.name, self.zone, self._rate)
-        task = world.run_in(process, self._run(process, bootstrap))
-        task.add_done_callback(self._note_failure)
-
-    def _note_failure(self, task: "asyncio.Task[None]") -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._world.note(f"{self.name} failed: {task.exception()!r}")
+        process = self._spawn()
+        self._launch(process, self._run(process, bootstrap))
 
     async def _run(self, process: SimulatedProcess, bootstrap: bool) -> None:
         world = self._world
@@ -175,7 +164,7 @@
             network,
             self.disk,
             world.scratch_file(),
-            random.Random(world.random.getrandbits(64)),
+            self._randomness(),
             Registry(),
         )
         await self.member.start(bootstrap)
@@ -188,12 +177,4 @@
             self.member.late_work = 0
             if self._world.process(self.name).alive:
                 self.member.engine.close()
-        self._world.kill(self.name)
-        self.disk.crash()
-
-    def restart(self, lose_disk: bool = False) -> None:
-        """Start again after a kill, perhaps with an empty disk."""
-        if lose_disk:
-            self.disk.erase()
-        self._world.note(f"{self.name} starts again{' with an empty disk' if lose_disk else ''}")
-        self.start(bootstrap=False)
+        super().kill()
--- a/src/rowanlab/simulator/controls.py
+++ b/src/rowanlab/simulator/controls.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rowanlab.load.control_oracle import AttemptedChange, ChangeOutcome, ControlOracle
-from rowanlab.simulator.disk import SimulatedDisk
+from rowanlab.simulator.daemon import DurableDaemon
 from rowanlab.simulator.loop import SimulatedProcess
 from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
 from rowanlab.simulator.world import World
@@ -60,7 +60,7 @@
         """Nothing to do."""
 
 
-class SimulatedControl:
+class SimulatedControl(DurableDaemon):
     """A control node across its restarts: its disk stays, its process changes."""
 
     def __init__(
@@ -75,18 +75,13 @@
         honours_sync: bool,
         snapshot_entries: int,
     ) -> None:
-        self.name = name
-        self.zone = zone
+        super().__init__(world, name, zone, rate, honours_sync)
         self.rpc_address = f"{name}:7100"
         self.operator_address = f"{name}:8100"
-        randomness = random.Random(world.random.getrandbits(64))
-        self.disk = SimulatedDisk(randomness, honours_sync)
         self.node: ControlNode | None = None
-        self._world = world
         self._served = served
         self._nodes = nodes
         self._registry = registry
-        self._rate = rate
         self._snapshot_entries = snapshot_entries
 
     @property
@@ -97,13 +92,8 @@
     def start(self, bootstrap: bool) -> None:
         """Start the node's process."""
         self.node = None
-        process = self._world.spawn(self.name, self.zone, self._rate)
-        task = self._world.run_in(process, self._run(process, bootstrap))
-        task.add_done_callback(self._note_failure)
-
-    def _note_failure(self, task: "asyncio.Task[None]") -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._world.note(f"{self.name} failed: {task.exception()!r}")
+        process = self._spawn()
+        self._launch(process, self._run(process, bootstrap))
 
     async def _run(self, process: SimulatedProcess, bootstrap: bool) -> None:
         world = self._world
@@ -122,7 +112,7 @@
             settings,
             SimulatedNetwork(world, process, self._served),
             self.disk,
-            random.Random(world.random.getrandbits(64)),
+            self._randomness(),
             self._registry,
             world.wall_clock,
         )
@@ -130,18 +120,6 @@
         await node.start(bootstrap)
         self._served.channels[self.operator_address] = (self.name, lambda: _OperatorChannel(self))
 
-    def kill(self) -> None:
-        """Kill the process; what was not synced is lost."""
-        self._world.kill(self.name)
-        self.disk.crash()
-
-    def restart(self, lose_disk: bool = False) -> None:
-        """Start again after a kill, perhaps with an empty disk."""
-        if lose_disk:
-            self.disk.erase()
-        self._world.note(f"{self.name} starts again{' with an empty disk' if lose_disk else ''}")
-        self.start(bootstrap=False)
-
 
 class Operator:
     """An operator who reads the configuration, changes it, and sends it until it is answered.
--- a/src/rowanlab/simulator/proxies.py
+++ b/src/rowanlab/simulator/proxies.py
@@ -1,7 +1,6 @@
 """Proxies and callers in the simulator."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +9,7 @@
 from rowanlab.load.driver import CallError
 from rowanlab.load.oracle import Outcome
 from rowanlab.simulator.backend import SimulatedDriver
+from rowanlab.simulator.daemon import SimulatedDaemon
 from rowanlab.simulator.loop import SimulatedProcess
 from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
 from rowanlab.simulator.world import World
@@ -85,7 +85,7 @@
             await self.session.close()
 
 
-class SimulatedProxy:
+class SimulatedProxy(SimulatedDaemon):
     """A proxy across its restarts. It has no disk."""
 
     def __init__(
@@ -99,16 +99,13 @@
         controls: list[str],
         peers: list[str],
     ) -> None:
-        self.name = name
-        self.zone = zone
+        super().__init__(world, name, zone, rate)
         self.host = name
         self.port = 3306
         self.core: ProxyCore | None = None
         self.stopping = False
-        self._world = world
         self._served = served
         self._registry = registry
-        self._rate = rate
         self._controls = controls
         self._peers = peers
         self._starts = 0
@@ -125,13 +122,8 @@
         self.core = None
         self.stopping = False
         self._channels = []
-        process = self._world.spawn(self.name, self.zone, self._rate)
-        task = self._world.run_in(process, self._run(process, configuration))
-        task.add_done_callback(self._note_failure)
-
-    def _note_failure(self, task: "asyncio.Task[None]") -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._world.note(f"{self.name} failed: {task.exception()!r}")
+        process = self._spawn()
+        self._launch(process, self._run(process, configuration))
 
     async def _run(
         self, process: SimulatedProcess, configuration: VersionedConfiguration | None
@@ -142,7 +134,7 @@
             {},
             SimulatedDriver(world, self._served),
             self._registry,
-            random.Random(world.random.getrandbits(64)),
+            self._randomness(),
             world.wall_clock,
         )
         self.core = core
@@ -187,11 +179,7 @@
             if channel.session is None:
                 channel.say_goodbye()
         await self.core.stop(limit_seconds)
-        self._world.kill(self.name)
-
-    def kill(self) -> None:
-        """Kill the process."""
-        self._world.kill(self.name)
+        self.kill()
 
 
 class SimulatedCaller:
