Fit all costs of a measurement in one place

Cause: three modules of the lab built the same list of slopes. Ruled out: nothing. Change: slopes.fit_all.

--- a/src/rowanlab/scale/command.py
+++ b/src/rowanlab/scale/command.py
@@ -8,11 +8,10 @@
     CHANGE_UNITS,
     WATCH_UNITS,
     change_costs,
-    control_slopes,
     watch_costs,
 )
-from rowanlab.scale.proxy_side import idle_costs, proxy_slopes
-from rowanlab.scale.slopes import Slope
+from rowanlab.scale.proxy_side import PROXY_UNITS, idle_costs
+from rowanlab.scale.slopes import Slope, fit_all
 from rowanlab.scale.watchers import watcher_slopes
 
 GROUPS = [50, 100, 200, 400]
@@ -33,9 +32,9 @@
     changes = list(map_over_cores(change_costs, GROUPS, cores, fresh=True))
     return ScaleReport(
         [
-            *proxy_slopes(GROUPS, proxies),
-            *control_slopes("proxy", WATCH_UNITS, PROXIES, watches),
-            *control_slopes("group", CHANGE_UNITS, GROUPS, changes),
+            *fit_all("proxy", "group", PROXY_UNITS, GROUPS, proxies),
+            *fit_all("control", "proxy", WATCH_UNITS, PROXIES, watches),
+            *fit_all("control", "group", CHANGE_UNITS, GROUPS, changes),
             *watcher_slopes(WATCHERS),
         ]
     )
--- a/src/rowanlab/scale/control_side.py
+++ b/src/rowanlab/scale/control_side.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from rowanlab.scale.hollow import ZONES, configuration
-from rowanlab.scale.slopes import Point, Slope, fit, resident_bytes
+from rowanlab.scale.slopes import resident_bytes
 from rowanrail.config.diff import difference
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.control.delta import make_delta, view_for_zone
@@ -153,18 +153,3 @@
     "snapshot_ms": "ms of a core for a snapshot",
     "whole_bytes": "bytes of a whole configuration to one proxy",
 }
-
-
-def control_slopes(
-    per: str, units: dict[str, str], sizes: list[int], results: list[dict[str, float]]
-) -> list[Slope]:
-    """Return the slopes by number of proxies or of groups."""
-    return [
-        fit(
-            f"control {name}",
-            per,
-            unit,
-            [Point(size, result[name]) for size, result in zip(sizes, results, strict=True)],
-        )
-        for name, unit in units.items()
-    ]
--- a/src/rowanlab/scale/proxy_side.py
+++ b/src/rowanlab/scale/proxy_side.py
@@ -5,7 +5,7 @@
 import time
 
 from rowanlab.scale.hollow import ZONES, HollowDriver, configuration
-from rowanlab.scale.slopes import Point, Slope, fit, resident_bytes
+from rowanlab.scale.slopes import resident_bytes
 from rowanrail.control.messages import WatchReply, WatchRequest
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.config_watch import ConfigurationWatch
@@ -97,7 +97,7 @@
     return asyncio.run(_idle(groups))
 
 
-UNITS = {
+PROXY_UNITS = {
     "core_percent": "% of a core",
     "polls": "status questions/s",
     "bytes": "bytes",
@@ -105,16 +105,3 @@
     "poll_bytes": "bytes for one watch",
     "change_ms": "ms of a core for one change",
 }
-
-
-def proxy_slopes(sizes: list[int], results: list[dict[str, float]]) -> list[Slope]:
-    """Return the slopes by number of groups."""
-    return [
-        fit(
-            f"proxy {name}",
-            "group",
-            unit,
-            [Point(size, result[name]) for size, result in zip(sizes, results, strict=True)],
-        )
-        for name, unit in UNITS.items()
-    ]
--- a/src/rowanlab/scale/slopes.py
+++ b/src/rowanlab/scale/slopes.py
@@ -46,6 +46,29 @@
     return Slope(name, per, unit, mean_cost - slope * mean_size, slope, points)
 
 
+def fit_all(
+    prefix: str,
+    per: str,
+    units: dict[str, str],
+    sizes: list[int],
+    results: list[dict[str, float]],
+) -> list[Slope]:
+    """Return a line for each cost that the results name.
+
+    :param units: unit by the cost's name.
+    :param results: costs by name, one set for each size.
+    """
+    return [
+        fit(
+            f"{prefix} {name}",
+            per,
+            unit,
+            [Point(size, result[name]) for size, result in zip(sizes, results, strict=True)],
+        )
+        for name, unit in units.items()
+    ]
+
+
 def resident_bytes(pid: int | None = None) -> int:
     """Return the resident memory of a process, of this one by default."""
     if pid is None:
--- a/src/rowanlab/scale/watchers.py
+++ b/src/rowanlab/scale/watchers.py
@@ -11,7 +11,7 @@
 from rowanlab.fleet.layout import FleetOptions
 from rowanlab.fleet.profiles import BLUE_MAHOE
 from rowanlab.fleet.runner import Fleet, free_subnet
-from rowanlab.scale.slopes import Point, Slope, fit, processor_seconds, resident_bytes
+from rowanlab.scale.slopes import Slope, fit_all, processor_seconds, resident_bytes
 from rowanrail.config.model import VersionedConfiguration
 from rowanrail.control.messages import ProxyReport
 from rowanrail.proxy.config_watch import ConfigurationWatch
@@ -152,12 +152,4 @@
             results = asyncio.run(_measure(fleet, sizes))
         finally:
             fleet.stop()
-    return [
-        fit(
-            f"nodes {name}",
-            "proxy",
-            unit,
-            [Point(size, result[name]) for size, result in zip(sizes, results, strict=True)],
-        )
-        for name, unit in UNITS.items()
-    ]
+    return fit_all("nodes", "proxy", UNITS, sizes, results)
