Bound the pools' queues and measure overload

Cause: queue_length was a checked setting that nothing read; callers refused together were all told the same time to come back.

Ruled out: a limit of the queue by expected waiting time only. It stands beside it: the estimate can be wrong when a member slows down.

Change: a full queue refuses what is least urgent and came last, at once. Times to come back are spread over a factor of two. `rowanlab overload` sends at fixed rates whatever is answered.

--- a/src/rowanlab/load/commands.py
+++ b/src/rowanlab/load/commands.py
@@ -13,6 +13,7 @@
 from rowanlab.load.applies import applies
 from rowanlab.load.bench import bench
 from rowanlab.load.demo import demo
+from rowanlab.load.overload import overload
 from rowanlab.load.torture import torture
 
 
@@ -91,4 +92,18 @@
     _finish(report)
 
 
-LOAD_COMMANDS = [demo_command, torture_command, applies_command, bench_command]
+@click.command("overload")
+@_profile_option
+@_folder_option
+def overload_command(profile: str, folder: Path | None) -> None:
+    """Measure goodput and refusals beyond the capacity. The last line is JSON."""
+    _finish(_in_folder(folder, lambda chosen: overload(PROFILES[profile], chosen)))
+
+
+LOAD_COMMANDS = [
+    demo_command,
+    torture_command,
+    applies_command,
+    bench_command,
+    overload_command,
+]
--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -19,7 +19,7 @@
 )
 from rowanrail.proxy.monitor import MemberMonitor
 from rowanrail.proxy.policies import Freshness, LeavingCheck, TermConfirmation
-from rowanrail.proxy.pool import Pool
+from rowanrail.proxy.pool import Pool, PoolLimits
 from rowanrail.proxy.share import UNKNOWN, ConnectionShare
 
 ROUND_RETRY_SECONDS = 0.005
@@ -88,8 +88,7 @@
         peer = f"{spec.name}/{member.name}"
         pool = Pool(
             peer,
-            self._share(),
-            spec.limits.slots_per_member,
+            PoolLimits(self._share(), spec.limits.slots_per_member, spec.limits.queue_length),
             opener,
             registry.create("proxy-guard", "late-answer-discard"),
         )
--- a/src/rowanrail/proxy/pool.py
+++ b/src/rowanrail/proxy/pool.py
@@ -10,6 +10,8 @@
 import heapq
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from rowanrail.kernel.errors import (
     BackendConnectError,
     BackendLostError,
@@ -24,6 +26,7 @@
 INITIAL_LATENCY_SECONDS = 0.005
 MINIMUM_RETRY_SECONDS = 0.05
 CLOSE_GRACE_SECONDS = 1.0
+SPREAD_STEPS = 16
 
 
 class Priority(enum.IntEnum):
@@ -34,6 +37,19 @@
     READ = 2
 
 
+class PoolLimits(msgspec.Struct, frozen=True):
+    """Limits of a pool.
+
+    :param connections: how many connections may be open or being opened.
+    :param slots: how many statements the member runs at once.
+    :param queue_length: how many requests may wait for a connection.
+    """
+
+    connections: int
+    slots: int
+    queue_length: int
+
+
 class PooledConnection:
     """A connection and whether its last answer came."""
 
@@ -111,11 +127,12 @@
     """Connections to one member. At most ``limit`` are open or being opened."""
 
     def __init__(
-        self, peer: str, limit: int, slots: int, opener: Opener, late_answers: LateAnswerDiscard
+        self, peer: str, limits: PoolLimits, opener: Opener, late_answers: LateAnswerDiscard
     ) -> None:
         self.peer = peer
-        self.limit = limit
-        self.slots = slots
+        self.limit = limits.connections
+        self.slots = limits.slots
+        self._queue_length = limits.queue_length
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.open_count = 0
         self.leased: dict[PooledConnection, None] = {}  # in the order of their leases
@@ -124,6 +141,7 @@
         self._idle: list[PooledConnection] = []
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         self._sequence = 0
+        self._refusals = 0
         self._failing_until = 0.0
 
     @property
@@ -207,6 +225,7 @@
 
     async def _wait_turn(self, deadline: float, priority: Priority) -> None:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._make_room(priority)
         self._sequence += 1
         entry = (int(priority), self._sequence, future)
         heapq.heappush(self._waiting, entry)
@@ -222,8 +241,26 @@
             elif future.cancelled():
                 self._wake_one()
 
+    def _make_room(self, priority: Priority) -> None:
+        """Keep the queue bounded: what is least urgent and came last is refused at once.
+
+        :raises NotRunError: if that is the request that has just come.
+        """
+        if len(self._waiting) < self._queue_length:
+            return
+        last = max(self._waiting, default=None)
+        if last is None or last[0] <= int(priority):
+            raise self._refusal("too many requests wait")
+        self._waiting.remove(last)
+        heapq.heapify(self._waiting)
+        if not last[2].done():
+            last[2].set_exception(self._refusal("more urgent requests wait"))
+
     def _refusal(self, message: str) -> NotRunError:
-        retry_after = max(MINIMUM_RETRY_SECONDS, 2 * self.expected_wait_seconds())
+        # Spread, so that callers that were refused together don't come back together.
+        self._refusals += 1
+        spread = 1 + (self._refusals % SPREAD_STEPS) / SPREAD_STEPS
+        retry_after = spread * max(MINIMUM_RETRY_SECONDS, 2 * self.expected_wait_seconds())
         return NotRunError(message, retry_after_seconds=retry_after, step="acquire", peer=self.peer)
 
     def release(self, connection: PooledConnection, seconds: float | None = None) -> None:
--- /dev/null
+++ b/tests/unit/test_pool.py
@@ -0,0 +1,58 @@
+"""The pool's queue: bounded, by urgency, with refusals at once."""
+
+import asyncio
+import unittest
+
+from rowanlab.scale.hollow import HollowConnection, HollowDriver
+from rowanrail.kernel.errors import NotRunError
+from rowanrail.proxy.policies import LateAnswerDiscard
+from rowanrail.proxy.pool import Pool, PoolLimits, Priority
+
+DEADLINE_SECONDS = 60.0
+
+
+class TestQueue(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        async def open_connection():
+            return HollowConnection(HollowDriver(), "m:1")
+
+        self.pool = Pool("m", PoolLimits(1, 1, 2), open_connection, LateAnswerDiscard())
+        self.loop = asyncio.get_running_loop()
+        self.held = await self.ask(Priority.READ)
+
+    def ask(self, priority):
+        deadline = self.loop.time() + DEADLINE_SECONDS
+        return asyncio.ensure_future(self.pool.acquire(deadline, priority))
+
+    async def waiting(self, *priorities):
+        tasks = [self.ask(priority) for priority in priorities]
+        await asyncio.sleep(0)
+        return tasks
+
+    async def test_a_full_queue_refuses_at_once_with_spread_times(self):
+        tasks = await self.waiting(Priority.READ, Priority.READ)
+        times = set()
+        for _ in range(4):
+            with self.assertRaises(NotRunError) as raised:
+                await self.ask(Priority.READ)
+            times.add(raised.exception.retry_after_seconds)
+        self.assertEqual(len(times), 4)
+        self.assertFalse(any(task.done() for task in tasks))
+
+    async def test_an_urgent_request_takes_the_place_of_the_last_less_urgent(self):
+        first, last = await self.waiting(Priority.READ, Priority.READ)
+        (write,) = await self.waiting(Priority.WRITE)
+        with self.assertRaises(NotRunError):
+            await last
+        self.pool.release(self.held)
+        self.assertIs(await write, self.held)
+        self.pool.release(self.held)
+        self.assertIs(await first, self.held)
+
+    async def test_a_given_up_request_leaves_the_queue(self):
+        first, second = await self.waiting(Priority.WRITE, Priority.WRITE)
+        first.cancel()
+        await asyncio.sleep(0)
+        self.assertEqual(self.pool.waiting, 1)
+        self.pool.release(self.held)
+        self.assertIs(await second, self.held)
