--- a/src/rowanlab/scale/proxy_side.py
+++ b/src/rowanlab/scale/proxy_side.py
@@ -14,7 +14,7 @@
 from rowanrail.rpc.codec import FrameKind, encode_frame
 from rowanrail.rpc.network import Handler, Listener, Network
 
-IDLE_SECONDS = 3.0
+IDLE_SECONDS = 9.0  # longer than the interval between background rounds
 POLLS = 20
 CHANGES = 10
 
