Watch crowded groups only where they are used

Ruled out: no watching of unused groups at all. At today's sizes operators want to see them in `status`.

Change: a group that more proxies share than a quarter of its connections is watched only by those that use it. What was noted stays until the census says otherwise, so that proxies don't come and go together.

Not run with thousands of proxies.

--- a/src/rowanrail/proxy/groups.py
+++ b/src/rowanrail/proxy/groups.py
@@ -1,9 +1,9 @@
 """The groups that a proxy serves: which of them it watches, how often, and how they change.
 
 A proxy's cost for control must not grow with the number of configured groups. It watches
-the first :data:`ALWAYS_WATCHED_GROUPS`, used or not, and of the others those that are in
-use. All watched members share one budget of background questions; a group with running
-statements is asked at the full rate.
+the first :data:`ALWAYS_WATCHED_GROUPS`, used or not, unless many proxies share them, and of
+the others those that are in use. All watched members share one budget of background
+questions; a group with running statements is asked at the full rate.
 """
 
 import asyncio
@@ -23,6 +23,7 @@
 BACKGROUND_QUESTIONS_PER_SECOND = 6.0
 RETIRE_POLL_SECONDS = 0.1
 REPORTED_NAMES = 100
+CONNECTIONS_PER_WATCHER = 4
 
 
 class GroupTable:
@@ -45,6 +46,7 @@
         self._wall_clock = wall_clock
         self._specs: dict[str, GroupSpec] = {}
         self._by_database: dict[str, str] = {}
+        self._crowded: set[str] = set()
         self._running: dict[str, GroupServices] = {}
         self._retiring: dict[GroupServices, asyncio.Task[None]] = {}
         self._drained: set[str] = set()
@@ -80,7 +82,7 @@
         for name, services in list(self._running.items()):
             if self._specs.get(name) != services.spec:
                 replaced[name] = self._running.pop(name)
-        for name in [*in_use, *list(self._specs)[:ALWAYS_WATCHED_GROUPS]]:
+        for name in [*in_use, *self._watched_anyway()]:
             services = self._run(name)
             if name in replaced:
                 services.group.keep_share(replaced[name].group)
@@ -134,6 +136,7 @@
 
     def set_users(self, users: dict[str, int]) -> None:
         """Note how many proxies use each group."""
+        self._note_crowded(users)
         for name, services in self._running.items():
             services.group.set_users(users.get(name, UNKNOWN))
 
@@ -199,8 +202,28 @@
         members = sum(len(services.group.members) for services in self._running.values())
         return max(0.0, members / BACKGROUND_QUESTIONS_PER_SECOND - WATCH_SECONDS / 2)
 
+    def _watched_anyway(self) -> list[str]:
+        """Return the groups to watch whether they are used or not.
+
+        Where many proxies share a group's connections, one that does not use it holds none.
+        """
+        return [
+            name for name in list(self._specs)[:ALWAYS_WATCHED_GROUPS] if name not in self._crowded
+        ]
+
+    def _note_crowded(self, users: dict[str, int]) -> None:
+        """Note which groups many proxies share. What is not told of a group changes nothing."""
+        for name, proxies in users.items():
+            spec = self._specs.get(name)
+            if spec is None:
+                continue
+            if proxies * CONNECTIONS_PER_WATCHER > spec.limits.connections_per_member:
+                self._crowded.add(name)
+            else:
+                self._crowded.discard(name)
+
     def _drop_unused(self, now: float) -> None:
-        kept = set(list(self._specs)[:ALWAYS_WATCHED_GROUPS])
+        kept = set(self._watched_anyway())
         for name, services in list(self._running.items()):
             is_unused = now - services.used_at > UNUSED_GROUP_SECONDS
             if name not in kept and is_unused and not services.is_busy():
