Read at a new primary only what it has applied

Cause: a transaction could begin on a primary that had been elected and had not yet applied what it holds. The rule that a later term is enough holds for the log, not for what a read sees.

Ruled out: the election (the new primary held the write) and the stand-in (databases do serve before they have caught up, unless told not to).

Change: what was acknowledged in the primary's own term it has written itself; for earlier terms the position that its status says it has applied must reach the session's. Locking reads outside of transactions are held to the same.

--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -187,20 +187,17 @@
     async def wait_primary(self, deadline: float, floor: Position = ORIGIN) -> Member:
         """Return the primary, searching for one until ``deadline`` (loop time).
 
-        :param floor: what it must hold. A primary holds all that was acknowledged in earlier
-            terms (a majority elected it) and in its own, so that its term decides.
+        :param floor: what it must have applied, see :meth:`_has_applied`.
         :raises NotRunError: if none is found in time.
         """
         loop = asyncio.get_running_loop()
         while True:
             found = self.primary()
-            if found is not None:
-                holds = Position(_term_of(found), sys.maxsize)
-                if self.freshness.is_fresh(holds, floor):
-                    return found
+            if found is not None and self._has_applied(found, floor):
+                return found
             if loop.time() >= deadline:
                 raise NotRunError(
-                    "the group has no primary that holds what the session has seen"
+                    "the group's primary has not applied what the session has seen"
                     if found is not None
                     else "the group has no primary",
                     retry_after_seconds=RETRY_AFTER_SECONDS,
@@ -210,6 +207,18 @@
             self.kick()
             await self._wait_change(min(deadline, loop.time() + SEARCH_SECONDS))
 
+    def _has_applied(self, primary: Member, floor: Position) -> bool:
+        """Return whether reads at a primary see all up to ``floor``.
+
+        What was acknowledged in its own term it has written itself. What was acknowledged in
+        earlier terms it holds, since a majority elected it, but it may not have applied it yet:
+        there its own word counts.
+        """
+        applied = primary.monitor.committed
+        if _term_of(primary) == floor.term:
+            applied = Position(floor.term, sys.maxsize)
+        return self.freshness.is_fresh(applied, floor)
+
     async def _wait_change(self, until: float) -> None:
         self._changed.clear()
         try:
--- a/src/rowanrail/proxy/session.py
+++ b/src/rowanrail/proxy/session.py
@@ -180,7 +180,7 @@
             return await self._run_pinned(self._pinned, sql, statement, deadline)
         if statement.kind in (*_READS, Kind.SESSION_FUNCTION) and not statement.locking:
             return await self._read(sql, statement, deadline)
-        return await self._write(sql, deadline)
+        return await self._write(sql, deadline, statement.locking)
 
     async def _read(self, sql: str, statement: Statement, deadline: float) -> StatementResult:
         services = self._services()
@@ -192,10 +192,11 @@
             floor = await self._positions.floor(services, deadline)
         return await services.reader.run(sql, floor, allow, self._settings, deadline)
 
-    async def _write(self, sql: str, deadline: float) -> StatementResult:
+    async def _write(self, sql: str, deadline: float, is_read: bool) -> StatementResult:
         services = self._services()
         request_id = self._take_request_id(services.group.spec)
-        result = await services.writer.run(sql, request_id, self._settings, deadline)
+        floor = await self._positions.floor(services, deadline) if is_read else ORIGIN
+        result = await services.writer.run(sql, request_id, self._settings, deadline, floor)
         self._positions.note(services.spec.name, result)
         return result
 
--- a/src/rowanrail/proxy/writes.py
+++ b/src/rowanrail/proxy/writes.py
@@ -52,16 +52,22 @@
         self._recorded_writes = 0
 
     async def run(
-        self, sql: str, request_id: str, settings: tuple[str, ...], deadline: float
+        self,
+        sql: str,
+        request_id: str,
+        settings: tuple[str, ...],
+        deadline: float,
+        floor: Position = ORIGIN,
     ) -> StatementResult:
         """Run a write and confirm it. With a request id it is repeated safely.
 
+        :param floor: what the primary must have applied, for a read that locks.
         :raises CallerError: the caller's error.
         """
         self._statistics.writes += 1
         if request_id and self._records.is_recorded():
             return await self._run_recorded(sql, request_id, settings, deadline)
-        return await self._run_once(sql, settings, deadline, repeat=bool(request_id))
+        return await self._run_once(sql, settings, deadline, bool(request_id), floor)
 
     async def lease_primary(
         self,
@@ -111,10 +117,10 @@
     # Without a request id: sent at most once
 
     async def _run_once(
-        self, sql: str, settings: tuple[str, ...], deadline: float, repeat: bool
+        self, sql: str, settings: tuple[str, ...], deadline: float, repeat: bool, floor: Position
     ) -> StatementResult:
         while True:
-            lease = await self.lease_primary(deadline, Priority.WRITE, settings)
+            lease = await self.lease_primary(deadline, Priority.WRITE, settings, floor)
             try:
                 result = await lease.execute(sql, deadline)
             except BackendRefusedError as error:
--- a/tests/simulation/test_regressions.py
+++ b/tests/simulation/test_regressions.py
@@ -86,6 +86,26 @@
 
         self.run_in_proxy(scenario)
 
+    def test_transaction_waits_until_a_new_primary_has_applied_what_it_holds(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            primary = self.data.primary()
+            for member in self.data.members:
+                if member is not primary:
+                    member.member.set_faults(FaultRequest(lag_seconds=1.0))
+            await session.execute("INSERT INTO edits (operation) VALUES ('x')", {})
+            primary.kill()
+            while self.data.primary() is None:
+                await asyncio.sleep(0.01)
+            query = "SELECT COUNT(*) FROM edits"
+            rows = (await session.execute(f"{query} FOR UPDATE", {})).rows
+            self.assertEqual(rows[0][0], b"1")
+            await session.execute("BEGIN", {})
+            rows = (await session.execute(query, {})).rows
+            self.assertEqual(rows[0][0], b"1")
+
+        self.run_in_proxy(scenario)
+
     def test_pinned_session_does_not_begin_on_an_old_primary(self):
         async def scenario(core):
             session = core.open_session("caller", "data")
