Simulate five control nodes

Cause: only three had ever run. Ruled out: nothing. Change: the size of the simulated control plane is an option; scenario five-control-nodes has the faults of config-durability.

--- a/src/rowanlab/simulator/control_faults.py
+++ b/src/rowanlab/simulator/control_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from rowanlab.simulator.control_world import ZONES, ControlWorld
+from rowanlab.simulator.control_world import ControlWorld
 from rowanlab.simulator.controls import SimulatedControl
 
 
@@ -65,11 +65,12 @@
 
     async def cut_zone(self) -> None:
         """Cut a zone off, both ways or one way."""
-        zone = self.random.choice(ZONES)
+        zones = self._control.zones
+        zone = self.random.choice(zones)
         self.note(f"cut zone {zone}")
-        pairs = [(zone, other) for other in ZONES if other != zone]
+        pairs = [(zone, other) for other in zones if other != zone]
         if self.random.random() < 0.6:
-            pairs += [(other, zone) for other in ZONES if other != zone]
+            pairs += [(other, zone) for other in zones if other != zone]
         for pair in pairs:
             self._world.cut(*pair)
         await self.pause(0.5, 2.0)
--- a/src/rowanlab/simulator/control_scenarios.py
+++ b/src/rowanlab/simulator/control_scenarios.py
@@ -137,7 +137,9 @@
     return after_heal
 
 
-def _control_scenario(name: str, guard: Guard, script: Script, options: ControlOptions) -> Scenario:
+def _control_scenario(
+    name: str, guard: Guard | None, script: Script, options: ControlOptions
+) -> Scenario:
     def run(seed: int, without: Guard | None) -> SeedResult:
         world = World(seed)
         chosen = msgspec.structs.replace(options, honours_sync=without is not Guard.FSYNC)
@@ -151,6 +153,9 @@
     _control_scenario(
         "config-durability", Guard.VERSION_MONOTONIC, _config_durability, ControlOptions()
     ),
+    _control_scenario(
+        "five-control-nodes", None, _config_durability, ControlOptions(nodes=5, proxies_per_zone=1)
+    ),
     _control_scenario(
         "operator-race",
         Guard.EXPECTED_VERSION,
--- a/src/rowanlab/simulator/control_world.py
+++ b/src/rowanlab/simulator/control_world.py
@@ -15,7 +15,7 @@
 from rowanrail.control.messages import ApplyRequest, ChangeReply, ReadReply
 from rowanrail.kernel.registry import Registry
 
-ZONES = ["z1", "z2", "z3"]
+ZONES = ["z1", "z2", "z3", "z4", "z5"]
 CLOCK_RATES = (0.98, 1.02)
 WATCH_SECONDS = 0.02
 IN_FORCE_SECONDS = 5.0
@@ -25,9 +25,11 @@
 class ControlOptions(msgspec.Struct, frozen=True):
     """Size of a control-plane run.
 
+    :param nodes: number of control nodes, each in a zone of its own.
     :param honours_sync: False takes the ``fsync`` guard away.
     """
 
+    nodes: int = 3
     operators: int = 2
     proxies_per_zone: int = 2
     pause_seconds: float = 0.15
@@ -44,7 +46,8 @@
         self.oracle = ControlOracle(world.note)
         self.served = Served()
         self.finished = False
-        names = [f"n{number + 1}" for number in range(len(ZONES))]
+        self.zones = ZONES[: options.nodes]
+        names = [f"n{number + 1}" for number in range(options.nodes)]
         nodes = [NodeAddress(name, f"{name}:7100") for name in names]
         self.controls = [
             SimulatedControl(
@@ -58,11 +61,11 @@
                 options.honours_sync,
                 options.snapshot_entries,
             )
-            for name, zone in zip(names, ZONES, strict=True)
+            for name, zone in zip(names, self.zones, strict=True)
         ]
         self.proxies = [
             self._create_proxy(zone, number, registry)
-            for zone in ZONES
+            for zone in self.zones
             for number in range(options.proxies_per_zone)
         ]
         self.operators = [self._create_operator(f"o{n + 1}") for n in range(options.operators)]
@@ -104,7 +107,7 @@
 
     async def _apply_first(self) -> None:
         users = [UserSpec(f"u{number}", "0" * 40) for number in range(4)]
-        first = Configuration(sites=[SiteSpec("site", "region", ZONES)], users=users)
+        first = Configuration(sites=[SiteSpec("site", "region", self.zones)], users=users)
         leader = self.leader()
         assert leader is not None and leader.node is not None
         request = ApplyRequest(FIRST_CHANGE, "setup", 0, first)
