--- a/tests/integration/test_control_folder.py
+++ b/tests/integration/test_control_folder.py
@@ -70,6 +70,14 @@
         self.assertEqual(after, before)
         self.assertEqual(self.apply(3).returncode, 0)
 
+    def test_folder_that_cannot_be_written(self):
+        self.control.data_folder = "/proc/rowanrail"
+        settings = str(self.control.write_settings())
+        result = run_command("control", "--config", settings, "--bootstrap")
+        self.assertEqual(result.returncode, 1)
+        self.assertIn("create folder [/proc/rowanrail]", result.stderr)
+        self.assertNotIn("Traceback", result.stderr)
+
     def test_damaged_backup(self):
         path = self.control.folder / "damaged"
         path.write_bytes(b"x" * 100)
--- a/tests/support/control.py
+++ b/tests/support/control.py
@@ -26,7 +26,7 @@
         self.log = self.folder / "control.log"
         self._process = None
 
-    def _settings(self):
+    def write_settings(self):
         token_hash = run_command("hash-token", ROWANRAIL_PASSWORD=TOKEN).stdout.strip()
         content = {
             "name": "n1",
@@ -50,7 +50,7 @@
 
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "rowanrail", "control", "--config", self._settings()]
+                [sys.executable, "-m", "rowanrail", "control", "--config", self.write_settings()]
                 + list(arguments),
                 stdout=subprocess.DEVNULL,
                 stderr=log,
