Call stubs stubs

Cause: the scale measurements used the users' word for them, and a stop had a name of our own. Ruled out: nothing.

--- a/src/rowanlab/scale/__init__.py
+++ b/src/rowanlab/scale/__init__.py
@@ -1,1 +1,1 @@
-"""Slopes: what one more of something costs each role, measured on hollow parts."""
+"""Slopes: what one more of something costs each role, measured on stubs."""
--- a/src/rowanlab/scale/control_side.py
+++ b/src/rowanlab/scale/control_side.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from rowanlab.scale.hollow import ZONES, configuration
 from rowanlab.scale.slopes import resident_bytes
+from rowanlab.scale.stubs import ZONES, configuration
 from rowanrail.config.diff import difference
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.control.delta import make_delta, view_for_zone
--- a/src/rowanlab/scale/proxy_side.py
+++ b/src/rowanlab/scale/proxy_side.py
@@ -4,8 +4,8 @@
 import random
 import time
 
-from rowanlab.scale.hollow import ZONES, HollowDriver, configuration
 from rowanlab.scale.slopes import resident_bytes
+from rowanlab.scale.stubs import ZONES, StubDriver, configuration
 from rowanrail.control.messages import WatchReply, WatchRequest
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.config_watch import ConfigurationWatch
@@ -43,7 +43,7 @@
         """Nothing is open."""
 
 
-def _core(driver: HollowDriver, groups: int) -> ProxyCore:
+def _core(driver: StubDriver, groups: int) -> ProxyCore:
     core = ProxyCore(ZONES[0], {}, driver, Registry(), random.Random(1))
     core.start()
     core.apply(configuration(groups))
@@ -53,7 +53,7 @@
 async def _idle(groups: int) -> dict[str, float]:
     """Return what an idle proxy with a number of groups costs."""
     before_bytes = resident_bytes()
-    driver = HollowDriver()
+    driver = StubDriver()
     core = _core(driver, groups)
     await asyncio.sleep(1.0)  # the first round of all members
     began_cpu, began, counted = time.process_time(), time.monotonic(), driver.status_count
@@ -73,7 +73,7 @@
     """Return processor time and bytes of one watch request."""
     network = _SilentNetwork(core.in_force.version)
     watch = ConfigurationWatch(
-        core, network, ["hollow:1"], [], lambda: make_report(core, "p", ZONES[0], "p/1")
+        core, network, ["stub:1"], [], lambda: make_report(core, "p", ZONES[0], "p/1")
     )
     watch.hold(core.in_force)
     began = time.process_time()
--- a/src/rowanlab/scale/hollow.py
+++ b/src/rowanlab/scale/stubs.py
@@ -1,4 +1,4 @@
-"""Hollow parts: configurations of any size, and members that only answer status questions."""
+"""Stubs: configurations of any size, and members that only answer status questions."""
 
 from rowanrail.config.model import (
     Configuration,
@@ -44,13 +44,13 @@
     return GroupSpec(f"group{number}", [f"database{number}"], members, limits=limits)
 
 
-class HollowConnection(BackendConnection):
+class StubConnection(BackendConnection):
     """Answers at once; the first member of each group is its primary."""
 
-    def __init__(self, driver: "HollowDriver", address: str) -> None:
+    def __init__(self, driver: "StubDriver", address: str) -> None:
         self._driver = driver
         role = MemberRole.PRIMARY if address.split(":")[0].endswith(".0") else MemberRole.REPLICA
-        self._status = MemberStatus(role, 1, Position(1, 1), Position(1, 1), False, "hollow")
+        self._status = MemberStatus(role, 1, Position(1, 1), Position(1, 1), False, "stub")
 
     async def execute(self, sql: str) -> StatementResult:
         """See :meth:`BackendConnection.execute`."""
@@ -69,8 +69,8 @@
         """See :meth:`BackendConnection.close`."""
 
 
-class HollowDriver(BackendDriver):
-    """Connects to hollow members and counts their status questions."""
+class StubDriver(BackendDriver):
+    """Connects to stub members and counts their status questions."""
 
     def __init__(self) -> None:
         self.status_count = 0
@@ -79,4 +79,4 @@
         self, address: str, user: str, password: str, database: str
     ) -> BackendConnection:
         """See :meth:`BackendDriver.connect`."""
-        return HollowConnection(self, address)
+        return StubConnection(self, address)
--- a/src/rowanlab/scale/watchers.py
+++ b/src/rowanlab/scale/watchers.py
@@ -1,4 +1,4 @@
-"""Real control nodes under hundreds of hollow proxies that share this process."""
+"""Real control nodes under hundreds of stub proxies that share this process."""
 
 import asyncio
 import random
@@ -26,7 +26,7 @@
 FIRST_VALUE = 100
 
 
-class HollowCore:
+class StubCore:
     """Takes versions and does nothing with them."""
 
     def __init__(self) -> None:
@@ -43,11 +43,11 @@
         """Nothing to share."""
 
 
-class HollowProxies:
-    """Watches of hollow proxies, each with its own connection, spread over the nodes."""
+class StubProxies:
+    """Watches of stub proxies, each with its own connection, spread over the nodes."""
 
     def __init__(self, fleet: Fleet) -> None:
-        self.cores: list[HollowCore] = []
+        self.cores: list[StubCore] = []
         self._fleet = fleet
         self._watches: list[ConfigurationWatch] = []
         self._networks: list[Network] = []
@@ -60,11 +60,11 @@
     def _add(self, number: int) -> None:
         zone = self._fleet.file.controls[number % 3].zone
         controls = sorted(self._fleet.file.controls, key=lambda node: node.zone != zone)
-        core, network = HollowCore(), TcpNetwork()
+        core, network = StubCore(), TcpNetwork()
 
         def report() -> ProxyReport:
             version = core.in_force.version
-            return ProxyReport(f"hollow{number}", zone, f"hollow{number}/1", version)
+            return ProxyReport(f"stub{number}", zone, f"stub{number}/1", version)
 
         watch = ConfigurationWatch(core, network, [node.rpc for node in controls], [], report)
         watch.start()
@@ -102,7 +102,7 @@
 
 
 async def _measure(fleet: Fleet, sizes: list[int]) -> list[dict[str, float]]:
-    proxies, changes = HollowProxies(fleet), _Changes(fleet)
+    proxies, changes = StubProxies(fleet), _Changes(fleet)
     pids = [control.pid for control in fleet.file.controls]
     results = []
     for size in sizes:
@@ -143,7 +143,7 @@
 
 
 def watcher_slopes(sizes: list[int]) -> list[Slope]:
-    """Start control nodes and return the slopes by number of hollow proxies."""
+    """Start control nodes and return the slopes by number of stub proxies."""
     with tempfile.TemporaryDirectory(prefix="rowanrail-scale-") as scratch:
         options = FleetOptions(subnet=free_subnet(SUBNET), groups=1)
         fleet = Fleet(BLUE_MAHOE, options, Path(scratch))
--- a/src/rowanlab/simulator/proxies.py
+++ b/src/rowanlab/simulator/proxies.py
@@ -61,7 +61,7 @@
         self.session: Session | None = None
         self._ended = False
 
-    def say_goodbye(self) -> None:
+    def announce_stop(self) -> None:
         """Tell the caller between statements that the proxy stops."""
         self._ended = True
         assert self.reply is not None
@@ -156,7 +156,7 @@
     def _end_session(self, session: Session) -> None:
         for channel in self._channels:
             if channel.session is session and not session.busy:
-                channel.say_goodbye()
+                channel.announce_stop()
 
     async def _watch(self, process: SimulatedProcess, core: ProxyCore) -> None:
         network = SimulatedNetwork(self._world, process, self._served)
@@ -177,7 +177,7 @@
         self._served.channels.pop(f"{self.host}:{self.port}", None)
         for channel in self._channels:
             if channel.session is None:
-                channel.say_goodbye()
+                channel.announce_stop()
         await self.core.stop(limit_seconds)
         self.kill()
 
--- a/src/rowanrail/mysql/frontend.py
+++ b/src/rowanrail/mysql/frontend.py
@@ -124,7 +124,7 @@
         )
         core.on_session_ended_by_stop = self._end_session
         self._callers: set[CallerSession] = set()
-        self._goodbyes: list[asyncio.Task[None]] = []
+        self._announcements: list[asyncio.Task[None]] = []
 
     def _new_session(self) -> CallerSession:
         session = CallerSession(self._core, self._callers.discard)
@@ -152,7 +152,7 @@
         A process that ends with requests unread resets its connections, and a reset discards
         what the other end has not read yet (RFC 1122, 4.2.2.13).
         """
-        await asyncio.gather(*self._goodbyes)
+        await asyncio.gather(*self._announcements)
 
     def _end_session(self, session: Session) -> None:
         """Tell a caller between statements that the proxy stops, and close after that.
@@ -162,12 +162,12 @@
         """
         for caller in self._callers:
             if caller.session is session and caller.connection is not None:
-                self._goodbyes.append(asyncio.ensure_future(_say_goodbye(caller.connection)))
+                self._announcements.append(asyncio.ensure_future(_announce_stop(caller.connection)))
                 self._callers.discard(caller)
                 return
 
 
-async def _say_goodbye(connection: ServedConnection) -> None:
+async def _announce_stop(connection: ServedConnection) -> None:
     error = MysqlError("not run: this proxy is stopping; retry after 0.500 s", CallerCode.NOT_RUN)
     with contextlib.suppress(ConnectionError, RuntimeError):
         next(connection.stream.seq)
--- a/src/rowanrail/proxy/config_watch.py
+++ b/src/rowanrail/proxy/config_watch.py
@@ -32,7 +32,7 @@
 
 
 class ConfigurationHolder(Protocol):
-    """Where versions come into force: the proxy's core, or a hollow one."""
+    """Where versions come into force: the proxy's core, or a stub."""
 
     in_force: VersionedConfiguration
 
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from rowanlab.scale.hollow import ZONES, HollowDriver, configuration
+from rowanlab.scale.stubs import ZONES, StubDriver, configuration
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy import groups
 from rowanrail.proxy.groups import ALWAYS_WATCHED_GROUPS, GroupTable
@@ -16,7 +16,7 @@
 class TestWatchedGroups(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.table = GroupTable(
-            ZONES[0], {}, HollowDriver(), Registry(), random.Random(1), lambda: 0.0
+            ZONES[0], {}, StubDriver(), Registry(), random.Random(1), lambda: 0.0
         )
         self.addCleanup(self.table.close)
         self.specs = configuration(GROUPS).configuration.groups
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from rowanlab.scale.hollow import HollowConnection, HollowDriver
+from rowanlab.scale.stubs import StubConnection, StubDriver
 from rowanrail.kernel.errors import NotRunError
 from rowanrail.proxy.policies import LateAnswerDiscard
 from rowanrail.proxy.pool import Pool, PoolLimits, Priority
@@ -14,7 +14,7 @@
 class TestQueue(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         async def open_connection():
-            return HollowConnection(HollowDriver(), "m:1")
+            return StubConnection(StubDriver(), "m:1")
 
         self.pool = Pool("m", PoolLimits(1, 1, 2), open_connection, LateAnswerDiscard())
         self.loop = asyncio.get_running_loop()
