--- a/tests/simulation/test_requests.py
+++ b/tests/simulation/test_requests.py
@@ -8,6 +8,7 @@
 from rowanlab.simulator.world import FIRST_WALL_CLOCK, World
 from rowanrail.kernel.errors import NotRunError, RequestConflictError
 from rowanrail.kernel.events import silence
+from rowanrail.proxy.writes import CLEAN_UP_EVERY_WRITES
 
 REQUEST_ID = f"{int(FIRST_WALL_CLOCK)}-request"
 INSERT = "INSERT INTO edits (operation) VALUES ('{}')"
@@ -74,6 +75,22 @@
 
         self.run_scenario(scenario)
 
+    def test_records_past_the_horizon_are_removed(self):
+        old = "INSERT INTO rowanrail_requests VALUES ('old', 'd', 'done', 1, 0, 1000)"
+
+        async def scenario():
+            await self.at(1, *self.recorded("x"))
+            await self.at(1, old)
+            writer = self.data.proxies[0].core.services()[0].writer
+            writer._recorded_writes = CLEAN_UP_EVERY_WRITES - 1
+            await self.at(1, f"SET @rowanrail_request_id = '{REQUEST_ID}2'", INSERT.format("y"))
+            await asyncio.sleep(1.0)
+            rows = (await self.at(2, "SELECT id FROM rowanrail_requests ORDER BY id")).rows
+            kept = [row[0].decode() for row in rows]
+            self.assertEqual(kept, [REQUEST_ID, f"{REQUEST_ID}2"])
+
+        self.run_scenario(scenario)
+
     def test_an_idle_transaction_is_rolled_back(self):
         async def idle():
             session = self.data.proxies[0].core.open_session("caller", "data")
