Begin transactions only where the primary's own status has the floor

Cause: a primary was demoted (its machine was leaving) after it had committed a write and before it learned that a majority held it, and undid it.

Ruled out: the acknowledgement (a majority held the write; it lasted), and the transaction's own writes (its commit was refused as not run).

Change: only the member's status counts, whatever the term. What it has committed is never undone.

--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import sys
 from collections.abc import Callable
 
 import msgspec
@@ -210,14 +209,11 @@
     def _has_applied(self, primary: Member, floor: Position) -> bool:
         """Return whether reads at a primary see all up to ``floor``.
 
-        What was acknowledged in its own term it has written itself. What was acknowledged in
-        earlier terms it holds, since a majority elected it, but it may not have applied it yet:
-        there its own word counts.
+        Only its own word counts. It may hold a write of an earlier term and not have applied
+        it yet; and a write of its own term may be undone at it, if it is demoted before it
+        learns that a majority holds the write.
         """
-        applied = primary.monitor.committed
-        if _term_of(primary) == floor.term:
-            applied = Position(floor.term, sys.maxsize)
-        return self.freshness.is_fresh(applied, floor)
+        return self.freshness.is_fresh(primary.monitor.committed, floor)
 
     async def _wait_change(self, until: float) -> None:
         self._changed.clear()
--- a/tests/simulation/test_regressions.py
+++ b/tests/simulation/test_regressions.py
@@ -106,6 +106,24 @@
 
         self.run_in_proxy(scenario)
 
+    def test_transaction_does_not_trust_a_primary_that_was_demoted_after_the_write(self):
+        async def scenario(core):
+            session = core.open_session("caller", "data")
+            primary = self.data.primary()
+            for member in self.data.members:  # it does not learn that the others hold the write
+                if member is not primary:
+                    self.world.cut(member.name, primary.name)
+            await session.execute("INSERT INTO edits (operation) VALUES ('x')", {})
+            primary.member.set_faults(FaultRequest(leaving=True))
+            try:
+                await session.execute("BEGIN", {})
+                rows = (await session.execute("SELECT COUNT(*) FROM edits", {})).rows
+            except NotRunError:
+                return
+            self.assertEqual(rows[0][0], b"1")
+
+        self.run_in_proxy(scenario)
+
     def test_pinned_session_does_not_begin_on_an_old_primary(self):
         async def scenario(core):
             session = core.open_session("caller", "data")
