--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m nose2 --config unittest.cfg
 
 check: setup
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src platform tests
+	$(BIN)/ruff check src platform tests
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src platform tests
+	$(BIN)/ruff check --fix src platform tests
 
 docs: setup
 	$(BIN)/rowanlab docs
--- a/src/rowanlab/documents.py
+++ b/src/rowanlab/documents.py
@@ -7,10 +7,19 @@
 
 from rowanrail.config import model, settings
 from rowanrail.control import events as _control_events
+from rowanrail.coordination import events as _coordination_events
+from rowanrail.gateway import events as _gateway_events
+from rowanrail.kernel import decisions as _decision_events
 from rowanrail.kernel.events import CATALOGUE
 from rowanrail.proxy import events as _proxy_events
 
-EVENT_MODULES = (_control_events, _proxy_events)
+EVENT_MODULES = (
+    _control_events,
+    _coordination_events,
+    _decision_events,
+    _gateway_events,
+    _proxy_events,
+)
 _NOTE = "This page is made by `make docs`; a test holds it against the code.\n"
 
 CONFIGURATION_TYPES: list[type[msgspec.Struct]] = [
@@ -26,6 +35,8 @@
 SETTINGS_TYPES: list[type[msgspec.Struct]] = [
     settings.ProxySettings,
     settings.ControlSettings,
+    settings.GatewaySettings,
+    settings.CoordinatorSettings,
     settings.NodeAddress,
     settings.OperatorSpec,
     settings.LogSettings,
--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -17,6 +17,8 @@
 
     PROXY = "proxy"
     CONTROL = "control"
+    GATEWAY = "gateway"
+    COORDINATOR = "coordinator"
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -75,6 +77,58 @@
     log: LogSettings = LogSettings()
 
 
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a gateway: the proxy for clients that send typed statements."""
+
+    name: str
+    zone: str
+    listen: str
+    ready_listen: str
+    control_nodes: list[str]
+    rpc_port: int
+    protocol: str
+    stop_seconds: float = 6.0
+
+
+class CoordinatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a control node for gateways."""
+
+    name: str
+    zone: str
+    data_folder: str
+    listen: str
+    host: str
+    control_nodes: list[str]
+    rpc_port: int
+    protocol: str
+    bootstrap: bool = False
+    tolerated_losses: int = 1
+    promoter_address: str = ""
+    heartbeat_seconds: float = 0.15
+    election_timeout_seconds: float = 0.8
+    snapshot_entries: int = 200
+
+    @property
+    def rpc_listen(self) -> str:
+        """Address for the other processes of the system."""
+        return f"{self.host}:{self.rpc_port}"
+
+    @property
+    def peers(self) -> list[str]:
+        """Addresses of the control nodes that the settings name, for the system's own calls."""
+        return rpc_addresses(self.control_nodes, self.rpc_port)
+
+    @property
+    def voters(self) -> int:
+        """How many control nodes vote: a majority is left after the tolerated losses."""
+        return max(3, 2 * self.tolerated_losses + 1)
+
+
+def rpc_addresses(control_nodes: list[str], rpc_port: int) -> list[str]:
+    """Return where the control nodes take the system's own calls: same host, other port."""
+    return [f"{address.rpartition(':')[0]}:{rpc_port}" for address in control_nodes]
+
+
 FIELD_HELP: dict[str, str] = {
     "ProxySettings.name": "Name of the proxy, unique in the system.",
     "ProxySettings.zone": "Zone that the proxy is in.",
@@ -89,6 +143,28 @@
     "ProxySettings.directory": "URL of the platform's list of live and leaving machines.",
     "ProxySettings.stop_seconds": "Longest time that a planned stop waits for open transactions.",
     "ProxySettings.log": "Logging.",
+    "GatewaySettings.name": "Name of the gateway, unique in the system.",
+    "GatewaySettings.zone": "Zone that the gateway is in.",
+    "GatewaySettings.listen": "`IP:port` for clients.",
+    "GatewaySettings.ready_listen": "`IP:port` for the question whether clients are welcome.",
+    "GatewaySettings.control_nodes": "`IP:port` of control nodes; the port is the operators'.",
+    "GatewaySettings.rpc_port": "Port of the control nodes for the system's own calls.",
+    "GatewaySettings.protocol": "Name of the plug-ins that speak to clients and members.",
+    "GatewaySettings.stop_seconds": "Longest time that a planned stop may take.",
+    "CoordinatorSettings.name": "Name of the control node; it is told to the platform.",
+    "CoordinatorSettings.zone": "Zone that the node is in.",
+    "CoordinatorSettings.data_folder": "Folder for the node's durable state.",
+    "CoordinatorSettings.listen": "`IP:port` for operators and members.",
+    "CoordinatorSettings.host": "IP of the node for the system's own calls.",
+    "CoordinatorSettings.control_nodes": "`IP:port` of control nodes; the port is the operators'.",
+    "CoordinatorSettings.rpc_port": "Port of all control nodes for the system's own calls.",
+    "CoordinatorSettings.protocol": "Name of the plug-ins that speak to operators and members.",
+    "CoordinatorSettings.bootstrap": "First start of a new system, with empty folders.",
+    "CoordinatorSettings.tolerated_losses": "Nodes that may be lost at once.",
+    "CoordinatorSettings.promoter_address": "`IP:port` of the platform's calls; empty for none.",
+    "CoordinatorSettings.heartbeat_seconds": "Interval of the leader's heartbeats.",
+    "CoordinatorSettings.election_timeout_seconds": "Silence after which a leader is elected.",
+    "CoordinatorSettings.snapshot_entries": "Log entries after which a snapshot is taken.",
     "LogSettings.format": "`lines` or `json`.",
     "LogSettings.level": "Lowest level that is written: `info`, `warning` or `error`.",
     "ControlSettings.name": "Name of the control node.",
@@ -111,9 +187,12 @@
 }
 
 
+AnySettings = ProxySettings | ControlSettings | GatewaySettings | CoordinatorSettings
+
+
 def load_settings(
     path: Path, daemon: Daemon, overrides: dict[str, Any]
-) -> Result[ProxySettings | ControlSettings, list[str]]:
+) -> Result[AnySettings, list[str]]:
     """Return a daemon's settings with flags laid over them, or all problems."""
     document = read_yaml(path)
     if isinstance(document, Failure):
@@ -125,6 +204,14 @@
         return convert(content, ProxySettings, str(path)).bind(
             lambda settings: _checked(settings, _proxy_addresses(settings), str(path))
         )
+    if daemon is Daemon.GATEWAY:
+        return convert(content, GatewaySettings, str(path)).bind(
+            lambda settings: _checked(settings, _gateway_addresses(settings), str(path))
+        )
+    if daemon is Daemon.COORDINATOR:
+        return convert(content, CoordinatorSettings, str(path)).bind(
+            lambda settings: _checked(settings, _coordinator_addresses(settings), str(path))
+        )
     return convert(content, ControlSettings, str(path)).bind(
         lambda settings: _checked(settings, _control_addresses(settings), str(path))
     )
@@ -144,6 +231,22 @@
     return addresses
 
 
+def _control_node_addresses(control_nodes: list[str]) -> dict[str, str]:
+    return {f"control_nodes[{position}]": address for position, address in enumerate(control_nodes)}
+
+
+def _gateway_addresses(settings: GatewaySettings) -> dict[str, str]:
+    own = {"listen": settings.listen, "ready_listen": settings.ready_listen}
+    return own | _control_node_addresses(settings.control_nodes)
+
+
+def _coordinator_addresses(settings: CoordinatorSettings) -> dict[str, str]:
+    own = {"listen": settings.listen, "host with rpc_port": settings.rpc_listen}
+    if settings.promoter_address:
+        own["promoter_address"] = settings.promoter_address
+    return own | _control_node_addresses(settings.control_nodes)
+
+
 def _control_addresses(settings: ControlSettings) -> dict[str, str]:
     addresses = {"rpc_listen": settings.rpc_listen, "http_listen": settings.http_listen}
     for position, node in enumerate(settings.nodes):
@@ -159,8 +262,11 @@
     ]
     if isinstance(settings, ControlSettings):
         problems += _check_control(settings, source)
-    elif not settings.controls:
-        problems.append(f"{source}: controls: empty; name the control nodes")
+    elif isinstance(settings, ProxySettings):
+        if not settings.controls:
+            problems.append(f"{source}: controls: empty; name the control nodes")
+    elif not settings.control_nodes:
+        problems.append(f"{source}: control_nodes: empty; name the control nodes")
     return Failure(problems) if problems else Success(settings)
 
 
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -69,6 +69,10 @@
         """Return how long ago ``node`` last answered the leader."""
         return self._progress.answered_seconds_ago(node, now)
 
+    def heard_seconds_ago(self, now: float) -> float:
+        """Return how long ago this node last heard from a leader."""
+        return now - self._heard_from_leader_at
+
     def take_effects(self) -> Effects:
         """Return and forget the effects that accumulated."""
         self._collect_committed()
--- /dev/null
+++ b/src/rowanrail/coordination/daemon.py
@@ -0,0 +1,65 @@
+"""The control daemon for gateways: a control node as a process."""
+
+import asyncio
+import os
+import random
+import signal
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+from aiohttp import web
+
+from rowanrail.config.settings import CoordinatorSettings
+from rowanrail.coordination.events import NODE_STARTED, NODE_STOPPED, SETTINGS_NOT_READ
+from rowanrail.coordination.node import Coordinator
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.disk import FileDisk
+from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.registry import Registry
+from rowanrail.rpc.network import Network
+
+
+class OutsideApi(ABC):
+    """Port: the interface for operators and members, a plug-in of kind ``outside-api``.
+
+    Made with the service, the settings and the decision log as its arguments.
+    """
+
+    @abstractmethod
+    def application(self) -> web.Application:
+        """Return the web application."""
+
+
+async def run_coordinator(settings: CoordinatorSettings) -> None:
+    """Run a control node until a stop signal.
+
+    :raises RowanrailError: if the folder or an address can't be used.
+    """
+    os.set_blocking(1, False)
+    registry = Registry()
+    decisions = DecisionLog(settings.name)
+    network: Network = registry.create("network", "tcp")
+    disk = FileDisk(Path(settings.data_folder))
+    node = Coordinator(settings, network, disk, random.Random(), registry, decisions)
+    protocol = settings.protocol
+    await node.start(
+        registry.create("member-driver", protocol),
+        registry.create("status-reader", protocol),
+        registry.create("promoter", protocol, settings),
+    )
+    service: CoordinationService = node.service
+    api: OutsideApi = registry.create("outside-api", protocol, service, settings, decisions)
+    runner = await serve_http(api.application(), settings.listen)
+    decisions.note(NODE_STARTED, node=node.consensus.identity.node, term=node.consensus.raft.term)
+    decisions.flush()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP, lambda: decisions.note(SETTINGS_NOT_READ, node=settings.name)
+    )
+    await wait_for_stop_signal()
+    await runner.cleanup()
+    await node.stop()
+    await network.close()
+    disk.close()
+    decisions.note(NODE_STOPPED, node=settings.name)
+    decisions.flush()
--- /dev/null
+++ b/src/rowanrail/coordination/duty.py
@@ -0,0 +1,335 @@
+"""The failover duty: the shell around :mod:`rowanrail.coordination.failover`.
+
+Only an established leader holds the duty. It samples each primary itself, as one vantage
+point beside the gateways, asks statuses when a primary seems lost, makes its intent durable,
+and then asks the platform to promote, with the intent's place in the log as fencing token.
+"""
+
+import asyncio
+import enum
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from rowanrail.consensus.node import ConsensusNode
+from rowanrail.coordination.events import (
+    PROMOTION_ANSWERED,
+    PROMOTION_DECIDED,
+    PROMOTION_WAITS,
+)
+from rowanrail.coordination.failover import (
+    Action,
+    AttemptView,
+    Decision,
+    MemberView,
+    ReportView,
+    ServiceView,
+    decide,
+)
+from rowanrail.coordination.messages import IntendPromotion, Promotion, SetProxies
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.gateway.channel import Channel, MemberDriver
+from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.errors import RowanrailError
+from rowanrail.proxy.backend import Position
+
+STEP_SECONDS = 0.1
+STATUS_SECONDS = 0.3
+PROXIES_SECONDS = 1.0
+SHRINK_SECONDS = 8.0
+OWN_SOURCE = "failover-duty"
+
+
+class PromotionOutcome(enum.Enum):
+    """What the platform said to an order to promote."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Promoter(ABC):
+    """Port: asks the platform to make a member its service's primary."""
+
+    @abstractmethod
+    async def promote(self, service: str, instance: str, token: int) -> PromotionOutcome:
+        """Send one order; without an answer it may still be carried out."""
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """A member's status, parsed by the driver."""
+
+    leads: bool
+    received: Position
+
+
+class StatusReader(ABC):
+    """Port: how a status answer of a member reads."""
+
+    @abstractmethod
+    def read(self, answer: Answer) -> MemberStatus | None:
+        """Return the status in an answer, None if it holds none."""
+
+
+class _Attempt:
+    def __init__(self, instance: str, started_at: float) -> None:
+        self.instance = instance
+        self.started_at = started_at
+        self.accepted: bool | None = None
+
+
+class FailoverDuty:
+    """Watches the primaries while its node leads."""
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        service: CoordinationService,
+        driver: MemberDriver,
+        reader: StatusReader,
+        promoter: Promoter,
+        decisions: DecisionLog,
+    ) -> None:
+        self._node = node
+        self._service = service
+        self._driver = driver
+        self._reader = reader
+        self._promoter = promoter
+        self._decisions = decisions
+        self._trackers: dict[str, PrimaryTracker] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._waiting_reasons: dict[str, str] = {}
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._holding_since: float | None = None
+        self._known_revision = -1
+        self._proxies_due = 0.0
+        self._fewer_since: float | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop."""
+        for task in (self._task, *self._tasks):
+            if task is not None:
+                task.cancel()
+        self._release()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_SECONDS)
+            self._decisions.flush()
+            if not self._node.raft.is_established_leader:
+                self._release()
+                continue
+            if self._holding_since is None:
+                self._holding_since = self._now()
+            self._follow_directory()
+            for name, tracker in self._trackers.items():
+                tracker.tick(in_use=True)
+                self._consider(name)
+            self._count_proxies()
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def _release(self) -> None:
+        self._holding_since = None
+        self._known_revision = -1
+        self._attempts.clear()
+        for tracker in self._trackers.values():
+            tracker.close()
+        self._trackers.clear()
+
+    def _members(self, service: str) -> list[MemberRecord]:
+        return [m for m in self._service.state.members.values() if m.service == service]
+
+    def _follow_directory(self) -> None:
+        state = self._service.state
+        if state.revision == self._known_revision:
+            return
+        self._known_revision = state.revision
+        services = {member.service for member in state.members.values()}
+        for name in list(self._trackers):
+            if name not in services:
+                self._trackers.pop(name).close()
+        for name in services:
+            if name not in self._trackers:
+                loop = asyncio.get_running_loop()
+                self._trackers[name] = PrimaryTracker(name, self._driver, loop)
+            self._trackers[name].set_members(self._members(name))
+
+    # Deciding
+
+    def _consider(self, service: str) -> None:
+        if service in self._busy:
+            return
+        decision = decide(self._view(service, {}))
+        if decision.action is Action.WAIT:
+            self._waiting_reasons.pop(service, None)
+            return
+        self._busy.add(service)
+        task = asyncio.ensure_future(self._replace(service, decision))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _replace(self, service: str, first: Decision) -> None:
+        try:
+            statuses = await self._ask_statuses(service)
+            decision = decide(self._view(service, statuses, statuses_fresh=True))
+            if decision.action is Action.PROMOTE:
+                await self._promote(service, decision)
+            elif self._waiting_reasons.get(service) != decision.reason:
+                self._waiting_reasons[service] = decision.reason
+                self._decisions.note(
+                    PROMOTION_WAITS, service=service, cause=first.reason, reason=decision.reason
+                )
+        except RowanrailError as error:
+            self._decisions.note(
+                PROMOTION_WAITS, service=service, cause=first.reason, reason=str(error)
+            )
+        finally:
+            self._busy.discard(service)
+
+    def _view(
+        self, service: str, statuses: dict[str, MemberStatus], statuses_fresh: bool = False
+    ) -> ServiceView:
+        now = self._now()
+        liveness = self._service.liveness
+        members = []
+        for record in self._members(service):
+            status = statuses.get(record.instance)
+            members.append(
+                MemberView(
+                    record,
+                    liveness.heartbeat_ago(record.instance),
+                    status.leads if status else None,
+                    status.received if status else None,
+                )
+            )
+        health = self._trackers[service].health()
+        own = ReportView(
+            OWN_SOURCE, health.instance, health.proved_ago, health.failing_for, age=0.0
+        )
+        holding_since = now if self._holding_since is None else self._holding_since
+        return ServiceView(
+            service,
+            members,
+            [own, *liveness.views(service)],
+            self._attempt_view(service, now),
+            now - holding_since,
+            statuses_fresh,
+        )
+
+    def _attempt_view(self, service: str, now: float) -> AttemptView | None:
+        attempt = self._attempts.get(service)
+        if attempt is None:
+            return None
+        return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
+
+    async def _ask_statuses(self, service: str) -> dict[str, MemberStatus]:
+        """Ask all members at once; those that do not answer in time are left out."""
+        loop = asyncio.get_running_loop()
+        statuses: dict[str, MemberStatus] = {}
+        channels: list[Channel] = []
+        done = loop.create_future()
+        outstanding = len(self._members(service))
+
+        def finish_one() -> None:
+            nonlocal outstanding
+            outstanding -= 1
+            if outstanding <= 0 and not done.done():
+                done.set_result(None)
+
+        def ask(record: MemberRecord) -> Channel:
+            def on_status(answer: Answer) -> None:
+                status = self._reader.read(answer)
+                if status is not None:
+                    statuses[record.instance] = status
+                finish_one()
+
+            def on_open(channel: Channel, answer: Answer) -> None:
+                if answer.refusal is not None:
+                    finish_one()
+                else:
+                    channel.send([Command(CommandKind.STATUS)], [on_status])
+
+            return Channel(record.address, record.instance, on_open)
+
+        for record in self._members(service):
+            channel = ask(record)
+            channels.append(channel)
+            self._driver.open(record.address, record.service, record.instance, channel)
+        try:
+            async with asyncio.timeout(STATUS_SECONDS):
+                await done
+        except TimeoutError:
+            pass
+        for channel in channels:
+            channel.close()
+        return dict(statuses)
+
+    # Acting
+
+    async def _promote(self, service: str, decision: Decision) -> None:
+        intent = IntendPromotion(service, decision.instance, decision.reason)
+        promotion = await self._service.propose(intent)
+        assert isinstance(promotion, Promotion)
+        if not self._node.raft.is_established_leader:
+            return
+        attempt = _Attempt(decision.instance, self._now())
+        self._attempts[service] = attempt
+        self._decisions.note(
+            PROMOTION_DECIDED,
+            service=service,
+            instance=decision.instance,
+            token=promotion.token,
+            term=self._node.raft.term,
+            reason=decision.reason,
+        )
+        outcome = await self._promoter.promote(service, decision.instance, promotion.token)
+        if outcome is not PromotionOutcome.UNKNOWN:
+            attempt.accepted = outcome is PromotionOutcome.ACCEPTED
+        self._decisions.note(
+            PROMOTION_ANSWERED,
+            service=service,
+            instance=decision.instance,
+            token=promotion.token,
+            outcome=outcome.value,
+            seconds=round(self._now() - attempt.started_at, 3),
+        )
+
+    # Counting gateways
+
+    def _count_proxies(self) -> None:
+        now = self._now()
+        if now < self._proxies_due or "proxies" in self._busy:
+            return
+        self._proxies_due = now + PROXIES_SECONDS
+        count = self._service.liveness.gateways()
+        known = self._service.state.proxies
+        if count >= known:
+            self._fewer_since = None
+        elif self._fewer_since is None:
+            self._fewer_since = now
+        # Fewer are believed late: those not heard may be alive with their connections.
+        is_fewer = self._fewer_since is not None and now - self._fewer_since > SHRINK_SECONDS
+        if count > known or (count and is_fewer):
+            self._busy.add("proxies")
+            task = asyncio.ensure_future(self._log_proxies(count))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _log_proxies(self, count: int) -> None:
+        try:
+            await self._service.propose(SetProxies(count))
+        except RowanrailError:
+            pass  # counted again in a moment
+        finally:
+            self._busy.discard("proxies")
--- /dev/null
+++ b/src/rowanrail/coordination/failover.py
@@ -0,0 +1,152 @@
+"""The decision to replace a primary, apart from any I/O.
+
+A view of one service goes in, a decision comes out; the shell in ``duty.py`` carries it out.
+A primary counts as lost only when every vantage point that can tell agrees: the gateways
+that used it, the holder's own samples, and its heartbeats. One frozen gateway, a cut zone or
+a deaf replica is no lost primary.
+"""
+
+import enum
+
+import msgspec
+
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.proxy.backend import Position
+
+FAILING_SECONDS = 0.4
+REPORT_LIVE_SECONDS = 2.5
+PROVED_LIVE_SECONDS = 0.9
+HEARTBEAT_SILENCE_SECONDS = 0.5
+SETTLE_SECONDS = 2.5
+ANSWER_UNKNOWN_SECONDS = 1.6
+NEW_HOLDER_SECONDS = 1.5
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """A member as the holder sees it; ages in seconds.
+
+    :param heartbeat_ago: since its last heartbeat, as far as the holder knows.
+    :param leads: what its last status said; None if it did not answer one.
+    :param received: its log's last position by that status.
+    """
+
+    record: MemberRecord
+    heartbeat_ago: float
+    leads: bool | None = None
+    received: Position | None = None
+
+
+class ReportView(msgspec.Struct, frozen=True):
+    """What one vantage point says of the primary; ages in seconds."""
+
+    source: str
+    instance: str
+    proved_ago: float
+    failing_for: float
+    age: float
+
+
+class AttemptView(msgspec.Struct, frozen=True):
+    """The last promotion that this holder asked for.
+
+    :param accepted: whether the platform took the order; None if it gave no answer.
+    """
+
+    instance: str
+    started_ago: float
+    accepted: bool | None
+
+
+class ServiceView(msgspec.Struct, frozen=True):
+    """All that decides about one service."""
+
+    service: str
+    members: list[MemberView]
+    reports: list[ReportView]
+    attempt: AttemptView | None
+    holding_for: float
+    statuses_fresh: bool = False
+
+
+class Action(enum.Enum):
+    """What to do."""
+
+    WAIT = "wait"
+    ASK_STATUSES = "ask-statuses"
+    PROMOTE = "promote"
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """An action with its reason."""
+
+    action: Action
+    reason: str
+    instance: str = ""
+
+
+def decide(view: ServiceView) -> Decision:
+    """Return what to do about a service's primary."""
+    if view.attempt is not None and _is_unsettled(view, view.attempt):
+        return Decision(Action.WAIT, "a promotion is under way")
+    reason = _reason_to_replace(view)
+    if not reason:
+        return Decision(Action.WAIT, "the primary serves")
+    if not view.statuses_fresh:
+        return Decision(Action.ASK_STATUSES, reason)
+    if any(member.leads and not member.record.leaving for member in view.members):
+        return Decision(Action.WAIT, "a member says that it leads")
+    candidate = _best_candidate(view)
+    if candidate is None:
+        return Decision(Action.WAIT, "no candidate answers")
+    return Decision(Action.PROMOTE, reason, candidate)
+
+
+def _is_unsettled(view: ServiceView, attempt: AttemptView) -> bool:
+    if any(m.record.instance == attempt.instance and m.record.primary for m in view.members):
+        return False
+    if attempt.accepted is False:
+        return False
+    limit = SETTLE_SECONDS if attempt.accepted else ANSWER_UNKNOWN_SECONDS
+    return attempt.started_ago < limit
+
+
+def _reason_to_replace(view: ServiceView) -> str:
+    """Return why the primary is to be replaced; empty if it is not."""
+    primaries = [member for member in view.members if member.record.primary]
+    if not view.members:
+        return ""
+    if not primaries:
+        return "no member leads" if view.holding_for > NEW_HOLDER_SECONDS else ""
+    if all(member.record.leaving for member in primaries):
+        return "the primary is leaving"
+    if view.holding_for < NEW_HOLDER_SECONDS:
+        return ""
+    if min(member.heartbeat_ago for member in primaries) < HEARTBEAT_SILENCE_SECONDS:
+        return ""
+    names = {member.record.instance for member in primaries}
+    live = [report for report in view.reports if report.age < REPORT_LIVE_SECONDS]
+    serving = [
+        report
+        for report in live
+        if 0 <= report.proved_ago + report.age < PROVED_LIVE_SECONDS and not report.failing_for
+    ]
+    failing = [
+        report
+        for report in live
+        if report.failing_for >= FAILING_SECONDS and report.instance in names | {""}
+    ]
+    if serving or not failing:
+        return ""
+    return f"the primary is lost: {len(failing)} vantage points fail, none succeeds"
+
+
+def _best_candidate(view: ServiceView) -> str | None:
+    candidates = [
+        member
+        for member in view.members
+        if not member.record.leaving and member.received is not None and not member.leads
+    ]
+    if not candidates:
+        return None
+    best = max(candidates, key=lambda member: (member.received, member.record.instance))
+    return best.record.instance
--- /dev/null
+++ b/src/rowanrail/coordination/liveness.py
@@ -0,0 +1,63 @@
+"""What the leader hears and no log keeps: heartbeats of members, reports of gateways."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.coordination.failover import ReportView
+from rowanrail.coordination.messages import GatewayReport
+
+FORGET_GATEWAY_SECONDS = 12.0
+NEVER_SECONDS = 1e9
+
+
+class _HeardReport(msgspec.Struct):
+    report: GatewayReport
+    at: float
+
+
+class Liveness:
+    """Moments at which members and gateways were last heard, on the steady clock."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._heartbeats: dict[str, float] = {}
+        self._sequences: dict[str, int] = {}
+        self._reports: dict[str, _HeardReport] = {}
+
+    def heartbeat(self, instance: str, sequence: int) -> None:
+        """Note a heartbeat, unless it is one that came late."""
+        if sequence < self._sequences.get(instance, -1):
+            return
+        self._sequences[instance] = sequence
+        self._heartbeats[instance] = self._now()
+
+    def forget_member(self, instance: str) -> None:
+        """Forget a member that has ended."""
+        self._heartbeats.pop(instance, None)
+        self._sequences.pop(instance, None)
+
+    def heartbeat_ago(self, instance: str) -> float:
+        """Return the age of a member's last heartbeat in seconds."""
+        heard = self._heartbeats.get(instance)
+        return NEVER_SECONDS if heard is None else self._now() - heard
+
+    def report(self, report: GatewayReport) -> None:
+        """Note a gateway's report."""
+        self._reports[report.gateway] = _HeardReport(report, self._now())
+
+    def gateways(self) -> int:
+        """Return how many gateways were heard a short while ago."""
+        limit = self._now() - FORGET_GATEWAY_SECONDS
+        self._reports = {name: heard for name, heard in self._reports.items() if heard.at >= limit}
+        return len(self._reports)
+
+    def views(self, service: str) -> list[ReportView]:
+        """Return what the gateways say of a service's primary."""
+        now = self._now()
+        return [
+            ReportView(name, health.instance, health.proved_ago, health.failing_for, now - heard.at)
+            for name, heard in self._reports.items()
+            for health in heard.report.services
+            if health.service == service
+        ]
--- /dev/null
+++ b/src/rowanrail/coordination/messages.py
@@ -0,0 +1,169 @@
+"""Commands of the replicated log, and messages between gateways and control nodes."""
+
+import enum
+
+import msgspec
+
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.rpc.codec import message
+
+# Commands. Each is applied by every node in the order of the log.
+
+
+class PutDocument(msgspec.Struct, frozen=True, tag="document"):
+    """A configuration under the operator's own version; ``document`` is compressed (zlib)."""
+
+    version: int
+    document: bytes
+
+
+class Announce(msgspec.Struct, frozen=True, tag="announce"):
+    """A member came, or changed something that others must know."""
+
+    record: MemberRecord
+
+
+class Remove(msgspec.Struct, frozen=True, tag="remove"):
+    """A member has ended, by its own word."""
+
+    instance: str
+
+
+class SetProxies(msgspec.Struct, frozen=True, tag="proxies"):
+    """How many gateways share the members' connections."""
+
+    count: int
+
+
+class IntendPromotion(msgspec.Struct, frozen=True, tag="promotion"):
+    """The holder of the failover duty is about to promote a member.
+
+    The entry's place in the log is the call's fencing token: it only grows, whoever leads.
+    """
+
+    service: str
+    instance: str
+    reason: str
+
+
+Command = PutDocument | Announce | Remove | SetProxies | IntendPromotion
+
+
+class Promotion(msgspec.Struct, frozen=True):
+    """The last promotion of a service that was decided."""
+
+    instance: str
+    token: int
+
+
+class PutVerdict(enum.Enum):
+    """What became of a configuration."""
+
+    TAKEN = "taken"
+    HELD = "held"
+
+
+# Messages to the leader
+
+
+@message
+class PutRequest(msgspec.Struct, frozen=True):
+    """Accept a configuration."""
+
+    version: int
+    document: bytes
+
+
+@message
+class PutReply(msgspec.Struct, frozen=True):
+    """The configuration is durable on a majority, or a higher one is."""
+
+    verdict: PutVerdict
+    version: int
+
+
+@message
+class DocumentRequest(msgspec.Struct, frozen=True):
+    """Read the newest configuration, confirmed by a majority."""
+
+
+@message
+class DocumentReply(msgspec.Struct, frozen=True):
+    """The newest configuration; version 0 if there is none."""
+
+    version: int
+    document: bytes
+
+
+@message
+class AnnounceRequest(msgspec.Struct, frozen=True):
+    """Make what a member announced durable."""
+
+    record: MemberRecord
+
+
+@message
+class RemoveRequest(msgspec.Struct, frozen=True):
+    """Make a member's end durable."""
+
+    instance: str
+
+
+@message
+class Done(msgspec.Struct, frozen=True):
+    """The request was carried out."""
+
+
+@message
+class HeartbeatNotice(msgspec.Struct, frozen=True):
+    """A member whose record did not change is alive."""
+
+    instance: str
+    sequence: int
+
+
+@message
+class GatewayReport(msgspec.Struct, frozen=True):
+    """What a gateway sees; sent on to the leader.
+
+    :param incarnation: changes with each start of the gateway.
+    """
+
+    gateway: str
+    incarnation: str
+    zone: str
+    version: int
+    services: list[PrimaryHealth]
+
+
+# Watches
+
+
+@message
+class DirectoryRequest(msgspec.Struct, frozen=True):
+    """Tell what is newer than the gateway knows, within ``hold_seconds``."""
+
+    report: GatewayReport
+    known_version: int
+    known_revision: int
+    hold_seconds: float
+
+
+@message
+class DirectoryReply(msgspec.Struct, frozen=True):
+    """What is newer.
+
+    :param current: whether this node hears a leader; else the gateway asks another node.
+    :param document: the configuration (compressed), empty if the known one is the newest.
+    :param members: all members, None if the known revision is the newest.
+    :param controls: addresses of all control nodes.
+    """
+
+    current: bool
+    version: int
+    document: bytes
+    revision: int
+    members: list[MemberRecord] | None
+    proxies: int
+    controls: list[str]
--- /dev/null
+++ b/src/rowanrail/coordination/node.py
@@ -0,0 +1,185 @@
+"""One control node for gateways, apart from its process."""
+
+import asyncio
+import random
+
+from rowanrail.config.settings import CoordinatorSettings, NodeAddress
+from rowanrail.consensus.node import ConsensusNode, NodeOptions
+from rowanrail.consensus.raft_types import RaftConfig
+from rowanrail.consensus.storage import Identity, Storage
+from rowanrail.control.bootstrap import FolderOwner, open_folder
+from rowanrail.control.messages import JoinRequest
+from rowanrail.coordination.duty import FailoverDuty, Promoter, StatusReader
+from rowanrail.coordination.events import (
+    DIRECTORY_COMMITTED,
+    LEADER_KNOWN,
+    LEADER_LOST,
+    MEMBERSHIP_CHANGED,
+    STORAGE_LOST,
+    VERSION_COMMITTED,
+)
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.coordination.voters import VoterManager
+from rowanrail.gateway.channel import MemberDriver
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.disk import Disk
+from rowanrail.kernel.errors import RowanrailError
+from rowanrail.kernel.registry import Registry
+from rowanrail.rpc.network import Listener, Network
+
+CLUSTER = "gateways"
+JOIN_SECONDS = 0.3
+JOIN_CALL_SECONDS = 1.0
+UNHEARD_SECONDS = 2.5
+
+
+class Coordinator:
+    """Opens the folder, serves gateways and control nodes, and takes part in the log."""
+
+    def __init__(
+        self,
+        settings: CoordinatorSettings,
+        network: Network,
+        disk: Disk,
+        randomness: random.Random,
+        registry: Registry,
+        decisions: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._storage = Storage(disk)
+        self._random = randomness
+        self._registry = registry
+        self._decisions = decisions
+        self._listener: Listener | None = None
+        self._joining: asyncio.Task[None] | None = None
+        self._seen_leader = ("", 0)
+        self._seen_version = 0
+        self._seen_revision = 0
+        self._seen_membership = 0
+        self._told_failure = False
+
+    async def start(self, driver: MemberDriver, reader: StatusReader, promoter: Promoter) -> None:
+        """Open the folder and begin to serve.
+
+        :raises StorageError: if the folder can't be used.
+        """
+        settings = self._settings
+        nodes = [NodeAddress(address, address) for address in settings.peers]
+        is_first = settings.bootstrap and settings.rpc_listen in settings.peers
+        if settings.rpc_listen not in settings.peers:
+            nodes.append(NodeAddress(settings.rpc_listen, settings.rpc_listen))
+        owner = FolderOwner(CLUSTER, settings.rpc_listen, nodes, settings.data_folder)
+        guard = self._registry.create("consensus-guard", "learner-first")
+        identity = await open_folder(
+            owner, self._storage, self._network, self._random, guard, is_first
+        )
+        monotonic = self._registry.create("control-guard", "version-monotonic")
+        self.state = CoordinationState(monotonic)
+        self.consensus = self._create_consensus(identity)
+        self.service = CoordinationService(self.consensus, self.state, self._network)
+        self.service.members = VoterManager(
+            self.consensus, CLUSTER, settings.voters, self.service.now
+        )
+        self.consensus.on_change = self._on_change
+        self._listener = await self._network.serve(settings.rpc_listen, self.service.handle)
+        self.consensus.start()
+        self.service.members.start()
+        self.duty = FailoverDuty(
+            self.consensus, self.service, driver, reader, promoter, self._decisions
+        )
+        self.duty.start()
+        self._joining = asyncio.ensure_future(self._join_when_unheard(identity))
+
+    def _create_consensus(self, identity: Identity) -> ConsensusNode:
+        settings = self._settings
+        options = NodeOptions(
+            raft=RaftConfig(settings.heartbeat_seconds, settings.election_timeout_seconds),
+            snapshot_entries=settings.snapshot_entries,
+        )
+        return ConsensusNode(
+            identity,
+            self._storage,
+            self._network,
+            self.state,
+            options,
+            self._random,
+            self._registry,
+            fallback_address=lambda node: node.split("@")[0],
+        )
+
+    async def _join_when_unheard(self, identity: Identity) -> None:
+        """Ask to be admitted whenever no leader speaks to this node for a while.
+
+        A new node is no member yet; one that was replaced while it was cut off no longer is.
+        For a member that is merely cut off, asking changes nothing.
+        """
+        loop = asyncio.get_running_loop()
+        name = self._settings.rpc_listen
+        request = JoinRequest(name, identity.node, name, CLUSTER)
+        while True:
+            await asyncio.sleep(JOIN_SECONDS)
+            raft = self.consensus.raft
+            is_new = identity.node not in raft.membership.addresses()
+            unheard = raft.heard_seconds_ago(loop.time()) > UNHEARD_SECONDS
+            if raft.is_leader or not (is_new or unheard):
+                continue
+            addresses = {*self._settings.peers, *raft.membership.addresses().values()} - {name}
+            for address in sorted(addresses):
+                try:
+                    await self._network.call(address, request, JOIN_CALL_SECONDS)
+                    break
+                except RowanrailError:
+                    continue
+
+    def _on_change(self) -> None:
+        self.service.notice_change()
+        raft = self.consensus.raft
+        if self.consensus.failure is not None and not self._told_failure:
+            self._told_failure = True
+            self._decisions.note(STORAGE_LOST, reason=str(self.consensus.failure))
+        leader = (raft.leader, raft.term)
+        if leader != self._seen_leader:
+            self._note_leader(leader)
+        if self.state.version != self._seen_version:
+            self._seen_version = self.state.version
+            self._decisions.note(
+                VERSION_COMMITTED, version=self.state.version, index=self.consensus.applied
+            )
+        if self.state.revision != self._seen_revision:
+            self._seen_revision = self.state.revision
+            self._decisions.note(
+                DIRECTORY_COMMITTED,
+                revision=self.state.revision,
+                members=len(self.state.members),
+                leaving=sorted(m.instance for m in self.state.members.values() if m.leaving),
+                primaries=sorted(m.instance for m in self.state.members.values() if m.primary),
+            )
+        if raft.log.membership_index != self._seen_membership:
+            self._seen_membership = raft.log.membership_index
+            self._decisions.note(
+                MEMBERSHIP_CHANGED,
+                index=raft.log.membership_index,
+                voters=sorted(raft.membership.voters),
+                learners=sorted(raft.membership.learners),
+            )
+
+    def _note_leader(self, leader: tuple[str, int]) -> None:
+        was_known = self._seen_leader[0] != ""
+        self._seen_leader = leader
+        if leader[0]:
+            self._decisions.note(LEADER_KNOWN, leader=leader[0], term=leader[1])
+        elif was_known:
+            self._decisions.note(LEADER_LOST, term=leader[1])
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._joining is not None:
+            self._joining.cancel()
+        self.duty.stop()
+        if self._listener is not None:
+            await self._listener.close()
+        await self.service.members.stop()
+        await self.consensus.stop()
+        self._decisions.flush()
--- /dev/null
+++ b/src/rowanrail/coordination/service.py
@@ -0,0 +1,277 @@
+"""The service of one control node: configuration, members, watches of gateways."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from rowanrail.consensus.messages import ConsensusMessage
+from rowanrail.consensus.node import (
+    CONSENSUS_MESSAGES,
+    ConsensusNode,
+    LeadershipLostError,
+    NotLeaderError,
+    SupersededError,
+)
+from rowanrail.control.membership import MembershipManager
+from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
+from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.messages import (
+    Announce,
+    AnnounceRequest,
+    Command,
+    DirectoryReply,
+    DirectoryRequest,
+    DocumentReply,
+    DocumentRequest,
+    Done,
+    GatewayReport,
+    HeartbeatNotice,
+    PutDocument,
+    PutReply,
+    PutRequest,
+    PutVerdict,
+    Remove,
+    RemoveRequest,
+)
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.kernel.errors import RowanrailError, TransportError
+from rowanrail.rpc.network import Network
+
+LEADER_CALL_SECONDS = 0.8
+REQUEST_SECONDS = 0.9
+RETRY_SECONDS = 0.05
+CURRENT_SECONDS = 1.5
+MAXIMUM_HOLD_SECONDS = 3.0
+
+
+class CoordinationService:
+    """Handles messages of gateways and control nodes, and what the outside asks."""
+
+    def __init__(self, node: ConsensusNode, state: CoordinationState, network: Network) -> None:
+        self.node = node
+        self.state = state
+        self.members = MembershipManager(node, "")
+        self.liveness = Liveness(self.now)
+        self._network = network
+        self._changed = asyncio.Event()
+        self._seen = (0, 0)
+        self._handlers: dict[
+            type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
+        ] = {
+            PutRequest: self._put,
+            DocumentRequest: self._read_document,
+            AnnounceRequest: self._announce,
+            RemoveRequest: self._remove,
+            BarrierRequest: self._barrier,
+            JoinRequest: self._join,
+        }
+
+    @staticmethod
+    def now() -> float:
+        """Return the steady time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    # Messages
+
+    async def handle(self, request: msgspec.Struct) -> msgspec.Struct | None:
+        """Answer a message from another process."""
+        if isinstance(request, CONSENSUS_MESSAGES):
+            consensus: ConsensusMessage = request
+            self.node.receive(consensus)
+            return None
+        if isinstance(request, DirectoryRequest):
+            return await self._watch(request)
+        if isinstance(request, HeartbeatNotice):
+            self.liveness.heartbeat(request.instance, request.sequence)
+            return None
+        if isinstance(request, GatewayReport):
+            self.liveness.report(request)
+            return None
+        return await self._serve(request)
+
+    async def _serve(self, request: msgspec.Struct) -> msgspec.Struct:
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            raise TransportError(f"unexpected {type(request).__name__}", step="handle")
+        return await handler(request)
+
+    async def request(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Have a request served by the leader, waiting a moment for one.
+
+        Every request may be repeated: a version that is held, or a record that is known,
+        changes nothing.
+
+        :raises RowanrailError: if no leader served it in time; it may still take effect.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + REQUEST_SECONDS
+        while True:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    return await self._on_leader(request)
+            except (RowanrailError, TimeoutError) as error:
+                if loop.time() + RETRY_SECONDS >= deadline:
+                    raise TransportError(
+                        f"no majority of the control nodes answers ({error})", step="find leader"
+                    ) from error
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _on_leader(self, request: msgspec.Struct) -> msgspec.Struct:
+        if self.node.raft.is_leader:
+            return await self._serve(request)
+        leader = self.node.leader_address()
+        if not leader:
+            raise NotLeaderError("", type(request).__name__)
+        return await self._network.call(leader, request, LEADER_CALL_SECONDS)
+
+    def notify_leader(self, notice: msgspec.Struct) -> None:
+        """Tell the leader something that no log needs to keep."""
+        leader = self.node.leader_address()
+        if leader and not self.node.raft.is_leader:
+            self._network.notify(leader, notice)
+
+    # Requests at the leader
+
+    async def propose(self, command: Command) -> object:
+        """Append a command and return its result once it is committed and applied.
+
+        :raises RowanrailError: if it was not, or may not have been.
+        """
+        try:
+            return await self.node.propose(msgspec.msgpack.encode(command))
+        except (SupersededError, LeadershipLostError) as error:
+            raise NotLeaderError(self.node.leader_address(), "propose") from error
+
+    async def _put(self, request: msgspec.Struct) -> msgspec.Struct:
+        assert isinstance(request, PutRequest)
+        if request.version <= self.state.version:
+            return self._held()
+        reply = await self.propose(PutDocument(request.version, request.document))
+        assert isinstance(reply, PutReply)
+        return reply
+
+    def _held(self) -> PutReply:
+        return PutReply(PutVerdict.HELD, self.state.version)
+
+    async def _read_document(self, request: msgspec.Struct) -> msgspec.Struct:
+        await self.node.read_barrier()
+        return DocumentReply(self.state.version, self.state.document)
+
+    async def _announce(self, request: msgspec.Struct) -> msgspec.Struct:
+        assert isinstance(request, AnnounceRequest)
+        record = request.record
+        self.liveness.heartbeat(record.instance, record.sequence)
+        if self.state.needs_announcement(record):
+            await self.propose(Announce(record))
+        return Done()
+
+    async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
+        assert isinstance(request, RemoveRequest)
+        self.liveness.forget_member(request.instance)
+        if request.instance not in self.state.removed:
+            await self.propose(Remove(request.instance))
+        return Done()
+
+    async def _barrier(self, request: msgspec.Struct) -> msgspec.Struct:
+        await self.node.read_barrier()
+        return BarrierReply(self.node.applied)
+
+    async def _join(self, request: msgspec.Struct) -> msgspec.Struct:
+        assert isinstance(request, JoinRequest)
+        return await self.members.join(request)
+
+    # What the outside asks of any node
+
+    async def put(self, version: int, document: bytes) -> PutReply:
+        """Accept a configuration under the operator's version.
+
+        :raises RowanrailError: if there is no clear outcome; sending it again is safe.
+        """
+        if version <= self.state.version:
+            return self._held()  # what is applied here is durable on a majority
+        reply = await self.request(PutRequest(version, document))
+        assert isinstance(reply, PutReply)
+        return reply
+
+    async def document(self) -> DocumentReply:
+        """Return the newest configuration, confirmed by a majority.
+
+        :raises RowanrailError: if this node can't be sure.
+        """
+        reply = await self.request(DocumentRequest())
+        assert isinstance(reply, DocumentReply)
+        return reply
+
+    async def announce(self, record: MemberRecord) -> str:
+        """Take a member's announcement; return the address for its later ones, if another.
+
+        :raises RowanrailError: if it is new and could not be made durable.
+        """
+        if self.state.needs_announcement(record):
+            await self.request(AnnounceRequest(record))
+        elif self.node.raft.is_leader:
+            self.liveness.heartbeat(record.instance, record.sequence)
+        else:
+            self.notify_leader(HeartbeatNotice(record.instance, record.sequence))
+        return "" if self.node.raft.is_leader else self.node.leader_address()
+
+    async def remove(self, instance: str) -> None:
+        """Take a member's own word that it has ended.
+
+        :raises RowanrailError: if it could not be made durable.
+        """
+        if instance not in self.state.removed:
+            await self.request(RemoveRequest(instance))
+
+    # Watches
+
+    def notice_change(self) -> None:
+        """Wake the watches if something changed."""
+        seen = (self.state.version, self.state.revision)
+        if seen != self._seen:
+            self._seen = seen
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this node leads or has heard the leader a short while ago."""
+        raft = self.node.raft
+        if raft.is_leader:
+            return raft.is_established_leader
+        return raft.leader != "" and raft.heard_seconds_ago(self.now()) < CURRENT_SECONDS
+
+    async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
+        self.liveness.report(request.report)
+        self.notify_leader(request.report)
+        deadline = self.now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
+        while self.is_current and not self._has_news(request):
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        return self._directory(request)
+
+    def _has_news(self, request: DirectoryRequest) -> bool:
+        return (
+            self.state.version > request.known_version
+            or self.state.revision > request.known_revision
+        )
+
+    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
+        state = self.state
+        newer = state.version > request.known_version
+        changed = state.revision > request.known_revision
+        return DirectoryReply(
+            current=self.is_current,
+            version=state.version,
+            document=state.document if newer else b"",
+            revision=state.revision,
+            members=list(state.members.values()) if changed else None,
+            proxies=state.proxies,
+            controls=sorted(self.node.raft.membership.addresses().values()),
+        )
--- /dev/null
+++ b/src/rowanrail/coordination/state.py
@@ -0,0 +1,140 @@
+"""The replicated state: configuration, members, promotions. Depends on the log only."""
+
+import msgspec
+
+from rowanrail.consensus.messages import Entry, EntryKind
+from rowanrail.consensus.node import StateMachine
+from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.messages import (
+    Announce,
+    Command,
+    IntendPromotion,
+    Promotion,
+    PutDocument,
+    PutReply,
+    PutVerdict,
+    Remove,
+    SetProxies,
+)
+from rowanrail.gateway.model import MemberRecord
+
+REMEMBERED_REMOVED = 2000
+
+
+class SavedState(msgspec.Struct, frozen=True):
+    """The whole state, as it stands in a snapshot."""
+
+    version: int
+    document: bytes
+    revision: int
+    members: dict[str, MemberRecord]
+    removed: list[str]
+    proxies: int
+    promotions: dict[str, Promotion]
+
+
+class CoordinationState(StateMachine):
+    """Applies the log's commands.
+
+    ``revision`` is the place in the log of the last change of members or proxies. It is the
+    same on every node, so that a gateway can compare what different nodes tell it.
+    """
+
+    def __init__(self, monotonic: VersionMonotonic) -> None:
+        self._monotonic = monotonic
+        self._restore(SavedState(0, b"", 0, {}, [], 0, {}))
+
+    def _restore(self, saved: SavedState) -> None:
+        self.version = saved.version
+        self.document = saved.document
+        self.revision = saved.revision
+        self.members = dict(saved.members)
+        self.removed = dict.fromkeys(saved.removed)
+        self.proxies = saved.proxies
+        self.promotions = dict(saved.promotions)
+
+    def snapshot(self) -> bytes:
+        """See :meth:`StateMachine.snapshot`."""
+        saved = SavedState(
+            self.version,
+            self.document,
+            self.revision,
+            self.members,
+            list(self.removed),
+            self.proxies,
+            self.promotions,
+        )
+        return msgspec.msgpack.encode(saved)
+
+    def restore(self, data: bytes) -> None:
+        """See :meth:`StateMachine.restore`."""
+        self._restore(msgspec.msgpack.decode(data, type=SavedState))
+
+    def apply(self, entry: Entry) -> object:
+        """See :meth:`StateMachine.apply`."""
+        if entry.kind is not EntryKind.COMMAND:
+            return None
+        command = msgspec.msgpack.decode(entry.data, type=Command)
+        if isinstance(command, PutDocument):
+            return self._put(command)
+        if isinstance(command, IntendPromotion):
+            promotion = Promotion(command.instance, entry.index)
+            self.promotions[command.service] = promotion
+            return promotion
+        if self._change_directory(command):
+            self.revision = entry.index
+        return None
+
+    def _put(self, command: PutDocument) -> PutReply:
+        if not self._monotonic.accepts(self.version, command.version):
+            return PutReply(PutVerdict.HELD, self.version)
+        self.version = command.version
+        self.document = command.document
+        return PutReply(PutVerdict.TAKEN, self.version)
+
+    def _change_directory(self, command: Announce | Remove | SetProxies) -> bool:
+        if isinstance(command, SetProxies):
+            changed = self.proxies != command.count
+            self.proxies = command.count
+            return changed
+        if isinstance(command, Remove):
+            self._remember_removed(command.instance)
+            return self.members.pop(command.instance, None) is not None
+        return self._announce(command.record)
+
+    def _announce(self, record: MemberRecord) -> bool:
+        if not self.needs_announcement(record):
+            return False
+        for known in list(self.members.values()):
+            if known.address == record.address and known.instance != record.instance:
+                # The address is in use again: whoever had it before is gone.
+                del self.members[known.instance]
+                self._remember_removed(known.instance)
+        if record.primary:
+            self._demote_others(record)
+        self.members[record.instance] = record
+        return True
+
+    def _demote_others(self, record: MemberRecord) -> None:
+        # A service has one primary: whoever says so last in the log replaced the one before,
+        # which may be cut off and unable to say anything.
+        for known in self.members.values():
+            if known.service == record.service and known.primary:
+                demoted = msgspec.structs.replace(known, primary=False)
+                self.members[known.instance] = demoted
+
+    def _remember_removed(self, instance: str) -> None:
+        self.removed[instance] = None
+        if len(self.removed) > REMEMBERED_REMOVED:
+            del self.removed[next(iter(self.removed))]
+
+    def needs_announcement(self, record: MemberRecord) -> bool:
+        """Return whether a record says something new, and did not come late."""
+        if record.instance in self.removed:
+            return False
+        known = self.members.get(record.instance)
+        if known is None:
+            return True
+        if record.sequence <= known.sequence:
+            return False
+        return msgspec.structs.replace(record, sequence=known.sequence) != known
--- /dev/null
+++ b/src/rowanrail/coordination/voters.py
@@ -0,0 +1,81 @@
+"""Which control nodes vote: a target number, lost voters replaced by standbys.
+
+A node beyond the target stays a learner, caught up and ready. Once a voter has been silent
+for a while and such a learner stands by, the voter goes and the learner takes its place, in
+two steps that each change one voter. Whoever went wrongly comes back as a learner.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.consensus.messages import Membership
+from rowanrail.consensus.node import ConsensusNode
+from rowanrail.control.membership import MembershipManager, name_of
+
+CAUGHT_UP_ENTRIES = 50
+SILENT_SECONDS = 2.0
+
+
+class NodeState(msgspec.Struct, frozen=True):
+    """What the leader knows of another node."""
+
+    behind: int
+    silent_seconds: float
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether the node holds nearly all of the log and answers."""
+        return self.behind <= CAUGHT_UP_ENTRIES and self.silent_seconds < SILENT_SECONDS
+
+
+def next_membership(
+    membership: Membership, target: int, state: Callable[[str], NodeState]
+) -> Membership | None:
+    """Return the next step towards ``target`` live voters, None if there is nothing to do."""
+    ready = sorted(node for node in membership.learners if state(node).is_caught_up)
+    if not ready:
+        return None
+    learner = ready[0]
+    replaced = [node for node in membership.voters if name_of(node) == name_of(learner)]
+    if replaced:
+        return _without(membership, replaced[0])
+    if len(membership.voters) < target:
+        return _with(membership, learner)
+    silent = {node: state(node).silent_seconds for node in membership.voters}
+    longest = max(silent, key=lambda node: silent[node])
+    return _without(membership, longest) if silent[longest] >= SILENT_SECONDS else None
+
+
+def _without(membership: Membership, node: str) -> Membership:
+    voters = {known: address for known, address in membership.voters.items() if known != node}
+    return Membership(voters, dict(membership.learners))
+
+
+def _with(membership: Membership, learner: str) -> Membership:
+    voters = {**membership.voters, learner: membership.learners[learner]}
+    learners = {n: address for n, address in membership.learners.items() if n != learner}
+    return Membership(voters, learners)
+
+
+class VoterManager(MembershipManager):
+    """Carries out :func:`next_membership` while its node leads."""
+
+    def __init__(
+        self, node: ConsensusNode, cluster: str, target: int, now: Callable[[], float]
+    ) -> None:
+        super().__init__(node, cluster)
+        self._target = target
+        self._clock = now
+
+    def _state(self, node: str) -> NodeState:
+        raft = self._node.raft
+        if node == self._node.identity.node:
+            return NodeState(0, 0.0)
+        behind = raft.log.last_index - raft.match_of(node)
+        return NodeState(behind, raft.answered_seconds_ago(node, self._clock()))
+
+    async def _promote_one(self) -> None:
+        changed = next_membership(self._node.raft.membership, self._target, self._state)
+        if changed is not None:
+            await self._change(changed)
--- /dev/null
+++ b/src/rowanrail/gateway/daemon.py
@@ -0,0 +1,109 @@
+"""The gateway daemon: the proxy for typed statements as a process."""
+
+import asyncio
+import os
+import random
+import signal
+from collections.abc import Callable
+
+from aiohttp import web
+
+from rowanrail.config.settings import GatewaySettings, rpc_addresses
+from rowanrail.coordination.messages import GatewayReport
+from rowanrail.gateway.directory_watch import DirectoryWatch
+from rowanrail.gateway.events import (
+    GATEWAY_RELOADED,
+    GATEWAY_STARTED,
+    GATEWAY_STOPPED,
+    GATEWAY_STOPPING,
+)
+from rowanrail.gateway.frontend import Frontend
+from rowanrail.gateway.gateway import Gateway
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.registry import Registry
+from rowanrail.rpc.network import Network
+
+LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
+ABORT_SHARE = 0.5  # of the time to stop: how long open transactions may go on
+END_SHARE = 0.75  # of the time to stop: when statements that still run are cut
+POLL_SECONDS = 0.05
+
+ReloadSettings = Callable[[], GatewaySettings | None]
+
+
+def ready_application(gateway: Gateway) -> web.Application:
+    """Return the web application that tells whether new clients are welcome."""
+
+    async def ready(request: web.Request) -> web.Response:
+        return web.Response(status=200 if gateway.is_ready else 503)
+
+    application = web.Application()
+    application.router.add_get("/ready", ready)
+    return application
+
+
+async def plan_stop(gateway: Gateway, frontend: Frontend, stop_seconds: float) -> None:
+    """Stop as planned: unwelcome first, then sessions at rest, then transactions, then all."""
+    loop = asyncio.get_running_loop()
+    begun_at = loop.time()
+    gateway.stopping = True
+    await asyncio.sleep(LEAVE_SHARE * stop_seconds)
+    frontend.begin_closing()
+    while frontend.busy_sessions() and loop.time() - begun_at < END_SHARE * stop_seconds:
+        if loop.time() - begun_at > ABORT_SHARE * stop_seconds:
+            gateway.abort_transactions()
+            frontend.begin_closing()
+        await asyncio.sleep(POLL_SECONDS)
+    frontend.close()
+    gateway.close()
+
+
+async def run_gateway(settings: GatewaySettings, reload_settings: ReloadSettings) -> None:
+    """Run a gateway until a stop signal, then stop as planned.
+
+    :raises RowanrailError: if an address can't be used.
+    """
+    os.set_blocking(1, False)
+    registry = Registry()
+    loop = asyncio.get_running_loop()
+    decisions = DecisionLog(settings.name)
+    network: Network = registry.create("network", "tcp")
+    driver = registry.create("member-driver", settings.protocol)
+    gateway = Gateway(settings.zone, driver, loop, decisions)
+    frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
+    incarnation = f"{random.getrandbits(48):012x}"
+
+    def make_report() -> GatewayReport:
+        version = gateway.configuration.version if gateway.configuration else 0
+        return GatewayReport(settings.name, incarnation, settings.zone, version, gateway.health())
+
+    watch = DirectoryWatch(
+        gateway,
+        network,
+        rpc_addresses(settings.control_nodes, settings.rpc_port),
+        registry.create("configuration-format", settings.protocol),
+        make_report,
+        decisions,
+    )
+
+    def reload() -> None:
+        loaded = reload_settings()
+        decisions.note(GATEWAY_RELOADED, reason="SIGHUP", usable=loaded is not None)
+        if loaded is not None:
+            watch.set_seeds(rpc_addresses(loaded.control_nodes, loaded.rpc_port))
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    runner = await serve_http(ready_application(gateway), settings.ready_listen)
+    await frontend.start(settings.listen)
+    gateway.start()
+    watch.start()
+    decisions.note(GATEWAY_STARTED, name=settings.name, zone=settings.zone, listen=settings.listen)
+    await wait_for_stop_signal()
+    decisions.note(GATEWAY_STOPPING, name=settings.name, sessions=len(gateway.sessions))
+    await plan_stop(gateway, frontend, settings.stop_seconds)
+    watch.stop()
+    await runner.cleanup()
+    await network.close()
+    decisions.note(GATEWAY_STOPPED, name=settings.name)
+    decisions.flush()
--- /dev/null
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -0,0 +1,121 @@
+"""How a gateway follows its control nodes: long polls at one of them at a time.
+
+A node that hears no leader says so, and the gateway asks the next one. What is taken only
+ever grows: a lower version or revision is left aside.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+from returns.result import Success
+
+from rowanrail.coordination.messages import DirectoryReply, DirectoryRequest, GatewayReport
+from rowanrail.gateway.events import CONTROL_LOST, CONTROL_REGAINED
+from rowanrail.gateway.gateway import Gateway
+from rowanrail.gateway.model import ConfigurationFormat
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.errors import TransportError
+from rowanrail.rpc.network import Network
+
+HOLD_SECONDS = 1.0
+CALL_SECONDS = 0.6  # for the way there and back, on top of the hold
+RETRY_SECONDS = 0.1
+
+
+class DirectoryWatch:
+    """Keeps a gateway's configuration and members up to date."""
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        network: Network,
+        controls: list[str],
+        configuration_format: ConfigurationFormat,
+        make_report: Callable[[], GatewayReport],
+        decisions: DecisionLog,
+    ) -> None:
+        self._gateway = gateway
+        self._network = network
+        self._seeds = controls
+        self._controls = list(controls)
+        self._format = configuration_format
+        self._make_report = make_report
+        self._decisions = decisions
+        self._version = 0
+        self._revision = -1
+        self._silent = False
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def set_seeds(self, controls: list[str]) -> None:
+        """Take a changed list of control nodes from the settings."""
+        self._seeds = controls
+        self._controls.extend(c for c in controls if c not in self._controls)
+
+    async def _run(self) -> None:
+        while True:
+            address = self._controls[0]
+            if await self._poll(address):
+                continue
+            self._controls.append(self._controls.pop(0))
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _poll(self, address: str) -> bool:
+        """Ask one control node for what is newer; return whether to stay with it."""
+        hold_seconds = HOLD_SECONDS if self._version and self._revision >= 0 else 0.2
+        request = DirectoryRequest(self._make_report(), self._version, self._revision, hold_seconds)
+        try:
+            reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
+        except TransportError as error:
+            self._note_lost(address, str(error))
+            return False
+        if not isinstance(reply, DirectoryReply):
+            self._note_lost(address, f"unexpected {type(reply).__name__}")
+            return False
+        self._take(address, reply)
+        if not reply.current:
+            self._note_lost(address, "it hears no leader")
+            return False
+        if self._silent:
+            self._silent = False
+            self._decisions.note(CONTROL_REGAINED, peer=address)
+        return True
+
+    def _note_lost(self, address: str, reason: str) -> None:
+        if not self._silent:
+            self._decisions.note(
+                CONTROL_LOST,
+                peer=address,
+                reason=reason,
+                version=self._version,
+                revision=self._revision,
+            )
+        self._silent = True
+
+    def _take(self, address: str, reply: DirectoryReply) -> None:
+        if reply.version > self._version and reply.document:
+            parsed = self._format.parse(zlib.decompress(reply.document))
+            if isinstance(parsed, Success):
+                self._version = reply.version
+                self._gateway.apply(parsed.unwrap())
+        if reply.members is not None and reply.revision > self._revision:
+            self._revision = reply.revision
+            self._gateway.set_members(reply.revision, reply.members, reply.proxies)
+        self._follow_controls(address, reply.controls)
+
+    def _follow_controls(self, current: str, controls: list[str]) -> None:
+        """Know the control nodes of the log's membership, beside those of the settings."""
+        if not controls:
+            return
+        wanted = dict.fromkeys([*controls, *self._seeds])
+        kept = [control for control in self._controls if control in wanted]
+        self._controls = kept + [control for control in wanted if control not in kept]
--- /dev/null
+++ b/src/rowanrail/gateway/events.py
@@ -0,0 +1,50 @@
+"""Log events of the gateway (numbers 300 to 399)."""
+
+from rowanrail.kernel.events import Level, define
+
+ANSWERED = define(
+    300,
+    Level.INFO,
+    "statement {request} succeeded",
+    "A read, write or commit was answered. Left out first when the budget is used up.",
+)
+REFUSED = define(
+    301,
+    Level.WARNING,
+    "statement {request} was answered with {outcome}: {reason}",
+    "The fields say what decided it: primary believed in, age of its last sample, version.",
+)
+CONFIGURATION_TAKEN = define(
+    310, Level.INFO, "version {version} is in force", "The proxy took a newer configuration."
+)
+MEMBERS_TAKEN = define(
+    311,
+    Level.INFO,
+    "members of revision {revision} are known",
+    "Members came, left, changed their role, or the number of proxies changed.",
+)
+CONTROL_LOST = define(
+    312,
+    Level.WARNING,
+    "control node {peer} does not answer: {reason}",
+    "The proxy asks the next one and goes on with what is in force.",
+)
+CONTROL_REGAINED = define(
+    313, Level.INFO, "control node {peer} answers", "The proxy follows changes again."
+)
+GATEWAY_STARTED = define(
+    320, Level.INFO, "gateway {name} started in zone {zone}", "The process serves."
+)
+GATEWAY_STOPPING = define(
+    321,
+    Level.INFO,
+    "gateway {name} is stopping with {sessions} sessions",
+    "A planned stop began: the process no longer calls itself ready.",
+)
+GATEWAY_STOPPED = define(322, Level.INFO, "gateway {name} stopped", "A planned stop ended.")
+GATEWAY_RELOADED = define(
+    323,
+    Level.INFO,
+    "settings were read again: {reason}",
+    "The list of control nodes is taken; other settings need a restart.",
+)
--- /dev/null
+++ b/src/rowanrail/gateway/gateway.py
@@ -0,0 +1,179 @@
+"""The proxy's core for typed statements: routes in force, services, sessions, planned stops."""
+
+from rowanrail.gateway.channel import MemberDriver
+from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.events import ANSWERED, CONFIGURATION_TAKEN, MEMBERS_TAKEN, REFUSED
+from rowanrail.gateway.model import (
+    Answer,
+    MemberRecord,
+    Refusal,
+    Route,
+    RoutingConfiguration,
+    TypedStatement,
+)
+from rowanrail.gateway.operations import PreparedNames
+from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.service import Service
+from rowanrail.gateway.session import Session
+from rowanrail.kernel.decisions import DecisionLog
+
+TICK_SECONDS = 0.05
+
+
+class Gateway:
+    """Sessions and services of one proxy."""
+
+    def __init__(
+        self, zone: str, driver: MemberDriver, clock: Clock, decisions: DecisionLog
+    ) -> None:
+        self.clock = clock
+        self.names = PreparedNames()
+        self.configuration: RoutingConfiguration | None = None
+        self.services: dict[str, Service] = {}
+        self.sessions: dict[Session, None] = {}
+        self.outcomes: dict[str, int] = {}
+        self.stopping = False
+        self._zone = zone
+        self._driver = driver
+        self._decisions = decisions
+        self._members: dict[str, list[MemberRecord]] = {}
+        self._directory_revision = -1
+        self._proxies = 0
+        self._timer: Timer | None = None
+
+    def start(self) -> None:
+        """Begin to watch the services."""
+        self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        for service in self.services.values():
+            service.tick()
+        self._decisions.flush()
+        self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new clients are welcome."""
+        return self.configuration is not None and bool(self._members) and not self.stopping
+
+    # Configuration and members
+
+    def apply(self, configuration: RoutingConfiguration) -> bool:
+        """Put a configuration in force if its version is higher than the one in force."""
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            return False
+        self.configuration = configuration
+        for name in list(self.services):
+            if name not in configuration.services:
+                self.services.pop(name).close()
+        for name, spec in configuration.services.items():
+            service = self.services.get(name)
+            if service is not None:
+                service.set_spec(spec)
+                continue
+            service = Service(spec, self._zone, self._driver, self.clock)
+            service.set_proxies(self._proxies)
+            service.set_members(self._members.get(name, []))
+            self.services[name] = service
+        self._decisions.note(
+            CONFIGURATION_TAKEN, version=configuration.version, routes=len(configuration.routes)
+        )
+        return True
+
+    def set_members(self, revision: int, records: list[MemberRecord], proxies: int) -> None:
+        """Know the members that announced themselves, and how many proxies there are."""
+        if revision < self._directory_revision:
+            return
+        self._directory_revision = revision
+        self._members = {}
+        for record in records:
+            self._members.setdefault(record.service, []).append(record)
+        self._proxies = proxies
+        for name, service in self.services.items():
+            service.set_proxies(proxies)
+            service.set_members(self._members.get(name, []))
+        leaving = sorted(record.instance for record in records if record.leaving)
+        primaries = sorted(record.instance for record in records if record.primary)
+        self._decisions.note(
+            MEMBERS_TAKEN,
+            revision=revision,
+            members=len(records),
+            leaving=leaving,
+            primaries=primaries,
+            proxies=proxies,
+        )
+
+    def health(self) -> list[PrimaryHealth]:
+        """Return what this proxy sees of the primaries that it uses."""
+        return [service.primary.health() for service in self.services.values()]
+
+    # Sessions
+
+    def open_session(self, database: str, peer: str) -> Session | Answer:
+        """Open a session for a database, or say why there is none."""
+        if self.configuration is None:
+            return Answer(refusal=Refusal.BUSY, message="no configuration yet; retry in 1 s")
+        if database not in self.configuration.routes:
+            return Answer(refusal=Refusal.UNKNOWN_DATABASE, message=f"no route for {database}")
+        session = Session(self, database, peer)
+        self.sessions[session] = None
+        return session
+
+    def route(self, database: str) -> tuple[Route, Service] | None:
+        """See :meth:`SessionHost.route`."""
+        if self.configuration is None:
+            return None
+        route = self.configuration.routes.get(database)
+        service = self.services.get(route.service) if route is not None else None
+        return (route, service) if route is not None and service is not None else None
+
+    def idle_transaction_seconds(self) -> float:
+        """See :meth:`SessionHost.idle_transaction_seconds`."""
+        assert self.configuration is not None
+        return self.configuration.idle_transaction_seconds
+
+    def note_outcome(
+        self, session: Session, statement: TypedStatement, answer: Answer, seconds: float
+    ) -> None:
+        """See :meth:`SessionHost.note_outcome`."""
+        kind = answer.refusal.value if answer.refusal else "done"
+        self.outcomes[kind] = self.outcomes.get(kind, 0) + 1
+        if answer.refusal is None and not answer.signature:
+            return  # answered by the proxy itself; nothing was decided
+        found = self.route(session.database)
+        sample = found[1].primary.sample if found is not None else None
+        version = self.configuration.version if self.configuration else 0
+        self._decisions.note(
+            ANSWERED if answer.refusal is None else REFUSED,
+            request=statement.request_id,
+            session=session.peer,
+            database=session.database,
+            kind=statement.kind.value,
+            outcome=kind,
+            reason=answer.message,
+            milliseconds=round(seconds * 1000, 1),
+            version=version,
+            primary=found[1].primary.believed if found is not None else "",
+            sample_age=round(self.clock.time() - sample.asked_at, 3) if sample else None,
+        )
+
+    def session_closed(self, session: Session) -> None:
+        """See :meth:`SessionHost.session_closed`."""
+        self.sessions.pop(session, None)
+
+    # The planned stop
+
+    def abort_transactions(self) -> None:
+        """End all resting transactions."""
+        for session in list(self.sessions):
+            session.abort("the proxy is stopping")
+
+    def close(self) -> None:
+        """Close everything at once."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for session in list(self.sessions):
+            session.close()
+        for service in self.services.values():
+            service.close()
+        self._decisions.flush()
--- /dev/null
+++ b/src/rowanrail/gateway/model.py
@@ -0,0 +1,208 @@
+"""Statements, answers and routes, as front ends and back-end drivers exchange them."""
+
+import enum
+from typing import Any
+
+import msgspec
+
+from rowanrail.proxy.backend import Position
+
+
+class StatementKind(enum.Enum):
+    """What a client's statement is."""
+
+    BEGIN = "begin"
+    BEGIN_READ = "begin-read"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    READ = "read"
+    WRITE = "write"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    CLOSE = "close"
+
+
+class TypedStatement(msgspec.Struct, gc=False):
+    """A client's statement with its kind; the text reaches the member untouched.
+
+    :param request_id: the client's id of the statement.
+    :param name: what SET, PREPARE, EXECUTE and CLOSE name.
+    :param value: value of SET, shape of PREPARE, arguments of EXECUTE.
+    :param writes: whether a PREPARE is for writes.
+    """
+
+    request_id: str
+    kind: StatementKind
+    text: str
+    name: str = ""
+    value: str = ""
+    writes: bool = False
+
+
+class CommandKind(enum.Enum):
+    """What the proxy asks of a member."""
+
+    STATEMENT = "statement"
+    BEGIN = "begin"
+    BEGIN_READ = "begin-read"
+    ROLLBACK = "rollback"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    RESET = "reset"
+    STATUS = "status"
+
+
+class Command(msgspec.Struct, gc=False):
+    """One command to a member.
+
+    :param request_id: the client's id; empty for the proxy's own commands.
+    :param text: the client's text (STATEMENT), or the arguments of the command.
+    :param floor: position that the member's log must hold, else it refuses.
+    """
+
+    kind: CommandKind
+    text: str = ""
+    request_id: str = ""
+    floor: Position | None = None
+
+
+class Refusal(enum.Enum):
+    """Why a statement did not succeed.
+
+    Only members of :data:`NOT_RUN` promise that nothing of the attempt is kept.
+    """
+
+    BUSY = "busy"
+    ABORTED = "aborted"
+    LAGGING = "lagging"
+    NOT_PRIMARY = "not-primary"
+    WRONG_MEMBER = "wrong-member"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    UNKNOWN_DATABASE = "unknown-database"
+    UNKNOWN_NAME = "unknown-name"
+    INVALID = "invalid"
+    TOO_LARGE = "too-large"
+    FAILED = "failed"
+    TIMEOUT = "timeout"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    LOST = "lost"
+
+
+NOT_RUN = frozenset(
+    {
+        Refusal.BUSY,
+        Refusal.ABORTED,
+        Refusal.LAGGING,
+        Refusal.NOT_PRIMARY,
+        Refusal.WRONG_MEMBER,
+        Refusal.TOO_MANY_CONNECTIONS,
+        Refusal.UNKNOWN_NAME,
+    }
+)
+
+
+class SessionState(enum.Enum):
+    """Whether a session is in a transaction."""
+
+    IDLE = "idle"
+    TRANSACTION = "transaction"
+    FAILED = "failed"
+
+
+class Answer(msgspec.Struct, gc=False):
+    """The whole answer to one statement or command.
+
+    :param rows: rows as the member gave them, undecoded.
+    :param signature: the member's mark on a success; empty if the proxy answered itself.
+    :param position: the member's log position after the statement.
+    :param state: the connection's state after it, as the member says; None if it is lost.
+    """
+
+    rows: list[bytes] = []
+    signature: bytes = b""
+    refusal: Refusal | None = None
+    message: str = ""
+    position: Position | None = None
+    state: SessionState | None = None
+
+
+class Consistency(enum.Enum):
+    """What a route's reads must see."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    SESSION = "session"
+
+
+class Route(msgspec.Struct, frozen=True):
+    """How statements of one database run.
+
+    :param timeout_seconds: bound of a statement.
+    :param objective_seconds: latency that an operation should stay within.
+    :param staleness_seconds: how old a sample of the primary's position may be.
+    :param priority: 0 is the most urgent.
+    """
+
+    name: str
+    database: str
+    service: str
+    consistency: Consistency
+    timeout_seconds: float
+    objective_seconds: float
+    staleness_seconds: float = 0.0
+    priority: int = 1
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """A group of members as configured.
+
+    :param connections: how many connections a member takes from all proxies together.
+    :param acknowledging_replicas: replicas that must hold a commit before its acknowledgement.
+    """
+
+    name: str
+    connections: int
+    acknowledging_replicas: int = 0
+
+
+class RoutingConfiguration(msgspec.Struct, frozen=True):
+    """A numbered configuration in the product's own terms.
+
+    :param idle_transaction_seconds: a transaction resting longer may be ended.
+    """
+
+    version: int
+    routes: dict[str, Route]
+    services: dict[str, ServiceSpec]
+    idle_transaction_seconds: float = 60.0
+    maximum_statement_bytes: int = 1024 * 1024
+
+
+class MemberRecord(msgspec.Struct, frozen=True):
+    """A member as it announced itself.
+
+    :param instance: identity of one life of the member.
+    :param sequence: rises with each announcement; a lower one came late.
+    """
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    primary: bool
+    leaving: bool
+    slots: int
+    sequence: int
+
+
+class ConfigurationFormat:
+    """Port: how a document of the operator becomes a :class:`RoutingConfiguration`.
+
+    Implementations register as plug-ins of kind ``configuration-format``.
+    """
+
+    def parse(self, document: bytes) -> Any:
+        """Return a ``returns`` result: the configuration, or the list of all problems."""
+        raise NotImplementedError
--- /dev/null
+++ b/src/rowanrail/gateway/pool.py
@@ -0,0 +1,206 @@
+"""Connections to one member: idle, leased or being opened, and those who wait for one."""
+
+import heapq
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel, MemberDriver
+from rowanrail.gateway.clock import Clock
+from rowanrail.gateway.model import Answer, MemberRecord, Refusal
+
+MINIMUM_BACKOFF_SECONDS = 0.1
+MAXIMUM_BACKOFF_SECONDS = 1.0
+CROWDED_SECONDS = 2.0
+LATENCY_WEIGHT = 0.1
+INITIAL_LATENCY_SECONDS = 0.02
+
+
+class Waiter:
+    """Somebody who wants a connection.
+
+    :param values: session values that the connection should have already, if one has.
+    :param respond: gets the connection, or None with the reason.
+    """
+
+    __slots__ = ("cancelled", "priority", "respond", "values")
+
+    def __init__(
+        self,
+        priority: int,
+        values: dict[str, str],
+        respond: Callable[[Channel | None, Answer], None],
+    ) -> None:
+        self.priority = priority
+        self.values = values
+        self.respond = respond
+        self.cancelled = False
+
+
+class MemberPool:
+    """Connections to one member, at most ``limit`` open or being opened."""
+
+    def __init__(
+        self, record: MemberRecord, limit: int, driver: MemberDriver, clock: Clock
+    ) -> None:
+        self.record = record
+        self.limit = limit
+        self.latency_seconds = INITIAL_LATENCY_SECONDS
+        self.failing_until = 0.0
+        self.leased = 0
+        self._driver = driver
+        self._clock = clock
+        self._crowded_until = 0.0
+        self._crowded_limit = limit
+        self._failures = 0
+        self._idle: list[Channel] = []
+        self._opening: set[Channel] = set()
+        self._waiting: list[tuple[int, int, Waiter]] = []
+        self._sequence = 0
+        self._closed = False
+
+    @property
+    def open_count(self) -> int:
+        """Number of connections that are open or being opened."""
+        return len(self._idle) + self.leased + len(self._opening)
+
+    @property
+    def load(self) -> int:
+        """Number of those who use or wait for a connection."""
+        return self.leased + len(self._waiting)
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether connections failed a moment ago."""
+        return self._clock.time() < self.failing_until
+
+    def acquire(self, waiter: Waiter) -> None:
+        """Give the waiter a connection now or later, or a refusal."""
+        channel = self._take_idle(waiter.values)
+        if channel is not None:
+            self.leased += 1
+            waiter.respond(channel, Answer())
+            return
+        self._sequence += 1
+        heapq.heappush(self._waiting, (waiter.priority, self._sequence, waiter))
+        self._open_for_waiting()
+
+    def cancel(self, waiter: Waiter) -> None:
+        """Forget a waiter."""
+        waiter.cancelled = True
+        self._waiting = [entry for entry in self._waiting if not entry[2].cancelled]
+        heapq.heapify(self._waiting)
+
+    def _take_idle(self, values: dict[str, str]) -> Channel | None:
+        idle = self._idle
+        if not idle:
+            return None
+        for position in range(len(idle) - 1, -1, -1):
+            if idle[position].values == values and not idle[position].uncertain:
+                return idle.pop(position)
+        return idle.pop()
+
+    def release(self, channel: Channel, latency_seconds: float | None = None) -> None:
+        """Take a connection back; a closed one, or one with answers outstanding, is dropped."""
+        self.leased -= 1
+        if latency_seconds is not None:
+            self.latency_seconds += LATENCY_WEIGHT * (latency_seconds - self.latency_seconds)
+        if channel.busy or channel.in_transaction or self._closed or self.open_count >= self.limit:
+            channel.close()
+        if channel.closed:
+            self._open_for_waiting()
+            return
+        channel.last_used = self._clock.time()
+        channel.on_closed = self._drop_idle
+        self._idle.append(channel)
+        self._serve_waiting()
+
+    def _drop_idle(self, channel: Channel) -> None:
+        if channel in self._idle:
+            self._idle.remove(channel)
+
+    def _serve_waiting(self) -> None:
+        while self._waiting and self._idle:
+            waiter = heapq.heappop(self._waiting)[2]
+            channel = self._take_idle(waiter.values)
+            assert channel is not None
+            channel.on_closed = lambda channel: None
+            self.leased += 1
+            waiter.respond(channel, Answer())
+
+    # Opening
+
+    def _allowed(self) -> int:
+        if self._clock.time() < self._crowded_until:
+            return min(self.limit, self._crowded_limit)
+        return self.limit
+
+    def _open_for_waiting(self) -> None:
+        if self._closed:
+            return
+        if self.is_failing and not self.open_count:
+            self._refuse_waiting(Answer(refusal=Refusal.LOST, message="unreachable a moment ago"))
+            return
+        while len(self._opening) < len(self._waiting) and self.open_count < self._allowed():
+            if self.is_failing:
+                return
+            channel = Channel(self.record.address, self.record.instance, self._on_open)
+            self._opening.add(channel)
+            record = self.record
+            self._driver.open(record.address, record.service, record.instance, channel)
+        if self._waiting and not self.open_count:
+            self._refuse_waiting(Answer(refusal=Refusal.BUSY, message="no connection to be had"))
+
+    def _on_open(self, channel: Channel, answer: Answer) -> None:
+        self._opening.discard(channel)
+        if answer.refusal is None:
+            self._failures = 0
+            self.leased += 1
+            self.release(channel)
+            return
+        if answer.refusal is Refusal.TOO_MANY_CONNECTIONS:
+            self._crowded_until = self._clock.time() + CROWDED_SECONDS
+            self._crowded_limit = max(1, self.open_count)
+        else:
+            self._note_failure()
+        if not self.open_count:
+            self._refuse_waiting(answer)
+
+    def _note_failure(self) -> None:
+        self._failures += 1
+        backoff = min(MINIMUM_BACKOFF_SECONDS * 2**self._failures, MAXIMUM_BACKOFF_SECONDS)
+        self.failing_until = self._clock.time() + backoff
+
+    def note_silence(self) -> None:
+        """Note that the member left a command unanswered."""
+        self._note_failure()
+
+    def note_answer(self) -> None:
+        """Note that the member answered."""
+        self._failures = 0
+
+    def _refuse_waiting(self, answer: Answer) -> None:
+        waiting, self._waiting = self._waiting, []
+        for _, _, waiter in waiting:
+            waiter.respond(None, answer)
+
+    # Changes
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; surplus idle connections are closed."""
+        self.limit = limit
+        while self._idle and self.open_count > limit:
+            self._idle.pop(0).close()
+        self._open_for_waiting()
+
+    def abandon(self) -> None:
+        """Close idle connections, since the member was lost; leased ones end by themselves."""
+        idle, self._idle = self._idle, []
+        for channel in idle:
+            channel.close()
+
+    def close(self) -> None:
+        """Close everything that is not leased and refuse those who wait."""
+        self._closed = True
+        self.abandon()
+        for channel in list(self._opening):
+            channel.close()
+        self._refuse_waiting(Answer(refusal=Refusal.BUSY, message="the member is leaving"))
--- /dev/null
+++ b/src/rowanrail/gateway/primary.py
@@ -0,0 +1,280 @@
+"""Which member leads a service, and samples of its position that prove it.
+
+A sample is a position with the moment at which it was asked for. It proves that the member
+still led when it answered: it comes from a plain BEGIN, a write or a commit that the member
+accepted, which a replaced primary refuses. A read whose log holds a sample misses nothing
+that was acknowledged before the sample was asked for.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.gateway.channel import Channel, MemberDriver
+from rowanrail.gateway.clock import Clock
+from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.proxy.backend import Position
+
+PROBE_TIMEOUT_SECONDS = 0.35
+SEARCH_SECONDS = 0.1
+MONITOR_SECONDS = 0.5
+RETRY_OPEN_SECONDS = 0.3
+
+_PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
+
+GiveFloor = Callable[[Position | None], None]
+
+
+class Sample(msgspec.Struct, frozen=True, gc=False):
+    """The primary's position.
+
+    :param asked_at: steady time in seconds at which it was asked for.
+    """
+
+    asked_at: float
+    position: Position
+    instance: str
+
+
+class PrimaryHealth(msgspec.Struct, frozen=True):
+    """What a proxy sees of a service's primary; ages in seconds.
+
+    :param proved_ago: since the last proof that it leads; -1 if there was none.
+    :param failing_for: how long all attempts have failed; 0 if the last one succeeded.
+    """
+
+    service: str
+    instance: str
+    proved_ago: float
+    failing_for: float
+
+
+class _Probe:
+    """The connection that samples one member."""
+
+    def __init__(self, record: MemberRecord) -> None:
+        self.record = record
+        self.channel: Channel | None = None
+        self.is_open = False
+        self.asked_at = 0.0
+        self.in_flight = False
+        self.retry_at = 0.0
+
+    def channel_closed(self) -> bool:
+        """Return whether the connection is gone."""
+        return self.channel is None or self.channel.closed
+
+
+class PrimaryTracker:
+    """Finds the primary of one service and keeps its newest sample."""
+
+    def __init__(self, service: str, driver: MemberDriver, clock: Clock) -> None:
+        self.service = service
+        self.sample: Sample | None = None
+        self.believed = ""
+        self.proved_at = -1.0
+        self.failing_since = 0.0
+        self.on_primary: Callable[[], None] = lambda: None
+        self._driver = driver
+        self._clock = clock
+        self._records: dict[str, MemberRecord] = {}
+        self._probes: dict[str, _Probe] = {}
+        self._waiting: list[tuple[float, GiveFloor]] = []
+        self._search_at = 0.0
+
+    def set_members(self, records: list[MemberRecord]) -> None:
+        """Know the service's members; the one that calls itself primary is believed first."""
+        self._records = {record.instance: record for record in records}
+        for instance in list(self._probes):
+            if instance not in self._records:
+                self._drop_probe(instance)
+        if self.believed and self.believed not in self._records:
+            self.believed = ""
+        if not self.believed:
+            claims = [record.instance for record in records if record.primary]
+            if claims:
+                self.believed = claims[0]
+                self.on_primary()
+
+    def health(self) -> PrimaryHealth:
+        """Return what to report of the primary."""
+        now = self._clock.time()
+        proved_ago = now - self.proved_at if self.proved_at >= 0 else -1.0
+        failing_for = now - self.failing_since if self.failing_since else 0.0
+        return PrimaryHealth(self.service, self.believed, proved_ago, failing_for)
+
+    # Proofs
+
+    def note_proof(self, instance: str, asked_at: float, position: Position | None) -> None:
+        """Note that ``instance`` led when it answered what was asked at ``asked_at``."""
+        if position is None:
+            return
+        known = self.sample
+        if known is None or (asked_at >= known.asked_at and position.term >= known.position.term):
+            highest = position if known is None else max(position, known.position)
+            self.sample = Sample(asked_at, highest, instance)
+        elif position.term < known.position.term:
+            return  # it led when it answered, and has been replaced since
+        self.proved_at = self._clock.time()
+        self.failing_since = 0.0
+        if self.believed != instance and instance in self._records:
+            self.believed = instance
+            self.on_primary()
+        if self._waiting:
+            self._serve_waiting()
+
+    def note_not_primary(self, instance: str) -> None:
+        """Note that a member refused as one that does not lead."""
+        if self.believed == instance:
+            self.believed = ""
+            self._note_failing()
+            self._search()
+
+    def note_failure(self, instance: str) -> None:
+        """Note that the member believed to lead does not answer."""
+        if self.believed == instance or not self.believed:
+            self._note_failing()
+
+    def _note_failing(self) -> None:
+        if not self.failing_since:
+            self.failing_since = self._clock.time()
+
+    # Floors
+
+    def need(self, asked_since: float, give: GiveFloor) -> None:
+        """Give a position sampled at ``asked_since`` or later, now or once there is one."""
+        sample = self.sample
+        if sample is not None and sample.asked_at >= asked_since:
+            give(sample.position)
+            return
+        self._waiting.append((asked_since, give))
+        self._ask()
+
+    def forget(self, give: GiveFloor) -> None:
+        """Forget somebody who waits."""
+        self._waiting = [entry for entry in self._waiting if entry[1] != give]
+
+    def _serve_waiting(self) -> None:
+        sample = self.sample
+        if sample is None:
+            return
+        ready = [entry for entry in self._waiting if entry[0] <= sample.asked_at]
+        if ready:
+            self._waiting = [entry for entry in self._waiting if entry[0] > sample.asked_at]
+            for _, give in ready:
+                give(sample.position)
+
+    # Probing
+
+    def tick(self, in_use: bool) -> None:
+        """Give up late probes, watch the primary, and search for it if none is known."""
+        now = self._clock.time()
+        for instance, probe in list(self._probes.items()):
+            if probe.in_flight and now - probe.asked_at > PROBE_TIMEOUT_SECONDS:
+                self._drop_probe(instance)
+                self._fail(instance)
+        if self._waiting or in_use and now - self.proved_at > MONITOR_SECONDS:
+            self._ask()
+
+    def prefetch(self) -> None:
+        """Ask for a new sample before somebody has to wait for it."""
+        self._ask()
+
+    def _ask(self) -> None:
+        probe = self._probes.get(self.believed)
+        if probe is not None and probe.in_flight and probe.is_open:
+            return  # the answer to a later question is asked for when this one is answered
+        if self.believed:
+            self._probe(self._records[self.believed])
+        else:
+            self._search()
+
+    def _search(self) -> None:
+        now = self._clock.time()
+        if now < self._search_at:
+            return
+        self._search_at = now + SEARCH_SECONDS
+        for record in self._records.values():
+            self._probe(record)
+
+    def _probe(self, record: MemberRecord) -> None:
+        now = self._clock.time()
+        probe = self._probes.get(record.instance)
+        if probe is None:
+            probe = _Probe(record)
+            self._probes[record.instance] = probe
+        if probe.in_flight or now < probe.retry_at:
+            return
+        probe.in_flight = True
+        probe.asked_at = now
+        if probe.is_open:
+            self._send(probe)
+            return
+
+        def on_open(channel: Channel, answer: Answer) -> None:
+            if probe.channel is not channel:
+                return
+            if answer.refusal is not None:
+                self._drop_probe(record.instance)
+                self._fail(record.instance)
+                return
+            probe.is_open = True
+            probe.asked_at = self._clock.time()
+            self._send(probe)
+
+        probe.channel = Channel(record.address, record.instance, on_open)
+        probe.channel.on_closed = lambda channel: self._on_closed(record.instance, channel)
+        self._driver.open(record.address, record.service, record.instance, probe.channel)
+
+    def _send(self, probe: _Probe) -> None:
+        assert probe.channel is not None
+        asked_at = probe.asked_at
+        instance = probe.record.instance
+
+        def on_begin(answer: Answer) -> None:
+            if answer.refusal is None:
+                self.note_proof(instance, asked_at, answer.position)
+            elif probe.channel is not None and not probe.channel.closed:
+                self.note_not_primary(instance)
+
+        def on_end(answer: Answer) -> None:
+            if self._probes.get(instance) is not probe:
+                return
+            probe.in_flight = False
+            if self._waiting and not probe.channel_closed():
+                self._ask()
+            elif not self._waiting and self.believed not in ("", instance):
+                self._drop_probe(instance)
+
+        probe.channel.send(_PROBE, [on_begin, on_end])
+
+    def _on_closed(self, instance: str, channel: Channel) -> None:
+        probe = self._probes.get(instance)
+        if probe is not None and probe.channel is channel:
+            self._drop_probe(instance)
+            self._fail(instance)
+
+    def _drop_probe(self, instance: str) -> None:
+        probe = self._probes.pop(instance, None)
+        if probe is not None and probe.channel is not None:
+            channel, probe.channel = probe.channel, None
+            channel.close()
+
+    def _fail(self, instance: str) -> None:
+        self.note_failure(instance)
+        record = self._records.get(instance)
+        if record is not None:
+            # The next attempt waits a little, so that a dead port is not hammered.
+            probe = _Probe(record)
+            probe.retry_at = self._clock.time() + RETRY_OPEN_SECONDS
+            self._probes[instance] = probe
+        if instance == self.believed:
+            self._search()
+
+    def close(self) -> None:
+        """Close the sampling connections."""
+        for instance in list(self._probes):
+            self._drop_probe(instance)
+        for _, give in self._waiting:
+            give(None)
+        self._waiting = []
--- /dev/null
+++ b/src/rowanrail/gateway/service.py
@@ -0,0 +1,106 @@
+"""One service: its members' pools, its primary, and the choice of a member for a read."""
+
+from rowanrail.gateway.channel import MemberDriver
+from rowanrail.gateway.clock import Clock
+from rowanrail.gateway.model import MemberRecord, ServiceSpec
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.primary import PrimaryTracker
+
+IN_USE_SECONDS = 10.0
+SAME_ZONE_FACTOR = 0.4
+PRIMARY_FACTOR = 1.3
+FAILING_PENALTY_SECONDS = 5.0
+RESERVED_CONNECTIONS = 3
+ASSUMED_PROXIES = 8
+DEMAND_FACTOR = 2
+MINIMUM_CONNECTIONS = 2
+
+
+class Service:
+    """Members of one service as this proxy uses them."""
+
+    def __init__(self, spec: ServiceSpec, zone: str, driver: MemberDriver, clock: Clock) -> None:
+        self.spec = spec
+        self.primary = PrimaryTracker(spec.name, driver, clock)
+        self.pools: dict[str, MemberPool] = {}
+        self.used_at = -IN_USE_SECONDS
+        self._zone = zone
+        self._driver = driver
+        self._clock = clock
+        self._proxies = ASSUMED_PROXIES
+
+    def set_members(self, records: list[MemberRecord]) -> None:
+        """Know the members that announced themselves; those that left are closed."""
+        by_instance = {record.instance: record for record in records}
+        for instance in list(self.pools):
+            known = by_instance.get(instance)
+            if known is None or known.address != self.pools[instance].record.address:
+                self.pools.pop(instance).close()
+        for record in records:
+            pool = self.pools.get(record.instance)
+            if pool is None:
+                limit = self._connection_limit()
+                self.pools[record.instance] = MemberPool(record, limit, self._driver, self._clock)
+            else:
+                pool.record = record
+        self.primary.set_members(records)
+
+    def set_spec(self, spec: ServiceSpec) -> None:
+        """Take a changed configuration of the service."""
+        self.spec = spec
+        self._apply_limit()
+
+    def set_proxies(self, proxies: int) -> None:
+        """Note how many proxies share the members' connections."""
+        self._proxies = proxies or ASSUMED_PROXIES
+        self._apply_limit()
+
+    def _connection_limit(self) -> int:
+        # Demand is uneven, so a proxy may use more than an even share; a member that has no
+        # connection left refuses without harm, and the pool then keeps to what it has.
+        share = (self.spec.connections - RESERVED_CONNECTIONS) // self._proxies
+        return max(MINIMUM_CONNECTIONS, DEMAND_FACTOR * (share - 1))
+
+    def _apply_limit(self) -> None:
+        limit = self._connection_limit()
+        for pool in self.pools.values():
+            if pool.limit != limit:
+                pool.set_limit(limit)
+
+    @property
+    def in_use(self) -> bool:
+        """Whether statements came a short while ago."""
+        return self._clock.time() - self.used_at < IN_USE_SECONDS
+
+    def primary_pool(self) -> MemberPool | None:
+        """Return the pool of the member believed to lead."""
+        return self.pools.get(self.primary.believed)
+
+    def choose(self, excluded: set[str]) -> MemberPool | None:
+        """Return the member for a read that any member with a fresh log may serve."""
+        best: MemberPool | None = None
+        best_cost = 0.0
+        now = self._clock.time()
+        for instance, pool in self.pools.items():
+            if instance in excluded or pool.record.leaving:
+                continue
+            cost = pool.latency_seconds * (1 + pool.load / max(1, pool.record.slots))
+            if pool.record.zone == self._zone:
+                cost *= SAME_ZONE_FACTOR
+            if instance == self.primary.believed:
+                cost *= PRIMARY_FACTOR
+            if now < pool.failing_until:
+                cost += FAILING_PENALTY_SECONDS
+            if best is None or cost < best_cost:
+                best, best_cost = pool, cost
+        return best
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self.primary.tick(self.in_use)
+
+    def close(self) -> None:
+        """Close everything that is not leased."""
+        self.primary.close()
+        for pool in self.pools.values():
+            pool.close()
--- /dev/null
+++ b/src/rowanrail/gateway/session.py
@@ -0,0 +1,263 @@
+"""A client's session: its statements one after the other, its values, its transaction."""
+
+from typing import Protocol
+
+from rowanrail.gateway.channel import Respond
+from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.model import (
+    Answer,
+    Refusal,
+    Route,
+    SessionState,
+    StatementKind,
+    TypedStatement,
+)
+from rowanrail.gateway.operations import (
+    LoneRead,
+    LoneWrite,
+    Operation,
+    PreparedNames,
+    SessionValues,
+    Transaction,
+    is_write,
+)
+from rowanrail.gateway.service import Service
+
+MAXIMUM_VALUES = 200
+_DONE = Answer()
+
+
+class SessionHost(Protocol):
+    """What a session needs of its proxy."""
+
+    clock: Clock
+    names: PreparedNames
+
+    def route(self, database: str) -> tuple[Route, Service] | None:
+        """Return the route in force for a database, None if there is none."""
+
+    def idle_transaction_seconds(self) -> float:
+        """Return how long a transaction may rest."""
+
+    def note_outcome(
+        self, session: "Session", statement: TypedStatement, answer: Answer, seconds: float
+    ) -> None:
+        """Count and log what became of a statement."""
+
+    def session_closed(self, session: "Session") -> None:
+        """Forget a session."""
+
+
+class Session:
+    """One client's session. A front end gives it one statement at a time."""
+
+    __slots__ = (
+        "_abort_reason",
+        "_host",
+        "_idle_timer",
+        "_operation",
+        "_received_at",
+        "_respond",
+        "_statement",
+        "_transaction",
+        "closed",
+        "database",
+        "peer",
+        "state",
+        "values",
+    )
+
+    def __init__(self, host: SessionHost, database: str, peer: str = "") -> None:
+        self.database = database
+        self.peer = peer
+        self.state = SessionState.IDLE
+        self.values = SessionValues()
+        self.closed = False
+        self._host = host
+        self._transaction: Transaction | None = None
+        self._operation: Operation | None = None
+        self._respond: Respond | None = None
+        self._statement: TypedStatement | None = None
+        self._abort_reason = ""
+        self._idle_timer: Timer | None = None
+        self._received_at = 0.0
+
+    @property
+    def busy(self) -> bool:
+        """Whether a statement runs."""
+        return self._respond is not None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self.state is not SessionState.IDLE
+
+    # Statements
+
+    def execute(self, statement: TypedStatement, respond: Respond) -> None:
+        """Run a statement; ``respond`` gets its answer once, perhaps at once."""
+        assert self._respond is None, "statements of a session run one after the other"
+        self._respond = respond
+        self._statement = statement
+        self._received_at = self._host.clock.time()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+        if self.state is SessionState.FAILED:
+            self._in_failed(statement)
+        elif statement.kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE):
+            self._work(statement)
+        else:
+            self._control(statement)
+
+    def _finish(self, answer: Answer) -> None:
+        respond, self._respond = self._respond, None
+        statement, self._statement = self._statement, None
+        self._operation = None
+        if respond is None or statement is None:
+            return
+        if self.state is SessionState.TRANSACTION and not self.closed:
+            self._idle_timer = self._host.clock.call_later(
+                self._host.idle_transaction_seconds(), self._rested_too_long
+            )
+        seconds = self._host.clock.time() - self._received_at
+        self._host.note_outcome(self, statement, answer, seconds)
+        respond(answer)
+
+    def _refuse(self, refusal: Refusal, message: str) -> None:
+        self._finish(Answer(refusal=refusal, message=message))
+
+    def _in_failed(self, statement: TypedStatement) -> None:
+        reason, self._abort_reason = self._abort_reason, ""
+        if statement.kind is StatementKind.ROLLBACK:
+            self._end_transaction()
+            self._finish(_DONE)
+        elif statement.kind is StatementKind.COMMIT:
+            self._end_transaction()
+            self._refuse(Refusal.ABORTED, reason or "the transaction had failed")
+        elif reason:
+            self._refuse(Refusal.ABORTED, reason)
+        else:
+            self._refuse(Refusal.INVALID, "the transaction failed; end it first")
+
+    def _control(self, statement: TypedStatement) -> None:
+        kind = statement.kind
+        if kind is StatementKind.SET:
+            self._set(statement)
+        elif kind is StatementKind.PREPARE:
+            self._prepare(statement)
+        elif kind is StatementKind.CLOSE:
+            if self.values.prepared.pop(statement.name, None) is None:
+                self._refuse(Refusal.UNKNOWN_NAME, f"nothing is prepared as {statement.name}")
+            else:
+                self._finish(_DONE)
+        elif kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ):
+            self._begin(statement)
+        elif self._transaction is None:
+            if kind is StatementKind.ROLLBACK:
+                self._finish(_DONE)
+            else:
+                self._refuse(Refusal.INVALID, "no transaction is open")
+        elif kind is StatementKind.ROLLBACK:
+            self._end_transaction()
+            self._finish(_DONE)
+        else:
+            self._operation = self._transaction
+            self._transaction.run(statement, self._committed)
+
+    def _set(self, statement: TypedStatement) -> None:
+        values = self.values.values
+        if len(values) >= MAXIMUM_VALUES and statement.name not in values:
+            self._refuse(Refusal.TOO_LARGE, f"a session holds at most {MAXIMUM_VALUES} values")
+            return
+        values[statement.name] = statement.value
+        self._finish(_DONE)
+
+    def _prepare(self, statement: TypedStatement) -> None:
+        prepared = self.values.prepared
+        if len(prepared) >= MAXIMUM_VALUES and statement.name not in prepared:
+            self._refuse(Refusal.TOO_LARGE, f"a session prepares at most {MAXIMUM_VALUES} names")
+            return
+        prepared[statement.name] = (statement.writes, statement.value)
+        self._finish(_DONE)
+
+    def _begin(self, statement: TypedStatement) -> None:
+        if self._transaction is not None:
+            self._refuse(Refusal.INVALID, "a transaction is open")
+            return
+        found = self._host.route(self.database)
+        if found is None:
+            self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
+            return
+        route, service = found
+        read_only = statement.kind is StatementKind.BEGIN_READ
+        self._transaction = Transaction(
+            service, route, self.values, self._host.names, self._host.clock, read_only
+        )
+        self.state = SessionState.TRANSACTION
+        self._finish(_DONE)
+
+    def _work(self, statement: TypedStatement) -> None:
+        if statement.kind is StatementKind.EXECUTE and statement.name not in self.values.prepared:
+            self._refuse(Refusal.UNKNOWN_NAME, f"nothing is prepared as {statement.name}")
+            return
+        if self._transaction is not None:
+            self._operation = self._transaction
+            self._transaction.run(statement, self._transaction_answered)
+            return
+        found = self._host.route(self.database)
+        if found is None:
+            self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
+            return
+        route, service = found
+        kind = LoneWrite if is_write(statement, self.values) else LoneRead
+        operation = kind(service, route, self.values, self._host.names, self._host.clock)
+        self._operation = operation
+        operation.start(statement, self._finish)
+
+    # Transactions
+
+    def _transaction_answered(self, answer: Answer) -> None:
+        if answer.refusal is not None:
+            self.state = SessionState.FAILED
+        self._finish(answer)
+
+    def _committed(self, answer: Answer) -> None:
+        self._transaction = None
+        self.state = SessionState.IDLE
+        self._finish(answer)
+
+    def _end_transaction(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        self.state = SessionState.IDLE
+        if transaction is not None:
+            transaction.end()
+
+    def _rested_too_long(self) -> None:
+        self._idle_timer = None
+        self.abort("the transaction rested for too long")
+
+    def abort(self, reason: str) -> None:
+        """End a resting transaction; its client learns it at its next statement."""
+        if self._transaction is None or self.busy:
+            return
+        self._transaction.end()
+        self._transaction = None
+        self.state = SessionState.FAILED
+        self._abort_reason = reason
+
+    def close(self) -> None:
+        """End the session: its transaction is rolled back, nobody waits for an answer."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        operation, self._operation = self._operation, None
+        self._respond = None
+        if operation is not None:
+            operation.finish(Answer(refusal=Refusal.ABORTED, message="the client left"))
+        if self._transaction is not None:
+            self._transaction.end()
+            self._transaction = None
+        self._host.session_closed(self)
--- /dev/null
+++ b/tests/gateway/test_sessions.py
@@ -0,0 +1,275 @@
+"""Sessions of the gateway: routing, values, prepared names, transactions."""
+
+import unittest
+
+from rowanrail.gateway.model import NOT_RUN, Answer, CommandKind, Refusal, SessionState
+from rowanrail.proxy.backend import Position
+from tests.support.gateway import PlayedGateway
+
+
+class ReadTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+
+    def test_a_bounded_read_runs_at_the_near_replica_behind_a_floor(self):
+        answer = self.played.client("reports").run("READ a")
+        self.assertIsNone(answer.refusal)
+        self.assertEqual(self.played.near.texts(), ["READ a"])
+        self.assertEqual(self.played.near.ran[-1][1].floor, Position(1, 10))
+
+    def test_a_read_of_a_primary_route_takes_a_sample_asked_for_after_it_came(self):
+        client = self.played.client("orders")
+        client.run("READ a")
+        self.played.clock.advance(0.01)
+        self.played.primary.position = Position(1, 11)
+        self.played.near.position = Position(1, 11)
+        client.run("READ b")
+        self.assertEqual(self.played.near.ran[-1][1].floor, Position(1, 11))
+
+    def test_a_bounded_read_shares_a_sample_within_its_staleness(self):
+        client = self.played.client("reports")
+        for _ in range(5):
+            client.run("READ a")
+        begins = [c for _, c in self.played.primary.ran if c.kind is CommandKind.BEGIN]
+        self.assertEqual(len(begins), 1)
+
+    def test_a_session_reads_its_own_write_though_the_replica_lags(self):
+        client = self.played.client("carts")
+        client.run("WRITE a 1")
+        answer = client.run("READ a")
+        self.assertIsNone(answer.refusal)
+        self.assertEqual(self.played.primary.texts(), ["WRITE a 1", "READ a"])
+
+    def test_a_read_waits_for_no_silent_member(self):
+        self.played.client("reports").run("READ a")
+        self.played.near.silent = True
+        answer = self.played.client("reports").run("READ b", seconds=0.4)
+        self.assertIsNone(answer.refusal)
+
+    def test_a_read_without_a_primary_is_refused_as_not_run(self):
+        for member in self.played.members:
+            member.primary = False
+        answer = self.played.client("orders").run("READ a", seconds=1.0)
+        self.assertEqual(answer.refusal, Refusal.BUSY)
+        self.assertEqual(self.played.near.texts(), [])
+
+    def test_rolled_back_commits_do_not_hold_up_reads_for_good(self):
+        client = self.played.client("carts")
+        client.run("WRITE a 1")
+        # The primary is replaced by a member without that commit.
+        self.played.primary.primary = False
+        self.played.near.primary = True
+        for member in self.played.members:
+            member.position = Position(2, 10)
+        client.run("WRITE b 2", seconds=0.5)
+        self.assertIsNone(client.run("READ a", seconds=0.5).refusal)
+
+    def test_a_leaving_member_gets_no_read(self):
+        self.played.announce(2, leaving=("m2",))
+        self.played.client("reports").run("READ a")
+        self.assertEqual(self.played.near.texts(), [])
+
+
+class WriteTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+
+    def test_a_lost_write_is_in_doubt_and_not_sent_again(self):
+        client = self.played.client("orders")
+        self.played.primary.script = [None]
+        client.ask("WRITE a 1")
+        self.played.primary.open_wires()[-1].channel.lost("reset")
+        self.assertEqual(client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
+        self.played.clock.advance(2)
+        self.assertEqual(self.played.primary.texts(), ["WRITE a 1"])
+
+    def test_a_write_without_an_answer_is_in_doubt(self):
+        client = self.played.client("orders")
+        self.played.primary.script = [None]
+        answer = client.run("WRITE a 1", seconds=1.1)
+        self.assertEqual(answer.refusal, Refusal.OUTCOME_UNKNOWN)
+
+    def test_a_refused_write_goes_to_the_new_primary(self):
+        client = self.played.client("orders")
+        client.run("WRITE a 1")
+        self.played.primary.primary = False
+        self.played.far.primary = True
+        self.assertIsNone(client.run("WRITE b 1", seconds=0.12).refusal)
+        self.assertEqual(self.played.far.texts(), ["WRITE b 1"])
+
+    def test_a_write_is_refused_early_while_nobody_leads(self):
+        client = self.played.client("orders")
+        self.played.primary.primary = False
+        answer = client.run("WRITE a 1", seconds=0.13)
+        self.assertIn(answer.refusal, NOT_RUN)
+
+
+class TransactionTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.client = self.played.client("orders")
+
+    def test_statements_share_a_connection_that_nobody_else_gets(self):
+        other = self.played.client("orders")
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        other.run("BEGIN")
+        other.run("WRITE b 1")
+        self.client.run("READ a")
+        self.client.run("COMMIT")
+        by_wire = {}
+        for wire, command in self.played.primary.ran:
+            if command.request_id:
+                by_wire.setdefault(wire, []).append(command.text)
+        self.assertIn(["WRITE a 1", "READ a", "COMMIT"], by_wire.values())
+        self.assertIn(["WRITE b 1"], by_wire.values())
+
+    def test_a_read_never_stands_behind_an_unanswered_begin(self):
+        self.played.primary.primary = False
+        self.client.run("BEGIN")
+        self.client.run("READ a", seconds=0.2)
+        self.assertEqual([t for m in self.played.members for t in m.texts()], [])
+
+    def test_a_lost_connection_before_the_commit_aborts(self):
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        self.played.primary.open_wires()[-1].channel.lost("reset")
+        self.assertEqual(self.client.run("READ a").refusal, Refusal.ABORTED)
+        self.assertIs(self.client.session.state, SessionState.FAILED)
+        self.assertEqual(self.client.run("READ a").refusal, Refusal.INVALID)
+        self.assertIsNone(self.client.run("ROLLBACK").refusal)
+
+    def test_a_lost_commit_is_in_doubt_if_something_was_written(self):
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        self.played.primary.script = [None]
+        self.client.ask("COMMIT")
+        self.played.primary.open_wires()[-1].channel.lost("reset")
+        self.assertEqual(self.client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
+        self.assertIs(self.client.session.state, SessionState.IDLE)
+
+    def test_a_lost_commit_without_writes_promises_that_nothing_is_kept(self):
+        self.client.run("BEGIN")
+        self.client.run("READ a")
+        self.played.primary.script = [None]
+        self.client.ask("COMMIT")
+        self.played.primary.open_wires()[-1].channel.lost("reset")
+        self.assertEqual(self.client.answers[-1].refusal, Refusal.ABORTED)
+
+    def test_a_rolled_back_connection_is_used_again(self):
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        self.client.run("ROLLBACK")
+        wires = len(self.played.primary.wires)
+        self.client.run("WRITE b 1")
+        self.assertEqual(len(self.played.primary.wires), wires)
+
+    def test_a_resting_transaction_is_ended_and_its_client_told_at_the_next_statement(self):
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        self.played.clock.advance(3.5)
+        self.assertEqual(len(self.client.answers), 2)
+        self.assertEqual(self.client.run("COMMIT").refusal, Refusal.ABORTED)
+        self.assertNotIn("COMMIT", self.played.primary.texts())
+
+    def test_a_client_that_leaves_rolls_back(self):
+        self.client.run("BEGIN")
+        self.client.run("WRITE a 1")
+        self.client.session.close()
+        self.assertIs(self.played.primary.ran[-1][1].kind, CommandKind.ROLLBACK)
+
+    def test_a_commit_after_a_failure_is_no_success(self):
+        self.client.run("BEGIN")
+        self.played.primary.script = [Answer(refusal=Refusal.FAILED, message="x")]
+        self.client.run("WRITE a 1")
+        self.assertEqual(self.client.run("COMMIT").refusal, Refusal.ABORTED)
+        self.assertNotIn("COMMIT", self.played.primary.texts())
+
+
+class SessionStateTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.played.configure(2, connections=9)
+
+    def near_wire(self):
+        return self.played.near.open_wires()[-1]
+
+    def test_values_are_on_the_connection_before_the_statement(self):
+        client = self.played.client("reports")
+        client.run("SET zone x")
+        client.run("READ a")
+        self.assertEqual(self.near_wire().values, {"zone": "x"})
+
+    def test_values_never_meet_another_session(self):
+        first, second = self.played.client("reports"), self.played.client("reports")
+        first.run("SET zone x")
+        first.run("READ a")
+        second.run("READ b")
+        self.assertEqual(self.near_wire().values, {})
+        first.run("READ c")
+        self.assertEqual(self.near_wire().values, {"zone": "x"})
+
+    def test_names_clash_without_harm(self):
+        first, second = self.played.client("reports"), self.played.client("reports")
+        first.run("PREPARE s READ one")
+        second.run("PREPARE s READ two")
+        first.run("EXECUTE s a")
+        second.run("EXECUTE s b")
+        shapes = self.near_wire().prepared
+        executed = [text.split(" ") for text in self.played.near.texts()]
+        self.assertEqual([shapes[name] for name, _ in executed], ["READ one", "READ two"])
+
+    def test_a_name_prepared_again_stands_for_the_new_shape(self):
+        client = self.played.client("reports")
+        client.run("PREPARE s READ one")
+        client.run("EXECUTE s a")
+        client.run("PREPARE s READ two")
+        client.run("EXECUTE s b")
+        name = self.played.near.texts()[-1].split(" ")[0]
+        self.assertEqual(self.near_wire().prepared[name], "READ two")
+
+    def test_an_unknown_name_is_refused(self):
+        answer = self.played.client("reports").run("EXECUTE s a")
+        self.assertEqual(answer.refusal, Refusal.UNKNOWN_NAME)
+
+    def test_a_dropped_route_binds_from_the_next_transaction(self):
+        client = self.played.client("orders")
+        client.run("BEGIN")
+        client.run("WRITE a 1")
+        self.played.configure(3, without=("orders",))
+        self.assertIsNone(client.run("COMMIT").refusal)
+        self.assertEqual(client.run("READ a").refusal, Refusal.UNKNOWN_DATABASE)
+
+    def test_an_older_configuration_changes_nothing(self):
+        self.played.configure(1, without=("orders",))
+        self.assertIsNone(self.played.client("orders").run("READ a").refusal)
+
+
+class ConnectionTest(unittest.TestCase):
+    def test_idle_sessions_hold_no_connection(self):
+        played = PlayedGateway()
+        for _ in range(500):
+            played.client("orders")
+        self.assertEqual(sum(len(member.wires) for member in played.members), 0)
+
+    def test_statements_wait_for_a_connection_and_the_limit_holds(self):
+        played = PlayedGateway()
+        played.configure(2, connections=9)
+        clients = [played.client("orders") for _ in range(6)]
+        for client in clients:
+            client.run("BEGIN")
+        for client in clients:
+            client.ask("WRITE a 1")
+        pool = played.gateway.services["db"].pools["m1"]
+        self.assertEqual(pool.open_count, pool.limit)
+        for client in clients:
+            if len(client.answers) == 2:
+                client.run("COMMIT")
+        self.assertTrue(all(len(client.answers) >= 2 for client in clients))
+
+    def test_a_member_without_free_connections_is_not_pressed(self):
+        played = PlayedGateway()
+        played.near.refuse_start = Refusal.TOO_MANY_CONNECTIONS
+        client = played.client("reports")
+        self.assertIsNone(client.run("READ a").refusal)
+        self.assertEqual(played.near.texts(), [])
