--- /dev/null
+++ b/tests/support/line_member.py
@@ -0,0 +1,272 @@
+"""Stand-ins for the platform: members of a group on the line wire, and its promote call.
+
+They follow the published protocol: slots are left out, the log, terms, roles, positions,
+``AFTER``, session values, prepared names and transactions are there.
+"""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+PROMOTE_SECONDS = 0.2
+
+
+class Group:
+    """A service: one log, and members that hold a part of it."""
+
+    def __init__(self, name: str, lag_seconds: float = 0.005) -> None:
+        self.name = name
+        self.lag_seconds = lag_seconds
+        self.members: dict[str, Member] = {}
+        self.term = 1
+        self.promotions: list[tuple[str, int, str]] = []
+
+    @property
+    def primary(self) -> "Member":
+        return next(member for member in self.members.values() if member.leads)
+
+    def commit(self, writes: list[tuple[str, str]]) -> None:
+        entry = (self.term, writes)
+        self.primary.take([entry])
+        for member in self.members.values():
+            if not member.leads and not member.deaf:
+                asyncio.get_running_loop().call_later(
+                    self.lag_seconds, member.copy_from, self.primary
+                )
+
+    def promote(self, instance: str) -> None:
+        member = self.members[instance]
+        if member.leads:
+            return
+        self.term += 1
+        for other in self.members.values():
+            other.leads = False
+        member.leads = True
+        for other in self.members.values():
+            del other.log[len(member.log) :]
+            other.end_transactions()
+
+
+class Member:
+    """One member, listening on an address of its own."""
+
+    def __init__(self, group: Group, instance: str, host: str, port: int, leads: bool) -> None:
+        self.group, self.instance, self.host, self.port = group, instance, host, port
+        self.leads = leads
+        self.deaf = False
+        self.log: list[tuple[int, list[tuple[str, str]]]] = []
+        self.sequence = 0
+        self.ran: list[str] = []
+        self.connections: set[MemberConnection] = set()
+        self._server: asyncio.Server | None = None
+        group.members[instance] = self
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def position(self) -> tuple[int, int]:
+        return (self.log[-1][0] if self.log else 1, len(self.log))
+
+    def data(self) -> dict[str, str]:
+        return {thing: value for _, writes in self.log for thing, value in writes}
+
+    def take(self, entries: list[Any]) -> None:
+        self.log.extend(entries)
+
+    def copy_from(self, primary: "Member") -> None:
+        if not self.deaf and not self.leads:
+            self.log = list(primary.log)
+
+    def end_transactions(self) -> None:
+        for connection in self.connections:
+            connection.lost_lead = True
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: MemberConnection(self), self.host, self.port
+        )
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    def heartbeat(self, state: str = "ready") -> dict[str, Any]:
+        self.sequence += 1
+        return {
+            "service": self.group.name,
+            "addr": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 5,
+            "state": state,
+            "cold-ms": 0,
+            "db-role": "primary" if self.leads else "replica",
+            "call-seq": self.sequence,
+        }
+
+
+class MemberConnection(asyncio.Protocol):
+    """One connection to a member."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.buffer = b""
+        self.started = False
+        self.state = "I"
+        self.plain = False
+        self.lost_lead = False
+        self.writes: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.member.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.member.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.buffer = (self.buffer + data).split(b"\r\n")
+        for line in lines:
+            self.take(line.decode())
+
+    def take(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if not self.started:
+            service, _, expected = rest.split(" ")
+            if (
+                word != "START"
+                or service != self.member.group.name
+                or (expected != self.member.instance)
+            ):
+                self.transport.write(f"ERROR WRONGNODE {self.member.instance}\r\n".encode())
+                self.transport.close()
+                return
+            self.started = True
+            self.ready([])
+            return
+        _, text = rest.split(" ", 1)
+        self.ready(self.run(text))
+
+    def ready(self, lines: list[str]) -> None:
+        term, number = self.member.position
+        lines = [*lines, f"READY {self.state} {term}.{number}"]
+        self.transport.write("".join(f"{line}\r\n" for line in lines).encode())
+
+    def fail(self, code: str) -> list[str]:
+        if self.state == "T":
+            self.state = "E"
+        return [f"ERROR {code} {self.member.instance}"]
+
+    def run(self, text: str) -> list[str]:
+        words = text.split(" ")
+        if words[0] == "AFTER":
+            term, number = (int(part) for part in words[1].split("."))
+            held = self.member.log[number - 1][0] if 0 < number <= len(self.member.log) else None
+            if number and held != term:
+                return self.fail("LAGGING")
+            words = words[2:]
+        handler = getattr(self, f"run_{words[0].lower()}", None)
+        return self.fail("MALFORMED") if handler is None else handler(words[1:])
+
+    def done(self, signature: str = "-") -> list[str]:
+        return [f"DONE {signature}"]
+
+    def run_begin(self, words: list[str]) -> list[str]:
+        if not words and not self.member.leads:
+            return self.fail("READONLY")
+        self.state, self.plain, self.writes, self.lost_lead = "T", not words, [], False
+        return self.done()
+
+    def run_rollback(self, words: list[str]) -> list[str]:
+        self.state, self.writes = "I", []
+        return self.done()
+
+    def run_commit(self, words: list[str]) -> list[str]:
+        if self.state != "T" or (self.lost_lead and self.writes):
+            self.state, self.writes = "I", []
+            return self.fail("READONLY")
+        self.state = "I"
+        if self.writes:
+            self.member.group.commit(self.writes)
+        return self.done("sig.commit")
+
+    def run_read(self, words: list[str]) -> list[str]:
+        if self.state == "T" and self.plain and self.lost_lead:
+            return self.fail("READONLY")
+        self.member.ran.append(f"READ {words[0]}")
+        value = {**self.member.data(), **dict(self.writes)}.get(words[0], "none")
+        return [f"ROW {value}", *self.done("sig.read")]
+
+    def run_write(self, words: list[str]) -> list[str]:
+        if not self.member.leads or self.lost_lead and self.state == "T":
+            return self.fail("READONLY")
+        self.member.ran.append(f"WRITE {words[0]}")
+        write = (words[0], words[1] if len(words) > 1 else "")
+        if self.state == "T":
+            self.writes.append(write)
+        else:
+            self.member.group.commit([write])
+        return self.done("sig.write")
+
+    def run_set(self, words: list[str]) -> list[str]:
+        self.values[words[0]] = " ".join(words[1:])
+        return self.done()
+
+    def run_prepare(self, words: list[str]) -> list[str]:
+        self.prepared[words[0]] = (words[1], words[2])
+        return self.done()
+
+    def run_execute(self, words: list[str]) -> list[str]:
+        if words[0] not in self.prepared:
+            return self.fail("UNKNOWN")
+        is_write = self.prepared[words[0]][0] == "WRITE"
+        return self.run_write(words[1:]) if is_write else self.run_read(words[1:])
+
+    def run_reset(self, words: list[str]) -> list[str]:
+        self.values, self.prepared = {}, {}
+        return self.done()
+
+    def run_status(self, words: list[str]) -> list[str]:
+        member = self.member
+        role = "primary" if member.leads else "replica"
+        term, number = member.position
+        row = f"ROW {role} {member.group.term} {term}.{number} 0 5 0 {len(member.connections)}"
+        return [row, *self.done()]
+
+
+class Platform:
+    """The platform's promote call, with its fence."""
+
+    def __init__(self, groups: list[Group]) -> None:
+        self.groups = {group.name: group for group in groups}
+        self.calls: list[tuple[str, int, str, int]] = []
+        self._newest: dict[str, int] = {}
+
+    async def start(self, host: str, port: int) -> None:
+        application = web.Application()
+        application.router.add_post("/promote", self._promote)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        await self._runner.cleanup()
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        token = int(request.headers["Fence-Token"])
+        status = 409 if token < self._newest.get(body["service"], 0) else 200
+        self.calls.append((request.headers["Duty-Holder"], token, body["id"], status))
+        if status == 200:
+            self._newest[body["service"]] = token
+            group = self.groups[body["service"]]
+            asyncio.get_running_loop().call_later(PROMOTE_SECONDS, group.promote, body["id"])
+        return web.Response(status=status)
--- /dev/null
+++ b/tests/support/platform_fleet.py
@@ -0,0 +1,246 @@
+"""The programs as processes on loopback addresses, before stand-in members."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from tests.support.line_member import Group, Member, Platform
+
+ROOT = Path(__file__).resolve().parents[2]
+CONTROL_PORT, RPC_PORT, FRONT_PORT, READY_PORT = 18701, 18702, 18703, 18704
+MEMBER_PORT, PROMOTE_PORT = 18705, 18706
+HEARTBEAT_SECONDS = 0.3
+SHOWN_LOG = 6000
+KINDS = {
+    "orders": "primary",
+    "reports": "bounded_staleness",
+    "carts": "read_your_writes",
+}
+
+
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a configuration document with a route for each kind of read."""
+    routes = [
+        {
+            "name": f"r-{host}",
+            "host": host,
+            "path-prefix": "/",
+            "kind": kind,
+            "timeout-ms": 1000,
+            "target-latency-ms": 800,
+            "priority": 1,
+            "service": "db",
+            "max-staleness-ms": 1000,
+        }
+        for host, kind in KINDS.items()
+    ]
+    services = [{"name": "db", "max-conns": 40, "sync-replicas": 0}]
+    limits = {"max-body-bytes": 262144, "idle-tx-ms": 3000}
+    document = {"version": version, "routes": routes, "services": services, "limits": limits}
+    return {**document, **changes}
+
+
+class PlatformFleet:
+    """``controls`` control nodes and ``proxies`` proxies, three members, one promote call."""
+
+    def __init__(self, controls: int, proxies: int) -> None:
+        self.control_hosts = [f"127.0.7.{number + 1}" for number in range(controls)]
+        self.proxy_hosts = [f"127.0.8.{number + 1}" for number in range(proxies)]
+        self.group = Group("db")
+        self.members = [
+            Member(self.group, f"i-{number}", f"127.0.9.{number + 1}", MEMBER_PORT, number == 0)
+            for number in range(3)
+        ]
+        self.platform = Platform([self.group])
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.states: dict[str, str] = {}
+        self.beating = True
+        self._stack = contextlib.AsyncExitStack()
+        self._beats: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> "PlatformFleet":
+        self.folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        self.http = await self._stack.enter_async_context(
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
+        )
+        await self.platform.start("127.0.10.1", PROMOTE_PORT)
+        for member in self.members:
+            await member.start()
+        for host in self.control_hosts:
+            self.start_control(host, bootstrap=True)
+        for host in self.proxy_hosts:
+            self.start_proxy(host)
+        self._beats = [asyncio.ensure_future(self._beat(member)) for member in self.members]
+        await self.until(lambda: self.put(configuration(1)), 200)
+        for host in self.proxy_hosts:
+            await self.until(lambda host=host: self.ready(host), 200)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if error[0] is not None:
+            for host, process in self.processes.items():
+                print(f"== {host}, exit code {process.poll()}\n{self.log(host)[-SHOWN_LOG:]}")
+        for beat in self._beats:
+            beat.cancel()
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for member in self.members:
+            member.stop()
+        await self.platform.stop()
+        await self._stack.aclose()
+
+    # Processes
+
+    def start_control(self, host: str, bootstrap: bool) -> None:
+        lines = [
+            f"name: control-{host}",
+            "zone: a",
+            f"data_folder: {self.folder / host}",
+            f"listen: {host}:{CONTROL_PORT}",
+            f"host: {host}",
+            "tolerated_losses: 1",
+            f"promoter_address: 127.0.10.1:{PROMOTE_PORT}",
+            f"bootstrap: {'true' if bootstrap else 'false'}",
+        ]
+        self._start("control", host, lines)
+
+    def start_proxy(self, host: str) -> None:
+        lines = [
+            f"name: proxy-{host}",
+            "zone: a",
+            f"listen: {host}:{FRONT_PORT}",
+            f"ready_listen: {host}:{READY_PORT}",
+            "stop_seconds: 3",
+        ]
+        self._start("proxy", host, lines)
+
+    def _start(self, role: str, host: str, lines: list[str]) -> None:
+        seeds = [f"{control}:{CONTROL_PORT}" for control in self.control_hosts]
+        common = [f"control_nodes: {seeds}", f"rpc_port: {RPC_PORT}", "protocol: lines"]
+        path = self.folder / f"{host}.yaml"
+        path.write_text("\n".join([*lines, *common]) + "\n")
+        with (self.folder / f"{host}.log").open("ab") as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "main.py"), role],
+                env={**os.environ, "ROWANRAIL_CONFIG": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, host: str) -> None:
+        self.processes[host].kill()
+        self.processes[host].wait()
+
+    def terminate(self, host: str) -> None:
+        self.processes[host].send_signal(signal.SIGTERM)
+
+    def log(self, host: str) -> str:
+        return (self.folder / f"{host}.log").read_text()
+
+    # The outside
+
+    async def _beat(self, member: Member) -> None:
+        position = 0
+        while True:
+            if self.beating and member.connections is not None:
+                state = self.states.get(member.instance, "ready")
+                if state != "gone":
+                    host = self.control_hosts[position % len(self.control_hosts)]
+                    status = await self.heartbeat(host, member, state)
+                    position += status != 200
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def heartbeat(self, host: str, member: Member, state: str) -> int:
+        url = f"http://{host}:{CONTROL_PORT}/instances/{member.instance}"
+        return await self._call("PUT", url, json=member.heartbeat(state))
+
+    async def put(self, document: Any, host: str = "") -> int:
+        url = f"http://{host or self.control_hosts[0]}:{CONTROL_PORT}/config"
+        if isinstance(document, bytes):
+            return await self._call("PUT", url, data=document)
+        return await self._call("PUT", url, json=document)
+
+    async def get(self, host: str = "") -> tuple[int, Any]:
+        url = f"http://{host or self.control_hosts[0]}:{CONTROL_PORT}/config"
+        try:
+            async with self.http.get(url) as response:
+                body = await response.json(content_type=None)
+                return response.status, body
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, None
+
+    async def ready(self, host: str) -> int:
+        return await self._call("GET", f"http://{host}:{READY_PORT}/ready")
+
+    async def _call(self, method: str, url: str, **body: Any) -> int:
+        try:
+            async with self.http.request(method, url, **body) as response:
+                await response.read()
+                return response.status
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+
+    async def until(self, ask: Any, wanted: Any, seconds: float = 15.0) -> None:
+        """Ask again and again until the answer is ``wanted``."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + seconds
+        while (answer := await ask()) != wanted:
+            if loop.time() > deadline:
+                raise AssertionError(f"last answer {answer!r}, wanted {wanted!r}")
+            await asyncio.sleep(0.05)
+
+    async def client(self, database: str, host: str = "") -> "LineClient":
+        client = LineClient(host or self.proxy_hosts[0])
+        await client.start(database)
+        return client
+
+
+class LineClient:
+    """A client on the line wire."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.number = 0
+
+    async def connect(self) -> None:
+        self.reader, self.writer = await asyncio.open_connection(self.host, FRONT_PORT)
+
+    async def start(self, database: str) -> str:
+        await self.connect()
+        self.writer.write(f"START {database} tester\r\n".encode())
+        return await self.line()
+
+    async def line(self) -> str:
+        data = await asyncio.wait_for(self.reader.readline(), 5)
+        return data.decode().rstrip("\r\n")
+
+    async def answer(self) -> list[str]:
+        """Return the lines of one answer, READY included; what there is if it closes."""
+        lines: list[str] = []
+        while not lines or not lines[-1].startswith("READY"):
+            line = await self.line()
+            if not line:
+                break
+            lines.append(line)
+        return lines
+
+    async def query(self, text: str) -> list[str]:
+        self.number += 1
+        self.writer.write(f"QUERY q{id(self)}-{self.number} {text}\r\n".encode())
+        return await self.answer()
+
+    async def raw(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def close(self) -> None:
+        self.writer.close()
