--- a/src/rowanlab/standin/directory.py
+++ b/src/rowanlab/standin/directory.py
@@ -6,7 +6,8 @@
 import msgspec
 from aiohttp import web
 
-from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
+from rowanrail.kernel.web import serve_http
 from rowanrail.proxy.directory import MachineList
 
 
--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -9,7 +9,7 @@
 
 from rowanrail.config.checks import check_address
 from rowanrail.config.reader import convert, read_yaml
-from rowanrail.kernel.events import Level, LogFormat
+from rowanrail.kernel.catalogue import Level, LogFormat
 
 
 class Daemon(enum.Enum):
--- a/src/rowanrail/consensus/raft.py
+++ b/src/rowanrail/consensus/raft.py
@@ -120,6 +120,8 @@
             self._set_term(self.term + 1, self.node)
         self.leader = ""
         self._votes = {self.node}
+        if self._config.repeated_election_seconds is not None:
+            self._election_due = self._next_election(now)
         request = VoteRequest(
             sender=self.node,
             term=self.term + 1 if preliminary else self.term,
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -98,6 +98,9 @@
     # Transitions
 
     def _next_election(self, now: float) -> float:
+        repeated = self._config.repeated_election_seconds
+        if repeated is not None and self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            return now + repeated * self._random.uniform(0.3, 1.0)
         return now + self._config.election_timeout_seconds * self._random.uniform(1.0, 2.0)
 
     def _become_follower(self, term: int, leader: str, now: float) -> None:
--- a/src/rowanrail/consensus/raft_types.py
+++ b/src/rowanrail/consensus/raft_types.py
@@ -28,6 +28,7 @@
     election_timeout_seconds: float = 0.6
     check_quorum: bool = True
     first_election_seconds: float | None = None
+    repeated_election_seconds: float | None = None
 
 
 class Effects(msgspec.Struct):
--- a/src/rowanrail/control/daemon.py
+++ b/src/rowanrail/control/daemon.py
@@ -11,8 +11,9 @@
 from rowanrail.control.node import ControlNode
 from rowanrail.kernel.disk import FileDisk
 from rowanrail.kernel.events import emit
-from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.registry import Registry
+from rowanrail.kernel.web import serve_http
 from rowanrail.rpc.routed import RoutedNetwork
 from rowanrail.rpc.tcp import TcpNetwork
 
--- a/src/rowanrail/coordination/daemon.py
+++ b/src/rowanrail/coordination/daemon.py
@@ -7,15 +7,14 @@
 from abc import ABC, abstractmethod
 from pathlib import Path
 
-from aiohttp import web
-
 from rowanrail.config.settings import CoordinatorSettings
 from rowanrail.coordination.events import NODE_STARTED, NODE_STOPPED, SETTINGS_NOT_READ
 from rowanrail.coordination.node import Coordinator
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.disk import FileDisk
-from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.http import HttpRequest, HttpResponse, serve
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
@@ -27,8 +26,8 @@
     """
 
     @abstractmethod
-    def application(self) -> web.Application:
-        """Return the web application."""
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer a call."""
 
 
 async def run_coordinator(settings: CoordinatorSettings) -> None:
@@ -50,14 +49,14 @@
     )
     service: CoordinationService = node.service
     api: OutsideApi = registry.create("outside-api", protocol, service, settings, decisions)
-    runner = await serve_http(api.application(), settings.listen)
+    server = await serve(settings.listen, api.handle)
     decisions.note(NODE_STARTED, node=node.consensus.identity.node, term=node.consensus.raft.term)
     decisions.flush()
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGHUP, lambda: decisions.note(SETTINGS_NOT_READ, node=settings.name)
     )
     await wait_for_stop_signal()
-    await runner.cleanup()
+    server.close()
     await node.stop()
     await network.close()
     disk.close()
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -1,6 +1,6 @@
 """Log events of control nodes for gateways (numbers 400 to 499)."""
 
-from rowanrail.kernel.events import Level, define
+from rowanrail.kernel.catalogue import Level, define
 
 NODE_STARTED = define(
     400, Level.INFO, "control node {node} started", "The process takes part in the log."
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -31,6 +31,7 @@
 CLUSTER = "gateways"
 JOIN_SECONDS = 0.3
 FIRST_ELECTION_SECONDS = 0.3
+REPEATED_ELECTION_SECONDS = 0.45
 JOIN_CALL_SECONDS = 1.0
 UNHEARD_SECONDS = 2.5
 
@@ -100,6 +101,7 @@
                 settings.heartbeat_seconds,
                 settings.election_timeout_seconds,
                 first_election_seconds=FIRST_ELECTION_SECONDS,
+                repeated_election_seconds=REPEATED_ELECTION_SECONDS,
             ),
             snapshot_entries=settings.snapshot_entries,
         )
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -6,8 +6,6 @@
 import signal
 from collections.abc import Callable
 
-from aiohttp import web
-
 from rowanrail.config.settings import GatewaySettings, rpc_addresses
 from rowanrail.coordination.messages import GatewayReport
 from rowanrail.gateway.directory_watch import DirectoryWatch
@@ -20,10 +18,12 @@
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.kernel.decisions import DecisionLog
-from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.http import HttpRequest, HttpResponse, error_response, serve
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
+READY_PATH = "/ready"
 LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
 ABORT_SHARE = 0.5  # of the time to stop: how long open transactions may go on
 END_SHARE = 0.75  # of the time to stop: when statements that still run are cut
@@ -32,15 +32,17 @@
 ReloadSettings = Callable[[], GatewaySettings | None]
 
 
-def ready_application(gateway: Gateway) -> web.Application:
-    """Return the web application that tells whether new clients are welcome."""
+class ReadyApi:
+    """Tells whether new clients are welcome."""
 
-    async def ready(request: web.Request) -> web.Response:
-        return web.Response(status=200 if gateway.is_ready else 503)
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
 
-    application = web.Application()
-    application.router.add_get("/ready", ready)
-    return application
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer the platform's probe."""
+        if (request.method, request.path) != ("GET", READY_PATH):
+            return error_response(404, f"ask GET {READY_PATH}")
+        return HttpResponse(200 if self._gateway.is_ready else 503)
 
 
 async def plan_stop(gateway: Gateway, frontend: Frontend, stop_seconds: float) -> None:
@@ -96,7 +98,7 @@
             watch.set_seeds(rpc_addresses(loaded.control_nodes, loaded.rpc_port))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
-    runner = await serve_http(ready_application(gateway), settings.ready_listen)
+    ready_server = await serve(settings.ready_listen, ReadyApi(gateway).handle)
     await frontend.start(settings.listen)
     gateway.start()
     watch.start()
@@ -105,7 +107,7 @@
     decisions.note(GATEWAY_STOPPING, name=settings.name, sessions=len(gateway.sessions))
     await plan_stop(gateway, frontend, settings.stop_seconds)
     watch.stop()
-    await runner.cleanup()
+    ready_server.close()
     await network.close()
     decisions.note(GATEWAY_STOPPED, name=settings.name)
     decisions.flush()
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -1,6 +1,6 @@
 """Log events of the gateway (numbers 300 to 399)."""
 
-from rowanrail.kernel.events import Level, define
+from rowanrail.kernel.catalogue import Level, define
 
 ANSWERED = define(
     300,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -20,6 +20,19 @@
 from rowanrail.kernel.decisions import DecisionLog
 
 TICK_SECONDS = 0.05
+START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
+
+
+class _Waiting:
+    """A session's start that waits for the first configuration; runs once."""
+
+    def __init__(self, proceed: Callable[[], None]) -> None:
+        self._proceed: Callable[[], None] | None = proceed
+
+    def run(self) -> None:
+        proceed, self._proceed = self._proceed, None
+        if proceed is not None:
+            proceed()
 
 
 class Gateway:
@@ -43,6 +56,7 @@
         self._directory_revision = -1
         self._proxies = 0
         self._timer: Timer | None = None
+        self._unconfigured: list[_Waiting] = []
 
     def start(self) -> None:
         """Begin to watch the services."""
@@ -79,11 +93,23 @@
             service.set_proxies(self._proxies)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
+        waiting, self._unconfigured = self._unconfigured, []
+        for start in waiting:
+            start.run()
         self._decisions.note(
             CONFIGURATION_TAKEN, version=configuration.version, routes=len(configuration.routes)
         )
         return True
 
+    def when_configured(self, proceed: Callable[[], None]) -> None:
+        """Call ``proceed`` once there is a configuration, or after a while without one."""
+        if self.configuration is not None:
+            proceed()
+            return
+        waiting = _Waiting(proceed)
+        self._unconfigured.append(waiting)
+        self.clock.call_later(START_HOLD_SECONDS, waiting.run)
+
     def set_members(self, revision: int, records: list[MemberRecord], proxies: int) -> None:
         """Know the members that announced themselves, and how many proxies there are."""
         if revision < self._directory_revision:
--- a/src/rowanrail/gateway/operations.py
+++ b/src/rowanrail/gateway/operations.py
@@ -404,7 +404,11 @@
         self.statement = statement
         self._busy_retries = 0
         self.begin_statement(respond)
-        if self._begun:
+        if self.read_only and is_write(statement, self.session):
+            self.failed = True
+            self.end()
+            self.finish(Answer(refusal=Refusal.NOT_PRIMARY, message="the transaction only reads"))
+        elif self._begun:
             self._run_statement()
         else:
             self._begin()
--- a/src/rowanrail/kernel/decisions.py
+++ b/src/rowanrail/kernel/decisions.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from rowanrail.kernel.events import Event, Level, define
+from rowanrail.kernel.catalogue import Event, Level, define
 
 INFO_LINES_PER_SECOND = 40
 LINES_PER_SECOND = 400
--- a/src/rowanrail/kernel/events.py
+++ b/src/rowanrail/kernel/events.py
@@ -1,10 +1,5 @@
-"""Numbered log events.
+"""Log events of the daemons with operators' logs, written through ``logbook``."""
 
-Each event has a fixed number, level and message template. ``docs/EVENTS.md`` is the
-catalogue; a test holds it against :data:`CATALOGUE`.
-"""
-
-import enum
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -12,41 +7,9 @@
 import logbook
 import msgspec
 
+from rowanrail.kernel.catalogue import CATALOGUE, Event, Level, LogFormat, define
 
-class Level(enum.Enum):
-    """Severity of an event."""
-
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
-class Event(msgspec.Struct, frozen=True):
-    """One kind of log event.
-
-    :param meaning: what it tells an operator, and what to do about it.
-    """
-
-    number: int
-    level: Level
-    template: str
-    meaning: str
-
-
-CATALOGUE: dict[int, Event] = {}
-
-
-def define(number: int, level: Level, template: str, meaning: str) -> Event:
-    """Add an event to the catalogue.
-
-    :raises ValueError: if the number is taken.
-    """
-    if number in CATALOGUE:
-        raise ValueError(f"event {number} is defined twice")
-    event = Event(number, level, template, meaning)
-    CATALOGUE[number] = event
-    return event
-
+__all__ = ["CATALOGUE", "Event", "Level", "LogFormat", "configure_logging", "define", "emit"]
 
 _LOGGER = logbook.Logger("rowanrail")
 _LOGBOOK_LEVELS = {
@@ -93,13 +56,6 @@
     return msgspec.json.encode(line).decode()
 
 
-class LogFormat(enum.Enum):
-    """How log events are written."""
-
-    LINES = "lines"
-    JSON = "json"
-
-
 def configure_logging(log_format: LogFormat, level: Level = Level.INFO) -> None:
     """Send log events to standard error in the given format, from the given level up."""
     handler = logbook.StreamHandler(sys.stderr, level=_LOGBOOK_LEVELS[level])
--- a/src/rowanrail/proxy/daemon.py
+++ b/src/rowanrail/proxy/daemon.py
@@ -6,8 +6,9 @@
 
 from rowanrail.config.settings import ProxySettings
 from rowanrail.kernel.events import emit
-from rowanrail.kernel.lifecycle import serve_http, wait_for_stop_signal
+from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.registry import Registry
+from rowanrail.kernel.web import serve_http
 from rowanrail.mysql import backend as _backend_plugin
 from rowanrail.mysql.frontend import MysqlFrontend
 from rowanrail.proxy.config_watch import ConfigurationWatch
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -172,6 +172,16 @@
         self.assertEqual(self.client.run("COMMIT").refusal, Refusal.ABORTED)
         self.assertNotIn("COMMIT", self.played.primary.texts())
 
+    def test_a_write_in_a_transaction_that_only_reads_is_refused_wherever_it_runs(self):
+        # Found by the wire tests: at a primary the write was sent, and ran.
+        self.played.near.zone = self.played.far.zone = "z"
+        self.played.announce(2)
+        self.client.run("BEGIN READ")
+        self.client.run("READ a")
+        self.assertEqual(self.client.run("WRITE a 1").refusal, Refusal.NOT_PRIMARY)
+        self.assertIs(self.client.session.state, SessionState.FAILED)
+        self.assertNotIn("WRITE a 1", [t for m in self.played.members for t in m.texts()])
+
     def test_a_client_that_leaves_rolls_back(self):
         self.client.run("BEGIN")
         self.client.run("WRITE a 1")
