--- a/src/rowanrail/gateway/operations.py
+++ b/src/rowanrail/gateway/operations.py
@@ -24,8 +24,11 @@
 from rowanrail.gateway.service import Service
 from rowanrail.proxy.backend import ORIGIN, Position
 
-HOLD_SHARE = 0.24  # of the objective: longest wait for a member that could run a statement
+HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
 READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
+READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
+MINIMUM_ATTEMPT_SECONDS = 0.15
+OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
 PREFETCH_SHARE = 0.5  # of the staleness: age of a sample at which the next one is asked for
 RETRY_SECONDS = 0.02
 BUSY_RETRIES = 3
@@ -90,6 +93,7 @@
         self.pool: MemberPool | None = None
         self.attempts = 0
         self.timer: Timer | None = None
+        self.hold_timer: Timer | None = None
         self.waiter: Waiter | None = None
         self.respond: Respond | None = None
         self.arrived_at = 0.0
@@ -104,11 +108,23 @@
         self.arrived_at = self.clock.time()
         self.attempts = 0
         self.timer = self.clock.call_later(self.route.timeout_seconds, self.on_timeout)
+        hold_seconds = HOLD_SHARE * self.route.objective_seconds
+        self.hold_timer = self.clock.call_later(hold_seconds, self.on_hold)
 
     def on_timeout(self) -> None:
         """Answer at the end of the statement's time."""
         raise NotImplementedError
 
+    def on_hold(self) -> None:
+        """Refuse what nobody could run so far if the primary is lost."""
+        if self.channel is None and self.service.primary.failing_since:
+            self.service.primary.forget(self.floor_callback())
+            self.finish(busy("the primary is lost; retry in 1 s"))
+
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """Return what waits for a sample of the primary, if anything does."""
+        return None
+
     @property
     def hold_until(self) -> float:
         """Moment after which a statement that no member could run is refused."""
@@ -132,6 +148,9 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
         if self.waiter is not None and self.pool is not None:
             self.pool.cancel(self.waiter)
             self.waiter = None
@@ -239,15 +258,27 @@
             self.retry_later(self._need_floor, busy("no member can serve the read"))
             return
         self.acquire(pool, self._with_channel)
+        if self.waiter is not None and not pool.established:
+            self._limit_attempt(OPEN_ATTEMPT_SECONDS)
+
+    def _limit_attempt(self, seconds: float) -> None:
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
+        self.attempt_timer = self.clock.call_later(seconds, self._give_up_member)
+
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """See :meth:`Operation.floor_callback`."""
+        return self._with_floor
 
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
             self._next_member()
             return
+        assert self.pool is not None
         commands = replay(channel, self.session)
         commands += self.command(self.statement, self.floor)
-        share = READ_ATTEMPT_SHARE * self.route.objective_seconds
-        self.attempt_timer = self.clock.call_later(share, self._give_up_member)
+        usual = max(MINIMUM_ATTEMPT_SECONDS, READ_ATTEMPT_LATENCIES * self.pool.latency_seconds)
+        self._limit_attempt(min(READ_ATTEMPT_SHARE * self.route.objective_seconds, usual))
         self.send(commands, self._answered)
 
     def _next_member(self) -> None:
@@ -257,9 +288,15 @@
 
     def _give_up_member(self) -> None:
         self.attempt_timer = None
-        if self.channel is not None and self.pool is not None:
-            self.pool.note_silence()
+        if self.pool is None or self.respond is None:
+            return
+        self.pool.note_silence()
+        if self.channel is not None:
             self.channel.close()  # answers the read as lost, which tries the next member
+        elif self.waiter is not None:
+            self.pool.cancel(self.waiter)
+            self.waiter = None
+            self._next_member()
 
     def _answered(self, answer: Answer) -> None:
         if self.attempt_timer is not None:
@@ -413,6 +450,10 @@
         else:
             self._begin()
 
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """See :meth:`Operation.floor_callback`."""
+        return self._with_floor
+
     # The beginning at a member
 
     def _begin(self) -> None:
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -8,8 +8,11 @@
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 
 MINIMUM_BACKOFF_SECONDS = 0.1
-MAXIMUM_BACKOFF_SECONDS = 1.0
+MAXIMUM_BACKOFF_SECONDS = 2.0
 CROWDED_SECONDS = 2.0
+IDLE_SECONDS = 0.6
+KEPT_IDLE = 1
+OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_SECONDS = 0.02
 
@@ -67,11 +70,24 @@
         """Number of those who use or wait for a connection."""
         return self.leased + len(self._waiting)
 
+    @property
+    def established(self) -> int:
+        """Number of connections that are open."""
+        return len(self._idle) + self.leased
+
     @property
     def is_failing(self) -> bool:
         """Whether connections failed a moment ago."""
         return self._clock.time() < self.failing_until
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether new work should go elsewhere.
+
+        After failures the member is tried by one request at a time until one succeeds.
+        """
+        return self._failures > 0 and (self.is_failing or self.load > 0)
+
     def acquire(self, waiter: Waiter) -> None:
         """Give the waiter a connection now or later, or a refusal."""
         channel = self._take_idle(waiter.values)
@@ -139,7 +155,7 @@
         if self.is_failing and not self.open_count:
             self._refuse_waiting(Answer(refusal=Refusal.LOST, message="unreachable a moment ago"))
             return
-        while len(self._opening) < len(self._waiting) and self.open_count < self._allowed():
+        while self._wants_another() and self.open_count < self._allowed():
             if self.is_failing:
                 return
             channel = Channel(self.record.address, self.record.instance, self._on_open)
@@ -149,12 +165,16 @@
         if self._waiting and not self.open_count:
             self._refuse_waiting(Answer(refusal=Refusal.BUSY, message="no connection to be had"))
 
+    def _wants_another(self) -> bool:
+        return len(self._opening) < min(len(self._waiting), OPENING_AT_ONCE)
+
     def _on_open(self, channel: Channel, answer: Answer) -> None:
         self._opening.discard(channel)
         if answer.refusal is None:
             self._failures = 0
             self.leased += 1
             self.release(channel)
+            self._open_for_waiting()
             return
         if answer.refusal is Refusal.TOO_MANY_CONNECTIONS:
             self._crowded_until = self._clock.time() + CROWDED_SECONDS
@@ -184,6 +204,16 @@
 
     # Changes
 
+    def trim(self) -> None:
+        """Close connections that nobody has needed for a while.
+
+        Members count the connections of a lost gateway for seconds more; the fewer there are,
+        the sooner its successor gets some.
+        """
+        limit = self._clock.time() - IDLE_SECONDS
+        while len(self._idle) > KEPT_IDLE and self._idle[0].last_used < limit:
+            self._idle[0].close()
+
     def set_limit(self, limit: int) -> None:
         """Change the limit; surplus idle connections are closed."""
         self.limit = limit
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -16,6 +16,7 @@
 from rowanrail.proxy.backend import Position
 
 PROBE_TIMEOUT_SECONDS = 0.35
+OPEN_TIMEOUT_SECONDS = 1.2
 SEARCH_SECONDS = 0.1
 MONITOR_SECONDS = 0.5
 RETRY_OPEN_SECONDS = 0.3
@@ -156,7 +157,7 @@
         self._waiting.append((asked_since, give))
         self._ask()
 
-    def forget(self, give: GiveFloor) -> None:
+    def forget(self, give: GiveFloor | None) -> None:
         """Forget somebody who waits."""
         self._waiting = [entry for entry in self._waiting if entry[1] != give]
 
@@ -176,7 +177,13 @@
         """Give up late probes, watch the primary, and search for it if none is known."""
         now = self._clock.time()
         for instance, probe in list(self._probes.items()):
-            if probe.in_flight and now - probe.asked_at > PROBE_TIMEOUT_SECONDS:
+            late_seconds = now - probe.asked_at if probe.in_flight else 0.0
+            if late_seconds <= PROBE_TIMEOUT_SECONDS:
+                continue
+            self.note_failure(instance)
+            # A member in demand takes its time to open a connection; another one would only
+            # stand further back in its queue.
+            if probe.is_open or late_seconds > OPEN_TIMEOUT_SECONDS:
                 self._drop_probe(instance)
                 self._fail(instance)
         if self._waiting or in_use and now - self.proved_at > MONITOR_SECONDS:
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -80,7 +80,6 @@
         """Return the member for a read that any member with a fresh log may serve."""
         best: MemberPool | None = None
         best_cost = 0.0
-        now = self._clock.time()
         for instance, pool in self.pools.items():
             if instance in excluded or pool.record.leaving:
                 continue
@@ -89,7 +88,7 @@
                 cost *= SAME_ZONE_FACTOR
             if instance == self.primary.believed:
                 cost *= PRIMARY_FACTOR
-            if now < pool.failing_until:
+            if pool.is_suspect:
                 cost += FAILING_PENALTY_SECONDS
             if best is None or cost < best_cost:
                 best, best_cost = pool, cost
@@ -98,6 +97,8 @@
     def tick(self) -> None:
         """Let time pass."""
         self.primary.tick(self.in_use)
+        for pool in self.pools.values():
+            pool.trim()
 
     def close(self) -> None:
         """Close everything that is not leased."""
