Split the kinds of work, log how far a statement came; count only proofs newer than the failures

Ruled out: promoting on a bare majority at once; gateways that are served report up to 1.8 s late, so that a cut of half of the gateways would look the same.

Change: operation, lone_read, lone_write, transaction, session_values, freshness as modules; stage, member, attempts and the primary's failing time in each line; PRIMARY_LOST and PRIMARY_PROVED events; a report contradicts only with a proof newer than the failures.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -13,10 +13,10 @@
 from rowanrail.gateway.model import MemberRecord
 from rowanrail.proxy.backend import Position
 
-FAILING_SECONDS = 0.35
+FAILING_SECONDS = 0.25
 REPORT_LIVE_SECONDS = 2.5
-PROVED_LIVE_SECONDS = 1.5
-MINORITY_SECONDS = 0.8
+PROVED_LIVE_SECONDS = 1.8
+MINORITY_SECONDS = 0.7
 HEARTBEAT_SILENCE_SECONDS = 0.3
 SETTLE_SECONDS = 2.5
 ANSWER_UNKNOWN_SECONDS = 1.6
@@ -135,11 +135,6 @@
 
 def _lost_by_reports(view: ServiceView, primaries: set[str]) -> str:
     live = [report for report in view.reports if report.age < REPORT_LIVE_SECONDS]
-    serving = [
-        report
-        for report in live
-        if not report.failing_for and 0 <= report.proved_ago < PROVED_LIVE_SECONDS
-    ]
     failing = [
         report
         for report in live
@@ -147,9 +142,18 @@
     ]
     if len(failing) < min(2, view.vantage_points):
         return ""
+    shortest = min(report.failing_for + report.age for report in failing)
+    # A proof that is older than the others' failures contradicts nothing.
+    contradicted_within = max(shortest, PROVED_LIVE_SECONDS)
+    serving = [
+        report
+        for report in live
+        if not report.failing_for
+        and report.proved_ago >= 0
+        and report.proved_ago + report.age < contradicted_within
+    ]
     if not serving:
         return f"the primary is lost: {len(failing)} vantage points fail, none succeeds"
-    shortest = min(report.failing_for for report in failing)
     if len(failing) > 2 * len(serving) and shortest >= MINORITY_SECONDS:
         return f"the primary is lost to {len(failing)} of {len(failing) + len(serving)}"
     return ""
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -32,6 +32,18 @@
 CONTROL_REGAINED = define(
     313, Level.INFO, "control node {peer} answers", "The proxy follows changes again."
 )
+PRIMARY_LOST = define(
+    314,
+    Level.WARNING,
+    "the primary {instance} of {service} does not prove that it leads",
+    "All attempts have failed for a while. The control nodes are told, and may replace it.",
+)
+PRIMARY_PROVED = define(
+    315,
+    Level.INFO,
+    "{instance} of {service} proved that it leads, at {position}",
+    "A primary was found again after it had been lost.",
+)
 GATEWAY_STARTED = define(
     320, Level.INFO, "gateway {name} started in zone {zone}", "The process serves."
 )
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -1,10 +1,18 @@
 """The proxy's core for typed statements: routes in force, services, sessions, planned stops."""
 
+import functools
 from collections.abc import Callable
 
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock, Timer
-from rowanrail.gateway.events import ANSWERED, CONFIGURATION_TAKEN, MEMBERS_TAKEN, REFUSED
+from rowanrail.gateway.events import (
+    ANSWERED,
+    CONFIGURATION_TAKEN,
+    MEMBERS_TAKEN,
+    PRIMARY_LOST,
+    PRIMARY_PROVED,
+    REFUSED,
+)
 from rowanrail.gateway.model import (
     Answer,
     MemberRecord,
@@ -13,11 +21,13 @@
     RoutingConfiguration,
     TypedStatement,
 )
-from rowanrail.gateway.operations import PreparedNames
+from rowanrail.gateway.operation import Operation
 from rowanrail.gateway.primary import PrimaryHealth
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
+from rowanrail.gateway.session_values import PreparedNames
 from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.proxy.backend import Position
 
 TICK_SECONDS = 0.05
 START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
@@ -35,6 +45,11 @@
             proceed()
 
 
+def position_text(position: Position) -> str:
+    """Return a position as it stands in logs: term and index."""
+    return f"{position.term}.{position.index}"
+
+
 class Gateway:
     """Sessions and services of one proxy."""
 
@@ -46,7 +61,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.services: dict[str, Service] = {}
         self.sessions: dict[Session, None] = {}
-        self.outcomes: dict[str, int] = {}
+        self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
         self.stopping = False
         self.on_alarm: Callable[[], None] = lambda: None
         self._zone = zone
@@ -89,7 +104,7 @@
                 service.set_spec(spec)
                 continue
             service = Service(spec, self._zone, self._driver, self.clock)
-            service.primary.on_alarm = lambda: self.on_alarm()
+            service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.set_proxies(self._proxies)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
@@ -133,6 +148,26 @@
             proxies=proxies,
         )
 
+    def _note_primary(self, service: Service) -> None:
+        """Log that a primary was lost or found again, and have the control nodes told."""
+        tracker = service.primary
+        if tracker.failing_since:
+            self._decisions.note(
+                PRIMARY_LOST,
+                service=tracker.service,
+                instance=tracker.believed,
+                failing_for=round(self.clock.time() - tracker.failing_since, 3),
+                proved_ago=round(self.clock.time() - tracker.proved_at, 3),
+            )
+        elif tracker.sample is not None:
+            self._decisions.note(
+                PRIMARY_PROVED,
+                service=tracker.service,
+                instance=tracker.sample.instance,
+                position=position_text(tracker.sample.position),
+            )
+        self.on_alarm()
+
     def health(self) -> list[PrimaryHealth]:
         """Return what this proxy sees of the primaries that it uses."""
         return [service.primary.health() for service in self.services.values()]
@@ -163,28 +198,44 @@
         return self.configuration.idle_transaction_seconds
 
     def note_outcome(
-        self, session: Session, statement: TypedStatement, answer: Answer, seconds: float
+        self,
+        session: Session,
+        statement: TypedStatement,
+        answer: Answer,
+        seconds: float,
+        operation: Operation | None,
     ) -> None:
         """See :meth:`SessionHost.note_outcome`."""
-        kind = answer.refusal.value if answer.refusal else "done"
-        self.outcomes[kind] = self.outcomes.get(kind, 0) + 1
+        outcome = answer.refusal.value if answer.refusal else "done"
         if answer.refusal is None and not answer.signature:
             return  # answered by the proxy itself; nothing was decided
-        found = self.route(session.database)
-        sample = found[1].primary.sample if found is not None else None
-        version = self.configuration.version if self.configuration else 0
+        self.on_outcome(session.database, statement.kind.value, outcome, seconds)
+        now = self.clock.time()
+        fields: dict[str, object] = {}
+        if operation is not None:
+            tracker = operation.service.primary
+            fields = {
+                "service": tracker.service,
+                "stage": operation.stage.value,
+                "member": operation.member,
+                "attempts": operation.attempts,
+                "primary": tracker.believed,
+                "primary_failing_for": (
+                    round(now - tracker.failing_since, 3) if tracker.failing_since else 0
+                ),
+                "sample_age": round(now - tracker.sample.asked_at, 3) if tracker.sample else None,
+            }
         self._decisions.note(
             ANSWERED if answer.refusal is None else REFUSED,
             request=statement.request_id,
             session=session.peer,
             database=session.database,
             kind=statement.kind.value,
-            outcome=kind,
+            outcome=outcome,
             reason=answer.message,
             milliseconds=round(seconds * 1000, 1),
-            version=version,
-            primary=found[1].primary.believed if found is not None else "",
-            sample_age=round(self.clock.time() - sample.asked_at, 3) if sample else None,
+            version=self.configuration.version if self.configuration else 0,
+            **fields,
         )
 
     def session_closed(self, session: Session) -> None:
--- /dev/null
+++ b/src/rowanrail/gateway/lone_read.py
@@ -0,0 +1,146 @@
+"""A single read: a floor, then any member whose log holds it."""
+
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel, Respond
+from rowanrail.gateway.clock import Timer
+from rowanrail.gateway.freshness import oldest_sample, prefetch
+from rowanrail.gateway.model import Answer, Refusal, TypedStatement
+from rowanrail.gateway.operation import Operation, Stage, busy
+from rowanrail.gateway.session_values import replay
+from rowanrail.proxy.backend import ORIGIN, Position
+
+READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
+READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
+MINIMUM_ATTEMPT_SECONDS = 0.15
+OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
+READ_ATTEMPTS = 6
+
+
+class LoneRead(Operation):
+    """A single read: a floor, then any member whose log holds it."""
+
+    def start(self, statement: TypedStatement, respond: Respond) -> None:
+        """Begin."""
+        self.statement = statement
+        self.excluded: set[str] = set()
+        self.begin_statement(respond)
+        self._asked_since = oldest_sample(self.route, self.arrived_at)
+        self.attempt_timer: Timer | None = None
+        self._need_floor()
+
+    def _need_floor(self) -> None:
+        self.stage = Stage.WAITS_FOR_SAMPLE
+        prefetch(self.service, self.route, self.clock.time())
+        self.service.primary.need(self._asked_since, self._with_floor)
+
+    def _with_floor(self, position: Position | None) -> None:
+        if self.respond is None:
+            return
+        if position is None:
+            self.finish(busy("no primary confirms its position"))
+            return
+        own = self.session.floors.get(self.service.spec.name, ORIGIN)
+        self.floor = max(position, own)
+        self._choose()
+
+    def _choose(self) -> None:
+        self.attempts += 1
+        pool = self.service.choose(self.excluded)
+        if pool is None or self.attempts > READ_ATTEMPTS:
+            self.excluded.clear()
+            self.attempts = 0
+            self.retry_later(self._need_floor, busy("no member can serve the read"))
+            return
+        self.acquire(pool, self._with_channel)
+        if self.waiter is not None and not pool.established:
+            self._limit_attempt(OPEN_ATTEMPT_SECONDS)
+
+    def _limit_attempt(self, seconds: float) -> None:
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
+        self.attempt_timer = self.clock.call_later(seconds, self._give_up_member)
+
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """See :meth:`Operation.floor_callback`."""
+        return self._with_floor
+
+    def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
+        if channel is None:
+            self._next_member()
+            return
+        assert self.pool is not None
+        commands = replay(channel, self.session)
+        commands += self.command(self.statement, self.floor)
+        usual = max(MINIMUM_ATTEMPT_SECONDS, READ_ATTEMPT_LATENCIES * self.pool.latency_seconds)
+        self._limit_attempt(min(READ_ATTEMPT_SHARE * self.route.objective_seconds, usual))
+        self.send(commands, self._answered)
+
+    def _next_member(self) -> None:
+        if self.pool is not None:
+            self.excluded.add(self.pool.record.instance)
+        self._choose()
+
+    def _give_up_member(self) -> None:
+        self.attempt_timer = None
+        if self.pool is None or self.respond is None:
+            return
+        self.pool.note_silence()
+        if self.channel is not None:
+            self.channel.close()  # answers the read as lost, which tries the next member
+        elif self.waiter is not None:
+            self.pool.cancel(self.waiter)
+            self.waiter = None
+            self._next_member()
+
+    def _answered(self, answer: Answer) -> None:
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
+            self.attempt_timer = None
+        if self.respond is None:
+            self.release()
+            return
+        assert self.pool is not None
+        if answer.refusal is None:
+            self.pool.note_answer()
+            self.release(self.clock.time() - self.sent_at)
+            self.finish(answer)
+            return
+        if answer.refusal is Refusal.LAGGING:
+            self._lagging()
+        elif answer.refusal in (Refusal.FAILED, Refusal.TIMEOUT, Refusal.INVALID):
+            self.release()
+            self.finish(answer)
+        else:
+            if answer.refusal is Refusal.UNKNOWN_NAME and self.channel is not None:
+                self.channel.prepared.clear()
+            self.release()
+            self._next_member()
+
+    def _lagging(self) -> None:
+        assert self.pool is not None
+        instance = self.pool.record.instance
+        self.release()
+        if instance == self.service.primary.believed:
+            # Its log lacks the floor: commits were rolled back. Begin with a new sample.
+            self._asked_since = self.clock.time()
+            self.excluded.clear()
+            self._need_floor()
+            return
+        self.excluded.add(instance)
+        primary = self.service.primary_pool()
+        if primary is not None and primary.record.instance not in self.excluded:
+            self.attempts += 1
+            self.acquire(primary, self._with_channel)
+            return
+        self._choose()
+
+    def on_timeout(self) -> None:
+        """See :meth:`Operation.on_timeout`. A read that was sent may still run."""
+        self.service.primary.forget(self._with_floor)
+        sent = self.channel is not None
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
+        refusal = Refusal.TIMEOUT if sent else Refusal.BUSY
+        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        self.discard()
--- /dev/null
+++ b/src/rowanrail/gateway/lone_write.py
@@ -0,0 +1,68 @@
+"""A single write, at the primary; what was sent is never sent again."""
+
+from rowanrail.gateway.channel import Channel, Respond
+from rowanrail.gateway.freshness import note_commit
+from rowanrail.gateway.model import Answer, Refusal, TypedStatement
+from rowanrail.gateway.operation import Operation, Stage, busy
+from rowanrail.gateway.session_values import replay
+
+
+class LoneWrite(Operation):
+    """A single write, at the primary; what was sent is never sent again."""
+
+    def start(self, statement: TypedStatement, respond: Respond) -> None:
+        """Begin."""
+        self.statement = statement
+        self.begin_statement(respond)
+        self._find_primary()
+
+    def _find_primary(self) -> None:
+        self.stage = Stage.WAITS_FOR_PRIMARY
+        pool = self.service.primary_pool()
+        if pool is None or pool.is_failing:
+            self.service.primary.prefetch()
+            self.retry_later(self._find_primary, busy("no primary is known"))
+            return
+        self.acquire(pool, self._with_channel)
+
+    def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
+        if channel is None:
+            self.service.primary.note_failure(self.service.primary.believed)
+            self.retry_later(self._find_primary, busy(answer.message))
+            return
+        commands = replay(channel, self.session)
+        commands += self.command(self.statement, None)
+        self.send(commands, self._answered)
+
+    def _answered(self, answer: Answer) -> None:
+        if self.respond is None:
+            self.release()
+            return
+        assert self.pool is not None
+        instance = self.pool.record.instance
+        if answer.refusal is None:
+            self.release()
+            note_commit(self.service, self.session, instance, self.sent_at, answer.position)
+            self.finish(answer)
+            return
+        if answer.refusal is Refusal.LOST:
+            self.release()
+            self.finish(Answer(refusal=Refusal.OUTCOME_UNKNOWN, message="the connection was lost"))
+            return
+        if answer.refusal is Refusal.UNKNOWN_NAME and self.channel is not None:
+            self.channel.prepared.clear()
+        self.release()
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            self.service.primary.note_not_primary(instance)
+            self.retry_later(self._find_primary, answer)
+        elif answer.refusal in (Refusal.BUSY, Refusal.UNKNOWN_NAME):
+            self.retry_later(self._find_primary, answer)
+        else:
+            self.finish(answer)
+
+    def on_timeout(self) -> None:
+        """See :meth:`Operation.on_timeout`."""
+        sent = self.channel is not None
+        refusal = Refusal.OUTCOME_UNKNOWN if sent else Refusal.BUSY
+        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        self.discard()
--- /dev/null
+++ b/src/rowanrail/gateway/operation.py
@@ -0,0 +1,197 @@
+"""What all kinds of work of a session share: a deadline, a connection, one final answer.
+
+What a refusal promises is decided here and in the kinds of work: nothing that may have run
+is called "not run".
+"""
+
+import enum
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel, Respond
+from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.model import (
+    Answer,
+    Command,
+    CommandKind,
+    Refusal,
+    Route,
+    StatementKind,
+    TypedStatement,
+)
+from rowanrail.gateway.pool import MemberPool, Waiter
+from rowanrail.gateway.service import Service
+from rowanrail.gateway.session_values import PreparedNames, SessionValues
+from rowanrail.proxy.backend import Position
+
+HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
+RETRY_SECONDS = 0.02
+
+
+class Stage(enum.Enum):
+    """How far a statement has come."""
+
+    ACCEPTED = "accepted"
+    WAITS_FOR_SAMPLE = "waits-for-sample"
+    WAITS_FOR_PRIMARY = "waits-for-primary"
+    WAITS_FOR_CONNECTION = "waits-for-connection"
+    SENT = "sent"
+
+
+class Operation:
+    """What all kinds of work share: a deadline, a connection, and one final answer."""
+
+    def __init__(
+        self,
+        service: Service,
+        route: Route,
+        session: SessionValues,
+        names: PreparedNames,
+        clock: Clock,
+    ) -> None:
+        self.service = service
+        self.route = route
+        self.session = session
+        self.names = names
+        self.clock = clock
+        self.channel: Channel | None = None
+        self.pool: MemberPool | None = None
+        self.attempts = 0
+        self.timer: Timer | None = None
+        self.hold_timer: Timer | None = None
+        self.waiter: Waiter | None = None
+        self.respond: Respond | None = None
+        self.arrived_at = 0.0
+        self.sent_at = 0.0
+        self.stage = Stage.ACCEPTED
+        self.member = ""
+        service.used_at = clock.time()
+
+    # Time
+
+    def begin_statement(self, respond: Respond) -> None:
+        """Take a statement and start its clock."""
+        self.respond = respond
+        self.arrived_at = self.clock.time()
+        self.attempts = 0
+        self.timer = self.clock.call_later(self.route.timeout_seconds, self.on_timeout)
+        hold_seconds = HOLD_SHARE * self.route.objective_seconds
+        self.hold_timer = self.clock.call_later(hold_seconds, self.on_hold)
+
+    def on_timeout(self) -> None:
+        """Answer at the end of the statement's time."""
+        raise NotImplementedError
+
+    def on_hold(self) -> None:
+        """Refuse what nobody could run so far if the primary is lost."""
+        if self.channel is None and self.service.primary.failing_since:
+            self.service.primary.forget(self.floor_callback())
+            self.finish(busy("the primary is lost; retry in 1 s"))
+
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """Return what waits for a sample of the primary, if anything does."""
+        return None
+
+    @property
+    def hold_until(self) -> float:
+        """Moment after which a statement that no member could run is refused."""
+        return self.arrived_at + HOLD_SHARE * self.route.objective_seconds
+
+    def retry_later(self, function: Callable[[], None], answer: Answer) -> None:
+        """Try again in a moment, or give the refusal if the time to hold is over."""
+        if self.clock.time() + RETRY_SECONDS > self.hold_until:
+            self.finish(answer)
+            return
+
+        def again() -> None:
+            if self.respond is not None:
+                function()
+
+        self.clock.call_later(RETRY_SECONDS, again)
+
+    def finish(self, answer: Answer) -> None:
+        """Give the statement's answer, once."""
+        respond, self.respond = self.respond, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
+        if self.waiter is not None and self.pool is not None:
+            self.pool.cancel(self.waiter)
+            self.waiter = None
+        if respond is not None:
+            respond(answer)
+
+    # Connections
+
+    def acquire(self, pool: MemberPool, take: Callable[[Channel | None, Answer], None]) -> None:
+        """Ask a pool for a connection."""
+
+        def respond(channel: Channel | None, answer: Answer) -> None:
+            self.waiter = None
+            if channel is not None and self.respond is None:
+                pool.release(channel)
+                return
+            self.channel = channel
+            if channel is not None:
+                channel.on_closed = self.on_channel_closed
+            take(channel, answer)
+
+        self.pool = pool
+        self.stage = Stage.WAITS_FOR_CONNECTION
+        self.member = pool.record.instance
+        self.waiter = Waiter(self.route.priority, self.session.values, respond)
+        waiter = self.waiter
+        pool.acquire(waiter)
+
+    def on_channel_closed(self, channel: Channel) -> None:
+        """Note that the connection is gone; outstanding commands learn it by their answers."""
+
+    def release(self, latency_seconds: float | None = None) -> None:
+        """Give the connection back."""
+        channel, self.channel = self.channel, None
+        if channel is not None and self.pool is not None:
+            channel.on_closed = lambda channel: None
+            self.pool.release(channel, latency_seconds)
+
+    def discard(self) -> None:
+        """Close the connection: its state or its answers are in doubt."""
+        if self.channel is not None:
+            self.channel.on_closed = lambda channel: None
+            self.channel.close()
+            self.release()
+
+    def command(self, statement: TypedStatement, floor: Position | None) -> list[Command]:
+        """Return the commands for a read or write, the statement's own last."""
+        if statement.kind is not StatementKind.EXECUTE:
+            return [Command(CommandKind.STATEMENT, statement.text, statement.request_id, floor)]
+        assert self.channel is not None
+        shape = self.session.prepared[statement.name]
+        name = self.names.name(shape)
+        commands = []
+        if name not in self.channel.prepared:
+            mode = "WRITE" if shape[0] else "READ"
+            commands.append(Command(CommandKind.PREPARE, f"{name} {mode} {shape[1]}"))
+            self.channel.prepared.add(name)
+        text = f"{name} {statement.value}" if statement.value else name
+        commands.append(Command(CommandKind.EXECUTE, text, statement.request_id, floor))
+        return commands
+
+    def send(self, commands: list[Command], respond: Respond) -> None:
+        """Send commands; only the last one's answer matters unless an earlier one fails."""
+        assert self.channel is not None
+        channel = self.channel
+
+        def check(answer: Answer) -> None:
+            if answer.refusal is not None and not channel.closed:
+                channel.close()  # the session's values are not as promised on this connection
+
+        self.sent_at = self.clock.time()
+        self.stage = Stage.SENT
+        channel.send(commands, [check] * (len(commands) - 1) + [respond])
+
+
+def busy(message: str) -> Answer:
+    """Return the refusal of a statement that was not run for want of a place."""
+    return Answer(refusal=Refusal.BUSY, message=message)
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -20,7 +20,7 @@
 SEARCH_SECONDS = 0.1
 MONITOR_SECONDS = 0.5
 RETRY_OPEN_SECONDS = 0.3
-ALARM_SECONDS = 0.36  # of failing: when the control nodes are told at once
+ALARM_SECONDS = 0.26  # of failing: when the control nodes are told at once
 
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
 
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -4,6 +4,8 @@
 
 from rowanrail.gateway.channel import Respond
 from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.lone_read import LoneRead
+from rowanrail.gateway.lone_write import LoneWrite
 from rowanrail.gateway.model import (
     Answer,
     Refusal,
@@ -12,16 +14,10 @@
     StatementKind,
     TypedStatement,
 )
-from rowanrail.gateway.operations import (
-    LoneRead,
-    LoneWrite,
-    Operation,
-    PreparedNames,
-    SessionValues,
-    Transaction,
-    is_write,
-)
+from rowanrail.gateway.operation import Operation
 from rowanrail.gateway.service import Service
+from rowanrail.gateway.session_values import PreparedNames, SessionValues, is_write
+from rowanrail.gateway.transaction import Transaction
 
 MAXIMUM_VALUES = 200
 _DONE = Answer()
@@ -40,7 +36,12 @@
         """Return how long a transaction may rest."""
 
     def note_outcome(
-        self, session: "Session", statement: TypedStatement, answer: Answer, seconds: float
+        self,
+        session: "Session",
+        statement: TypedStatement,
+        answer: Answer,
+        seconds: float,
+        operation: Operation | None,
     ) -> None:
         """Count and log what became of a statement."""
 
@@ -113,7 +114,7 @@
     def _finish(self, answer: Answer) -> None:
         respond, self._respond = self._respond, None
         statement, self._statement = self._statement, None
-        self._operation = None
+        operation, self._operation = self._operation, None
         if respond is None or statement is None:
             return
         if self.state is SessionState.TRANSACTION and not self.closed:
@@ -121,7 +122,7 @@
                 self._host.idle_transaction_seconds(), self._rested_too_long
             )
         seconds = self._host.clock.time() - self._received_at
-        self._host.note_outcome(self, statement, answer, seconds)
+        self._host.note_outcome(self, statement, answer, seconds, operation)
         respond(answer)
 
     def _refuse(self, refusal: Refusal, message: str) -> None:
--- /dev/null
+++ b/src/rowanrail/gateway/session_values.py
@@ -0,0 +1,60 @@
+"""What a session set, and how a connection gets exactly that."""
+
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.model import Command, CommandKind, StatementKind, TypedStatement
+from rowanrail.proxy.backend import Position
+
+
+class SessionValues:
+    """What a session set: values and prepared names, which hold until it ends."""
+
+    __slots__ = ("floors", "prepared", "values")
+
+    def __init__(self) -> None:
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[bool, str]] = {}
+        self.floors: dict[str, Position] = {}
+
+
+class PreparedNames:
+    """Names under which the proxy prepares shapes at members; one for each shape."""
+
+    def __init__(self) -> None:
+        self._names: dict[tuple[bool, str], str] = {}
+
+    def name(self, shape: tuple[bool, str]) -> str:
+        """Return the proxy's own name of a shape."""
+        return self._names.setdefault(shape, f"p{len(self._names) + 1}")
+
+
+def replay(channel: Channel, session: SessionValues) -> list[Command]:
+    """Return the commands that give a connection exactly the session's values."""
+    commands: list[Command] = []
+    wanted = session.values
+    if channel.uncertain or any(name not in wanted for name in channel.values):
+        commands.append(Command(CommandKind.RESET))
+        channel.values = {}
+        channel.prepared = set()
+        channel.uncertain = False
+    for name, value in wanted.items():
+        if channel.values.get(name) != value:
+            commands.append(Command(CommandKind.SET, f"{name} {value}"))
+            channel.values[name] = value
+    return commands
+
+
+def replay_in_transaction(channel: Channel, session: SessionValues) -> list[Command]:
+    """Return the commands for values that the session set since its transaction began."""
+    commands = []
+    for name, value in session.values.items():
+        if channel.values.get(name) != value:
+            commands.append(Command(CommandKind.SET, f"{name} {value}"))
+            channel.values[name] = value
+    return commands
+
+
+def is_write(statement: TypedStatement, session: SessionValues) -> bool:
+    """Return whether a statement writes; an EXECUTE does as it was prepared."""
+    if statement.kind is StatementKind.EXECUTE:
+        return session.prepared[statement.name][0]
+    return statement.kind is StatementKind.WRITE
--- /dev/null
+++ b/src/rowanrail/gateway/transaction.py
@@ -0,0 +1,266 @@
+"""A transaction: one connection from its first statement to its end."""
+
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel, Respond
+from rowanrail.gateway.clock import Clock
+from rowanrail.gateway.freshness import note_commit, oldest_sample, prefetch
+from rowanrail.gateway.model import (
+    Answer,
+    Command,
+    CommandKind,
+    Refusal,
+    Route,
+    SessionState,
+    StatementKind,
+    TypedStatement,
+)
+from rowanrail.gateway.operation import RETRY_SECONDS, Operation, Stage, busy
+from rowanrail.gateway.service import Service
+from rowanrail.gateway.session_values import (
+    PreparedNames,
+    SessionValues,
+    is_write,
+    replay,
+    replay_in_transaction,
+)
+from rowanrail.proxy.backend import ORIGIN, Position
+
+BUSY_RETRIES = 3
+
+
+class Transaction(Operation):
+    """A transaction: its connection from the first statement to the end.
+
+    It begins at the member with its first statement, so that a transaction that rests right
+    after BEGIN holds no connection.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        route: Route,
+        session: SessionValues,
+        names: PreparedNames,
+        clock: Clock,
+        read_only: bool,
+    ) -> None:
+        super().__init__(service, route, session, names, clock)
+        self.read_only = read_only
+        self.wrote = False
+        self.failed = False
+        self._begun_at = clock.time()
+        self._begun = False
+        self._excluded: set[str] = set()
+        self._busy_retries = 0
+
+    def run(self, statement: TypedStatement, respond: Respond) -> None:
+        """Run a read, a write or the commit."""
+        self.statement = statement
+        self._busy_retries = 0
+        self.begin_statement(respond)
+        if self.read_only and is_write(statement, self.session):
+            self.failed = True
+            self.end()
+            self.finish(Answer(refusal=Refusal.NOT_PRIMARY, message="the transaction only reads"))
+        elif self._begun:
+            self._run_statement()
+        else:
+            self._begin()
+
+    def floor_callback(self) -> Callable[[Position | None], None] | None:
+        """See :meth:`Operation.floor_callback`."""
+        return self._with_floor
+
+    # The beginning at a member
+
+    def _begin(self) -> None:
+        if not self.read_only:
+            self._acquire_primary()
+            return
+        self.stage = Stage.WAITS_FOR_SAMPLE
+        since = oldest_sample(self.route, self._begun_at)
+        prefetch(self.service, self.route, self.clock.time())
+        self.service.primary.need(since, self._with_floor)
+
+    def _with_floor(self, position: Position | None) -> None:
+        if self.respond is None:
+            return
+        own = self.session.floors.get(self.service.spec.name, ORIGIN)
+        pool = self.service.choose(self._excluded)
+        if position is None or pool is None:
+            self._excluded.clear()
+            self.retry_later(self._begin, busy("no member can serve the transaction"))
+            return
+        self._floor: Position | None = max(position, own)
+        self.acquire(pool, self._with_channel)
+
+    def _acquire_primary(self) -> None:
+        self.stage = Stage.WAITS_FOR_PRIMARY
+        pool = self.service.primary_pool()
+        if pool is None or pool.is_failing:
+            self.service.primary.prefetch()
+            self.retry_later(self._begin, busy("no primary is known"))
+            return
+        self._floor = None
+        self.acquire(pool, self._with_channel)
+
+    def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
+        if channel is None:
+            if self.read_only and self.pool is not None:
+                self._excluded.add(self.pool.record.instance)
+            elif not self.read_only:
+                self.service.primary.note_failure(self.service.primary.believed)
+            self.retry_later(self._begin, busy(answer.message))
+            return
+        kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
+        commands = replay(channel, self.session)
+        commands.append(Command(kind, floor=self._floor))
+        channel.in_transaction = True
+        self.send(commands, self._begin_answered)
+
+    def _begin_answered(self, answer: Answer) -> None:
+        assert self.pool is not None
+        instance = self.pool.record.instance
+        if answer.refusal is None:
+            self._begun = True
+            if not self.read_only:
+                self.service.primary.note_proof(instance, self.sent_at, answer.position)
+            if self.respond is None:
+                self.end()
+            else:
+                self._run_statement()
+            return
+        if self.channel is not None:
+            self.channel.in_transaction = False
+        self.release()
+        if self.respond is None:
+            return
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            self.service.primary.note_not_primary(instance)
+        else:
+            self._excluded.add(instance)
+        if answer.refusal is Refusal.LOST:
+            answer = Answer(refusal=Refusal.ABORTED, message=answer.message)
+        if answer.refusal is Refusal.LAGGING and instance == self.service.primary.believed:
+            self._begun_at = self.clock.time()
+        self.retry_later(self._begin, answer)
+
+    # Statements
+
+    def _run_statement(self) -> None:
+        if self.statement.kind is StatementKind.COMMIT:
+            commands = [
+                Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
+            ]
+            self.send(commands, self._commit_answered)
+            return
+        assert self.channel is not None
+        if is_write(self.statement, self.session):
+            self.wrote = True
+        commands = replay_in_transaction(self.channel, self.session)
+        commands += self.command(self.statement, None)
+        self.send(commands, self._statement_answered)
+
+    def _statement_answered(self, answer: Answer) -> None:
+        if answer.refusal is None:
+            self.finish(answer)
+            return
+        if self._may_retry(answer):
+            self._busy_retries += 1
+            self.clock.call_later(RETRY_SECONDS * self._busy_retries, self._retry_statement)
+            return
+        self._fail(answer)
+
+    def _may_retry(self, answer: Answer) -> bool:
+        return (
+            answer.refusal is Refusal.BUSY
+            and answer.state is SessionState.TRANSACTION
+            and self._busy_retries < BUSY_RETRIES
+            and self.respond is not None
+        )
+
+    def _retry_statement(self) -> None:
+        if self.respond is None:
+            return
+        if self.channel is None or self.channel.closed:
+            self._fail(Answer(refusal=Refusal.LOST, message="the connection was lost"))
+            return
+        self._run_statement()
+
+    def _fail(self, answer: Answer) -> None:
+        """End at a failed statement: nothing of a transaction without its commit is kept."""
+        assert self.pool is not None
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            self.service.primary.note_not_primary(self.pool.record.instance)
+        if answer.refusal is Refusal.LOST:
+            answer = Answer(refusal=Refusal.ABORTED, message=answer.message)
+        self.failed = True
+        self.end()
+        self.finish(answer)
+
+    def _commit_answered(self, answer: Answer) -> None:
+        assert self.pool is not None
+        instance = self.pool.record.instance
+        if answer.refusal is None:
+            if self.channel is not None:
+                self.channel.in_transaction = False
+            self.release()
+            if self.wrote:
+                note_commit(self.service, self.session, instance, self.sent_at, answer.position)
+            self.finish(answer)
+            return
+        if self._may_retry(answer):
+            self._busy_retries += 1
+            self.clock.call_later(RETRY_SECONDS * self._busy_retries, self._retry_statement)
+            return
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            self.service.primary.note_not_primary(instance)
+        if answer.refusal is Refusal.LOST:
+            refusal = Refusal.OUTCOME_UNKNOWN if self.wrote else Refusal.ABORTED
+            answer = Answer(refusal=refusal, message=answer.message)
+        self.end()
+        self.finish(answer)
+
+    # The end
+
+    def end(self) -> None:
+        """Roll back at the member and give the connection back."""
+        channel = self.channel
+        if channel is None:
+            return
+        if channel.closed:
+            self.release()
+            return
+        if channel.busy:
+            self.discard()
+            return
+        pool = self.pool
+        self.channel = None
+        assert pool is not None
+
+        def rolled_back(answer: Answer) -> None:
+            channel.in_transaction = False
+            channel.on_closed = lambda channel: None
+            if answer.refusal is not None:
+                channel.close()
+            # A value set inside of a transaction may be undone with it.
+            channel.uncertain = bool(channel.values)
+            pool.release(channel)
+
+        channel.on_closed = lambda channel: None
+        channel.send([Command(CommandKind.ROLLBACK)], [rolled_back])
+
+    def on_timeout(self) -> None:
+        """See :meth:`Operation.on_timeout`."""
+        self.service.primary.forget(self._with_floor)
+        committing = self.statement.kind is StatementKind.COMMIT and self.channel is not None
+        if committing and self.wrote:
+            refusal = Refusal.OUTCOME_UNKNOWN
+        elif self.channel is not None:
+            refusal = Refusal.ABORTED
+        else:
+            refusal = Refusal.BUSY
+        self.failed = True
+        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        self.discard()
