Explain a failed request from decision logs alone

Cause: on-call engineers have only logs; finding the line that decided took a search by hand. Change: rowanrail explain ID FILE... reads the lines of any number of processes (plain files, standard input, lines behind a prefix, damaged ones are counted), and prints the outcome, the cause, what was promised, what the logs do not show, and the timeline. The log: 100 refusals and 100 successes in one second against a budget of 20 and 5: 5 successes and 15 refusals are kept, one line says that 95 and 85 were left out.

--- a/src/rowanrail/cli/main.py
+++ b/src/rowanrail/cli/main.py
@@ -11,6 +11,7 @@
 
 from rowanrail import __version__
 from rowanrail.cli.backup import backup, restore
+from rowanrail.cli.explain import explain
 from rowanrail.cli.inspect import inspect
 from rowanrail.cli.operator import COMMANDS, read_password
 from rowanrail.cli.output import ExitCode, fail
@@ -116,7 +117,7 @@
 
 for command in COMMANDS:
     main.add_command(command)
-for offline_command in (inspect, backup, restore):
+for offline_command in (inspect, backup, restore, explain):
     main.add_command(offline_command)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/rowanrail/explain/lines.py
@@ -0,0 +1,74 @@
+"""Reading decision logs: one JSON object a line, perhaps behind a prefix, perhaps damaged."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from rowanrail.kernel.catalogue import CATALOGUE
+
+_decoder = msgspec.json.Decoder(dict[str, Any])
+_OWN_FIELDS = ("time", "event", "level", "process")
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a decision log.
+
+    :param time: time of day in seconds; clocks of machines may differ by a little.
+    :param fields: what the event carries beside the fields that all events have.
+    """
+
+    time: float
+    event: int
+    level: str
+    process: str
+    fields: dict[str, Any]
+
+    @property
+    def text(self) -> str:
+        """The event's message with its fields filled in, as far as they are there."""
+        event = CATALOGUE.get(self.event)
+        if event is None:
+            return f"event {self.event} {self.fields}"
+        try:
+            return event.template.format(**self.fields)
+        except (KeyError, IndexError):
+            return f"{event.template} {self.fields}"
+
+
+class ReadResult(msgspec.Struct):
+    """The lines that could be read, and how many could not."""
+
+    lines: list[LogLine]
+    damaged: int = 0
+
+
+def read_lines(raw: Iterable[str]) -> ReadResult:
+    """Return the lines in the order of their time; what is no log line is counted."""
+    result = ReadResult([])
+    for text in raw:
+        start = text.find("{")
+        if start < 0:
+            result.damaged += bool(text.strip())
+            continue
+        line = _parse(text[start:])
+        if line is None:
+            result.damaged += 1
+        else:
+            result.lines.append(line)
+    result.lines.sort(key=lambda line: line.time)
+    return result
+
+
+def _parse(text: str) -> LogLine | None:
+    try:
+        content = _decoder.decode(text.strip().encode())
+        return LogLine(
+            float(content["time"]),
+            int(content["event"]),
+            str(content.get("level", "")),
+            str(content.get("process", "")),
+            {name: value for name, value in content.items() if name not in _OWN_FIELDS},
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/src/rowanrail/explain/story.py
@@ -0,0 +1,156 @@
+"""From lines to the story of one request: its cause first, then what happened around it."""
+
+import msgspec
+
+from rowanrail.coordination import events as control_events
+from rowanrail.explain.lines import LogLine
+from rowanrail.gateway import events as gateway_events
+from rowanrail.gateway.model import NOT_RUN, Refusal
+from rowanrail.kernel import decisions
+
+AROUND_SECONDS = 6.0
+SHOWN_LINES = 40
+LONG_STAGE_SECONDS = 0.05
+
+_STATEMENT_EVENTS = {gateway_events.ANSWERED.number, gateway_events.REFUSED.number}
+_PRIMARY_EVENTS = {
+    gateway_events.PRIMARY_LOST.number,
+    gateway_events.PRIMARY_PROVED.number,
+    control_events.PROMOTION_DECIDED.number,
+    control_events.PROMOTION_ANSWERED.number,
+    control_events.PROMOTION_WAITS.number,
+}
+
+
+class Story(msgspec.Struct):
+    """What became of a request.
+
+    :param promise: what the answer promised the client.
+    :param missing: what the logs at hand do not show.
+    """
+
+    request: str
+    outcome: str
+    cause: str
+    promise: str
+    statements: list[LogLine]
+    around: list[LogLine]
+    missing: list[str]
+
+
+def tell(request: str, lines: list[LogLine], around_seconds: float = AROUND_SECONDS) -> Story:
+    """Return the story of a request's statements; ``lines`` are in the order of their time."""
+    own = [
+        line
+        for line in lines
+        if line.event in _STATEMENT_EVENTS and line.fields.get("request") == request
+    ]
+    if not own:
+        return Story(request, "unknown", _not_found(lines), "unknown", [], [], _gaps(lines))
+    last = own[-1]
+    seconds = float(last.fields.get("milliseconds", 0)) / 1000
+    begin, end = last.time - seconds - around_seconds, last.time + around_seconds
+    around = [line for line in lines if begin <= line.time <= end and _concerns(line, last)]
+    outcome = str(last.fields.get("outcome", "?"))
+    return Story(
+        request,
+        outcome,
+        _cause(last, around),
+        _promise(outcome),
+        own,
+        around[:SHOWN_LINES],
+        _gaps(lines, last),
+    )
+
+
+def _not_found(lines: list[LogLine]) -> str:
+    if not lines:
+        return "there is no line to read; name the logs of the proxies"
+    return "no line names this request; perhaps it is in another process's log, or was left out"
+
+
+def _concerns(line: LogLine, statement: LogLine) -> bool:
+    """Whether a line may have decided about the statement."""
+    if line.event in _STATEMENT_EVENTS:
+        return False
+    if line.event in _PRIMARY_EVENTS:
+        return line.fields.get("service") == statement.fields.get("service")
+    if line.event >= control_events.NODE_STARTED.number:
+        return line.event != control_events.DOCUMENT_REFUSED.number
+    return line.process == statement.process
+
+
+def _promise(outcome: str) -> str:
+    if outcome == "done":
+        return "it succeeded"
+    known = {refusal.value: refusal for refusal in Refusal}
+    refusal = known.get(outcome)
+    if refusal in NOT_RUN:
+        return "nothing of it is kept; it may be sent again"
+    if refusal in (Refusal.INVALID, Refusal.UNKNOWN_DATABASE, Refusal.TOO_LARGE):
+        return "it did not run; sending it again will not help"
+    return "nothing: it may or may not have run"
+
+
+def _cause(statement: LogLine, around: list[LogLine]) -> str:
+    fields = statement.fields
+    outcome, reason = fields.get("outcome"), fields.get("reason", "")
+    service, member = fields.get("service", "?"), fields.get("member") or "no member"
+    if outcome == "done":
+        return f"it ran at {member} in {fields.get('milliseconds')} ms"
+    lost = _primary_trouble(statement, around)
+    if outcome == Refusal.UNKNOWN_DATABASE.value:
+        return f"version {fields.get('version')} has no route for {fields.get('database')}"
+    if outcome == Refusal.LAGGING.value:
+        return f"the log of {member} lacked the position that the read must see{lost}"
+    if outcome == Refusal.OUTCOME_UNKNOWN.value:
+        return f"it was sent to {member} and its answer did not come ({reason}){lost}"
+    if fields.get("stage") == "waits-for-connection" and not lost:
+        return f"{member} of {service} had no connection free in time ({reason})"
+    if fields.get("stage") == "sent" and outcome == Refusal.BUSY.value:
+        return f"{member} of {service} had too much to do and refused it{lost}"
+    if lost:
+        return f"it could not run{lost}"
+    return f"{reason or outcome} (stage {fields.get('stage', '?')}, at {member})"
+
+
+def _primary_trouble(statement: LogLine, around: list[LogLine]) -> str:
+    failing = float(statement.fields.get("primary_failing_for") or 0)
+    begin = statement.time - float(statement.fields.get("milliseconds", 0)) / 1000
+    lost = [
+        line
+        for line in around
+        if line.event == gateway_events.PRIMARY_LOST.number and line.time <= statement.time + 1
+    ]
+    decided = [line for line in around if line.event == control_events.PROMOTION_DECIDED.number]
+    if not failing and not (lost and lost[-1].time > begin - 1) and not decided:
+        return ""
+    service = statement.fields.get("service", "?")
+    text = f": the primary of {service} was lost"
+    if failing:
+        text += f" (for {failing} s at this proxy)"
+    if decided:
+        order = decided[-1].fields
+        when = decided[-1].time - statement.time
+        text += (
+            f"; {order.get('instance')} was promoted under token {order.get('token')}, "
+            f"{abs(when):.1f} s {'after' if when > 0 else 'before'} the answer, "
+            f"because {order.get('reason')}"
+        )
+    else:
+        text += "; no order to replace it is in these logs"
+    return text
+
+
+def _gaps(lines: list[LogLine], statement: LogLine | None = None) -> list[str]:
+    """Return what the logs do not show."""
+    missing = []
+    if not any(line.event >= control_events.NODE_STARTED.number for line in lines):
+        missing.append("no log of a control node: promotions and committed versions are unknown")
+    left_out = [line for line in lines if line.event == decisions.LEFT_OUT.number]
+    if statement is not None:
+        left_out = [line for line in left_out if line.process == statement.process]
+    other = sum(int(line.fields.get("other", 0)) for line in left_out)
+    if other:
+        missing.append(f"{other} lines beside informative ones were left out by the budget")
+    return missing
--- /dev/null
+++ b/tests/explain/test_explain.py
@@ -0,0 +1,144 @@
+"""From a failed request's id to its cause, by the logs alone."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from rowanrail.cli.main import main
+from rowanrail.coordination.events import PROMOTION_DECIDED
+from rowanrail.explain.lines import read_lines
+from rowanrail.explain.story import tell
+from rowanrail.gateway.model import Answer, Refusal
+from rowanrail.kernel.decisions import DecisionLog
+from tests.support.gateway import PlayedGateway
+
+
+class ExplainTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.addCleanup(self.played.close)
+
+    def story(self, request, extra=()):
+        return tell(request, read_lines([*self.played.logs(), *extra]).lines)
+
+    def control_log(self):
+        with tempfile.TemporaryFile() as file:
+            log = DecisionLog("control", file.fileno(), wall_clock=self.played.clock.time)
+            log.note(
+                PROMOTION_DECIDED,
+                service="db",
+                instance="m3",
+                token=41,
+                term=2,
+                reason="the primary is lost: 3 vantage points fail, none succeeds",
+            )
+            log.flush()
+            file.seek(0)
+            return file.read().decode().splitlines()
+
+    def test_in_doubt_during_a_replacement(self):
+        client = self.played.client("orders")
+        client.run("WRITE a 1")
+        self.played.primary.silent = True
+        client.run("WRITE a 2", seconds=1.1)
+        story = self.story("q2", self.control_log())
+        self.assertEqual(story.outcome, Refusal.OUTCOME_UNKNOWN.value)
+        self.assertIn("sent to m1 and its answer did not come", story.cause)
+        self.assertIn("the primary of db was lost", story.cause)
+        self.assertIn("m3 was promoted under token 41", story.cause)
+        self.assertEqual(story.promise, "nothing: it may or may not have run")
+
+    def test_refused_as_lagging(self):
+        client = self.played.client("carts")
+        client.run("BEGIN READ")
+        refusal = Answer(refusal=Refusal.LAGGING, message="m2")
+        for member in self.played.members:
+            member.script = [refusal] * 50
+        client.run("READ a", seconds=1.5)
+        story = self.story("q2")
+        self.assertEqual(story.outcome, Refusal.LAGGING.value)
+        self.assertRegex(story.cause, r"the log of m\d lacked the position that the read must see")
+        self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
+
+    def test_refused_for_want_of_a_connection(self):
+        self.played.configure(2, connections=9)
+        clients = [self.played.client("orders") for _ in range(3)]
+        for client in clients:
+            client.run("BEGIN")
+            client.ask("WRITE a 1")
+        self.played.clock.advance(1.1)
+        waiting = [c for c in clients if c.answers[-1].refusal is Refusal.BUSY]
+        self.assertTrue(waiting)
+        lines = [line for line in self.played.logs() if '"outcome":"busy"' in line]
+        request = lines[-1].split('"request":"')[1].split('"')[0]
+        story = self.story(request)
+        self.assertIn("m1 of db had no connection free in time", story.cause)
+
+    def test_a_request_that_no_line_names(self):
+        story = self.story("nothing")
+        self.assertIn("no line names this request", story.cause)
+        self.assertIn("no log of a control node", " ".join(story.missing))
+
+    def test_damaged_lines_are_counted_and_left_aside(self):
+        self.played.client("orders").run("WRITE a 1")
+        lines = self.played.logs()
+        damaged = ["", "not a line", lines[0][:30], '{"time":"x","event":1}', "\x00\xff"]
+        result = read_lines([f"  12.5 proxy-1 {line}" for line in lines] + damaged)
+        self.assertEqual(len(result.lines), len(lines))
+        self.assertEqual(result.damaged, 4)
+
+    def test_the_command(self):
+        client = self.played.client("orders")
+        self.played.primary.script = [None]
+        client.run("WRITE a 1", seconds=1.1)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "proxy.log"
+            path.write_text("\n".join(self.played.logs()) + "\n")
+            shown = CliRunner().invoke(main, ["explain", "q1", str(path)])
+            self.assertEqual(shown.exit_code, 0, shown.output)
+            self.assertIn("cause: it was sent to m1", shown.output)
+            piped = CliRunner().invoke(main, ["explain", "q1", "--json"], input=path.read_text())
+            self.assertIn('"outcome":"outcome-unknown"', piped.output)
+            unknown = CliRunner().invoke(main, ["explain", "q9", str(path)])
+            self.assertEqual(unknown.exit_code, 1)
+            nowhere = CliRunner().invoke(main, ["explain", "q1", f"{folder}/no"])
+            self.assertIn("can't be read", nowhere.output)
+
+
+class DecisionLogTest(unittest.TestCase):
+    def test_the_volume_is_bounded_and_refusals_outlast_successes(self):
+        now = 100.0
+        with tempfile.TemporaryFile() as file:
+            log = DecisionLog("p", file.fileno(), 5, 20, wall_clock=lambda: now)
+            from rowanrail.gateway.events import ANSWERED, REFUSED
+
+            for number in range(100):
+                log.note(ANSWERED, request=f"a{number}")
+                log.note(REFUSED, request=f"r{number}", outcome="busy", reason="x")
+            now = 101.0
+            log.note(REFUSED, request="last", outcome="busy", reason="x")
+            log.flush()
+            file.seek(0)
+            lines = read_lines(file.read().decode().splitlines()).lines
+        counts = {number: sum(line.event == number for line in lines) for number in (300, 301, 10)}
+        self.assertEqual(counts, {300: 5, 301: 16, 10: 1})
+        left_out = next(line for line in lines if line.event == 10)
+        self.assertEqual(left_out.fields, {"info": 95, "other": 85})
+
+    def test_a_reader_that_does_not_read_holds_nothing_up(self):
+        import os
+
+        reading, writing = os.pipe()
+        os.set_blocking(writing, False)
+        log = DecisionLog("p", writing, 10**6, 10**6, wall_clock=lambda: 100.0)
+        from rowanrail.gateway.events import REFUSED
+
+        for number in range(20_000):
+            log.note(REFUSED, request=f"r{number}", outcome="busy", reason="x" * 50)
+            if number % 100 == 0:
+                log.flush()
+        os.close(reading)
+        log.flush()
+        os.close(writing)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -1,6 +1,8 @@
 """A gateway on a manual clock with members that a test plays by hand."""
 
+import contextlib
 import heapq
+import tempfile
 from collections.abc import Callable
 from typing import Any
 
@@ -187,12 +189,26 @@
         self.far = PlayedMember("m3", False, "c")
         self.members = [self.primary, self.near, self.far]
         self.driver = PlayedDriver(self.members)
-        self.decisions = DecisionLog("test", descriptor=-1)
+        self._stack = contextlib.ExitStack()
+        self.log_file = self._stack.enter_context(tempfile.TemporaryFile())
+        self.decisions = DecisionLog(
+            "proxy", descriptor=self.log_file.fileno(), wall_clock=self.clock.time
+        )
         self.gateway = Gateway("a", self.driver, self.clock, self.decisions)
         self.gateway.start()
         self.configure(1)
         self.announce(1)
 
+    def logs(self) -> list[str]:
+        """Return the lines that the gateway has written."""
+        self.decisions.flush()
+        self.log_file.seek(0)
+        return self.log_file.read().decode().splitlines()
+
+    def close(self) -> None:
+        self.gateway.close()
+        self._stack.close()
+
     def configure(self, version: int, **changes: Any) -> None:
         routes = {
             name: Route(name, name, "db", kind, 1.0, 0.5, 1.0, 1)
