--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -18,7 +18,6 @@
 class ExplainTest(unittest.TestCase):
     def setUp(self):
         self.played = PlayedGateway()
-        self.addCleanup(self.played.close)
 
     def story(self, request, extra=()):
         return tell(request, read_lines([*self.played.logs(), *extra]).lines)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -1,8 +1,6 @@
 """A gateway on a manual clock with members that a test plays by hand."""
 
-import contextlib
 import heapq
-import tempfile
 from collections.abc import Callable
 from typing import Any
 
@@ -179,6 +177,16 @@
             channel.opened(wire, member.position)
 
 
+class RecordingLog(DecisionLog):
+    """A decision log that is kept instead of written."""
+
+    written = b""
+
+    def flush(self) -> None:
+        self.written += bytes(self._pending)
+        self._pending.clear()
+
+
 class PlayedGateway:
     """A gateway in zone a before one service with a primary and two replicas."""
 
@@ -189,11 +197,7 @@
         self.far = PlayedMember("m3", False, "c")
         self.members = [self.primary, self.near, self.far]
         self.driver = PlayedDriver(self.members)
-        self._stack = contextlib.ExitStack()
-        self.log_file = self._stack.enter_context(tempfile.TemporaryFile())
-        self.decisions = DecisionLog(
-            "proxy", descriptor=self.log_file.fileno(), wall_clock=self.clock.time
-        )
+        self.decisions = RecordingLog("proxy", wall_clock=self.clock.time)
         self.gateway = Gateway("a", self.driver, self.clock, self.decisions)
         self.gateway.start()
         self.configure(1)
@@ -202,12 +206,7 @@
     def logs(self) -> list[str]:
         """Return the lines that the gateway has written."""
         self.decisions.flush()
-        self.log_file.seek(0)
-        return self.log_file.read().decode().splitlines()
-
-    def close(self) -> None:
-        self.gateway.close()
-        self._stack.close()
+        return self.decisions.written.decode().splitlines()
 
     def configure(self, version: int, **changes: Any) -> None:
         routes = {
