--- a/src/rowanlab/simulator/permissive.py
+++ b/src/rowanlab/simulator/permissive.py
@@ -7,6 +7,10 @@
 
 from rowanrail.consensus.policies import LearnerFirst, QuorumCheck
 from rowanrail.control.policies import ExpectedVersion, VersionMonotonic
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.model import Answer, Command
+from rowanrail.gateway.policies import LeadershipProof, StateReplay
+from rowanrail.gateway.session_values import SessionValues
 from rowanrail.kernel.errors import CallerError, NotRunError
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import MemberStatus, Position
@@ -122,6 +126,22 @@
         return f"{name}@1"
 
 
+class AnyAnswerProves(LeadershipProof):
+    """The position on any answer is taken as the primary's."""
+
+    def is_proof(self, answer: Answer) -> bool:
+        """See the guard."""
+        return answer.position is not None
+
+
+class NoReplay(StateReplay):
+    """Statements run with whatever the connection has."""
+
+    def commands(self, channel: Channel, session: SessionValues) -> list[Command]:
+        """See the guard."""
+        return []
+
+
 class Guard(enum.Enum):
     """The guards that a scenario can take away."""
 
@@ -138,6 +158,8 @@
     CHECK_QUORUM = "check-quorum"
     LEARNER_FIRST = "learner-first"
     FSYNC = "fsync"
+    LEADERSHIP_PROOF = "leadership-proof"
+    STATE_REPLAY = "state-replay"
 
 
 class _Replacement(msgspec.Struct, frozen=True):
@@ -157,6 +179,8 @@
     Guard.VERSION_MONOTONIC: _Replacement("control-guard", VersionsGoBack),
     Guard.EXPECTED_VERSION: _Replacement("control-guard", AnyVersion),
     Guard.CHECK_QUORUM: _Replacement("consensus-guard", NoQuorum),
+    Guard.LEADERSHIP_PROOF: _Replacement("gateway-guard", AnyAnswerProves),
+    Guard.STATE_REPLAY: _Replacement("gateway-guard", NoReplay),
     Guard.LEARNER_FIRST: _Replacement("consensus-guard", OldIdentityKept),
 }
 
--- a/src/rowanlab/simulator/scenario.py
+++ b/src/rowanlab/simulator/scenario.py
@@ -9,6 +9,7 @@
 
 from rowanlab.load.control_oracle import ControlVerdict
 from rowanlab.load.oracle import Verdict
+from rowanlab.simulator.gateway_oracle import GatewayVerdict
 from rowanlab.simulator.permissive import Guard
 from rowanlab.simulator.world import World
 from rowanrail.kernel.events import observe
@@ -23,7 +24,7 @@
     """
 
     seed: int
-    verdict: Verdict | ControlVerdict
+    verdict: Verdict | ControlVerdict | GatewayVerdict
     faults: int = 0
     acknowledged_after_heal: int = 0
     trace: list[str] = []
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -30,6 +30,7 @@
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.gateway.primary import PrimaryTracker
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
@@ -92,6 +93,7 @@
         reader: StatusReader,
         promoter: Promoter,
         decisions: DecisionLog,
+        proof: LeadershipProof,
     ) -> None:
         self._node = node
         self._service = service
@@ -99,6 +101,7 @@
         self._reader = reader
         self._promoter = promoter
         self._decisions = decisions
+        self._proof = proof
         self._trackers: dict[str, PrimaryTracker] = {}
         self._attempts: dict[str, _Attempt] = {}
         self._waiting_reasons: dict[str, str] = {}
@@ -163,7 +166,7 @@
         for name in services:
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
-                self._trackers[name] = PrimaryTracker(name, self._driver, loop)
+                self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._proof)
             self._trackers[name].set_members(self._members(name))
 
     # Deciding
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -89,7 +89,13 @@
         self.consensus.start()
         self.service.members.start()
         self.duty = FailoverDuty(
-            self.consensus, self.service, driver, reader, promoter, self._decisions
+            self.consensus,
+            self.service,
+            driver,
+            reader,
+            promoter,
+            self._decisions,
+            self._registry.create("gateway-guard", "leadership-proof"),
         )
         self.duty.start()
         self._joining = asyncio.ensure_future(self._join_when_unheard(identity))
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -72,7 +72,7 @@
     decisions = DecisionLog(settings.name)
     network: Network = registry.create("network", "tcp")
     driver = registry.create("member-driver", settings.protocol)
-    gateway = Gateway(settings.zone, driver, loop, decisions)
+    gateway = Gateway(settings.zone, driver, loop, decisions, registry)
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
     incarnation = f"{random.getrandbits(48):012x}"
 
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -22,11 +22,13 @@
     TypedStatement,
 )
 from rowanrail.gateway.operation import Operation
+from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.primary import PrimaryHealth
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
 from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
 
 TICK_SECONDS = 0.05
@@ -54,7 +56,12 @@
     """Sessions and services of one proxy."""
 
     def __init__(
-        self, zone: str, driver: MemberDriver, clock: Clock, decisions: DecisionLog
+        self,
+        zone: str,
+        driver: MemberDriver,
+        clock: Clock,
+        decisions: DecisionLog,
+        registry: Registry,
     ) -> None:
         self.clock = clock
         self.names = PreparedNames()
@@ -67,6 +74,7 @@
         self._zone = zone
         self._driver = driver
         self._decisions = decisions
+        self._policies = GatewayPolicies.create(registry)
         self._members: dict[str, list[MemberRecord]] = {}
         self._directory_revision = -1
         self._proxies = 0
@@ -103,7 +111,7 @@
             if service is not None:
                 service.set_spec(spec)
                 continue
-            service = Service(spec, self._zone, self._driver, self.clock)
+            service = Service(spec, self._zone, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.set_proxies(self._proxies)
             service.set_members(self._members.get(name, []))
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -7,7 +7,6 @@
 from rowanrail.gateway.freshness import oldest_sample, prefetch
 from rowanrail.gateway.model import Answer, Refusal, TypedStatement
 from rowanrail.gateway.operation import Operation, Stage, busy
-from rowanrail.gateway.session_values import replay
 from rowanrail.proxy.backend import ORIGIN, Position
 
 READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
@@ -70,7 +69,7 @@
             self._next_member()
             return
         assert self.pool is not None
-        commands = replay(channel, self.session)
+        commands = self.replay(channel)
         commands += self.command(self.statement, self.floor)
         usual = max(MINIMUM_ATTEMPT_SECONDS, READ_ATTEMPT_LATENCIES * self.pool.latency_seconds)
         self._limit_attempt(min(READ_ATTEMPT_SHARE * self.route.objective_seconds, usual))
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -4,7 +4,6 @@
 from rowanrail.gateway.freshness import note_commit
 from rowanrail.gateway.model import Answer, Refusal, TypedStatement
 from rowanrail.gateway.operation import Operation, Stage, busy
-from rowanrail.gateway.session_values import replay
 
 
 class LoneWrite(Operation):
@@ -30,7 +29,7 @@
             self.service.primary.note_failure(self.service.primary.believed)
             self.retry_later(self._find_primary, busy(answer.message))
             return
-        commands = replay(channel, self.session)
+        commands = self.replay(channel)
         commands += self.command(self.statement, None)
         self.send(commands, self._answered)
 
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -162,6 +162,10 @@
             self.channel.close()
             self.release()
 
+    def replay(self, channel: Channel) -> list[Command]:
+        """Return the commands that give the connection the session's values."""
+        return self.service.policies.state_replay.commands(channel, self.session)
+
     def command(self, statement: TypedStatement, floor: Position | None) -> list[Command]:
         """Return the commands for a read or write, the statement's own last."""
         if statement.kind is not StatementKind.EXECUTE:
--- /dev/null
+++ b/src/rowanrail/gateway/policies.py
@@ -0,0 +1,41 @@
+"""Guards of the gateway, as plug-ins of kind ``gateway-guard``."""
+
+import msgspec
+
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.model import Answer, Command
+from rowanrail.gateway.session_values import SessionValues, replay
+from rowanrail.kernel.registry import Registry, register
+
+
+@register("gateway-guard", "leadership-proof")
+class LeadershipProof:
+    """A position proves something only if its answer shows that the member leads."""
+
+    def is_proof(self, answer: Answer) -> bool:
+        """Return whether the answer to a plain BEGIN makes its position a sample."""
+        return answer.refusal is None
+
+
+@register("gateway-guard", "state-replay")
+class StateReplay:
+    """A connection has exactly the session's values before a statement runs on it."""
+
+    def commands(self, channel: Channel, session: SessionValues) -> list[Command]:
+        """Return what must run on the connection first."""
+        return replay(channel, session)
+
+
+class GatewayPolicies(msgspec.Struct, frozen=True):
+    """The guards that one gateway uses."""
+
+    leadership_proof: LeadershipProof
+    state_replay: StateReplay
+
+    @classmethod
+    def create(cls, registry: Registry) -> "GatewayPolicies":
+        """Take the guards that are registered."""
+        return cls(
+            registry.create("gateway-guard", "leadership-proof"),
+            registry.create("gateway-guard", "state-replay"),
+        )
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -13,6 +13,7 @@
 from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.proxy.backend import Position
 
 PROBE_TIMEOUT_SECONDS = 0.35
@@ -70,7 +71,9 @@
 class PrimaryTracker:
     """Finds the primary of one service and keeps its newest sample."""
 
-    def __init__(self, service: str, driver: MemberDriver, clock: Clock) -> None:
+    def __init__(
+        self, service: str, driver: MemberDriver, clock: Clock, proof: LeadershipProof
+    ) -> None:
         self.service = service
         self.sample: Sample | None = None
         self.believed = ""
@@ -80,6 +83,7 @@
         self.on_alarm: Callable[[], None] = lambda: None
         self._alarmed = False
         self._driver = driver
+        self._proof = proof
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
         self._probes: dict[str, _Probe] = {}
@@ -245,7 +249,7 @@
         instance = probe.record.instance
 
         def on_begin(answer: Answer) -> None:
-            if answer.refusal is None:
+            if self._proof.is_proof(answer):
                 self.note_proof(instance, asked_at, answer.position)
             elif probe.channel is not None and not probe.channel.closed:
                 self.note_not_primary(instance)
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -3,6 +3,7 @@
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
+from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.primary import PrimaryTracker
 
@@ -19,9 +20,17 @@
 class Service:
     """Members of one service as this proxy uses them."""
 
-    def __init__(self, spec: ServiceSpec, zone: str, driver: MemberDriver, clock: Clock) -> None:
+    def __init__(
+        self,
+        spec: ServiceSpec,
+        zone: str,
+        driver: MemberDriver,
+        clock: Clock,
+        policies: GatewayPolicies,
+    ) -> None:
         self.spec = spec
-        self.primary = PrimaryTracker(spec.name, driver, clock)
+        self.policies = policies
+        self.primary = PrimaryTracker(spec.name, driver, clock, policies.leadership_proof)
         self.pools: dict[str, MemberPool] = {}
         self.used_at = -IN_USE_SECONDS
         self._zone = zone
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -21,7 +21,6 @@
     PreparedNames,
     SessionValues,
     is_write,
-    replay,
     replay_in_transaction,
 )
 from rowanrail.proxy.backend import ORIGIN, Position
@@ -114,7 +113,7 @@
             self.retry_later(self._begin, busy(answer.message))
             return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
-        commands = replay(channel, self.session)
+        commands = self.replay(channel)
         commands.append(Command(kind, floor=self._floor))
         channel.in_transaction = True
         self.send(commands, self._begin_answered)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -22,6 +22,7 @@
 )
 from rowanrail.gateway.session import Session
 from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
 
 DATABASES = {
@@ -198,7 +199,7 @@
         self.members = [self.primary, self.near, self.far]
         self.driver = PlayedDriver(self.members)
         self.decisions = RecordingLog("proxy", wall_clock=self.clock.time)
-        self.gateway = Gateway("a", self.driver, self.clock, self.decisions)
+        self.gateway = Gateway("a", self.driver, self.clock, self.decisions, Registry())
         self.gateway.start()
         self.configure(1)
         self.announce(1)
