Simulate promotions before a platform that checks fences

Change: scenario promotion (guard fencing-token, now a plug-in): dark primaries, orders whose answers are lost and which are carried out 2 to 5 s later, killed, cut and frozen holders. Streams keep their order now.

--- a/src/rowanlab/simulator/coordination_scenarios.py
+++ b/src/rowanlab/simulator/coordination_scenarios.py
@@ -4,6 +4,7 @@
 
 from rowanlab.simulator.coordination_world import CoordinationWorld, SimulatedCoordinator
 from rowanlab.simulator.permissive import Guard, registry_without
+from rowanlab.simulator.promotion_world import PromotionWorld
 from rowanlab.simulator.scenario import Scenario, SeedResult, run_world
 from rowanlab.simulator.world import World
 
@@ -57,6 +58,49 @@
     return after_heal
 
 
+async def _dark_primary(coordination: PromotionWorld) -> None:
+    """A primary is dark for a while; it comes back as what it is by then."""
+    member = coordination.group.primary
+    member.silent = True
+    for wire in list(member.wires):
+        wire.broken = True
+    await asyncio.sleep(coordination.random.uniform(1.0, 4.0))
+    member.silent = False
+    member.catch_up()
+
+
+async def _run_promotions(coordination: PromotionWorld) -> int:
+    world = coordination.world
+    await coordination.start(operators=0, members=0)
+    await coordination.start_members()
+    await asyncio.sleep(2.0)
+    for _ in range(6):
+        world.fault_count += 1
+        await _dark_primary(coordination)
+        node = coordination.random.choice(coordination.controls)
+        await coordination.random.choice([_kill, _isolate, _freeze])(coordination, node)
+    coordination.platform.loses_answers = False
+    before = coordination.oracle.verdict.acknowledged
+    world.run_in(world.spawn("fault", "nowhere"), _dark_primary_for_good(coordination))
+    await asyncio.sleep(2 * RECOVERY_SECONDS)
+    coordination.finished = True
+    await coordination.judge()
+    return coordination.oracle.verdict.acknowledged - before
+
+
+async def _dark_primary_for_good(coordination: PromotionWorld) -> None:
+    coordination.group.primary.silent = True
+
+
+def _promotion(name: str, guard: Guard) -> Scenario:
+    def run(seed: int, without: Guard | None) -> SeedResult:
+        world = World(seed)
+        coordination = PromotionWorld(world, registry_without(without))
+        return run_world(world, seed, coordination.oracle, lambda: _run_promotions(coordination))
+
+    return Scenario(name, guard, run)
+
+
 def _scenario(name: str, guard: Guard, operators: int, members: int) -> Scenario:
     def run(seed: int, without: Guard | None) -> SeedResult:
         world = World(seed)
@@ -71,4 +115,5 @@
 COORDINATION_SCENARIOS = [
     _scenario("numbered-versions", Guard.VERSION_MONOTONIC, operators=3, members=0),
     _scenario("announced-members", Guard.INCARNATION, operators=0, members=4),
+    _promotion("promotion", Guard.FENCING_TOKEN),
 ]
--- a/src/rowanlab/simulator/coordination_world.py
+++ b/src/rowanlab/simulator/coordination_world.py
@@ -43,13 +43,16 @@
     reverted: int = 0
     stale_reads: int = 0
     came_back: int = 0
+    same_token: int = 0
     not_recovered: int = 0
     examples: list[str] = []
 
     @property
     def violations(self) -> int:
         """Return how many guarantees were broken."""
-        return self.reverted + self.stale_reads + self.came_back + self.not_recovered
+        return (
+            self.reverted + self.stale_reads + self.came_back + self.same_token + self.not_recovered
+        )
 
 
 class CoordinationOracle:
@@ -141,6 +144,9 @@
         super().__init__(world, name, zone, world.random.uniform(*CLOCK_RATES))
         self.outside_address = f"{name}:8100"
         self.node: Coordinator | None = None
+        self.make_ports: Callable[[SimulatedCoordinator], tuple[Any, StatusReader, Promoter]] = (
+            lambda control: (_NoDriver(), _NoReader(), _NoPromoter())
+        )
         self._served = served
         self._registry = registry
 
@@ -177,7 +183,7 @@
             DecisionLog(self.name, descriptor=-1, wall_clock=self._world.wall_clock),
         )
         self.node = node
-        await node.start(_NoDriver(), _NoReader(), _NoPromoter())
+        await node.start(*self.make_ports(self))
         self._served.channels[self.outside_address] = (self.name, lambda: _OutsideChannel(self))
 
 
--- a/src/rowanlab/simulator/event_clock.py
+++ b/src/rowanlab/simulator/event_clock.py
@@ -26,10 +26,15 @@
     """Implements :class:`rowanrail.gateway.clock.Clock`."""
 
     def __init__(self) -> None:
-        self.now = 1000.0
+        self._now = 1000.0
         self._timers: list[EventTimer] = []
         self._order = 0
 
+    @property
+    def now(self) -> float:
+        """Virtual time in seconds."""
+        return self._now
+
     def time(self) -> float:
         """Return the steady time in seconds."""
         return self.now
@@ -45,7 +50,7 @@
         """Run what is due until ``moment``."""
         while self._timers and self._timers[0].due <= moment:
             timer = heapq.heappop(self._timers)
-            self.now = max(self.now, timer.due)
+            self._now = max(self._now, timer.due)
             if not timer.cancelled:
                 timer.run()
-        self.now = moment
+        self._now = moment
--- a/src/rowanlab/simulator/gateway_members.py
+++ b/src/rowanlab/simulator/gateway_members.py
@@ -6,10 +6,10 @@
 
 import random
 from collections.abc import Callable
+from typing import Any, Protocol
 
 import msgspec
 
-from rowanlab.simulator.event_clock import EventClock
 from rowanrail.gateway.channel import Channel, MemberDriver, Wire
 from rowanrail.gateway.model import (
     Answer,
@@ -25,9 +25,21 @@
 DELAY_SECONDS = (0.0005, 0.02)
 WORK_SECONDS = (0.001, 0.02)
 LAG_SECONDS = (0.005, 0.03)
+ORDER_SECONDS = 1e-6  # between what a stream carries, since timers of one moment have no order
 SERVICE = "db"
 
 
+class MemberClock(Protocol):
+    """True time, and calls in the future."""
+
+    @property
+    def now(self) -> float:
+        """True time in seconds."""
+
+    def call_later(self, delay: float, callback: Callable[..., Any], *arguments: Any) -> object:
+        """Call ``callback`` after ``delay`` seconds."""
+
+
 class Entry(msgspec.Struct, frozen=True):
     """A committed write: the requests whose writes it holds."""
 
@@ -57,7 +69,7 @@
 class Group:
     """The members of one service, with their log."""
 
-    def __init__(self, clock: EventClock, randomness: random.Random) -> None:
+    def __init__(self, clock: MemberClock, randomness: random.Random) -> None:
         self.clock = clock
         self.random = randomness
         self.term = 1
@@ -125,6 +137,12 @@
             self.instance, SERVICE, self.address, self.zone, self.leads, False, 4, 1
         )
 
+    def status(self) -> bytes:
+        """Return role, term, and the term and index of the last position received."""
+        role = "primary" if self.leads else "replica"
+        position = self.position()
+        return f"{role} {self.group.term} {position.term} {position.index}".encode()
+
     def catch_up(self) -> None:
         """Receive the primary's log."""
         if not self.leads:
@@ -166,13 +184,14 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         self._free_at = 0.0
+        self._delivered_at = 0.0
         member.wires.append(self)
 
     def send(self, commands: list[Command]) -> None:
         """See :meth:`Wire.send`."""
         clock = self.member.group.clock
         for command in commands:
-            arrival = max(clock.now + self.delay, self._free_at)
+            arrival = max(clock.now + self.delay, self._free_at + ORDER_SECONDS)
             work = 0.0
             if command.request_id:
                 work = self.member.group.random.uniform(*WORK_SECONDS)
@@ -186,7 +205,9 @@
         if self.closed or self.broken:
             return
         answer = self._answer(command)
-        self.member.group.clock.call_later(self.delay, self._deliver, answer)
+        clock = self.member.group.clock
+        self._delivered_at = max(clock.now + self.delay, self._delivered_at + ORDER_SECONDS)
+        clock.call_later(self._delivered_at - clock.now, self._deliver, answer)
 
     def _deliver(self, answer: Answer) -> None:
         if self.member.silent:
@@ -214,7 +235,7 @@
         if refusal is None:
             self._carry_out(command)
         return Answer(
-            rows=[],
+            rows=[self.member.status()] if command.kind is CommandKind.STATUS else [],
             signature=b"sig" if refusal is None and command.request_id else b"",
             refusal=refusal,
             position=self.member.position(),
--- a/src/rowanlab/simulator/permissive.py
+++ b/src/rowanlab/simulator/permissive.py
@@ -7,7 +7,7 @@
 
 from rowanrail.consensus.policies import LearnerFirst, QuorumCheck
 from rowanrail.control.policies import ExpectedVersion, VersionMonotonic
-from rowanrail.coordination.policies import IncarnationCheck
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.channel import Channel
 from rowanrail.gateway.model import Answer, Command, MemberRecord
 from rowanrail.gateway.policies import LeadershipProof, StateReplay
@@ -151,6 +151,14 @@
         return record != known
 
 
+class SameTokenAlways(FencingToken):
+    """All orders carry one token."""
+
+    def token(self, log_index: int) -> int:
+        """See the guard."""
+        return 1
+
+
 class Guard(enum.Enum):
     """The guards that a scenario can take away."""
 
@@ -170,6 +178,7 @@
     LEADERSHIP_PROOF = "leadership-proof"
     STATE_REPLAY = "state-replay"
     INCARNATION = "incarnation"
+    FENCING_TOKEN = "fencing-token"
 
 
 class _Replacement(msgspec.Struct, frozen=True):
@@ -192,6 +201,7 @@
     Guard.LEADERSHIP_PROOF: _Replacement("gateway-guard", AnyAnswerProves),
     Guard.STATE_REPLAY: _Replacement("gateway-guard", NoReplay),
     Guard.INCARNATION: _Replacement("coordination-guard", AnyAnnouncement),
+    Guard.FENCING_TOKEN: _Replacement("coordination-guard", SameTokenAlways),
     Guard.LEARNER_FIRST: _Replacement("consensus-guard", OldIdentityKept),
 }
 
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -78,8 +78,9 @@
             owner, self._storage, self._network, self._random, guard, is_first
         )
         monotonic = self._registry.create("control-guard", "version-monotonic")
+        fence = self._registry.create("coordination-guard", "fencing-token")
         incarnation = self._registry.create("coordination-guard", "incarnation")
-        self.state = CoordinationState(monotonic, incarnation)
+        self.state = CoordinationState(monotonic, incarnation, fence)
         self.consensus = self._create_consensus(identity)
         self.service = CoordinationService(self.consensus, self.state, self._network)
         self.service.members = VoterManager(
--- a/src/rowanrail/coordination/policies.py
+++ b/src/rowanrail/coordination/policies.py
@@ -6,6 +6,15 @@
 from rowanrail.kernel.registry import register
 
 
+@register("coordination-guard", "fencing-token")
+class FencingToken:
+    """Each order to promote has a token of its own, higher than all before it."""
+
+    def token(self, log_index: int) -> int:
+        """Return the token of the order whose intent stands at a place of the log."""
+        return log_index
+
+
 @register("coordination-guard", "incarnation")
 class IncarnationCheck:
     """One life of a member is announced once, in order, and ends once."""
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -16,7 +16,7 @@
     Remove,
     SetProxies,
 )
-from rowanrail.coordination.policies import IncarnationCheck
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.model import MemberRecord
 
 REMEMBERED_REMOVED = 2000
@@ -44,9 +44,12 @@
     same on every node, so that a gateway can compare what different nodes tell it.
     """
 
-    def __init__(self, monotonic: VersionMonotonic, incarnation: IncarnationCheck) -> None:
+    def __init__(
+        self, monotonic: VersionMonotonic, incarnation: IncarnationCheck, fence: FencingToken
+    ) -> None:
         self._monotonic = monotonic
         self._incarnation = incarnation
+        self._fence = fence
         self._restore(EMPTY_STATE)
 
     def _restore(self, saved: SavedState) -> None:
@@ -86,7 +89,7 @@
         if isinstance(command, PutDocument):
             return self._put(command)
         if isinstance(command, IntendPromotion):
-            promotion = Promotion(command.instance, entry.index)
+            promotion = Promotion(command.instance, self._fence.token(entry.index))
             self.promotions[command.service] = promotion
             return promotion
         if self._change_directory(command):
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -14,7 +14,7 @@
     Remove,
     SetProxies,
 )
-from rowanrail.coordination.policies import IncarnationCheck
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.voters import NodeState, next_membership
 from rowanrail.gateway.model import MemberRecord
@@ -27,7 +27,7 @@
 
 class StateTest(unittest.TestCase):
     def setUp(self):
-        self.state = CoordinationState(VersionMonotonic(), IncarnationCheck())
+        self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
         self.index = 0
 
     def apply(self, command):
@@ -90,7 +90,7 @@
         self.apply(Remove("m9"))
         self.apply(SetProxies(4))
         self.apply(IntendPromotion("db", "m1", "lost"))
-        other = CoordinationState(VersionMonotonic(), IncarnationCheck())
+        other = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
         other.restore(self.state.snapshot())
         self.assertEqual(other.snapshot(), self.state.snapshot())
         self.assertFalse(other.needs_announcement(record("m9")))
