Serve metrics where the settings give an address

Cause: counters and latency histograms were asked for and missing. Change: kernel.metrics (imported only with an address), gauges of gateways and control nodes, the log's budget as a setting. Ruled out: an address of our own choice where the platform gives none: nothing listens then.

--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -88,6 +88,8 @@
     rpc_port: int
     protocol: str
     stop_seconds: float = 6.0
+    metrics: str = ""
+    log_lines_per_second: int = 400
 
 
 class CoordinatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -104,6 +106,8 @@
     bootstrap: bool = False
     tolerated_losses: int = 1
     promoter_address: str = ""
+    metrics: str = ""
+    log_lines_per_second: int = 400
     heartbeat_seconds: float = 0.12
     election_timeout_seconds: float = 0.6
     snapshot_entries: int = 200
@@ -151,6 +155,11 @@
     "GatewaySettings.rpc_port": "Port of the control nodes for the system's own calls.",
     "GatewaySettings.protocol": "Name of the plug-ins that speak to clients and members.",
     "GatewaySettings.stop_seconds": "Longest time that a planned stop may take.",
+    "GatewaySettings.metrics": "`PORT/PATH` on the listening IP for metrics; empty for none.",
+    "GatewaySettings.log_lines_per_second": "Budget of the decision log; a tenth of it is for "
+    "successes.",
+    "CoordinatorSettings.metrics": "`PORT/PATH` on `host` for metrics; empty for none.",
+    "CoordinatorSettings.log_lines_per_second": "Budget of the decision log.",
     "CoordinatorSettings.name": "Name of the control node; it is told to the platform.",
     "CoordinatorSettings.zone": "Zone that the node is in.",
     "CoordinatorSettings.data_folder": "Folder for the node's durable state.",
--- a/src/rowanrail/coordination/daemon.py
+++ b/src/rowanrail/coordination/daemon.py
@@ -9,12 +9,14 @@
 
 from rowanrail.config.settings import CoordinatorSettings
 from rowanrail.coordination.events import NODE_STARTED, NODE_STOPPED, SETTINGS_NOT_READ
+from rowanrail.coordination.gauges import gauges
 from rowanrail.coordination.node import Coordinator
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.disk import FileDisk
 from rowanrail.kernel.http import HttpRequest, HttpResponse, serve
 from rowanrail.kernel.lifecycle import wait_for_stop_signal
+from rowanrail.kernel.metrics import Metrics, serve_metrics
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
@@ -37,7 +39,8 @@
     """
     os.set_blocking(1, False)
     registry = Registry()
-    decisions = DecisionLog(settings.name)
+    budget = settings.log_lines_per_second
+    decisions = DecisionLog(settings.name, 1, budget, budget)
     network: Network = registry.create("network", "tcp")
     disk = FileDisk(Path(settings.data_folder))
     node = Coordinator(settings, network, disk, random.Random(), registry, decisions)
@@ -50,6 +53,9 @@
     service: CoordinationService = node.service
     api: OutsideApi = registry.create("outside-api", protocol, service, settings, decisions)
     server = await serve(settings.listen, api.handle)
+    if settings.metrics:
+        metrics = Metrics("rowanrail_control", lambda: gauges(node))
+        await serve_metrics(settings.host, settings.metrics, metrics)
     decisions.note(NODE_STARTED, node=node.consensus.identity.node, term=node.consensus.raft.term)
     decisions.flush()
     asyncio.get_running_loop().add_signal_handler(
--- /dev/null
+++ b/src/rowanrail/coordination/gauges.py
@@ -0,0 +1,27 @@
+"""What a control node measures of itself at the moment when it is asked."""
+
+from rowanrail.coordination.node import Coordinator
+from rowanrail.kernel.metrics import Reading
+
+
+def gauges(node: Coordinator) -> list[Reading]:
+    """Return term, log, versions, members and the latest promotion of each service."""
+    raft = node.consensus.raft
+    state = node.state
+    readings: list[Reading] = [
+        ("term", {}, raft.term),
+        ("leader", {}, float(raft.is_leader)),
+        ("current", {}, float(node.service.is_current)),
+        ("applied_index", {}, node.consensus.applied),
+        ("log_entries", {}, raft.log.size),
+        ("configuration_version", {}, state.version),
+        ("directory_revision", {}, state.revision),
+        ("members", {}, len(state.members)),
+        ("members_leaving", {}, sum(member.leaving for member in state.members.values())),
+        ("gateways", {}, state.proxies),
+        ("voters", {}, len(raft.membership.voters)),
+        ("failed", {}, float(node.consensus.failure is not None)),
+    ]
+    for service, promotion in state.promotions.items():
+        readings.append(("promotion_token", {"service": service}, promotion.token))
+    return readings
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -17,9 +17,11 @@
 )
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
+from rowanrail.gateway.gauges import gauges
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.http import HttpRequest, HttpResponse, error_response, serve
 from rowanrail.kernel.lifecycle import wait_for_stop_signal
+from rowanrail.kernel.metrics import Metrics, serve_metrics
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
@@ -69,7 +71,8 @@
     os.set_blocking(1, False)
     registry = Registry()
     loop = asyncio.get_running_loop()
-    decisions = DecisionLog(settings.name)
+    budget = settings.log_lines_per_second
+    decisions = DecisionLog(settings.name, 1, budget // 10, budget)
     network: Network = registry.create("network", "tcp")
     driver = registry.create("member-driver", settings.protocol)
     gateway = Gateway(settings.zone, driver, loop, decisions, registry)
@@ -100,6 +103,10 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     ready_server = await serve(settings.ready_listen, ReadyApi(gateway).handle)
     await frontend.start(settings.listen)
+    if settings.metrics:
+        metrics = Metrics("rowanrail_gateway", lambda: gauges(gateway))
+        gateway.on_outcome = lambda _, *outcome: metrics.note_statement(*outcome)
+        await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
     gateway.start()
     watch.start()
     decisions.note(GATEWAY_STARTED, name=settings.name, zone=settings.zone, listen=settings.listen)
--- /dev/null
+++ b/src/rowanrail/gateway/gauges.py
@@ -0,0 +1,32 @@
+"""What a gateway measures of itself at the moment when it is asked."""
+
+from rowanrail.gateway.gateway import Gateway
+from rowanrail.kernel.metrics import Reading
+
+NEVER = -1.0
+
+
+def gauges(gateway: Gateway) -> list[Reading]:
+    """Return sessions, versions, and for each service its members and its primary."""
+    version = gateway.configuration.version if gateway.configuration else 0
+    readings: list[Reading] = [
+        ("sessions", {}, len(gateway.sessions)),
+        ("configuration_version", {}, version),
+        ("ready", {}, float(gateway.is_ready)),
+    ]
+    now = gateway.clock.time()
+    for name, service in gateway.services.items():
+        labels = {"service": name}
+        tracker = service.primary
+        age = now - tracker.sample.asked_at if tracker.sample else NEVER
+        failing = now - tracker.failing_since if tracker.failing_since else 0.0
+        readings.append(("sample_age_seconds", labels, age))
+        readings.append(("primary_failing_seconds", labels, failing))
+        for instance, pool in service.pools.items():
+            member = {"service": name, "member": instance}
+            readings.append(("connections", member, pool.open_count))
+            readings.append(("connections_limit", member, pool.limit))
+            readings.append(("connections_leased", member, pool.leased))
+            readings.append(("member_latency_seconds", member, pool.latency_seconds))
+            readings.append(("member_suspect", member, float(pool.is_suspect)))
+    return readings
--- /dev/null
+++ b/src/rowanrail/kernel/metrics.py
@@ -0,0 +1,82 @@
+"""Counters, histograms and gauges on an address of their own, where the settings name one.
+
+``prometheus_client`` is imported only then: it costs a program that has no such address nothing.
+"""
+
+from collections.abc import Callable
+
+from rowanrail.kernel.errors import SettingsError
+from rowanrail.kernel.http import HttpRequest, HttpResponse, HttpServer, error_response, serve
+
+LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+CONTENT_TYPE = "text/plain; version=0.0.4"
+
+Reading = tuple[str, dict[str, str], float]
+Read = Callable[[], list[Reading]]
+
+
+class Metrics:
+    """The metrics of one process.
+
+    :param prefix: begins the name of each metric.
+    :param read: gives the gauges at the moment of a question: name, labels, value.
+    """
+
+    def __init__(self, prefix: str, read: Read) -> None:
+        from prometheus_client import CollectorRegistry, Counter, Histogram
+
+        self._prefix = prefix
+        self._read = read
+        self._registry = CollectorRegistry()
+        self._outcomes = Counter(
+            f"{prefix}_statements",
+            "Statements answered, by kind and outcome",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            f"{prefix}_statement_seconds",
+            "Time from a statement to its answer, by kind",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+
+    def note_statement(self, kind: str, outcome: str, seconds: float) -> None:
+        """Count a statement."""
+        self._outcomes.labels(kind, outcome).inc()
+        self._latency.labels(kind).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics in the exposition format."""
+        from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+        registry = CollectorRegistry()
+        gauges: dict[str, Gauge] = {}
+        for name, labels, value in self._read():
+            full = f"{self._prefix}_{name}"
+            if full not in gauges:
+                gauges[full] = Gauge(full, name.replace("_", " "), list(labels), registry=registry)
+            gauge = gauges[full]
+            (gauge.labels(**labels) if labels else gauge).set(value)
+        rendered: bytes = generate_latest(self._registry) + generate_latest(registry)
+        return rendered
+
+
+async def serve_metrics(host: str, place: str, metrics: Metrics) -> HttpServer:
+    """Serve metrics at ``PORT/PATH`` of a host.
+
+    :raises SettingsError: if the place is not of that form.
+    """
+    port, _, path = place.partition("/")
+    if not port.isdigit():
+        raise SettingsError(
+            [f"metrics: {place!r} is not PORT/PATH; write for example 9100/metrics"]
+        )
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        if request.method != "GET" or request.path != f"/{path}":
+            return error_response(404, f"ask GET /{path}")
+        return HttpResponse(200, metrics.render(), CONTENT_TYPE)
+
+    return await serve(f"{host}:{port}", handle)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -19,6 +19,7 @@
                 self.unknown_database,
                 self.changed_routes,
                 self.idle_sessions,
+                self.metrics,
             ):
                 with self.subTest(check.__name__):
                     await check(fleet)
@@ -134,3 +135,12 @@
         self.assertLessEqual(after, before)
         for client in clients:
             client.close()
+
+    async def metrics(self, fleet):
+        proxy = await fleet.metrics(fleet.proxy_hosts[0])
+        self.assertIn('rowanrail_gateway_statements_total{kind="write",outcome="done"}', proxy)
+        self.assertIn('rowanrail_gateway_statement_seconds_bucket{kind="read",le="0.4"}', proxy)
+        self.assertIn('rowanrail_gateway_connections{member="i-0",service="db"}', proxy)
+        control = await fleet.metrics(fleet.control_hosts[0])
+        self.assertIn("rowanrail_control_leader 1.0", control)
+        self.assertIn("rowanrail_control_members 3.0", control)
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -19,6 +19,7 @@
 MEMBER_PORT, PROMOTE_PORT = 18705, 18706
 HEARTBEAT_SECONDS = 0.3
 SHOWN_LOG = 6000
+METRICS = "18707/metrics"
 KINDS = {
     "orders": "primary",
     "reports": "bounded_staleness",
@@ -110,6 +111,7 @@
             "tolerated_losses: 1",
             f"promoter_address: 127.0.10.1:{PROMOTE_PORT}",
             f"bootstrap: {'true' if bootstrap else 'false'}",
+            f"metrics: {METRICS}",
         ]
         self._start("control", host, lines)
 
@@ -120,6 +122,7 @@
             f"listen: {host}:{FRONT_PORT}",
             f"ready_listen: {host}:{READY_PORT}",
             "stop_seconds: 3",
+            f"metrics: {METRICS}",
         ]
         self._start("proxy", host, lines)
 
@@ -181,6 +184,10 @@
     async def ready(self, host: str) -> int:
         return await self._call("GET", f"http://{host}:{READY_PORT}/ready")
 
+    async def metrics(self, host: str) -> str:
+        async with self.http.get(f"http://{host}:{METRICS}") as response:
+            return await response.text()
+
     async def _call(self, method: str, url: str, **body: Any) -> int:
         try:
             async with self.http.request(method, url, **body) as response:
