Pause replicas before a primary is chosen where they acknowledge commits

Cause: the number of acknowledging replicas was read and not heeded: a commit that only one replica held could be missing from the member that is promoted. Ruled out: STATUS alone, since the old primary may go on acknowledging through the other replica.

--- a/src/rowanlab/simulator/coordination_world.py
+++ b/src/rowanlab/simulator/coordination_world.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+from returns.result import Failure
 
 from rowanlab.simulator.daemon import DurableDaemon
 from rowanlab.simulator.loop import SimulatedProcess
@@ -21,7 +22,7 @@
 from rowanrail.coordination.messages import PutReply
 from rowanrail.coordination.node import Coordinator
 from rowanrail.gateway import channel as gateway_channel
-from rowanrail.gateway.model import Answer, MemberRecord
+from rowanrail.gateway.model import Answer, ConfigurationFormat, MemberRecord
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.kernel.registry import Registry
@@ -106,6 +107,11 @@
         return None
 
 
+class _NoFormat(ConfigurationFormat):
+    def parse(self, document: bytes) -> Any:
+        return Failure(["documents are not looked into here"])
+
+
 class _NoPromoter(Promoter):
     async def promote(self, service: str, instance: str, token: int) -> PromotionOutcome:
         return PromotionOutcome.UNKNOWN
@@ -181,6 +187,7 @@
             self._randomness(),
             self._registry,
             DecisionLog(self.name, descriptor=-1, wall_clock=self._world.wall_clock),
+            _NoFormat(),
         )
         self.node = node
         await node.start(*self.make_ports(self))
--- a/src/rowanrail/coordination/daemon.py
+++ b/src/rowanrail/coordination/daemon.py
@@ -43,8 +43,11 @@
     decisions = DecisionLog(settings.name, 1, budget, budget)
     network: Network = registry.create("network", "tcp")
     disk = FileDisk(Path(settings.data_folder))
-    node = Coordinator(settings, network, disk, random.Random(), registry, decisions)
     protocol = settings.protocol
+    configuration_format = registry.create("configuration-format", protocol)
+    node = Coordinator(
+        settings, network, disk, random.Random(), registry, decisions, configuration_format
+    )
     await node.start(
         registry.create("member-driver", protocol),
         registry.create("status-reader", protocol),
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -8,6 +8,7 @@
 import asyncio
 import enum
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import msgspec
 
@@ -94,6 +95,7 @@
         promoter: Promoter,
         decisions: DecisionLog,
         proof: LeadershipProof,
+        acknowledging_replicas: Callable[[str], int] = lambda service: 0,
     ) -> None:
         self._node = node
         self._service = service
@@ -102,6 +104,7 @@
         self._promoter = promoter
         self._decisions = decisions
         self._proof = proof
+        self._acknowledging_replicas = acknowledging_replicas
         self._trackers: dict[str, PrimaryTracker] = {}
         self._attempts: dict[str, _Attempt] = {}
         self._waiting_reasons: dict[str, str] = {}
@@ -185,22 +188,31 @@
 
     async def _replace(self, service: str, first: Decision) -> None:
         try:
-            statuses = await self._ask_statuses(service)
-            decision = decide(self._view(service, statuses, statuses_fresh=True))
+            decision = await self._decide_with_statuses(service)
             if decision.action is Action.PROMOTE:
                 await self._promote(service, decision)
-            elif self._waiting_reasons.get(service) != decision.reason:
-                self._waiting_reasons[service] = decision.reason
-                self._decisions.note(
-                    PROMOTION_WAITS, service=service, cause=first.reason, reason=decision.reason
-                )
+            else:
+                self._note_waiting(service, first.reason, decision.reason)
         except RowanrailError as error:
-            self._decisions.note(
-                PROMOTION_WAITS, service=service, cause=first.reason, reason=str(error)
-            )
+            self._note_waiting(service, first.reason, str(error))
         finally:
             self._busy.discard(service)
 
+    async def _decide_with_statuses(self, service: str) -> Decision:
+        statuses = await self._ask_all(service, Command(CommandKind.STATUS))
+        must_pause = self._acknowledging_replicas(service) > 0
+        if must_pause:
+            statuses = await self._pause_replicas(service, statuses)
+        decision = decide(self._view(service, statuses, statuses_fresh=True))
+        if must_pause and decision.action is not Action.PROMOTE:
+            await self._ask_all(service, Command(CommandKind.RESUME), self._replicas(service))
+        return decision
+
+    def _note_waiting(self, service: str, cause: str, reason: str) -> None:
+        if self._waiting_reasons.get(service) != reason:
+            self._waiting_reasons[service] = reason
+            self._decisions.note(PROMOTION_WAITS, service=service, cause=cause, reason=reason)
+
     def _view(
         self, service: str, statuses: dict[str, MemberStatus], statuses_fresh: bool = False
     ) -> ServiceView:
@@ -230,6 +242,7 @@
             self._attempt_view(service, now),
             now - holding_since,
             1 + liveness.gateways(),
+            self._acknowledging_replicas(service),
             statuses_fresh,
         )
 
@@ -239,13 +252,37 @@
             return None
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
-    async def _ask_statuses(self, service: str) -> dict[str, MemberStatus]:
-        """Ask all members at once; those that do not answer in time are left out."""
+    def _replicas(self, service: str) -> list[MemberRecord]:
+        return [record for record in self._members(service) if not record.primary]
+
+    async def _pause_replicas(
+        self, service: str, statuses: dict[str, MemberStatus]
+    ) -> dict[str, MemberStatus]:
+        """Stop the replicas from receiving, so that nothing is acknowledged any more.
+
+        What they hold then is all that ever was acknowledged. The promotion, or RESUME, ends it.
+        """
+        newest = max((status.term for status in statuses.values()), default=0)
+        command = Command(CommandKind.PAUSE, str(newest + 1))
+        paused = await self._ask_all(service, command, self._replicas(service))
+        others = {
+            instance: status
+            for instance, status in statuses.items()
+            if status.leads and instance not in paused
+        }
+        return paused | others
+
+    async def _ask_all(
+        self, service: str, command: Command, records: list[MemberRecord] | None = None
+    ) -> dict[str, MemberStatus]:
+        """Ask members at once; those that do not answer in time are left out."""
+        if records is None:
+            records = self._members(service)
         loop = asyncio.get_running_loop()
         statuses: dict[str, MemberStatus] = {}
         channels: list[Channel] = []
         done = loop.create_future()
-        outstanding = len(self._members(service))
+        outstanding = len(records)
 
         def finish_one() -> None:
             nonlocal outstanding
@@ -264,11 +301,11 @@
                 if answer.refusal is not None:
                     finish_one()
                 else:
-                    channel.send([Command(CommandKind.STATUS)], [on_status])
+                    channel.send([command], [on_status])
 
             return Channel(record.address, record.instance, on_open)
 
-        for record in self._members(service):
+        for record in records:
             channel = ask(record)
             channels.append(channel)
             self._driver.open(record.address, record.service, record.instance, channel)
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -63,6 +63,7 @@
 class ServiceView(msgspec.Struct, frozen=True):
     """All that decides about one service.
 
+    :param acknowledging_replicas: replicas that hold a commit before it is acknowledged.
     :param vantage_points: how many gateways and holders could tell.
     """
 
@@ -72,6 +73,7 @@
     attempt: AttemptView | None
     holding_for: float
     vantage_points: int = 1
+    acknowledging_replicas: int = 0
     statuses_fresh: bool = False
 
 
@@ -102,6 +104,8 @@
         return Decision(Action.ASK_STATUSES, reason)
     if any(member.leads and not member.record.leaving for member in view.members):
         return Decision(Action.WAIT, "a member says that it leads")
+    if not _hears_every_acknowledged_commit(view):
+        return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
     candidate = _best_candidate(view)
     if candidate is None:
         return Decision(Action.WAIT, "no candidate answers")
@@ -159,6 +163,15 @@
     return ""
 
 
+def _hears_every_acknowledged_commit(view: ServiceView) -> bool:
+    """Return whether any set of replicas that acknowledged a commit has one that answered."""
+    if not view.acknowledging_replicas:
+        return True
+    replicas = [member for member in view.members if not member.record.primary]
+    silent = sum(member.received is None for member in replicas)
+    return silent < view.acknowledging_replicas
+
+
 def _best_candidate(view: ServiceView) -> str | None:
     """Return the member whose log goes furthest in the newest term that anybody knows of.
 
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import zlib
+
+from returns.result import Success
 
 from rowanrail.config.settings import CoordinatorSettings, NodeAddress
 from rowanrail.consensus.node import ConsensusNode, NodeOptions
@@ -22,6 +25,7 @@
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.voters import VoterManager
 from rowanrail.gateway.channel import MemberDriver
+from rowanrail.gateway.model import ConfigurationFormat, RoutingConfiguration
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.disk import Disk
 from rowanrail.kernel.errors import RowanrailError
@@ -47,6 +51,7 @@
         randomness: random.Random,
         registry: Registry,
         decisions: DecisionLog,
+        configuration_format: ConfigurationFormat,
     ) -> None:
         self._settings = settings
         self._network = network
@@ -54,6 +59,7 @@
         self._random = randomness
         self._registry = registry
         self._decisions = decisions
+        self._format = configuration_format
         self._listener: Listener | None = None
         self._joining: asyncio.Task[None] | None = None
         self._seen_leader = ("", 0)
@@ -61,6 +67,8 @@
         self._seen_revision = 0
         self._seen_membership = 0
         self._told_failure = False
+        self._parsed_version = 0
+        self._configuration: RoutingConfiguration | None = None
 
     async def start(self, driver: MemberDriver, reader: StatusReader, promoter: Promoter) -> None:
         """Open the folder and begin to serve.
@@ -98,10 +106,21 @@
             promoter,
             self._decisions,
             self._registry.create("gateway-guard", "leadership-proof"),
+            self._acknowledging_replicas,
         )
         self.duty.start()
         self._joining = asyncio.ensure_future(self._join_when_unheard(identity))
 
+    def _acknowledging_replicas(self, service: str) -> int:
+        """Return how many replicas the configuration wants to hold a commit."""
+        if self._parsed_version != self.state.version:
+            self._parsed_version = self.state.version
+            parsed = self._format.parse(zlib.decompress(self.state.document))
+            if isinstance(parsed, Success):
+                self._configuration = parsed.unwrap()
+        spec = self._configuration.services.get(service) if self._configuration else None
+        return spec.acknowledging_replicas if spec else 0
+
     def _create_consensus(self, identity: Identity) -> ConsensusNode:
         settings = self._settings
         options = NodeOptions(
--- a/src/rowanrail/gateway/model.py
+++ b/src/rowanrail/gateway/model.py
@@ -52,6 +52,8 @@
     EXECUTE = "execute"
     RESET = "reset"
     STATUS = "status"
+    PAUSE = "pause"
+    RESUME = "resume"
 
 
 class Command(msgspec.Struct, gc=False):
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -44,7 +44,15 @@
 
     def decide(self, reports, attempt=None, holding=60.0, fresh=True, points=4, members=None):
         return decide(
-            ServiceView("db", members or self.members, reports, attempt, holding, points, fresh)
+            ServiceView(
+                "db",
+                members or self.members,
+                reports,
+                attempt,
+                holding,
+                points,
+                statuses_fresh=fresh,
+            )
         )
 
     def test_a_primary_that_all_vantage_points_lost_is_replaced_by_the_furthest_replica(self):
@@ -130,6 +138,23 @@
         for attempt in (AttemptView("m2", 0.5, False), AttemptView("m2", 4.0, None)):
             self.assertIs(self.decide(reports, attempt).action, Action.PROMOTE)
 
+    def test_all_that_was_acknowledged_must_be_heard_of(self):
+        reports = [failing("g1"), failing("duty")]
+        view = ServiceView(
+            "db",
+            self.members,
+            reports,
+            None,
+            60.0,
+            4,
+            acknowledging_replicas=1,
+            statuses_fresh=True,
+        )
+        self.assertEqual(decide(view).instance, "m2")
+        silent = [self.members[0], self.members[1], member("m3")]
+        view = msgspec.structs.replace(view, members=silent)
+        self.assertIs(decide(view).action, Action.WAIT)
+
     def test_no_candidate_answers(self):
         self.members = [member("m1", primary=True), member("m2"), member("m3")]
         self.assertIs(self.decide([failing("g1"), failing("duty")]).action, Action.WAIT)
