--- a/src/rowanlab/simulator/coordination_world.py
+++ b/src/rowanlab/simulator/coordination_world.py
@@ -13,12 +13,8 @@
 from rowanlab.simulator.network import Channel, ChannelLostError, Served, SimulatedNetwork
 from rowanlab.simulator.world import World
 from rowanrail.config.settings import CoordinatorSettings
-from rowanrail.coordination.duty import (
-    MemberStatus,
-    Promoter,
-    PromotionOutcome,
-    StatusReader,
-)
+from rowanrail.coordination.duty import Promoter, PromotionOutcome
+from rowanrail.coordination.member_questions import MemberStatus, StatusReader
 from rowanrail.coordination.messages import PutReply
 from rowanrail.coordination.node import Coordinator
 from rowanrail.gateway import channel as gateway_channel
--- a/src/rowanlab/simulator/gateway_members.py
+++ b/src/rowanlab/simulator/gateway_members.py
@@ -246,7 +246,7 @@
         if self.state is SessionState.FAILED and command.kind is not CommandKind.ROLLBACK:
             return Refusal.INVALID
         if command.floor is not None and self.member.lacks(command.floor):
-            return Refusal.LAGGING
+            return Refusal.BEHIND
         if command.kind is CommandKind.BEGIN and not self.member.leads:
             return Refusal.NOT_PRIMARY
         if command.kind is CommandKind.EXECUTE and self._name(command) not in self.prepared:
--- a/src/rowanlab/simulator/promotion_world.py
+++ b/src/rowanlab/simulator/promotion_world.py
@@ -14,12 +14,8 @@
 )
 from rowanlab.simulator.gateway_members import Group, Member, SimulatedDriver
 from rowanlab.simulator.world import World
-from rowanrail.coordination.duty import (
-    MemberStatus,
-    Promoter,
-    PromotionOutcome,
-    StatusReader,
-)
+from rowanrail.coordination.duty import Promoter, PromotionOutcome
+from rowanrail.coordination.member_questions import MemberStatus, StatusReader
 from rowanrail.gateway.model import Answer
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -10,8 +10,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-import msgspec
-
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.events import (
     PROMOTION_ANSWERED,
@@ -27,18 +25,17 @@
     ServiceView,
     decide,
 )
+from rowanrail.coordination.member_questions import MemberQuestions, MemberStatus, StatusReader
 from rowanrail.coordination.messages import IntendPromotion, Promotion, SetProxies
 from rowanrail.coordination.service import CoordinationService
-from rowanrail.gateway.channel import Channel, MemberDriver
-from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.gateway.channel import MemberDriver
+from rowanrail.gateway.model import Command, CommandKind, MemberRecord
 from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.gateway.primary import PrimaryTracker
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
-from rowanrail.proxy.backend import Position
 
 STEP_SECONDS = 0.1
-STATUS_SECONDS = 0.3
 PROXIES_SECONDS = 1.0
 SHRINK_SECONDS = 8.0
 OWN_SOURCE = "failover-duty"
@@ -60,22 +57,6 @@
         """Send one order; without an answer it may still be carried out."""
 
 
-class MemberStatus(msgspec.Struct, frozen=True):
-    """A member's status, parsed by the driver."""
-
-    leads: bool
-    term: int
-    received: Position
-
-
-class StatusReader(ABC):
-    """Port: how a status answer of a member reads."""
-
-    @abstractmethod
-    def read(self, answer: Answer) -> MemberStatus | None:
-        """Return the status in an answer, None if it holds none."""
-
-
 class _Attempt:
     def __init__(self, instance: str, started_at: float) -> None:
         self.instance = instance
@@ -100,7 +81,7 @@
         self._node = node
         self._service = service
         self._driver = driver
-        self._reader = reader
+        self._questions = MemberQuestions(driver, reader)
         self._promoter = promoter
         self._decisions = decisions
         self._proof = proof
@@ -199,13 +180,13 @@
             self._busy.discard(service)
 
     async def _decide_with_statuses(self, service: str) -> Decision:
-        statuses = await self._ask_all(service, Command(CommandKind.STATUS))
+        statuses = await self._questions.ask(self._members(service), Command(CommandKind.STATUS))
         must_pause = self._acknowledging_replicas(service) > 0
         if must_pause:
             statuses = await self._pause_replicas(service, statuses)
         decision = decide(self._view(service, statuses, statuses_fresh=True))
         if must_pause and decision.action is not Action.PROMOTE:
-            await self._ask_all(service, Command(CommandKind.RESUME), self._replicas(service))
+            await self._questions.ask(self._replicas(service), Command(CommandKind.RESUME))
         return decision
 
     def _note_waiting(self, service: str, cause: str, reason: str) -> None:
@@ -264,7 +245,7 @@
         """
         newest = max((status.term for status in statuses.values()), default=0)
         command = Command(CommandKind.PAUSE, str(newest + 1))
-        paused = await self._ask_all(service, command, self._replicas(service))
+        paused = await self._questions.ask(self._replicas(service), command)
         others = {
             instance: status
             for instance, status in statuses.items()
@@ -272,52 +253,6 @@
         }
         return paused | others
 
-    async def _ask_all(
-        self, service: str, command: Command, records: list[MemberRecord] | None = None
-    ) -> dict[str, MemberStatus]:
-        """Ask members at once; those that do not answer in time are left out."""
-        if records is None:
-            records = self._members(service)
-        loop = asyncio.get_running_loop()
-        statuses: dict[str, MemberStatus] = {}
-        channels: list[Channel] = []
-        done = loop.create_future()
-        outstanding = len(records)
-
-        def finish_one() -> None:
-            nonlocal outstanding
-            outstanding -= 1
-            if outstanding <= 0 and not done.done():
-                done.set_result(None)
-
-        def ask(record: MemberRecord) -> Channel:
-            def on_status(answer: Answer) -> None:
-                status = self._reader.read(answer)
-                if status is not None:
-                    statuses[record.instance] = status
-                finish_one()
-
-            def on_open(channel: Channel, answer: Answer) -> None:
-                if answer.refusal is not None:
-                    finish_one()
-                else:
-                    channel.send([command], [on_status])
-
-            return Channel(record.address, record.instance, on_open)
-
-        for record in records:
-            channel = ask(record)
-            channels.append(channel)
-            self._driver.open(record.address, record.service, record.instance, channel)
-        try:
-            async with asyncio.timeout(STATUS_SECONDS):
-                await done
-        except TimeoutError:
-            pass
-        for channel in channels:
-            channel.close()
-        return dict(statuses)
-
     # Acting
 
     async def _promote(self, service: str, decision: Decision) -> None:
--- /dev/null
+++ b/src/rowanrail/coordination/member_questions.py
@@ -0,0 +1,87 @@
+"""Questions that the failover duty asks of members, each on a connection of its own."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from rowanrail.gateway.channel import Channel, MemberDriver
+from rowanrail.gateway.model import Answer, Command, MemberRecord
+from rowanrail.proxy.backend import Position
+
+ANSWER_SECONDS = 0.3
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """A member's status, parsed by the driver."""
+
+    leads: bool
+    term: int
+    received: Position
+
+
+class StatusReader(ABC):
+    """Port: how a status answer of a member reads."""
+
+    @abstractmethod
+    def read(self, answer: Answer) -> MemberStatus | None:
+        """Return the status in an answer, None if it holds none."""
+
+
+class _Round:
+    """One question to several members at once."""
+
+    def __init__(self, reader: StatusReader, outstanding: int) -> None:
+        self.statuses: dict[str, MemberStatus] = {}
+        self.done = asyncio.get_running_loop().create_future()
+        self._reader = reader
+        self._outstanding = outstanding
+        if not outstanding:
+            self.done.set_result(None)
+
+    def channel(self, record: MemberRecord, command: Command) -> Channel:
+        """Return the connection that asks one member."""
+
+        def on_answer(answer: Answer) -> None:
+            status = self._reader.read(answer)
+            if status is not None:
+                self.statuses[record.instance] = status
+            self._finish_one()
+
+        def on_open(channel: Channel, answer: Answer) -> None:
+            if answer.refusal is not None:
+                self._finish_one()
+            else:
+                channel.send([command], [on_answer])
+
+        return Channel(record.address, record.instance, on_open)
+
+    def _finish_one(self) -> None:
+        self._outstanding -= 1
+        if self._outstanding <= 0 and not self.done.done():
+            self.done.set_result(None)
+
+
+class MemberQuestions:
+    """Asks members, and leaves out those that do not answer in time."""
+
+    def __init__(self, driver: MemberDriver, reader: StatusReader) -> None:
+        self._driver = driver
+        self._reader = reader
+
+    async def ask(self, records: list[MemberRecord], command: Command) -> dict[str, MemberStatus]:
+        """Return the statuses of the members that answered the command."""
+        asked = _Round(self._reader, len(records))
+        channels = []
+        for record in records:
+            channel = asked.channel(record, command)
+            channels.append(channel)
+            self._driver.open(record.address, record.service, record.instance, channel)
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                await asked.done
+        except TimeoutError:
+            pass
+        for channel in channels:
+            channel.close()
+        return dict(asked.statuses)
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -12,7 +12,7 @@
 from rowanrail.consensus.storage import Identity, Storage
 from rowanrail.control.bootstrap import FolderOwner, open_folder
 from rowanrail.control.messages import JoinRequest
-from rowanrail.coordination.duty import FailoverDuty, Promoter, StatusReader
+from rowanrail.coordination.duty import FailoverDuty, Promoter
 from rowanrail.coordination.events import (
     DIRECTORY_COMMITTED,
     LEADER_KNOWN,
@@ -21,6 +21,7 @@
     STORAGE_LOST,
     VERSION_COMMITTED,
 )
+from rowanrail.coordination.member_questions import StatusReader
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.voters import VoterManager
--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -101,7 +101,7 @@
     lost = _primary_trouble(statement, around)
     if outcome == Refusal.UNKNOWN_DATABASE.value:
         return f"version {fields.get('version')} has no route for {fields.get('database')}"
-    if outcome == Refusal.LAGGING.value:
+    if outcome == Refusal.BEHIND.value:
         return f"the log of {member} lacked the position that the read must see{lost}"
     if outcome == Refusal.OUTCOME_UNKNOWN.value:
         return f"it was sent to {member} and its answer did not come ({reason}){lost}"
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -105,8 +105,8 @@
             self.release(self.clock.time() - self.sent_at)
             self.finish(answer)
             return
-        if answer.refusal is Refusal.LAGGING:
-            self._lagging()
+        if answer.refusal is Refusal.BEHIND:
+            self._behind()
         elif answer.refusal in (Refusal.FAILED, Refusal.TIMEOUT, Refusal.INVALID):
             self.release()
             self.finish(answer)
@@ -116,7 +116,7 @@
             self.release()
             self._next_member()
 
-    def _lagging(self) -> None:
+    def _behind(self) -> None:
         assert self.pool is not None
         instance = self.pool.record.instance
         self.release()
--- a/src/rowanrail/gateway/model.py
+++ b/src/rowanrail/gateway/model.py
@@ -78,7 +78,7 @@
 
     BUSY = "busy"
     ABORTED = "aborted"
-    LAGGING = "lagging"
+    BEHIND = "behind"
     NOT_PRIMARY = "not-primary"
     WRONG_MEMBER = "wrong-member"
     TOO_MANY_CONNECTIONS = "too-many-connections"
@@ -96,7 +96,7 @@
     {
         Refusal.BUSY,
         Refusal.ABORTED,
-        Refusal.LAGGING,
+        Refusal.BEHIND,
         Refusal.NOT_PRIMARY,
         Refusal.WRONG_MEMBER,
         Refusal.TOO_MANY_CONNECTIONS,
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -141,7 +141,7 @@
             self._excluded.add(instance)
         if answer.refusal is Refusal.LOST:
             answer = Answer(refusal=Refusal.ABORTED, message=answer.message)
-        if answer.refusal is Refusal.LAGGING and instance == self.service.primary.believed:
+        if answer.refusal is Refusal.BEHIND and instance == self.service.primary.believed:
             self._begun_at = self.clock.time()
         self.retry_later(self._begin, answer)
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -49,15 +49,15 @@
         self.assertIn("m3 was promoted under token 41", story.cause)
         self.assertEqual(story.promise, "nothing: it may or may not have run")
 
-    def test_refused_as_lagging(self):
+    def test_refused_as_behind(self):
         client = self.played.client("carts")
         client.run("BEGIN READ")
-        refusal = Answer(refusal=Refusal.LAGGING, message="m2")
+        refusal = Answer(refusal=Refusal.BEHIND, message="m2")
         for member in self.played.members:
             member.script = [refusal] * 50
         client.run("READ a", seconds=1.5)
         story = self.story("q2")
-        self.assertEqual(story.outcome, Refusal.LAGGING.value)
+        self.assertEqual(story.outcome, Refusal.BEHIND.value)
         self.assertRegex(story.cause, r"the log of m\d lacked the position that the read must see")
         self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -134,7 +134,7 @@
     def _refusal(self, command: Command) -> Refusal | None:
         member = self.member
         if command.floor is not None and member.position < command.floor:
-            return Refusal.LAGGING
+            return Refusal.BEHIND
         writes = command.kind is CommandKind.BEGIN or command.text.startswith("WRITE")
         if writes and not member.primary:
             return Refusal.NOT_PRIMARY
