--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import unittest
 
 from tests.support.platform_fleet import HEARTBEAT_SECONDS, PlatformFleet, configuration
@@ -120,6 +121,20 @@
         return document["version"] if status == 200 else None
 
 
+class ChangedSettingsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_programs_go_on_after_a_sighup(self):
+        # Found on played days: control nodes ended with code 129.
+        async with PlatformFleet(controls=1, proxies=1) as fleet:
+            for host in (fleet.control_hosts[0], fleet.proxy_hosts[0]):
+                fleet.processes[host].send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.5)
+            client = await fleet.client("orders")
+            self.assertEqual((await client.query("WRITE a 1"))[0], "DONE sig.write")
+            self.assertEqual((await fleet.get())[0], 200)
+            self.assertIn('"event":402', fleet.log(fleet.control_hosts[0]))
+            self.assertIn('"event":323', fleet.log(fleet.proxy_hosts[0]))
+
+
 class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_stop_lets_transactions_end_and_closes_sessions_at_rest(self):
         async with PlatformFleet(controls=1, proxies=1) as fleet:
