--- a/src/rowanlab/simulator/gateway_scenarios.py
+++ b/src/rowanlab/simulator/gateway_scenarios.py
@@ -45,6 +45,25 @@
     world.clock.call_later(randomness.uniform(0.2, 1.5), driver.cut.discard, address)
 
 
+def _break_links(world: GatewayWorld, randomness: random.Random) -> None:
+    for twin in world.relay.links:
+        if randomness.random() < 0.5:
+            twin.break_off("reset")
+
+
+def _freeze_holder(world: GatewayWorld, randomness: random.Random) -> None:
+    name = randomness.choice(sorted(world.relay.holders))
+    world.relay.frozen.add(name)
+    world.clock.call_later(randomness.uniform(0.2, 1.5), world.relay.frozen.discard, name)
+
+
+def _cut_link(world: GatewayWorld, randomness: random.Random) -> None:
+    names = sorted(world.relay.holders)
+    ends = (randomness.choice(names), randomness.choice(names))
+    world.relay.cut.add(ends)
+    world.clock.call_later(randomness.uniform(0.2, 1.5), world.relay.cut.discard, ends)
+
+
 def _run(world: GatewayWorld, faults: list[Fault], randomness: random.Random) -> int:
     end = world.clock.now + FAULT_SECONDS
     while world.clock.now < end:
@@ -95,4 +114,10 @@
         GatewayOptions(state_share=0.35),
         [_reset, _reset, _silence, _promote],
     ),
+    _scenario(
+        "relayed-statements",
+        Guard.LINK_OUTCOME,
+        GatewayOptions(gateways=4, clients=10, read_share=0.6, shared=True),
+        [_break_links, _freeze_holder, _cut_link, _promote, _reset, _silence, _lag],
+    ),
 ]
--- a/src/rowanlab/simulator/gateway_world.py
+++ b/src/rowanlab/simulator/gateway_world.py
@@ -7,6 +7,8 @@
 from rowanlab.simulator.event_clock import EventClock
 from rowanlab.simulator.gateway_members import SERVICE, Group, SimulatedDriver
 from rowanlab.simulator.gateway_oracle import Asked, GatewayOracle
+from rowanlab.simulator.relay_network import RelayNetwork
+from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.model import (
     Answer,
@@ -19,8 +21,12 @@
     TypedStatement,
 )
 from rowanrail.gateway.session import Session
+from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
+from rowanrail.relay.neighbours import Neighbour, Neighbours
+from rowanrail.relay.placement import Population
+from rowanrail.relay.serving import Holder
 
 STALENESS_SECONDS = 0.5
 PAUSE_SECONDS = (0.002, 0.08)
@@ -28,12 +34,15 @@
 SHAPES = ("one", "two", "three")
 VALUES = ("x", "y")
 CONNECTIONS = 60
+RELAY_DELAY_MS = (0.1, 5.0)
+CROWDED = Population(100, 10)  # so many that a zone shares one gateway's connections
 
 
 class GatewayOptions(msgspec.Struct, frozen=True):
     """Size of a run, and how often clients use what a session keeps.
 
     :param state_share: share of the operations that set, prepare or execute.
+    :param shared: whether the gateways stand in one zone and share one's connections.
     """
 
     gateways: int = 3
@@ -41,6 +50,7 @@
     read_share: float = 0.7
     transaction_share: float = 0.2
     state_share: float = 0.1
+    shared: bool = False
 
 
 class GatewayWorld:
@@ -59,13 +69,19 @@
         self.finished = False
         self.drivers: list[SimulatedDriver] = []
         self.gateways: list[Gateway] = []
+        relay_clock = Clock(self.clock)
+        self.relay = RelayNetwork(relay_clock, lambda: self.random.uniform(*RELAY_DELAY_MS))
         for number in range(options.gateways):
+            name = f"g{number}"
             driver = SimulatedDriver(self.group)
-            zone = f"z{number % 3 + 1}"
-            log = DecisionLog(f"g{number}", descriptor=-1)
-            gateway = Gateway(zone, driver, self.clock, log, registry)
+            zone = "z1" if options.shared else f"z{number % 3 + 1}"
+            log = DecisionLog(name, descriptor=-1)
+            neighbours = Neighbours(name, relay_clock, self.relay.opener(name))
+            gateway = Gateway(zone, driver, self.clock, log, registry, neighbours)
             gateway.start()
             gateway.apply(_configuration())
+            holder = self.relay.holders[name] = Holder(gateway, relay_clock)
+            holder.start()
             self.drivers.append(driver)
             self.gateways.append(gateway)
         self._revision = 0
@@ -77,9 +93,17 @@
     def _announce(self) -> None:
         self._revision += 1
         for gateway in self.gateways:
-            gateway.set_members(self._revision, self.group.records(), self.options.gateways)
+            gateway.set_directory(self._directory())
         self.clock.call_later(ANNOUNCE_SECONDS, self._announce)
 
+    def _directory(self) -> Directory:
+        records = self.group.records()
+        if not self.options.shared:
+            population = Population(self.options.gateways, self.options.gateways)
+            return Directory(self._revision, records, population)
+        neighbours = [Neighbour(name, name) for name in self.relay.holders]
+        return Directory(self._revision, records, CROWDED, neighbours)
+
     def unique(self) -> int:
         """Return a number that no other call returns."""
         self._next += 1
--- a/src/rowanlab/simulator/permissive.py
+++ b/src/rowanlab/simulator/permissive.py
@@ -9,8 +9,8 @@
 from rowanrail.control.policies import ExpectedVersion, VersionMonotonic
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.channel import Channel
-from rowanrail.gateway.model import Answer, Command, MemberRecord
-from rowanrail.gateway.policies import LeadershipProof, StateReplay
+from rowanrail.gateway.model import Answer, Command, MemberRecord, Refusal
+from rowanrail.gateway.policies import LeadershipProof, LinkOutcome, StateReplay
 from rowanrail.gateway.session_values import SessionValues
 from rowanrail.kernel.errors import CallerError, NotRunError
 from rowanrail.kernel.registry import Registry
@@ -143,6 +143,14 @@
         return []
 
 
+class LostMeansAborted(LinkOutcome):
+    """Whatever was sent over a link that is lost counts as not kept."""
+
+    def refusal(self, may_be_kept: bool) -> Refusal:
+        """See the guard."""
+        return Refusal.ABORTED
+
+
 class AnyAnnouncement(IncarnationCheck):
     """Whatever a member says counts, whenever it comes."""
 
@@ -177,6 +185,7 @@
     FSYNC = "fsync"
     LEADERSHIP_PROOF = "leadership-proof"
     STATE_REPLAY = "state-replay"
+    LINK_OUTCOME = "link-outcome"
     INCARNATION = "incarnation"
     FENCING_TOKEN = "fencing-token"
 
@@ -200,6 +209,7 @@
     Guard.CHECK_QUORUM: _Replacement("consensus-guard", NoQuorum),
     Guard.LEADERSHIP_PROOF: _Replacement("gateway-guard", AnyAnswerProves),
     Guard.STATE_REPLAY: _Replacement("gateway-guard", NoReplay),
+    Guard.LINK_OUTCOME: _Replacement("gateway-guard", LostMeansAborted),
     Guard.INCARNATION: _Replacement("coordination-guard", AnyAnnouncement),
     Guard.FENCING_TOKEN: _Replacement("coordination-guard", SameTokenAlways),
     Guard.LEARNER_FIRST: _Replacement("consensus-guard", OldIdentityKept),
--- /dev/null
+++ b/src/rowanlab/simulator/relay_network.py
@@ -0,0 +1,133 @@
+"""The in-process twin of the links between gateways, with delays, cuts and frozen holders."""
+
+from collections.abc import Callable
+
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.link import Link
+from rowanrail.relay.messages import FromGateway, FromHolder
+from rowanrail.relay.neighbours import LinkOpener
+from rowanrail.relay.serving import Holder, ServedLink
+
+__all__ = ["RelayNetwork", "RelayOpener", "TwinLink"]
+
+Delay = Callable[[], float]
+
+
+class RelayNetwork:
+    """All holders by address, and the links between gateways.
+
+    Parameters
+    ----------
+    clock : Clock
+        Virtual time.
+    delay : callable
+        Returns the milliseconds that the next message takes.
+    """
+
+    def __init__(self, clock: Clock, delay: Delay = lambda: 0.1) -> None:
+        self.clock = clock
+        self.delay = delay
+        self.holders: dict[str, Holder] = {}
+        self.frozen: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.links: list[TwinLink] = []
+
+    def opener(self, owner: str) -> "RelayOpener":
+        """Return the port through which one gateway opens its links."""
+        return RelayOpener(self, owner)
+
+    def is_silent(self, owner: str, address: str) -> bool:
+        """Return whether nothing passes between a gateway and a holder."""
+        return address in self.frozen or (owner, address) in self.cut
+
+
+class RelayOpener(LinkOpener):
+    """Opens links of one gateway in virtual time."""
+
+    def __init__(self, network: RelayNetwork, owner: str) -> None:
+        self._network = network
+        self._owner = owner
+
+    def open(self, address: str, link: Link) -> None:
+        """See :meth:`LinkOpener.open`."""
+        self._network.clock.call_in(self._network.delay(), self._open, address, link)
+
+    def _open(self, address: str, link: Link) -> None:
+        holder = self._network.holders.get(address)
+        if self._network.is_silent(self._owner, address):
+            self._network.clock.call_in(400.0, link.lost, "no connection in time")
+        elif holder is None:
+            link.lost("refused")
+        else:
+            twin = TwinLink(self._network, self._owner, address, link)
+            link.opened(twin)
+            twin.serve(holder)
+
+
+class TwinLink:
+    """One connection: messages arrive in the order in which they were sent.
+
+    A message that meets silence waits and arrives when the silence ends, as TCP has it,
+    unless the connection was closed meanwhile.
+    """
+
+    def __init__(self, network: RelayNetwork, owner: str, address: str, link: Link) -> None:
+        self._network = network
+        self._owner = owner
+        self._address = address
+        self._link = link
+        self._served: ServedLink | None = None
+        self._closed = False
+        self._due = 0.0
+        network.links.append(self)
+
+    @property
+    def ends(self) -> tuple[str, str]:
+        """Name of the gateway that opened it, and address of its holder."""
+        return self._owner, self._address
+
+    def serve(self, holder: Holder) -> None:
+        """Give the connection to its holder."""
+        self._served = holder.accept(self._to_gateway)
+
+    def send(self, message: FromGateway) -> None:
+        """See :meth:`rowanrail.relay.link.LinkPort.send`."""
+        self._deliver(lambda: self._to_holder(message))
+
+    def close(self) -> None:
+        """See :meth:`rowanrail.relay.link.LinkPort.close`."""
+        if not self._closed:
+            self._closed = True
+            self._network.clock.call_in(self._network.delay(), self._end_served)
+
+    def break_off(self, reason: str) -> None:
+        """End the connection at both ends."""
+        if not self._closed:
+            self._closed = True
+            self._end_served()
+            self._link.lost(reason)
+
+    def _to_holder(self, message: FromGateway) -> None:
+        if self._served is not None:
+            self._served.receive(message)
+
+    def _to_gateway(self, message: FromHolder) -> None:
+        self._deliver(lambda: self._link.receive(message))
+
+    def _deliver(self, arrive: Callable[[], object]) -> None:
+        now = self._network.clock.now
+        self._due = max(self._due + 1e-3, now + self._network.delay())
+        self._network.clock.call_in(self._due - now, self._arrive, arrive)
+
+    def _arrive(self, arrive: Callable[[], object]) -> None:
+        if self._closed:
+            return
+        if self._network.is_silent(self._owner, self._address):
+            self._network.clock.call_in(20.0, self._arrive, arrive)
+            return
+        arrive()
+
+    def _end_served(self) -> None:
+        if self._served is not None:
+            served, self._served = self._served, None
+            served.lost()
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -26,7 +26,7 @@
     decide,
 )
 from rowanrail.coordination.member_questions import MemberQuestions, MemberStatus, StatusReader
-from rowanrail.coordination.messages import IntendPromotion, Promotion, SetProxies
+from rowanrail.coordination.messages import GatewayRecord, IntendPromotion, Promotion, SetGateways
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.model import Command, CommandKind, MemberRecord
@@ -36,8 +36,9 @@
 from rowanrail.kernel.errors import RowanrailError
 
 STEP_SECONDS = 0.1
-PROXIES_SECONDS = 1.0
-SHRINK_SECONDS = 8.0
+GATEWAYS_SECONDS = 1.0
+GONE_SECONDS = 8.0  # a gateway not heard may be alive with its connections
+GATEWAYS_TASK = "gateways"
 OWN_SOURCE = "failover-duty"
 
 
@@ -93,8 +94,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._holding_since: float | None = None
         self._known_revision = -1
-        self._proxies_due = 0.0
-        self._fewer_since: float | None = None
+        self._gateways_due = 0.0
+        self._missing_since: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -121,7 +122,7 @@
             for name, tracker in self._trackers.items():
                 tracker.tick(in_use=True)
                 self._consider(name)
-            self._count_proxies()
+            self._follow_gateways()
 
     @staticmethod
     def _now() -> float:
@@ -222,7 +223,7 @@
             [own, *liveness.views(service)],
             self._attempt_view(service, now),
             now - holding_since,
-            1 + liveness.gateways(),
+            1 + len(liveness.gateways()),
             self._acknowledging_replicas(service),
             statuses_fresh,
         )
@@ -283,31 +284,33 @@
             seconds=round(self._now() - attempt.started_at, 3),
         )
 
-    # Counting gateways
+    # The gateways that share connections
 
-    def _count_proxies(self) -> None:
+    def _follow_gateways(self) -> None:
         now = self._now()
-        if now < self._proxies_due or "proxies" in self._busy:
+        if now < self._gateways_due or GATEWAYS_TASK in self._busy:
             return
-        self._proxies_due = now + PROXIES_SECONDS
-        count = self._service.liveness.gateways()
-        known = self._service.state.proxies
-        if count >= known:
-            self._fewer_since = None
-        elif self._fewer_since is None:
-            self._fewer_since = now
-        # Fewer are believed late: those not heard may be alive with their connections.
-        is_fewer = self._fewer_since is not None and now - self._fewer_since > SHRINK_SECONDS
-        if count > known or (count and is_fewer):
-            self._busy.add("proxies")
-            task = asyncio.ensure_future(self._log_proxies(count))
+        self._gateways_due = now + GATEWAYS_SECONDS
+        heard = self._service.liveness.gateways()
+        known = self._service.state.gateways
+        present = [record for name, record in heard.items() if known.get(name) != record]
+        absent = self._gone(heard, now)
+        if present or (absent and heard):
+            self._busy.add(GATEWAYS_TASK)
+            task = asyncio.ensure_future(self._log_gateways(SetGateways(present, absent)))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _log_proxies(self, count: int) -> None:
+    def _gone(self, heard: dict[str, GatewayRecord], now: float) -> list[str]:
+        """Return the gateways that have not been heard for long."""
+        missing = [name for name in self._service.state.gateways if name not in heard]
+        self._missing_since = {name: self._missing_since.get(name, now) for name in missing}
+        return [name for name, since in self._missing_since.items() if now - since > GONE_SECONDS]
+
+    async def _log_gateways(self, change: SetGateways) -> None:
         try:
-            await self._service.propose(SetProxies(count))
+            await self._service.propose(change)
         except RowanrailError:
-            pass  # counted again in a moment
+            pass  # compared again in a moment
         finally:
-            self._busy.discard("proxies")
+            self._busy.discard(GATEWAYS_TASK)
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -18,7 +18,7 @@
         ("directory_revision", {}, state.revision),
         ("members", {}, len(state.members)),
         ("members_leaving", {}, sum(member.leaving for member in state.members.values())),
-        ("gateways", {}, state.proxies),
+        ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rowanrail.coordination.failover import ReportView
-from rowanrail.coordination.messages import GatewayReport
+from rowanrail.coordination.messages import GatewayRecord, GatewayReport
 
 FORGET_GATEWAY_SECONDS = 12.0
 NEVER_SECONDS = 1e9
@@ -46,11 +46,14 @@
         """Note a gateway's report."""
         self._reports[report.gateway] = _HeardReport(report, self._now())
 
-    def gateways(self) -> int:
-        """Return how many gateways were heard a short while ago."""
+    def gateways(self) -> dict[str, GatewayRecord]:
+        """Return the gateways that were heard a short while ago, by name."""
         limit = self._now() - FORGET_GATEWAY_SECONDS
         self._reports = {name: heard for name, heard in self._reports.items() if heard.at >= limit}
-        return len(self._reports)
+        return {
+            name: GatewayRecord(name, heard.report.zone, heard.report.relay_address)
+            for name, heard in self._reports.items()
+        }
 
     def views(self, service: str) -> list[ReportView]:
         """Return what the gateways say of a service's primary."""
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -30,10 +30,25 @@
     instance: str
 
 
-class SetProxies(msgspec.Struct, frozen=True, tag="proxies"):
-    """How many gateways share the members' connections."""
+class GatewayRecord(msgspec.Struct, frozen=True):
+    """A gateway that shares the members' connections.
 
-    count: int
+    Parameters
+    ----------
+    relay_address : str
+        ``IP:port`` at which it takes statements of its zone's other gateways.
+    """
+
+    name: str
+    zone: str
+    relay_address: str
+
+
+class SetGateways(msgspec.Struct, frozen=True, tag="gateways"):
+    """Gateways that came or moved, and the names of those that are gone."""
+
+    present: list[GatewayRecord]
+    absent: list[str]
 
 
 class IntendPromotion(msgspec.Struct, frozen=True, tag="promotion"):
@@ -47,7 +62,7 @@
     reason: str
 
 
-Command = PutDocument | Announce | Remove | SetProxies | IntendPromotion
+Command = PutDocument | Announce | Remove | SetGateways | IntendPromotion
 
 
 class Promotion(msgspec.Struct, frozen=True):
@@ -137,6 +152,7 @@
     version: int
     services: list[PrimaryHealth]
     hops: int = 0
+    relay_address: str = ""
 
 
 # Watches
@@ -159,6 +175,8 @@
     :param current: whether this node hears a leader; else the gateway asks another node.
     :param document: the configuration (compressed), empty if the known one is the newest.
     :param members: all members, None if the known revision is the newest.
+    :param gateways: how many gateways there are, in ``zones`` zones.
+    :param neighbours: the gateways of the asking gateway's zone, with ``members``.
     :param controls: addresses of all control nodes.
     """
 
@@ -167,5 +185,7 @@
     document: bytes
     revision: int
     members: list[MemberRecord] | None
-    proxies: int
+    gateways: int
+    zones: int
+    neighbours: list[GatewayRecord]
     controls: list[str]
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -25,6 +25,7 @@
     DocumentReply,
     DocumentRequest,
     Done,
+    GatewayRecord,
     GatewayReport,
     HeartbeatNotice,
     PutDocument,
@@ -271,6 +272,11 @@
             document=state.document if newer else b"",
             revision=state.revision,
             members=list(state.members.values()) if changed else None,
-            proxies=state.proxies,
+            gateways=len(state.gateways),
+            zones=state.zones,
+            neighbours=self._neighbours(request.report.zone) if changed else [],
             controls=sorted(self.node.raft.membership.addresses().values()),
         )
+
+    def _neighbours(self, zone: str) -> list[GatewayRecord]:
+        return [gateway for gateway in self.state.gateways.values() if gateway.zone == zone]
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -8,13 +8,14 @@
 from rowanrail.coordination.messages import (
     Announce,
     Command,
+    GatewayRecord,
     IntendPromotion,
     Promotion,
     PutDocument,
     PutReply,
     PutVerdict,
     Remove,
-    SetProxies,
+    SetGateways,
 )
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.model import MemberRecord
@@ -30,17 +31,17 @@
     revision: int
     members: dict[str, MemberRecord]
     removed: list[str]
-    proxies: int
+    gateways: dict[str, GatewayRecord]
     promotions: dict[str, Promotion]
 
 
-EMPTY_STATE = SavedState(0, b"", 0, {}, [], 0, {})
+EMPTY_STATE = SavedState(0, b"", 0, {}, [], {}, {})
 
 
 class CoordinationState(StateMachine):
     """Applies the log's commands.
 
-    ``revision`` is the place in the log of the last change of members or proxies. It is the
+    ``revision`` is the place in the log of the last change of members or gateways. It is the
     same on every node, so that a gateway can compare what different nodes tell it.
     """
 
@@ -58,7 +59,7 @@
         self.revision = saved.revision
         self.members = dict(saved.members)
         self.removed = dict.fromkeys(saved.removed)
-        self.proxies = saved.proxies
+        self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
 
     def snapshot(self) -> bytes:
@@ -69,7 +70,7 @@
             self.revision,
             self.members,
             list(self.removed),
-            self.proxies,
+            self.gateways,
             self.promotions,
         )
         return msgspec.msgpack.encode(saved)
@@ -103,15 +104,28 @@
         self.document = command.document
         return PutReply(PutVerdict.TAKEN, self.version)
 
-    def _change_directory(self, command: Announce | Remove | SetProxies) -> bool:
-        if isinstance(command, SetProxies):
-            changed = self.proxies != command.count
-            self.proxies = command.count
-            return changed
-        if isinstance(command, Remove):
-            self._remember_removed(command.instance)
-            return self.members.pop(command.instance, None) is not None
-        return self._announce(command.record)
+    def _change_directory(self, command: Announce | Remove | SetGateways) -> bool:
+        match command:
+            case SetGateways():
+                return self._set_gateways(command)
+            case Remove(instance=instance):
+                self._remember_removed(instance)
+                return self.members.pop(instance, None) is not None
+            case Announce(record=record):
+                return self._announce(record)
+
+    def _set_gateways(self, command: SetGateways) -> bool:
+        before = dict(self.gateways)
+        for name in command.absent:
+            self.gateways.pop(name, None)
+        for gateway in command.present:
+            self.gateways[gateway.name] = gateway
+        return self.gateways != before
+
+    @property
+    def zones(self) -> int:
+        """Number of zones that have a gateway."""
+        return len({gateway.zone for gateway in self.gateways.values()})
 
     def _announce(self, record: MemberRecord) -> bool:
         if not self.needs_announcement(record):
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -18,11 +18,15 @@
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.gauges import gauges
+from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.http import HttpRequest, HttpResponse, error_response, serve
 from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.metrics import Metrics, serve_metrics
 from rowanrail.kernel.registry import Registry
+from rowanrail.relay.neighbours import Neighbours
+from rowanrail.relay.serving import Holder
+from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
 
 READY_PATH = "/ready"
@@ -47,22 +51,30 @@
         return HttpResponse(200 if self._gateway.is_ready else 503)
 
 
-async def plan_stop(gateway: Gateway, frontend: Frontend, stop_seconds: float) -> None:
+async def plan_stop(
+    gateway: Gateway, frontend: Frontend, holder: Holder, stop_seconds: float
+) -> None:
     """Stop as planned: unwelcome first, then sessions at rest, then transactions, then all."""
     loop = asyncio.get_running_loop()
     begun_at = loop.time()
     gateway.stopping = True
+    holder.leave()
     await asyncio.sleep(LEAVE_SHARE * stop_seconds)
     frontend.begin_closing()
-    while frontend.busy_sessions() and loop.time() - begun_at < END_SHARE * stop_seconds:
+    while _is_busy(frontend, holder) and loop.time() - begun_at < END_SHARE * stop_seconds:
         if loop.time() - begun_at > ABORT_SHARE * stop_seconds:
             gateway.abort_transactions()
+            holder.abort_resting()
             frontend.begin_closing()
         await asyncio.sleep(POLL_SECONDS)
     frontend.close()
     gateway.close()
 
 
+def _is_busy(frontend: Frontend, holder: Holder) -> bool:
+    return bool(frontend.busy_sessions() or holder.running or holder.open_transactions)
+
+
 async def run_gateway(settings: GatewaySettings, reload_settings: ReloadSettings) -> None:
     """Run a gateway until a stop signal, then stop as planned.
 
@@ -75,13 +87,25 @@
     decisions = DecisionLog(settings.name, 1, budget // 10, budget)
     network: Network = registry.create("network", "tcp")
     driver = registry.create("member-driver", settings.protocol)
-    gateway = Gateway(settings.zone, driver, loop, decisions, registry)
+    clock = Clock(loop)
+    neighbours = Neighbours(settings.name, clock, TcpLinkOpener())
+    gateway = Gateway(settings.zone, driver, loop, decisions, registry, neighbours)
+    holder = Holder(gateway, clock)
+    holder_server = TcpHolderServer(holder)
+    relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
     incarnation = f"{random.getrandbits(48):012x}"
 
     def make_report() -> GatewayReport:
         version = gateway.configuration.version if gateway.configuration else 0
-        return GatewayReport(settings.name, incarnation, settings.zone, version, gateway.health())
+        return GatewayReport(
+            settings.name,
+            incarnation,
+            settings.zone,
+            version,
+            gateway.health(),
+            relay_address=relay_address,
+        )
 
     watch = DirectoryWatch(
         gateway,
@@ -102,17 +126,20 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     ready_server = await serve(settings.ready_listen, ReadyApi(gateway).handle)
+    await holder_server.start(relay_address)
     await frontend.start(settings.listen)
     if settings.metrics:
         metrics = Metrics("rowanrail_gateway", lambda: gauges(gateway))
         gateway.on_outcome = lambda _, *outcome: metrics.note_statement(*outcome)
         await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
     gateway.start()
+    holder.start()
     watch.start()
     decisions.note(GATEWAY_STARTED, name=settings.name, zone=settings.zone, listen=settings.listen)
     await wait_for_stop_signal()
     decisions.note(GATEWAY_STOPPING, name=settings.name, sessions=len(gateway.sessions))
-    await plan_stop(gateway, frontend, settings.stop_seconds)
+    await plan_stop(gateway, frontend, holder, settings.stop_seconds)
+    holder_server.close()
     watch.stop()
     ready_server.close()
     await network.close()
--- /dev/null
+++ b/src/rowanrail/gateway/directory.py
@@ -0,0 +1,31 @@
+"""What a gateway knows from its control nodes about members and other gateways."""
+
+from dataclasses import dataclass, field
+
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.relay.neighbours import Neighbour
+from rowanrail.relay.placement import Population
+
+__all__ = ["Directory"]
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """Members and gateways as of one revision.
+
+    Parameters
+    ----------
+    revision : int
+        Place in the control nodes' log of the last change.
+    members : list of MemberRecord
+        All members that announced themselves.
+    population : Population
+        How many gateways share the members' connections.
+    neighbours : list of Neighbour
+        Gateways of the same zone that take statements.
+    """
+
+    revision: int
+    members: list[MemberRecord]
+    population: Population = Population()
+    neighbours: list[Neighbour] = field(default_factory=list)
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -11,11 +11,14 @@
 from returns.result import Success
 
 from rowanrail.coordination.messages import DirectoryReply, DirectoryRequest, GatewayReport
+from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.events import CONTROL_LOST, CONTROL_REGAINED
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.model import ConfigurationFormat
+from rowanrail.gateway.model import ConfigurationFormat, MemberRecord
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import TransportError
+from rowanrail.relay.neighbours import Neighbour
+from rowanrail.relay.placement import Population
 from rowanrail.rpc.network import Network
 
 HOLD_SECONDS = 1.0
@@ -126,7 +129,7 @@
                 self._gateway.apply(parsed.unwrap())
         if reply.members is not None and reply.revision > self._revision:
             self._revision = reply.revision
-            self._gateway.set_members(reply.revision, reply.members, reply.proxies)
+            self._gateway.set_directory(_directory(reply, reply.members))
         self._follow_controls(address, reply.controls)
 
     def _follow_controls(self, current: str, controls: list[str]) -> None:
@@ -136,3 +139,13 @@
         wanted = dict.fromkeys([*controls, *self._seeds])
         kept = [control for control in self._controls if control in wanted]
         self._controls = kept + [control for control in wanted if control not in kept]
+
+
+def _directory(reply: DirectoryReply, members: list[MemberRecord]) -> Directory:
+    neighbours = [
+        Neighbour(gateway.name, gateway.relay_address)
+        for gateway in reply.neighbours
+        if gateway.relay_address
+    ]
+    population = Population(reply.gateways, reply.zones)
+    return Directory(reply.revision, members, population, neighbours)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -21,7 +21,7 @@
     311,
     Level.INFO,
     "members of revision {revision} are known",
-    "Members came, left, changed their role, or the number of proxies changed.",
+    "Members came, left, changed their role, or the gateways changed.",
 )
 CONTROL_LOST = define(
     312,
@@ -44,6 +44,15 @@
     "{instance} of {service} proved that it leads, at {position}",
     "A primary was found again after it had been lost.",
 )
+LINK_LOST = define(
+    316,
+    Level.WARNING,
+    "the link to gateway {peer} is lost: {reason}",
+    "Statements go to the next gateway of the zone that can hold connections.",
+)
+LINK_REGAINED = define(
+    317, Level.INFO, "gateway {peer} takes statements again", "A lost link stands again."
+)
 GATEWAY_STARTED = define(
     320, Level.INFO, "gateway {name} started in zone {zone}", "The process serves."
 )
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -3,11 +3,16 @@
 import functools
 from collections.abc import Callable
 
+import msgspec
+
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.events import (
     ANSWERED,
     CONFIGURATION_TAKEN,
+    LINK_LOST,
+    LINK_REGAINED,
     MEMBERS_TAKEN,
     PRIMARY_LOST,
     PRIMARY_PROVED,
@@ -21,17 +26,22 @@
     RoutingConfiguration,
     TypedStatement,
 )
-from rowanrail.gateway.operation import Operation
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.primary import PrimaryHealth
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
+from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
+from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
+from rowanrail.relay.forwarding import ForwardedWork
+from rowanrail.relay.neighbours import Here, Neighbours
+from rowanrail.relay.placement import Population
 
 TICK_SECONDS = 0.05
+DEFAULT_IDLE_SECONDS = 60.0
 START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
 
 
@@ -62,6 +72,7 @@
         clock: Clock,
         decisions: DecisionLog,
         registry: Registry,
+        neighbours: Neighbours | None = None,
     ) -> None:
         self.clock = clock
         self.names = PreparedNames()
@@ -77,7 +88,10 @@
         self._policies = GatewayPolicies.create(registry)
         self._members: dict[str, list[MemberRecord]] = {}
         self._directory_revision = -1
-        self._proxies = 0
+        self._population = Population()
+        self._neighbours = neighbours
+        if neighbours is not None:
+            neighbours.on_link = self._note_link
         self._timer: Timer | None = None
         self._unconfigured: list[_Waiting] = []
 
@@ -113,7 +127,7 @@
                 continue
             service = Service(spec, self._zone, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
-            service.set_proxies(self._proxies)
+            service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
         waiting, self._unconfigured = self._unconfigured, []
@@ -133,29 +147,35 @@
         self._unconfigured.append(waiting)
         self.clock.call_later(START_HOLD_SECONDS, waiting.run)
 
-    def set_members(self, revision: int, records: list[MemberRecord], proxies: int) -> None:
-        """Know the members that announced themselves, and how many proxies there are."""
-        if revision < self._directory_revision:
+    def set_directory(self, directory: Directory) -> None:
+        """Know the members that announced themselves, and the gateways beside this one."""
+        if directory.revision < self._directory_revision:
             return
-        self._directory_revision = revision
+        self._directory_revision = directory.revision
         self._members = {}
-        for record in records:
+        for record in directory.members:
             self._members.setdefault(record.service, []).append(record)
-        self._proxies = proxies
+        self._population = directory.population
+        if self._neighbours is not None:
+            self._neighbours.set_neighbours(directory.neighbours)
         for name, service in self.services.items():
-            service.set_proxies(proxies)
+            service.set_population(self._population)
             service.set_members(self._members.get(name, []))
-        leaving = sorted(record.instance for record in records if record.leaving)
-        primaries = sorted(record.instance for record in records if record.primary)
+        records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
-            revision=revision,
+            revision=directory.revision,
             members=len(records),
-            leaving=leaving,
-            primaries=primaries,
-            proxies=proxies,
+            leaving=sorted(record.instance for record in records if record.leaving),
+            primaries=sorted(record.instance for record in records if record.primary),
+            gateways=directory.population.gateways,
+            zones=directory.population.zones,
+            neighbours=len(directory.neighbours),
         )
 
+    def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
+        self._decisions.note(LINK_REGAINED if is_up else LINK_LOST, peer=peer, reason=reason)
+
     def _note_primary(self, service: Service) -> None:
         """Log that a primary was lost or found again, and have the control nodes told."""
         tracker = service.primary
@@ -192,17 +212,34 @@
         self.sessions[session] = None
         return session
 
-    def route(self, database: str) -> tuple[Route, Service] | None:
+    def route(self, database: str) -> tuple[Route, Work] | None:
         """See :meth:`SessionHost.route`."""
         if self.configuration is None:
             return None
         route = self.configuration.routes.get(database)
-        service = self.services.get(route.service) if route is not None else None
-        return (route, service) if route is not None and service is not None else None
+        local = self.local_work(route.service) if route is not None else None
+        if route is None or local is None:
+            return None
+        return route, self._placed(route.service, local)
+
+    def local_work(self, service: str) -> LocalWork | None:
+        """See :meth:`rowanrail.relay.serving.HolderHost.local_work`."""
+        known = self.services.get(service)
+        return None if known is None else LocalWork(known, self.names, self.clock)
+
+    def _placed(self, service: str, local: LocalWork) -> Work:
+        """Return where work on a service is done: here, or through a neighbour's connections."""
+        if self._neighbours is None or not self.services[service].is_shared:
+            return local
+        if isinstance(self._neighbours.place(service), Here):
+            return local
+        clock = MillisecondClock(self.clock)
+        return ForwardedWork(self._neighbours, local, clock, self._policies.link_outcome)
 
     def idle_transaction_seconds(self) -> float:
         """See :meth:`SessionHost.idle_transaction_seconds`."""
-        assert self.configuration is not None
+        if self.configuration is None:
+            return DEFAULT_IDLE_SECONDS
         return self.configuration.idle_transaction_seconds
 
     def note_outcome(
@@ -211,28 +248,14 @@
         statement: TypedStatement,
         answer: Answer,
         seconds: float,
-        operation: Operation | None,
+        operation: SingleStatement | WorkInTransaction | None,
     ) -> None:
         """See :meth:`SessionHost.note_outcome`."""
         outcome = answer.refusal.value if answer.refusal else "done"
         if answer.refusal is None and not answer.signature:
             return  # answered by the proxy itself; nothing was decided
         self.on_outcome(session.database, statement.kind.value, outcome, seconds)
-        now = self.clock.time()
-        fields: dict[str, object] = {}
-        if operation is not None:
-            tracker = operation.service.primary
-            fields = {
-                "service": tracker.service,
-                "stage": operation.stage.value,
-                "member": operation.member,
-                "attempts": operation.attempts,
-                "primary": tracker.believed,
-                "primary_failing_for": (
-                    round(now - tracker.failing_since, 3) if tracker.failing_since else 0
-                ),
-                "sample_age": round(now - tracker.sample.asked_at, 3) if tracker.sample else None,
-            }
+        fields = {} if operation is None else msgspec.structs.asdict(operation.trace())
         self._decisions.note(
             ANSWERED if answer.refusal is None else REFUSED,
             request=statement.request_id,
@@ -265,4 +288,6 @@
             session.close()
         for service in self.services.values():
             service.close()
+        if self._neighbours is not None:
+            self._neighbours.close()
         self._decisions.flush()
--- a/src/rowanrail/gateway/model.py
+++ b/src/rowanrail/gateway/model.py
@@ -130,6 +130,31 @@
     state: SessionState | None = None
 
 
+class Trace(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What decided about a statement, for the log; ages in seconds.
+
+    Parameters
+    ----------
+    stage : str
+        How far it came.
+    attempts : int
+        At how many members, or neighbours, it was tried.
+    sample_age : float or None
+        Age of the newest proof of the primary's position.
+    via : str
+        The gateway whose connections it ran on, if that is another one.
+    """
+
+    service: str
+    stage: str
+    member: str = ""
+    attempts: int = 0
+    primary: str = ""
+    primary_failing_for: float = 0.0
+    sample_age: float | None = None
+    via: str = ""
+
+
 class Consistency(enum.Enum):
     """What a route's reads must see."""
 
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -16,6 +16,7 @@
     Refusal,
     Route,
     StatementKind,
+    Trace,
     TypedStatement,
 )
 from rowanrail.gateway.pool import MemberPool, Waiter
@@ -31,6 +32,7 @@
     """How far a statement has come."""
 
     ACCEPTED = "accepted"
+    WAITS_FOR_HOLDER = "waits-for-holder"
     WAITS_FOR_SAMPLE = "waits-for-sample"
     WAITS_FOR_PRIMARY = "waits-for-primary"
     WAITS_FOR_CONNECTION = "waits-for-connection"
@@ -66,6 +68,21 @@
         self.member = ""
         service.used_at = clock.time()
 
+    def trace(self) -> Trace:
+        """Return what decided about the statement so far."""
+        now = self.clock.time()
+        tracker = self.service.primary
+        failing = tracker.failing_since
+        return Trace(
+            service=tracker.service,
+            stage=self.stage.value,
+            member=self.member,
+            attempts=self.attempts,
+            primary=tracker.believed,
+            primary_failing_for=round(now - failing, 3) if failing else 0.0,
+            sample_age=round(now - tracker.sample.asked_at, 3) if tracker.sample else None,
+        )
+
     # Time
 
     def begin_statement(self, respond: Respond) -> None:
--- a/src/rowanrail/gateway/policies.py
+++ b/src/rowanrail/gateway/policies.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from rowanrail.gateway.channel import Channel
-from rowanrail.gateway.model import Answer, Command
+from rowanrail.gateway.model import Answer, Command, Refusal
 from rowanrail.gateway.session_values import SessionValues, replay
 from rowanrail.kernel.registry import Registry, register
 
@@ -26,11 +26,27 @@
         return replay(channel, session)
 
 
+@register("gateway-guard", "link-outcome")
+class LinkOutcome:
+    """What was sent to a neighbour whose link was lost may have been run."""
+
+    def refusal(self, may_be_kept: bool) -> Refusal:
+        """Return what the client is told.
+
+        Parameters
+        ----------
+        may_be_kept : bool
+            Whether a write on its own, or the commit of one, was under way.
+        """
+        return Refusal.OUTCOME_UNKNOWN if may_be_kept else Refusal.ABORTED
+
+
 class GatewayPolicies(msgspec.Struct, frozen=True):
     """The guards that one gateway uses."""
 
     leadership_proof: LeadershipProof
     state_replay: StateReplay
+    link_outcome: LinkOutcome
 
     @classmethod
     def create(cls, registry: Registry) -> "GatewayPolicies":
@@ -38,4 +54,5 @@
         return cls(
             registry.create("gateway-guard", "leadership-proof"),
             registry.create("gateway-guard", "state-replay"),
+            registry.create("gateway-guard", "link-outcome"),
         )
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -6,15 +6,12 @@
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.relay.placement import Population, connection_limit, is_shared
 
 IN_USE_SECONDS = 10.0
 SAME_ZONE_FACTOR = 0.4
 PRIMARY_FACTOR = 1.3
 FAILING_PENALTY_SECONDS = 5.0
-RESERVED_CONNECTIONS = 3
-ASSUMED_PROXIES = 8
-DEMAND_FACTOR = 2
-MINIMUM_CONNECTIONS = 2
 
 
 class Service:
@@ -36,7 +33,7 @@
         self._zone = zone
         self._driver = driver
         self._clock = clock
-        self._proxies = ASSUMED_PROXIES
+        self._population = Population()
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the members that announced themselves; those that left are closed."""
@@ -59,16 +56,18 @@
         self.spec = spec
         self._apply_limit()
 
-    def set_proxies(self, proxies: int) -> None:
-        """Note how many proxies share the members' connections."""
-        self._proxies = proxies or ASSUMED_PROXIES
+    def set_population(self, population: Population) -> None:
+        """Note how many gateways share the members' connections."""
+        self._population = population
         self._apply_limit()
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether one gateway of each zone holds the zone's connections."""
+        return is_shared(self.spec.connections, self._population)
+
     def _connection_limit(self) -> int:
-        # Demand is uneven, so a proxy may use more than an even share; a member that has no
-        # connection left refuses without harm, and the pool then keeps to what it has.
-        share = (self.spec.connections - RESERVED_CONNECTIONS) // self._proxies
-        return max(MINIMUM_CONNECTIONS, DEMAND_FACTOR * (share - 1))
+        return connection_limit(self.spec.connections, self._population)
 
     def _apply_limit(self) -> None:
         limit = self._connection_limit()
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -4,8 +4,6 @@
 
 from rowanrail.gateway.channel import Respond
 from rowanrail.gateway.clock import Clock, Timer
-from rowanrail.gateway.lone_read import LoneRead
-from rowanrail.gateway.lone_write import LoneWrite
 from rowanrail.gateway.model import (
     Answer,
     Refusal,
@@ -14,10 +12,8 @@
     StatementKind,
     TypedStatement,
 )
-from rowanrail.gateway.operation import Operation
-from rowanrail.gateway.service import Service
-from rowanrail.gateway.session_values import PreparedNames, SessionValues, is_write
-from rowanrail.gateway.transaction import Transaction
+from rowanrail.gateway.session_values import SessionValues, is_write
+from rowanrail.gateway.work import SingleStatement, Work, WorkInTransaction
 
 MAXIMUM_VALUES = 200
 _DONE = Answer()
@@ -27,10 +23,9 @@
     """What a session needs of its proxy."""
 
     clock: Clock
-    names: PreparedNames
 
-    def route(self, database: str) -> tuple[Route, Service] | None:
-        """Return the route in force for a database, None if there is none."""
+    def route(self, database: str) -> tuple[Route, Work] | None:
+        """Return the route in force for a database and where its work is done."""
 
     def idle_transaction_seconds(self) -> float:
         """Return how long a transaction may rest."""
@@ -41,7 +36,7 @@
         statement: TypedStatement,
         answer: Answer,
         seconds: float,
-        operation: Operation | None,
+        operation: SingleStatement | WorkInTransaction | None,
     ) -> None:
         """Count and log what became of a statement."""
 
@@ -75,8 +70,8 @@
         self.values = SessionValues()
         self.closed = False
         self._host = host
-        self._transaction: Transaction | None = None
-        self._operation: Operation | None = None
+        self._transaction: WorkInTransaction | None = None
+        self._operation: SingleStatement | WorkInTransaction | None = None
         self._respond: Respond | None = None
         self._statement: TypedStatement | None = None
         self._abort_reason = ""
@@ -190,11 +185,9 @@
         if found is None:
             self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
             return
-        route, service = found
+        route, work = found
         read_only = statement.kind is StatementKind.BEGIN_READ
-        self._transaction = Transaction(
-            service, route, self.values, self._host.names, self._host.clock, read_only
-        )
+        self._transaction = work.transaction(route, self.values, read_only)
         self.state = SessionState.TRANSACTION
         self._finish(_DONE)
 
@@ -210,9 +203,8 @@
         if found is None:
             self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
             return
-        route, service = found
-        kind = LoneWrite if is_write(statement, self.values) else LoneRead
-        operation = kind(service, route, self.values, self._host.names, self._host.clock)
+        route, work = found
+        operation = work.single(route, self.values, is_write(statement, self.values))
         self._operation = operation
         operation.start(statement, self._finish)
 
--- /dev/null
+++ b/src/rowanrail/relay/forwarding.py
@@ -0,0 +1,328 @@
+"""The client's side: work that is sent to the neighbour that holds the connections.
+
+What a refusal promises is decided here as for work on own connections: a write whose link was
+lost after it was sent is in doubt; a transaction without its commit sent is aborted, since the
+neighbour can't commit what it was not asked to.
+"""
+
+import msgspec
+
+from rowanrail.gateway.channel import Respond
+from rowanrail.gateway.model import Answer, Refusal, Route, StatementKind, Trace, TypedStatement
+from rowanrail.gateway.operation import HOLD_SHARE, Stage, busy
+from rowanrail.gateway.policies import LinkOutcome
+from rowanrail.gateway.session_values import SessionValues, is_write
+from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
+from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.relay.link import Link, Lost, Outcome, Refused, Replied
+from rowanrail.relay.messages import End
+from rowanrail.relay.neighbours import At, Here, Neighbours, Nowhere
+from rowanrail.relay.terms import Order, answer_of, run_of
+
+__all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork"]
+
+RETRY_MS = 10.0
+LATE = "no answer in time"
+
+
+class ForwardedWork:
+    """Statements of one service at whichever gateway holds its connections.
+
+    Parameters
+    ----------
+    neighbours : Neighbours
+        Says where that is.
+    local : LocalWork
+        For the case that it is this gateway in the end.
+    clock : Clock
+        Time and timers.
+    link_outcome : LinkOutcome
+        Says what a lost link leaves in doubt.
+    """
+
+    __slots__ = ("clock", "link_outcome", "local", "neighbours")
+
+    def __init__(
+        self,
+        neighbours: Neighbours,
+        local: LocalWork,
+        clock: Clock,
+        link_outcome: LinkOutcome,
+    ) -> None:
+        self.neighbours = neighbours
+        self.local = local
+        self.clock = clock
+        self.link_outcome = link_outcome
+
+    def single(self, route: Route, session: SessionValues, writes: bool) -> SingleStatement:
+        """See :meth:`rowanrail.gateway.work.Work.single`."""
+        return ForwardedStatement(self, route, session, writes)
+
+    def transaction(
+        self, route: Route, session: SessionValues, read_only: bool
+    ) -> WorkInTransaction:
+        """See :meth:`rowanrail.gateway.work.Work.transaction`."""
+        return ForwardedTransaction(self, route, session, read_only)
+
+
+class _Forwarded:
+    """One statement under way at a neighbour, with its deadline and its one answer."""
+
+    def __init__(self, work: ForwardedWork, route: Route, session: SessionValues) -> None:
+        self._work = work
+        self._route = route
+        self._session = session
+        self._respond: Respond | None = None
+        self._statement: TypedStatement | None = None
+        self._began = 0.0
+        self._timer: Timer | None = None
+        self._retry: Timer | None = None
+        self._link: Link | None = None
+        self._call = 0
+        self._attempts = 0
+        self._peer = ""
+        self._told: Trace | None = None
+
+    def trace(self) -> Trace:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
+        if self._told is not None:
+            return msgspec.structs.replace(self._told, via=self._peer)
+        stage = Stage.SENT if self._call else Stage.WAITS_FOR_HOLDER
+        return Trace(self._route.service, stage.value, attempts=self._attempts, via=self._peer)
+
+    @property
+    def _left(self) -> float:
+        return self._began + self._route.timeout_seconds * 1000 - self._work.clock.now
+
+    def _begin(self, statement: TypedStatement, respond: Respond) -> None:
+        self._statement = statement
+        self._respond = respond
+        self._told = None
+        self._attempts = 0
+        self._began = self._work.clock.now
+        timeout = self._route.timeout_seconds * 1000
+        self._timer = self._work.clock.call_in(timeout, self._timed_out)
+
+    def _ask(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
+        assert self._statement is not None
+        self._attempts += 1
+        self._peer = link.peer
+        self._link = link
+        self._call = link.number_call()
+        order = Order(
+            self._statement, self._route, self._session, self._left, transaction, read_only
+        )
+        link.ask(run_of(order, self._call), self._settled)
+
+    def _settled(self, outcome: Outcome) -> None:
+        raise NotImplementedError
+
+    def _timed_out(self) -> None:
+        raise NotImplementedError
+
+    def _place(self) -> None:
+        raise NotImplementedError
+
+    def _replied(self, outcome: Replied) -> Answer:
+        reply, link = outcome.reply, self._link
+        self._call = 0
+        if link is not None:
+            self._work.neighbours.note_up(link)
+        service = self._route.service
+        floor = self._session.floors.get(service)
+        if reply.floor is not None and (floor is None or reply.floor > floor):
+            self._session.floors[service] = reply.floor
+        self._told = reply.trace
+        return answer_of(reply)
+
+    def _lost(self, may_be_kept: bool, reason: str) -> Answer:
+        return Answer(refusal=self._work.link_outcome.refusal(may_be_kept), message=reason)
+
+    def _place_later(self, reason: str) -> None:
+        """Look for a place again in a moment, or refuse once it can't be in time any more."""
+        hold = HOLD_SHARE * self._route.objective_seconds * 1000
+        if self._work.clock.now + RETRY_MS > self._began + hold:
+            self._finish(busy(reason))
+            return
+        self._retry = self._work.clock.call_in(RETRY_MS, self._place)
+
+    def finish(self, answer: Answer) -> None:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.finish`."""
+        self._finish(answer)
+
+    def _finish(self, answer: Answer) -> None:
+        respond, self._respond = self._respond, None
+        for timer in (self._timer, self._retry):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._retry = None
+        if self._call and self._link is not None:
+            self._link.drop(self._call)
+            self._call = 0
+        if respond is not None:
+            respond(answer)
+
+
+class ForwardedStatement(_Forwarded):
+    """A single read or write; a read is asked for again elsewhere when its link is lost."""
+
+    def __init__(
+        self, work: ForwardedWork, route: Route, session: SessionValues, writes: bool
+    ) -> None:
+        super().__init__(work, route, session)
+        self._writes = writes
+        self._here: SingleStatement | None = None
+
+    def start(self, statement: TypedStatement, respond: Respond) -> None:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.start`."""
+        self._begin(statement, respond)
+        self._place()
+
+    def trace(self) -> Trace:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
+        return super().trace() if self._here is None else self._here.trace()
+
+    def _place(self) -> None:
+        if self._respond is None:
+            return
+        match self._work.neighbours.place(self._route.service):
+            case Here():
+                self._run_here()
+            case At(link=link):
+                self._ask(link)
+            case Nowhere():
+                self._place_later("no gateway of the zone holds connections; retry in 1 s")
+
+    def _run_here(self) -> None:
+        assert self._statement is not None
+        if self._timer is not None:
+            self._timer.cancel()
+        left = msgspec.structs.replace(self._route, timeout_seconds=max(self._left, 1.0) / 1000)
+        self._here = self._work.local.single(left, self._session, self._writes)
+        self._here.start(self._statement, self._finish)
+
+    def _settled(self, outcome: Outcome) -> None:
+        match outcome:
+            case Replied():
+                self._finish(self._replied(outcome))
+            case Refused(reason=reason):
+                self._call = 0
+                self._place_later(reason)
+            case Lost(reason=reason):
+                self._call = 0
+                if self._writes:
+                    self._finish(self._lost(True, reason))
+                else:
+                    self._place_later(reason)
+
+    def _timed_out(self) -> None:
+        refusal = Refusal.BUSY
+        if self._call:
+            refusal = Refusal.OUTCOME_UNKNOWN if self._writes else Refusal.TIMEOUT
+        self._finish(Answer(refusal=refusal, message=LATE))
+
+    def finish(self, answer: Answer) -> None:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.finish`."""
+        if self._here is not None:
+            self._here.finish(answer)
+        self._finish(answer)
+
+
+class ForwardedTransaction(_Forwarded):
+    """A transaction that stays at the neighbour where its first statement ran."""
+
+    def __init__(
+        self, work: ForwardedWork, route: Route, session: SessionValues, read_only: bool
+    ) -> None:
+        super().__init__(work, route, session)
+        self._read_only = read_only
+        self._wrote = False
+        self._ran = False
+        self._number = 0  # 0 until its first statement was sent, and after its end
+        self._here: WorkInTransaction | None = None
+
+    def run(self, statement: TypedStatement, respond: Respond) -> None:
+        """See :meth:`rowanrail.gateway.work.WorkInTransaction.run`."""
+        if self._here is not None:
+            self._here.run(statement, respond)
+            return
+        self._begin(statement, respond)
+        if is_write(statement, self._session):
+            self._wrote = True
+        if self._number and self._link is not None:
+            self._ask(self._link, self._number, self._read_only)
+        else:
+            self._place()
+
+    def trace(self) -> Trace:
+        """See :meth:`rowanrail.gateway.work.WorkInTransaction.trace`."""
+        return super().trace() if self._here is None else self._here.trace()
+
+    def _place(self) -> None:
+        if self._respond is None:
+            return
+        match self._work.neighbours.place(self._route.service):
+            case Here():
+                self._run_here()
+            case At(link=link):
+                self._number = link.number_transaction()
+                self._ask(link, self._number, self._read_only)
+            case Nowhere():
+                self._place_later("no gateway of the zone holds connections; retry in 1 s")
+
+    def _run_here(self) -> None:
+        statement, respond = self._statement, self._respond
+        assert statement is not None and respond is not None
+        if self._timer is not None:
+            self._timer.cancel()
+        self._respond = None
+        self._here = self._work.local.transaction(self._route, self._session, self._read_only)
+        self._here.run(statement, respond)
+
+    @property
+    def _commits(self) -> bool:
+        return self._statement is not None and self._statement.kind is StatementKind.COMMIT
+
+    def _settled(self, outcome: Outcome) -> None:
+        match outcome:
+            case Replied(reply=reply):
+                self._ran = True
+                if reply.refusal is not None or self._commits:
+                    self._number = 0
+                self._finish(self._replied(outcome))
+            case Refused(reason=reason):
+                self._call = 0
+                self._refused(reason)
+            case Lost(reason=reason):
+                self._call = 0
+                self._number = 0
+                self._finish(self._lost(self._commits and self._wrote, reason))
+
+    def _refused(self, reason: str) -> None:
+        """Begin elsewhere if nothing of the transaction ran; else it is over."""
+        self._number = 0
+        if self._ran:
+            self._finish(Answer(refusal=Refusal.ABORTED, message=reason))
+        else:
+            self._place_later(reason)
+
+    def _timed_out(self) -> None:
+        if self._call:
+            self._finish(self._lost(self._commits and self._wrote, LATE))
+        else:
+            self._finish(busy(LATE))
+        self.end()
+
+    def end(self) -> None:
+        """See :meth:`rowanrail.gateway.work.WorkInTransaction.end`."""
+        if self._here is not None:
+            self._here.end()
+        number, self._number = self._number, 0
+        if number and self._link is not None:
+            self._link.tell(End(number))
+
+    def finish(self, answer: Answer) -> None:
+        """See :meth:`rowanrail.gateway.work.WorkInTransaction.finish`."""
+        if self._here is not None:
+            self._here.finish(answer)
+        self._finish(answer)
--- /dev/null
+++ b/src/rowanrail/relay/link.py
@@ -0,0 +1,232 @@
+"""A gateway's connection to the neighbour that holds a service's connections.
+
+No I/O: a transport brings messages and takes them. A link that owes answers and says
+nothing is given up, and so is everything that waits on it.
+"""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.relay.messages import (
+    Drop,
+    FromGateway,
+    FromHolder,
+    Leaving,
+    NotServed,
+    Ping,
+    Pong,
+    Reply,
+    Run,
+)
+
+__all__ = ["Link", "LinkPort", "LinkState", "Lost", "Outcome", "Refused", "Replied"]
+
+WATCH_MS = 120.0
+PING_MS = 200.0  # of silence, while answers are owed
+SILENCE_MS = 600.0  # after it the neighbour counts as gone
+
+
+class LinkPort(Protocol):
+    """The transport below a link."""
+
+    def send(self, message: FromGateway) -> None:
+        """Send a message."""
+
+    def close(self) -> None:
+        """Close at once."""
+
+
+class LinkState(enum.Enum):
+    """Where a link stands."""
+
+    OPENING = "opening"
+    UP = "up"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Replied:
+    """The neighbour answered."""
+
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The neighbour ran nothing of it."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The link is gone: whether it was run is not known."""
+
+    reason: str
+
+
+Outcome = Replied | Refused | Lost
+Settle = Callable[[Outcome], None]
+
+
+class Link:
+    """One connection to a neighbour, from its opening to its end; it is not used again.
+
+    Parameters
+    ----------
+    peer : str
+        Name of the neighbour.
+    clock : Clock
+        Time and timers.
+    on_down : callable
+        Called once when the link is gone, with the reason.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_clock",
+        "_heard",
+        "_next",
+        "_on_down",
+        "_peer",
+        "_pinged",
+        "_port",
+        "_state",
+        "_timer",
+        "_transactions",
+    )
+
+    def __init__(self, peer: str, clock: Clock, on_down: Callable[["Link", str], None]) -> None:
+        self._peer = peer
+        self._clock = clock
+        self._on_down = on_down
+        self._port: LinkPort | None = None
+        self._state = LinkState.OPENING
+        self._calls: dict[int, Settle] = {}
+        self._next = 0
+        self._transactions = 0
+        self._heard = clock.now
+        self._pinged = False
+        self._timer: Timer | None = None
+
+    @property
+    def peer(self) -> str:
+        """Name of the neighbour."""
+        return self._peer
+
+    @property
+    def state(self) -> LinkState:
+        """Where the link stands."""
+        return self._state
+
+    @property
+    def owed(self) -> int:
+        """Number of calls without an answer."""
+        return len(self._calls)
+
+    # What the gateway asks
+
+    def number_transaction(self) -> int:
+        """Return a number for a transaction, unique on this link."""
+        self._transactions += 1
+        return self._transactions
+
+    def number_call(self) -> int:
+        """Return a number for a call, unique on this link."""
+        self._next += 1
+        return self._next
+
+    def ask(self, run: Run, settle: Settle) -> None:
+        """Send a statement; ``settle`` gets its outcome once."""
+        if self._port is None or self._state is LinkState.DOWN:
+            settle(Refused("the link is closed"))
+            return
+        if not self._calls:
+            self._heard = self._clock.now  # silence counts from the first answer that is owed
+            self._pinged = False
+        self._calls[run.call] = settle
+        self._port.send(run)
+        if self._timer is None:
+            self._timer = self._clock.call_in(WATCH_MS, self._watch)
+
+    def drop(self, call: int) -> None:
+        """Forget a call; the neighbour is told."""
+        if self._calls.pop(call, None) is not None:
+            self.tell(Drop(call))
+
+    def tell(self, message: FromGateway) -> None:
+        """Send what needs no answer."""
+        if self._port is not None and self._state is not LinkState.DOWN:
+            self._port.send(message)
+
+    def close(self, reason: str) -> None:
+        """Give the link up."""
+        self._go_down(reason)
+
+    # Events from the transport
+
+    def opened(self, port: LinkPort) -> None:
+        """Note that the connection stands."""
+        if self._state is not LinkState.OPENING:
+            port.close()
+            return
+        self._port = port
+        self._state = LinkState.UP
+
+    def receive(self, message: FromHolder) -> None:
+        """Take a message of the neighbour."""
+        self._heard = self._clock.now
+        self._pinged = False
+        match message:
+            case Reply(call=call):
+                self._settle(call, Replied(message))
+            case NotServed(call=call, reason=reason):
+                self._settle(call, Refused(reason))
+            case Leaving():
+                if self._state is LinkState.UP:
+                    self._state = LinkState.LEAVING
+            case Pong():
+                pass
+
+    def lost(self, reason: str) -> None:
+        """Note that the connection is gone, or never stood."""
+        self._go_down(reason)
+
+    # Inside
+
+    def _settle(self, call: int, outcome: Outcome) -> None:
+        settle = self._calls.pop(call, None)
+        if settle is not None:
+            settle(outcome)
+
+    def _watch(self) -> None:
+        self._timer = None
+        if not self._calls or self._state is LinkState.DOWN:
+            return
+        silence = self._clock.now - self._heard
+        if silence > SILENCE_MS:
+            self._go_down(f"no word for {silence:.0f} ms")
+            return
+        if silence > PING_MS and not self._pinged:
+            self._pinged = True
+            self.tell(Ping())
+        self._timer = self._clock.call_in(WATCH_MS, self._watch)
+
+    def _go_down(self, reason: str) -> None:
+        if self._state is LinkState.DOWN:
+            return
+        self._state = LinkState.DOWN
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        port, self._port = self._port, None
+        if port is not None:
+            port.close()
+        calls, self._calls = self._calls, {}
+        self._on_down(self, reason)
+        for settle in calls.values():
+            settle(Lost(reason))
--- /dev/null
+++ b/src/rowanrail/relay/messages.py
@@ -0,0 +1,117 @@
+"""What the gateways of a zone say to each other, checked where it is decoded.
+
+Times are milliseconds. A connection carries messages both ways; ``call`` matches a reply to
+what was asked, and is unique on its connection.
+"""
+
+import msgspec
+
+from rowanrail.gateway.model import Consistency, Refusal, StatementKind, Trace
+from rowanrail.proxy.backend import Position
+
+__all__ = [
+    "Drop",
+    "End",
+    "FromGateway",
+    "FromHolder",
+    "Leaving",
+    "NotServed",
+    "Ping",
+    "Pong",
+    "Reply",
+    "Run",
+]
+
+
+class Run(msgspec.Struct, tag=1, array_like=True, frozen=True, gc=False):
+    """Run a client's statement, alone or in a transaction.
+
+    Parameters
+    ----------
+    transaction : int
+        The transaction it belongs to, unique on its connection; 0 for a single statement.
+    read_only : bool
+        Whether the transaction only reads.
+    shape : str
+        What an EXECUTE's name stands for; ``writes`` says whether it writes.
+    values : dict
+        All values that the session has set.
+    floor : Position or None
+        The session's own last commit.
+    """
+
+    call: int
+    transaction: int
+    read_only: bool
+    service: str
+    route: str
+    consistency: Consistency
+    timeout: float
+    objective: float
+    staleness: float
+    priority: int
+    request_id: str
+    kind: StatementKind
+    text: str
+    name: str
+    value: str
+    writes: bool
+    shape: str
+    values: dict[str, str]
+    floor: Position | None
+
+
+class End(msgspec.Struct, tag=2, array_like=True, frozen=True, gc=False):
+    """Roll a transaction back, if it is still open."""
+
+    transaction: int
+
+
+class Drop(msgspec.Struct, tag=3, array_like=True, frozen=True, gc=False):
+    """Nobody waits for the answer to a call any more."""
+
+    call: int
+
+
+class Ping(msgspec.Struct, tag=4, array_like=True, frozen=True, gc=False):
+    """Say that you are there."""
+
+
+class Reply(msgspec.Struct, tag=11, array_like=True, frozen=True, gc=False):
+    """The whole answer to a statement.
+
+    Parameters
+    ----------
+    floor : Position or None
+        The session's own last commit after it.
+    trace : Trace or None
+        How the answer came about; left out for a success at the first attempt.
+    """
+
+    call: int
+    rows: list[bytes]
+    signature: bytes
+    refusal: Refusal | None
+    message: str
+    position: Position | None
+    floor: Position | None
+    trace: Trace | None
+
+
+class NotServed(msgspec.Struct, tag=12, array_like=True, frozen=True, gc=False):
+    """The call was not run at all, and can't be here."""
+
+    call: int
+    reason: str
+
+
+class Leaving(msgspec.Struct, tag=13, array_like=True, frozen=True, gc=False):
+    """Send nothing new here; what is open goes on for a while."""
+
+
+class Pong(msgspec.Struct, tag=14, array_like=True, frozen=True, gc=False):
+    """I am there."""
+
+
+FromGateway = Run | End | Drop | Ping
+FromHolder = Reply | NotServed | Leaving | Pong
--- /dev/null
+++ b/src/rowanrail/relay/neighbours.py
@@ -0,0 +1,165 @@
+"""The gateways of one's own zone, and the links to those that hold services' connections."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.link import Link, LinkState
+from rowanrail.relay.placement import rank
+
+__all__ = ["At", "Here", "LinkOpener", "Neighbour", "Neighbours", "Nowhere", "Place"]
+
+CANDIDATES = 2  # gateways of the order that are kept connected; the others stand behind them
+FIRST_BACKOFF_MS = 200.0
+LONGEST_BACKOFF_MS = 2000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Neighbour:
+    """A gateway of the same zone and the address at which it takes statements."""
+
+    name: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Here:
+    """This gateway holds the connections itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class At:
+    """A neighbour holds them, and its link stands."""
+
+    link: Link
+
+
+@dataclass(frozen=True, slots=True)
+class Nowhere:
+    """Nobody is known to hold them right now."""
+
+
+Place = Here | At | Nowhere
+
+
+class LinkOpener(ABC):
+    """Port: opens the connection below a link.
+
+    Implementations call ``link.opened``, then ``link.receive`` and ``link.lost``.
+    """
+
+    @abstractmethod
+    def open(self, address: str, link: Link) -> None:
+        """Begin to open a connection."""
+
+
+class _Peer:
+    """What is known of one neighbour."""
+
+    __slots__ = ("backoff", "down_until", "link", "neighbour")
+
+    def __init__(self, neighbour: Neighbour) -> None:
+        self.neighbour = neighbour
+        self.link: Link | None = None
+        self.down_until = 0.0
+        self.backoff = FIRST_BACKOFF_MS
+
+
+class Neighbours:
+    """Chooses where a service's statements run, and keeps the links for it.
+
+    Parameters
+    ----------
+    name : str
+        Name of this gateway.
+    clock : Clock
+        Time and timers.
+    opener : LinkOpener
+        The transport.
+    """
+
+    def __init__(self, name: str, clock: Clock, opener: LinkOpener) -> None:
+        self._name = name
+        self._clock = clock
+        self._opener = opener
+        self._peers: dict[str, _Peer] = {}
+        self._orders: dict[str, list[str]] = {}
+        self.on_link: Callable[[str, bool, str], None] = lambda peer, is_up, reason: None
+
+    @property
+    def links(self) -> list[Link]:
+        """All links that are open or being opened."""
+        return [peer.link for peer in self._peers.values() if peer.link is not None]
+
+    def set_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
+        """Know the gateways of the zone; this one may be among them or not."""
+        known = {n.name: n for n in neighbours if n.name != self._name}
+        for name, peer in list(self._peers.items()):
+            if known.get(name) != peer.neighbour:
+                del self._peers[name]
+                if peer.link is not None:
+                    peer.link.close("the neighbour is gone")
+        for name, neighbour in known.items():
+            if name not in self._peers:
+                self._peers[name] = _Peer(neighbour)
+        self._orders.clear()
+
+    def place(self, service: str) -> Place:
+        """Return where a statement of ``service`` runs now.
+
+        The first gateways of the order that were not found down a moment ago are kept
+        connected; the first of them that stands is taken.
+        """
+        order = self._orders.get(service)
+        if order is None:
+            order = self._orders[service] = rank(service, [*self._peers, self._name])
+        chosen: Place = Nowhere()
+        seen = 0
+        for name in order:
+            if seen == CANDIDATES:
+                break
+            found = Here() if name == self._name else self._look(self._peers[name])
+            if found is None:
+                continue
+            seen += 1
+            if isinstance(chosen, Nowhere):
+                chosen = found
+        return chosen
+
+    def _look(self, peer: _Peer) -> Place | None:
+        """Return the place at a peer, None if it counts as down; opens a link if there is none."""
+        if peer.link is None:
+            if self._clock.now < peer.down_until:
+                return None
+            self._open(peer)
+        link = peer.link
+        if link is None or link.state is LinkState.LEAVING:
+            return None
+        return At(link) if link.state is LinkState.UP else Nowhere()
+
+    def _open(self, peer: _Peer) -> None:
+        peer.link = Link(peer.neighbour.name, self._clock, self._on_down)
+        self._opener.open(peer.neighbour.address, peer.link)
+
+    def _on_down(self, link: Link, reason: str) -> None:
+        peer = self._peers.get(link.peer)
+        if peer is None or peer.link is not link:
+            return
+        peer.link = None
+        peer.down_until = self._clock.now + peer.backoff
+        peer.backoff = min(2 * peer.backoff, LONGEST_BACKOFF_MS)
+        self.on_link(link.peer, False, reason)
+
+    def note_up(self, link: Link) -> None:
+        """Note that a neighbour answered: the next loss is waited out from the start."""
+        peer = self._peers.get(link.peer)
+        if peer is not None and peer.link is link and peer.backoff != FIRST_BACKOFF_MS:
+            peer.backoff = FIRST_BACKOFF_MS
+            self.on_link(link.peer, True, "it answers")
+
+    def close(self) -> None:
+        """Close all links."""
+        for peer in self._peers.values():
+            if peer.link is not None:
+                peer.link.close("the gateway is stopping")
--- /dev/null
+++ b/src/rowanrail/relay/serving.py
@@ -0,0 +1,245 @@
+"""The holder's side: statements that neighbours send, on this gateway's connections."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from rowanrail.gateway.model import Answer, Refusal
+from rowanrail.gateway.session_values import SessionValues
+from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.messages import (
+    Drop,
+    End,
+    FromGateway,
+    FromHolder,
+    Leaving,
+    NotServed,
+    Ping,
+    Pong,
+    Run,
+)
+from rowanrail.relay.terms import load_session, reply_to, route_of, statement_of
+
+__all__ = ["Holder", "HolderHost", "ServedLink"]
+
+REST_MARGIN_MS = 1000.0  # the client's own gateway ends a resting transaction before
+SWEEP_MS = 1000.0
+
+Send = Callable[[FromHolder], None]
+
+
+class HolderHost(Protocol):
+    """What a holder needs of its gateway."""
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+
+    def local_work(self, service: str) -> LocalWork | None:
+        """Return the work on own connections, None if the service isn't known here."""
+
+    def idle_transaction_seconds(self) -> float:
+        """Return how long a transaction may rest."""
+
+
+@dataclass(slots=True)
+class _Transaction:
+    """A neighbour's transaction; its work begins with its first statement."""
+
+    work: WorkInTransaction
+    session: SessionValues
+    call: int = 0  # of the statement that runs, 0 while it rests
+    rests_since: float = 0.0
+
+
+@dataclass(slots=True)
+class _Single:
+    work: SingleStatement
+    session: SessionValues = field(default_factory=SessionValues)
+
+
+class Holder:
+    """All neighbours that this gateway runs statements for.
+
+    Parameters
+    ----------
+    host : HolderHost
+        The gateway.
+    clock : Clock
+        Time and timers.
+    """
+
+    def __init__(self, host: HolderHost, clock: Clock) -> None:
+        self.host = host
+        self.clock = clock
+        self._links: dict[ServedLink, None] = {}
+
+    @property
+    def open_transactions(self) -> int:
+        """Transactions of neighbours that are open here."""
+        return sum(link.open_transactions for link in self._links)
+
+    @property
+    def running(self) -> int:
+        """Statements of neighbours that run here."""
+        return sum(link.running for link in self._links)
+
+    def accept(self, send: Send) -> "ServedLink":
+        """Serve a neighbour's new connection."""
+        link = ServedLink(self, send)
+        self._links[link] = None
+        if self.host.stopping:
+            send(Leaving())
+        return link
+
+    def forget(self, link: "ServedLink") -> None:
+        """Forget a connection that is gone."""
+        self._links.pop(link, None)
+
+    def start(self) -> None:
+        """Begin to watch for transactions that rest for too long."""
+        self.clock.call_in(SWEEP_MS, self._sweep)
+
+    def _sweep(self) -> None:
+        limit = self.host.idle_transaction_seconds() * 1000 + REST_MARGIN_MS
+        for link in self._links:
+            link.end_rested(self.clock.now - limit)
+        self.clock.call_in(SWEEP_MS, self._sweep)
+
+    def leave(self) -> None:
+        """Tell the neighbours to go elsewhere; what is open goes on."""
+        for link in self._links:
+            link.send(Leaving())
+
+    def abort_resting(self) -> None:
+        """End the transactions that rest."""
+        for link in self._links:
+            link.end_rested(self.clock.now)
+
+
+class ServedLink:
+    """One neighbour's connection.
+
+    Parameters
+    ----------
+    holder : Holder
+        To which it belongs.
+    send : callable
+        Sends a message to the neighbour.
+    """
+
+    def __init__(self, holder: Holder, send: Send) -> None:
+        self.send = send
+        self._holder = holder
+        self._singles: dict[int, _Single] = {}
+        self._transactions: dict[int, _Transaction] = {}
+
+    @property
+    def open_transactions(self) -> int:
+        """Transactions that are open."""
+        return len(self._transactions)
+
+    @property
+    def running(self) -> int:
+        """Statements that run."""
+        return len(self._singles) + sum(t.call > 0 for t in self._transactions.values())
+
+    def receive(self, message: FromGateway) -> None:
+        """Take a message of the neighbour."""
+        match message:
+            case Run(transaction=0):
+                self._run_single(message)
+            case Run():
+                self._run_in_transaction(message)
+            case End(transaction=number):
+                self._end(number)
+            case Drop(call=call):
+                self._drop(call)
+            case Ping():
+                self.send(Pong())
+
+    def lost(self) -> None:
+        """End all that nobody waits for any more."""
+        self._holder.forget(self)
+        for call in list(self._singles):
+            self._drop(call)
+        for number in list(self._transactions):
+            self._end(number)
+
+    # Single statements
+
+    def _run_single(self, run: Run) -> None:
+        work = self._work(run)
+        if work is None:
+            return
+        session = SessionValues()
+        load_session(session, run)
+        single = work.single(route_of(run), session, run.writes)
+        self._singles[run.call] = _Single(single, session)
+        single.start(statement_of(run), lambda answer: self._answer_single(run, answer))
+
+    def _answer_single(self, run: Run, answer: Answer) -> None:
+        single = self._singles.pop(run.call, None)
+        if single is not None:
+            floor = single.session.floors.get(run.service)
+            self.send(reply_to(run, answer, floor, single.work.trace()))
+
+    def _work(self, run: Run) -> LocalWork | None:
+        """Return the work for new statements, or tell the neighbour that there is none."""
+        host = self._holder.host
+        work = None if host.stopping else host.local_work(run.service)
+        if work is None:
+            reason = "it is stopping" if host.stopping else f"it does not know {run.service} yet"
+            self.send(NotServed(run.call, reason))
+        return work
+
+    # Transactions
+
+    def _run_in_transaction(self, run: Run) -> None:
+        transaction = self._transactions.get(run.transaction)
+        if transaction is None:
+            work = self._work(run)
+            if work is None:
+                return
+            session = SessionValues()
+            opened = work.transaction(route_of(run), session, run.read_only)
+            transaction = self._transactions[run.transaction] = _Transaction(opened, session)
+        load_session(transaction.session, run)
+        transaction.call = run.call
+        transaction.work.run(
+            statement_of(run), lambda answer: self._answer_in_transaction(run, answer)
+        )
+
+    def _answer_in_transaction(self, run: Run, answer: Answer) -> None:
+        transaction = self._transactions.get(run.transaction)
+        if transaction is None or transaction.call != run.call:
+            return
+        transaction.call = 0
+        transaction.rests_since = self._holder.clock.now
+        if answer.refusal is not None or run.kind.value == "commit":
+            del self._transactions[run.transaction]
+            transaction.work.end()
+        floor = transaction.session.floors.get(run.service)
+        self.send(reply_to(run, answer, floor, transaction.work.trace()))
+
+    def _end(self, number: int) -> None:
+        transaction = self._transactions.pop(number, None)
+        if transaction is not None:
+            transaction.work.finish(_left())
+            transaction.work.end()
+
+    def end_rested(self, since: float) -> None:
+        """End the transactions that have rested since a moment or longer."""
+        for number, transaction in list(self._transactions.items()):
+            if not transaction.call and transaction.rests_since <= since:
+                self._end(number)
+
+    def _drop(self, call: int) -> None:
+        single = self._singles.pop(call, None)
+        if single is not None:
+            single.work.finish(_left())
+
+
+def _left() -> Answer:
+    return Answer(refusal=Refusal.ABORTED, message="the neighbour left")
--- /dev/null
+++ b/src/rowanrail/relay/terms.py
@@ -0,0 +1,116 @@
+"""Statements and answers in the words of the messages, and back."""
+
+from dataclasses import dataclass
+
+from rowanrail.gateway.model import Answer, Route, StatementKind, Trace, TypedStatement
+from rowanrail.gateway.session_values import SessionValues, is_write
+from rowanrail.proxy.backend import Position
+from rowanrail.relay.messages import Reply, Run
+
+__all__ = ["Order", "answer_of", "load_session", "reply_to", "route_of", "run_of", "statement_of"]
+
+REPLY_MARGIN_MS = 30.0  # the holder gives up this much sooner, so that its answer comes in time
+SHORTEST_MS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """A statement as a session hands it over.
+
+    Parameters
+    ----------
+    timeout : float
+        Milliseconds that are left for it.
+    transaction : int
+        0 for a single statement.
+    """
+
+    statement: TypedStatement
+    route: Route
+    session: SessionValues
+    timeout: float
+    transaction: int = 0
+    read_only: bool = False
+
+
+def run_of(order: Order, call: int) -> Run:
+    """Return the message that has an order run."""
+    statement, route, session = order.statement, order.route, order.session
+    shape = ""
+    if statement.kind is StatementKind.EXECUTE:
+        shape = session.prepared[statement.name][1]
+    return Run(
+        call=call,
+        transaction=order.transaction,
+        read_only=order.read_only,
+        service=route.service,
+        route=route.name,
+        consistency=route.consistency,
+        timeout=max(SHORTEST_MS, order.timeout - REPLY_MARGIN_MS),
+        objective=route.objective_seconds * 1000,
+        staleness=route.staleness_seconds * 1000,
+        priority=route.priority,
+        request_id=statement.request_id,
+        kind=statement.kind,
+        text=statement.text,
+        name=statement.name,
+        value=statement.value,
+        writes=is_write(statement, session),
+        shape=shape,
+        values=session.values,
+        floor=session.floors.get(route.service),
+    )
+
+
+def route_of(run: Run) -> Route:
+    """Return the route under which a statement came."""
+    return Route(
+        name=run.route,
+        database=run.route,
+        service=run.service,
+        consistency=run.consistency,
+        timeout_seconds=run.timeout / 1000,
+        objective_seconds=run.objective / 1000,
+        staleness_seconds=run.staleness / 1000,
+        priority=run.priority,
+    )
+
+
+def statement_of(run: Run) -> TypedStatement:
+    """Return the client's statement."""
+    return TypedStatement(run.request_id, run.kind, run.text, run.name, run.value)
+
+
+def load_session(session: SessionValues, run: Run) -> None:
+    """Give ``session`` exactly what the client's session has set."""
+    session.values = run.values
+    if run.kind is StatementKind.EXECUTE:
+        session.prepared[run.name] = (run.writes, run.shape)
+    if run.floor is not None:
+        session.floors[run.service] = run.floor
+
+
+def reply_to(run: Run, answer: Answer, floor: Position | None, trace: Trace) -> Reply:
+    """Return the message that answers a statement."""
+    plain = answer.refusal is None and trace.attempts <= 1
+    return Reply(
+        call=run.call,
+        rows=answer.rows,
+        signature=answer.signature,
+        refusal=answer.refusal,
+        message=answer.message,
+        position=answer.position,
+        floor=floor,
+        trace=None if plain else trace,
+    )
+
+
+def answer_of(reply: Reply) -> Answer:
+    """Return the answer for the client."""
+    return Answer(
+        rows=reply.rows,
+        signature=reply.signature,
+        refusal=reply.refusal,
+        message=reply.message,
+        position=reply.position,
+    )
--- /dev/null
+++ b/src/rowanrail/relay/transport.py
@@ -0,0 +1,195 @@
+"""Links over TCP: frames with a length before them, one connection for each pair of gateways."""
+
+import asyncio
+import socket
+import struct
+
+import msgspec
+
+from rowanrail.kernel.lifecycle import listen_error
+from rowanrail.relay.link import Link, LinkState
+from rowanrail.relay.messages import FromGateway, FromHolder
+from rowanrail.relay.neighbours import LinkOpener
+from rowanrail.relay.serving import Holder, ServedLink
+
+__all__ = ["TcpHolderServer", "TcpLinkOpener"]
+
+CONNECT_SECONDS = 0.4
+UNACKNOWLEDGED_MS = 1500
+MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024
+MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
+_LENGTH = struct.Struct("<I")
+
+_encoder = msgspec.msgpack.Encoder()
+_gateway_decoder = msgspec.msgpack.Decoder(FromGateway)
+_holder_decoder = msgspec.msgpack.Decoder(FromHolder)
+
+
+class _Framed(asyncio.Protocol):
+    """Splits the stream into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        buffer = self._buffer + data if self._buffer else data
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > MAXIMUM_FRAME_BYTES:
+                self.close()
+                return
+            end = start + _LENGTH.size + length
+            if len(buffer) < end:
+                break
+            frame = buffer[start + _LENGTH.size : end]
+            start = end
+            try:
+                self.take(frame)
+            except msgspec.MsgspecError:
+                self.close()  # not our protocol; whoever waits learns that the link is lost
+                return
+        self._buffer = buffer[start:]
+
+    def take(self, frame: bytes) -> None:
+        """Take one frame.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If it is none of the messages.
+        """
+        raise NotImplementedError
+
+    def write(self, message: msgspec.Struct) -> None:
+        """Send a message; a peer that does not read is given up."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
+            transport.abort()
+            return
+        frame = _encoder.encode(message)
+        transport.write(_LENGTH.pack(len(frame)) + frame)
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.abort()
+
+
+class _LinkProtocol(_Framed):
+    """The gateway's end of a link."""
+
+    def __init__(self, link: Link) -> None:
+        super().__init__()
+        self._link = link
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._link.opened(self)
+
+    def send(self, message: FromGateway) -> None:
+        """See :meth:`rowanrail.relay.link.LinkPort.send`."""
+        self.write(message)
+
+    def take(self, frame: bytes) -> None:
+        self._link.receive(_holder_decoder.decode(frame))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._link.lost(str(exc) if exc else "the neighbour closed the connection")
+
+
+class TcpLinkOpener(LinkOpener):
+    """Opens links over TCP."""
+
+    def __init__(self) -> None:
+        self._opening: set[asyncio.Task[None]] = set()
+
+    def open(self, address: str, link: Link) -> None:
+        """See :meth:`LinkOpener.open`."""
+        task = asyncio.ensure_future(self._open(address, link))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
+    @staticmethod
+    async def _open(address: str, link: Link) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await loop.create_connection(lambda: _LinkProtocol(link), host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            if link.state is LinkState.OPENING:
+                link.lost(str(error) or "no connection in time")
+
+
+class _HolderProtocol(_Framed):
+    """The holder's end of a link."""
+
+    def __init__(self, server: "TcpHolderServer", holder: Holder) -> None:
+        super().__init__()
+        self._server = server
+        self._holder = holder
+        self._served: ServedLink | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._server.connections.add(self)
+        self._served = self._holder.accept(self.write)
+
+    def take(self, frame: bytes) -> None:
+        if self._served is not None:
+            self._served.receive(_gateway_decoder.decode(frame))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        if self._served is not None:
+            self._served.lost()
+
+
+class TcpHolderServer:
+    """Takes the neighbours' links.
+
+    Parameters
+    ----------
+    holder : Holder
+        Serves them.
+    """
+
+    def __init__(self, holder: Holder) -> None:
+        self.connections: set[_HolderProtocol] = set()
+        self._holder = holder
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``host:port``.
+
+        Raises
+        ------
+        RowanrailError
+            If the address can't be used.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            self._server = await loop.create_server(
+                lambda: _HolderProtocol(self, self._holder), host, int(port)
+            )
+        except OSError as error:
+            raise listen_error(address, error) from error
+
+    def close(self) -> None:
+        """Close all at once."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -8,11 +8,12 @@
 from rowanrail.control.policies import VersionMonotonic
 from rowanrail.coordination.messages import (
     Announce,
+    GatewayRecord,
     IntendPromotion,
     PutDocument,
     PutVerdict,
     Remove,
-    SetProxies,
+    SetGateways,
 )
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.state import CoordinationState
@@ -25,6 +26,10 @@
     return msgspec.structs.replace(base, **changes)
 
 
+def gateway(name, zone="a", address="10.0.1.1:7440"):
+    return GatewayRecord(name, zone, address)
+
+
 class StateTest(unittest.TestCase):
     def setUp(self):
         self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
@@ -80,15 +85,26 @@
 
     def test_fencing_tokens_only_grow(self):
         first = self.apply(IntendPromotion("db", "m1", "lost"))
-        self.apply(SetProxies(3))
+        self.apply(SetGateways([gateway("g1")], []))
         second = self.apply(IntendPromotion("db", "m1", "lost"))
         self.assertGreater(second.token, first.token)
 
+    def test_gateways_come_move_and_go(self):
+        self.apply(SetGateways([gateway("g1"), gateway("g2", zone="b")], []))
+        self.assertEqual((len(self.state.gateways), self.state.zones), (2, 2))
+        self.apply(SetGateways([gateway("g1")], []))
+        self.assertEqual(self.state.revision, 1)
+        self.apply(SetGateways([gateway("g1", address="10.0.1.9:7440")], ["g2"]))
+        self.assertEqual(self.state.gateways["g1"].relay_address, "10.0.1.9:7440")
+        self.assertEqual(
+            (len(self.state.gateways), self.state.zones, self.state.revision), (1, 1, 3)
+        )
+
     def test_a_snapshot_holds_everything(self):
         self.apply(PutDocument(7, b"seven"))
         self.apply(Announce(record()))
         self.apply(Remove("m9"))
-        self.apply(SetProxies(4))
+        self.apply(SetGateways([gateway("g1"), gateway("g2", zone="b")], []))
         self.apply(IntendPromotion("db", "m1", "lost"))
         other = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
         other.restore(self.state.snapshot())
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -2,9 +2,10 @@
 
 import heapq
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from rowanrail.gateway.channel import Channel, MemberDriver, Wire
+from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.model import (
     Answer,
@@ -24,6 +25,7 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
+from rowanrail.relay.placement import Population
 
 DATABASES = {
     "orders": Consistency.PRIMARY,
@@ -188,6 +190,21 @@
         self._pending.clear()
 
 
+def routes(without: tuple[str, ...] = ()) -> dict[str, Route]:
+    """Return a route for each kind of read."""
+    return {
+        name: Route(name, name, "db", kind, 1.0, 0.5, 1.0, 1)
+        for name, kind in DATABASES.items()
+        if name not in without
+    }
+
+
+class Played(Protocol):
+    """What clients are played on."""
+
+    clock: ManualClock
+
+
 class PlayedGateway:
     """A gateway in zone a before one service with a primary and two replicas."""
 
@@ -210,17 +227,13 @@
         return self.decisions.written.decode().splitlines()
 
     def configure(self, version: int, **changes: Any) -> None:
-        routes = {
-            name: Route(name, name, "db", kind, 1.0, 0.5, 1.0, 1)
-            for name, kind in DATABASES.items()
-            if name not in changes.get("without", ())
-        }
         services = {"db": ServiceSpec("db", changes.get("connections", 30))}
-        self.gateway.apply(RoutingConfiguration(version, routes, services, 3.0))
+        allowed = routes(changes.get("without", ()))
+        self.gateway.apply(RoutingConfiguration(version, allowed, services, 3.0))
 
     def announce(self, revision: int, leaving: tuple[str, ...] = ()) -> None:
         records = [member.record(member.instance in leaving) for member in self.members]
-        self.gateway.set_members(revision, records, 3)
+        self.gateway.set_directory(Directory(revision, records, Population(3, 3)))
 
     def client(self, database: str) -> "PlayedClient":
         session = self.gateway.open_session(database, "client")
@@ -231,7 +244,7 @@
 class PlayedClient:
     """A client that runs statements on a session and keeps the answers."""
 
-    def __init__(self, played: PlayedGateway, session: Session) -> None:
+    def __init__(self, played: Played, session: Session) -> None:
         self.played, self.session = played, session
         self.answers: list[Answer] = []
         self._number = 0
--- /dev/null
+++ b/tests/support/relay.py
@@ -0,0 +1,83 @@
+"""Gateways of one zone that share one gateway's connections, on a manual clock."""
+
+from rowanlab.simulator.relay_network import RelayNetwork
+from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.gateway import Gateway
+from rowanrail.gateway.model import RoutingConfiguration, ServiceSpec
+from rowanrail.gateway.session import Session
+from rowanrail.kernel.clock import Clock
+from rowanrail.kernel.registry import Registry
+from rowanrail.relay.neighbours import Neighbour, Neighbours
+from rowanrail.relay.placement import Population, rank
+from rowanrail.relay.serving import Holder
+from tests.support.gateway import (
+    ManualClock,
+    PlayedClient,
+    PlayedDriver,
+    PlayedMember,
+    RecordingLog,
+    routes,
+)
+
+GATEWAYS = ("g1", "g2", "g3")
+POPULATION = Population(60, 6)
+
+
+class ZoneGateway:
+    """One gateway of the zone, with the members as it reaches them."""
+
+    def __init__(self, zone: "PlayedZone", name: str) -> None:
+        self.name = name
+        self.clock = zone.clock
+        self.decisions = RecordingLog(name, wall_clock=zone.clock.time)
+        self.neighbours = Neighbours(name, zone.relay_clock, zone.network.opener(name))
+        driver = PlayedDriver(zone.members)
+        self.gateway = Gateway("a", driver, zone.clock, self.decisions, Registry(), self.neighbours)
+        self.holder = Holder(self.gateway, zone.relay_clock)
+        self.gateway.start()
+        self.holder.start()
+        services = {"db": ServiceSpec("db", 30)}
+        self.gateway.apply(RoutingConfiguration(1, routes(), services, 3.0))
+
+    def client(self, database: str) -> PlayedClient:
+        session = self.gateway.open_session(database, "client")
+        assert isinstance(session, Session)
+        return PlayedClient(self, session)
+
+    def logs(self) -> list[str]:
+        self.decisions.flush()
+        return self.decisions.written.decode().splitlines()
+
+
+class PlayedZone:
+    """Three gateways; ``first`` holds the connections, ``second`` is next, ``last`` has clients."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.relay_clock = Clock(self.clock)
+        self.network = RelayNetwork(self.relay_clock)
+        self.primary = PlayedMember("m1", True, "b")
+        self.near = PlayedMember("m2", False, "a")
+        self.members = [self.primary, self.near, PlayedMember("m3", False, "c")]
+        self.gateways = {name: ZoneGateway(self, name) for name in GATEWAYS}
+        for name, one in self.gateways.items():
+            self.network.holders[name] = one.holder
+        self.announce(1)
+        self.first, self.second, self.last = (self.gateways[name] for name in rank("db", GATEWAYS))
+
+    def announce(self, revision: int) -> None:
+        records = [member.record() for member in self.members]
+        neighbours = [Neighbour(name, name) for name in GATEWAYS]
+        for one in self.gateways.values():
+            one.gateway.set_directory(Directory(revision, records, POPULATION, neighbours))
+
+    def kill(self, one: ZoneGateway) -> None:
+        """End a gateway: its links break, and its address refuses."""
+        del self.network.holders[one.name]
+        for twin in self.network.links:
+            if one.name in twin.ends:
+                twin.break_off("reset")
+
+    def opened_by(self, one: ZoneGateway) -> int:
+        """Return how many connections to members a gateway has open."""
+        return sum(pool.open_count for pool in one.gateway.services["db"].pools.values())
