Ask another member for a read that failed; leave late heartbeats aside

Cause: members may fail part of their requests in good health (the grown deployments); a read that failed was given to the client at once, and the member kept its share of reads. Ruled out: logging every heartbeat's sequence (cost); ignoring late words about leaving (they bind). Change: up to three members are asked before the client is told; a member's share of errors, forgotten with time, makes it dearer; the leader leaves announcements aside that are older than what it heard.

--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -27,11 +27,15 @@
 
     def heartbeat(self, instance: str, sequence: int) -> None:
         """Note a heartbeat, unless it is one that came late."""
-        if sequence < self._sequences.get(instance, -1):
+        if self.is_late(instance, sequence):
             return
         self._sequences[instance] = sequence
         self._heartbeats[instance] = self._now()
 
+    def is_late(self, instance: str, sequence: int) -> bool:
+        """Return whether a later word of the member was heard already."""
+        return sequence < self._sequences.get(instance, -1)
+
     def forget_member(self, instance: str) -> None:
         """Forget a member that has ended."""
         self._heartbeats.pop(instance, None)
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -165,8 +165,11 @@
     async def _announce(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, AnnounceRequest)
         record = request.record
+        # The log knows the sequence of a member's last change only. Leaving counts whenever it
+        # comes; anything else that is older than what was heard since is out of date.
+        is_late = self.liveness.is_late(record.instance, record.sequence) and not record.leaving
         self.liveness.heartbeat(record.instance, record.sequence)
-        if self.state.needs_announcement(record):
+        if not is_late and self.state.needs_announcement(record):
             await self.propose(Announce(record))
         return Done()
 
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -14,6 +14,7 @@
 MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
 OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
 READ_ATTEMPTS = 6
+ERROR_ATTEMPTS = 3  # members that may fail a read before the client is told
 
 
 class LoneRead(Operation):
@@ -24,6 +25,7 @@
         self.statement = statement
         self.excluded: set[str] = set()
         self.begin_statement(respond)
+        self._errors = 0
         self._asked_since = oldest_sample(self.route, self.arrived_at)
         self.attempt_timer: Timer | None = None
         self._need_floor()
@@ -107,7 +109,9 @@
             return
         if answer.refusal is Refusal.BEHIND:
             self._behind()
-        elif answer.refusal in (Refusal.FAILED, Refusal.TIMEOUT, Refusal.INVALID):
+        elif answer.refusal is Refusal.FAILED:
+            self._failed(answer)
+        elif answer.refusal in (Refusal.TIMEOUT, Refusal.INVALID):
             self.release()
             self.finish(answer)
         else:
@@ -116,6 +120,17 @@
             self.release()
             self._next_member()
 
+    def _failed(self, answer: Answer) -> None:
+        """Ask another member: a read that failed at one changes nothing there."""
+        assert self.pool is not None
+        self.pool.note_error()
+        self._errors += 1
+        self.release()
+        if self._errors >= ERROR_ATTEMPTS:
+            self.finish(answer)
+            return
+        self._next_member()
+
     def _behind(self) -> None:
         assert self.pool is not None
         instance = self.pool.record.instance
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -1,6 +1,7 @@
 """Connections to one member: idle, leased or being opened, and those who wait for one."""
 
 import heapq
+import math
 from collections.abc import Callable
 
 from rowanrail.gateway.channel import Channel, MemberDriver
@@ -15,6 +16,8 @@
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_SECONDS = 0.02
+ERROR_WEIGHT = 0.2  # of the newest answer in the share of answers that were errors
+ERROR_DECAY_SECONDS = 2.0  # after it a share without new answers has shrunk to 1/e
 
 
 class Waiter:
@@ -49,6 +52,8 @@
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.failing_until = 0.0
         self.leased = 0
+        self._error_share = 0.0
+        self._error_noted_at = 0.0
         self._driver = driver
         self._clock = clock
         self._crowded_until = 0.0
@@ -196,6 +201,25 @@
     def note_answer(self) -> None:
         """Note that the member answered."""
         self._failures = 0
+        if self._error_share:
+            self._note_error_share(0.0)
+
+    def note_error(self) -> None:
+        """Note that the member answered with an error of its own."""
+        self._note_error_share(1.0)
+
+    def _note_error_share(self, newest: float) -> None:
+        share = self.error_share
+        self._error_share = share + ERROR_WEIGHT * (newest - share)
+        self._error_noted_at = self._clock.time()
+
+    @property
+    def error_share(self) -> float:
+        """Share of the latest answers that were errors; forgotten with time."""
+        if not self._error_share:
+            return 0.0
+        age = self._clock.time() - self._error_noted_at
+        return self._error_share * math.exp(-age / ERROR_DECAY_SECONDS)
 
     def _refuse_waiting(self, answer: Answer) -> None:
         waiting, self._waiting = self._waiting, []
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -12,6 +12,7 @@
 SAME_ZONE_FACTOR = 0.4
 PRIMARY_FACTOR = 1.3
 FAILING_PENALTY_SECONDS = 5.0
+ERROR_FACTOR = 30  # a member whose answers are all errors is as if so many times slower
 
 
 class Service:
@@ -96,6 +97,7 @@
                 cost *= SAME_ZONE_FACTOR
             if instance == self.primary.believed:
                 cost *= PRIMARY_FACTOR
+            cost *= 1 + ERROR_FACTOR * pool.error_share
             if pool.is_suspect:
                 cost += FAILING_PENALTY_SECONDS
             if best is None or cost < best_cost:
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -80,6 +80,42 @@
         self.played.clock.advance(0.2)
         self.assertIsNone(client.answers[-1].refusal)
 
+    def test_a_read_that_failed_is_asked_for_at_another_member(self):
+        # The grown deployments have members that fail part of their requests in good health.
+        client = self.played.client("reports")
+        client.run("READ a")
+        self.played.near.script = [Answer(refusal=Refusal.FAILED, state=SessionState.IDLE)]
+        self.assertIsNone(client.run("READ b").refusal)
+
+    def test_a_read_that_fails_everywhere_says_so_and_ends(self):
+        client = self.played.client("reports")
+        client.run("READ a")
+        for member in self.played.members:
+            failed = Answer(refusal=Refusal.FAILED, state=SessionState.IDLE)
+            member.script = [failed, failed, failed]
+        answer = client.run("READ b", seconds=0.2)
+        self.assertEqual(answer.refusal, Refusal.FAILED)
+        ran = [text for m in self.played.members for text in m.texts()]
+        self.assertLessEqual(ran.count("READ b"), 3)
+
+    def test_a_member_that_fails_part_of_its_requests_is_avoided_and_tried_again(self):
+        client = self.played.client("reports")
+        client.run("READ a")
+        failed = Answer(refusal=Refusal.FAILED, state=SessionState.IDLE)
+        self.played.near.script = [failed, failed, failed]
+        for _ in range(3):
+            client.run("READ b")
+        known = len(self.played.near.texts())
+        for _ in range(10):
+            client.run("READ c")
+        self.assertLessEqual(len(self.played.near.texts()) - known, 1)
+        self.played.clock.advance(10)
+        for pool in self.played.gateway.services["db"].pools.values():
+            pool.latency_seconds = 0.02  # answers take no time here, which no real one does
+        for _ in range(10):
+            client.run("READ d")
+        self.assertGreater(len(self.played.near.texts()) - known, 5)
+
     def test_a_read_goes_elsewhere_when_a_member_does_not_open_a_connection(self):
         self.played.near.silent = True
         answer = self.played.client("reports").run("READ a", seconds=0.2)
