End the longest-resting transactions while others wait for their connections

Ruled out: ending every rest early (clients that pause have the right to it while nobody waits); a shorter configured rest (the operator's). Change: a pool knows the transactions that rest on its connections; when somebody has waited 40 ms at its limit, those that rested longest, 0.5 s or more, are ended, one for each waiter; their clients are told aborted, with the reason, at their next statement.

--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 from collections.abc import Callable
+from typing import Protocol
 
 from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.clock import Clock
@@ -16,10 +17,19 @@
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_SECONDS = 0.02
+PRESSURE_SECONDS = 0.04  # of waiting for a connection, while transactions rest on theirs
+LONG_REST_SECONDS = 0.5
 ERROR_WEIGHT = 0.2  # of the newest answer in the share of answers that were errors
 ERROR_DECAY_SECONDS = 2.0  # after it a share without new answers has shrunk to 1/e
 
 
+class Resting(Protocol):
+    """A transaction that holds a connection while its client does nothing."""
+
+    def reclaim(self, reason: str) -> None:
+        """End it and give the connection back; its client learns it at its next statement."""
+
+
 class Waiter:
     """Somebody who wants a connection.
 
@@ -27,7 +37,7 @@
     :param respond: gets the connection, or None with the reason.
     """
 
-    __slots__ = ("cancelled", "priority", "respond", "values")
+    __slots__ = ("cancelled", "priority", "respond", "since", "values")
 
     def __init__(
         self,
@@ -39,6 +49,7 @@
         self.values = values
         self.respond = respond
         self.cancelled = False
+        self.since = 0.0
 
 
 class MemberPool:
@@ -62,6 +73,7 @@
         self._idle: list[Channel] = []
         self._opening: set[Channel] = set()
         self._waiting: list[tuple[int, int, Waiter]] = []
+        self._resting: dict[Resting, float] = {}
         self._sequence = 0
         self._closed = False
 
@@ -101,6 +113,7 @@
             waiter.respond(channel, Answer())
             return
         self._sequence += 1
+        waiter.since = self._clock.time()
         heapq.heappush(self._waiting, (waiter.priority, self._sequence, waiter))
         self._open_for_waiting()
 
@@ -147,6 +160,27 @@
             self.leased += 1
             waiter.respond(channel, Answer())
 
+    # Transactions that rest
+
+    def note_resting(self, transaction: Resting) -> None:
+        """Note that a transaction holds a connection and does nothing."""
+        self._resting[transaction] = self._clock.time()
+
+    def note_active(self, transaction: Resting) -> None:
+        """Note that a transaction goes on, or has ended."""
+        self._resting.pop(transaction, None)
+
+    def _reclaim(self) -> None:
+        """End transactions that have rested longest, one for each who has waited for long."""
+        if self.open_count < self._allowed():
+            return
+        now = self._clock.time()
+        waiting = sum(now - entry[2].since >= PRESSURE_SECONDS for entry in self._waiting)
+        for transaction, since in list(self._resting.items())[:waiting]:
+            if now - since < LONG_REST_SECONDS:
+                break
+            transaction.reclaim(f"it rested for {now - since:.1f} s while others waited")
+
     # Opening
 
     def _allowed(self) -> int:
@@ -234,6 +268,8 @@
         Members count the connections of a lost gateway for seconds more; the fewer there are,
         the sooner its successor gets some.
         """
+        if self._waiting and self._resting:
+            self._reclaim()
         limit = self._clock.time() - IDLE_SECONDS
         while len(self._idle) > KEPT_IDLE and self._idle[0].last_used < limit:
             self._idle[0].close()
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -52,13 +52,19 @@
         self._begun = False
         self._excluded: set[str] = set()
         self._busy_retries = 0
+        self._reclaimed_for = ""
 
     def run(self, statement: TypedStatement, respond: Respond) -> None:
         """Run a read, a write or the commit."""
         self.statement = statement
         self._busy_retries = 0
         self.begin_statement(respond)
-        if self.read_only and is_write(statement, self.session):
+        if self.pool is not None:
+            self.pool.note_active(self)
+        if self._reclaimed_for:
+            self.failed = True
+            self.finish(Answer(refusal=Refusal.ABORTED, message=self._reclaimed_for))
+        elif self.read_only and is_write(statement, self.session):
             self.failed = True
             self.end()
             self.finish(Answer(refusal=Refusal.NOT_PRIMARY, message="the transaction only reads"))
@@ -163,6 +169,8 @@
 
     def _statement_answered(self, answer: Answer) -> None:
         if answer.refusal is None:
+            if self.pool is not None and self.channel is not None:
+                self.pool.note_resting(self)  # until its next statement, perhaps at once
             self.finish(answer)
             return
         if self._may_retry(answer):
@@ -223,8 +231,15 @@
 
     # The end
 
+    def reclaim(self, reason: str) -> None:
+        """See :meth:`rowanrail.gateway.pool.Resting.reclaim`."""
+        self._reclaimed_for = reason
+        self.end()
+
     def end(self) -> None:
         """Roll back at the member and give the connection back."""
+        if self.pool is not None:
+            self.pool.note_active(self)
         channel = self.channel
         if channel is None:
             return
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -139,6 +139,52 @@
         self.assertTrue(all(client.answers[-1].refusal is None for client in clients))
 
 
+class RestingTransactionTest(unittest.TestCase):
+    """Clients that rest inside transactions hold connections that others wait for."""
+
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.limit = self.played.gateway.services["db"].pools["m1"].limit
+        self.resting = [self.played.client("orders") for _ in range(self.limit)]
+        for client in self.resting:
+            client.run("BEGIN")
+            client.run("WRITE a 1")
+
+    def test_the_longest_resting_one_is_ended_for_those_who_wait(self):
+        self.played.clock.advance(0.2)
+        self.resting[1].run("READ a")  # this one works on
+        self.played.clock.advance(0.35)
+        writer = self.played.client("orders")
+        self.assertIsNone(writer.run("WRITE b 2", seconds=0.2).refusal)
+        answer = self.resting[0].run("COMMIT")
+        self.assertEqual(answer.refusal, Refusal.ABORTED)
+        self.assertIn("rested", answer.message)
+        self.assertIsNone(self.resting[1].run("COMMIT").refusal)
+        self.assertIsNone(self.resting[2].run("COMMIT").refusal)
+
+    def test_nothing_is_ended_while_nobody_waits(self):
+        self.played.clock.advance(2.0)
+        for client in self.resting:
+            self.assertIsNone(client.run("COMMIT").refusal)
+
+    def test_short_pauses_are_left_alone(self):
+        writer = self.played.client("orders")
+        writer.ask("WRITE b 2")
+        self.played.clock.advance(0.2)
+        self.assertEqual(writer.answers, [])
+        self.assertIsNone(self.resting[0].run("COMMIT").refusal)
+        self.assertIsNone(writer.answers[-1].refusal)
+
+    def test_an_ended_one_is_over_for_its_client_at_the_next_statement(self):
+        self.played.clock.advance(0.6)
+        self.played.client("orders").run("WRITE b 2", seconds=0.2)
+        client = self.resting[0]
+        self.assertEqual(client.run("READ a").refusal, Refusal.ABORTED)
+        self.assertEqual(client.session.state, SessionState.FAILED)
+        self.assertIsNone(client.run("ROLLBACK").refusal)
+        self.assertIsNone(client.run("WRITE c 3", seconds=0.1).refusal)
+
+
 class WriteTest(unittest.TestCase):
     def setUp(self):
         self.played = PlayedGateway()
