Keep transactions of a test at work, so that they hold their connections

Change: two transactions read every 0.2 s, so that they never rest for long, and the third waits in vain.

--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -64,12 +64,14 @@
 
     def test_refused_for_want_of_a_connection(self):
         self.played.configure(2, connections=9)
-        self.played.primary.script = [None, None]  # transactions that rest would be ended
         clients = [self.played.client("orders") for _ in range(3)]
         for client in clients:
             client.run("BEGIN")
             client.ask("WRITE a 1")
-        self.played.clock.advance(1.1)
+        for _ in range(6):  # transactions that rest for long would be ended
+            self.played.clock.advance(0.2)
+            for client in clients[:2]:
+                client.run("READ a")
         waiting = [c for c in clients if c.answers[-1].refusal is Refusal.BUSY]
         self.assertTrue(waiting)
         lines = [line for line in self.played.logs() if '"outcome":"busy"' in line]
