Say once where a forwarded statement is placed

Cause: two classes held the same twelve lines. Change: the base class asks for the place; each says what it does here and at a link. Conclusion: no change of behaviour.

--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -120,9 +120,23 @@
     def _timed_out(self) -> None:
         raise NotImplementedError
 
-    def _place(self) -> None:
+    def _run_here(self) -> None:
+        raise NotImplementedError
+
+    def _run_at(self, link: Link) -> None:
         raise NotImplementedError
 
+    def _place(self) -> None:
+        if self._respond is None:
+            return
+        match self._work.neighbours.place(self._route.service):
+            case Here():
+                self._run_here()
+            case At(link=link):
+                self._run_at(link)
+            case Nowhere():
+                self._place_later("no gateway of the zone holds connections; retry in 1 s")
+
     def _replied(self, outcome: Replied) -> Answer:
         reply, link = outcome.reply, self._link
         self._call = 0
@@ -182,16 +196,8 @@
         """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
         return super().trace() if self._here is None else self._here.trace()
 
-    def _place(self) -> None:
-        if self._respond is None:
-            return
-        match self._work.neighbours.place(self._route.service):
-            case Here():
-                self._run_here()
-            case At(link=link):
-                self._ask(link)
-            case Nowhere():
-                self._place_later("no gateway of the zone holds connections; retry in 1 s")
+    def _run_at(self, link: Link) -> None:
+        self._ask(link)
 
     def _run_here(self) -> None:
         assert self._statement is not None
@@ -258,17 +264,9 @@
         """See :meth:`rowanrail.gateway.work.WorkInTransaction.trace`."""
         return super().trace() if self._here is None else self._here.trace()
 
-    def _place(self) -> None:
-        if self._respond is None:
-            return
-        match self._work.neighbours.place(self._route.service):
-            case Here():
-                self._run_here()
-            case At(link=link):
-                self._number = link.number_transaction()
-                self._ask(link, self._number, self._read_only)
-            case Nowhere():
-                self._place_later("no gateway of the zone holds connections; retry in 1 s")
+    def _run_at(self, link: Link) -> None:
+        self._number = link.number_transaction()
+        self._ask(link, self._number, self._read_only)
 
     def _run_here(self) -> None:
         statement, respond = self._statement, self._respond
