--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,85 @@
+"""What clients were told, held against what the members' log shows."""
+
+from dataclasses import dataclass, field
+
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY", "UNKNOWN")
+
+
+@dataclass
+class Verdict:
+    """Counts of one run; ``problems`` is empty if every rule held."""
+
+    acknowledged: int = 0
+    reads: int = 0
+    refused: int = 0
+    in_doubt: int = 0
+    rolled_back: int = 0
+    faults: int = 0
+    problems: list[str] = field(default_factory=list)
+
+
+class Oracle:
+    """Judges one service. Values are unique, so that a value names its write."""
+
+    def __init__(self) -> None:
+        self.verdict = Verdict()
+        self.acknowledged: dict[str, str] = {}
+        self.rolled_back: set[str] = set()
+        self._committed: dict[str, int] = {}
+        self._promised: set[str] = set()
+        self._together: list[tuple[str, ...]] = []
+        self._order: dict[str, int] = {}
+
+    # What the members did
+
+    def committed(self, writes: list[tuple[str, str]]) -> None:
+        for _, value in writes:
+            self._committed[value] = self._committed.get(value, 0) + 1
+            self._order[value] = len(self._order)
+            if self._committed[value] > 1:
+                self.problem(f"TWICE: {value} took effect twice")
+
+    def undone(self, writes: list[tuple[str, str]]) -> None:
+        for _, value in writes:
+            self.rolled_back.add(value)
+            self.verdict.rolled_back += 1
+
+    # What clients were told
+
+    def answered(self, values: tuple[str, ...], first_line: str) -> None:
+        """Note the answer to a single write, or to the commit of several."""
+        word, _, rest = first_line.partition(" ")
+        code = rest.partition(" ")[0]
+        if word == "DONE":
+            self.verdict.acknowledged += 1
+            self.acknowledged.update(dict.fromkeys(values, "yes"))
+            self._together.append(values)
+        elif word == "ERROR" and code in PROMISES:
+            self.verdict.refused += 1
+            self._promised.update(values)
+        else:
+            self.verdict.in_doubt += 1
+
+    def read(self, seen: str, must_see: list[str]) -> None:
+        """Judge a read of a key; ``must_see`` are its writes acknowledged before, in order."""
+        self.verdict.reads += 1
+        kept = [value for value in must_see if value not in self.rolled_back]
+        if not kept:
+            return
+        if self._order.get(seen, -1) < self._order[kept[-1]]:
+            self.problem(f"STALE: {seen} was read after {kept[-1]}")
+
+    def finish(self, held: set[str]) -> None:
+        """Judge what can be judged only at the end; ``held`` is what the primary's log holds."""
+        for value in self._promised & set(self._committed):
+            self.problem(f"REFUSED: {value} was called not run, and was committed")
+        for value in self.acknowledged:
+            if value not in held and value not in self.rolled_back:
+                self.problem(f"LOST: {value} was acknowledged and is not there")
+        for values in self._together:
+            present = [value in held for value in values]
+            if any(present) and not all(present):
+                self.problem(f"PINNED: only a part of {values} is there")
+
+    def problem(self, text: str) -> None:
+        self.verdict.problems.append(text)
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,269 @@
+"""Clients and faults of one soak."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+
+from tests.soak.oracle import Oracle, Verdict
+from tests.support.line_member import Group, Member
+from tests.support.platform_fleet import LineClient, PlatformFleet, configuration
+
+CONTROLS = 3
+PROXIES = 6
+CLIENTS = 12
+MAXIMUM_CONNECTIONS = 16  # so few that the gateways of a zone share
+FAULT_PAUSE = (0.5, 2.0)  # seconds
+OUTAGE = (0.3, 2.0)
+RECOVERY_SECONDS = 6.0
+DATABASES = ("orders", "carts")
+
+
+class WatchedGroup(Group):
+    """A group that tells an oracle what it commits, and what a promotion undoes."""
+
+    oracle: Oracle
+
+    def commit(self, writes: list[tuple[str, str]]) -> None:
+        self.oracle.committed(writes)
+        super().commit(writes)
+
+    def promote(self, instance: str) -> None:
+        member = self.members[instance]
+        if not member.leads:
+            for _, writes in self.primary.log[len(member.log) :]:
+                self.oracle.undone(writes)
+        super().promote(instance)
+
+
+class SoakClient:
+    """One client with a key of its own: sessions one after the other, on any proxy."""
+
+    def __init__(self, soak: "Soak", number: int) -> None:
+        self.soak = soak
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.key = f"k{number}"
+        self.acknowledged: list[str] = []
+        # Of a route that must see every commit all, else what this session had acknowledged.
+        self.must_see: list[str] = []
+        self.next = 0
+
+    async def run(self) -> None:
+        while not self.soak.over:
+            client = LineClient(self.random.choice(self.soak.fleet.proxy_hosts))
+            try:
+                database = self.random.choice(DATABASES)
+                if (await client.start(database)).startswith("READY"):
+                    self.must_see = self.acknowledged if database == "orders" else []
+                    await self.session(client)
+            except (OSError, TimeoutError, EOFError, ValueError):
+                pass
+            finally:
+                if hasattr(client, "writer"):
+                    client.close()
+            await asyncio.sleep(0.05)
+
+    def value(self) -> str:
+        self.next += 1
+        return f"{self.key}-{self.next}"
+
+    async def session(self, client: LineClient) -> None:
+        for _ in range(self.random.randint(3, 30)):
+            if self.soak.over:
+                return
+            draw = self.random.random()
+            if draw < 0.4:
+                await self.write(client)
+            elif draw < 0.6:
+                await self.transaction(client)
+            else:
+                await self.read(client)
+            await asyncio.sleep(self.random.uniform(0.0, 0.03))
+
+    async def ask(self, client: LineClient, text: str) -> list[str]:
+        """Return the lines of an answer; an empty one stands for no answer."""
+        try:
+            return await client.query(text) or [""]
+        except (OSError, TimeoutError):
+            return [""]
+
+    async def write(self, client: LineClient) -> None:
+        value = self.value()
+        lines = await self.ask(client, f"WRITE {self.key} {value}")
+        self.note((value,), lines)
+
+    def note(self, values: tuple[str, ...], lines: list[str]) -> None:
+        self.soak.oracle.answered(values, lines[0])
+        if lines[0].startswith("DONE"):
+            self.acknowledged.extend(values)
+            if self.must_see is not self.acknowledged:
+                self.must_see.extend(values)
+        elif not lines[0]:
+            raise EOFError
+
+    async def read(self, client: LineClient) -> None:
+        must_see = list(self.must_see)
+        lines = await self.ask(client, f"READ {self.key}")
+        if not lines[0]:
+            raise EOFError
+        if lines[0].startswith("ROW"):
+            self.soak.oracle.read(lines[0].partition(" ")[2], must_see)
+
+    async def transaction(self, client: LineClient) -> None:
+        values = (self.value(), self.value())
+        await self.ask(client, "BEGIN")
+        for value in values:
+            lines = await self.ask(client, f"WRITE {self.key} {value}")
+            if not lines[0].startswith("DONE"):
+                # Its commit is never sent: whatever was said, nothing of it may be kept.
+                self.soak.oracle.answered(values, "ERROR ABORTED")
+                await self.ask(client, "ROLLBACK")
+                if not lines[0]:
+                    raise EOFError
+                return
+        self.note(values, await self.ask(client, "COMMIT"))
+
+
+class Soak:
+    """One run: a fleet, clients, and faults two at a time."""
+
+    def __init__(self, seconds: float, seed: int) -> None:
+        self.seconds = seconds
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.oracle = Oracle()
+        self.over = False
+        self.log: list[str] = []
+
+    async def run(self) -> Verdict:
+        fleet = PlatformFleet(CONTROLS, PROXIES, zones=("a", "b"), group=WatchedGroup("db"))
+        assert isinstance(fleet.group, WatchedGroup)
+        fleet.group.oracle = self.oracle
+        self.fleet = fleet
+        async with fleet:
+            services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
+            await fleet.until(lambda: fleet.put(configuration(2, services=services)), 200)
+            clients = [asyncio.ensure_future(SoakClient(self, n).run()) for n in range(CLIENTS)]
+            faults = [asyncio.ensure_future(self._cause_faults()) for _ in range(2)]
+            await asyncio.sleep(self.seconds)
+            for task in faults:
+                task.cancel()
+            await asyncio.gather(*faults, return_exceptions=True)
+            await self._heal()
+            before = self.oracle.verdict.acknowledged
+            await asyncio.sleep(RECOVERY_SECONDS)
+            if self.oracle.verdict.acknowledged == before:
+                self.oracle.problem("RECOVER: nothing was acknowledged after the faults")
+            self.over = True
+            await asyncio.gather(*clients)
+            self.forwarded = await self._forwarded()
+            held = {value for _, writes in fleet.group.primary.log for _, value in writes}
+            self.oracle.finish(held)
+        return self.oracle.verdict
+
+    async def _forwarded(self) -> int:
+        """Return on how many proxies links to neighbours stand at the end."""
+        count = 0
+        for host in self.fleet.proxy_hosts:
+            count += 'links{state="up"} 0.0' not in await self.fleet.metrics(host)
+        return count
+
+    # Faults
+
+    async def _cause_faults(self) -> None:
+        kinds: list[Callable[[], object]] = [
+            self._kill_proxy,
+            self._freeze_proxy,
+            self._stop_proxy,
+            self._kill_control,
+            self._freeze_control,
+            self._crash_primary,
+            self._deafen_replica,
+        ]
+        while True:
+            await asyncio.sleep(self.random.uniform(*FAULT_PAUSE))
+            kind = self.random.choice(kinds)
+            self.oracle.verdict.faults += 1
+            self.log.append(kind.__name__)
+            await kind()  # type: ignore[misc]
+
+    def _free(self, hosts: list[str]) -> str:
+        """Return a host whose process runs and that no other fault has in hand."""
+        running = [host for host in hosts if host not in self.fleet.busy]
+        return self.random.choice(running) if running else ""
+
+    async def _kill_proxy(self) -> None:
+        await self._end(self.fleet.proxy_hosts, signal.SIGKILL)
+
+    async def _stop_proxy(self) -> None:
+        await self._end(self.fleet.proxy_hosts, signal.SIGTERM)
+
+    async def _kill_control(self) -> None:
+        if not any(host in self.fleet.busy for host in self.fleet.control_hosts):
+            await self._end(self.fleet.control_hosts, signal.SIGKILL)
+
+    async def _end(self, hosts: list[str], how: signal.Signals) -> None:
+        host = self._free(hosts)
+        if not host:
+            return
+        with self.fleet.in_hand(host):
+            process = self.fleet.processes[host]
+            process.send_signal(how)
+            while process.poll() is None:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(self.random.uniform(*OUTAGE))
+            self.fleet.start_again(host)
+            await asyncio.sleep(1.0)
+
+    async def _freeze_proxy(self) -> None:
+        await self._freeze(self.fleet.proxy_hosts)
+
+    async def _freeze_control(self) -> None:
+        if not any(host in self.fleet.busy for host in self.fleet.control_hosts):
+            await self._freeze(self.fleet.control_hosts)
+
+    async def _freeze(self, hosts: list[str]) -> None:
+        host = self._free(hosts)
+        if not host:
+            return
+        with self.fleet.in_hand(host):
+            process = self.fleet.processes[host]
+            process.send_signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(self.random.uniform(*OUTAGE))
+            finally:
+                process.send_signal(signal.SIGCONT)
+
+    async def _crash_primary(self) -> None:
+        primary = self.fleet.group.primary
+        if any(member.connections is None for member in self.fleet.members):
+            return
+        await self._crash(primary)
+
+    async def _crash(self, member: Member) -> None:
+        with self.fleet.in_hand(member.instance):
+            self.fleet.states[member.instance] = "gone"
+            member.stop()
+            await asyncio.sleep(3.0)
+            if member.leads:
+                self.log.append(f"{member.instance} was not replaced within 3 s")
+            await member.start()
+            del self.fleet.states[member.instance]
+
+    async def _deafen_replica(self) -> None:
+        replicas = [member for member in self.fleet.members if not member.leads]
+        member = self.random.choice(replicas)
+        member.deaf = True
+        await asyncio.sleep(self.random.uniform(*OUTAGE))
+        member.deaf = False
+
+    async def _heal(self) -> None:
+        for host, process in self.fleet.processes.items():
+            if process.poll() is not None:
+                self.fleet.start_again(host)
+            else:
+                process.send_signal(signal.SIGCONT)
+        for member in self.fleet.members:
+            member.deaf = False
+            if self.fleet.states.pop(member.instance, "") == "gone":
+                await member.start()
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -194,8 +194,9 @@
             self.state, self.writes = "I", []
             return self.fail("READONLY")
         self.state = "I"
-        if self.writes:
-            self.member.group.commit(self.writes)
+        writes, self.writes = self.writes, []
+        if writes:
+            self.member.group.commit(writes)
         return self.done("sig.commit")
 
     def run_read(self, words: list[str]) -> list[str]:
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -52,10 +53,18 @@
 class PlatformFleet:
     """``controls`` control nodes and ``proxies`` proxies, three members, one promote call."""
 
-    def __init__(self, controls: int, proxies: int) -> None:
+    def __init__(
+        self,
+        controls: int,
+        proxies: int,
+        zones: tuple[str, ...] = ("a",),
+        group: Group | None = None,
+    ) -> None:
+        self.zones = zones
+        self.busy: set[str] = set()
         self.control_hosts = [f"127.0.7.{number + 1}" for number in range(controls)]
         self.proxy_hosts = [f"127.0.8.{number + 1}" for number in range(proxies)]
-        self.group = Group("db")
+        self.group = group or Group("db")
         self.members = [
             Member(self.group, f"i-{number}", f"127.0.9.{number + 1}", MEMBER_PORT, number == 0)
             for number in range(3)
@@ -115,10 +124,26 @@
         ]
         self._start("control", host, lines)
 
+    @contextlib.contextmanager
+    def in_hand(self, name: str) -> Iterator[None]:
+        """Mark a process or member as in the hands of one fault."""
+        self.busy.add(name)
+        try:
+            yield
+        finally:
+            self.busy.discard(name)
+
+    def start_again(self, host: str) -> None:
+        if host in self.control_hosts:
+            self.start_control(host, bootstrap=False)
+        else:
+            self.start_proxy(host)
+
     def start_proxy(self, host: str) -> None:
+        zone = self.zones[self.proxy_hosts.index(host) % len(self.zones)]
         lines = [
             f"name: proxy-{host}",
-            "zone: a",
+            f"zone: {zone}",
             f"listen: {host}:{FRONT_PORT}",
             f"ready_listen: {host}:{READY_PORT}",
             "stop_seconds: 3",
