Tell a lost primary at once; refuse on arrival what no connection can serve in time

Ruled out: more connections (a member has 3 slots; 30 connections already queue before them); ending what waits at 0.7 of the objective (still held). A pool knows how long its connections are in use; who would wait longer than half of the objective is refused when it comes, with a time to come back; reads go to a member with room first.

--- a/src/rowanrail/gateway/channel.py
+++ b/src/rowanrail/gateway/channel.py
@@ -49,6 +49,7 @@
         "in_transaction",
         "instance",
         "last_used",
+        "leased_at",
         "on_closed",
         "prepared",
         "uncertain",
@@ -66,6 +67,7 @@
         self.uncertain = False
         self.in_transaction = False
         self.last_used = 0.0
+        self.leased_at = 0.0
         self.on_closed: Callable[[Channel], None] = lambda channel: None
         self._on_open = on_open
         self._expected: deque[tuple[Respond, bool]] = deque()
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -53,6 +53,12 @@
             self.attempts = 0
             self.retry_later(self._need_floor, busy("no member can serve the read"))
             return
+        if not self.has_place(pool):
+            roomy = self.roomier(self.excluded)
+            if roomy is None:
+                self.refuse_crowded(pool)
+                return
+            pool = roomy
         self.acquire(pool, self._with_channel)
         if self.waiter is not None and not pool.established:
             self._limit_attempt(OPEN_ATTEMPT_SECONDS)
@@ -145,7 +151,10 @@
         primary = self.service.primary_pool()
         if primary is not None and primary.record.instance not in self.excluded:
             self.attempts += 1
-            self.acquire(primary, self._with_channel)
+            if self.has_place(primary):
+                self.acquire(primary, self._with_channel)
+            else:
+                self.refuse_crowded(primary)
             return
         self._choose()
 
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -22,6 +22,9 @@
             self.service.primary.prefetch()
             self.retry_later(self._find_primary, busy("no primary is known"))
             return
+        if not self.has_place(pool):
+            self.refuse_crowded(pool)
+            return
         self.acquire(pool, self._with_channel)
 
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -26,6 +26,8 @@
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
 RETRY_SECONDS = 0.02
+ADMISSION_SHARE = 0.5  # of the objective: who would wait longer for a connection is refused
+COME_BACK_SECONDS = 0.5
 
 
 class Stage(enum.Enum):
@@ -162,6 +164,27 @@
         waiter = self.waiter
         pool.acquire(waiter)
 
+    def has_place(self, pool: MemberPool) -> bool:
+        """Return whether a connection can be had while the statement can still be in time."""
+        waited = self.clock.time() - self.arrived_at
+        left = ADMISSION_SHARE * self.route.objective_seconds - waited
+        return pool.expected_wait_seconds <= max(0.0, left)
+
+    def roomier(self, excluded: set[str]) -> MemberPool | None:
+        """Return the member for a read among those where a connection can be had in time."""
+        pools = self.service.pools.items()
+        crowded = {instance for instance, pool in pools if not self.has_place(pool)}
+        return self.service.choose(excluded | crowded)
+
+    def refuse_crowded(self, pool: MemberPool) -> None:
+        """Refuse, as not run, since all connections are in use for too long."""
+        self.member = pool.record.instance
+        self.stage = Stage.WAITS_FOR_CONNECTION
+        wait = pool.expected_wait_seconds * 1000
+        self.finish(
+            busy(f"{self.member} is crowded for {wait:.0f} ms; retry in {COME_BACK_SECONDS} s")
+        )
+
     def on_channel_closed(self, channel: Channel) -> None:
         """Note that the connection is gone; outstanding commands learn it by their answers."""
 
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -63,6 +63,7 @@
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.failing_until = 0.0
         self.leased = 0
+        self._lease_seconds = INITIAL_LATENCY_SECONDS
         self._error_share = 0.0
         self._error_noted_at = 0.0
         self._driver = driver
@@ -105,12 +106,22 @@
         """
         return self._failures > 0 and (self.is_failing or self.load > 0)
 
+    def note_lease(self, seconds: float) -> None:
+        """Note for how long a connection was in use."""
+        self._lease_seconds += LATENCY_WEIGHT * (seconds - self._lease_seconds)
+
+    @property
+    def expected_wait_seconds(self) -> float:
+        """About how long somebody who comes now waits for a connection."""
+        if self._idle or self.open_count < self._allowed():
+            return 0.0
+        return (len(self._waiting) + 1) * self._lease_seconds / max(1, self.open_count)
+
     def acquire(self, waiter: Waiter) -> None:
         """Give the waiter a connection now or later, or a refusal."""
         channel = self._take_idle(waiter.values)
         if channel is not None:
-            self.leased += 1
-            waiter.respond(channel, Answer())
+            self._lease(channel, waiter)
             return
         self._sequence += 1
         waiter.since = self._clock.time()
@@ -135,6 +146,9 @@
     def release(self, channel: Channel, latency_seconds: float | None = None) -> None:
         """Take a connection back; a closed one, or one with answers outstanding, is dropped."""
         self.leased -= 1
+        if channel.leased_at:
+            self.note_lease(self._clock.time() - channel.leased_at)
+            channel.leased_at = 0.0
         if latency_seconds is not None:
             self.latency_seconds += LATENCY_WEIGHT * (latency_seconds - self.latency_seconds)
         if channel.busy or channel.in_transaction or self._closed or self.open_count >= self.limit:
@@ -157,8 +171,12 @@
             channel = self._take_idle(waiter.values)
             assert channel is not None
             channel.on_closed = lambda channel: None
-            self.leased += 1
-            waiter.respond(channel, Answer())
+            self._lease(channel, waiter)
+
+    def _lease(self, channel: Channel, waiter: Waiter) -> None:
+        self.leased += 1
+        channel.leased_at = self._clock.time()
+        waiter.respond(channel, Answer())
 
     # Transactions that rest
 
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -190,9 +190,16 @@
             if probe.is_open or late_seconds > OPEN_TIMEOUT_SECONDS:
                 self._drop_probe(instance)
                 self._fail(instance)
+        self._raise_alarm(now)
         if self._waiting or in_use and now - self.proved_at > MONITOR_SECONDS:
             self._ask()
 
+    def _raise_alarm(self, now: float) -> None:
+        is_lost = self.failing_since and now - self.failing_since >= ALARM_SECONDS
+        if is_lost and not self._alarmed:
+            self._alarmed = True
+            self.on_alarm()
+
     def prefetch(self) -> None:
         """Ask for a new sample before somebody has to wait for it."""
         self._ask()
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -97,6 +97,11 @@
             self._excluded.clear()
             self.retry_later(self._begin, busy("no member can serve the transaction"))
             return
+        roomy = pool if self.has_place(pool) else self.roomier(self._excluded)
+        if roomy is None:
+            self.refuse_crowded(pool)
+            return
+        pool = roomy
         self._floor: Position | None = max(position, own)
         self.acquire(pool, self._with_channel)
 
@@ -107,6 +112,9 @@
             self.service.primary.prefetch()
             self.retry_later(self._begin, busy("no primary is known"))
             return
+        if not self.has_place(pool):
+            self.refuse_crowded(pool)
+            return
         self._floor = None
         self.acquire(pool, self._with_channel)
 
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -148,6 +148,71 @@
         self.assertTrue(all(client.answers[-1].refusal is None for client in clients))
 
 
+class LostPrimaryTest(unittest.TestCase):
+    def test_it_is_told_at_once_and_so_is_its_return(self):
+        # Found in the logs of a played day: the loss was never told, only polled.
+        played = PlayedGateway()
+        alarms = []
+        played.gateway.on_alarm = lambda: alarms.append(played.clock.now)
+        client = played.client("orders")
+        client.run("WRITE a 1")
+        played.clock.advance(0.1)
+        began = played.clock.now
+        played.primary.silent = True
+        client.ask("READ b")
+        played.clock.advance(0.8)
+        self.assertEqual(len(alarms), 1)
+        self.assertLess(alarms[0] - began, 0.75)
+        self.assertTrue([line for line in played.logs() if '"event":314' in line])
+        played.primary.silent = False
+        played.clock.advance(1.5)
+        self.assertEqual(len(alarms), 2)
+        self.assertTrue([line for line in played.logs() if '"event":315' in line])
+
+
+class AdmissionTest(unittest.TestCase):
+    """What can't be in time is refused when it comes, not after it has waited."""
+
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.pool = self.played.gateway.services["db"].pools["m1"]
+        for _ in range(30):
+            self.pool.note_lease(0.2)
+        self.busy = []
+        self.played.primary.script = [None] * 100
+        for _ in range(self.pool.limit):
+            self.busy.append(self.played.client("orders"))
+            self.busy[-1].ask("WRITE a 1")
+
+    def test_a_write_that_would_wait_too_long_is_refused_at_once(self):
+        later = [self.played.client("orders") for _ in range(60)]
+        for client in later:
+            client.ask("WRITE b 2")
+        refused = [client for client in later if client.answers]
+        self.assertGreater(len(refused), 20)
+        self.assertLess(len(refused), 60)
+        for client in refused:
+            self.assertEqual(client.answers[-1].refusal, Refusal.BUSY)
+            self.assertIn("retry in", client.answers[-1].message)
+
+    def test_a_transaction_is_refused_at_its_first_statement(self):
+        for _ in range(60):
+            self.played.client("orders").ask("WRITE b 2")
+        client = self.played.client("orders")
+        client.run("BEGIN")
+        self.assertEqual(client.run("READ a").refusal, Refusal.BUSY)
+
+    def test_a_read_goes_where_there_is_room(self):
+        for _ in range(60):
+            self.played.client("orders").ask("WRITE b 2")
+        self.assertIsNone(self.played.client("reports").run("READ a", seconds=0.1).refusal)
+
+    def test_short_queues_are_waited_in(self):
+        client = self.played.client("orders")
+        client.ask("WRITE b 2")
+        self.assertEqual(client.answers, [])
+
+
 class RestingTransactionTest(unittest.TestCase):
     """Clients that rest inside transactions hold connections that others wait for."""
 
