Explain requests that ran on a neighbour's connections; keep late connection failures quiet

Cause: explain knew nothing of the gateway whose connections a statement used; a success at a first attempt did not name its member. Change: replies always carry what decided; explain names the gateway, a lost link, and a zone in which no gateway holds connections; the attempt's failure is taken.

--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -6,6 +6,7 @@
 from rowanrail.explain.lines import LogLine
 from rowanrail.gateway import events as gateway_events
 from rowanrail.gateway.model import NOT_RUN, Refusal
+from rowanrail.gateway.operation import Stage
 from rowanrail.kernel import decisions
 
 AROUND_SECONDS = 6.0
@@ -77,7 +78,9 @@
         return line.fields.get("service") == statement.fields.get("service")
     if line.event >= control_events.NODE_STARTED.number:
         return line.event != control_events.DOCUMENT_REFUSED.number
-    return line.process == statement.process
+    if line.event == gateway_events.LINK_LOST.number:
+        return line.process == statement.process
+    return line.process in (statement.process, statement.fields.get("via"))
 
 
 def _promise(outcome: str) -> str:
@@ -96,8 +99,15 @@
     fields = statement.fields
     outcome, reason = fields.get("outcome"), fields.get("reason", "")
     service, member = fields.get("service", "?"), fields.get("member") or "no member"
+    via = fields.get("via")
+    if via:
+        member = f"{member} through {via}"
     if outcome == "done":
         return f"it ran at {member} in {fields.get('milliseconds')} ms"
+    if fields.get("stage") == Stage.WAITS_FOR_HOLDER.value:
+        return f"no gateway of its zone held connections to {service} in time ({reason})"
+    if via and not fields.get("member"):
+        return f"it was sent to gateway {via}, whose link was lost ({reason})"
     lost = _primary_trouble(statement, around)
     if outcome == Refusal.UNKNOWN_DATABASE.value:
         return f"version {fields.get('version')} has no route for {fields.get('database')}"
@@ -128,7 +138,7 @@
     service = statement.fields.get("service", "?")
     text = f": the primary of {service} was lost"
     if failing:
-        text += f" (for {failing} s at this proxy)"
+        text += f" (for {failing} s at {statement.fields.get('via') or 'this proxy'})"
     if decided:
         order = decided[-1].fields
         when = decided[-1].time - statement.time
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -79,6 +79,7 @@
         self._retry: Timer | None = None
         self._link: Link | None = None
         self._call = 0
+        self._sent = False
         self._attempts = 0
         self._peer = ""
         self._told: Trace | None = None
@@ -87,7 +88,7 @@
         """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
         if self._told is not None:
             return msgspec.structs.replace(self._told, via=self._peer)
-        stage = Stage.SENT if self._call else Stage.WAITS_FOR_HOLDER
+        stage = Stage.SENT if self._sent else Stage.WAITS_FOR_HOLDER
         return Trace(self._route.service, stage.value, attempts=self._attempts, via=self._peer)
 
     @property
@@ -98,6 +99,7 @@
         self._statement = statement
         self._respond = respond
         self._told = None
+        self._sent = False
         self._attempts = 0
         self._began = self._work.clock.now
         timeout = self._route.timeout_seconds * 1000
@@ -106,6 +108,7 @@
     def _ask(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
         assert self._statement is not None
         self._attempts += 1
+        self._sent = True
         self._peer = link.peer
         self._link = link
         self._call = link.number_call()
@@ -213,6 +216,7 @@
                 self._finish(self._replied(outcome))
             case Refused(reason=reason):
                 self._call = 0
+                self._sent = False
                 self._place_later(reason)
             case Lost(reason=reason):
                 self._call = 0
@@ -290,6 +294,7 @@
                 self._finish(self._replied(outcome))
             case Refused(reason=reason):
                 self._call = 0
+                self._sent = False
                 self._refused(reason)
             case Lost(reason=reason):
                 self._call = 0
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -84,8 +84,8 @@
     ----------
     floor : Position or None
         The session's own last commit after it.
-    trace : Trace or None
-        How the answer came about; left out for a success at the first attempt.
+    trace : Trace
+        How the answer came about, for the log of the client's gateway.
     """
 
     call: int
@@ -95,7 +95,7 @@
     message: str
     position: Position | None
     floor: Position | None
-    trace: Trace | None
+    trace: Trace
 
 
 class NotServed(msgspec.Struct, tag=12, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -92,7 +92,6 @@
 
 def reply_to(run: Run, answer: Answer, floor: Position | None, trace: Trace) -> Reply:
     """Return the message that answers a statement."""
-    plain = answer.refusal is None and trace.attempts <= 1
     return Reply(
         call=run.call,
         rows=answer.rows,
@@ -101,7 +100,7 @@
         message=answer.message,
         position=answer.position,
         floor=floor,
-        trace=None if plain else trace,
+        trace=trace,
     )
 
 
--- a/src/rowanrail/rpc/tcp.py
+++ b/src/rowanrail/rpc/tcp.py
@@ -217,9 +217,14 @@
         if opening is None:
             opening = asyncio.ensure_future(self._open(address))
             self._opening[address] = opening
-            opening.add_done_callback(lambda _: self._opening.pop(address, None))
+            opening.add_done_callback(lambda task: self._opened(address, task))
         return await asyncio.shield(opening)
 
+    def _opened(self, address: str, task: "asyncio.Task[_Connection]") -> None:
+        self._opening.pop(address, None)
+        if not task.cancelled():
+            task.exception()  # taken, since whoever asked may have given up before
+
     async def _open(self, address: str) -> _Connection:
         host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -10,10 +10,12 @@
 from rowanrail.coordination.events import PROMOTION_DECIDED
 from rowanrail.explain.lines import read_lines
 from rowanrail.explain.story import tell
+from rowanrail.gateway.events import LINK_LOST
 from rowanrail.gateway.model import Answer, Refusal
 from rowanrail.kernel.catalogue import Level
 from rowanrail.kernel.decisions import DecisionLog
 from tests.support.gateway import PlayedGateway
+from tests.support.relay import PlayedZone
 
 
 class ExplainTest(unittest.TestCase):
@@ -79,6 +81,42 @@
         story = self.story(request)
         self.assertIn("m1 of db had no connection free in time", story.cause)
 
+    def test_a_write_whose_link_to_the_holder_was_lost(self):
+        zone = PlayedZone()
+        client = zone.last.client("orders")
+        client.run("WRITE a 1", seconds=0.1)
+        zone.primary.script = [None]
+        client.ask("WRITE b 2")
+        zone.clock.advance(0.05)
+        zone.kill(zone.first)
+        lines = read_lines([*zone.last.logs(), *zone.first.logs()]).lines
+        story = tell("q2", lines)
+        self.assertEqual(story.outcome, Refusal.OUTCOME_UNKNOWN.value)
+        self.assertIn(f"sent to gateway {zone.first.name}, whose link was lost", story.cause)
+        self.assertTrue([line for line in story.around if line.event == LINK_LOST.number])
+
+    def test_refused_while_no_gateway_of_the_zone_held_connections(self):
+        zone = PlayedZone()
+        for one in (zone.first, zone.second):
+            zone.network.frozen.add(one.name)
+        client = zone.last.client("orders")
+        client.run("WRITE a 1", seconds=0.5)
+        lines = read_lines(zone.last.logs()).lines
+        story = tell("q1", lines)
+        self.assertIn("no gateway of its zone held connections to db", story.cause)
+        self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
+
+    def test_what_decided_at_the_holder_is_told_with_its_name(self):
+        zone = PlayedZone()
+        zone.primary.primary = False
+        zone.last.client("orders").run("WRITE a 1", seconds=1.0)
+        lines = read_lines([*zone.last.logs(), *zone.first.logs()]).lines
+        self.assertIn(f" s at {zone.first.name})", tell("q1", lines).cause)
+        zone.primary.primary = True
+        zone.last.client("orders").run("WRITE b 2", seconds=1.0)
+        lines = read_lines([*zone.last.logs(), *zone.first.logs()]).lines
+        self.assertIn(f"it ran at m1 through {zone.first.name}", tell("q1", lines).cause)
+
     def test_a_request_that_no_line_names(self):
         story = self.story("nothing")
         self.assertIn("no line names this request", story.cause)
--- a/tests/unit/test_tcp.py
+++ b/tests/unit/test_tcp.py
@@ -1,6 +1,7 @@
 """Calls over TCP to peers that are silent."""
 
 import asyncio
+import gc
 import unittest
 
 from rowanrail.control.messages import BarrierReply, BarrierRequest
@@ -28,6 +29,24 @@
         await network.close()
         server.close()
 
+    async def test_an_attempt_that_outlives_its_caller_ends_without_a_word(self):
+        # Found on a played day: "Task exception was never retrieved", with its trace, in the log.
+        complaints = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: complaints.append(context))
+        network = TcpNetwork()
+
+        async def fails_late(address):
+            await asyncio.sleep(0.05)
+            raise OSError("unreachable")
+
+        network._open = fails_late
+        with self.assertRaises(TransportError):
+            await network.call("127.0.0.1:1", BarrierRequest(), 0.01)
+        await asyncio.sleep(0.1)
+        gc.collect()
+        self.assertEqual(complaints, [])
+
     async def test_a_slow_call_leaves_the_connection_to_the_others(self):
         network = TcpNetwork()
 
