--- a/src/rowanlab/simulator/relay_network.py
+++ b/src/rowanlab/simulator/relay_network.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from rowanrail.kernel.clock import Clock
 from rowanrail.relay.link import Link
 from rowanrail.relay.messages import FromGateway, FromHolder
@@ -12,6 +14,11 @@
 
 Delay = Callable[[], float]
 
+# Messages are copied through their encoding, so that the two ends share nothing.
+_encoder = msgspec.msgpack.Encoder()
+_gateway_decoder = msgspec.msgpack.Decoder(FromGateway)
+_holder_decoder = msgspec.msgpack.Decoder(FromHolder)
+
 
 class RelayNetwork:
     """All holders by address, and the links between gateways.
@@ -92,7 +99,8 @@
 
     def send(self, message: FromGateway) -> None:
         """See :meth:`rowanrail.relay.link.LinkPort.send`."""
-        self._deliver(lambda: self._to_holder(message))
+        copy = _gateway_decoder.decode(_encoder.encode(message))
+        self._deliver(lambda: self._to_holder(copy))
 
     def close(self) -> None:
         """See :meth:`rowanrail.relay.link.LinkPort.close`."""
@@ -112,7 +120,8 @@
             self._served.receive(message)
 
     def _to_gateway(self, message: FromHolder) -> None:
-        self._deliver(lambda: self._link.receive(message))
+        copy = _holder_decoder.decode(_encoder.encode(message))
+        self._deliver(lambda: self._link.receive(copy))
 
     def _deliver(self, arrive: Callable[[], object]) -> None:
         now = self._network.clock.now
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -1,13 +1,9 @@
-"""Which member leads a service, and samples of its position that prove it.
+"""Which member leads a service, by samples of its position that prove it.
 
-A sample is a position with the moment at which it was asked for. It proves that the member
-still led when it answered: it comes from a plain BEGIN, a write or a commit that the member
-accepted, which a replaced primary refuses. A read whose log holds a sample misses nothing
-that was acknowledged before the sample was asked for.
+A sample proves that the member still led when it answered: it comes from a plain BEGIN, a write
+or a commit that the member accepted, which a replaced primary refuses.
 """
 
-from bisect import bisect_left
-from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -16,6 +12,7 @@
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
 from rowanrail.gateway.policies import LeadershipProof
+from rowanrail.gateway.samples import Sample, SampleHistory
 from rowanrail.proxy.backend import Position
 
 PROBE_TIMEOUT_SECONDS = 0.35
@@ -23,8 +20,6 @@
 SEARCH_SECONDS = 0.1
 MONITOR_SECONDS = 0.5
 RETRY_OPEN_SECONDS = 0.3
-HISTORY_SECONDS = 5.0  # age of the oldest sample that is kept
-HISTORY_STEP_SECONDS = 0.02  # between samples that are kept
 ALARM_SECONDS = 0.26  # of failing: when the control nodes are told at once
 
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
@@ -32,17 +27,6 @@
 GiveFloor = Callable[[Position | None], None]
 
 
-class Sample(msgspec.Struct, frozen=True, gc=False):
-    """The primary's position.
-
-    :param asked_at: steady time in seconds at which it was asked for.
-    """
-
-    asked_at: float
-    position: Position
-    instance: str
-
-
 class PrimaryHealth(msgspec.Struct, frozen=True):
     """What a proxy sees of a service's primary; ages in seconds.
 
@@ -79,7 +63,6 @@
         self, service: str, driver: MemberDriver, clock: Clock, proof: LeadershipProof
     ) -> None:
         self.service = service
-        self.sample: Sample | None = None
         self.believed = ""
         self.proved_at = -1.0
         self.failing_since = 0.0
@@ -91,10 +74,15 @@
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
         self._probes: dict[str, _Probe] = {}
-        self._history: deque[Sample] = deque()
+        self._samples = SampleHistory()
         self._waiting: list[tuple[float, GiveFloor]] = []
         self._search_at = 0.0
 
+    @property
+    def sample(self) -> Sample | None:
+        """The newest proof of the primary's position."""
+        return self._samples.newest
+
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the service's members; the one that calls itself primary is believed first."""
         self._records = {record.instance: record for record in records}
@@ -122,11 +110,7 @@
         """Note that ``instance`` led when it answered what was asked at ``asked_at``."""
         if position is None:
             return
-        known = self.sample
-        if known is None or (asked_at >= known.asked_at and position.term >= known.position.term):
-            highest = position if known is None else max(position, known.position)
-            self._keep(Sample(asked_at, highest, instance))
-        elif position.term < known.position.term:
+        if not self._samples.add(asked_at, position, instance):
             return  # it led when it answered, and has been replaced since
         self.proved_at = self._clock.time()
         self.failing_since = 0.0
@@ -139,28 +123,6 @@
         if self._waiting:
             self._serve_waiting()
 
-    def _keep(self, sample: Sample) -> None:
-        """Take a sample as the newest, and keep older ones of the same term for a while.
-
-        A read that accepts some age is served behind the oldest sample that is young enough, so
-        that replicas that lag less than that can serve it.
-        """
-        history = self._history
-        if self.sample is not None and self.sample.position.term != sample.position.term:
-            history.clear()  # what it shows may have been undone
-        while history and sample.asked_at - history[0].asked_at > HISTORY_SECONDS:
-            history.popleft()
-        if not history or sample.asked_at - history[-1].asked_at >= HISTORY_STEP_SECONDS:
-            history.append(sample)
-        self.sample = sample
-
-    def _oldest_since(self, asked_since: float) -> Sample | None:
-        place = bisect_left(self._history, asked_since, key=lambda sample: sample.asked_at)
-        if place < len(self._history):
-            return self._history[place]
-        newest = self.sample
-        return newest if newest is not None and newest.asked_at >= asked_since else None
-
     def note_not_primary(self, instance: str) -> None:
         """Note that a member refused as one that does not lead."""
         if self.believed == instance:
@@ -181,7 +143,7 @@
 
     def need(self, asked_since: float, give: GiveFloor) -> None:
         """Give a position sampled at ``asked_since`` or later, now or once there is one."""
-        sample = self._oldest_since(asked_since)
+        sample = self._samples.oldest_since(asked_since)
         if sample is not None:
             give(sample.position)
             return
