Use a primary's pool again as soon as it proves to lead

Ruled out: links (all up), samples (proved 0.01 s before), the calls themselves (refused as no primary known). Change: a proof makes the pool forget its failures and open connections for those who wait.

--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -246,6 +246,13 @@
         backoff = min(MINIMUM_BACKOFF_SECONDS * 2**self._failures, MAXIMUM_BACKOFF_SECONDS)
         self.failing_until = self._clock.time() + backoff
 
+    def note_reachable(self) -> None:
+        """Note that the member answers on another connection: nothing need be waited out."""
+        if self.is_failing:
+            self._failures = 0
+            self.failing_until = 0.0
+            self._open_for_waiting()
+
     def note_silence(self) -> None:
         """Note that the member left a command unanswered."""
         self._note_failure()
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -68,6 +68,7 @@
         self.failing_since = 0.0
         self.on_primary: Callable[[], None] = lambda: None
         self.on_alarm: Callable[[], None] = lambda: None
+        self.on_proof: Callable[[str], None] = lambda instance: None
         self._alarmed = False
         self._driver = driver
         self._proof = proof
@@ -114,6 +115,7 @@
             return  # it led when it answered, and has been replaced since
         self.proved_at = self._clock.time()
         self.failing_since = 0.0
+        self.on_proof(instance)
         if self._alarmed:
             self._alarmed = False
             self.on_alarm()
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -29,6 +29,7 @@
         self.spec = spec
         self.policies = policies
         self.primary = PrimaryTracker(spec.name, driver, clock, policies.leadership_proof)
+        self.primary.on_proof = self._note_proof
         self.pools: dict[str, MemberPool] = {}
         self.used_at = -IN_USE_SECONDS
         self._locality = locality
@@ -103,6 +104,11 @@
                 best, best_cost = pool, cost
         return best
 
+    def _note_proof(self, instance: str) -> None:
+        pool = self.pools.get(instance)
+        if pool is not None:
+            pool.note_reachable()
+
     def tick(self) -> None:
         """Let time pass."""
         self.primary.tick(self.in_use)
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -205,6 +205,25 @@
         self.assertEqual(len(alarms), 2)
         self.assertTrue([line for line in played.logs() if '"event":315' in line])
 
+    def test_writes_go_on_as_soon_as_it_proves_to_lead_again(self):
+        # Found by the simulator (relayed-statements, seeds 294, 331, 471): the pool of a primary
+        # that had come back was left alone for up to 2 s more, and with it a whole zone.
+        played = PlayedGateway()
+        client = played.client("orders")
+        client.run("WRITE a 1")
+        played.primary.reachable = False
+        for wire in played.primary.open_wires():
+            wire.channel.lost("reset")
+        client.run("WRITE b 2", seconds=1.1)
+        pool = played.gateway.services["db"].pools["m1"]
+        for _ in range(6):
+            pool.note_silence()
+        self.assertGreater(pool.failing_until, played.clock.now + 1.5)
+        played.primary.reachable = True
+        played.clock.advance(0.45)  # the probe is repeated each 0.3 s
+        self.assertGreater(played.gateway.services["db"].primary.proved_at, played.clock.now - 0.4)
+        self.assertIsNone(client.run("WRITE c 3", seconds=0.1).refusal)
+
 
 class AdmissionTest(unittest.TestCase):
     """What can't be in time is refused when it comes, not after it has waited."""
