--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -106,7 +106,7 @@
         return f"it ran at {member} in {fields.get('milliseconds')} ms"
     if fields.get("stage") == Stage.WAITS_FOR_HOLDER.value:
         return f"no gateway of its zone held connections to {service} in time ({reason})"
-    if via and not fields.get("member"):
+    if via and not fields.get("member") and fields.get("stage") == Stage.SENT.value:
         return f"it was sent to gateway {via}, whose link was lost ({reason})"
     lost = _primary_trouble(statement, around)
     if outcome == Refusal.UNKNOWN_DATABASE.value:
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -106,6 +106,19 @@
         self.assertIn("no gateway of its zone held connections to db", story.cause)
         self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
 
+    def test_waiting_for_a_sample_at_the_holder_is_no_lost_link(self):
+        # Found by hand on a played day.
+        zone = PlayedZone()
+        client = zone.last.client("orders")
+        client.run("WRITE a 1", seconds=0.1)
+        zone.primary.silent = True
+        zone.clock.advance(0.1)
+        client.run("READ b", seconds=1.0)
+        lines = read_lines([*zone.last.logs(), *zone.first.logs()]).lines
+        story = tell("q2", lines)
+        self.assertEqual(story.outcome, Refusal.BUSY.value)
+        self.assertIn("it could not run: the primary of db was lost", story.cause)
+
     def test_what_decided_at_the_holder_is_told_with_its_name(self):
         zone = PlayedZone()
         zone.primary.primary = False
