--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -8,6 +8,8 @@
 from rowanrail.consensus.progress import PendingReads, ProgressTable
 from rowanrail.consensus.raft_types import Effects, RaftConfig, Role
 
+FIRST_ELECTION_LEAST = 0.1  # share of the longest first wait that a node waits in any case
+
 
 class RaftState:
     """Term, role, log and what is known of the other nodes; see :class:`raft.Raft`."""
@@ -45,7 +47,7 @@
         self._became_leader_at = now
         self._election_due = self._next_election(now)
         if config.first_election_seconds is not None:
-            share = randomness.uniform(0.5, 1.0)
+            share = randomness.uniform(FIRST_ELECTION_LEAST, 1.0)
             self._election_due = now + config.first_election_seconds * share
 
     # Views
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -178,6 +178,7 @@
     :param gateways: how many gateways there are, in ``zones`` zones.
     :param neighbours: the gateways of the asking gateway's zone, with ``members``.
     :param controls: addresses of all control nodes.
+    :param zone: where the answering node stands.
     """
 
     current: bool
@@ -189,3 +190,4 @@
     zones: int
     neighbours: list[GatewayRecord]
     controls: list[str]
+    zone: str = ""
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -35,7 +35,7 @@
 
 CLUSTER = "gateways"
 JOIN_SECONDS = 0.3
-FIRST_ELECTION_SECONDS = 0.3
+FIRST_ELECTION_SECONDS = 0.2
 REPEATED_ELECTION_SECONDS = 0.45
 JOIN_CALL_SECONDS = 1.0
 UNHEARD_SECONDS = 2.5
@@ -91,7 +91,7 @@
         incarnation = self._registry.create("coordination-guard", "incarnation")
         self.state = CoordinationState(monotonic, incarnation, fence)
         self.consensus = self._create_consensus(identity)
-        self.service = CoordinationService(self.consensus, self.state, self._network)
+        self.service = CoordinationService(self.consensus, self.state, self._network, settings.zone)
         self.service.members = VoterManager(
             self.consensus, CLUSTER, settings.voters, self.service.now
         )
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -50,14 +50,17 @@
 class CoordinationService:
     """Handles messages of gateways and control nodes, and what the outside asks."""
 
-    def __init__(self, node: ConsensusNode, state: CoordinationState, network: Network) -> None:
+    def __init__(
+        self, node: ConsensusNode, state: CoordinationState, network: Network, zone: str = ""
+    ) -> None:
         self.node = node
         self.state = state
         self.members = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
         self._network = network
+        self._zone = zone
         self._changed = asyncio.Event()
-        self._seen = (0, 0)
+        self._seen = (0, 0, False)
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
         ] = {
@@ -240,7 +243,7 @@
 
     def notice_change(self) -> None:
         """Wake the watches if something changed."""
-        seen = (self.state.version, self.state.revision)
+        seen = (self.state.version, self.state.revision, self.is_current)
         if seen != self._seen:
             self._seen = seen
             self._changed.set()
@@ -255,7 +258,7 @@
         self.liveness.report(request.report)
         self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         deadline = self.now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
-        while self.is_current and not self._has_news(request):
+        while not self._may_answer(request):
             changed = self._changed
             try:
                 async with asyncio.timeout_at(deadline):
@@ -264,6 +267,16 @@
                 break
         return self._directory(request)
 
+    def _may_answer(self, request: DirectoryRequest) -> bool:
+        """Return whether to answer before the request's hold is over.
+
+        A gateway that follows a node which is not sure goes on to the next one; one that has
+        just started asks all nodes, and each answers once it is sure.
+        """
+        if self.is_current:
+            return self._has_news(request)
+        return request.known_version > 0 and request.known_revision >= 0
+
     def _has_news(self, request: DirectoryRequest) -> bool:
         return (
             self.state.version > request.known_version
@@ -284,6 +297,7 @@
             zones=state.zones,
             neighbours=self._neighbours(request.report.zone) if changed else [],
             controls=sorted(self.node.raft.membership.addresses().values()),
+            zone=self._zone,
         )
 
     def _neighbours(self, zone: str) -> list[GatewayRecord]:
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -116,6 +116,7 @@
         registry.create("configuration-format", settings.protocol),
         make_report,
         decisions,
+        locality,
     )
 
     gateway.on_alarm = watch.report_now
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -1,7 +1,8 @@
-"""How a gateway follows its control nodes: long polls at one of them at a time.
+"""How a gateway follows its control nodes: long polls at the nearest that can answer.
 
-A node that hears no leader says so, and the gateway asks the next one. What is taken only
-ever grows: a lower version or revision is left aside.
+A gateway that starts asks all of them at once and takes the first answer that is sure; then it
+follows one. A node that hears no leader says so, and the gateway asks the next one. What is taken
+only ever grows: a lower version or revision is left aside.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.events import CONTROL_LOST, CONTROL_REGAINED
 from rowanrail.gateway.gateway import Gateway
+from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import ConfigurationFormat, MemberRecord
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import TransportError
@@ -25,6 +27,9 @@
 CALL_SECONDS = 0.6  # for the way there and back, on top of the hold
 RETRY_SECONDS = 0.1
 UNSURE_START_SECONDS = 3.0
+START_HOLD_SECONDS = 1.0  # a control node that has just started knows a leader within it
+START_RETRY_SECONDS = 0.05
+RETURN_SECONDS = 2.0  # between looks at nearer control nodes than the one that is followed
 
 
 class DirectoryWatch:
@@ -38,6 +43,7 @@
         configuration_format: ConfigurationFormat,
         make_report: Callable[[], GatewayReport],
         decisions: DecisionLog,
+        locality: Locality,
     ) -> None:
         self._gateway = gateway
         self._network = network
@@ -46,10 +52,13 @@
         self._format = configuration_format
         self._make_report = make_report
         self._decisions = decisions
+        self._locality = locality
+        self._zones: dict[str, str] = {}
         self._version = 0
         self._revision = -1
         self._silent = False
         self._started_at = 0.0
+        self._return_due = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -72,16 +81,71 @@
         self._network.notify(self._controls[0], self._make_report())
 
     async def _run(self) -> None:
+        await self._make_first_contact()
         while True:
+            await self._return_nearer()
             address = self._controls[0]
-            if await self._poll(address):
+            if await self._poll(address, HOLD_SECONDS):
                 continue
             self._controls.append(self._controls.pop(0))
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _poll(self, address: str) -> bool:
+    # The start
+
+    @property
+    def _is_informed(self) -> bool:
+        return self._version > 0 and self._revision >= 0
+
+    async def _make_first_contact(self) -> None:
+        """Ask all control nodes until one of them gave a configuration and the members.
+
+        After a loss of all power nobody knows which node will be there, and lead, first.
+        """
+        asked: dict[str, asyncio.Task[None]] = {}
+        try:
+            while not self._is_informed:
+                for address in self._controls:
+                    if address not in asked:
+                        asked[address] = asyncio.ensure_future(self._ask_until_informed(address))
+                await asyncio.wait(
+                    asked.values(), timeout=RETURN_SECONDS, return_when=asyncio.FIRST_COMPLETED
+                )
+        finally:
+            for task in asked.values():
+                task.cancel()
+
+    async def _ask_until_informed(self, address: str) -> None:
+        while not self._is_informed:
+            if await self._poll(address, START_HOLD_SECONDS) and self._is_informed:
+                self._put_first(address)
+                return
+            await asyncio.sleep(START_RETRY_SECONDS)
+
+    def _put_first(self, address: str) -> None:
+        self._controls = [address, *(c for c in self._controls if c != address)]
+
+    # Nearer nodes
+
+    def _distance(self, address: str) -> float:
+        """Return how far a control node is; one that was never heard is worth a look."""
+        zone = self._zones.get(address)
+        return 0.0 if zone is None else self._locality.factor(zone)
+
+    async def _return_nearer(self) -> None:
+        """Follow a nearer control node again, if one answers and is sure."""
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._return_due:
+            return
+        self._return_due = loop.time() + RETURN_SECONDS
+        current = self._controls[0]
+        nearest = min(self._controls, key=self._distance)
+        if nearest == current or not await self._poll(nearest, 0.0):
+            return
+        if self._distance(nearest) < self._distance(current):  # its zone may be news
+            self._put_first(nearest)
+
+    async def _poll(self, address: str, hold_seconds: float) -> bool:
         """Ask one control node for what is newer; return whether to stay with it."""
-        hold_seconds = HOLD_SECONDS if self._version and self._revision >= 0 else 0.2
         request = DirectoryRequest(self._make_report(), self._version, self._revision, hold_seconds)
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
@@ -91,6 +155,7 @@
         if not isinstance(reply, DirectoryReply):
             self._note_lost(address, f"unexpected {type(reply).__name__}")
             return False
+        self._zones[address] = reply.zone
         if reply.current or self._may_take_old():
             self._take(address, reply)
         if not reply.current:
@@ -139,6 +204,7 @@
         wanted = dict.fromkeys([*controls, *self._seeds])
         kept = [control for control in self._controls if control in wanted]
         self._controls = kept + [control for control in wanted if control not in kept]
+        self._zones = {c: zone for c, zone in self._zones.items() if c in wanted}
 
 
 def _directory(reply: DirectoryReply, members: list[MemberRecord]) -> Directory:
--- a/src/rowanrail/rpc/tcp.py
+++ b/src/rowanrail/rpc/tcp.py
@@ -18,7 +18,7 @@
 )
 from rowanrail.rpc.network import Handler, Listener, Network
 
-CONNECT_TIMEOUT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 0.3  # an opening packet that was lost is sent again after a second
 UNACKNOWLEDGED_MILLISECONDS = 1500  # after it the kernel gives a connection up
 MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
 _LENGTH = struct.Struct("<I")
