--- a/src/rowanrail/consensus/messages.py
+++ b/src/rowanrail/consensus/messages.py
@@ -1,4 +1,7 @@
-"""Messages and records of the replicated log (Raft: Ongaro and Ousterhout, 2014)."""
+"""Messages and records of the replicated log (Raft: Ongaro and Ousterhout, 2014).
+
+What is sent ten times a second goes as an array: names of fields are most of a heartbeat.
+"""
 
 import enum
 
@@ -52,7 +55,7 @@
 
 
 @message
-class VoteRequest(msgspec.Struct, frozen=True):
+class VoteRequest(msgspec.Struct, frozen=True, array_like=True):
     """A candidate asks for a vote; ``preliminary`` asks without raising any term."""
 
     sender: str
@@ -63,7 +66,7 @@
 
 
 @message
-class VoteReply(msgspec.Struct, frozen=True):
+class VoteReply(msgspec.Struct, frozen=True, array_like=True):
     """Answer to :class:`VoteRequest`."""
 
     sender: str
@@ -73,7 +76,7 @@
 
 
 @message
-class AppendRequest(msgspec.Struct, frozen=True):
+class AppendRequest(msgspec.Struct, frozen=True, array_like=True):
     """Entries, or a heartbeat, from the leader. ``round`` confirms reads."""
 
     sender: str
@@ -86,7 +89,7 @@
 
 
 @message
-class AppendReply(msgspec.Struct, frozen=True):
+class AppendReply(msgspec.Struct, frozen=True, array_like=True):
     """Answer to :class:`AppendRequest`; ``match`` is a hint for retry when refused."""
 
     sender: str
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -21,9 +21,9 @@
     AttemptView,
     Decision,
     MemberView,
-    ReportView,
     ServiceView,
     decide,
+    report_view,
 )
 from rowanrail.coordination.member_questions import MemberQuestions, MemberStatus, StatusReader
 from rowanrail.coordination.messages import GatewayRecord, IntendPromotion, Promotion, SetGateways
@@ -213,9 +213,7 @@
                 )
             )
         health = self._trackers[service].health()
-        own = ReportView(
-            OWN_SOURCE, health.instance, health.proved_ago, health.failing_for, age=0.0
-        )
+        own = report_view(OWN_SOURCE, health, age=0.0)
         holding_since = now if self._holding_since is None else self._holding_since
         return ServiceView(
             service,
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from rowanrail.gateway.model import MemberRecord
+from rowanrail.gateway.primary import PrimaryHealth
 from rowanrail.proxy.backend import Position
 
 FAILING_SECONDS = 0.25
@@ -50,6 +51,12 @@
     age: float
 
 
+def report_view(source: str, health: PrimaryHealth, age: float) -> ReportView:
+    """Return what a vantage point said ``age`` seconds ago."""
+    proved_ago = health.proved_ago_ms / 1000 if health.proved_ago_ms >= 0 else -1.0
+    return ReportView(source, health.instance, proved_ago, health.failing_for_ms / 1000, age)
+
+
 class AttemptView(msgspec.Struct, frozen=True):
     """The last promotion that this holder asked for.
 
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rowanrail.coordination.failover import ReportView
+from rowanrail.coordination.failover import ReportView, report_view
 from rowanrail.coordination.messages import GatewayRecord, GatewayReport
 
 FORGET_GATEWAY_SECONDS = 12.0
@@ -73,7 +73,7 @@
         """Return what the gateways say of a service's primary."""
         now = self._now()
         return [
-            ReportView(name, health.instance, health.proved_ago, health.failing_for, now - heard.at)
+            report_view(name, health, now - heard.at)
             for name, heard in self._reports.items()
             for health in heard.report.services
             if health.service == service
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -131,7 +131,7 @@
 
 
 @message
-class HeartbeatNotice(msgspec.Struct, frozen=True):
+class HeartbeatNotice(msgspec.Struct, frozen=True, array_like=True):
     """A member whose record did not change is alive."""
 
     instance: str
@@ -139,17 +139,14 @@
 
 
 @message
-class GatewayReport(msgspec.Struct, frozen=True):
+class GatewayReport(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway sees; sent on to the leader.
 
-    :param incarnation: changes with each start of the gateway.
     :param hops: 1 once a control node has sent it on.
     """
 
     gateway: str
-    incarnation: str
     zone: str
-    version: int
     services: list[PrimaryHealth]
     hops: int = 0
     relay_address: str = ""
@@ -159,7 +156,7 @@
 
 
 @message
-class DirectoryRequest(msgspec.Struct, frozen=True):
+class DirectoryRequest(msgspec.Struct, frozen=True, array_like=True):
     """Tell what is newer than the gateway knows, within ``hold_seconds``."""
 
     report: GatewayReport
@@ -169,7 +166,7 @@
 
 
 @message
-class DirectoryReply(msgspec.Struct, frozen=True):
+class DirectoryReply(msgspec.Struct, frozen=True, array_like=True):
     """What is newer.
 
     :param current: whether this node hears a leader; else the gateway asks another node.
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import random
 import signal
 from collections.abc import Callable
 
@@ -96,17 +95,10 @@
     holder_server = TcpHolderServer(holder)
     relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
-    incarnation = f"{random.getrandbits(48):012x}"
 
     def make_report() -> GatewayReport:
-        version = gateway.configuration.version if gateway.configuration else 0
         return GatewayReport(
-            settings.name,
-            incarnation,
-            settings.zone,
-            version,
-            gateway.health(),
-            relay_address=relay_address,
+            settings.name, settings.zone, gateway.health(), relay_address=relay_address
         )
 
     watch = DirectoryWatch(
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -29,7 +29,7 @@
 
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
-            self.service.primary.note_failure(self.service.primary.believed)
+            self.service.primary.note_refused_connection(answer)
             self.retry_later(self._find_primary, busy(answer.message))
             return
         commands = self.replay(channel)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -101,10 +101,13 @@
         raise NotImplementedError
 
     def on_hold(self) -> None:
-        """Refuse what nobody could run so far if the primary is lost."""
-        if self.channel is None and self.service.primary.failing_since:
-            self.service.primary.forget(self.floor_callback())
-            self.finish(busy("the primary is lost; retry in 1 s"))
+        """Refuse what nobody could run so far if the primary is lost, or has no connection left."""
+        tracker = self.service.primary
+        if self.channel is not None or not (tracker.failing_since or tracker.is_crowded):
+            return
+        tracker.forget(self.floor_callback())
+        state = "is lost" if tracker.failing_since else "has no connection left"
+        self.finish(busy(f"the primary {state}; retry in 1 s"))
 
     def floor_callback(self) -> Callable[[Position | None], None] | None:
         """Return what waits for a sample of the primary, if anything does."""
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -19,6 +19,7 @@
 INITIAL_LATENCY_SECONDS = 0.02
 PRESSURE_SECONDS = 0.04  # of waiting for a connection, while transactions rest on theirs
 LONG_REST_SECONDS = 0.5
+SAMPLE_PRIORITY = -1  # all reads wait for a sample
 ERROR_WEIGHT = 0.2  # of the newest answer in the share of answers that were errors
 ERROR_DECAY_SECONDS = 2.0  # after it a share without new answers has shrunk to 1/e
 
@@ -52,6 +53,34 @@
         self.since = 0.0
 
 
+class PoolLoan:
+    """A connection of a pool that is wanted, or used, for a sample of the member's position.
+
+    Parameters
+    ----------
+    pool : MemberPool
+        The member's connections.
+    """
+
+    def __init__(self, pool: "MemberPool") -> None:
+        self._pool = pool
+        self._waiter: Waiter | None = None
+
+    def request(self, take: Callable[[Channel | None, Answer], None]) -> None:
+        """See :meth:`rowanrail.gateway.primary.Loan.request`."""
+        self._waiter = Waiter(SAMPLE_PRIORITY, {}, take)
+        self._pool.acquire(self._waiter)
+
+    def cancel(self) -> None:
+        """See :meth:`rowanrail.gateway.primary.Loan.cancel`."""
+        if self._waiter is not None:
+            self._pool.cancel(self._waiter)
+
+    def give_back(self, channel: Channel) -> None:
+        """See :meth:`rowanrail.gateway.primary.Loan.give_back`."""
+        self._pool.release(channel)
+
+
 class MemberPool:
     """Connections to one member, at most ``limit`` open or being opened."""
 
@@ -106,6 +135,11 @@
         """
         return self._failures > 0 and (self.is_failing or self.load > 0)
 
+    @property
+    def can_lend(self) -> bool:
+        """Whether a connection can be had without waiting for one that is in use."""
+        return bool(self._idle) or (not self.is_failing and self.open_count < self._allowed())
+
     def note_lease(self, seconds: float) -> None:
         """Note for how long a connection was in use."""
         self._lease_seconds += LATENCY_WEIGHT * (seconds - self._lease_seconds)
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -2,25 +2,32 @@
 
 A sample proves that the member still led when it answered: it comes from a plain BEGIN, a write
 or a commit that the member accepted, which a replaced primary refuses.
+
+Samples are asked for on connections that are open for statements anyway, as far as one is free:
+connections are scarce, most of all when all gateways restart at once. A member that has none left
+is alive, so that nobody may take it for lost.
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
 from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.clock import Clock
-from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord
+from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord, Refusal
 from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.gateway.samples import Sample, SampleHistory
 from rowanrail.proxy.backend import Position
 
 PROBE_TIMEOUT_SECONDS = 0.35
-OPEN_TIMEOUT_SECONDS = 1.2
+OPEN_TIMEOUT_SECONDS = 0.8  # an opening packet that was lost is sent again only after a second
 SEARCH_SECONDS = 0.1
 FAILING_SEARCH_SECONDS = 0.15  # between looks at all members while the primary fails
 MONITOR_SECONDS = 0.5
 RETRY_OPEN_SECONDS = 0.3
+OWN_SECONDS = 5.0  # for which a connection of its own is kept, though the pool could lend one
+RETRY_CROWDED_SECONDS = 0.1  # connections of others end all the time
 ALARM_SECONDS = 0.26  # of failing: when the control nodes are told at once
 
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
@@ -28,34 +35,77 @@
 GiveFloor = Callable[[Position | None], None]
 
 
-class PrimaryHealth(msgspec.Struct, frozen=True):
-    """What a proxy sees of a service's primary; ages in seconds.
+class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
+    """What a proxy sees of a service's primary; ages in whole milliseconds.
 
-    :param proved_ago: since the last proof that it leads; -1 if there was none.
-    :param failing_for: how long all attempts have failed; 0 if the last one succeeded.
+    :param proved_ago_ms: since the last proof that it leads; -1 if there was none.
+    :param failing_for_ms: how long all attempts have failed; 0 if the last one succeeded.
     """
 
     service: str
     instance: str
-    proved_ago: float
-    failing_for: float
+    proved_ago_ms: int
+    failing_for_ms: int
+
+
+class Loan(Protocol):
+    """A connection of a pool, wanted or in use for a sample."""
+
+    def request(self, take: Callable[[Channel | None, Answer], None]) -> None:
+        """Ask for it, before all who wait for one to run statements."""
+
+    def cancel(self) -> None:
+        """Want it no longer; nobody is called."""
+
+    def give_back(self, channel: Channel) -> None:
+        """Give it back, or drop it if it is closed."""
+
+
+class Lender(Protocol):
+    """Lends connections that are open for statements anyway."""
+
+    def can_lend(self, instance: str) -> bool:
+        """Return whether a connection to a member can be had at once."""
+
+    def loan(self, instance: str) -> Loan | None:
+        """Return a loan at a member, None if the member isn't known."""
 
 
 class _Probe:
-    """The connection that samples one member."""
+    """The connection that samples one member: its own, or one that is borrowed each time."""
 
     def __init__(self, record: MemberRecord) -> None:
         self.record = record
         self.channel: Channel | None = None
+        self.loan: Loan | None = None
         self.is_open = False
         self.asked_at = 0.0
         self.in_flight = False
+        self.opened_at = 0.0
         self.retry_at = 0.0
+        self.is_crowded = False
+
+    @property
+    def waits_for_loan(self) -> bool:
+        """Whether it stands in line for a connection of the pool."""
+        return self.loan is not None and self.channel is None
 
     def channel_closed(self) -> bool:
         """Return whether the connection is gone."""
         return self.channel is None or self.channel.closed
 
+    def give_back(self) -> None:
+        """Give a borrowed connection back, or leave the line."""
+        loan, self.loan = self.loan, None
+        if loan is None:
+            return
+        channel, self.channel = self.channel, None
+        self.is_open = False
+        if channel is None:
+            loan.cancel()
+        else:
+            loan.give_back(channel)
+
 
 class PrimaryTracker:
     """Finds the primary of one service and keeps its newest sample."""
@@ -70,6 +120,7 @@
         self.on_primary: Callable[[], None] = lambda: None
         self.on_alarm: Callable[[], None] = lambda: None
         self.on_proof: Callable[[str], None] = lambda instance: None
+        self.lender: Lender | None = None
         self._alarmed = False
         self._driver = driver
         self._proof = proof
@@ -104,8 +155,9 @@
     def health(self) -> PrimaryHealth:
         """Return what to report of the primary."""
         now = self._clock.time()
-        proved_ago = now - self.proved_at if self.proved_at >= 0 else -1.0
-        failing_for = now - self.failing_since if self.failing_since else 0.0
+        proved_ago = round(1000 * (now - self.proved_at)) if self.proved_at >= 0 else -1
+        # A failure of less than a millisecond is one all the same.
+        failing_for = max(1, round(1000 * (now - self.failing_since))) if self.failing_since else 0
         return PrimaryHealth(self.service, self.believed, proved_ago, failing_for)
 
     # Proofs
@@ -142,6 +194,11 @@
         if self.believed == instance or not self.believed:
             self._note_failing()
 
+    def note_refused_connection(self, answer: Answer) -> None:
+        """Note why no connection to the primary could be had; only silence counts against it."""
+        if answer.refusal is Refusal.LOST:
+            self.note_failure(self.believed)
+
     def _note_failing(self) -> None:
         if not self.failing_since:
             self.failing_since = self._clock.time()
@@ -180,6 +237,9 @@
             late_seconds = now - probe.asked_at if probe.in_flight else 0.0
             if late_seconds <= PROBE_TIMEOUT_SECONDS:
                 continue
+            if probe.waits_for_loan:
+                self._stop_waiting(probe)
+                continue
             self.note_failure(instance)
             # A member in demand takes its time to open a connection; another one would only
             # stand further back in its queue.
@@ -231,45 +291,126 @@
         probe.asked_at = now
         if probe.is_open:
             self._send(probe)
-            return
+        elif not self._borrow(probe):
+            self._open(probe)
+
+    def _open(self, probe: _Probe) -> None:
+        record = probe.record
 
         def on_open(channel: Channel, answer: Answer) -> None:
             if probe.channel is not channel:
                 return
+            if answer.refusal is Refusal.TOO_MANY_CONNECTIONS:
+                self._note_crowded(probe)
+                return
             if answer.refusal is not None:
                 self._drop_probe(record.instance)
                 self._fail(record.instance)
                 return
             probe.is_open = True
-            probe.asked_at = self._clock.time()
+            probe.is_crowded = False
+            probe.opened_at = probe.asked_at = self._clock.time()
             self._send(probe)
 
         probe.channel = Channel(record.address, record.instance, on_open)
         probe.channel.on_closed = lambda channel: self._on_closed(record.instance, channel)
         self._driver.open(record.address, record.service, record.instance, probe.channel)
 
+    def _note_crowded(self, probe: _Probe) -> None:
+        """Note that the member is alive, but has no connection left."""
+        probe.channel = None
+        probe.in_flight = False
+        probe.is_crowded = True
+        probe.retry_at = self._clock.time() + RETRY_CROWDED_SECONDS
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether the primary had no connection left for a sample a moment ago."""
+        probe = self._probes.get(self.believed)
+        return probe is not None and probe.is_crowded
+
+    def _may_borrow(self, probe: _Probe) -> bool:
+        instance = probe.record.instance
+        if self.lender is None or instance != self.believed or self.failing_since:
+            return False
+        return probe.is_crowded or self.lender.can_lend(instance)
+
+    def _borrow(self, probe: _Probe) -> bool:
+        """Ask for a connection of the pool; return False if the probe is to open its own."""
+        if self.lender is None or not self._may_borrow(probe):
+            return False
+        probe.loan = self.lender.loan(probe.record.instance)
+        if probe.loan is None:
+            return False
+
+        def take(channel: Channel | None, answer: Answer) -> None:
+            if channel is None:
+                self._lend_refused(probe, answer)
+                return
+            channel.on_closed = lambda channel: None  # its answers tell the loss
+            probe.channel = channel
+            probe.is_open = True
+            probe.is_crowded = False
+            probe.asked_at = self._clock.time()
+            self._send(probe)
+
+        probe.loan.request(take)
+        return True
+
+    def _lend_refused(self, probe: _Probe, answer: Answer) -> None:
+        probe.loan = None
+        if answer.refusal is Refusal.LOST:
+            self._drop_probe(probe.record.instance)
+            self._fail(probe.record.instance)
+        else:
+            self._note_crowded(probe)
+
+    def _stop_waiting(self, probe: _Probe) -> None:
+        """Leave the line for a connection of the pool; the next attempt opens one."""
+        probe.give_back()
+        probe.in_flight = False
+        probe.is_crowded = False
+
     def _send(self, probe: _Probe) -> None:
         assert probe.channel is not None
         asked_at = probe.asked_at
         instance = probe.record.instance
 
+        begun = Answer(refusal=Refusal.LOST)
+
         def on_begin(answer: Answer) -> None:
-            if self._proof.is_proof(answer):
-                self.note_proof(instance, asked_at, answer.position)
-            elif probe.channel is not None and not probe.channel.closed:
-                self.note_not_primary(instance)
+            nonlocal begun
+            begun = answer
 
         def on_end(answer: Answer) -> None:
+            is_lost = probe.channel_closed()
+            probe.give_back()  # before the proof, which has reads ask for connections
+            if self._proof.is_proof(begun):
+                self.note_proof(instance, asked_at, begun.position)
+            elif begun.refusal is Refusal.NOT_PRIMARY:
+                self.note_not_primary(instance)
             if self._probes.get(instance) is not probe:
                 return
             probe.in_flight = False
-            if self._waiting and not probe.channel_closed():
+            if is_lost and probe.channel is None:
+                self._drop_probe(instance)
+                self._fail(instance)
+            elif self._waiting and not is_lost:
                 self._ask()
-            elif not (self._waiting or self.failing_since or self.believed in ("", instance)):
+            elif self._is_needless(probe):
                 self._drop_probe(instance)
 
         probe.channel.send(_PROBE, [on_begin, on_end])
 
+    def _is_needless(self, probe: _Probe) -> bool:
+        """Return whether a probe's own connection may be closed."""
+        if self._waiting or self.failing_since or not self.believed:
+            return False
+        if self.believed != probe.record.instance:
+            return True
+        age = self._clock.time() - probe.opened_at
+        return probe.is_open and age > OWN_SECONDS and self._may_borrow(probe)
+
     def _on_closed(self, instance: str, channel: Channel) -> None:
         probe = self._probes.get(instance)
         if probe is not None and probe.channel is channel:
@@ -278,9 +419,12 @@
 
     def _drop_probe(self, instance: str) -> None:
         probe = self._probes.pop(instance, None)
-        if probe is not None and probe.channel is not None:
-            channel, probe.channel = probe.channel, None
-            channel.close()
+        if probe is None:
+            return
+        if probe.channel is not None:
+            probe.channel.close()  # its answers, if any are outstanding, give it back
+        probe.give_back()
+        probe.channel = None
 
     def _drop_idle_probes(self, primary: str) -> None:
         for instance, probe in list(self._probes.items()):
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -5,7 +5,7 @@
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
 from rowanrail.gateway.policies import GatewayPolicies
-from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.pool import MemberPool, PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker
 from rowanrail.relay.placement import Population, connection_limit, is_shared
 
@@ -30,6 +30,7 @@
         self.policies = policies
         self.primary = PrimaryTracker(spec.name, driver, clock, policies.leadership_proof)
         self.primary.on_proof = self._note_proof
+        self.primary.lender = self
         self.pools: dict[str, MemberPool] = {}
         self.used_at = -IN_USE_SECONDS
         self._locality = locality
@@ -104,6 +105,16 @@
                 best, best_cost = pool, cost
         return best
 
+    def can_lend(self, instance: str) -> bool:
+        """See :meth:`rowanrail.gateway.primary.Lender.can_lend`."""
+        pool = self.pools.get(instance)
+        return pool is not None and pool.can_lend
+
+    def loan(self, instance: str) -> PoolLoan | None:
+        """See :meth:`rowanrail.gateway.primary.Lender.loan`."""
+        pool = self.pools.get(instance)
+        return None if pool is None else PoolLoan(pool)
+
     def _note_proof(self, instance: str) -> None:
         pool = self.pools.get(instance)
         if pool is not None:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -123,7 +123,7 @@
             if self.read_only and self.pool is not None:
                 self._excluded.add(self.pool.record.instance)
             elif not self.read_only:
-                self.service.primary.note_failure(self.service.primary.believed)
+                self.service.primary.note_refused_connection(answer)
             self.retry_later(self._begin, busy(answer.message))
             return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -41,9 +41,9 @@
         state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
         network = NotedNetwork()
         service = CoordinationService(FollowingNode(), state, network)
-        health = PrimaryHealth("db", "m1", proved_ago=0.9, failing_for=0.3)
+        health = PrimaryHealth("db", "m1", proved_ago_ms=900, failing_for_ms=300)
         for hops in (0, 1):
-            report = GatewayReport(f"g{hops}", "i", "a", 1, [health], hops=hops)
+            report = GatewayReport(f"g{hops}", "a", [health], hops=hops)
             await service.handle(report)
         network.notices.clear()
         service.forward_reports()
--- /dev/null
+++ b/tests/gateway/test_crowded.py
@@ -0,0 +1,66 @@
+"""Members that have no connection left, as after a restart of all gateways."""
+
+import unittest
+
+from rowanrail.gateway.model import Refusal
+from tests.support.gateway import PlayedGateway
+
+FULL = Refusal.TOO_MANY_CONNECTIONS
+
+
+class CrowdedPrimaryTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+
+    def health(self):
+        (health,) = self.played.gateway.health()
+        return health
+
+    def test_a_primary_with_no_connection_left_is_not_lost(self):
+        # Found after a loss of all power: three primaries that were merely full were replaced,
+        # and with them commits that had been acknowledged.
+        self.played.primary.refuse_start = FULL
+        for text in ("READ a", "WRITE a 1"):
+            self.played.client("orders").ask(text)
+        self.played.clock.advance(1.5)
+        self.assertEqual(self.health().failing_for_ms, 0)
+
+    def test_what_waits_for_a_full_primary_is_refused_before_it_is_late(self):
+        self.played.primary.refuse_start = FULL
+        answer = self.played.client("orders").run("READ a", seconds=0.4)
+        self.assertEqual(answer.refusal, Refusal.BUSY)
+        self.assertIn("no connection left", answer.message)
+
+    def test_samples_come_on_a_connection_that_is_open_for_statements(self):
+        self.played.client("orders").run("WRITE a 1", seconds=0.1)
+        self.played.primary.refuse_start = FULL
+        self.played.clock.advance(2.0)
+        answer = self.played.client("orders").run("READ a", seconds=0.1)
+        self.assertIsNone(answer.refusal)
+
+    def test_a_calm_service_needs_one_connection_to_its_primary(self):
+        for _ in range(5):
+            self.played.client("orders").run("READ a", seconds=0.1)
+            self.played.client("orders").run("WRITE a 1", seconds=0.1)
+            self.played.clock.advance(0.5)
+        self.assertEqual(len(self.played.primary.open_wires()), 1)
+
+    def test_a_sample_comes_though_all_connections_are_in_use(self):
+        self.played.configure(2, connections=18)
+        clients = [self.played.client("orders") for _ in range(8)]
+        for client in clients:
+            client.run("BEGIN")
+            client.run("READ a", seconds=0.05)
+        self.assertIsNone(self.played.client("reports").run("READ b", seconds=0.1).refusal)
+
+    def test_a_borrowed_connection_that_is_silent_counts_against_the_primary(self):
+        self.played.client("orders").run("WRITE a 1", seconds=0.1)
+        self.played.clock.advance(0.1)
+        self.played.primary.silent = True
+        self.played.client("orders").ask("READ a")
+        self.played.clock.advance(0.5)
+        self.assertGreater(self.health().failing_for_ms, 0)
+        self.played.primary.silent = False
+        self.played.clock.advance(1.0)
+        self.assertIsNone(self.played.client("orders").run("READ a", seconds=0.5).refusal)
+        self.assertEqual(self.health().failing_for_ms, 0)
--- a/tests/gateway/test_directory_watch.py
+++ b/tests/gateway/test_directory_watch.py
@@ -81,7 +81,7 @@
             controls,
             ["n1", "n2", "n3"],
             PlainFormat(),
-            lambda: GatewayReport("g1", "i", "a1", 0, []),
+            lambda: GatewayReport("g1", "a1", []),
             QuietLog(),
             LOCALITY,
         )
