--- a/src/rowanlab/simulator/gateway_world.py
+++ b/src/rowanlab/simulator/gateway_world.py
@@ -25,6 +25,7 @@
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
+from rowanrail.relay.detours import Detours
 from rowanrail.relay.neighbours import Neighbour, Neighbours
 from rowanrail.relay.placement import Population
 from rowanrail.relay.serving import Holder
@@ -70,6 +71,7 @@
         self.finished = False
         self.drivers: list[SimulatedDriver] = []
         self.gateways: list[Gateway] = []
+        self._zones: dict[str, list[Neighbour]] = {}
         relay_clock = Clock(self.clock)
         self.relay = RelayNetwork(relay_clock, lambda: self.random.uniform(*RELAY_DELAY_MS))
         for number in range(options.gateways):
@@ -77,8 +79,13 @@
             driver = SimulatedDriver(self.group)
             zone = "z1" if options.shared else f"z{number % 3 + 1}"
             log = DecisionLog(name, descriptor=-1)
-            neighbours = Neighbours(name, relay_clock, self.relay.opener(name))
-            gateway = Gateway(Locality(zone), driver, self.clock, log, registry, neighbours)
+            opener = self.relay.opener(name)
+            neighbours = Neighbours(name, relay_clock, opener)
+            detours = Detours(name, relay_clock, opener)
+            gateway = Gateway(
+                Locality(zone), driver, self.clock, log, registry, neighbours, detours
+            )
+            self._zones.setdefault(zone, []).append(Neighbour(name, name))
             gateway.start()
             gateway.apply(_configuration())
             holder = self.relay.holders[name] = Holder(gateway, relay_clock)
@@ -94,16 +101,16 @@
     def _announce(self) -> None:
         self._revision += 1
         for gateway in self.gateways:
-            gateway.set_directory(self._directory())
+            gateway.set_directory(self._directory(gateway.zone))
         self.clock.call_later(ANNOUNCE_SECONDS, self._announce)
 
-    def _directory(self) -> Directory:
+    def _directory(self, zone: str) -> Directory:
         records = self.group.records()
-        if not self.options.shared:
-            population = Population(self.options.gateways, self.options.gateways)
-            return Directory(self._revision, records, population)
-        neighbours = [Neighbour(name, name) for name in self.relay.holders]
-        return Directory(self._revision, records, CROWDED, neighbours)
+        population = Population(self.options.gateways, self.options.gateways)
+        if self.options.shared:
+            population = CROWDED
+        others = {name: listed for name, listed in self._zones.items() if name != zone}
+        return Directory(self._revision, records, population, self._zones[zone], others)
 
     def unique(self) -> int:
         """Return a number that no other call returns."""
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -176,6 +176,7 @@
     :param neighbours: the gateways of the asking gateway's zone, with ``members``.
     :param controls: addresses of all control nodes.
     :param zone: where the answering node stands.
+    :param others: gateways of other zones that hold connections there, with ``members``.
     """
 
     current: bool
@@ -188,3 +189,4 @@
     neighbours: list[GatewayRecord]
     controls: list[str]
     zone: str = ""
+    others: list[GatewayRecord] = []
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -38,6 +38,7 @@
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.gateway.model import MemberRecord
 from rowanrail.kernel.errors import RowanrailError, TransportError
+from rowanrail.relay.placement import rank
 from rowanrail.rpc.network import Network
 
 LEADER_CALL_SECONDS = 0.8
@@ -298,7 +299,18 @@
             neighbours=self._neighbours(request.report.zone) if changed else [],
             controls=sorted(self.node.raft.membership.addresses().values()),
             zone=self._zone,
+            others=self._others(request.report.zone) if changed else [],
         )
 
+    def _others(self, zone: str) -> list[GatewayRecord]:
+        """Return the gateways of other zones that hold a service's connections there."""
+        by_zone: dict[str, list[str]] = {}
+        for gateway in self.state.gateways.values():
+            if gateway.zone != zone:
+                by_zone.setdefault(gateway.zone, []).append(gateway.name)
+        services = {member.service for member in self.state.members.values()}
+        names = {rank(service, known)[0] for known in by_zone.values() for service in services}
+        return [self.state.gateways[name] for name in sorted(names)]
+
     def _neighbours(self, zone: str) -> list[GatewayRecord]:
         return [gateway for gateway in self.state.gateways.values() if gateway.zone == zone]
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -24,6 +24,7 @@
 from rowanrail.kernel.lifecycle import wait_for_stop_signal
 from rowanrail.kernel.metrics import Metrics, log_gauge, serve_metrics
 from rowanrail.kernel.registry import Registry
+from rowanrail.relay.detours import Detours
 from rowanrail.relay.neighbours import Neighbours
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
@@ -90,7 +91,8 @@
     clock = Clock(loop)
     neighbours = Neighbours(settings.name, clock, TcpLinkOpener())
     locality = Locality(settings.zone, settings.regions)
-    gateway = Gateway(locality, driver, loop, decisions, registry, neighbours)
+    detours = Detours(settings.name, clock, TcpLinkOpener())
+    gateway = Gateway(locality, driver, loop, decisions, registry, neighbours, detours)
     holder = Holder(gateway, clock)
     holder_server = TcpHolderServer(holder)
     relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
@@ -126,7 +128,11 @@
     if settings.metrics:
         metrics = Metrics(
             "rowanrail_gateway",
-            lambda: [*gauges(gateway), *relay_gauges(neighbours, holder), log_gauge(decisions)],
+            lambda: [
+                *gauges(gateway),
+                *relay_gauges(neighbours, holder, detours),
+                log_gauge(decisions),
+            ],
         )
         gateway.on_outcome = metrics.note_statement
         await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
--- a/src/rowanrail/gateway/directory.py
+++ b/src/rowanrail/gateway/directory.py
@@ -23,9 +23,12 @@
         How many gateways share the members' connections.
     neighbours : list of Neighbour
         Gateways of the same zone that take statements.
+    others : dict of str to list of Neighbour
+        By zone, gateways of the other zones that hold connections for it.
     """
 
     revision: int
     members: list[MemberRecord]
     population: Population = Population()
     neighbours: list[Neighbour] = field(default_factory=list)
+    others: dict[str, list[Neighbour]] = field(default_factory=dict)
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -11,7 +11,12 @@
 
 from returns.result import Success
 
-from rowanrail.coordination.messages import DirectoryReply, DirectoryRequest, GatewayReport
+from rowanrail.coordination.messages import (
+    DirectoryReply,
+    DirectoryRequest,
+    GatewayRecord,
+    GatewayReport,
+)
 from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.events import CONTROL_LOST, CONTROL_REGAINED
 from rowanrail.gateway.gateway import Gateway
@@ -208,10 +213,14 @@
 
 
 def _directory(reply: DirectoryReply, members: list[MemberRecord]) -> Directory:
-    neighbours = [
-        Neighbour(gateway.name, gateway.relay_address)
-        for gateway in reply.neighbours
-        if gateway.relay_address
-    ]
+    neighbours = [_neighbour(gateway) for gateway in reply.neighbours if gateway.relay_address]
+    others: dict[str, list[Neighbour]] = {}
+    for gateway in reply.others:
+        if gateway.relay_address:
+            others.setdefault(gateway.zone, []).append(_neighbour(gateway))
     population = Population(reply.gateways, reply.zones)
-    return Directory(reply.revision, members, population, neighbours)
+    return Directory(reply.revision, members, population, neighbours, others)
+
+
+def _neighbour(gateway: GatewayRecord) -> Neighbour:
+    return Neighbour(gateway.name, gateway.relay_address)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -53,6 +53,12 @@
 LINK_REGAINED = define(
     317, Level.INFO, "gateway {peer} takes statements again", "A lost link stands again."
 )
+DETOUR_FOUND = define(
+    318,
+    Level.WARNING,
+    "gateway {peer} reaches the primary of {service}, which this one does not",
+    "Reads go on behind its samples; writes and transactions run on its connections.",
+)
 GATEWAY_STARTED = define(
     320, Level.INFO, "gateway {name} started in zone {zone}", "The process serves."
 )
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -11,6 +11,7 @@
 from rowanrail.gateway.events import (
     ANSWERED,
     CONFIGURATION_TAKEN,
+    DETOUR_FOUND,
     LINK_LOST,
     LINK_REGAINED,
     MEMBERS_TAKEN,
@@ -29,7 +30,8 @@
 )
 from rowanrail.gateway.operation import Stage
 from rowanrail.gateway.policies import GatewayPolicies
-from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.primary import PrimaryHealth, PrimaryTracker
+from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
@@ -38,12 +40,14 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
+from rowanrail.relay.detours import Detours
 from rowanrail.relay.forwarding import ForwardedWork
 from rowanrail.relay.neighbours import Here, Neighbours
 from rowanrail.relay.placement import Population
 
 TICK_SECONDS = 0.05
 DEFAULT_IDLE_SECONDS = 60.0
+PROVE_SECONDS = 0.3  # for which another gateway waits for a sample
 START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
 
 
@@ -59,6 +63,34 @@
             proceed()
 
 
+class _Proof:
+    """A sample that somebody else waits for; given once, or not in time."""
+
+    def __init__(
+        self, tracker: PrimaryTracker, asked_at: float, give: Callable[[Sample | None], None]
+    ) -> None:
+        self._tracker = tracker
+        self._asked_at = asked_at
+        self._give: Callable[[Sample | None], None] | None = give
+
+    def ask(self) -> None:
+        """Have the primary sampled."""
+        self._tracker.need(self._asked_at, self._take)
+
+    def _take(self, position: Position | None) -> None:
+        self._answer(self._tracker.sample if position is not None else None)
+
+    def give_up(self) -> None:
+        """Say that there is none, if none came so far."""
+        self._tracker.forget(self._take)
+        self._answer(None)
+
+    def _answer(self, sample: Sample | None) -> None:
+        give, self._give = self._give, None
+        if give is not None:
+            give(sample)
+
+
 def position_text(position: Position) -> str:
     """Return a position as it stands in logs: term and index."""
     return f"{position.term}.{position.index}"
@@ -75,6 +107,7 @@
         decisions: DecisionLog,
         registry: Registry,
         neighbours: Neighbours | None = None,
+        detours: Detours | None = None,
     ) -> None:
         self.clock = clock
         self.names = PreparedNames()
@@ -94,6 +127,9 @@
         self._neighbours = neighbours
         if neighbours is not None:
             neighbours.on_link = self._note_link
+        self._detours = detours
+        if detours is not None:
+            detours.on_found = self._note_detour
         self._timer: Timer | None = None
         self._unconfigured: list[_Waiting] = []
 
@@ -107,6 +143,11 @@
         self._decisions.flush()
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
+    @property
+    def zone(self) -> str:
+        """The zone in which it stands."""
+        return self._locality.zone
+
     @property
     def is_ready(self) -> bool:
         """Whether new clients are welcome."""
@@ -129,6 +170,7 @@
                 continue
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
+            service.primary.on_trouble = functools.partial(self._ask_around, service)
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
@@ -160,6 +202,8 @@
         self._population = directory.population
         if self._neighbours is not None:
             self._neighbours.set_neighbours(directory.neighbours)
+        if self._detours is not None:
+            self._detours.set_gateways(directory.neighbours, directory.others)
         for name, service in self.services.items():
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
@@ -224,10 +268,51 @@
             return None
         return route, self._placed(route.service, local)
 
-    def local_work(self, service: str) -> LocalWork | None:
+    def local_work(self, service: str, is_detour: bool = False) -> LocalWork | None:
         """See :meth:`rowanrail.relay.serving.HolderHost.local_work`."""
         known = self.services.get(service)
-        return None if known is None else LocalWork(known, self.names, self.clock)
+        if known is None:
+            return None
+        if is_detour or self._detours is None:
+            return LocalWork(known, self.names, self.clock)
+        find = functools.partial(self._find_detour, known)
+        return LocalWork(known, self.names, self.clock, find)
+
+    # Primaries that this gateway does not reach
+
+    def _find_detour(self, service: Service) -> ForwardedWork | None:
+        """Return work at a gateway that reaches a service's primary, if one is known."""
+        detours = self._detours
+        if detours is None or not detours.knows_a_way(service.spec.name):
+            return None
+        local = LocalWork(service, self.names, self.clock)
+        clock = MillisecondClock(self.clock)
+        return ForwardedWork(detours, local, clock, self._policies.link_outcome, is_detour=True)
+
+    def _note_detour(self, service: str, peer: str) -> None:
+        self._decisions.note(DETOUR_FOUND, service=service, peer=peer)
+
+    def _ask_around(self, service: Service) -> None:
+        """Ask other gateways for a sample of a primary that this one gets none of."""
+        if self._detours is None:
+            return
+        tracker = service.primary
+
+        def take(asked_at_ms: float, instance: str, position: Position) -> None:
+            tracker.note_told(asked_at_ms / 1000, instance, position)
+
+        # Gateways that hold no connections yet are no help while the primary has none left.
+        self._detours.ask(service.spec.name, bool(tracker.failing_since), take)
+
+    def prove_primary(self, service: str, give: Callable[[Sample | None], None]) -> None:
+        """See :meth:`rowanrail.relay.serving.HolderHost.prove_primary`."""
+        known = self.services.get(service)
+        if known is None or known.primary.failing_since:
+            give(None)
+            return
+        proof = _Proof(known.primary, self.clock.time(), give)
+        self.clock.call_later(PROVE_SECONDS, proof.give_up)
+        proof.ask()
 
     def _placed(self, service: str, local: LocalWork) -> Work:
         """Return where work on a service is done: here, or through a neighbour's connections."""
@@ -294,4 +379,6 @@
             service.close()
         if self._neighbours is not None:
             self._neighbours.close()
+        if self._detours is not None:
+            self._detours.close()
         self._decisions.flush()
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -2,6 +2,7 @@
 
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.kernel.metrics import Reading
+from rowanrail.relay.detours import Detours
 from rowanrail.relay.link import LinkState
 from rowanrail.relay.neighbours import Neighbours
 from rowanrail.relay.serving import Holder
@@ -35,13 +36,14 @@
     return readings
 
 
-def relay_gauges(neighbours: Neighbours, holder: Holder) -> list[Reading]:
-    """Return the links to neighbours by state, and what runs here for neighbours."""
+def relay_gauges(neighbours: Neighbours, holder: Holder, detours: Detours) -> list[Reading]:
+    """Return the links to neighbours by state, what runs here for neighbours, and detours."""
     states = [link.state for link in neighbours.links]
     readings: list[Reading] = [
         ("links", {"state": state.value}, states.count(state)) for state in LinkState
     ]
     readings.append(("link_calls_owed", {}, sum(link.owed for link in neighbours.links)))
+    readings.append(("detours", {}, detours.found))
     readings.append(("held_statements", {}, holder.running))
     readings.append(("held_transactions", {}, holder.open_transactions))
     return readings
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -49,6 +49,8 @@
         self.attempts += 1
         pool = self.service.choose(self.excluded)
         if pool is None or self.attempts > READ_ATTEMPTS:
+            if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
+                return
             self.excluded.clear()
             self.attempts = 0
             self.retry_later(self._need_floor, busy("no member can serve the read"))
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -18,6 +18,8 @@
     def _find_primary(self) -> None:
         self.stage = Stage.WAITS_FOR_PRIMARY
         pool = self.service.primary_pool()
+        if self.service.primary.failing_since and self.hand_over(self.statement, writes=True):
+            return
         if pool is None or pool.is_failing:
             self.service.primary.prefetch()
             self.retry_later(self._find_primary, busy("no primary is known"))
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -6,6 +6,9 @@
 
 import enum
 from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
 
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.clock import Clock, Timer
@@ -26,6 +29,7 @@
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
 RETRY_SECONDS = 0.02
+SHORTEST_SECONDS = 0.001
 ADMISSION_SHARE = 0.5  # of the objective: who would wait longer for a connection is refused
 COME_BACK_SECONDS = 0.5
 
@@ -41,6 +45,43 @@
     SENT = "sent"
 
 
+class AwayWork(Protocol):
+    """Work that another gateway does, since it reaches the primary and this one does not."""
+
+    def trace(self) -> Trace:
+        """Return what decided about the statement so far."""
+
+    def finish(self, answer: Answer) -> None:
+        """Give the statement's answer, once."""
+
+
+class AwayStatement(AwayWork, Protocol):
+    """A read or write on its own."""
+
+    def start(self, statement: TypedStatement, respond: Respond) -> None:
+        """Begin; ``respond`` gets the answer once."""
+
+
+class AwayTransaction(AwayWork, Protocol):
+    """A transaction, from its first statement to its end."""
+
+    def run(self, statement: TypedStatement, respond: Respond) -> None:
+        """Run a read, a write or the commit."""
+
+    def end(self) -> None:
+        """Roll back, if it is open."""
+
+
+class DetourWork(Protocol):
+    """A gateway that reaches the primary."""
+
+    def single(self, route: Route, session: SessionValues, writes: bool) -> AwayStatement:
+        """Return the work for one read or write."""
+
+    def transaction(self, route: Route, session: SessionValues, read_only: bool) -> AwayTransaction:
+        """Return the work for a transaction."""
+
+
 class Operation:
     """What all kinds of work share: a deadline, a connection, and one final answer."""
 
@@ -68,10 +109,14 @@
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
+        self.find_detour: Callable[[], DetourWork | None] = lambda: None
+        self.away: AwayWork | None = None
         service.used_at = clock.time()
 
     def trace(self) -> Trace:
         """Return what decided about the statement so far."""
+        if self.away is not None:
+            return self.away.trace()
         now = self.clock.time()
         tracker = self.service.primary
         failing = tracker.failing_since
@@ -130,21 +175,48 @@
 
         self.clock.call_later(RETRY_SECONDS, again)
 
+    def route_left(self) -> Route:
+        """Return the route with the time that is left of the statement's."""
+        waited = self.clock.time() - self.arrived_at
+        return msgspec.structs.replace(
+            self.route,
+            timeout_seconds=max(SHORTEST_SECONDS, self.route.timeout_seconds - waited),
+            objective_seconds=max(SHORTEST_SECONDS, self.route.objective_seconds - waited),
+        )
+
+    def stop_timers(self) -> None:
+        """Forget the statement's time: it has its answer, or somebody else minds it."""
+        for timer in (self.timer, self.hold_timer):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.hold_timer = None
+
     def finish(self, answer: Answer) -> None:
         """Give the statement's answer, once."""
         respond, self.respond = self.respond, None
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.hold_timer is not None:
-            self.hold_timer.cancel()
-            self.hold_timer = None
+        self.stop_timers()
+        if self.away is not None and respond is not None:
+            self.away.finish(answer)  # nothing, if the answer is its own
         if self.waiter is not None and self.pool is not None:
             self.pool.cancel(self.waiter)
             self.waiter = None
         if respond is not None:
             respond(answer)
 
+    def hand_over(self, statement: TypedStatement, writes: bool) -> bool:
+        """Have a gateway that reaches the primary run a statement of which nothing was sent.
+
+        Returns False if no such gateway is known.
+        """
+        detour = self.find_detour()
+        if detour is None:
+            return False
+        away = detour.single(self.route_left(), self.session, writes)
+        self.away = away
+        self.stop_timers()
+        away.start(statement, self.finish)
+        return True
+
     # Connections
 
     def acquire(self, pool: MemberPool, take: Callable[[Channel | None, Answer], None]) -> None:
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -122,6 +122,7 @@
         self.on_alarm: Callable[[], None] = lambda: None
         self.on_proof: Callable[[str], None] = lambda instance: None
         self.lender: Lender | None = None
+        self.on_trouble: Callable[[], None] = lambda: None
         self._alarmed = False
         self._driver = driver
         self._proof = proof
@@ -183,6 +184,14 @@
         if self._waiting:
             self._serve_waiting()
 
+    def note_told(self, asked_at: float, instance: str, position: Position) -> None:
+        """Take a position that another gateway had proved, asked for at ``asked_at`` or later.
+
+        It lets reads go on; that this gateway does not reach the primary stays true.
+        """
+        if self._samples.add(asked_at, position, instance) and self._waiting:
+            self._serve_waiting()
+
     def note_not_primary(self, instance: str) -> None:
         """Note that a member refused as one that does not lead."""
         if self.believed == instance:
@@ -248,6 +257,8 @@
                 self._drop_probe(instance)
                 self._fail(instance)
         self._raise_alarm(now)
+        if in_use and (self.failing_since or self.is_crowded):
+            self.on_trouble()
         if self.failing_since and in_use and now >= self._search_at + FAILING_SEARCH_SECONDS:
             self._search()
         if self._waiting or in_use and now - self.proved_at > MONITOR_SECONDS:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -15,7 +15,7 @@
     StatementKind,
     TypedStatement,
 )
-from rowanrail.gateway.operation import RETRY_SECONDS, Operation, Stage, busy
+from rowanrail.gateway.operation import RETRY_SECONDS, AwayTransaction, Operation, Stage, busy
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import (
     PreparedNames,
@@ -53,9 +53,13 @@
         self._excluded: set[str] = set()
         self._busy_retries = 0
         self._reclaimed_for = ""
+        self._moved: AwayTransaction | None = None
 
     def run(self, statement: TypedStatement, respond: Respond) -> None:
         """Run a read, a write or the commit."""
+        if self._moved is not None:
+            self._moved.run(statement, respond)
+            return
         self.statement = statement
         self._busy_retries = 0
         self.begin_statement(respond)
@@ -108,6 +112,8 @@
     def _acquire_primary(self) -> None:
         self.stage = Stage.WAITS_FOR_PRIMARY
         pool = self.service.primary_pool()
+        if self.service.primary.failing_since and self._move():
+            return
         if pool is None or pool.is_failing:
             self.service.primary.prefetch()
             self.retry_later(self._begin, busy("no primary is known"))
@@ -118,6 +124,25 @@
         self._floor = None
         self.acquire(pool, self._with_channel)
 
+    def _move(self) -> bool:
+        """Have a gateway that reaches the primary run the transaction from its first statement."""
+        detour = self.find_detour()
+        respond = self.respond
+        if detour is None or respond is None:
+            return False
+        self._moved = detour.transaction(self.route, self.session, self.read_only)
+        self.away = self._moved
+        self.respond = None
+        self.stop_timers()
+        self._moved.run(self.statement, respond)
+        return True
+
+    def finish(self, answer: Answer) -> None:
+        """See :meth:`Operation.finish`."""
+        if self._moved is not None:
+            self._moved.finish(answer)
+        super().finish(answer)
+
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
             if self.read_only and self.pool is not None:
@@ -246,6 +271,9 @@
 
     def end(self) -> None:
         """Roll back at the member and give the connection back."""
+        if self._moved is not None:
+            self._moved.end()
+            return
         if self.pool is not None:
             self.pool.note_active(self)
         channel = self.channel
--- a/src/rowanrail/gateway/work.py
+++ b/src/rowanrail/gateway/work.py
@@ -1,5 +1,6 @@
 """Where a session's work is done: at members through this gateway's own connections."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from rowanrail.gateway.channel import Respond
@@ -64,20 +65,35 @@
         Names under which this gateway prepares shapes at members.
     clock : Clock
         Time and timers.
+    find_detour : callable
+        Returns work at a gateway that reaches the primary, if this one does not and one is known.
     """
 
-    __slots__ = ("_clock", "_names", "_service")
+    __slots__ = ("_clock", "_find_detour", "_names", "_service")
 
-    def __init__(self, service: Service, names: PreparedNames, clock: Clock) -> None:
+    def __init__(
+        self,
+        service: Service,
+        names: PreparedNames,
+        clock: Clock,
+        find_detour: Callable[[], "Work | None"] = lambda: None,
+    ) -> None:
         self._service = service
         self._names = names
         self._clock = clock
+        self._find_detour = find_detour
 
     def single(self, route: Route, session: SessionValues, writes: bool) -> SingleStatement:
         """See :meth:`Work.single`."""
         kind = LoneWrite if writes else LoneRead
-        return kind(self._service, route, session, self._names, self._clock)
+        single = kind(self._service, route, session, self._names, self._clock)
+        single.find_detour = self._find_detour
+        return single
 
     def transaction(self, route: Route, session: SessionValues, read_only: bool) -> Transaction:
         """See :meth:`Work.transaction`."""
-        return Transaction(self._service, route, session, self._names, self._clock, read_only)
+        transaction = Transaction(
+            self._service, route, session, self._names, self._clock, read_only
+        )
+        transaction.find_detour = self._find_detour
+        return transaction
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -5,6 +5,9 @@
 neighbour can't commit what it was not asked to.
 """
 
+from collections.abc import Callable
+from typing import Protocol
+
 import msgspec
 
 from rowanrail.gateway.channel import Respond
@@ -14,9 +17,9 @@
 from rowanrail.gateway.session_values import SessionValues, is_write
 from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
 from rowanrail.kernel.clock import Clock, Timer
-from rowanrail.relay.link import Link, Lost, Outcome, Refused, Replied
+from rowanrail.relay.link import Link, Lost, Outcome, Refused, Replied, Told
 from rowanrail.relay.messages import End
-from rowanrail.relay.neighbours import At, Here, Neighbours, Nowhere
+from rowanrail.relay.neighbours import At, Here, Nowhere, Place
 from rowanrail.relay.terms import Order, answer_of, run_of
 
 __all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork"]
@@ -25,6 +28,17 @@
 LATE = "no answer in time"
 
 
+class Placement(Protocol):
+    """Says at which gateway a service's statements run."""
+
+    def place(self, service: str) -> Place:
+        """Return where a statement of ``service`` runs now."""
+
+    @property
+    def note_up(self) -> Callable[[Link], None]:
+        """Note that the gateway behind a link answered."""
+
+
 class ForwardedWork:
     """Statements of one service at whichever gateway holds its connections.
 
@@ -38,17 +52,21 @@
         Time and timers.
     link_outcome : LinkOutcome
         Says what a lost link leaves in doubt.
+    is_detour : bool
+        Whether it goes to a gateway that reaches the primary because this one does not.
     """
 
-    __slots__ = ("clock", "link_outcome", "local", "neighbours")
+    __slots__ = ("clock", "is_detour", "link_outcome", "local", "neighbours")
 
     def __init__(
         self,
-        neighbours: Neighbours,
+        neighbours: Placement,
         local: LocalWork,
         clock: Clock,
         link_outcome: LinkOutcome,
+        is_detour: bool = False,
     ) -> None:
+        self.is_detour = is_detour
         self.neighbours = neighbours
         self.local = local
         self.clock = clock
@@ -113,7 +131,13 @@
         self._link = link
         self._call = link.number_call()
         order = Order(
-            self._statement, self._route, self._session, self._left, transaction, read_only
+            self._statement,
+            self._route,
+            self._session,
+            self._left,
+            transaction,
+            read_only,
+            self._work.is_detour,
         )
         link.ask(run_of(order, self._call), self._settled)
 
@@ -224,6 +248,8 @@
                     self._finish(self._lost(True, reason))
                 else:
                     self._place_later(reason)
+            case Told():
+                pass  # nobody asked for a sample here
 
     def _timed_out(self) -> None:
         refusal = Refusal.BUSY
@@ -300,6 +326,8 @@
                 self._call = 0
                 self._number = 0
                 self._finish(self._lost(self._commits and self._wrote, reason))
+            case Told():
+                pass  # nobody asked for a sample here
 
     def _refused(self, reason: str) -> None:
         """Begin elsewhere if nothing of the transaction ran; else it is over."""
--- a/src/rowanrail/relay/link.py
+++ b/src/rowanrail/relay/link.py
@@ -10,7 +10,9 @@
 from typing import Protocol
 
 from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.proxy.backend import Position
 from rowanrail.relay.messages import (
+    AskSample,
     Drop,
     FromGateway,
     FromHolder,
@@ -20,9 +22,10 @@
     Pong,
     Reply,
     Run,
+    SampleTold,
 )
 
-__all__ = ["Link", "LinkPort", "LinkState", "Lost", "Outcome", "Refused", "Replied"]
+__all__ = ["Link", "LinkPort", "LinkState", "Lost", "Outcome", "Refused", "Replied", "Told"]
 
 WATCH_MS = 120.0
 PING_MS = 200.0  # of silence, while answers are owed
@@ -69,7 +72,15 @@
     reason: str
 
 
-Outcome = Replied | Refused | Lost
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The neighbour told a sample."""
+
+    instance: str
+    position: Position
+
+
+Outcome = Replied | Refused | Lost | Told
 Settle = Callable[[Outcome], None]
 
 
@@ -140,16 +151,16 @@
         self._next += 1
         return self._next
 
-    def ask(self, run: Run, settle: Settle) -> None:
-        """Send a statement; ``settle`` gets its outcome once."""
+    def ask(self, question: Run | AskSample, settle: Settle) -> None:
+        """Send a statement, or ask for a sample; ``settle`` gets the outcome once."""
         if self._port is None or self._state is LinkState.DOWN:
             settle(Refused("the link is closed"))
             return
         if not self._calls:
             self._heard = self._clock.now  # silence counts from the first answer that is owed
             self._pinged = False
-        self._calls[run.call] = settle
-        self._port.send(run)
+        self._calls[question.call] = settle
+        self._port.send(question)
         if self._timer is None:
             self._timer = self._clock.call_in(WATCH_MS, self._watch)
 
@@ -186,6 +197,8 @@
                 self._settle(call, Replied(message))
             case NotServed(call=call, reason=reason):
                 self._settle(call, Refused(reason))
+            case SampleTold(call=call, instance=instance, position=position):
+                self._settle(call, Told(instance, position))
             case Leaving():
                 if self._state is LinkState.UP:
                     self._state = LinkState.LEAVING
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -10,6 +10,7 @@
 from rowanrail.proxy.backend import Position
 
 __all__ = [
+    "AskSample",
     "Drop",
     "End",
     "FromGateway",
@@ -20,6 +21,7 @@
     "Pong",
     "Reply",
     "Run",
+    "SampleTold",
 ]
 
 
@@ -38,6 +40,8 @@
         All values that the session has set.
     floor : Position or None
         The session's own last commit.
+    is_detour : bool
+        Whether the sender does not reach the primary; the statement may be sent no further.
     """
 
     call: int
@@ -59,6 +63,7 @@
     shape: str
     values: dict[str, str]
     floor: Position | None
+    is_detour: bool = False
 
 
 class End(msgspec.Struct, tag=2, array_like=True, frozen=True, gc=False):
@@ -77,6 +82,13 @@
     """Say that you are there."""
 
 
+class AskSample(msgspec.Struct, tag=5, array_like=True, frozen=True, gc=False):
+    """Have a service's primary prove its position, later than this question."""
+
+    call: int
+    service: str
+
+
 class Reply(msgspec.Struct, tag=11, array_like=True, frozen=True, gc=False):
     """The whole answer to a statement.
 
@@ -113,5 +125,13 @@
     """I am there."""
 
 
-FromGateway = Run | End | Drop | Ping
-FromHolder = Reply | NotServed | Leaving | Pong
+class SampleTold(msgspec.Struct, tag=15, array_like=True, frozen=True, gc=False):
+    """The member that led after the question was asked, and its position."""
+
+    call: int
+    instance: str
+    position: Position
+
+
+FromGateway = Run | End | Drop | Ping | AskSample
+FromHolder = Reply | NotServed | Leaving | Pong | SampleTold
--- a/src/rowanrail/relay/neighbours.py
+++ b/src/rowanrail/relay/neighbours.py
@@ -8,7 +8,7 @@
 from rowanrail.relay.link import Link, LinkState
 from rowanrail.relay.placement import rank
 
-__all__ = ["At", "Here", "LinkOpener", "Neighbour", "Neighbours", "Nowhere", "Place"]
+__all__ = ["At", "Here", "LinkKeeper", "LinkOpener", "Neighbour", "Neighbours", "Nowhere", "Place"]
 
 CANDIDATES = 2  # gateways of the order that are kept connected; the others stand behind them
 FIRST_BACKOFF_MS = 200.0
@@ -66,25 +66,21 @@
         self.backoff = FIRST_BACKOFF_MS
 
 
-class Neighbours:
-    """Chooses where a service's statements run, and keeps the links for it.
+class LinkKeeper:
+    """Links to gateways, opened when they are wanted and again after a while when they are lost.
 
     Parameters
     ----------
-    name : str
-        Name of this gateway.
     clock : Clock
         Time and timers.
     opener : LinkOpener
         The transport.
     """
 
-    def __init__(self, name: str, clock: Clock, opener: LinkOpener) -> None:
-        self._name = name
+    def __init__(self, clock: Clock, opener: LinkOpener) -> None:
         self._clock = clock
         self._opener = opener
         self._peers: dict[str, _Peer] = {}
-        self._orders: dict[str, list[str]] = {}
         self.on_link: Callable[[str, bool, str], None] = lambda peer, is_up, reason: None
 
     @property
@@ -92,9 +88,14 @@
         """All links that are open or being opened."""
         return [peer.link for peer in self._peers.values() if peer.link is not None]
 
+    @property
+    def names(self) -> list[str]:
+        """Names of the gateways that are known."""
+        return list(self._peers)
+
     def set_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
-        """Know the gateways of the zone; this one may be among them or not."""
-        known = {n.name: n for n in neighbours if n.name != self._name}
+        """Know these gateways and no others."""
+        known = {neighbour.name: neighbour for neighbour in neighbours}
         for name, peer in list(self._peers.items()):
             if known.get(name) != peer.neighbour:
                 del self._peers[name]
@@ -103,45 +104,22 @@
         for name, neighbour in known.items():
             if name not in self._peers:
                 self._peers[name] = _Peer(neighbour)
-        self._orders.clear()
-
-    def place(self, service: str) -> Place:
-        """Return where a statement of ``service`` runs now.
-
-        The first gateways of the order that were not found down a moment ago are kept
-        connected; the first of them that stands is taken.
-        """
-        order = self._orders.get(service)
-        if order is None:
-            order = self._orders[service] = rank(service, [*self._peers, self._name])
-        chosen: Place = Nowhere()
-        seen = 0
-        for name in order:
-            if seen == CANDIDATES:
-                break
-            found = Here() if name == self._name else self._look(self._peers[name])
-            if found is None:
-                continue
-            seen += 1
-            if isinstance(chosen, Nowhere):
-                chosen = found
-        return chosen
 
-    def _look(self, peer: _Peer) -> Place | None:
-        """Return the place at a peer, None if it counts as down; opens a link if there is none."""
+    def look(self, name: str) -> At | Nowhere | None:
+        """Return the place at a gateway, None if it counts as down; opens a link if needed."""
+        peer = self._peers.get(name)
+        if peer is None:
+            return None
         if peer.link is None:
             if self._clock.now < peer.down_until:
                 return None
-            self._open(peer)
+            peer.link = Link(peer.neighbour.name, self._clock, self._on_down)
+            self._opener.open(peer.neighbour.address, peer.link)
         link = peer.link
         if link is None or link.state is LinkState.LEAVING:
             return None
         return At(link) if link.state is LinkState.UP else Nowhere()
 
-    def _open(self, peer: _Peer) -> None:
-        peer.link = Link(peer.neighbour.name, self._clock, self._on_down)
-        self._opener.open(peer.neighbour.address, peer.link)
-
     def _on_down(self, link: Link, reason: str) -> None:
         peer = self._peers.get(link.peer)
         if peer is None or peer.link is not link:
@@ -152,7 +130,7 @@
         self.on_link(link.peer, False, reason)
 
     def note_up(self, link: Link) -> None:
-        """Note that a neighbour answered: the next loss is waited out from the start."""
+        """Note that a gateway answered: the next loss is waited out from the start."""
         peer = self._peers.get(link.peer)
         if peer is not None and peer.link is link and peer.backoff != FIRST_BACKOFF_MS:
             peer.backoff = FIRST_BACKOFF_MS
@@ -163,3 +141,49 @@
         for peer in self._peers.values():
             if peer.link is not None:
                 peer.link.close("the gateway is stopping")
+
+
+class Neighbours(LinkKeeper):
+    """Chooses where a service's statements run, and keeps the links for it.
+
+    Parameters
+    ----------
+    name : str
+        Name of this gateway.
+    clock : Clock
+        Time and timers.
+    opener : LinkOpener
+        The transport.
+    """
+
+    def __init__(self, name: str, clock: Clock, opener: LinkOpener) -> None:
+        super().__init__(clock, opener)
+        self._name = name
+        self._orders: dict[str, list[str]] = {}
+
+    def set_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
+        """Know the gateways of the zone; this one may be among them or not."""
+        super().set_neighbours(n for n in neighbours if n.name != self._name)
+        self._orders.clear()
+
+    def place(self, service: str) -> Place:
+        """Return where a statement of ``service`` runs now.
+
+        The first gateways of the order that were not found down a moment ago are kept
+        connected; the first of them that stands is taken.
+        """
+        order = self._orders.get(service)
+        if order is None:
+            order = self._orders[service] = rank(service, [*self._peers, self._name])
+        chosen: Place = Nowhere()
+        seen = 0
+        for name in order:
+            if seen == CANDIDATES:
+                break
+            found = Here() if name == self._name else self.look(name)
+            if found is None:
+                continue
+            seen += 1
+            if isinstance(chosen, Nowhere):
+                chosen = found
+        return chosen
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -5,10 +5,12 @@
 from typing import Protocol
 
 from rowanrail.gateway.model import Answer, Refusal
+from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.session_values import SessionValues
 from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
 from rowanrail.kernel.clock import Clock
 from rowanrail.relay.messages import (
+    AskSample,
     Drop,
     End,
     FromGateway,
@@ -18,6 +20,7 @@
     Ping,
     Pong,
     Run,
+    SampleTold,
 )
 from rowanrail.relay.terms import load_session, reply_to, route_of, statement_of
 
@@ -36,8 +39,14 @@
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
 
-    def local_work(self, service: str) -> LocalWork | None:
-        """Return the work on own connections, None if the service isn't known here."""
+    def local_work(self, service: str, is_detour: bool = False) -> LocalWork | None:
+        """Return the work on own connections, None if the service isn't known here.
+
+        What comes on a detour is sent no further.
+        """
+
+    def prove_primary(self, service: str, give: Callable[[Sample | None], None]) -> None:
+        """Give a new sample of a service's primary, None if there is none in time."""
 
     def idle_transaction_seconds(self) -> float:
         """Return how long a transaction may rest."""
@@ -156,6 +165,8 @@
                 self._end(number)
             case Drop(call=call):
                 self._drop(call)
+            case AskSample(call=call, service=service):
+                self._tell_sample(call, service)
             case Ping():
                 self.send(Pong())
 
@@ -167,6 +178,15 @@
         for number in list(self._transactions):
             self._end(number)
 
+    def _tell_sample(self, call: int, service: str) -> None:
+        def give(sample: Sample | None) -> None:
+            if sample is None:
+                self.send(NotServed(call, f"it does not reach the primary of {service}"))
+            else:
+                self.send(SampleTold(call, sample.instance, sample.position))
+
+        self._holder.host.prove_primary(service, give)
+
     # Single statements
 
     def _run_single(self, run: Run) -> None:
@@ -188,7 +208,7 @@
     def _work(self, run: Run) -> LocalWork | None:
         """Return the work for new statements, or tell the neighbour that there is none."""
         host = self._holder.host
-        work = None if host.stopping else host.local_work(run.service)
+        work = None if host.stopping else host.local_work(run.service, run.is_detour)
         if work is None:
             reason = "it is stopping" if host.stopping else f"it does not know {run.service} yet"
             self.send(NotServed(run.call, reason))
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -31,6 +31,7 @@
     timeout: float
     transaction: int = 0
     read_only: bool = False
+    is_detour: bool = False
 
 
 def run_of(order: Order, call: int) -> Run:
@@ -59,6 +60,7 @@
         shape=shape,
         values=session.values,
         floor=session.floors.get(route.service),
+        is_detour=order.is_detour,
     )
 
 
--- /dev/null
+++ b/tests/relay/test_detours.py
@@ -0,0 +1,148 @@
+"""Gateways that reach a primary help those that do not."""
+
+import unittest
+
+from rowanlab.simulator.relay_network import RelayNetwork
+from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.gateway import Gateway
+from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.model import Answer, Refusal, RoutingConfiguration, ServiceSpec
+from rowanrail.gateway.session import Session
+from rowanrail.kernel.clock import Clock
+from rowanrail.kernel.registry import Registry
+from rowanrail.proxy.backend import Position
+from rowanrail.relay.detours import Detours
+from rowanrail.relay.neighbours import Neighbour, Neighbours
+from rowanrail.relay.placement import Population
+from rowanrail.relay.serving import Holder
+from tests.support.gateway import (
+    ManualClock,
+    PlayedClient,
+    PlayedDriver,
+    PlayedMember,
+    RecordingLog,
+    routes,
+)
+
+
+class CutDriver(PlayedDriver):
+    """A gateway's way to the members, some of which it may not reach."""
+
+    def __init__(self, members):
+        super().__init__(members)
+        self.cut = set()
+
+    def open(self, address, service, instance, channel):
+        if instance in self.cut:
+            channel.lost("unreachable")
+        else:
+            super().open(address, service, instance, channel)
+
+
+class ZoneAlone:
+    """The one gateway of its zone, with its own way to the members."""
+
+    def __init__(self, world, name):
+        self.clock = world.clock
+        self.driver = CutDriver(world.members)
+        relay_clock = Clock(world.clock)
+        opener = world.network.opener(name)
+        self.neighbours = Neighbours(name, relay_clock, opener)
+        detours = Detours(name, relay_clock, opener)
+        log = RecordingLog(name, wall_clock=world.clock.time)
+        self.gateway = Gateway(
+            Locality(name), self.driver, world.clock, log, Registry(), self.neighbours, detours
+        )
+        self.gateway.start()
+        self.gateway.apply(RoutingConfiguration(1, routes(), {"db": ServiceSpec("db", 30)}, 3.0))
+        world.network.holders[name] = Holder(self.gateway, relay_clock)
+
+    def client(self, database):
+        session = self.gateway.open_session(database, "client")
+        assert isinstance(session, Session)
+        return PlayedClient(self, session)
+
+    def lose(self, member):
+        """Cut the way to a member, with all connections over it."""
+        self.driver.cut.add(member.instance)
+        for pool in self.gateway.services["db"].pools.values():
+            if pool.record.instance == member.instance:
+                for channel in [*pool._idle]:
+                    channel.lost("cut")
+
+
+class DetourTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.network = RelayNetwork(Clock(self.clock), lambda: 5.0)
+        self.primary = PlayedMember("m1", True, "z1")
+        self.members = [self.primary, PlayedMember("m2", False, "z2")]
+        self.zones = {name: ZoneAlone(self, name) for name in ("z1", "z2", "z3")}
+        records = [member.record() for member in self.members]
+        for name, zone in self.zones.items():
+            others = {other: [Neighbour(other, other)] for other in self.zones if other != name}
+            zone.gateway.set_directory(Directory(1, records, Population(3, 3), [], others))
+        self.cut = self.zones["z2"]
+        self.cut.client("orders").run("WRITE a 1", seconds=0.1)
+        self.members[1].position = self.primary.position
+        self.cut.lose(self.primary)
+
+    def run_until_served(self, text, database="orders"):
+        """Return the answer of a client that tries again as it is told to, for 1.5 s at most."""
+        answer = Answer(refusal=Refusal.BUSY)
+        for _ in range(5):
+            client = self.cut.client(database)
+            answer = client.run(text, seconds=0.55)
+            if answer.refusal is None:
+                return answer
+            self.clock.advance(0.1)
+        return answer
+
+    def test_a_write_runs_where_the_primary_is_reached(self):
+        self.assertIsNone(self.run_until_served("WRITE b 2").refusal)
+        self.assertEqual(self.primary.texts().count("WRITE b 2"), 1)
+
+    def test_a_read_that_must_see_all_goes_on_at_a_replica(self):
+        self.assertIsNone(self.run_until_served("READ b").refusal)
+        floors = [c.floor for _, c in self.members[1].ran if c.text == "READ b"]
+        self.assertEqual(floors[-1], self.primary.position)
+
+    def test_a_transaction_runs_where_the_primary_is_reached(self):
+        self.run_until_served("WRITE b 2")
+        client = self.cut.client("orders")
+        client.run("BEGIN")
+        self.assertIsNone(client.run("WRITE c 3", seconds=0.1).refusal)
+        self.assertIsNone(client.run("READ c", seconds=0.1).refusal)
+        self.assertIsNone(client.run("COMMIT", seconds=0.1).refusal)
+        self.assertIn("COMMIT", self.primary.texts())
+
+    def test_a_session_reads_what_it_wrote_on_a_detour(self):
+        client = self.cut.client("carts")
+        self.run_until_served("WRITE b 2")
+        self.assertIsNone(client.run("WRITE c 3", seconds=0.1).refusal)
+        floor = client.session.values.floors["db"]
+        self.assertEqual(floor, self.primary.position)
+        self.members[1].position = Position(1, floor.index)
+        self.assertIsNone(client.run("READ c", seconds=0.3).refusal)
+
+    def test_nobody_is_asked_while_the_primary_is_reached(self):
+        calm = self.zones["z3"]
+        for _ in range(5):
+            calm.client("orders").run("WRITE a 1", seconds=0.1)
+            self.clock.advance(0.3)
+        self.assertFalse([link for link in self.network.links if link.ends[0] == "z3"])
+
+    def test_a_primary_that_nobody_reaches_leads_to_refusals_in_time(self):
+        for zone in self.zones.values():
+            zone.lose(self.primary)
+        self.clock.advance(1.0)
+        answer = self.cut.client("orders").run("WRITE b 2", seconds=0.4)
+        self.assertEqual(answer.refusal, Refusal.BUSY)
+
+    def test_the_way_is_straight_again_once_the_primary_is_reached(self):
+        self.run_until_served("WRITE b 2")
+        self.cut.driver.cut.clear()
+        self.clock.advance(1.0)
+        client = self.cut.client("orders")
+        self.assertIsNone(client.run("WRITE c 3", seconds=0.1).refusal)
+        self.assertFalse(self.cut.gateway.services["db"].primary.failing_since)
