--- a/src/rowanlab/load/bench.py
+++ b/src/rowanlab/load/bench.py
@@ -22,9 +22,9 @@
 from rowanlab.fleet.runner import Fleet, free_subnet
 from rowanlab.load.demo import primary_of
 from rowanlab.load.driver import CallerConnection
+from rowanlab.load.process import processor_seconds, resident_bytes
 from rowanlab.load.running import RunningLoad
 from rowanlab.load.workload import LoadOptions
-from rowanlab.scale.slopes import processor_seconds, resident_bytes
 
 SUBNET = 70
 CALLERS = 24
--- a/tests/unit/test_groups.py
+++ b/tests/unit/test_groups.py
@@ -5,10 +5,10 @@
 import unittest
 from unittest import mock
 
-from rowanlab.scale.stubs import ZONES, StubDriver, configuration
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy import groups
 from rowanrail.proxy.groups import ALWAYS_WATCHED_GROUPS, GroupTable
+from tests.support.stubs import ZONES, StubDriver, configuration
 
 GROUPS = 40
 
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -3,10 +3,10 @@
 import asyncio
 import unittest
 
-from rowanlab.scale.stubs import StubConnection, StubDriver
 from rowanrail.kernel.errors import NotRunError
 from rowanrail.proxy.policies import LateAnswerDiscard
 from rowanrail.proxy.pool import Pool, PoolLimits, Priority
+from tests.support.stubs import StubConnection, StubDriver
 
 DEADLINE_SECONDS = 60.0
 
