--- a/src/rowanrail/config/reader.py
+++ b/src/rowanrail/config/reader.py
@@ -1,4 +1,4 @@
-"""Reading YAML, of which JSON is a part, into typed settings, with all problems at once.
+"""Reading YAML into typed settings, with all problems at once.
 
 ``msgspec`` converts a value and stops at its first problem. This module walks the
 types so that each field is converted by itself, and every problem names its file, its
@@ -12,6 +12,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+import yaml
 from returns.result import Failure, Result, Success
 
 StructType = TypeVar("StructType", bound=msgspec.Struct)
@@ -27,18 +28,6 @@
         return Failure([f"{path}: can't be read: {error.strerror}; check the name and its rights"])
     if len(data) > MAXIMUM_FILE_BYTES:
         return Failure([f"{path}: larger than {MAXIMUM_FILE_BYTES} bytes; split it"])
-    if data.lstrip().startswith(b"{"):
-        try:
-            return Success(msgspec.json.decode(data))
-        except msgspec.DecodeError:
-            pass  # what is not JSON may still be YAML, and YAML's message names the place
-    return _parse_yaml(path, data)
-
-
-def _parse_yaml(path: Path, data: bytes) -> Result[Any, list[str]]:
-    # Imported here: it takes a tenth of a gateway's start, and JSON needs none of it.
-    import yaml
-
     try:
         return Success(yaml.safe_load(data))
     except (yaml.YAMLError, UnicodeDecodeError, RecursionError) as error:
--- a/src/rowanrail/kernel/http.py
+++ b/src/rowanrail/kernel/http.py
@@ -12,7 +12,6 @@
 
 from rowanrail.kernel.errors import TransportError
 from rowanrail.kernel.lifecycle import listen_error
-from rowanrail.kernel.listening import take_listener
 
 MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
 JSON_TYPE = "application/json"
@@ -144,11 +143,12 @@
 
     :raises RowanrailError: if the address can't be used.
     """
+    host, _, port = address.rpartition(":")
     protocols: set[_ServerProtocol] = set()
     loop = asyncio.get_running_loop()
     try:
         server = await loop.create_server(
-            lambda: _ServerProtocol(handler, protocols), sock=take_listener(address)
+            lambda: _ServerProtocol(handler, protocols), host, int(port), backlog=256
         )
     except OSError as error:
         raise listen_error(address, error) from error
--- a/src/rowanrail/relay/transport.py
+++ b/src/rowanrail/relay/transport.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from rowanrail.kernel.lifecycle import listen_error
-from rowanrail.kernel.listening import take_listener
 from rowanrail.relay.link import Link, LinkState
 from rowanrail.relay.messages import FromGateway, FromHolder
 from rowanrail.relay.neighbours import LinkOpener
@@ -179,10 +178,11 @@
         RowanrailError
             If the address can't be used.
         """
+        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             self._server = await loop.create_server(
-                lambda: _HolderProtocol(self, self._holder), sock=take_listener(address)
+                lambda: _HolderProtocol(self, self._holder), host, int(port)
             )
         except OSError as error:
             raise listen_error(address, error) from error
