--- a/src/rowanrail/relay/detours.py
+++ b/src/rowanrail/relay/detours.py
@@ -118,9 +118,13 @@
         link.ask(AskSample(link.number_call(), service), settle)
 
     def _find(self, service: str, name: str) -> None:
+        """Note that a gateway answered; the one that was found first stays the way."""
         before = self._found.get(service)
         now = self._clock.now
-        if before is None or before.until < now or before.name != name:
+        is_known = before is not None and before.until >= now
+        if is_known and before is not None and before.name != name:
+            return
+        if not is_known:
             self.on_found(service, name)
         self._found[service] = _Found(name, now + FOUND_MS)
 
--- a/tests/relay/test_detours.py
+++ b/tests/relay/test_detours.py
@@ -49,9 +49,9 @@
         opener = world.network.opener(name)
         self.neighbours = Neighbours(name, relay_clock, opener)
         detours = Detours(name, relay_clock, opener)
-        log = RecordingLog(name, wall_clock=world.clock.time)
+        self.log = RecordingLog(name, wall_clock=world.clock.time)
         self.gateway = Gateway(
-            Locality(name), self.driver, world.clock, log, Registry(), self.neighbours, detours
+            Locality(name), self.driver, world.clock, self.log, Registry(), self.neighbours, detours
         )
         self.gateway.start()
         self.gateway.apply(RoutingConfiguration(1, routes(), {"db": ServiceSpec("db", 30)}, 3.0))
@@ -132,6 +132,17 @@
             self.clock.advance(0.3)
         self.assertFalse([link for link in self.network.links if link.ends[0] == "z3"])
 
+    def test_the_way_that_was_found_first_is_kept_and_told_once(self):
+        # Seen in an incident: two gateways answered each question, and the way changed each time.
+        self.run_until_served("WRITE b 2")
+        for number in range(5):
+            self.cut.client("orders").ask(f"WRITE c {number}")
+            self.clock.advance(0.2)
+        told = [
+            line for line in self.cut.log.written.decode().splitlines() if '"event":318' in line
+        ]
+        self.assertEqual(len(told), 1)
+
     def test_a_primary_that_nobody_reaches_leads_to_refusals_in_time(self):
         for zone in self.zones.values():
             zone.lose(self.primary)
