--- a/src/rowanrail/consensus/raft.py
+++ b/src/rowanrail/consensus/raft.py
@@ -273,6 +273,8 @@
         index = matches[len(voters) // 2] if matches else 0
         # Only an entry of the leader's own term commits by counting (Raft, section 5.4.2).
         if index > self.commit and self.log.term_of(index) == self.term:
+            if not self.is_established_leader:
+                self._heartbeat_due = self._became_leader_at  # followers wait to learn of it
             self.commit = index
             if self.node not in voters and self.log.membership_index <= self.commit:
                 self.role = Role.FOLLOWER
@@ -309,7 +311,7 @@
                 match -= 1
         if success:
             self.commit = max(self.commit, min(request.commit, match))
-            if self.commit >= request.commit:
+            if self.commit >= request.commit and self.log.term_of(self.commit) == self.term:
                 self._current_at = now
         self._send(request.sender, AppendReply(self.node, self.term, success, match, request.round))
 
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -82,7 +82,9 @@
     def current_seconds_ago(self, now: float) -> float:
         """Return how long ago this node held all that the leader had committed.
 
-        A follower that hears the leader may still lack most of the log.
+        A follower that hears the leader may still lack most of the log. A leader that has not
+        committed an entry of its own term does not know yet what is committed, so that nobody
+        who follows it does.
         """
         return 0.0 if self.is_established_leader else now - self._current_at
 
