--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -148,6 +148,8 @@
         if longest is None or not longest.directory.version:
             return
         directory = longest.directory
+        if self._is_taken(directory):
+            return
         parsed = self._format.parse(zlib.decompress(directory.document))
         if not isinstance(parsed, Success) or directory.members is None:
             return
@@ -243,6 +245,15 @@
             self._gateway.set_directory(_directory(reply, reply.members))
         self._follow_controls(address, reply.controls)
 
+    def _is_taken(self, directory: DirectoryReply) -> bool:
+        """Return whether another node held the same, and it was taken."""
+        taken = self._provisional
+        return taken is not None and (taken.revision, taken.version, taken.document) == (
+            directory.revision,
+            directory.version,
+            directory.document,
+        )
+
     def _corrects(self, reply: DirectoryReply) -> bool:
         """Return whether another document won the version that was taken provisionally."""
         taken = self._provisional
--- a/tests/gateway/test_directory_watch.py
+++ b/tests/gateway/test_directory_watch.py
@@ -152,6 +152,12 @@
         await self.follow(controls, 0.1)
         self.assertEqual((self.gateway.versions, self.gateway.revisions), ([7], [0]))
 
+    async def test_what_another_node_holds_as_well_is_taken_once(self):
+        late = node("a1", after=0.2)
+        same = {f"n{n}": held(f"v{n}", 2, 9, 7) for n in (1, 2, 3)}
+        await self.follow(PlayedControls(same, n1=late, n2=late, n3=late), 0.1)
+        self.assertEqual(self.gateway.revisions, [0])
+
     async def test_the_word_of_one_node_is_not_enough(self):
         late = node("a1", after=0.2)
         controls = PlayedControls({"n1": held("v1", 2, 9, 7)}, n1=late, n2=late, n3=late)
