--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -62,6 +62,7 @@
         self.liveness = Liveness(self.now)
         self._network = network
         self._zone = zone
+        self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
         self._handlers: dict[
@@ -323,20 +324,27 @@
             neighbours=_neighbours(state, zone) if is_changed else [],
             controls=sorted(self.node.raft.membership.addresses().values()),
             zone=self._zone,
-            others=_others(state, zone) if is_changed else [],
+            others=self._others(state, zone) if is_changed else [],
         )
 
+    def _others(self, state: CoordinationState, zone: str) -> list[GatewayRecord]:
+        """Return the gateways of other zones that hold a service's connections there."""
+        known, revision, holders = self._holders
+        if known is not state or revision != state.revision:
+            holders = _zone_holders(state)  # the same for all who ask; worked out once
+            self._holders = (state, state.revision, holders)
+        return [gateway for gateway in holders if gateway.zone != zone]
+
 
 def _neighbours(state: CoordinationState, zone: str) -> list[GatewayRecord]:
     return [gateway for gateway in state.gateways.values() if gateway.zone == zone]
 
 
-def _others(state: CoordinationState, zone: str) -> list[GatewayRecord]:
-    """Return the gateways of other zones that hold a service's connections there."""
+def _zone_holders(state: CoordinationState) -> list[GatewayRecord]:
+    """Return the gateways that hold a service's connections in their zones."""
     by_zone: dict[str, list[str]] = {}
     for gateway in state.gateways.values():
-        if gateway.zone != zone:
-            by_zone.setdefault(gateway.zone, []).append(gateway.name)
+        by_zone.setdefault(gateway.zone, []).append(gateway.name)
     services = {member.service for member in state.members.values()}
     names = {rank(service, known)[0] for known in by_zone.values() for service in services}
     return [state.gateways[name] for name in sorted(names)]
--- /dev/null
+++ b/tests/coordination/test_directory.py
@@ -0,0 +1,100 @@
+"""What a control node tells gateways of members and of other gateways."""
+
+import unittest
+
+import msgspec
+
+from rowanrail.consensus.log import Log
+from rowanrail.consensus.messages import Entry, EntryKind, Membership, Snapshot
+from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.messages import (
+    Announce,
+    DirectoryRequest,
+    GatewayRecord,
+    GatewayReport,
+    HeldRequest,
+    PutDocument,
+    SetGateways,
+)
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.relay.placement import rank
+
+MEMBERSHIP = Membership({"v1": "c1:1", "v2": "c2:1", "v3": "c3:1"})
+MEMBER = MemberRecord("m1", "db", "m1:1", "a", True, False, 3, 1)
+
+
+def gateways(zone, count):
+    return [GatewayRecord(f"{zone}{n}", zone, f"{zone}{n}:1") for n in range(count)]
+
+
+class PlayedRaft:
+    """A node that leads, or that has just started and knows no leader."""
+
+    node = "v1"
+    membership = MEMBERSHIP
+
+    def __init__(self, log, leads):
+        self.log, self.is_leader = log, leads
+
+    def current_seconds_ago(self, now):
+        return 0.0 if self.is_leader else 1e9
+
+
+class PlayedNode:
+    def __init__(self, commands=(), leads=True):
+        entries = [
+            Entry(2, index, EntryKind.COMMAND, msgspec.msgpack.encode(command))
+            for index, command in enumerate(commands, 1)
+        ]
+        self.raft = PlayedRaft(Log(Snapshot(0, 0, MEMBERSHIP, b""), entries), leads)
+
+    def leader_address(self):
+        return ""
+
+
+class DirectoryTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        data = msgspec.msgpack.encode(command)
+        self.state.apply(Entry(1, self.index, EntryKind.COMMAND, data))
+
+    async def ask(self, service, zone):
+        request = DirectoryRequest(GatewayReport(f"{zone}0", zone, []), 0, -1, 0.0)
+        return await service.handle(request)
+
+    async def test_one_gateway_of_each_other_zone_is_named_for_a_service(self):
+        self.apply(Announce(MEMBER))
+        self.apply(SetGateways([*gateways("a", 4), *gateways("b", 4), *gateways("c", 4)], []))
+        service = CoordinationService(PlayedNode(), self.state, None, "a")
+        reply = await self.ask(service, "a")
+        first = [rank("db", [f"{zone}{n}" for n in range(4)])[0] for zone in "bc"]
+        self.assertEqual([gateway.name for gateway in reply.others], sorted(first))
+        self.assertEqual([gateway.zone for gateway in reply.neighbours], ["a"] * 4)
+        self.assertEqual(reply.zone, "a")
+
+    async def test_a_gateway_that_is_gone_is_named_no_more(self):
+        self.apply(Announce(MEMBER))
+        self.apply(SetGateways([*gateways("a", 2), *gateways("b", 2)], []))
+        service = CoordinationService(PlayedNode(), self.state, None, "a")
+        (before,) = (await self.ask(service, "a")).others
+        self.apply(SetGateways([], [before.name]))
+        (after,) = (await self.ask(service, "a")).others
+        self.assertNotEqual(before.name, after.name)
+
+    async def test_a_node_tells_what_its_log_holds_though_it_knows_no_leader(self):
+        commands = [Announce(MEMBER), SetGateways(gateways("b", 1), []), PutDocument(9, b"nine")]
+        service = CoordinationService(PlayedNode(commands, leads=False), self.state, None, "a")
+        held = await service.handle(HeldRequest("a"))
+        self.assertEqual((held.node, held.last_term, held.last_index), ("v1", 2, 3))
+        self.assertEqual(held.voters, ["v1", "v2", "v3"])
+        self.assertEqual((held.directory.version, held.directory.document), (9, b"nine"))
+        self.assertEqual([member.instance for member in held.directory.members], ["m1"])
+        self.assertEqual([gateway.name for gateway in held.directory.others], ["b0"])
+        self.assertEqual(self.state.version, 0, "what is not committed is not applied")
