--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -10,8 +10,7 @@
 
 import msgspec
 
-from rowanrail.gateway.model import MemberRecord
-from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 from rowanrail.proxy.backend import Position
 
 FAILING_SECONDS = 0.25
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -4,8 +4,7 @@
 
 import msgspec
 
-from rowanrail.gateway.model import MemberRecord
-from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 from rowanrail.rpc.codec import message
 
 # Commands. Each is applied by every node in the order of the log.
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -23,6 +23,7 @@
 from rowanrail.gateway.model import (
     Answer,
     MemberRecord,
+    PrimaryHealth,
     Refusal,
     Route,
     RoutingConfiguration,
@@ -30,7 +31,7 @@
 )
 from rowanrail.gateway.operation import Stage
 from rowanrail.gateway.policies import GatewayPolicies
-from rowanrail.gateway.primary import PrimaryHealth, PrimaryTracker
+from rowanrail.gateway.primary import PrimaryTracker
 from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
--- a/src/rowanrail/gateway/model.py
+++ b/src/rowanrail/gateway/model.py
@@ -224,6 +224,19 @@
     sequence: int
 
 
+class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
+    """What a proxy sees of a service's primary; ages in whole milliseconds.
+
+    :param proved_ago_ms: since the last proof that it leads; -1 if there was none.
+    :param failing_for_ms: how long all attempts have failed; 0 if the last one succeeded.
+    """
+
+    service: str
+    instance: str
+    proved_ago_ms: int
+    failing_for_ms: int
+
+
 class ConfigurationFormat:
     """Port: how a document of the operator becomes a :class:`RoutingConfiguration`.
 
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -69,17 +69,17 @@
         self._waiter: Waiter | None = None
 
     def request(self, take: Callable[[Channel | None, Answer], None]) -> None:
-        """See :meth:`rowanrail.gateway.primary.Loan.request`."""
+        """See :meth:`rowanrail.gateway.probe.Loan.request`."""
         self._waiter = Waiter(SAMPLE_PRIORITY, {}, take)
         self._pool.acquire(self._waiter)
 
     def cancel(self) -> None:
-        """See :meth:`rowanrail.gateway.primary.Loan.cancel`."""
+        """See :meth:`rowanrail.gateway.probe.Loan.cancel`."""
         if self._waiter is not None:
             self._pool.cancel(self._waiter)
 
     def give_back(self, channel: Channel) -> None:
-        """See :meth:`rowanrail.gateway.primary.Loan.give_back`."""
+        """See :meth:`rowanrail.gateway.probe.Loan.give_back`."""
         self._pool.release(channel)
 
 
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -9,15 +9,20 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
-
-import msgspec
 
 from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.clock import Clock
-from rowanrail.gateway.model import Answer, Command, CommandKind, MemberRecord, Refusal
+from rowanrail.gateway.model import (
+    Answer,
+    Command,
+    CommandKind,
+    MemberRecord,
+    PrimaryHealth,
+    Refusal,
+)
 from rowanrail.gateway.policies import LeadershipProof
-from rowanrail.gateway.samples import Sample, SampleHistory
+from rowanrail.gateway.probe import Lender, Probe
+from rowanrail.gateway.samples import FloorWaiters, GiveFloor, Sample, SampleHistory
 from rowanrail.proxy.backend import Position
 
 PROBE_TIMEOUT_SECONDS = 0.3
@@ -34,80 +39,6 @@
 
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
 
-GiveFloor = Callable[[Position | None], None]
-
-
-class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
-    """What a proxy sees of a service's primary; ages in whole milliseconds.
-
-    :param proved_ago_ms: since the last proof that it leads; -1 if there was none.
-    :param failing_for_ms: how long all attempts have failed; 0 if the last one succeeded.
-    """
-
-    service: str
-    instance: str
-    proved_ago_ms: int
-    failing_for_ms: int
-
-
-class Loan(Protocol):
-    """A connection of a pool, wanted or in use for a sample."""
-
-    def request(self, take: Callable[[Channel | None, Answer], None]) -> None:
-        """Ask for it, before all who wait for one to run statements."""
-
-    def cancel(self) -> None:
-        """Want it no longer; nobody is called."""
-
-    def give_back(self, channel: Channel) -> None:
-        """Give it back, or drop it if it is closed."""
-
-
-class Lender(Protocol):
-    """Lends connections that are open for statements anyway."""
-
-    def can_lend(self, instance: str) -> bool:
-        """Return whether a connection to a member can be had at once."""
-
-    def loan(self, instance: str) -> Loan | None:
-        """Return a loan at a member, None if the member isn't known."""
-
-
-class _Probe:
-    """The connection that samples one member: its own, or one that is borrowed each time."""
-
-    def __init__(self, record: MemberRecord) -> None:
-        self.record = record
-        self.channel: Channel | None = None
-        self.loan: Loan | None = None
-        self.is_open = False
-        self.asked_at = 0.0
-        self.in_flight = False
-        self.opened_at = 0.0
-        self.retry_at = 0.0
-        self.is_crowded = False
-
-    @property
-    def waits_for_loan(self) -> bool:
-        """Whether it stands in line for a connection of the pool."""
-        return self.loan is not None and self.channel is None
-
-    def channel_closed(self) -> bool:
-        """Return whether the connection is gone."""
-        return self.channel is None or self.channel.closed
-
-    def give_back(self) -> None:
-        """Give a borrowed connection back, or leave the line."""
-        loan, self.loan = self.loan, None
-        if loan is None:
-            return
-        channel, self.channel = self.channel, None
-        self.is_open = False
-        if channel is None:
-            loan.cancel()
-        else:
-            loan.give_back(channel)
-
 
 class PrimaryTracker:
     """Finds the primary of one service and keeps its newest sample."""
@@ -129,9 +60,9 @@
         self._proof = proof
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
-        self._probes: dict[str, _Probe] = {}
+        self._probes: dict[str, Probe] = {}
         self._samples = SampleHistory()
-        self._waiting: list[tuple[float, GiveFloor]] = []
+        self._waiting = FloorWaiters()
         self._search_at = 0.0
 
     @property
@@ -193,16 +124,15 @@
         if self.believed != instance and instance in self._records:
             self.believed = instance
             self.on_primary()
-        if self._waiting:
-            self._serve_waiting()
+        self._waiting.serve(self.sample)
 
     def note_told(self, asked_at: float, instance: str, position: Position) -> None:
         """Take a position that another gateway had proved, asked for at ``asked_at`` or later.
 
         It lets reads go on; that this gateway does not reach the primary stays true.
         """
-        if self._samples.add(asked_at, position, instance) and self._waiting:
-            self._serve_waiting()
+        if self._samples.add(asked_at, position, instance):
+            self._waiting.serve(self.sample)
 
     def note_not_primary(self, instance: str) -> None:
         """Note that a member refused as one that does not lead."""
@@ -233,22 +163,12 @@
         if sample is not None:
             give(sample.position)
             return
-        self._waiting.append((asked_since, give))
+        self._waiting.add(asked_since, give)
         self._ask()
 
     def forget(self, give: GiveFloor | None) -> None:
         """Forget somebody who waits."""
-        self._waiting = [entry for entry in self._waiting if entry[1] != give]
-
-    def _serve_waiting(self) -> None:
-        sample = self.sample
-        if sample is None:
-            return
-        ready = [entry for entry in self._waiting if entry[0] <= sample.asked_at]
-        if ready:
-            self._waiting = [entry for entry in self._waiting if entry[0] > sample.asked_at]
-            for _, give in ready:
-                give(sample.position)
+        self._waiting.forget(give)
 
     # Probing
 
@@ -307,7 +227,7 @@
         now = self._clock.time()
         probe = self._probes.get(record.instance)
         if probe is None:
-            probe = _Probe(record)
+            probe = Probe(record)
             self._probes[record.instance] = probe
         if probe.in_flight or now < probe.retry_at:
             return
@@ -318,7 +238,7 @@
         elif not self._borrow(probe):
             self._open(probe)
 
-    def _open(self, probe: _Probe) -> None:
+    def _open(self, probe: Probe) -> None:
         record = probe.record
 
         def on_open(channel: Channel, answer: Answer) -> None:
@@ -340,7 +260,7 @@
         probe.channel.on_closed = lambda channel: self._on_closed(record.instance, channel)
         self._driver.open(record.address, record.service, record.instance, probe.channel)
 
-    def _note_crowded(self, probe: _Probe) -> None:
+    def _note_crowded(self, probe: Probe) -> None:
         """Note that the member is alive, but has no connection left."""
         probe.channel = None
         probe.in_flight = False
@@ -353,13 +273,13 @@
         probe = self._probes.get(self.believed)
         return probe is not None and probe.is_crowded
 
-    def _may_borrow(self, probe: _Probe) -> bool:
+    def _may_borrow(self, probe: Probe) -> bool:
         instance = probe.record.instance
         if self.lender is None or instance != self.believed or self.failing_since:
             return False
         return probe.is_crowded or self.lender.can_lend(instance)
 
-    def _borrow(self, probe: _Probe) -> bool:
+    def _borrow(self, probe: Probe) -> bool:
         """Ask for a connection of the pool; return False if the probe is to open its own."""
         if self.lender is None or not self._may_borrow(probe):
             return False
@@ -381,7 +301,7 @@
         probe.loan.request(take)
         return True
 
-    def _lend_refused(self, probe: _Probe, answer: Answer) -> None:
+    def _lend_refused(self, probe: Probe, answer: Answer) -> None:
         probe.loan = None
         if answer.refusal is Refusal.LOST:
             self._drop_probe(probe.record.instance)
@@ -389,7 +309,7 @@
         else:
             self._note_crowded(probe)
 
-    def _stop_waiting(self, probe: _Probe) -> None:
+    def _stop_waiting(self, probe: Probe) -> None:
         """Leave the line for a connection of the pool, and open one.
 
         That all are in use for so long may be the first sign that the member is silent.
@@ -399,7 +319,7 @@
         probe.asked_at = self._clock.time()
         self._open(probe)
 
-    def _send(self, probe: _Probe) -> None:
+    def _send(self, probe: Probe) -> None:
         assert probe.channel is not None
         asked_at = probe.asked_at
         instance = probe.record.instance
@@ -430,7 +350,7 @@
 
         probe.channel.send(_PROBE, [on_begin, on_end])
 
-    def _is_needless(self, probe: _Probe) -> bool:
+    def _is_needless(self, probe: Probe) -> bool:
         """Return whether a probe's own connection may be closed."""
         if self._waiting or self.failing_since or not self.believed:
             return False
@@ -464,7 +384,7 @@
         record = self._records.get(instance)
         if record is not None:
             # The next attempt waits a little, so that a dead port is not hammered.
-            probe = _Probe(record)
+            probe = Probe(record)
             probe.retry_at = self._clock.time() + RETRY_OPEN_SECONDS
             self._probes[instance] = probe
         if instance == self.believed:
@@ -474,6 +394,4 @@
         """Close the sampling connections."""
         for instance in list(self._probes):
             self._drop_probe(instance)
-        for _, give in self._waiting:
-            give(None)
-        self._waiting = []
+        self._waiting.close()
--- a/src/rowanrail/gateway/samples.py
+++ b/src/rowanrail/gateway/samples.py
@@ -8,17 +8,21 @@
 
 from bisect import bisect_left
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
 from rowanrail.proxy.backend import Position
 
-__all__ = ["Sample", "SampleHistory"]
+__all__ = ["FloorWaiters", "GiveFloor", "Sample", "SampleHistory"]
 
 HISTORY_SECONDS = 5.0  # age of the oldest sample that is kept
 HISTORY_STEP_SECONDS = 0.02  # between samples that are kept
 
 
+GiveFloor = Callable[[Position | None], None]
+
+
 class Sample(msgspec.Struct, frozen=True, gc=False):
     """The primary's position.
 
@@ -93,3 +97,50 @@
             return self._kept[place]
         newest = self._newest
         return newest if newest is not None and newest.asked_at >= asked_since else None
+
+
+class FloorWaiters:
+    """Reads that wait for a sample that was asked for late enough.
+
+    Examples
+    --------
+    >>> waiters, given = FloorWaiters(), []
+    >>> waiters.add(10.0, given.append)
+    >>> waiters.serve(Sample(9.9, Position(1, 3), "m1")), len(waiters)
+    (None, 1)
+    >>> waiters.serve(Sample(10.1, Position(1, 4), "m1")), given
+    (None, [Position(term=1, index=4)])
+    """
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: list[tuple[float, GiveFloor]] = []
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._waiting)
+
+    def add(self, asked_since: float, give: GiveFloor) -> None:
+        """Have ``give`` called with a sample that was asked for at ``asked_since`` or later."""
+        self._waiting.append((asked_since, give))
+
+    def forget(self, give: GiveFloor | None) -> None:
+        """Forget somebody who waits."""
+        self._waiting = [entry for entry in self._waiting if entry[1] != give]
+
+    def serve(self, sample: Sample | None) -> None:
+        """Give the position of a sample to all whom it is new enough for."""
+        if sample is None or not self._waiting:
+            return
+        ready = [entry for entry in self._waiting if entry[0] <= sample.asked_at]
+        if ready:
+            self._waiting = [entry for entry in self._waiting if entry[0] > sample.asked_at]
+            for _, give in ready:
+                give(sample.position)
+
+    def close(self) -> None:
+        """Tell all who wait that nothing comes any more."""
+        waiting, self._waiting = self._waiting, []
+        for _, give in waiting:
+            give(None)
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -106,12 +106,12 @@
         return best
 
     def can_lend(self, instance: str) -> bool:
-        """See :meth:`rowanrail.gateway.primary.Lender.can_lend`."""
+        """See :meth:`rowanrail.gateway.probe.Lender.can_lend`."""
         pool = self.pools.get(instance)
         return pool is not None and pool.can_lend
 
     def loan(self, instance: str) -> PoolLoan | None:
-        """See :meth:`rowanrail.gateway.primary.Lender.loan`."""
+        """See :meth:`rowanrail.gateway.probe.Lender.loan`."""
         pool = self.pools.get(instance)
         return None if pool is None else PoolLoan(pool)
 
--- a/tests/coordination/test_messages.py
+++ b/tests/coordination/test_messages.py
@@ -4,7 +4,7 @@
 
 from rowanrail.consensus.messages import AppendReply, AppendRequest
 from rowanrail.coordination.messages import GatewayReport
-from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.model import PrimaryHealth
 from rowanrail.rpc.codec import FrameKind, decode_frame, encode_frame
 
 NODE = "10.1.0.38:7520@fbf0426a60ad"
--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -10,8 +10,7 @@
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
-from rowanrail.gateway.model import MemberRecord
-from rowanrail.gateway.primary import PrimaryHealth
+from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 
 
 class NotedNetwork:
