--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -6,7 +6,6 @@
 
 import enum
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 
@@ -25,6 +24,7 @@
 from rowanrail.gateway.pool import MemberPool, Waiter
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import PreparedNames, SessionValues
+from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 from rowanrail.proxy.backend import Position
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
@@ -45,43 +45,6 @@
     SENT = "sent"
 
 
-class AwayWork(Protocol):
-    """Work that another gateway does, since it reaches the primary and this one does not."""
-
-    def trace(self) -> Trace:
-        """Return what decided about the statement so far."""
-
-    def finish(self, answer: Answer) -> None:
-        """Give the statement's answer, once."""
-
-
-class AwayStatement(AwayWork, Protocol):
-    """A read or write on its own."""
-
-    def start(self, statement: TypedStatement, respond: Respond) -> None:
-        """Begin; ``respond`` gets the answer once."""
-
-
-class AwayTransaction(AwayWork, Protocol):
-    """A transaction, from its first statement to its end."""
-
-    def run(self, statement: TypedStatement, respond: Respond) -> None:
-        """Run a read, a write or the commit."""
-
-    def end(self) -> None:
-        """Roll back, if it is open."""
-
-
-class DetourWork(Protocol):
-    """A gateway that reaches the primary."""
-
-    def single(self, route: Route, session: SessionValues, writes: bool) -> AwayStatement:
-        """Return the work for one read or write."""
-
-    def transaction(self, route: Route, session: SessionValues, read_only: bool) -> AwayTransaction:
-        """Return the work for a transaction."""
-
-
 class Operation:
     """What all kinds of work share: a deadline, a connection, and one final answer."""
 
@@ -109,8 +72,8 @@
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
-        self.find_detour: Callable[[], DetourWork | None] = lambda: None
-        self.away: AwayWork | None = None
+        self.find_detour: Callable[[], Work | None] = lambda: None
+        self.away: SingleStatement | WorkInTransaction | None = None
         service.used_at = clock.time()
 
     def trace(self) -> Trace:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -15,7 +15,7 @@
     StatementKind,
     TypedStatement,
 )
-from rowanrail.gateway.operation import RETRY_SECONDS, AwayTransaction, Operation, Stage, busy
+from rowanrail.gateway.operation import RETRY_SECONDS, Operation, Stage, busy
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import (
     PreparedNames,
@@ -23,6 +23,7 @@
     is_write,
     replay_in_transaction,
 )
+from rowanrail.gateway.work_port import WorkInTransaction
 from rowanrail.proxy.backend import ORIGIN, Position
 
 BUSY_RETRIES = 3
@@ -53,7 +54,7 @@
         self._excluded: set[str] = set()
         self._busy_retries = 0
         self._reclaimed_for = ""
-        self._moved: AwayTransaction | None = None
+        self._moved: WorkInTransaction | None = None
 
     def run(self, statement: TypedStatement, respond: Respond) -> None:
         """Run a read, a write or the commit."""
--- a/src/rowanrail/gateway/work.py
+++ b/src/rowanrail/gateway/work.py
@@ -1,59 +1,19 @@
 """Where a session's work is done: at members through this gateway's own connections."""
 
 from collections.abc import Callable
-from typing import Protocol
 
-from rowanrail.gateway.channel import Respond
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.lone_read import LoneRead
 from rowanrail.gateway.lone_write import LoneWrite
-from rowanrail.gateway.model import Answer, Route, Trace, TypedStatement
+from rowanrail.gateway.model import Route
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import PreparedNames, SessionValues
 from rowanrail.gateway.transaction import Transaction
+from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 
 __all__ = ["LocalWork", "SingleStatement", "Work", "WorkInTransaction"]
 
 
-class _Traced(Protocol):
-    """Work that can say how far it came, and that ends when its client leaves."""
-
-    def trace(self) -> Trace:
-        """Return what decided about the statement so far."""
-
-    def finish(self, answer: Answer) -> None:
-        """Give the statement's answer, once."""
-
-
-class SingleStatement(_Traced, Protocol):
-    """A read or write on its own."""
-
-    def start(self, statement: TypedStatement, respond: Respond) -> None:
-        """Begin; ``respond`` gets the answer once."""
-
-
-class WorkInTransaction(_Traced, Protocol):
-    """A transaction, from its first statement to its end."""
-
-    def run(self, statement: TypedStatement, respond: Respond) -> None:
-        """Run a read, a write or the commit."""
-
-    def end(self) -> None:
-        """Roll back, if it is open."""
-
-
-class Work(Protocol):
-    """A place where statements of one service run."""
-
-    def single(self, route: Route, session: SessionValues, writes: bool) -> SingleStatement:
-        """Return the work for one read or write."""
-
-    def transaction(
-        self, route: Route, session: SessionValues, read_only: bool
-    ) -> WorkInTransaction:
-        """Return the work for a transaction."""
-
-
 class LocalWork:
     """Statements of one service on this gateway's own connections.
 
@@ -76,7 +36,7 @@
         service: Service,
         names: PreparedNames,
         clock: Clock,
-        find_detour: Callable[[], "Work | None"] = lambda: None,
+        find_detour: Callable[[], Work | None] = lambda: None,
     ) -> None:
         self._service = service
         self._names = names
--- /dev/null
+++ b/src/rowanrail/gateway/work_port.py
@@ -0,0 +1,48 @@
+"""Ports of work: a place where statements run, whichever gateway that is at."""
+
+from typing import Protocol
+
+from rowanrail.gateway.channel import Respond
+from rowanrail.gateway.model import Answer, Route, Trace, TypedStatement
+from rowanrail.gateway.session_values import SessionValues
+
+__all__ = ["SingleStatement", "Work", "WorkInTransaction"]
+
+
+class _Traced(Protocol):
+    """Work that can say how far it came, and that ends when its client leaves."""
+
+    def trace(self) -> Trace:
+        """Return what decided about the statement so far."""
+
+    def finish(self, answer: Answer) -> None:
+        """Give the statement's answer, once."""
+
+
+class SingleStatement(_Traced, Protocol):
+    """A read or write on its own."""
+
+    def start(self, statement: TypedStatement, respond: Respond) -> None:
+        """Begin; ``respond`` gets the answer once."""
+
+
+class WorkInTransaction(_Traced, Protocol):
+    """A transaction, from its first statement to its end."""
+
+    def run(self, statement: TypedStatement, respond: Respond) -> None:
+        """Run a read, a write or the commit."""
+
+    def end(self) -> None:
+        """Roll back, if it is open."""
+
+
+class Work(Protocol):
+    """A place where statements of one service run."""
+
+    def single(self, route: Route, session: SessionValues, writes: bool) -> SingleStatement:
+        """Return the work for one read or write."""
+
+    def transaction(
+        self, route: Route, session: SessionValues, read_only: bool
+    ) -> WorkInTransaction:
+        """Return the work for a transaction."""
