--- a/src/rowanlab/rounds.py
+++ b/src/rowanlab/rounds.py
@@ -22,7 +22,7 @@
 class _Day(msgspec.Struct):
     name: str
     worth: float = msgspec.field(name="G")
-    seed: int = 0
+    seed: int | None = None
     score: float | None = None
     gate: bool | None = None
     rules: dict[str, object] = {}
@@ -54,7 +54,7 @@
     """
 
     day: str
-    seed: int
+    seed: int | None
     worth: float
     lines: dict[str, float]
 
@@ -97,15 +97,22 @@
     passed: bool
 
 
-def read_journal(folder: Path) -> list[_Entry]:
-    """Return the entries of a journal in the order in which they were begun."""
+def read_journal(folder: Path) -> tuple[list[_Entry], int]:
+    """Return the entries of a journal in the order in which they were begun.
+
+    Returns
+    -------
+    tuple of list and int
+        The entries, and how many files could not be read as one.
+    """
     entries = []
+    unreadable = 0
     for path in sorted(folder.glob("*.json")):
         try:
             entries.append(msgspec.json.decode(path.read_bytes(), type=_Entry))
         except msgspec.DecodeError:
-            continue  # an entry of another kind, or one that was cut
-    return entries
+            unreadable += 1
+    return entries, unreadable
 
 
 def scores_of(entries: Iterable[_Entry], site: str = "") -> list[Score]:
@@ -197,10 +204,13 @@
     """Show scores and rounds of played days as tables, and draw the scores."""
     if not folder.is_dir():
         raise click.ClickException(f"{folder}: no such folder; name one with --journal")
-    entries = read_journal(folder)
+    entries, unreadable = read_journal(folder)
     scores = scores_of(entries, site)
     rounds = [one for one in rounds_of(entries) if site in ("", one.site) and word in one.title]
     click.echo("\n".join([*score_lines(scores), "", *round_lines(rounds)]))
+    if unreadable:
+        what = "1 entry left out: it" if unreadable == 1 else f"{unreadable} entries left out: they"
+        click.echo(f"\n{what} can't be read")
     if picture is not None:
         draw_scores(scores, picture)
         click.echo(f"\n{picture}: {len(scores)} scores")
