Have read-only transactions leave silent members; move attempt limits to Operation

Ruled out: that the late answers of 8 to 10 s are the hanging member's. Nearly all of them are clients of the 57 % of gateways without power from 9.2 to 10.6 s. Change: the limit of an attempt at one member, which single reads had, belongs to all work; a transaction that only reads begins elsewhere while its client has seen nothing of it, and is aborted in time for a new try after that. Silence counts against the member. A primary that hangs but proves to lead is not replaced: open.

--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -3,16 +3,11 @@
 from collections.abc import Callable
 
 from rowanrail.gateway.channel import Channel, Respond
-from rowanrail.gateway.clock import Timer
 from rowanrail.gateway.freshness import oldest_sample, prefetch
 from rowanrail.gateway.model import Answer, Refusal, TypedStatement
 from rowanrail.gateway.operation import Operation, Stage, busy
 from rowanrail.proxy.backend import ORIGIN, Position
 
-READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
-READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
-MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
-OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
 READ_ATTEMPTS = 6
 ERROR_ATTEMPTS = 3  # members that may fail a read before the client is told
 
@@ -27,7 +22,6 @@
         self.begin_statement(respond)
         self._errors = 0
         self._asked_since = oldest_sample(self.route, self.arrived_at)
-        self.attempt_timer: Timer | None = None
         self._need_floor()
 
     def _need_floor(self) -> None:
@@ -67,13 +61,7 @@
                 return
             pool = roomy
         self.acquire(pool, self._with_channel)
-        if self.waiter is not None and not pool.established:
-            self._limit_attempt(OPEN_ATTEMPT_SECONDS)
-
-    def _limit_attempt(self, seconds: float) -> None:
-        if self.attempt_timer is not None:
-            self.attempt_timer.cancel()
-        self.attempt_timer = self.clock.call_later(seconds, self._give_up_member)
+        self.limit_opening()
 
     def floor_callback(self) -> Callable[[Position | None], None] | None:
         """See :meth:`Operation.floor_callback`."""
@@ -81,36 +69,21 @@
 
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
-            self._next_member()
+            self.try_next_member()
             return
-        assert self.pool is not None
         commands = self.replay(channel)
         commands += self.command(self.statement, self.floor)
-        usual = max(MINIMUM_ATTEMPT_SECONDS, READ_ATTEMPT_LATENCIES * self.pool.latency_seconds)
-        self._limit_attempt(min(READ_ATTEMPT_SHARE * self.route.objective_seconds, usual))
+        self.limit_answer()
         self.send(commands, self._answered)
 
-    def _next_member(self) -> None:
+    def try_next_member(self) -> None:
+        """See :meth:`Operation.try_next_member`."""
         if self.pool is not None:
             self.excluded.add(self.pool.record.instance)
         self._choose()
 
-    def _give_up_member(self) -> None:
-        self.attempt_timer = None
-        if self.pool is None or self.respond is None:
-            return
-        self.pool.note_silence()
-        if self.channel is not None:
-            self.channel.close()  # answers the read as lost, which tries the next member
-        elif self.waiter is not None:
-            self.pool.cancel(self.waiter)
-            self.waiter = None
-            self._next_member()
-
     def _answered(self, answer: Answer) -> None:
-        if self.attempt_timer is not None:
-            self.attempt_timer.cancel()
-            self.attempt_timer = None
+        self.end_attempt()
         if self.respond is None:
             self.release()
             return
@@ -131,7 +104,7 @@
             if answer.refusal is Refusal.UNKNOWN_NAME and self.channel is not None:
                 self.channel.prepared.clear()
             self.release()
-            self._next_member()
+            self.try_next_member()
 
     def _failed(self, answer: Answer) -> None:
         """Ask another member: a read that failed at one changes nothing there."""
@@ -142,7 +115,7 @@
         if self._errors >= ERROR_ATTEMPTS:
             self.finish(answer)
             return
-        self._next_member()
+        self.try_next_member()
 
     def _behind(self) -> None:
         assert self.pool is not None
@@ -169,8 +142,6 @@
         """See :meth:`Operation.on_timeout`. A read that was sent may still run."""
         self.service.primary.forget(self._with_floor)
         sent = self.channel is not None
-        if self.attempt_timer is not None:
-            self.attempt_timer.cancel()
         refusal = Refusal.TIMEOUT if sent else Refusal.BUSY
         self.finish(Answer(refusal=refusal, message="no answer in time"))
         self.discard()
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -32,6 +32,10 @@
 SHORTEST_SECONDS = 0.001
 ADMISSION_SHARE = 0.5  # of the objective: who would wait longer for a connection is refused
 COME_BACK_SECONDS = 0.5
+READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
+READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
+MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
+OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
 
 
 class Stage(enum.Enum):
@@ -66,6 +70,7 @@
         self.attempts = 0
         self.timer: Timer | None = None
         self.hold_timer: Timer | None = None
+        self.attempt_timer: Timer | None = None
         self.waiter: Waiter | None = None
         self.respond: Respond | None = None
         self.arrived_at = 0.0
@@ -149,10 +154,10 @@
 
     def stop_timers(self) -> None:
         """Forget the statement's time: it has its answer, or somebody else minds it."""
-        for timer in (self.timer, self.hold_timer):
+        for timer in (self.timer, self.hold_timer, self.attempt_timer):
             if timer is not None:
                 timer.cancel()
-        self.timer = self.hold_timer = None
+        self.timer = self.hold_timer = self.attempt_timer = None
 
     def finish(self, answer: Answer) -> None:
         """Give the statement's answer, once."""
@@ -193,6 +198,45 @@
         self.finish(busy(f"the primary has been lost for {seconds:.1f} s; retry elsewhere"))
         return True
 
+    # Attempts at one member
+
+    def limit_opening(self) -> None:
+        """Wait only a short while for the first connection to a member."""
+        if self.waiter is not None and self.pool is not None and not self.pool.established:
+            self._limit_attempt(OPEN_ATTEMPT_SECONDS)
+
+    def limit_answer(self) -> None:
+        """Give the member up for a read if its answer takes much longer than usual."""
+        assert self.pool is not None
+        usual = max(MINIMUM_ATTEMPT_SECONDS, READ_ATTEMPT_LATENCIES * self.pool.latency_seconds)
+        self._limit_attempt(min(READ_ATTEMPT_SHARE * self.route.objective_seconds, usual))
+
+    def _limit_attempt(self, seconds: float) -> None:
+        self.end_attempt()
+        self.attempt_timer = self.clock.call_later(seconds, self._give_up_member)
+
+    def end_attempt(self) -> None:
+        """Note that the member answered, or that the statement is over."""
+        timer, self.attempt_timer = self.attempt_timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def _give_up_member(self) -> None:
+        self.attempt_timer = None
+        if self.pool is None or self.respond is None:
+            return
+        self.pool.note_silence()
+        if self.channel is not None:
+            self.channel.close()  # answers as lost what is outstanding, which goes elsewhere
+        elif self.waiter is not None:
+            self.pool.cancel(self.waiter)
+            self.waiter = None
+            self.try_next_member()
+
+    def try_next_member(self) -> None:
+        """Go on at another member, after one that gave no connection."""
+        raise NotImplementedError
+
     # Connections
 
     def acquire(self, pool: MemberPool, take: Callable[[Channel | None, Answer], None]) -> None:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -51,6 +51,7 @@
         self.failed = False
         self._begun_at = clock.time()
         self._begun = False
+        self._has_answered = False
         self._excluded: set[str] = set()
         self._busy_retries = 0
         self._reclaimed_for = ""
@@ -110,6 +111,7 @@
         pool = roomy
         self._floor: Position | None = max(position, own)
         self.acquire(pool, self._with_channel)
+        self.limit_opening()
 
     def _acquire_primary(self) -> None:
         self.stage = Stage.WAITS_FOR_PRIMARY
@@ -149,9 +151,9 @@
 
     def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
-            if self.read_only and self.pool is not None:
-                self._excluded.add(self.pool.record.instance)
-            elif not self.read_only:
+            if self.read_only:
+                self._exclude_member()
+            else:
                 self.service.primary.note_refused_connection(answer)
             self.retry_later(self._begin, busy(answer.message))
             return
@@ -159,10 +161,22 @@
         commands = self.replay(channel)
         commands.append(Command(kind, floor=self._floor))
         channel.in_transaction = True
+        if self.read_only:
+            self.limit_answer()
         self.send(commands, self._begin_answered)
 
+    def _exclude_member(self) -> None:
+        if self.pool is not None:
+            self._excluded.add(self.pool.record.instance)
+
+    def try_next_member(self) -> None:
+        """See :meth:`Operation.try_next_member`."""
+        self._exclude_member()
+        self._begin()
+
     def _begin_answered(self, answer: Answer) -> None:
         assert self.pool is not None
+        self.end_attempt()
         instance = self.pool.record.instance
         if answer.refusal is None:
             self._begun = True
@@ -202,10 +216,16 @@
             self.wrote = True
         commands = replay_in_transaction(self.channel, self.session)
         commands += self.command(self.statement, None)
+        if self.read_only:
+            self.limit_answer()
         self.send(commands, self._statement_answered)
 
     def _statement_answered(self, answer: Answer) -> None:
+        self.end_attempt()
         if answer.refusal is None:
+            self._has_answered = True
+            if self.read_only and self.pool is not None:
+                self.pool.note_answer()
             if self.pool is not None and self.channel is not None:
                 self.pool.note_resting(self)  # until its next statement, perhaps at once
             self.finish(answer)
@@ -214,8 +234,19 @@
             self._busy_retries += 1
             self.clock.call_later(RETRY_SECONDS * self._busy_retries, self._retry_statement)
             return
+        if answer.refusal is Refusal.LOST and self._may_begin_elsewhere:
+            self._exclude_member()
+            self._begun = False
+            self.release()
+            self._begin()
+            return
         self._fail(answer)
 
+    @property
+    def _may_begin_elsewhere(self) -> bool:
+        """Whether the client has seen nothing of the transaction, which changes nothing."""
+        return self.read_only and not self._has_answered and self.respond is not None
+
     def _may_retry(self, answer: Answer) -> bool:
         return (
             answer.refusal is Refusal.BUSY
--- /dev/null
+++ b/tests/gateway/test_silent_members.py
@@ -0,0 +1,65 @@
+"""Members that take work and leave it unanswered, seen from transactions that only read."""
+
+import unittest
+
+from rowanrail.gateway.model import CommandKind, Refusal
+from tests.support.gateway import PlayedGateway
+
+
+class SilentMemberTest(unittest.TestCase):
+    """Found on hb-subrail-large, scale-2: a member hung for 6.6 s.
+
+    Single reads went to another member after 0.4 s. Transactions stayed for their route's whole
+    time, were aborted, and their successors went to the same member again.
+    """
+
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.played.client("reports").run("READ warm")
+        self.client = self.played.client("reports")
+        self.client.run("BEGIN READ")
+
+    def test_a_first_read_goes_to_another_member(self):
+        self.played.near.silent = True
+        answer = self.client.run("READ a", seconds=0.45)
+        self.assertIsNone(answer.refusal)
+        self.assertNotIn("READ a", self.played.near.texts())  # its BEGIN was never answered
+
+    def test_a_first_read_whose_begin_was_answered_goes_to_another_member(self):
+        self.played.near.script = [None]
+        answer = self.client.run("READ a", seconds=0.45)
+        self.assertIsNone(answer.refusal)
+        self.assertIsNone(self.client.run("READ b").refusal)
+        self.assertIsNone(self.client.run("COMMIT").refusal)
+        others = [m for m in (self.played.primary, self.played.far) if m.texts()]
+        self.assertEqual([m.texts() for m in others], [["READ a", "READ b", "COMMIT"]])
+
+    def test_a_first_read_whose_connection_is_reset_goes_to_another_member(self):
+        self.played.near.script = [None]
+        self.client.ask("READ a")
+        for wire in self.played.near.open_wires():
+            wire.channel.lost("reset")
+        self.played.clock.advance(0.1)
+        self.assertIsNone(self.client.answers[-1].refusal)
+
+    def test_a_later_read_is_aborted_in_time_for_the_client_to_begin_again(self):
+        self.assertIsNone(self.client.run("READ a").refusal)
+        self.played.near.silent = True
+        answer = self.client.run("READ b", seconds=0.45)
+        self.assertEqual(answer.refusal, Refusal.ABORTED)
+
+    def test_the_next_transaction_keeps_away_from_it(self):
+        self.played.near.silent = True
+        self.client.run("READ a", seconds=0.45)
+        follower = self.played.client("reports")
+        follower.run("BEGIN READ")
+        self.assertIsNone(follower.run("READ b", seconds=0.01).refusal)
+
+    def test_a_transaction_that_writes_is_not_begun_again_elsewhere(self):
+        client = self.played.client("orders")
+        client.run("BEGIN")
+        self.played.primary.silent = True
+        answer = client.run("READ a", seconds=1.1)
+        self.assertIn(answer.refusal, (Refusal.ABORTED, Refusal.BUSY))
+        begun = [c for m in (self.played.near, self.played.far) for _, c in m.ran]
+        self.assertNotIn(CommandKind.STATEMENT, [c.kind for c in begun if c.text == "READ a"])
