--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -31,6 +31,12 @@
 SEARCH_SECONDS = 0.1
 FAILING_SEARCH_SECONDS = 0.15  # between looks at all members while the primary fails
 MONITOR_SECONDS = 0.3  # without a proof: when the primary of a service in use is asked
+# Samples that all gateways together ask a primary for when they have no other reason to. At 194
+# gateways each 0.3 s they were most of the bytes between regions (hb-subrail-large, quiet-1).
+MONITOR_SAMPLES_PER_SECOND = 320.0
+LONGEST_MONITOR_SECONDS = (
+    0.6  # so that a silent primary is noticed in the time of a usual objective
+)
 LONG_LOST_SECONDS = 2.0  # a successor stands within 1 to 2 s; whoever is cut off waits longer
 RETRY_OPEN_SECONDS = 0.3
 OWN_SECONDS = 5.0  # for which a connection of its own is kept, though the pool could lend one
@@ -40,6 +46,18 @@
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
 
 
+def monitor_seconds(gateways: int) -> float:
+    """Return after how long without a proof one of so many gateways asks for a sample.
+
+    Examples
+    --------
+    >>> monitor_seconds(9), monitor_seconds(160), monitor_seconds(2000)
+    (0.3, 0.5, 0.6)
+    """
+    even = gateways / MONITOR_SAMPLES_PER_SECOND
+    return min(max(MONITOR_SECONDS, even), LONGEST_MONITOR_SECONDS)
+
+
 class PrimaryTracker:
     """Finds the primary of one service and keeps its newest sample."""
 
@@ -54,6 +72,7 @@
         self.on_alarm: Callable[[], None] = lambda: None
         self.on_proof: Callable[[str], None] = lambda instance: None
         self.lender: Lender | None = None
+        self.monitor_seconds = MONITOR_SECONDS
         self.on_trouble: Callable[[], None] = lambda: None
         self._alarmed = False
         self._driver = driver
@@ -114,6 +133,9 @@
         if not self._samples.add(asked_at, position, instance):
             return  # it led when it answered, and has been replaced since
         self.proved_at = self._clock.time()
+        probe = self._probes.get(instance)
+        if probe is not None:
+            probe.is_crowded = False  # it had a connection for what proved it
         self.on_proof(instance)
         if self.failing_since:
             self.failing_since = 0.0
@@ -193,7 +215,7 @@
             self.on_trouble()
         if self.failing_since and in_use and now >= self._search_at + FAILING_SEARCH_SECONDS:
             self._search()
-        if self._waiting or in_use and now - self.proved_at > MONITOR_SECONDS:
+        if self._waiting or in_use and now - self.proved_at > self.monitor_seconds:
             self._ask()
 
     def _raise_alarm(self, now: float) -> None:
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -6,7 +6,7 @@
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool, PoolLoan
-from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
 from rowanrail.relay.placement import Population, connection_limit, is_shared
 
 IN_USE_SECONDS = 10.0
@@ -62,6 +62,7 @@
     def set_population(self, population: Population) -> None:
         """Note how many gateways share the members' connections."""
         self._population = population
+        self.primary.monitor_seconds = monitor_seconds(self._sampling_gateways)
         self._apply_limit()
 
     @property
@@ -69,6 +70,11 @@
         """Whether one gateway of each zone holds the zone's connections."""
         return is_shared(self.spec.connections, self._population)
 
+    @property
+    def _sampling_gateways(self) -> int:
+        """How many gateways sample the primary: all, or one a zone."""
+        return self._population.zones if self.is_shared else self._population.gateways
+
     def _connection_limit(self) -> int:
         return connection_limit(self.spec.connections, self._population)
 
--- a/tests/gateway/test_samples.py
+++ b/tests/gateway/test_samples.py
@@ -3,9 +3,13 @@
 import doctest
 import unittest
 
-from rowanrail.gateway import locality, samples
+from rowanrail.gateway import locality, primary, samples
+from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.model import CommandKind
 from rowanrail.gateway.samples import HISTORY_SECONDS, SampleHistory
 from rowanrail.proxy.backend import Position
+from rowanrail.relay.placement import Population
+from tests.support.gateway import PlayedGateway
 
 
 class SampleHistoryTest(unittest.TestCase):
@@ -13,7 +17,7 @@
         self.history = SampleHistory()
 
     def test_examples_of_the_pages_hold(self):
-        for module in (samples, locality):
+        for module in (samples, locality, primary):
             self.assertEqual(doctest.testmod(module).failed, 0)
 
     def test_nothing_older_than_asked_for_is_given(self):
@@ -41,3 +45,36 @@
         self.history.add(2.0, Position(1, 5), "m1")
         self.assertTrue(self.history.add(1.0, Position(1, 3), "m1"))
         self.assertEqual(self.history.newest.asked_at, 2.0)
+
+
+class MonitorTest(unittest.TestCase):
+    """How often a primary is sampled when nobody waits for its position."""
+
+    def played(self, gateways):
+        played = PlayedGateway()
+        played.configure(2, connections=820)
+        records = [member.record() for member in played.members]
+        played.gateway.set_directory(Directory(2, records, Population(gateways, 6)))
+        played.client("orders").run("WRITE a 1")
+        return played
+
+    def samples_in_six_seconds(self, gateways):
+        played = self.played(gateways)
+        known = len(played.primary.ran)
+        played.clock.advance(6.0)
+        return sum(c.kind is CommandKind.BEGIN for _, c in played.primary.ran[known:])
+
+    def test_many_gateways_sample_less_each(self):
+        # Found on hb-subrail-large: 194 gateways sampled each primary 650 times a second.
+        self.assertGreater(self.samples_in_six_seconds(12), 15)
+        self.assertLess(194 * self.samples_in_six_seconds(194) / 6, 360)
+
+    def test_a_silent_primary_is_told_in_time_also_there(self):
+        played = self.played(194)
+        alarms = []
+        played.gateway.on_alarm = lambda: alarms.append(played.clock.now)
+        began = played.clock.now
+        played.primary.silent = True
+        played.clock.advance(2.0)
+        self.assertEqual(len(alarms), 1)
+        self.assertLess(alarms[0] - began, 1.35)
