--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -151,7 +151,8 @@
     def expected_wait_seconds(self) -> float:
         """About how long somebody who comes now waits for a connection."""
         allowed = self._allowed()
-        ahead = len(self._waiting) - (allowed - self.open_count)
+        # A connection that is being opened is for somebody who waits already.
+        ahead = len(self._waiting) - (allowed - self.established)
         if self._idle or ahead < 0:
             return 0.0
         return (ahead + 1) * self._lease_seconds / max(1, allowed, self.open_count)
--- a/tests/gateway/test_crowded.py
+++ b/tests/gateway/test_crowded.py
@@ -55,6 +55,17 @@
             client.run("READ a", seconds=0.05)
         self.assertIsNone(self.played.client("reports").run("READ b", seconds=0.1).refusal)
 
+    def test_a_write_that_proves_the_primary_shows_that_it_is_not_full(self):
+        # Found by reading: what waited for another reason was told that the primary was full.
+        tracker = self.played.gateway.services["db"].primary
+        client = self.played.client("orders")
+        self.played.primary.refuse_start = FULL
+        client.run("WRITE a 1", seconds=0.6)
+        self.assertTrue(tracker.is_crowded)
+        self.played.primary.refuse_start = None
+        tracker.note_proof("m1", self.played.clock.now, Position(1, 12))
+        self.assertFalse(tracker.is_crowded)
+
     def test_a_borrowed_connection_that_is_silent_counts_against_the_primary(self):
         self.played.client("orders").run("WRITE a 1", seconds=0.1)
         self.played.clock.advance(0.1)
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -323,6 +323,22 @@
             self.played.client("orders").ask("WRITE b 2")
         self.assertIsNone(self.played.client("reports").run("READ a", seconds=0.1).refusal)
 
+    def test_those_whose_connections_are_being_opened_stand_before_nobody(self):
+        # Found by reading: they counted as waiting and as using a connection, so that reads were
+        # refused early after a restart, when all connections are opened.
+        played = PlayedGateway()
+        pool = played.gateway.services["db"].pools["m2"]
+        played.near.silent = True  # takes connections and opens none
+        clients = [played.client("reports") for _ in range(2)]
+        played.client("orders").run("WRITE a 1")
+        for client in clients:
+            client.ask("READ a")
+        played.clock.advance(0.08)  # the second connection is opened after a moment
+        self.assertEqual(pool.open_count, 2)
+        self.assertEqual(pool.established, 0)
+        pool.set_limit(2)
+        self.assertAlmostEqual(pool.expected_wait_seconds, pool._lease_seconds / 2)
+
     def test_a_member_that_had_no_connection_left_is_asked_again_soon(self):
         # Found in an incident: after a loss of power members count the old connections for 3 s, and
         # gateways that met their limit just before opened no more for 2 s after it.
