Say at each caught error why nothing is lost; count lines that nobody can read

In one of them something was lost in silence: lines of the decision log, when its reader is gone. Change: a comment at each place; those lines are counted as left out. The test of the count failed first (0 in place of 3).

--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -248,7 +248,7 @@
                 async with asyncio.timeout(remaining_seconds):
                     await self._wake.wait()
             except TimeoutError:
-                pass
+                pass  # no input came: a timer of the state machine is due
         self._wake.clear()
 
     def _carry_out(self, effects: Effects) -> None:
--- a/src/rowanrail/control/bootstrap.py
+++ b/src/rowanrail/control/bootstrap.py
@@ -88,7 +88,7 @@
         try:
             reply = await network.call(node.address, ReportsRequest(), 1.0)
         except TransportError:
-            continue
+            continue  # a node that does not answer proves nothing either way
         if isinstance(reply, ReportsReply) and reply.version > 0:
             return True
     return False
--- a/src/rowanrail/control/membership.py
+++ b/src/rowanrail/control/membership.py
@@ -117,7 +117,7 @@
                 try:
                     await self._promote_one()
                 except (RowanrailError, MembershipBusy, NotLeaderError):
-                    continue
+                    continue  # tried again at the next step, by whoever leads then
 
     async def _promote_one(self) -> None:
         raft = self._node.raft
--- a/src/rowanrail/control/service.py
+++ b/src/rowanrail/control/service.py
@@ -133,7 +133,7 @@
                 assert isinstance(reply, BarrierReply)
                 await self.node.wait_applied(reply.index)
         except (RowanrailError, TimeoutError):
-            return False
+            return False  # the reply says that it is not confirmed
         return True
 
     # Requests that only the leader can serve
--- a/src/rowanrail/control/watch.py
+++ b/src/rowanrail/control/watch.py
@@ -60,7 +60,7 @@
                 async with asyncio.timeout(min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)):
                     await changed.wait()
             except TimeoutError:
-                pass
+                pass  # nothing changed within the hold time, which the reply says
         return self._reply(request, confirmed)
 
     def _is_newer(self, request: WatchRequest) -> bool:
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -309,6 +309,6 @@
         try:
             await self._service.propose(change)
         except RowanrailError:
-            pass  # compared again in a moment
+            pass  # the census is compared with the log again after GATEWAYS_SECONDS
         finally:
             self._busy.discard(GATEWAYS_TASK)
--- a/src/rowanrail/coordination/member_questions.py
+++ b/src/rowanrail/coordination/member_questions.py
@@ -92,7 +92,7 @@
             async with asyncio.timeout(ANSWER_SECONDS):
                 await asked.done
         except TimeoutError:
-            pass
+            pass  # the members that did not answer are missing in the result
         for channel in channels:
             channel.close()
         return dict(asked.statuses)
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -166,7 +166,7 @@
                     await self._network.call(address, request, JOIN_CALL_SECONDS)
                     break
                 except RowanrailError:
-                    continue
+                    continue  # the next one is asked, and all again after a while
 
     def _on_change(self) -> None:
         self.service.notice_change()
--- a/src/rowanrail/explain/lines.py
+++ b/src/rowanrail/explain/lines.py
@@ -71,4 +71,4 @@
             {name: value for name, value in content.items() if name not in _OWN_FIELDS},
         )
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
-        return None
+        return None  # counted as damaged
--- a/src/rowanrail/kernel/decisions.py
+++ b/src/rowanrail/kernel/decisions.py
@@ -103,8 +103,13 @@
         try:
             written = os.write(self._descriptor, self._pending)
         except BlockingIOError:
-            return
+            return  # kept for the next flush; note() bounds how much
         except OSError:
-            self._pending.clear()  # nobody reads: logging must not end the process
+            # Nobody reads any more. Logging must not end the process, so the lines are counted,
+            # which the metric of lines left out shows.
+            lines = self._pending.count(b"\n")
+            self._left_out += lines
+            self.left_out_total += lines
+            self._pending.clear()
             return
         del self._pending[:written]
--- a/src/rowanrail/proxy/group.py
+++ b/src/rowanrail/proxy/group.py
@@ -221,7 +221,7 @@
             async with asyncio.timeout_at(until):
                 await self._changed.wait()
         except TimeoutError:
-            pass
+            pass  # the caller looks at its deadline
 
     def suspect(self, member: Member) -> None:
         """Note that a connection to ``member`` broke: ask it again before it gets more work."""
@@ -287,7 +287,7 @@
                         return floor
                     await asyncio.sleep(ROUND_RETRY_MAXIMUM_SECONDS)
             except TimeoutError:
-                pass
+                pass  # ends below with the reason
             if loop.time() >= deadline:
                 raise NotRunError(
                     "no majority of the group's members answers",
--- a/src/rowanrail/proxy/session.py
+++ b/src/rowanrail/proxy/session.py
@@ -383,7 +383,7 @@
             try:
                 await self._roll_back(asyncio.get_running_loop().time() + 1.0)
             except CallerError:
-                return
+                return  # the member rolls back once the connection is closed
 
 
 def _text_result(name: str, value: str) -> StatementResult:
--- a/src/rowanrail/rpc/tcp.py
+++ b/src/rowanrail/rpc/tcp.py
@@ -90,7 +90,7 @@
                 if kind is FrameKind.REPLY and future is not None and not future.done():
                     future.set_result(reply)
         except (OSError, EOFError, TransportError):
-            pass
+            pass  # close() fails all calls that wait for an answer, and their callers log it
         finally:
             self.close()
 
@@ -153,7 +153,7 @@
                 self._serving.add(task)
                 task.add_done_callback(self._serving.discard)
         except (OSError, EOFError, TransportError):
-            return
+            return  # the caller is gone, or sent what is no frame; its own end logs the loss
 
     @staticmethod
     async def _answer(
@@ -207,7 +207,7 @@
             connection = await self._connect(address)
             connection.send_notice(notice)
         except (OSError, TimeoutError, TransportError):
-            return
+            return  # a notice may be lost: whoever sends one repeats it, or polls as well
 
     async def _connect(self, address: str) -> _Connection:
         connection = self._connections.get(address)
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -209,3 +209,17 @@
         os.close(reading)
         log.flush()
         os.close(writing)
+
+    def test_lines_that_nobody_can_read_any_more_are_counted(self):
+        import os
+
+        from rowanrail.gateway.events import REFUSED
+
+        reading, writing = os.pipe()
+        log = DecisionLog("p", writing, wall_clock=lambda: 100.0)
+        for number in range(3):
+            log.note(REFUSED, request=f"r{number}", outcome="busy", reason="x")
+        os.close(reading)
+        log.flush()
+        os.close(writing)
+        self.assertEqual(log.left_out_total, 3)
