--- a/src/rowanrail/cli/explain.py
+++ b/src/rowanrail/cli/explain.py
@@ -1,16 +1,22 @@
 """``rowanrail explain``: the story of one request from decision logs."""
 
 import sys
+import tempfile
+import time
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import click
 import msgspec
 
 from rowanrail.cli.output import ExitCode, fail
-from rowanrail.explain.lines import LogLine, ReadResult, read_lines
+from rowanrail.explain.lines import LogLine
+from rowanrail.explain.search import Source, search
 from rowanrail.explain.story import AROUND_SECONDS, Story, tell
 
+PROGRESS_SECONDS = 2.0  # between lines on standard error, for a search of many logs
+
 
 @click.command("explain")
 @click.argument("request")
@@ -22,14 +28,14 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the story as JSON.")
 def explain(request: str, files: tuple[str, ...], **options: Any) -> None:
     """Print what became of REQUEST, its cause first, from the logs in FILES (- or none: stdin)."""
-    result = ReadResult([])
-    for name in files or ("-",):
-        found = _read(name)
-        result.lines += found.lines
-        result.damaged += found.damaged
-    result.lines.sort(key=lambda line: line.time)
-    lines = [line for line in result.lines if line.time >= options["since"]]
-    story = tell(request, lines, options["around"])
+    with tempfile.TemporaryFile("w+", errors="replace") as spool:
+        sources: list[Source] = [
+            _Input(sys.stdin, spool) if name == "-" else _File(Path(name))
+            for name in files or ("-",)
+        ]
+        progress = _Progress(len(sources))
+        result = search(request, sources, options["around"], options["since"], progress.note)
+    story = tell(request, result.lines, options["around"])
     story.around = _filtered(story.around, options["member"], options["event"])
     if options["as_json"]:
         click.echo(msgspec.json.encode(story))
@@ -39,14 +45,50 @@
         raise SystemExit(ExitCode.FAILED)
 
 
-def _read(name: str) -> ReadResult:
-    if name == "-":
-        return read_lines(sys.stdin)
-    try:
-        with Path(name).open(errors="replace") as file:
-            return read_lines(file)
-    except OSError as error:
-        fail([f"{name}: can't be read: {error.strerror}; check the name and its rights"])
+class _File:
+    """A log in a file."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def lines(self) -> Iterator[str]:
+        """See :meth:`rowanrail.explain.search.Source.lines`."""
+        try:
+            with self._path.open(errors="replace") as file:
+                yield from file
+        except OSError as error:
+            fail([f"{self._path}: can't be read: {error.strerror}; check the name and its rights"])
+
+
+class _Input:
+    """A log from standard input, kept in a temporary file since it is read twice."""
+
+    def __init__(self, stream: IO[str], spool: IO[str]) -> None:
+        self._spool = spool
+        for line in stream:
+            spool.write(line)
+
+    def lines(self) -> Iterator[str]:
+        """See :meth:`rowanrail.explain.search.Source.lines`."""
+        self._spool.seek(0)
+        yield from self._spool
+
+
+class _Progress:
+    """Says on standard error how far a long search has come."""
+
+    def __init__(self, sources: int) -> None:
+        self._sources = sources
+        self._read = 0
+        self._told_at = time.monotonic()
+
+    def note(self, passed: int, source: Source) -> None:
+        """Note that a log is about to be read."""
+        now = time.monotonic()
+        if now - self._told_at >= PROGRESS_SECONDS:
+            self._told_at = now
+            click.echo(f"read {self._read} of {2 * self._sources} logs, pass {passed}", err=True)
+        self._read += 1
 
 
 def _filtered(lines: list[LogLine], member: str | None, event: int | None) -> list[LogLine]:
--- a/src/rowanrail/explain/lines.py
+++ b/src/rowanrail/explain/lines.py
@@ -43,23 +43,46 @@
     damaged: int = 0
 
 
+class LineHead(msgspec.Struct, frozen=True, gc=False):
+    """What decides whether a line is of interest; nothing else of it is decoded."""
+
+    time: float
+    event: int
+
+
+_head_decoder = msgspec.json.Decoder(LineHead)
+
+
 def read_lines(raw: Iterable[str]) -> ReadResult:
     """Return the lines in the order of their time; what is no log line is counted."""
     result = ReadResult([])
     for text in raw:
-        start = text.find("{")
-        if start < 0:
-            result.damaged += bool(text.strip())
-            continue
-        line = _parse(text[start:])
-        if line is None:
-            result.damaged += 1
-        else:
+        line = read_line(text)
+        if line is not None:
             result.lines.append(line)
+        else:
+            result.damaged += bool(text.strip())
     result.lines.sort(key=lambda line: line.time)
     return result
 
 
+def read_head(text: str) -> LineHead | None:
+    """Return the time and event of a line, None if it is no log line."""
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        return _head_decoder.decode(text[start:].strip().encode())
+    except msgspec.MsgspecError:
+        return None  # counted as damaged
+
+
+def read_line(text: str) -> LogLine | None:
+    """Return a line, None if it is no log line; a prefix before it is passed over."""
+    start = text.find("{")
+    return _parse(text[start:]) if start >= 0 else None
+
+
 def _parse(text: str) -> LogLine | None:
     try:
         content = _decoder.decode(text.strip().encode())
--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -13,7 +13,7 @@
 SHOWN_LINES = 40
 LONG_STAGE_SECONDS = 0.05
 
-_STATEMENT_EVENTS = {gateway_events.ANSWERED.number, gateway_events.REFUSED.number}
+STATEMENT_EVENTS = {gateway_events.ANSWERED.number, gateway_events.REFUSED.number}
 _PRIMARY_EVENTS = {
     gateway_events.PRIMARY_LOST.number,
     gateway_events.PRIMARY_PROVED.number,
@@ -44,7 +44,7 @@
     own = [
         line
         for line in lines
-        if line.event in _STATEMENT_EVENTS and line.fields.get("request") == request
+        if line.event in STATEMENT_EVENTS and line.fields.get("request") == request
     ]
     if not own:
         return Story(request, "unknown", _not_found(lines), "unknown", [], [], _gaps(lines))
@@ -72,7 +72,7 @@
 
 def _concerns(line: LogLine, statement: LogLine) -> bool:
     """Whether a line may have decided about the statement."""
-    if line.event in _STATEMENT_EVENTS:
+    if line.event in STATEMENT_EVENTS:
         return False
     if line.event in _PRIMARY_EVENTS:
         return line.fields.get("service") == statement.fields.get("service")
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -110,6 +110,7 @@
             return
         pool = roomy
         self._floor: Position | None = max(position, own)
+        self.attempts += 1
         self.acquire(pool, self._with_channel)
         self.limit_opening()
 
--- a/tests/gateway/test_silent_members.py
+++ b/tests/gateway/test_silent_members.py
@@ -34,6 +34,12 @@
         others = [m for m in (self.played.primary, self.played.far) if m.texts()]
         self.assertEqual([m.texts() for m in others], [["READ a", "READ b", "COMMIT"]])
 
+    def test_the_log_tells_at_how_many_members_it_was_tried(self):
+        self.played.near.script = [None]
+        self.client.run("READ a", seconds=0.45)
+        line = [line for line in self.played.logs() if '"event":300' in line][-1]
+        self.assertIn('"attempts":2', line)
+
     def test_a_first_read_whose_connection_is_reset_goes_to_another_member(self):
         self.played.near.script = [None]
         self.client.ask("READ a")
