--- a/src/rowanrail/consensus/raft.py
+++ b/src/rowanrail/consensus/raft.py
@@ -26,8 +26,9 @@
 from rowanrail.consensus.raft_state import RaftState
 from rowanrail.consensus.raft_types import MembershipBusy, NotLeader, Role
 
+# Of entries in a message, so that heartbeats behind it are not late.
 MAXIMUM_APPEND_BYTES = 256 * 1024
-MAXIMUM_IN_FLIGHT = 32
+MAXIMUM_IN_FLIGHT = 32  # messages to a follower that are not answered yet
 
 
 class Raft(RaftState):
--- a/src/rowanrail/consensus/storage.py
+++ b/src/rowanrail/consensus/storage.py
@@ -16,7 +16,7 @@
 from rowanrail.kernel.disk import Disk
 from rowanrail.kernel.errors import StorageError
 
-SEGMENT_BYTES = 1024 * 1024
+SEGMENT_BYTES = 1024 * 1024  # of a file of the log; small beside 128 MB of disk
 IDENTITY_FILE = "identity"
 HARD_STATE_FILE = "hard-state"
 SNAPSHOT_FILE = "snapshot"
--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -35,8 +35,8 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 
-STEP_SECONDS = 0.1
-GATEWAYS_SECONDS = 1.0
+STEP_SECONDS = 0.1  # between looks at all services; a gap grows by half of it on average
+GATEWAYS_SECONDS = 1.0  # between comparisons of the gateways heard with those in the log
 GONE_SECONDS = 8.0  # a gateway not heard may be alive with its connections
 GATEWAYS_TASK = "gateways"
 OWN_SOURCE = "failover-duty"
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -13,13 +13,14 @@
 from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 from rowanrail.proxy.backend import Position
 
-FAILING_SECONDS = 0.25
-REPORT_LIVE_SECONDS = 2.5
-PROVED_LIVE_SECONDS = 1.8
-MINORITY_SECONDS = 0.7
-HEARTBEAT_SILENCE_SECONDS = 0.3
+FAILING_SECONDS = 0.25  # at one vantage point: a sample failed after 0.3 s, a second one nearly
+REPORT_LIVE_SECONDS = 2.5  # reports come each second; two and a half of them
+PROVED_LIVE_SECONDS = 1.8  # a report each second, and 0.6 s between samples of a calm service
+MINORITY_SECONDS = 0.7  # of failing, before a small minority that still reaches it is overruled
+HEARTBEAT_SILENCE_SECONDS = 0.3  # a primary that was heard this short ago is not dead
+# The slowest promotion of the played sites takes 1 s; then it is ordered again.
 SETTLE_SECONDS = 2.5
-ANSWER_UNKNOWN_SECONDS = 1.6
+ANSWER_UNKNOWN_SECONDS = 1.6  # the promoter gives a call 1.5 s
 NEW_HOLDER_SECONDS = 1.0  # before it believes that nobody leads: members may be unheard yet
 NEW_HOLDER_REPORTS_SECONDS = 0.6  # before it acts on reports; other nodes send it theirs at once
 
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -7,9 +7,9 @@
 from rowanrail.coordination.failover import ReportView, report_view
 from rowanrail.coordination.messages import GatewayRecord, GatewayReport
 
-FORGET_GATEWAY_SECONDS = 12.0
+FORGET_GATEWAY_SECONDS = 12.0  # longer than a gateway takes to come back; links tell sooner
 DIRECT_REPORT_SECONDS = 1.3  # a gateway that is there has told something since
-NEVER_SECONDS = 1e9
+NEVER_SECONDS = 1e9  # an age that is above all limits
 
 
 class _HeardReport(msgspec.Struct):
--- a/src/rowanrail/coordination/member_questions.py
+++ b/src/rowanrail/coordination/member_questions.py
@@ -9,7 +9,7 @@
 from rowanrail.gateway.model import Answer, Command, MemberRecord
 from rowanrail.proxy.backend import Position
 
-ANSWER_SECONDS = 0.3
+ANSWER_SECONDS = 0.3  # six round trips between regions
 SILENT_PRIMARY_SECONDS = 0.15  # three ways there and back between regions: connect, start, status
 
 
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -43,11 +43,11 @@
 from rowanrail.relay.placement import rank
 from rowanrail.rpc.network import Network
 
-LEADER_CALL_SECONDS = 0.8
-REQUEST_SECONDS = 0.9
-RETRY_SECONDS = 0.05
-CURRENT_SECONDS = 1.5
-MAXIMUM_HOLD_SECONDS = 3.0
+LEADER_CALL_SECONDS = 0.8  # within REQUEST_SECONDS, so that another leader can be asked
+REQUEST_SECONDS = 0.9  # callers go to the next node after 1 s of silence
+RETRY_SECONDS = 0.05  # between looks for a leader; an election takes 0.1 to 0.5 s
+CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
+MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
 
 
 class CoordinationService:
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -20,7 +20,7 @@
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.model import MemberRecord
 
-REMEMBERED_REMOVED = 2000
+REMEMBERED_REMOVED = 2000  # identities; a late word of a removed member is seconds old
 
 
 class SavedState(msgspec.Struct, frozen=True):
--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -9,8 +9,8 @@
 from rowanrail.gateway.operation import Stage
 from rowanrail.kernel import decisions
 
-AROUND_SECONDS = 6.0
-SHOWN_LINES = 40
+AROUND_SECONDS = 6.0  # a replacement of a primary takes up to 4 s, with what led to it
+SHOWN_LINES = 40  # about a screen
 LONG_STAGE_SECONDS = 0.05
 
 STATEMENT_EVENTS = {gateway_events.ANSWERED.number, gateway_events.REFUSED.number}
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -34,7 +34,7 @@
 LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
 ABORT_SHARE = 0.5  # of the time to stop: how long open transactions may go on
 END_SHARE = 0.75  # of the time to stop: when statements that still run are cut
-POLL_SECONDS = 0.05
+POLL_SECONDS = 0.05  # between looks at what still runs during a planned stop
 
 ReloadSettings = Callable[[], GatewaySettings | None]
 
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -33,12 +33,12 @@
 from rowanrail.relay.placement import Population
 from rowanrail.rpc.network import Network
 
-HOLD_SECONDS = 1.0
+HOLD_SECONDS = 1.0  # of a long poll, and so the time between reports; see REPORT_LIVE_SECONDS
 CALL_SECONDS = 0.6  # for the way there and back, on top of the hold
-RETRY_SECONDS = 0.1
-UNSURE_START_SECONDS = 3.0
+RETRY_SECONDS = 0.1  # before the next control node is asked
+UNSURE_START_SECONDS = 3.0  # an election takes less than 1 s; after it old news is better than none
 START_HOLD_SECONDS = 1.0  # a control node that has just started knows a leader within it
-START_RETRY_SECONDS = 0.05
+START_RETRY_SECONDS = 0.05  # control nodes listen about 0.2 s before gateways, or soon after them
 PROVISIONAL_REVISION = 0  # below any that the log gives
 RETURN_SECONDS = 2.0  # between looks at nearer control nodes than the one that is followed
 
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -46,8 +46,8 @@
 from rowanrail.relay.neighbours import Here, Neighbours
 from rowanrail.relay.placement import Population
 
-TICK_SECONDS = 0.05
-DEFAULT_IDLE_SECONDS = 60.0
+TICK_SECONDS = 0.05  # a sixth of the shortest time that is watched, PROBE_TIMEOUT_SECONDS
+DEFAULT_IDLE_SECONDS = 60.0  # until the configuration says how long a transaction may rest
 PROVE_SECONDS = 0.3  # for which another gateway waits for a sample
 START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
 
--- a/src/rowanrail/gateway/locality.py
+++ b/src/rowanrail/gateway/locality.py
@@ -5,9 +5,9 @@
 
 __all__ = ["Locality"]
 
-SAME_ZONE_FACTOR = 0.4
-SAME_REGION_FACTOR = 0.5
-ELSEWHERE_FACTOR = 1.0
+SAME_ZONE_FACTOR = 0.4  # of the cost elsewhere; bytes inside a zone cost nothing
+SAME_REGION_FACTOR = 0.5  # bytes between zones cost a quarter of those between regions
+ELSEWHERE_FACTOR = 1.0  # the others are shares of it
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -8,7 +8,7 @@
 from rowanrail.gateway.operation import Operation, Stage, busy
 from rowanrail.proxy.backend import ORIGIN, Position
 
-READ_ATTEMPTS = 6
+READ_ATTEMPTS = 6  # twice each of three members
 ERROR_ATTEMPTS = 3  # members that may fail a read before the client is told
 
 
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -28,9 +28,10 @@
 from rowanrail.proxy.backend import Position
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
-RETRY_SECONDS = 0.02
-SHORTEST_SECONDS = 0.001
+RETRY_SECONDS = 0.02  # about a round trip inside a region
+SHORTEST_SECONDS = 0.001  # a statement that is out of time still gets its answer
 ADMISSION_SHARE = 0.5  # of the objective: who would wait longer for a connection is refused
+# Told to clients that are refused; about the time of a backlog after a restart.
 COME_BACK_SECONDS = 0.5
 READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
 READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -9,18 +9,22 @@
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 
+# A failed connection is tried again after twice this; chosen, not measured apart.
 MINIMUM_BACKOFF_SECONDS = 0.1
+# A member that came back is noticed by samples sooner, see note_reachable.
 MAXIMUM_BACKOFF_SECONDS = 2.0
 CROWDED_SECONDS = 0.5  # without new connections after a member had none left
+# A gap between two statements of a busy service is shorter; chosen, not measured apart.
 IDLE_SECONDS = 0.6
-KEPT_IDLE = 1
+KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
-LATENCY_WEIGHT = 0.1
+LATENCY_WEIGHT = 0.1  # of the newest answer in a moving average, about the last ten count
+# About a short read within a region, so that no member starts as slow.
 INITIAL_LATENCY_SECONDS = 0.02
-INITIAL_OPENING_SECONDS = 0.03
+INITIAL_OPENING_SECONDS = 0.03  # 12 ms at the member and two ways there and back
 LONGEST_OPENING_SECONDS = 0.1  # a slow opening is no reason to let everybody wait for long
 PRESSURE_SECONDS = 0.04  # of waiting for a connection, while transactions rest on theirs
-LONG_REST_SECONDS = 0.5
+LONG_REST_SECONDS = 0.5  # a sixth of the 3 s after which sites let one be ended; chosen
 SAMPLE_PRIORITY = -1  # all reads wait for a sample
 ERROR_WEIGHT = 0.2  # of the newest answer in the share of answers that were errors
 ERROR_DECAY_SECONDS = 2.0  # after it a share without new answers has shrunk to 1/e
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -25,20 +25,18 @@
 from rowanrail.gateway.samples import FloorWaiters, GiveFloor, Sample, SampleHistory
 from rowanrail.proxy.backend import Position
 
-PROBE_TIMEOUT_SECONDS = 0.3
+PROBE_TIMEOUT_SECONDS = 0.3  # six times a round trip between regions of 20 ms one way
 LINE_SECONDS = 0.1  # of waiting for a connection of the pool
 OPEN_TIMEOUT_SECONDS = 0.8  # an opening packet that was lost is sent again only after a second
-SEARCH_SECONDS = 0.1
+SEARCH_SECONDS = 0.1  # between looks at all members while no primary is known
 FAILING_SEARCH_SECONDS = 0.15  # between looks at all members while the primary fails
 MONITOR_SECONDS = 0.3  # without a proof: when the primary of a service in use is asked
-# Samples that all gateways together ask a primary for when they have no other reason to. At 194
-# gateways each 0.3 s they were most of the bytes between regions (hb-subrail-large, quiet-1).
+# Samples that all gateways together ask a primary for when they have no other reason to. With 194
+# gateways, 1.0 in place of 0.3 s saved 6 of 24 MB between regions (hb-subrail-large, quiet-1).
 MONITOR_SAMPLES_PER_SECOND = 320.0
-LONGEST_MONITOR_SECONDS = (
-    0.6  # so that a silent primary is noticed in the time of a usual objective
-)
+LONGEST_MONITOR_SECONDS = 0.6  # so that a silent primary is noticed about as soon as before
 LONG_LOST_SECONDS = 2.0  # a successor stands within 1 to 2 s; whoever is cut off waits longer
-RETRY_OPEN_SECONDS = 0.3
+RETRY_OPEN_SECONDS = 0.3  # before a member that refused a connection is tried again
 OWN_SECONDS = 5.0  # for which a connection of its own is kept, though the pool could lend one
 RETRY_CROWDED_SECONDS = 0.1  # connections of others end all the time
 ALARM_SECONDS = 0.26  # of failing: when the control nodes are told at once
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -9,9 +9,9 @@
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
 from rowanrail.relay.placement import Population, connection_limit, is_shared
 
-IN_USE_SECONDS = 10.0
-PRIMARY_FACTOR = 1.3
-FAILING_PENALTY_SECONDS = 5.0
+IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
+PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
+FAILING_PENALTY_SECONDS = 5.0  # above any latency, so that a suspect member comes last
 ERROR_FACTOR = 10  # a member whose answers are all errors is as if so many times slower
 
 
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -15,7 +15,7 @@
 from rowanrail.gateway.session_values import SessionValues, is_write
 from rowanrail.gateway.work import SingleStatement, Work, WorkInTransaction
 
-MAXIMUM_VALUES = 200
+MAXIMUM_VALUES = 200  # bounds the memory of a session; clients set a few
 _DONE = Answer()
 
 
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -26,7 +26,7 @@
 from rowanrail.gateway.work_port import WorkInTransaction
 from rowanrail.proxy.backend import ORIGIN, Position
 
-BUSY_RETRIES = 3
+BUSY_RETRIES = 3  # after 20, 40 and 60 ms, when slots have come free
 
 
 class Transaction(Operation):
--- a/src/rowanrail/kernel/decisions.py
+++ b/src/rowanrail/kernel/decisions.py
@@ -15,9 +15,9 @@
 
 from rowanrail.kernel.catalogue import Event, Level, define
 
-INFO_LINES_PER_SECOND = 40
-LINES_PER_SECOND = 400
-MAXIMUM_PENDING_BYTES = 512 * 1024
+INFO_LINES_PER_SECOND = 40  # 0.12 % of a core at four times the load of the first sites
+LINES_PER_SECOND = 400  # refusals outlast successes; ten times as many
+MAXIMUM_PENDING_BYTES = 512 * 1024  # about 2,000 lines, five seconds of the budget
 
 LEFT_OUT = define(
     10,
--- a/src/rowanrail/kernel/http.py
+++ b/src/rowanrail/kernel/http.py
@@ -13,7 +13,7 @@
 from rowanrail.kernel.errors import TransportError
 from rowanrail.kernel.lifecycle import listen_error
 
-MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
+MAXIMUM_BODY_BYTES = 8 * 1024 * 1024  # a configuration of tens of thousands of routes
 JSON_TYPE = "application/json"
 
 
--- a/src/rowanrail/relay/detours.py
+++ b/src/rowanrail/relay/detours.py
@@ -23,7 +23,7 @@
 
 ASK_MS = 100.0  # between questions about one service
 FOUND_MS = 1000.0  # for which the gateway that answered last is taken to reach the primary
-OWN_ZONE_ASKED = 2
+OWN_ZONE_ASKED = 2  # two, since one of them may be cut off as well
 
 TakeSample = Callable[[float, str, Position], None]
 
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -24,7 +24,7 @@
 
 __all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork"]
 
-RETRY_MS = 10.0
+RETRY_MS = 10.0  # a link inside a zone opens within it
 LATE = "no answer in time"
 
 
--- a/src/rowanrail/relay/neighbours.py
+++ b/src/rowanrail/relay/neighbours.py
@@ -11,8 +11,8 @@
 __all__ = ["At", "Here", "LinkKeeper", "LinkOpener", "Neighbour", "Neighbours", "Nowhere", "Place"]
 
 CANDIDATES = 2  # gateways of the order that are kept connected; the others stand behind them
-FIRST_BACKOFF_MS = 200.0
-LONGEST_BACKOFF_MS = 2000.0
+FIRST_BACKOFF_MS = 200.0  # a process that was killed needs about this to start
+LONGEST_BACKOFF_MS = 2000.0  # a gateway that came back is used after this at the latest
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/relay/placement.py
+++ b/src/rowanrail/relay/placement.py
@@ -9,10 +9,10 @@
 
 __all__ = ["Population", "connection_limit", "is_shared", "rank"]
 
-RESERVED_CONNECTIONS = 3
-MINIMUM_CONNECTIONS = 2
-DEMAND_FACTOR = 2
-ASSUMED_GATEWAYS = 8
+RESERVED_CONNECTIONS = 3  # of a member, for the questions of control nodes
+MINIMUM_CONNECTIONS = 2  # one that is in use and one that is being opened
+DEMAND_FACTOR = 2  # demand differs between gateways; a full member refuses without harm
+ASSUMED_GATEWAYS = 8  # until the directory says how many there are
 SMALLEST_OWN_SHARE = 3  # connections a gateway; below it a zone shares one gateway's
 
 
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -27,7 +27,7 @@
 __all__ = ["Holder", "HolderHost", "ServedLink"]
 
 REST_MARGIN_MS = 1000.0  # the client's own gateway ends a resting transaction before
-SWEEP_MS = 1000.0
+SWEEP_MS = 1000.0  # between looks for transactions that rest too long
 
 Send = Callable[[FromHolder], None]
 
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -10,7 +10,7 @@
 __all__ = ["Order", "answer_of", "load_session", "reply_to", "route_of", "run_of", "statement_of"]
 
 REPLY_MARGIN_MS = 30.0  # the holder gives up this much sooner, so that its answer comes in time
-SHORTEST_MS = 1.0
+SHORTEST_MS = 1.0  # a statement that is out of time still gets its answer
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/relay/transport.py
+++ b/src/rowanrail/relay/transport.py
@@ -14,9 +14,10 @@
 
 __all__ = ["TcpHolderServer", "TcpLinkOpener"]
 
-CONNECT_SECONDS = 0.4
-UNACKNOWLEDGED_MS = 1500
-MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024
+CONNECT_SECONDS = 0.4  # eight round trips between regions; statements go elsewhere meanwhile
+UNACKNOWLEDGED_MS = 1500  # after it the kernel gives a dark connection up
+MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024  # a statement of 1 MiB and what goes with it
+# A peer that does not read is given up before memory is short.
 MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
 _LENGTH = struct.Struct("<I")
 
--- a/src/rowanrail/rpc/tcp.py
+++ b/src/rowanrail/rpc/tcp.py
@@ -20,7 +20,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # an opening packet that was lost is sent again after a second
 UNACKNOWLEDGED_MILLISECONDS = 1500  # after it the kernel gives a connection up
-MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
+MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024  # notices to a peer that does not read are dropped beyond it
 _LENGTH = struct.Struct("<I")
 
 
