A transaction is never moved once a statement of it was sent

A first read that was given up at a silent member or holder was begun again elsewhere, though it may have run: the users' rule is one connection from the first statement on. Change: such a transaction is aborted in time for its client to begin again (after 0.24 to 0.48 s at a member, 0.25 to 0.35 s at a holder). Only where a BEGIN alone was left unanswered does it begin elsewhere. A Run says now whether it is the first; its test failed first.

--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -51,7 +51,6 @@
         self.failed = False
         self._begun_at = clock.time()
         self._begun = False
-        self._has_answered = False
         self._excluded: set[str] = set()
         self._busy_retries = 0
         self._reclaimed_for = ""
@@ -224,7 +223,6 @@
     def _statement_answered(self, answer: Answer) -> None:
         self.end_attempt()
         if answer.refusal is None:
-            self._has_answered = True
             if self.read_only and self.pool is not None:
                 self.pool.note_answer()
             if self.pool is not None and self.channel is not None:
@@ -235,19 +233,8 @@
             self._busy_retries += 1
             self.clock.call_later(RETRY_SECONDS * self._busy_retries, self._retry_statement)
             return
-        if answer.refusal is Refusal.LOST and self._may_begin_elsewhere:
-            self._exclude_member()
-            self._begun = False
-            self.release()
-            self._begin()
-            return
         self._fail(answer)
 
-    @property
-    def _may_begin_elsewhere(self) -> bool:
-        """Whether the client has seen nothing of the transaction, which changes nothing."""
-        return self.read_only and not self._has_answered and self.respond is not None
-
     def _may_retry(self, answer: Answer) -> bool:
         return (
             answer.refusal is Refusal.BUSY
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -99,6 +99,7 @@
         self._call = 0
         self._sent = False
         self._attempts = 0
+        self._ran = False  # whether a statement of its transaction was answered
         self._peer = ""
         self._told: Trace | None = None
 
@@ -124,8 +125,8 @@
         self._timer = self._work.clock.call_in(timeout, self._timed_out)
 
     @property
-    def _is_repeatable(self) -> bool:
-        """Whether the statement may be asked again elsewhere though it may have run."""
+    def _keeps_nothing(self) -> bool:
+        """Whether nothing is kept of the statement, though it may have run at the holder."""
         raise NotImplementedError
 
     def _ask(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
@@ -143,8 +144,9 @@
             transaction,
             read_only,
             self._work.is_detour,
+            begins=not self._ran,
         )
-        link.ask(run_of(order, self._call), self._settled, self._is_repeatable)
+        link.ask(run_of(order, self._call), self._settled, self._keeps_nothing)
 
     def _settled(self, outcome: Outcome) -> None:
         raise NotImplementedError
@@ -229,7 +231,7 @@
         return super().trace() if self._here is None else self._here.trace()
 
     @property
-    def _is_repeatable(self) -> bool:
+    def _keeps_nothing(self) -> bool:
         return not self._writes
 
     def _run_at(self, link: Link) -> None:
@@ -253,7 +255,7 @@
                 self._place_later(reason)
             case Lost(reason=reason):
                 self._call = 0
-                if self._is_repeatable:
+                if self._keeps_nothing:
                     self._place()
                 else:
                     self._finish(self._lost(True, reason))
@@ -282,7 +284,6 @@
         super().__init__(work, route, session)
         self._read_only = read_only
         self._wrote = False
-        self._ran = False
         self._number = 0  # 0 until its first statement was sent, and after its end
         self._here: WorkInTransaction | None = None
 
@@ -317,9 +318,8 @@
         self._here.run(statement, respond)
 
     @property
-    def _is_repeatable(self) -> bool:
-        """Whether it is a first read: its client has seen nothing of the transaction."""
-        return not (self._ran or self._wrote or self._commits)
+    def _keeps_nothing(self) -> bool:
+        return not (self._commits and self._wrote)
 
     @property
     def _commits(self) -> bool:
@@ -338,12 +338,8 @@
                 self._refused(reason)
             case Lost(reason=reason):
                 self._call = 0
-                if self._is_repeatable:
-                    self._end_there()
-                    self._place()
-                    return
-                self._number = 0
-                self._finish(self._lost(self._commits and self._wrote, reason))
+                self._end_there()
+                self._finish(self._lost(not self._keeps_nothing, reason))
             case Told():
                 pass  # nobody asked for a sample here
 
@@ -357,7 +353,7 @@
 
     def _timed_out(self) -> None:
         if self._call:
-            self._finish(self._lost(self._commits and self._wrote, LATE))
+            self._finish(self._lost(not self._keeps_nothing, LATE))
         else:
             self._finish(busy(LATE))
         self.end()
--- a/src/rowanrail/relay/link.py
+++ b/src/rowanrail/relay/link.py
@@ -31,7 +31,7 @@
 PING_MS = 100.0  # of silence, while answers are owed; twice the time of a usual statement
 # Without an answer to a ping. A gateway answers within the time there and back, at most 50 ms
 # between regions, and after the 100 ms for which a spent quota of processor time stops it.
-SUSPECT_MS = 150.0  # new work goes elsewhere, and what may be asked again is
+SUSPECT_MS = 150.0  # new work goes elsewhere, and what keeps nothing is lost
 GONE_MS = 500.0  # the neighbour counts as gone
 
 
@@ -93,12 +93,12 @@
 
     Parameters
     ----------
-    is_repeatable : bool
-        Whether it may be asked again elsewhere while this answer is outstanding.
+    keeps_nothing : bool
+        Whether nothing is kept of it, whether it runs or not.
     """
 
     settle: Settle
-    is_repeatable: bool
+    keeps_nothing: bool
 
 
 class Link:
@@ -175,7 +175,7 @@
         self._next += 1
         return self._next
 
-    def ask(self, question: Run | AskSample, settle: Settle, is_repeatable: bool = False) -> None:
+    def ask(self, question: Run | AskSample, settle: Settle, keeps_nothing: bool = False) -> None:
         """Send a statement, or ask for a sample.
 
         Parameters
@@ -184,8 +184,9 @@
             What is asked.
         settle : callable
             Gets the outcome once.
-        is_repeatable : bool
-            Whether it is lost as soon as the neighbour falls silent, to be asked elsewhere.
+        keeps_nothing : bool
+            Whether nothing is kept of it, whether it runs or not. Then it is lost as soon as the
+            neighbour is suspected; anything else is in doubt only when the neighbour is gone.
         """
         if self._port is None or self._state is LinkState.DOWN:
             settle(Refused("the link is closed"))
@@ -193,7 +194,7 @@
         if not self._calls:
             self._heard = self._clock.now  # silence counts from the first answer that is owed
             self._pinged_at = None
-        self._calls[question.call] = _Call(settle, is_repeatable)
+        self._calls[question.call] = _Call(settle, keeps_nothing)
         self._port.send(question)
         if self._timer is None:
             self._timer = self._clock.call_in(WATCH_MS, self._watch)
@@ -270,16 +271,16 @@
             return
         elif now - self._pinged_at >= SUSPECT_MS:
             self._suspect = True
-            self._give_up_repeatable(f"no word for {now - self._heard:.0f} ms")
+            self._give_up_harmless(f"no word for {now - self._heard:.0f} ms")
         self._watch_again()
 
     def _watch_again(self) -> None:
         if self._timer is None and self._state is not LinkState.DOWN:
             self._timer = self._clock.call_in(WATCH_MS, self._watch)
 
-    def _give_up_repeatable(self, reason: str) -> None:
-        """Have asked elsewhere what may be; the neighbour is told to forget it."""
-        given_up = [call for call, owed in self._calls.items() if owed.is_repeatable]
+    def _give_up_harmless(self, reason: str) -> None:
+        """Settle as lost what keeps nothing; the neighbour is told to forget it."""
+        given_up = [call for call, owed in self._calls.items() if owed.keeps_nothing]
         for call in given_up:
             owed = self._calls.pop(call, None)
             if owed is not None:  # settling an earlier one may have ended it
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -42,6 +42,8 @@
         The session's own last commit.
     is_detour : bool
         Whether the sender does not reach the primary; the statement may be sent no further.
+    begins : bool
+        Whether it is the first statement of its transaction.
     """
 
     call: int
@@ -64,6 +66,7 @@
     values: dict[str, str]
     floor: Position | None
     is_detour: bool = False
+    begins: bool = True
 
 
 class End(msgspec.Struct, tag=2, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from rowanrail.gateway.model import Answer, Refusal
+from rowanrail.gateway.model import Answer, Refusal, Trace
+from rowanrail.gateway.operation import Stage
 from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.session_values import SessionValues
 from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
@@ -219,6 +220,9 @@
     def _run_in_transaction(self, run: Run) -> None:
         transaction = self._transactions.get(run.transaction)
         if transaction is None:
+            if not run.begins:
+                self._refuse_ended(run)
+                return
             work = self._work(run)
             if work is None:
                 return
@@ -231,6 +235,12 @@
             statement_of(run), lambda answer: self._answer_in_transaction(run, answer)
         )
 
+    def _refuse_ended(self, run: Run) -> None:
+        """Refuse a later statement of a transaction that was ended here: it may not begin anew."""
+        answer = Answer(refusal=Refusal.ABORTED, message="the transaction was ended at its holder")
+        trace = Trace(run.service, Stage.ACCEPTED.value)
+        self.send(reply_to(run, answer, None, trace))
+
     def _answer_in_transaction(self, run: Run, answer: Answer) -> None:
         transaction = self._transactions.get(run.transaction)
         if transaction is None or transaction.call != run.call:
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -23,6 +23,8 @@
         Milliseconds that are left for it.
     transaction : int
         0 for a single statement.
+    begins : bool
+        Whether it is the first statement of its transaction.
     """
 
     statement: TypedStatement
@@ -32,6 +34,7 @@
     transaction: int = 0
     read_only: bool = False
     is_detour: bool = False
+    begins: bool = True
 
 
 def run_of(order: Order, call: int) -> Run:
@@ -61,6 +64,7 @@
         values=session.values,
         floor=session.floors.get(route.service),
         is_detour=order.is_detour,
+        begins=order.begins,
     )
 
 
