End the limit of an attempt with the attempt

Cause: the 0.15 s for a first connection to a member went on when that member refused and the read stood in line at another, which counted as silent then and got nothing new for 0.2 s. Change: asking for a connection ends the limit of the attempt before.

--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -253,6 +253,7 @@
                 channel.on_closed = self.on_channel_closed
             take(channel, answer)
 
+        self.end_attempt()  # its limit is the limit of the member before
         self.pool = pool
         self.stage = Stage.WAITS_FOR_CONNECTION
         self.member = pool.record.instance
--- a/tests/gateway/test_silent_members.py
+++ b/tests/gateway/test_silent_members.py
@@ -60,3 +60,27 @@
         self.assertIn(answer.refusal, (Refusal.ABORTED, Refusal.BUSY))
         begun = [c for m in (self.played.near, self.played.far) for _, c in m.ran]
         self.assertNotIn(CommandKind.STATEMENT, [c.kind for c in begun if c.text == "READ a"])
+
+
+class OpeningTest(unittest.TestCase):
+    def test_a_member_is_not_blamed_for_the_opening_at_another(self):
+        # Found by reading: the 0.15 s for a first connection to one member went on at the next,
+        # where the read stood in line; that member counted as silent then.
+        played = PlayedGateway()
+        played.client("orders").run("WRITE a 1", seconds=0.1)
+        played.far.position = played.near.position = played.primary.position
+        played.announce(2, leaving=("m1", "m2"))
+        near, far = (played.gateway.services["db"].pools[name] for name in ("m2", "m3"))
+        played.far.script = [None] * 100
+        for _ in range(far.limit):
+            played.client("reports").ask("READ a")
+            played.clock.advance(0.01)
+        played.announce(3, leaving=("m1",))
+        played.near.silent = True
+        played.client("reports").ask("READ b")
+        played.clock.advance(0.05)
+        for channel in list(near._opening):
+            channel.lost("refused")
+        self.assertGreater(len(far._waiting), 0)
+        played.clock.advance(0.12)
+        self.assertFalse(far.is_failing)
