A test asked for the members before any proxy had reported them

Traced: it runs second in its class, right after the fleet's start and the first change. Proxies report their members with each poll; the first report is made before any member has answered, so that the status shows them as unknown (silent) for up to the length of a poll, 1.5 s here. Left: an operator who asks within 1.5 s of a start reads (silent) of members that nobody has asked yet.

--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -60,11 +60,9 @@
 
     def test_drain_reaches_every_proxy_and_status_shows_it(self):
         group = shared.file.groups[0]
-        replica = next(
-            line.split()[1]
-            for line in shared.command("status").stdout.splitlines()
-            if line.startswith(group.name) and " replica " in line
-        )
+        # Proxies report their members with each poll, the first time before any has answered.
+        wait_until(lambda: self.shown_replicas(group))
+        replica = self.shown_replicas(group)[0]
         self.assertEqual(shared.command("drain", f"{group.name}/{replica}").returncode, 0)
         wait_until(lambda: "leaving" in shared.command("status").stdout)
         self.assertEqual(shared.command("undrain", f"{group.name}/{replica}").returncode, 0)
@@ -72,6 +70,14 @@
         unknown = shared.command("drain", "nothing/here")
         self.assertIn("no such member: nothing/here", unknown.stderr)
 
+    def shown_replicas(self, group):
+        """Return the names of the group's members that the status shows as replicas."""
+        return [
+            line.split()[1]
+            for line in shared.command("status").stdout.splitlines()
+            if line.startswith(group.name) and " replica " in line
+        ]
+
     def test_wrong_token_and_no_control_node(self):
         wrong = shared.command("get", ROWANRAIL_TOKEN="wrong")
         self.assertIn("unknown operator token", wrong.stderr)
