A gateway to which a service's statements no longer come gives its connections up

Change: idle connections of a gateway that is not the placed holder, or is stopping, end after 0.1 s.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -113,10 +113,16 @@
 
     def _tick(self) -> None:
         for service in self.services.values():
-            service.tick()
+            service.tick(self._holds(service))
         self._decisions.flush()
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
+    def _holds(self, service: Service) -> bool:
+        """Return whether statements on a service come to this gateway's connections."""
+        if self._neighbours is None or not service.is_regional:
+            return True
+        return not self.stopping and isinstance(self._neighbours.place(service.spec.name), Here)
+
     @property
     def zone(self) -> str:
         """The zone in which it stands."""
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -21,6 +21,9 @@
 # A connection of a tenant is kept until another tenant needs its place: opening one again takes
 # 12 ms of a slot. Shorter than the 60 s after which members close idle connections; chosen.
 TENANT_IDLE_SECONDS = 30.0
+# At a gateway to which statements no longer come: those under way may still want it. The one that
+# takes over needs the places; with both full a member refuses a third of them.
+GIVEN_UP_IDLE_SECONDS = 0.1
 KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
 LATENCY_WEIGHT = 0.1  # of the newest answer in a moving average, about the last ten count
@@ -46,6 +49,13 @@
         """End it and give the connection back; its client learns it at its next statement."""
 
 
+def _idle_seconds(channel: Channel, is_holder: bool) -> float:
+    """Return for how long a connection may be idle."""
+    if not is_holder:
+        return GIVEN_UP_IDLE_SECONDS
+    return TENANT_IDLE_SECONDS if channel.tenant else IDLE_SECONDS
+
+
 class PoolLoan:
     """A connection of a pool that is wanted, or used, for a sample of the member's position.
 
@@ -365,18 +375,21 @@
 
     # Changes
 
-    def trim(self) -> None:
+    def trim(self, is_holder: bool = True) -> None:
         """Close connections that nobody has needed for a while.
 
         Members count the connections of a lost gateway for seconds more; the fewer there are,
         the sooner its successor gets some.
+
+        :param is_holder: whether statements for the member come to this gateway; else what it
+            keeps is missing to the one to which they come.
         """
         if self._waiting and self._resting:
             self._reclaim()
         now = self._clock.time()
-        surplus = len(self._idle) - KEPT_IDLE
+        surplus = len(self._idle) - (KEPT_IDLE if is_holder else 0)
         for channel in list(self._idle)[: max(0, surplus)]:
-            if channel.last_used >= now - (TENANT_IDLE_SECONDS if channel.tenant else IDLE_SECONDS):
+            if channel.last_used >= now - _idle_seconds(channel, is_holder):
                 break
             channel.close()
 
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -141,11 +141,14 @@
         if pool is not None:
             pool.note_reachable()
 
-    def tick(self) -> None:
-        """Let time pass."""
+    def tick(self, is_holder: bool = True) -> None:
+        """Let time pass.
+
+        :param is_holder: whether statements on the service come to this gateway.
+        """
         self.primary.tick(self.in_use)
         for pool in self.pools.values():
-            pool.trim()
+            pool.trim(is_holder)
 
     def close(self) -> None:
         """Close everything that is not leased."""
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -17,7 +17,14 @@
 from rowanrail.relay.serving import Holder
 from rowanrail.tenants.model import Tenant, Tenants, key_digest
 from tests.relay.test_detours import CutDriver
-from tests.support.gateway import ManualClock, PlayedClient, PlayedMember, RecordingLog, routes
+from tests.support.gateway import (
+    ManualClock,
+    PlayedClient,
+    PlayedMember,
+    RecordingLog,
+    routes,
+    statement,
+)
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 GATEWAYS = {"ga1": "a1", "ga2": "a2", "gb1": "b1", "gb2": "b2"}
@@ -158,6 +165,42 @@
         self.assertEqual(client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
 
 
+class HolderTest(unittest.TestCase):
+    def setUp(self):
+        self.world = Regions()
+        self.service = self.world.home.gateway.services["db"]
+        self.run_each()
+
+    def run_each(self):
+        for key in ("key-of-a", "key-of-b"):
+            self.world.client("orders", key).run("WRITE a 1", seconds=0.2)
+
+    def test_a_holder_keeps_its_tenants_connections(self):
+        self.world.clock.advance(3.0)
+        self.assertGreaterEqual(self.service.pools["m1"].open_count, 2)
+
+    def test_a_gateway_that_stops_gives_its_connections_up(self):
+        self.world.home.gateway.stopping = True
+        self.world.clock.advance(0.3)
+        self.assertEqual(self.service.pools["m1"].open_count, 0)
+
+    def test_a_gateway_that_helped_out_gives_its_connections_up(self):
+        # Found on a played day: three gateways that had stood in while a primary was cut off
+        # kept 17 connections each, and its members were full for the rest of the day.
+        names = rank("db", ["gb1", "gb2"])
+        helper = self.world.gateways[names[1]]
+        helper.client("orders").run("WRITE a 1", seconds=0.2)  # knows the way to the holder
+        local = helper.gateway.local_work("db", is_detour=True)
+        session = helper.client("orders").session
+        answers = []
+        single = local.single(routes()["orders"], session.values, True)
+        single.start(statement("q1", "WRITE a 1"), answers.append)
+        pool = helper.gateway.services["db"].pools["m1"]
+        self.assertEqual([channel.tenant for channel in pool._idle], ["a"])
+        self.world.clock.advance(0.5)
+        self.assertNotIn("a", [channel.tenant for channel in pool._idle])
+
+
 class KeysAtHolderTest(unittest.TestCase):
     def setUp(self):
         self.world = Regions()
