--- a/src/rowanrail/relay/placement.py
+++ b/src/rowanrail/relay/placement.py
@@ -28,8 +28,8 @@
 # holder there, and these are for when that one can't be reached.
 FAR_CONNECTIONS = 2
 # Of a member, for the holder that takes over when one is lost: its connections still count for
-# 3 s if its machine went dark.
-SUCCESSOR_CONNECTIONS = 6
+# 3 s if its machine went dark. Each one more is one that tenants lack in calm times.
+SUCCESSOR_CONNECTIONS = 2
 # Gateways of a region that divide a service's tenants among them. A front machine's link passes
 # 250 KB a second, and a statement takes about 1.7 KB of it each way, so that one holder would be
 # choked by 150 statements a second, which a primary's region gets while replicas lag.
@@ -149,14 +149,14 @@
     5
     >>> region = Population(58, 3, is_regional=True)
     >>> [connection_limit(32, region, is_near=True, parts=n) for n in (1, 2, 3)]
-    [6, 12, 17]
+    [7, 14, 21]
     >>> connection_limit(32, region, is_near=False)
     2
     """
     left = connections - RESERVED_CONNECTIONS
     if population.is_regional and is_shared(connections, population):
         others = population.zones - 1
-        near = left - SUCCESSOR_CONNECTIONS - others * (FAR_CONNECTIONS + 1)  # and one for samples
+        near = left - SUCCESSOR_CONNECTIONS - others * PARTS  # a sample's each
         share = math.ceil(near * min(parts, PARTS) / PARTS)
         return max(MINIMUM_CONNECTIONS, share) if is_near else FAR_CONNECTIONS
     if is_shared(connections, population):
