--- a/src/rowanrail/tenants/demand.py
+++ b/src/rowanrail/tenants/demand.py
@@ -14,6 +14,7 @@
 # Another region's counts for longer, since its clients go on where it is only cut off; twice
 # the time for which regions lose each other on most days.
 REGION_MS = 10000.0
+STALE_MS = 1000.0  # three reports: after it nothing is known of how a count goes on
 
 
 class Demand(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -110,12 +111,19 @@
     def region(self) -> Report:
         """Return the sums of this region."""
         self._gateways = self._since(self._gateways, GATEWAY_MS)
-        return _sum(told.report for told in self._gateways.values())
+        return _sum(map(self._as_of_now, self._gateways.values()))
 
     def fleet(self) -> Report:
         """Return the sums of all regions."""
         self._regions = self._since(self._regions, REGION_MS)
-        return _sum([self.region(), *(told.report for told in self._regions.values())])
+        return _sum([self.region(), *map(self._as_of_now, self._regions.values())])
+
+    def _as_of_now(self, told: _Told) -> Report:
+        """Return a report; of an old one only what began, not how that goes on."""
+        if self._clock.now - told.at <= STALE_MS:
+            return told.report
+        begun = {name: Demand(demand.begun) for name, demand in told.report.tenants.items()}
+        return msgspec.structs.replace(told.report, tenants=begun)
 
     def _since(self, told: dict[str, _Told], age: float) -> dict[str, _Told]:
         limit = self._clock.now - age
--- a/src/rowanrail/tenants/quota.py
+++ b/src/rowanrail/tenants/quota.py
@@ -32,8 +32,12 @@
 ALONE_MS = 3000.0
 # Of a target, for a gateway that is alone, and operations on top, so that a small tenant is not
 # shut out: three such gateways stay within what is tolerated beyond a limit.
-ALONE_SHARE = 0.02
-ALONE_LEAST = 3.0
+ALONE_SHARE = 0.01
+ALONE_LEAST = 2.0
+# Of a window that is empty when gateways are back after a loss of all: 0.5 s at the least until
+# they start; the 0.27 s until they listen are left as a margin.
+RESTART_SHARE = 0.1
+UNKNOWN_MARGIN = 0.2  # of what is tolerated beyond a limit; the rest is used otherwise
 UNKNOWN_STEP = 0.2  # of a window: what leaves a window of 5 s in REACH_MS
 FIRST_CREDIT = 0.5  # of an operation: gateways that begin together don't all begin with one
 
@@ -73,6 +77,22 @@
         limit = self.limit(tenant)
         return limit + USED_MARGIN * (limit * self.excess + self.slack)
 
+    def unknown(self, tenant: Tenant) -> float:
+        """Return what a tenant is taken to have begun in a window of which nothing is known.
+
+        That is its limit, without what a restart leaves empty and what is tolerated beyond it.
+
+        Examples
+        --------
+        >>> round(QuotaTerms().unknown(Tenant("a", rate=100, burst=100)))
+        524
+        >>> QuotaTerms().unknown(Tenant("a", rate=0.5, burst=0.5))
+        0.0
+        """
+        limit = self.limit(tenant)
+        tolerated = UNKNOWN_MARGIN * (limit * self.excess + self.slack)
+        return max(0.0, (1 - RESTART_SHARE) * limit - tolerated)
+
 
 @dataclass(frozen=True, slots=True)
 class OverLimit:
@@ -134,7 +154,7 @@
         self.begun_lately.add(now, number)
 
 
-def part_that_begins(fleet: Demand, target: float, unknown_share: float = 0.0) -> float:
+def part_that_begins(fleet: Demand, target: float, unknown: float = 0.0) -> float:
     """Return which part of what is asked for may begin; 1 or more for all.
 
     Parameters
@@ -143,9 +163,8 @@
         The sums of all gateways, LATE_MS old.
     target : float
         Operations in a window.
-    unknown_share : float
-        Share of the window of which nothing is known, since gateways started. That part is taken to
-        have been at the limit: most tenants ask for less than leaves it in that time.
+    unknown : float
+        Operations that may have begun, but of which nothing is known since gateways started.
 
     Examples
     --------
@@ -158,9 +177,8 @@
     """
     leaving = fleet.leaving / LATELY_MS
     growing = fleet.begun_lately / LATELY_MS - leaving
-    by_now = fleet.begun + LATE_MS * growing + unknown_share * target
-    soon_known = min(unknown_share, UNKNOWN_STEP) * target
-    may_begin = leaving + (target - by_now + soon_known) / REACH_MS
+    by_now = fleet.begun + LATE_MS * growing + unknown
+    may_begin = leaving + (target - by_now) / REACH_MS
     asked = fleet.asked_lately / LATELY_MS
     return max(0.0, may_begin / asked) if asked else 1.0
 
@@ -207,7 +225,7 @@
             counts = self._counts[name] = _Counts(self._terms.window)
         counts.asked_lately.add(now)
         target = self._terms.target(tenant)
-        part = part_that_begins(counts.fleet, target, self._unknown_share)
+        part = part_that_begins(counts.fleet, target, self._unknown(tenant))
         if not self._may_begin(counts, target, part):
             fleet = counts.fleet
             age = now - self._told_at
@@ -216,6 +234,11 @@
         counts.begin(now)
         return None
 
+    def _unknown(self, tenant: Tenant) -> float:
+        """Return what a tenant may have begun in the unknown part of the window, in a second."""
+        share = max(0.0, self._unknown_share - UNKNOWN_STEP)
+        return share * self._terms.unknown(tenant)
+
     def _may_begin(self, counts: _Counts, target: float, part: float) -> bool:
         now = self._clock.now
         begun = counts.begun.at(now)
