--- a/src/rowanrail/gateway/idle_channels.py
+++ b/src/rowanrail/gateway/idle_channels.py
@@ -42,10 +42,6 @@
         self._channels.remove(channel)
         return channel
 
-    def take_oldest(self) -> Channel | None:
-        """Remove and return the one that has been idle for longest."""
-        return self._channels.pop(0) if self._channels else None
-
     def take_all(self) -> list[Channel]:
         """Remove and return all."""
         channels, self._channels = self._channels, []
