--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -9,6 +9,7 @@
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.idle_channels import IdleChannels
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
+from rowanrail.gateway.tenant_uses import TenantUses
 from rowanrail.gateway.waiting_line import Waiter, WaitingLine
 
 # A failed connection is tried again after twice this; chosen, not measured apart.
@@ -112,6 +113,7 @@
         self._waiting = WaitingLine()
         self._resting: dict[Resting, float] = {}
         self._leased_of: Counter[str] = Counter()  # connections in use by tenant
+        self._uses = TenantUses()
         self._closed = False
 
     @property
@@ -230,6 +232,7 @@
     def _lease(self, channel: Channel, waiter: Waiter) -> None:
         self.leased += 1
         self._leased_of[channel.tenant] += 1
+        self._uses.note(channel.tenant, self._clock.time())
         channel.on_closed = lambda channel: None
         channel.leased_at = self._clock.time()
         waiter.respond(channel, Answer())
@@ -311,12 +314,12 @@
         """Return whether one more may be opened; an idle one of another tenant gives way."""
         if self.open_count < self._allowed():
             return True
-        oldest = next(iter(self._idle), None)
-        if oldest is None:
+        least = self._uses.least(self._idle, self._clock.time())
+        if least is None:
             return False
         # Its end reaches the member before the start of the next one, which comes later.
-        self._idle.discard(oldest)
-        oldest.close()
+        self._idle.discard(least)
+        least.close()
         return self.open_count < self._allowed()
 
     def _open(self, tenant: str) -> None:
--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -123,7 +123,12 @@
         wires = [wire for wire in self.played.primary.wires if wire.channel.tenant == "a"]
         self.assertEqual(len(wires), 1)
 
-    def test_the_one_idle_for_longest_gives_way_at_the_limit(self):
+    def test_the_tenant_that_comes_least_often_gives_way_at_the_limit(self):
+        self.played.configure(2, connections=9)  # two for a gateway
+        self.run_each("key-of-a", "key-of-a", "key-of-a", "key-of-b", "key-of-c")
+        self.assertEqual(sorted(set(self.opened_for(self.played.primary)) - {""}), ["a", "c"])
+
+    def test_the_one_idle_for_longest_gives_way_among_equals(self):
         self.played.configure(2, connections=9)  # two for a gateway
         self.run_each("key-of-a", "key-of-b", "key-of-c")
         self.assertEqual(sorted(set(self.opened_for(self.played.primary)) - {""}), ["b", "c"])
