Simulated tenants: keys taken away and given back while regions relay statements

Scenario tenants-keys: six gateways in two regions, five keys of four tenants, each gateway takes a change within 0.4 s in its own time, beside broken links, frozen holders, promotions, resets and lag. The oracle counts a statement that runs on another tenant's connection, or with a key that every gateway knew to be withdrawn when it was asked.

--- a/src/rowanlab/simulator/gateway_members.py
+++ b/src/rowanlab/simulator/gateway_members.py
@@ -51,6 +51,7 @@
     """A client's read or write as a member ran it.
 
     :param held: the requests whose commits the member's log held.
+    :param tenant: for whom its connection was opened.
     """
 
     request: str
@@ -60,6 +61,7 @@
     shape: str
     connection: int
     in_transaction: bool
+    tenant: str = ""
 
 
 Observe = Callable[[Execution], None]
@@ -306,6 +308,7 @@
                 shape,
                 self.number,
                 self.state is SessionState.TRANSACTION,
+                self.channel.tenant,
             )
         )
         if writes and self.state is SessionState.TRANSACTION:
--- a/src/rowanlab/simulator/gateway_oracle.py
+++ b/src/rowanlab/simulator/gateway_oracle.py
@@ -10,6 +10,8 @@
     """A client's statement.
 
     :param covered: requests whose commits a read must see, as known when it was asked.
+    :param tenant: whose key the client named.
+    :param is_forbidden: whether the key had been withdrawn everywhere when it was asked.
     """
 
     request: str
@@ -18,6 +20,8 @@
     shape: str
     covered: frozenset[str]
     transaction: int
+    tenant: str = ""
+    is_forbidden: bool = False
 
 
 class GatewayVerdict(msgspec.Struct):
@@ -33,6 +37,8 @@
     false_promises: int = 0
     lost: int = 0
     not_recovered: int = 0
+    wrong_tenant: int = 0
+    withdrawn_key: int = 0
     examples: list[str] = []
 
     @property
@@ -47,6 +53,8 @@
             + self.false_promises
             + self.lost
             + self.not_recovered
+            + self.wrong_tenant
+            + self.withdrawn_key
         )
 
 
@@ -91,6 +99,11 @@
         if asked is None:
             self._violate("transactions_mixed", f"{execution.request} was asked by nobody")
             return
+        if execution.tenant != asked.tenant:
+            what = f"{execution.request} of {asked.tenant!r} ran for {execution.tenant!r}"
+            self._violate("wrong_tenant", what)
+        if asked.is_forbidden:
+            self._violate("withdrawn_key", f"{execution.request} ran with a withdrawn key")
         if execution.values != asked.values:
             what = f"{execution.request} ran with {execution.values}, not {asked.values}"
             self._violate("values_differ", what)
--- a/src/rowanlab/simulator/gateway_scenarios.py
+++ b/src/rowanlab/simulator/gateway_scenarios.py
@@ -64,6 +64,10 @@
     world.clock.call_later(randomness.uniform(0.2, 1.5), world.relay.cut.discard, ends)
 
 
+def _change_keys(world: GatewayWorld, randomness: random.Random) -> None:
+    world.keys.change(world.gateways)
+
+
 def _run(world: GatewayWorld, faults: list[Fault], randomness: random.Random) -> int:
     end = world.clock.now + FAULT_SECONDS
     while world.clock.now < end:
@@ -120,4 +124,10 @@
         GatewayOptions(gateways=4, clients=10, read_share=0.6, shared=True),
         [_break_links, _freeze_holder, _cut_link, _promote, _reset, _silence, _lag],
     ),
+    _scenario(
+        "tenants-keys",
+        Guard.KEY_CHECK,
+        GatewayOptions(gateways=6, clients=12, read_share=0.6, tenants=True),
+        [_change_keys, _change_keys, _break_links, _freeze_holder, _promote, _reset, _lag],
+    ),
 ]
--- a/src/rowanlab/simulator/gateway_world.py
+++ b/src/rowanlab/simulator/gateway_world.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rowanlab.simulator.event_clock import EventClock
+from rowanlab.simulator.gateway_keys import SimulatedKeys
 from rowanlab.simulator.gateway_members import SERVICE, Group, SimulatedDriver
 from rowanlab.simulator.gateway_oracle import Asked, GatewayOracle
 from rowanlab.simulator.relay_network import RelayNetwork
@@ -37,6 +38,7 @@
 VALUES = ("x", "y")
 CONNECTIONS = 60
 RELAY_DELAY_MS = (0.1, 5.0)
+REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
 CROWDED = Population(100, 10)  # so many that a zone shares one gateway's connections
 
 
@@ -45,6 +47,7 @@
 
     :param state_share: share of the operations that set, prepare or execute.
     :param shared: whether the gateways stand in one zone and share one's connections.
+    :param tenants: whether clients have keys, and regions hold the members' connections.
     """
 
     gateways: int = 3
@@ -53,6 +56,7 @@
     transaction_share: float = 0.2
     state_share: float = 0.1
     shared: bool = False
+    tenants: bool = False
 
 
 class GatewayWorld:
@@ -71,7 +75,8 @@
         self.finished = False
         self.drivers: list[SimulatedDriver] = []
         self.gateways: list[Gateway] = []
-        self._zones: dict[str, list[Neighbour]] = {}
+        self._groups: dict[str, list[Neighbour]] = {}
+        self.keys = SimulatedKeys(self.clock, self.random, _configuration())
         relay_clock = Clock(self.clock)
         self.relay = RelayNetwork(relay_clock, lambda: self.random.uniform(*RELAY_DELAY_MS))
         for number in range(options.gateways):
@@ -83,11 +88,18 @@
             neighbours = Neighbours(name, relay_clock, opener)
             detours = Detours(name, relay_clock, opener)
             gateway = Gateway(
-                Locality(zone), driver, self.clock, log, registry, neighbours, detours
+                Locality(zone, REGIONS if options.tenants else {}),
+                driver,
+                self.clock,
+                log,
+                registry,
+                neighbours,
+                detours,
             )
-            self._zones.setdefault(zone, []).append(Neighbour(name, name))
+            group = REGIONS[zone] if options.tenants else zone
+            self._groups.setdefault(group, []).append(Neighbour(name, name))
             gateway.start()
-            gateway.apply(_configuration())
+            gateway.apply(self._first_configuration())
             holder = self.relay.holders[name] = Holder(gateway, relay_clock)
             holder.start()
             self.drivers.append(driver)
@@ -104,13 +116,20 @@
             gateway.set_directory(self._directory(gateway.zone))
         self.clock.call_later(ANNOUNCE_SECONDS, self._announce)
 
+    def _first_configuration(self) -> RoutingConfiguration:
+        return self.keys.configuration() if self.options.tenants else _configuration()
+
     def _directory(self, zone: str) -> Directory:
         records = self.group.records()
         population = Population(self.options.gateways, self.options.gateways)
         if self.options.shared:
             population = CROWDED
-        others = {name: listed for name, listed in self._zones.items() if name != zone}
-        return Directory(self._revision, records, population, self._zones[zone], others)
+        group = zone
+        if self.options.tenants:
+            group = REGIONS[zone]
+            population = Population(self.options.gateways, len(self._groups), is_regional=True)
+        others = {name: listed for name, listed in self._groups.items() if name != group}
+        return Directory(self._revision, records, population, self._groups[group], others)
 
     def unique(self) -> int:
         """Return a number that no other call returns."""
@@ -144,9 +163,10 @@
         if self._session is not None:
             self._session.close()
         self._kind = world.random.choice(list(Consistency))
-        opened = world.random.choice(world.gateways).open_session(self._kind.value, "client")
-        assert isinstance(opened, Session)
-        self._session = opened
+        gateway = world.random.choice(world.gateways)
+        self._key = world.keys.draw() if world.options.tenants else "client"
+        opened = gateway.open_session(self._kind.value, self._key)
+        self._session = opened if isinstance(opened, Session) else None
         self._number = world.unique()
         self._values: dict[str, str] = {}
         self._names: dict[str, str] = {}
@@ -158,6 +178,9 @@
             return
         if self._session is None or self._left <= 0:
             self._new_session()
+        if self._session is None:  # its key is withdrawn
+            self._later(self._next_operation)
+            return
         self._left -= 1
         draw = world.random.random()
         if draw < world.options.state_share:
@@ -202,7 +225,16 @@
         name, _, value = rest.partition(" ")
         shape = self._names[name] if word == "EXECUTE" else ""
         world.oracle.ask(
-            Asked(request, self._number, dict(self._values), shape, covered, transaction)
+            Asked(
+                request,
+                self._number,
+                dict(self._values),
+                shape,
+                covered,
+                transaction,
+                self._session.identity.tenant if self._session is not None else "",
+                world.options.tenants and world.keys.is_forbidden(self._key),
+            )
         )
         return TypedStatement(request, StatementKind[word], text, name, value)
 
--- a/src/rowanlab/simulator/permissive.py
+++ b/src/rowanlab/simulator/permissive.py
@@ -10,7 +10,7 @@
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.channel import Channel
 from rowanrail.gateway.model import Answer, Command, MemberRecord, Refusal
-from rowanrail.gateway.policies import LeadershipProof, LinkOutcome, StateReplay
+from rowanrail.gateway.policies import KeyCheck, LeadershipProof, LinkOutcome, StateReplay
 from rowanrail.gateway.session_values import SessionValues
 from rowanrail.kernel.errors import CallerError, NotRunError
 from rowanrail.kernel.registry import Registry
@@ -25,6 +25,7 @@
     RequestRecord,
     TermConfirmation,
 )
+from rowanrail.tenants.model import Identity
 
 
 class AnyFreshness(Freshness):
@@ -151,6 +152,14 @@
         return Refusal.ABORTED
 
 
+class AnyKeyHolds(KeyCheck):
+    """Lets sessions go on whose key was withdrawn."""
+
+    def holds(self, opened: Identity, known: Identity | None) -> bool:
+        """See :meth:`KeyCheck.holds`."""
+        return True
+
+
 class AnyAnnouncement(IncarnationCheck):
     """Whatever a member says counts, whenever it comes."""
 
@@ -188,6 +197,7 @@
     LINK_OUTCOME = "link-outcome"
     INCARNATION = "incarnation"
     FENCING_TOKEN = "fencing-token"
+    KEY_CHECK = "key-check"
 
 
 class _Replacement(msgspec.Struct, frozen=True):
@@ -212,6 +222,7 @@
     Guard.LINK_OUTCOME: _Replacement("gateway-guard", LostMeansAborted),
     Guard.INCARNATION: _Replacement("coordination-guard", AnyAnnouncement),
     Guard.FENCING_TOKEN: _Replacement("coordination-guard", SameTokenAlways),
+    Guard.KEY_CHECK: _Replacement("gateway-guard", AnyKeyHolds),
     Guard.LEARNER_FIRST: _Replacement("consensus-guard", OldIdentityKept),
 }
 
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -271,14 +271,18 @@
         """See :meth:`rowanrail.relay.serving.HolderHost.admits`."""
         if version > self._version:
             return True  # it was checked against a newer configuration than the one here
-        return self.identify(database, identity.key) == identity
+        return self._key_holds(database, identity)
+
+    def _key_holds(self, database: str, identity: Identity) -> bool:
+        known = self.identify(database, identity.key)
+        return self._policies.key_check.holds(identity, known)
 
     def _deny_withdrawn(self) -> None:
         """End the sessions whose key is no longer what it was when they opened."""
         for session in list(self.sessions):
             if session.database not in self._routes:
                 continue  # its next statement learns that there is no route
-            if self.identify(session.database, session.identity.key) != session.identity:
+            if not self._key_holds(session.database, session.identity):
                 self._decisions.note(
                     KEY_WITHDRAWN,
                     session=session.label,
--- a/src/rowanrail/gateway/policies.py
+++ b/src/rowanrail/gateway/policies.py
@@ -6,6 +6,7 @@
 from rowanrail.gateway.model import Answer, Command, Refusal
 from rowanrail.gateway.session_values import SessionValues, replay
 from rowanrail.kernel.registry import Registry, register
+from rowanrail.tenants.model import Identity
 
 
 @register("gateway-guard", "leadership-proof")
@@ -41,12 +42,30 @@
         return Refusal.OUTCOME_UNKNOWN if may_be_kept else Refusal.ABORTED
 
 
+@register("gateway-guard", "key-check")
+class KeyCheck:
+    """A session runs statements only while its key is still the same tenant's."""
+
+    def holds(self, opened: Identity, known: Identity | None) -> bool:
+        """Return whether a session may go on.
+
+        Parameters
+        ----------
+        opened : Identity
+            Whose key it was when the session opened.
+        known : Identity or None
+            Whose it is by the configuration in force; None for nobody's.
+        """
+        return known == opened
+
+
 class GatewayPolicies(msgspec.Struct, frozen=True):
     """The guards that one gateway uses."""
 
     leadership_proof: LeadershipProof
     state_replay: StateReplay
     link_outcome: LinkOutcome
+    key_check: KeyCheck
 
     @classmethod
     def create(cls, registry: Registry) -> "GatewayPolicies":
@@ -55,4 +74,5 @@
             registry.create("gateway-guard", "leadership-proof"),
             registry.create("gateway-guard", "state-replay"),
             registry.create("gateway-guard", "link-outcome"),
+            registry.create("gateway-guard", "key-check"),
         )
