Soak with tenants: keys rotated under faults, gateways of two regions, members that say for whom they ran

Statements that run for another tenant than the client's (UNASKED), a session opened with a key that was withdrawn 5 s before (CONFIG), and a key in any log are problems.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+TENANTS = 4  # client n is one of tenant n modulo this
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY", "UNKNOWN")
 
 
@@ -32,6 +33,12 @@
 
     # What the members did
 
+    def ran(self, tenant: str, thing: str) -> None:
+        """Judge for whom a statement ran: client n, whose thing is ``kn``, has one tenant."""
+        wanted = f"t{int(thing[1:]) % TENANTS}"
+        if tenant != wanted:
+            self.problem(f"UNASKED: a statement on {thing} ran for {tenant}, not {wanted}")
+
     def committed(self, writes: list[tuple[str, str]]) -> None:
         for _, value in writes:
             self._committed[value] = self._committed.get(value, 0) + 1
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Callable
 
-from tests.soak.oracle import Oracle, Verdict
+from tests.soak.oracle import TENANTS, Oracle, Verdict
 from tests.support.line_member import Group, Member
 from tests.support.platform_fleet import LineClient, PlatformFleet, configuration
 
@@ -17,6 +17,8 @@
 OUTAGE = (0.3, 2.0)
 RECOVERY_SECONDS = 6.0
 DATABASES = ("orders", "carts")
+REGIONS = {"a": "r1", "b": "r2"}
+WITHDRAWN_SECONDS = 5.0  # after it a key that was taken away must open no session
 
 
 class WatchedGroup(Group):
@@ -24,6 +26,9 @@
 
     oracle: Oracle
 
+    def ran(self, tenant: str, thing: str) -> None:
+        self.oracle.ran(tenant, thing)
+
     def commit(self, writes: list[tuple[str, str]]) -> None:
         self.oracle.committed(writes)
         super().commit(writes)
@@ -43,6 +48,7 @@
         self.soak = soak
         self.random = random.Random(soak.seed * 1000 + number)
         self.key = f"k{number}"
+        self.tenant = number % TENANTS
         self.acknowledged: list[str] = []
         # Of a route that must see every commit all, else what this session had acknowledged.
         self.must_see: list[str] = []
@@ -53,7 +59,8 @@
             client = LineClient(self.random.choice(self.soak.fleet.proxy_hosts))
             try:
                 database = self.random.choice(DATABASES)
-                if (await client.start(database)).startswith("READY"):
+                key = self.soak.keys[self.tenant]
+                if (await client.start(database, key)).startswith("READY"):
                     self.must_see = self.acknowledged if database == "orders" else []
                     await self.session(client)
             except (OSError, TimeoutError, EOFError, ValueError):
@@ -133,16 +140,20 @@
         self.random = random.Random(seed)
         self.oracle = Oracle()
         self.over = False
+        self.version = 2
+        self.keys = [f"secret-{number}-0" for number in range(TENANTS)]
         self.log: list[str] = []
 
     async def run(self) -> Verdict:
-        fleet = PlatformFleet(CONTROLS, PROXIES, zones=("a", "b"), group=WatchedGroup("db"))
+        fleet = PlatformFleet(
+            CONTROLS, PROXIES, zones=("a", "b"), group=WatchedGroup("db"), regions=REGIONS
+        )
         assert isinstance(fleet.group, WatchedGroup)
         fleet.group.oracle = self.oracle
         self.fleet = fleet
         async with fleet:
-            services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
-            await fleet.until(lambda: fleet.put(configuration(2, services=services)), 200)
+            await fleet.until(lambda: fleet.put(self._document()), 200)
+            await asyncio.sleep(1.0)  # until all gateways have it
             clients = [asyncio.ensure_future(SoakClient(self, n).run()) for n in range(CLIENTS)]
             faults = [asyncio.ensure_future(self._cause_faults()) for _ in range(2)]
             await asyncio.sleep(self.seconds)
@@ -157,10 +168,24 @@
             self.over = True
             await asyncio.gather(*clients)
             self.forwarded = await self._forwarded()
+            self._look_for_keys()
             held = {value for _, writes in fleet.group.primary.log for _, value in writes}
             self.oracle.finish(held)
         return self.oracle.verdict
 
+    def _document(self) -> dict[str, object]:
+        services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
+        tenants = [
+            {"name": f"t{number}", "api-keys": [key], "rate-per-s": 500, "burst": 500}
+            for number, key in enumerate(self.keys)
+        ]
+        return configuration(self.version, services=services, tenants=tenants)
+
+    def _look_for_keys(self) -> None:
+        for host in [*self.fleet.proxy_hosts, *self.fleet.control_hosts]:
+            if "secret-" in self.fleet.log(host):
+                self.oracle.problem(f"SECRET: a key stands in the log of {host}")
+
     async def _forwarded(self) -> int:
         """Return on how many proxies links to neighbours stand at the end."""
         count = 0
@@ -179,6 +204,7 @@
             self._freeze_control,
             self._crash_primary,
             self._deafen_replica,
+            self._rotate_key,
         ]
         while True:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE))
@@ -187,6 +213,33 @@
             self.log.append(kind.__name__)
             await kind()  # type: ignore[misc]
 
+    async def _rotate_key(self) -> None:
+        """Take a tenant's key away and give it another; the old one must soon open nothing."""
+        number = self.random.randrange(TENANTS)
+        old = self.keys[number]
+        self.version += 1
+        self.keys[number] = f"secret-{number}-{self.version}"
+        document = self._document()
+        hosts = self.fleet.control_hosts
+        for host in [*hosts, *hosts, *hosts]:
+            if await self.fleet.put(document, host) == 200:
+                break
+            await asyncio.sleep(0.5)
+        else:
+            return  # no clear answer: the change may or may not be in force
+        await asyncio.sleep(WITHDRAWN_SECONDS)
+        host = self._free(self.fleet.proxy_hosts)
+        client = LineClient(host)
+        try:
+            first = await client.start("orders", old) if host else ""
+        except (OSError, TimeoutError):
+            return  # it was stopped meanwhile by another fault
+        finally:
+            if hasattr(client, "writer"):
+                client.close()
+        if first.startswith("READY"):
+            self.oracle.problem(f"CONFIG: a withdrawn key opened a session at {host}")
+
     def _free(self, hosts: list[str]) -> str:
         """Return a host whose process runs and that no other fault has in hand."""
         running = [host for host in hosts if host not in self.fleet.busy]
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -35,6 +35,9 @@
                     self.lag_seconds, member.copy_from, self.primary
                 )
 
+    def ran(self, tenant: str, thing: str) -> None:
+        """Hear for whom a read or write ran."""
+
     def promote(self, instance: str) -> None:
         member = self.members[instance]
         if member.leads:
@@ -118,6 +121,7 @@
         self.member = member
         self.buffer = b""
         self.started = False
+        self.tenant = ""
         self.state = "I"
         self.plain = False
         self.lost_lead = False
@@ -140,7 +144,7 @@
     def take(self, line: str) -> None:
         word, _, rest = line.partition(" ")
         if not self.started:
-            service, _, expected = rest.split(" ")
+            service, self.tenant, expected = rest.split(" ")
             if (
                 word != "START"
                 or service != self.member.group.name
@@ -203,6 +207,7 @@
         if self.state == "T" and self.plain and self.lost_lead:
             return self.fail("READONLY")
         self.member.ran.append(f"READ {words[0]}")
+        self.member.group.ran(self.tenant, words[0])
         value = {**self.member.data(), **dict(self.writes)}.get(words[0], "none")
         return [f"ROW {value}", *self.done("sig.read")]
 
@@ -210,6 +215,7 @@
         if not self.member.leads or self.state == "T" and (self.lost_lead or not self.plain):
             return self.fail("READONLY")
         self.member.ran.append(f"WRITE {words[0]}")
+        self.member.group.ran(self.tenant, words[0])
         write = (words[0], words[1] if len(words) > 1 else "")
         if self.state == "T":
             self.writes.append(write)
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -59,7 +59,9 @@
         proxies: int,
         zones: tuple[str, ...] = ("a",),
         group: Group | None = None,
+        regions: dict[str, str] | None = None,
     ) -> None:
+        self.regions = regions or {}
         self.zones = zones
         self.busy: set[str] = set()
         self.control_hosts = [f"127.0.7.{number + 1}" for number in range(controls)]
@@ -148,6 +150,8 @@
             f"ready_listen: {host}:{READY_PORT}",
             "stop_seconds: 3",
             f"metrics: {METRICS}",
+            f"regions: {self.regions}",
+            f"features: {['tenants'] if self.regions else []}",
         ]
         self._start("proxy", host, lines)
 
@@ -246,9 +250,9 @@
     async def connect(self) -> None:
         self.reader, self.writer = await asyncio.open_connection(self.host, FRONT_PORT)
 
-    async def start(self, database: str) -> str:
+    async def start(self, database: str, key: str = "tester") -> str:
         await self.connect()
-        self.writer.write(f"START {database} tester\r\n".encode())
+        self.writer.write(f"START {database} {key}\r\n".encode())
         return await self.line()
 
     async def line(self) -> str:
