A full member refuses only tenants' waiters; others wait for a connection that comes back

Cause (found by reading the diff): after TOOMANY whoever waited was refused if all connections in use belonged to resting transactions, also where connections belong to nobody. Test: fails before.

--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -314,7 +314,7 @@
             self._note_failure()
         if not self.open_count:
             self._refuse_waiting(answer)
-        elif not self._may_come_back(channel.tenant):
+        elif channel.tenant and not self._may_come_back(channel.tenant):
             # Connections of other tenants are of no use to them.
             self._refuse(self._waiting.take_all(channel.tenant), answer)
 
--- a/tests/gateway/test_crowded.py
+++ b/tests/gateway/test_crowded.py
@@ -55,6 +55,20 @@
             client.run("READ a", seconds=0.05)
         self.assertIsNone(self.played.client("reports").run("READ b", seconds=0.1).refusal)
 
+    def test_who_waits_at_a_full_member_gets_the_connection_that_a_transaction_gives_back(self):
+        self.played.configure(2, connections=12)  # four for a gateway
+        holders = [self.played.client("orders") for _ in range(2)]
+        for client in holders:
+            client.run("BEGIN")
+            client.run("WRITE a 1", seconds=0.05)
+        self.played.primary.refuse_start = FULL
+        waiting = self.played.client("orders")
+        waiting.ask("WRITE b 1")
+        self.played.clock.advance(0.01)
+        self.assertEqual(waiting.answers, [])
+        holders[0].run("COMMIT")
+        self.assertIsNone(waiting.answers[-1].refusal)
+
     def test_a_write_that_proves_the_primary_shows_that_it_is_not_full(self):
         # Found by reading: what waited for another reason was told that the primary was full.
         tracker = self.played.gateway.services["db"].primary
