--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -70,12 +70,28 @@
     return "no line names this request; perhaps it is in another process's log, or was left out"
 
 
+_USELESS_AGAIN = (
+    Refusal.INVALID,
+    Refusal.UNKNOWN_DATABASE,
+    Refusal.TOO_LARGE,
+    Refusal.DENIED,
+)
+_TENANT_EVENTS = (
+    gateway_events.KEY_UNKNOWN.number,
+    gateway_events.KEY_WITHDRAWN.number,
+    gateway_events.OVER_QUOTA.number,
+)
+
+
 def _concerns(line: LogLine, statement: LogLine) -> bool:
     """Whether a line may have decided about the statement."""
     if line.event in STATEMENT_EVENTS:
         return False
     if line.event in _PRIMARY_EVENTS:
         return line.fields.get("service") == statement.fields.get("service")
+    if line.event in _TENANT_EVENTS:
+        same = line.fields.get("session") == statement.fields.get("session")
+        return same and line.process == statement.process
     if line.event >= control_events.NODE_STARTED.number:
         return line.event != control_events.DOCUMENT_REFUSED.number
     if line.event == gateway_events.LINK_LOST.number:
@@ -90,7 +106,7 @@
     refusal = known.get(outcome)
     if refusal in NOT_RUN:
         return "nothing of it is kept; it may be sent again"
-    if refusal in (Refusal.INVALID, Refusal.UNKNOWN_DATABASE, Refusal.TOO_LARGE):
+    if refusal in _USELESS_AGAIN:
         return "it did not run; sending it again will not help"
     return "nothing: it may or may not have run"
 
@@ -108,6 +124,11 @@
         return f"no gateway of its zone held connections to {service} in time ({reason})"
     if via and not fields.get("member") and fields.get("stage") == Stage.SENT.value:
         return f"it was sent to gateway {via}, whose link was lost ({reason})"
+    if outcome == Refusal.DENIED.value:
+        return f"its key is no longer tenant {fields.get('tenant')}'s ({reason})"
+    over = _over_limit(statement, around)
+    if over:
+        return over
     lost = _primary_trouble(statement, around)
     if outcome == Refusal.UNKNOWN_DATABASE.value:
         return f"version {fields.get('version')} has no route for {fields.get('database')}"
@@ -124,6 +145,20 @@
     return f"{reason or outcome} (stage {fields.get('stage', '?')}, at {member})"
 
 
+def _over_limit(statement: LogLine, around: list[LogLine]) -> str:
+    """Return how far a tenant was over its limit when it was refused for that."""
+    for line in around:
+        if line.event != gateway_events.OVER_QUOTA.number or line.time != statement.time:
+            continue
+        seen = line.fields
+        return (
+            f"tenant {seen.get('tenant')} may begin {seen.get('limit')} operations in a window; "
+            f"{seen.get('fleet')} had begun at all gateways and {seen.get('asked')} were asked for "
+            f"in a second, as known {seen.get('age_ms')} ms before"
+        )
+    return ""
+
+
 def _primary_trouble(statement: LogLine, around: list[LogLine]) -> str:
     failing = float(statement.fields.get("primary_failing_for") or 0)
     begin = statement.time - float(statement.fields.get("milliseconds", 0)) / 1000
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -10,10 +10,12 @@
 from rowanrail.coordination.events import PROMOTION_DECIDED
 from rowanrail.explain.lines import read_lines
 from rowanrail.explain.story import tell
-from rowanrail.gateway.events import LINK_LOST
+from rowanrail.gateway.events import KEY_WITHDRAWN, LINK_LOST
 from rowanrail.gateway.model import Answer, Refusal
 from rowanrail.kernel.catalogue import Level
 from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.tenants.demand import Report
+from tests.gateway.test_tenants import TenantGateway
 from tests.support.gateway import PlayedGateway
 from tests.support.relay import PlayedZone
 
@@ -52,6 +54,28 @@
         self.assertIn("m3 was promoted under token 41", story.cause)
         self.assertEqual(story.promise, "nothing: it may or may not have run")
 
+    def test_refused_over_a_limit(self):
+        self.played = TenantGateway()
+        self.played.configure(2, rate=1.0, burst=1.0)
+        self.played.gateway.access.quota.take_fleet(Report({}))
+        client = self.played.client("orders")
+        while client.run("WRITE a 1", seconds=0.01).refusal is None:
+            pass
+        story = self.story(f"q{len(client.answers)}")
+        self.assertIn("tenant a may begin 6 operations in a window", story.cause)
+        self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
+
+    def test_denied_with_a_withdrawn_key(self):
+        self.played = TenantGateway()
+        client = self.played.client("orders")
+        client.run("WRITE a 1", seconds=0.1)
+        self.played.configure(2, keys={"key-of-b": "b"})
+        client.run("WRITE a 2")
+        story = self.story("q2")
+        self.assertIn("its key is no longer tenant a's", story.cause)
+        self.assertEqual(story.promise, "it did not run; sending it again will not help")
+        self.assertIn(KEY_WITHDRAWN.number, [line.event for line in story.around])
+
     def test_refused_as_behind(self):
         client = self.played.client("carts")
         client.run("BEGIN READ")
