--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -109,7 +109,7 @@
 
     def _tick(self) -> None:
         for service in self.services.values():
-            if service.is_regional:
+            if service.is_regional and service.has_connections:
                 service.set_parts(self._parts_held(service))
             service.tick()
         self._decisions.flush()
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -104,6 +104,15 @@
             return False
         return not self._locality.is_near(pool.record.zone)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection to a member is open or being opened.
+
+        Most gateways hold none of most services; looking for their parts 20 times a second took
+        three times the processor time of all else at 25 services (a day of 100 machines).
+        """
+        return any(pool.open_count for pool in self.pools.values())
+
     def primary_pool(self) -> MemberPool | None:
         """Return the pool of the member believed to lead."""
         return self.pools.get(self.primary.believed)
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -179,6 +179,18 @@
         self.world.clock.advance(3.0)
         self.assertGreaterEqual(self.service.pools["m1"].open_count, 2)
 
+    def test_a_gateway_without_connections_looks_for_no_holders(self):
+        # Found in a day of 100 machines and 25 services: each gateway kept links to all others.
+        idle = next(
+            one
+            for one in self.world.gateways.values()
+            if not one.gateway.services["db"].has_connections
+        )
+        links = len(idle.gateway._neighbours.links)
+        self.world.clock.advance(1.0)
+        self.assertEqual(len(idle.gateway._neighbours.links), links)
+        self.assertEqual(links, 0)
+
     def test_a_gateway_that_stops_gives_its_connections_up(self):
         self.world.home.gateway.stopping = True
         self.world.clock.advance(0.3)
