--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -27,9 +27,10 @@
 GIVEN_UP_IDLE_SECONDS = 0.1
 # Of waiting, after which a tenant without a connection gets the next that comes free, though it
 # has to be opened anew: two thirds of the shortest objective (600 ms), so that it can still be in
-# time. Sooner is dearer: with 150 ms, and a primary that was cut off from half of 58 gateways, worth
-# was 0.765 in place of 0.805 (one run each, another change beside it). A bound on the delay of a
-# fair share, with free places for whoever wants them, follows Griggs et al., "Delta Fair Sharing".
+# time. Sooner is dearer: with 150 ms, and a primary that was cut off from half of 58 gateways,
+# worth was 0.765 in place of 0.805 (one run each, another change beside it). A bound on the delay
+# of a fair share, with free places for whoever wants them, follows Griggs et al., "Delta Fair
+# Sharing".
 FAIR_WAIT_SECONDS = 0.4
 KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
