--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -9,7 +9,6 @@
 from rowanrail.gateway.error_share import ErrorShare
 from rowanrail.gateway.idle_channels import IdleChannels
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
-from rowanrail.gateway.tenant_uses import TenantUses
 from rowanrail.gateway.waiting_line import Waiter, WaitingLine
 
 # A failed connection is tried again after twice this; chosen, not measured apart.
@@ -25,13 +24,6 @@
 # At a gateway to which statements no longer come: those under way may still want it. The one that
 # takes over needs the places; with both full a member refuses a third of them.
 GIVEN_UP_IDLE_SECONDS = 0.1
-# Of waiting, after which a tenant without a connection gets the next that comes free, though it
-# has to be opened anew: two thirds of the shortest objective (600 ms), so that it can still be in
-# time. Sooner is dearer: with 150 ms, and a primary that was cut off from half of 58 gateways,
-# worth was 0.765 in place of 0.805 (one run each, another change beside it). A bound on the delay
-# of a fair share, with free places for whoever wants them, follows Griggs et al., "Delta Fair
-# Sharing".
-FAIR_WAIT_SECONDS = 0.4
 KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
 OPENING_AT_ONCE = 2  # each takes a slot of the member for a while
 LATENCY_WEIGHT = 0.1  # of the newest answer in a moving average, about the last ten count
@@ -85,7 +77,6 @@
         self._waiting = WaitingLine()
         self._resting: dict[Resting, float] = {}
         self._leased_of: Counter[str] = Counter()  # connections in use by tenant
-        self._uses = TenantUses()
         self._closed = False
 
     @property
@@ -173,7 +164,7 @@
             self._open_for_waiting()
             return
         channel.last_used = self._clock.time()
-        waiter = None if self._is_owed_to_another(channel) else self._waiting.take_for(channel)
+        waiter = self._waiting.take_for(channel)
         if waiter is not None:
             self._lease(channel, waiter)
             return
@@ -181,30 +172,9 @@
         self._idle.add(channel)
         self._open_for_waiting()  # of other tenants, in its place
 
-    def _is_owed_to_another(self, channel: Channel) -> bool:
-        """Return whether somebody of another tenant has waited too long for this place.
-
-        Serving the tenant that has the connection saves an opening, but a tenant that always
-        waits would keep it for good.
-        """
-        if not channel.tenant or len(self._idle) > 0:
-            return False
-        late = self._first_late()
-        return late is not None and not late.takes(channel)
-
-    def _first_late(self) -> Waiter | None:
-        """Return the most urgent who has waited too long and for whom none is being opened."""
-        limit = self._clock.time() - FAIR_WAIT_SECONDS
-        coming = {channel.tenant for channel in self._opening}
-        for waiter in self._waiting:
-            if waiter.since < limit and waiter.tenant and waiter.tenant not in coming:
-                return waiter
-        return None
-
     def _lease(self, channel: Channel, waiter: Waiter) -> None:
         self.leased += 1
         self._leased_of[channel.tenant] += 1
-        self._uses.note(channel.tenant, self._clock.time())
         channel.on_closed = lambda channel: None
         channel.leased_at = self._clock.time()
         waiter.respond(channel, Answer())
@@ -258,9 +228,6 @@
         when this gateway is lost. So another one is opened for those who have waited for about as
         long as its opening takes; until then a connection that is in use may come back.
         """
-        late = self._first_late()
-        if late is not None:
-            return late
         limit = self._clock.time() - self._opening_seconds
         coming = Counter(channel.tenant for channel in self._opening)
         for waiter in self._waiting:
@@ -286,12 +253,12 @@
         """Return whether one more may be opened; an idle one of another tenant gives way."""
         if self.open_count < self._allowed():
             return True
-        least = self._uses.least(self._idle, self._clock.time())
-        if least is None:
+        oldest = next(iter(self._idle), None)
+        if oldest is None:
             return False
         # Its end reaches the member before the start of the next one, which comes later.
-        self._idle.discard(least)
-        least.close()
+        self._idle.discard(oldest)
+        oldest.close()
         return self.open_count < self._allowed()
 
     def _open(self, tenant: str) -> None:
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -80,7 +80,9 @@
 
     def _connection_limit(self, record: MemberRecord) -> int:
         is_near = self._locality.is_near(record.zone)
-        return connection_limit(self.spec.connections, self._population, is_near, len(self._parts))
+        return connection_limit(
+            self.spec.connections, self._population, is_near, max(1, len(self._parts))
+        )
 
     def _apply_limit(self) -> None:
         for pool in self.pools.values():
--- a/src/rowanrail/relay/placement.py
+++ b/src/rowanrail/relay/placement.py
@@ -138,8 +138,7 @@
     is_near : bool
         Whether the member stands in the gateway's own region.
     parts : int
-        How many parts of the service the gateway holds, where regions share. One that holds none
-        may be asked to help while others do not reach the member.
+        How many parts of the service the gateway holds, where regions share.
 
     Examples
     --------
@@ -150,8 +149,8 @@
     >>> connection_limit(40, Population(72, 6))
     5
     >>> region = Population(58, 3, is_regional=True)
-    >>> [connection_limit(32, region, is_near=True, parts=n) for n in (0, 1, 2, 3)]
-    [2, 6, 12, 17]
+    >>> [connection_limit(32, region, is_near=True, parts=n) for n in (1, 2, 3)]
+    [6, 12, 17]
     >>> connection_limit(32, region, is_near=False)
     2
     """
