Log what a missing route rests on, and the role of a node whose disk fails

Cause of the change: neither logs nor metrics tell the three hypotheses of the incident apart. A refusal at the start of a session was in no log at all. Change: event 333 at the proxy for each refused database (version in force, control node that is followed, age of its word), the metric control_age_seconds, role, term, version and revision in event 430; explain names the node and age. Not measured: bytes of log.

--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -73,5 +73,6 @@
     430,
     Level.ERROR,
     "the data folder failed, the node takes no further part: {reason}",
-    "Do what the reason says; the other nodes go on while a majority is left.",
+    "Do what the reason says; the other nodes go on while a majority is left. The fields give "
+    "the role that it had, and the newest version and revision that it knows.",
 )
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -173,7 +173,14 @@
         raft = self.consensus.raft
         if self.consensus.failure is not None and not self._told_failure:
             self._told_failure = True
-            self._decisions.note(STORAGE_LOST, reason=str(self.consensus.failure))
+            self._decisions.note(
+                STORAGE_LOST,
+                reason=str(self.consensus.failure),
+                role=raft.role.value,
+                term=raft.term,
+                version=self.state.version,
+                revision=self.state.revision,
+            )
         leader = (raft.leader, raft.term)
         if leader != self._seen_leader:
             self._note_leader(leader)
--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -131,7 +131,7 @@
         return over
     lost = _primary_trouble(statement, around)
     if outcome == Refusal.UNKNOWN_DATABASE.value:
-        return f"version {fields.get('version')} has no route for {fields.get('database')}"
+        return _missing_route(statement, around)
     if outcome == Refusal.BEHIND.value:
         return f"the log of {member} lacked the position that the read must see{lost}"
     if outcome == Refusal.OUTCOME_UNKNOWN.value:
@@ -145,6 +145,20 @@
     return f"{reason or outcome} (stage {fields.get('stage', '?')}, at {member})"
 
 
+def _missing_route(statement: LogLine, around: list[LogLine]) -> str:
+    """Return which version lacked the route, and on whose word it is the newest."""
+    fields = statement.fields
+    cause = f"version {fields.get('version')} has no route for {fields.get('database')}"
+    for line in around:
+        same = line.process == statement.process and line.time == statement.time
+        if line.event != gateway_events.ROUTE_MISSING.number or not same:
+            continue
+        control, heard = line.fields.get("control"), line.fields.get("heard_ms")
+        if heard is not None:
+            return f"{cause}; control node {control} had called it the newest {heard} ms before"
+    return cause
+
+
 def _over_limit(statement: LogLine, around: list[LogLine]) -> str:
     """Return how far a tenant was over its limit when it was refused for that."""
     for line in around:
--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -1,6 +1,6 @@
-"""Who may run statements at this gateway: keys, and limits of tenants."""
+"""Who may run statements at this gateway: routes, keys, and limits of tenants."""
 
-from rowanrail.gateway.events import KEY_UNKNOWN, KEY_WITHDRAWN, OVER_QUOTA
+from rowanrail.gateway.events import KEY_UNKNOWN, KEY_WITHDRAWN, OVER_QUOTA, ROUTE_MISSING
 from rowanrail.gateway.model import Answer, Refusal, RoutingConfiguration
 from rowanrail.gateway.policies import KeyCheck
 from rowanrail.gateway.session import Session
@@ -33,7 +33,10 @@
     def __init__(
         self, clock: Clock, decisions: DecisionLog, key_check: KeyCheck, terms: QuotaTerms
     ) -> None:
+        self._clock = clock
         self._decisions = decisions
+        self._followed = ""
+        self._heard_at: float | None = None
         self._key_check = key_check
         self._quota = QuotaGuard(clock, terms)
         self._demand = DemandBook(clock)
@@ -59,6 +62,30 @@
         self._configuration = configuration
         self._quota.set_tenants(configuration.tenants or Tenants())
 
+    # Routes
+
+    def hear_control(self, peer: str) -> None:
+        """Note that a control node said that it holds all that is committed."""
+        self._followed = peer
+        self._heard_at = self._clock.now
+
+    @property
+    def control_age(self) -> float | None:
+        """Milliseconds since a control node was last sure, None before the first was."""
+        return None if self._heard_at is None else self._clock.now - self._heard_at
+
+    def refuse_database(self, database: str) -> Answer:
+        """Return the refusal of a database that no route names, and log what it rests on."""
+        age = self.control_age
+        self._decisions.note(
+            ROUTE_MISSING,
+            database=database,
+            version=self.version,
+            control=self._followed,
+            heard_ms=None if age is None else round(age),
+        )
+        return Answer(refusal=Refusal.UNKNOWN_DATABASE, message=f"no route for {database}")
+
     # Keys
 
     def open(self, database: str, key: str) -> Identity | None:
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -208,6 +208,7 @@
         if not reply.current:
             self._note_lost(address, "it does not hold what the leader has committed")
             return False
+        self._gateway.access.hear_control(address)
         if self._silent:
             self._silent = False
             self._decisions.note(CONTROL_REGAINED, peer=address)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -93,6 +93,13 @@
     "the key of session {session} of tenant {tenant} was withdrawn",
     "Version {version} no longer gives it to the tenant. A statement under way was answered.",
 )
+ROUTE_MISSING = define(
+    333,
+    Level.WARNING,
+    "version {version} has no route for {database}",
+    "The client was refused. If a newer version has the route, look at the control node that "
+    "this proxy follows, and how long ago that node said that it holds all that is committed.",
+)
 OVER_QUOTA = define(
     332,
     Level.WARNING,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -241,7 +241,7 @@
         if self.configuration is None:
             return Answer(refusal=Refusal.BUSY, message="no configuration yet; retry in 1 s")
         if database not in self.configuration.routes:
-            return Answer(refusal=Refusal.UNKNOWN_DATABASE, message=f"no route for {database}")
+            return self.access.refuse_database(database)
         identity = self.access.open(database, key)
         if identity is None:
             return Answer(refusal=Refusal.DENIED, message="no tenant holds this key")
@@ -259,14 +259,14 @@
         """See :meth:`rowanrail.relay.serving.HolderHost.demand`."""
         return self.access.demand
 
-    def route(self, database: str, tenant: str) -> tuple[Route, Work] | None:
+    def route(self, database: str, tenant: str) -> tuple[Route, Work] | Answer:
         """See :meth:`SessionHost.route`."""
         if self.configuration is None:
-            return None
+            return self.access.refuse_database(database)
         route = self.configuration.routes.get(database)
         local = self.local_work(route.service) if route is not None else None
         if route is None or local is None:
-            return None
+            return self.access.refuse_database(database)
         return route, self._placed(Part.of(route.service, tenant), local)
 
     def local_work(self, service: str, is_detour: bool = False) -> LocalWork | None:
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -17,6 +17,7 @@
         ("sessions", {}, len(gateway.sessions)),
         ("configuration_version", {}, version),
         ("ready", {}, float(gateway.is_ready)),
+        ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
     ]
     now = gateway.clock.time()
     for name, service in gateway.services.items():
@@ -36,6 +37,10 @@
     return readings
 
 
+def _seconds(age: float | None) -> float:
+    return NEVER if age is None else age / 1000
+
+
 def relay_gauges(neighbours: Neighbours, holder: Holder, detours: Detours) -> list[Reading]:
     """Return the links to neighbours by state, what runs here for neighbours, and detours."""
     states = [link.state for link in neighbours.links]
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -27,7 +27,7 @@
 
     clock: Clock
 
-    def route(self, database: str, tenant: str) -> tuple[Route, Work] | None:
+    def route(self, database: str, tenant: str) -> tuple[Route, Work] | Answer:
         """Return the route in force for a database and where a tenant's work is done."""
 
     def idle_transaction_seconds(self) -> float:
@@ -214,8 +214,8 @@
             self._refuse(Refusal.INVALID, "a transaction is open")
             return
         found = self._host.route(self.database, self.identity.tenant)
-        if found is None:
-            self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
+        if isinstance(found, Answer):
+            self._finish(found)
             return
         over = self._host.refuse_over_quota(self)
         if over is not None:
@@ -236,8 +236,8 @@
             self._transaction.run(statement, self._transaction_answered)
             return
         found = self._host.route(self.database, self.identity.tenant)
-        if found is None:
-            self._refuse(Refusal.UNKNOWN_DATABASE, f"no route for {self.database}")
+        if isinstance(found, Answer):
+            self._finish(found)
             return
         over = self._host.refuse_over_quota(self)
         if over is not None:
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -54,6 +54,23 @@
         self.assertIn("m3 was promoted under token 41", story.cause)
         self.assertEqual(story.promise, "nothing: it may or may not have run")
 
+    def test_refused_for_a_route_that_the_newest_known_version_lacks(self):
+        client = self.played.client("orders")
+        self.played.configure(2, without=("orders",))
+        self.played.gateway.access.hear_control("c1:7")
+        self.played.clock.advance(1.2)
+        client.run("READ a")
+        story = self.story("q1")
+        self.assertIn("version 2 has no route for orders", story.cause)
+        self.assertIn("control node c1:7 had called it the newest 1200 ms before", story.cause)
+
+    def test_a_session_of_an_unknown_database_is_logged_as_well(self):
+        answer = self.played.gateway.open_session("nowhere", "secret")
+        self.assertEqual(answer.refusal, Refusal.UNKNOWN_DATABASE)
+        (line,) = [line for line in self.played.logs() if '"event":333' in line]
+        self.assertIn('"database":"nowhere","version":1,"control":"","heard_ms":null', line)
+        self.assertNotIn("secret", line)
+
     def test_refused_over_a_limit(self):
         self.played = TenantGateway()
         self.played.configure(2, rate=1.0, burst=1.0)
--- a/tests/gateway/test_directory_watch.py
+++ b/tests/gateway/test_directory_watch.py
@@ -80,6 +80,8 @@
     """Keeps what the watch puts in force."""
 
     def __init__(self):
+        self.access = self
+        self.heard = []
         self.versions = []
         self.corrected = []
         self.revisions = []
@@ -93,6 +95,9 @@
     def set_directory(self, directory):
         self.revisions.append(directory.revision)
 
+    def hear_control(self, peer):
+        self.heard.append(peer)
+
 
 class QuietLog:
     def note(self, event, **fields):
