Tests that fail: a node whose disk is full keeps its zone's gateways on an old configuration

Cause: the loop of the log ends with the failure of the storage, and with it whatever ends the role of a leader. As a leader it counts as sure of what is committed without a further look. Ruled out: nothing else is broken in these runs, so neither cuts nor silent connections are needed. No change of logic; simulated disks can be full, a fleet's processes as well.

--- a/src/rowanlab/simulator/disk.py
+++ b/src/rowanlab/simulator/disk.py
@@ -15,6 +15,7 @@
     def __init__(self, randomness: random.Random, honours_sync: bool = True) -> None:
         self._random = randomness
         self._honours_sync = honours_sync
+        self.full = False
         self._current: dict[str, bytes] = {}
         self._durable: dict[str, bytes] = {}
         self._durable_names: set[str] = set()
@@ -30,11 +31,17 @@
         return self._current[name]
 
     def append(self, name: str, data: bytes) -> None:
-        """See :meth:`Disk.append`."""
+        """See :meth:`Disk.append`. A full disk may still take a part of the data."""
+        if self.full and data:
+            part = self._random.randrange(len(data))
+            self._current[name] = self._current.get(name, b"") + data[:part]
+            raise StorageError("the disk is full", step="append", peer=name)
         self._current[name] = self._current.get(name, b"") + data
 
     def replace(self, name: str, data: bytes) -> None:
         """See :meth:`Disk.replace`."""
+        if self.full:
+            raise StorageError("the disk is full", step="replace", peer=name)
         self._current[name] = data
         if self._honours_sync:
             self._durable[name] = data
--- /dev/null
+++ b/tests/coordination/test_failed_storage.py
@@ -0,0 +1,70 @@
+"""Control nodes whose storage fails, in virtual time: what they say of themselves meanwhile."""
+
+import asyncio
+import unittest
+
+from rowanlab.simulator.coordination_world import CoordinationWorld
+from rowanlab.simulator.permissive import registry_without
+from rowanlab.simulator.world import World
+from rowanrail.coordination.messages import DirectoryRequest, GatewayReport
+from rowanrail.kernel.errors import RowanrailError
+
+SEEDS = (1, 2, 3)
+GATEWAY = GatewayReport("g1", "z1", [])
+
+
+class FailedStorageTest(unittest.TestCase):
+    """Three nodes; the disk of one of them is full from some moment on."""
+
+    def play(self, scenario):
+        for seed in SEEDS:
+            world = World(seed)
+            self.coordination = CoordinationWorld(world, registry_without(None))
+            world.run(self._begin(scenario))
+
+    async def _begin(self, scenario):
+        await self.coordination.start(operators=0, members=0)
+        await self.put(self.coordination.controls[0], 1)
+        await scenario()
+
+    async def leader(self):
+        while True:
+            for control in self.coordination.controls:
+                raft = control.node.consensus.raft
+                if raft.is_established_leader and not control.disk.full:
+                    return control
+            await asyncio.sleep(0.05)
+
+    async def put(self, control, version):
+        return await self.until_served(control, "put", version, f"{version}".encode())
+
+    async def until_served(self, control, method, *arguments, seconds=5.0):
+        """Call a node until it has a clear answer."""
+        async with asyncio.timeout(seconds):
+            while True:
+                process = self.coordination.world.process(control.name)
+                try:
+                    call = getattr(control.node.service, method)(*arguments)
+                    return await self.coordination.world.run_in(process, call)
+                except RowanrailError:
+                    await asyncio.sleep(0.05)
+
+    async def fail(self, control):
+        """Fill a node's disk, and wait until others have gone on without it."""
+        control.disk.full = True
+        others = [other for other in self.coordination.controls if other is not control]
+        await self.put(others[0], 2)
+        await asyncio.sleep(2.0)
+
+    async def ask(self, control, known_version):
+        process = self.coordination.world.process(control.name)
+        request = DirectoryRequest(GATEWAY, known_version, 0, 0.0)
+        return await self.coordination.world.run_in(process, control.node.service.handle(request))
+
+    def test_a_leader_whose_disk_is_full_sends_its_gateways_away(self):
+        async def scenario():
+            failed = await self.leader()
+            await self.fail(failed)
+            self.assertFalse((await self.ask(failed, 1)).current)
+
+        self.play(scenario)
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -60,8 +61,10 @@
         zones: tuple[str, ...] = ("a",),
         group: Group | None = None,
         regions: dict[str, str] | None = None,
+        control_zones: tuple[str, ...] = ("a",),
     ) -> None:
         self.regions = regions or {}
+        self.control_zones = control_zones
         self.zones = zones
         self.busy: set[str] = set()
         self.control_hosts = [f"127.0.7.{number + 1}" for number in range(controls)]
@@ -113,9 +116,10 @@
     # Processes
 
     def start_control(self, host: str, bootstrap: bool) -> None:
+        zone = self.control_zones[self.control_hosts.index(host) % len(self.control_zones)]
         lines = [
             f"name: control-{host}",
-            "zone: a",
+            f"zone: {zone}",
             f"data_folder: {self.folder / host}",
             f"listen: {host}:{CONTROL_PORT}",
             f"host: {host}",
@@ -175,6 +179,22 @@
     def terminate(self, host: str) -> None:
         self.processes[host].send_signal(signal.SIGTERM)
 
+    def fill_disk(self, host: str, full: bool) -> None:
+        """Let no file of a process grow any more, or let them grow again.
+
+        Its log is such a file as well: what it writes meanwhile is lost.
+        """
+        limit = 0 if full else resource.RLIM_INFINITY
+        process = self.processes[host].pid
+        resource.prlimit(process, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+
+    async def leader(self) -> str:
+        """Return the control node that says it leads, empty if not exactly one does."""
+        lines = [await self.metrics(host) for host in self.control_hosts]
+        hosts = zip(self.control_hosts, lines, strict=True)
+        leaders = [host for host, text in hosts if "rowanrail_control_leader 1.0" in text]
+        return leaders[0] if len(leaders) == 1 else ""
+
     def log(self, host: str) -> str:
         return (self.folder / f"{host}.log").read_text()
 
