A node whose storage fails gives up its role and its claim to hold what is committed

Cause: ConsensusNode stopped acting and hearing when a write failed, but kept its role. Nothing could end it any more: as a leader it was sure of what is committed for as long as it ran, held its zone's gateways on the last version, answered calls itself (without a clear outcome, 0.9 s each) and took members' heartbeats that the next leader then lacked. Class: a claim to be up to date with no expiry and no owner once its loop ends. Change: withdraw() ends role and claim with the failure and wakes the held polls; the node goes on to learn who leads, so that calls and heartbeats reach the next leader. A leader's own claim rests on the answers of a majority, as a follower's on the leader's word. Elsewhere: the failover duty, the census of gateways, voters and the SQL control plane ask the same node, so they are mended with it; heartbeats of members at such a node were lost (test). Left: the node takes no part until it is started again.

--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -20,7 +20,7 @@
     VoteRequest,
 )
 from rowanrail.consensus.raft import Raft
-from rowanrail.consensus.raft_types import Effects, NotLeader, RaftConfig
+from rowanrail.consensus.raft_types import Effects, NotLeader, RaftConfig, Role
 from rowanrail.consensus.storage import Identity, Storage
 from rowanrail.kernel.errors import RowanrailError, StorageError
 from rowanrail.kernel.registry import Registry
@@ -92,6 +92,7 @@
         self.identity = identity
         self.machine = machine
         self.failure: StorageError | None = None
+        self.role_at_failure = Role.FOLLOWER
         self.on_change: Callable[[], None] = lambda: None
         self._storage = storage
         self._network = network
@@ -211,9 +212,11 @@
 
     def receive(self, incoming: ConsensusMessage) -> None:
         """Handle a message from another node."""
-        if self.failure is None:
-            self.raft.receive(incoming, self._now())
-            self._wake.set()
+        if self.failure is not None:
+            self.raft.observe(incoming, self._now())
+            return
+        self.raft.receive(incoming, self._now())
+        self._wake.set()
 
     def _check_failure(self, step: str) -> None:
         if self.failure is not None:
@@ -224,23 +227,31 @@
     async def _run(self) -> None:
         while self.failure is None:
             await self._wait_for_input()
-            self.raft.tick(self._now())
-            try:
-                self._carry_out(self.raft.take_effects())
-            except StorageError as error:
-                # What was not made durable may not be promised: the node takes no further part.
-                self.failure = error
-                self._fail_pending(error)
-            except Exception as error:
-                # A state machine that could not follow the log may not answer from it either.
-                self.failure = StorageError(
-                    f"{type(error).__name__}: {error}; report this, and start the node again",
-                    step="apply",
-                    peer=self.identity.node,
-                )
-                self._fail_pending(self.failure)
+            self._step()
             self.on_change()
 
+    def _step(self) -> None:
+        self.raft.tick(self._now())
+        try:
+            self._carry_out(self.raft.take_effects())
+        except StorageError as error:
+            self._fail(error)
+        except Exception as error:
+            # A state machine that could not follow the log may not answer from it either.
+            reason = f"{type(error).__name__}: {error}; report this, and start the node again"
+            self._fail(StorageError(reason, step="apply", peer=self.identity.node))
+
+    def _fail(self, error: StorageError) -> None:
+        """Take no further part: what was not made durable may not be promised.
+
+        The role ends here. Nothing would end it later, since the node hears no vote and no
+        heartbeat any more, and it would call itself leader and up to date for as long as it runs.
+        """
+        self.failure = error
+        self.role_at_failure = self.raft.role
+        self.raft.withdraw()
+        self._fail_pending(error)
+
     async def _wait_for_input(self) -> None:
         remaining_seconds = self.raft.next_due() - self._now()
         if remaining_seconds > 0:
@@ -332,6 +343,8 @@
         for _, waiter in self._applied_waiters:
             if not waiter.done():
                 waiter.set_exception(error)
+        self._proposals = {}
+        self._applied_waiters = []
 
     def _compact(self) -> None:
         if self.raft.log.size < self._options.snapshot_entries or self.applied <= 0:
--- a/src/rowanrail/consensus/progress.py
+++ b/src/rowanrail/consensus/progress.py
@@ -6,6 +6,8 @@
 
 from rowanrail.consensus.messages import Membership
 
+NEVER = -1e9  # seconds on the steady clock, before any process started
+
 
 class Progress(msgspec.Struct):
     """What a leader knows of another node."""
@@ -62,6 +64,29 @@
         progress = self._progress.get(peer)
         return now - progress.answered_at if progress else float("inf")
 
+    def quorum_answered_at(self, voters: Iterable[str], now: float) -> float:
+        """Return since when a majority of the voters has answered, the node itself included.
+
+        Parameters
+        ----------
+        voters : iterable of str
+            Ids of the nodes that vote.
+        now : float
+            The steady time in seconds; the node itself answers at any time.
+
+        Returns
+        -------
+        float
+            Moment of the oldest of the newest answers that make up a majority.
+        """
+        answers = [now if peer == self._node else self._answered_at(peer) for peer in voters]
+        answers.sort(reverse=True)
+        return answers[len(answers) // 2] if answers else NEVER
+
+    def _answered_at(self, peer: str) -> float:
+        progress = self._progress.get(peer)
+        return progress.answered_at if progress else NEVER
+
     def answered_since(self, voters: Iterable[str], since: float) -> int:
         """Return how many voters have answered since a moment, the node itself included."""
         answered = sum(
--- a/src/rowanrail/consensus/raft.py
+++ b/src/rowanrail/consensus/raft.py
@@ -22,9 +22,9 @@
     VoteReply,
     VoteRequest,
 )
-from rowanrail.consensus.progress import Progress
+from rowanrail.consensus.progress import NEVER, Progress
 from rowanrail.consensus.raft_state import RaftState
-from rowanrail.consensus.raft_types import MembershipBusy, NotLeader, Role
+from rowanrail.consensus.raft_types import Effects, MembershipBusy, NotLeader, Role
 
 # Of entries in a message, so that heartbeats behind it are not late.
 MAXIMUM_APPEND_BYTES = 256 * 1024
@@ -107,6 +107,23 @@
         if self.is_leader:
             self._become_follower(self.term, "", now)
 
+    def withdraw(self) -> None:
+        """Give up every role, and the claim to hold what is committed."""
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._current_at = NEVER
+        self._effects = Effects()
+
+    def observe(self, incoming: ConsensusMessage, now: float) -> None:
+        """Learn who leads, and nothing else, after :meth:`withdraw`.
+
+        Such a node may neither vote nor confirm, but it can tell others whom to ask.
+        """
+        if isinstance(incoming, AppendRequest | SnapshotRequest) and incoming.term >= self.term:
+            self.term = incoming.term
+            self.leader = incoming.sender
+            self._heard_from_leader_at = now
+
     def compact(self, snapshot: Snapshot) -> None:
         """Forget the log up to a snapshot that the caller has made durable."""
         self.log.compact(snapshot)
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -5,7 +5,7 @@
 from rowanrail.consensus.log import Log
 from rowanrail.consensus.messages import ConsensusMessage, Entry, HardState, Membership
 from rowanrail.consensus.policies import QuorumCheck
-from rowanrail.consensus.progress import PendingReads, ProgressTable
+from rowanrail.consensus.progress import NEVER, PendingReads, ProgressTable
 from rowanrail.consensus.raft_types import Effects, RaftConfig, Role
 
 FIRST_ELECTION_LEAST = 0.1  # share of the longest first wait that a node waits in any case
@@ -40,8 +40,8 @@
         self._votes: set[str] = set()
         self._progress = ProgressTable(node)
         self._reads = PendingReads()
-        self._heard_from_leader_at = -1e9
-        self._current_at = -1e9
+        self._heard_from_leader_at = NEVER
+        self._current_at = NEVER
         self._heartbeat_due = now
         self._quorum_due = now
         self._became_leader_at = now
@@ -84,9 +84,12 @@
 
         A follower that hears the leader may still lack most of the log. A leader that has not
         committed an entry of its own term does not know yet what is committed, so that nobody
-        who follows it does.
+        who follows it does. A leader rests on the answers of a majority, as a follower on the
+        leader's word: without them another may lead already.
         """
-        return 0.0 if self.is_established_leader else now - self._current_at
+        if self.is_established_leader:
+            return now - self._progress.quorum_answered_at(self.membership.voters, now)
+        return now - self._current_at
 
     def take_effects(self) -> Effects:
         """Return and forget the effects that accumulated."""
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -176,7 +176,7 @@
             self._decisions.note(
                 STORAGE_LOST,
                 reason=str(self.consensus.failure),
-                role=raft.role.value,
+                role=self.consensus.role_at_failure.value,
                 term=raft.term,
                 version=self.state.version,
                 revision=self.state.revision,
--- a/tests/coordination/test_failed_storage.py
+++ b/tests/coordination/test_failed_storage.py
@@ -7,10 +7,12 @@
 from rowanlab.simulator.permissive import registry_without
 from rowanlab.simulator.world import World
 from rowanrail.coordination.messages import DirectoryRequest, GatewayReport
+from rowanrail.gateway.model import MemberRecord
 from rowanrail.kernel.errors import RowanrailError
 
 SEEDS = (1, 2, 3)
 GATEWAY = GatewayReport("g1", "z1", [])
+MEMBER = MemberRecord("m1", "db", "m1:1", "z1", False, False, 3, 1)
 
 
 class FailedStorageTest(unittest.TestCase):
@@ -68,3 +70,27 @@
             self.assertFalse((await self.ask(failed, 1)).current)
 
         self.play(scenario)
+
+    def test_calls_to_it_are_served_by_the_next_leader(self):
+        async def scenario():
+            failed = await self.leader()
+            await self.fail(failed)
+            reply = await self.put(failed, 3)
+            self.assertEqual(reply.version, 3)
+            self.assertEqual((await self.until_served(failed, "document")).version, 3)
+
+        self.play(scenario)
+
+    def test_members_who_call_it_are_heard_by_the_next_leader(self):
+        async def scenario():
+            failed = await self.leader()
+            await self.until_served(failed, "announce", MEMBER)
+            await self.fail(failed)
+            leading = await self.leader()
+            for sequence in range(2, 12):
+                record = MemberRecord("m1", "db", "m1:1", "z1", False, False, 3, sequence)
+                await self.until_served(failed, "announce", record)
+                await asyncio.sleep(0.2)
+            self.assertLess(leading.node.service.liveness.heartbeat_ago("m1"), 0.5)
+
+        self.play(scenario)
--- a/tests/unit/test_raft_current.py
+++ b/tests/unit/test_raft_current.py
@@ -58,6 +58,38 @@
         ago = self.append(node, [entry(4, 2)], commit=3, previous=(1, 3))
         self.assertGreater(ago, 1.5)
 
+    def lead(self, at=110.0):
+        """Return a node that leads and has committed an entry of its own term."""
+        node = follower([entry(3, 1)])
+        node.tick(at)
+        node.receive(VoteReply("c", node.term + 1, True, True), at)
+        node.receive(VoteReply("c", node.term, True, False), at)
+        node.receive(AppendReply("c", node.term, True, 2, 0), at)
+        return node
+
+    def test_a_leader_is_current_while_a_majority_answers(self):
+        node = self.lead()
+        node.receive(AppendReply("c", node.term, True, 2, 0), 110.4)
+        self.assertAlmostEqual(node.current_seconds_ago(110.5), 0.1)
+
+    def test_a_leader_that_nobody_answers_is_not_current_for_long(self):
+        # Whatever keeps it from stepping down in time: a pause, or a loop that has ended.
+        self.assertGreater(self.lead().current_seconds_ago(115.0), 1.5)
+
+    def test_a_leader_that_withdraws_is_not_current_at_once(self):
+        node = self.lead()
+        node.withdraw()
+        self.assertFalse(node.is_leader)
+        self.assertGreater(node.current_seconds_ago(110.0), 1.5)
+
+    def test_a_node_that_withdrew_learns_who_leads_and_votes_for_nobody(self):
+        node = self.lead()
+        node.withdraw()
+        node.take_effects()
+        node.observe(AppendRequest("c", node.term + 1, 2, 4, [entry(9, 3)], 3, 0), 120.0)
+        self.assertEqual((node.leader, node.log.last_index), ("c", 2))
+        self.assertEqual(node.take_effects().messages, [])
+
     def test_a_snapshot_of_the_leaders_term_is_enough(self):
         node = follower([])
         snapshot = Snapshot(7, 4, VOTERS, b"")
