Tests that fail: a node takes part again once its disk takes bytes

Cause: a write that fails once ends a node's part until the process is started again. Two disks that are full one after the other, each for a moment, leave one of three nodes, and no majority.

--- a/tests/coordination/test_failed_storage.py
+++ b/tests/coordination/test_failed_storage.py
@@ -94,3 +94,14 @@
             self.assertLess(leading.node.service.liveness.heartbeat_ago("m1"), 0.5)
 
         self.play(scenario)
+
+    def test_it_takes_part_again_once_its_disk_takes_bytes(self):
+        async def scenario():
+            failed = await self.leader()
+            await self.fail(failed)
+            failed.disk.full = False
+            await asyncio.sleep(3.0)
+            self.assertEqual(failed.node.state.version, 2)
+            self.assertTrue((await self.ask(failed, 1)).current)
+
+        self.play(scenario)
--- a/tests/platform/test_full_disk.py
+++ b/tests/platform/test_full_disk.py
@@ -20,6 +20,7 @@
 from tests.support.platform_fleet import PlatformFleet, configuration
 
 ZONES = ("a", "b", "c")
+STAYS_FULL_SECONDS = 1.0  # above an election, which takes 0.1 to 0.5 s
 IN_FORCE_SECONDS = 2.5  # of 3 s that users allow from the acknowledgement
 
 
@@ -64,3 +65,20 @@
 
     async def test_a_route_is_in_force_in_the_zone_of_a_follower_whose_disk_fails(self):
         await self.route_after_failure(leads=False)
+
+    async def test_a_node_takes_part_again_once_its_disk_takes_bytes(self):
+        # Without it two disks that are full one after the other leave one node of three.
+        async with PlatformFleet(controls=3, proxies=1) as fleet:
+            first = await fleet.leader()
+            fleet.fill_disk(first, True)
+            await self.add_route(fleet, first, 2, "added")
+            await asyncio.sleep(STAYS_FULL_SECONDS)
+            fleet.fill_disk(first, False)
+            await asyncio.sleep(STAYS_FULL_SECONDS)
+            second = next(host for host in fleet.control_hosts if host != first)
+            fleet.kill(second)
+
+            async def put():
+                return await fleet.put(configuration(3), first)
+
+            await fleet.until(put, 200, 10)
