A node takes part again once its disk takes the bytes that it refused

Cause: one write that failed ended a node's part until it was started again; after two such moments one of three nodes is left. Change: the node tries its folder twice a second. It writes as much as was refused, takes it back, cuts what was never synced (after a failed sync the system may show bytes that the disk does not hold), saves term and vote once more, and goes on with a new Raft on what is durable, as after a restart; what it has applied stays applied. A failure of the state machine itself, or a log that lacks what was applied, still ends its part until it is started again. Events 431 and 124. Ruled out: to try the failed write alone again (a record may stand torn in the log). Not mended: a disk that hangs still holds the one loop of the process.

--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -7,12 +7,14 @@
 
 import msgspec
 
+from rowanrail.consensus.log import Log
 from rowanrail.consensus.messages import (
     AppendReply,
     AppendRequest,
     ConsensusMessage,
     Entry,
     EntryKind,
+    HardState,
     Membership,
     Snapshot,
     SnapshotRequest,
@@ -26,6 +28,8 @@
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
+# Between tries of a disk that has failed; an election takes as long, and a try costs one sync.
+REOPEN_SECONDS = 0.5
 CONSENSUS_MESSAGES = (VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest)
 
 
@@ -93,6 +97,7 @@
         self.machine = machine
         self.failure: StorageError | None = None
         self.role_at_failure = Role.FOLLOWER
+        self._may_reopen = True
         self.on_change: Callable[[], None] = lambda: None
         self._storage = storage
         self._network = network
@@ -108,13 +113,18 @@
         if log.snapshot is not None and log.snapshot.data:
             machine.restore(log.snapshot.data)
         self.applied = log.snapshot_index
-        self.raft = Raft(
-            identity.node,
-            options.raft,
+        self._random = randomness
+        self._quorum_check = registry.create("consensus-guard", "check-quorum")
+        self.raft = self._create_raft(hard_state, log)
+
+    def _create_raft(self, hard_state: HardState, log: Log) -> Raft:
+        return Raft(
+            self.identity.node,
+            self._options.raft,
             log,
             hard_state,
-            randomness,
-            registry.create("consensus-guard", "check-quorum"),
+            self._random,
+            self._quorum_check,
             self._now(),
         )
 
@@ -225,9 +235,15 @@
     # The loop
 
     async def _run(self) -> None:
-        while self.failure is None:
-            await self._wait_for_input()
-            self._step()
+        while True:
+            if self.failure is None:
+                await self._wait_for_input()
+                self._step()
+            elif self._may_reopen:
+                await asyncio.sleep(REOPEN_SECONDS)
+                self._reopen()
+            else:
+                return
             self.on_change()
 
     def _step(self) -> None:
@@ -238,6 +254,7 @@
             self._fail(error)
         except Exception as error:
             # A state machine that could not follow the log may not answer from it either.
+            self._may_reopen = False
             reason = f"{type(error).__name__}: {error}; report this, and start the node again"
             self._fail(StorageError(reason, step="apply", peer=self.identity.node))
 
@@ -252,6 +269,29 @@
         self.raft.withdraw()
         self._fail_pending(error)
 
+    def _reopen(self) -> None:
+        """Take part again with what is durable, as after a restart, if the disk allows it."""
+        try:
+            hard_state, log = self._storage.reopen()
+        except StorageError as error:
+            self.failure = error
+            return
+        if log.last_index < self.applied:
+            self._may_reopen = False
+            self.failure = StorageError(
+                f"entries {log.last_index + 1} to {self.applied} were applied and are gone; "
+                "move the folder away and let the node join as a new one",
+                step="reopen",
+                peer=self.identity.node,
+            )
+            return
+        self.raft = self._create_raft(hard_state, log)
+        if log.snapshot is not None and log.snapshot_index > self.applied:
+            self.machine.restore(log.snapshot.data)
+            self.applied = log.snapshot_index
+        self.raft.resume(self.applied)
+        self.failure = None
+
     async def _wait_for_input(self) -> None:
         remaining_seconds = self.raft.next_due() - self._now()
         if remaining_seconds > 0:
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -91,6 +91,11 @@
             return now - self._progress.quorum_answered_at(self.membership.voters, now)
         return now - self._current_at
 
+    def resume(self, index: int) -> None:
+        """Begin with the entries up to ``index`` committed and applied already."""
+        self.commit = index
+        self._applied = index
+
     def take_effects(self) -> Effects:
         """Return and forget the effects that accumulated."""
         self._collect_committed()
--- a/src/rowanrail/consensus/storage.py
+++ b/src/rowanrail/consensus/storage.py
@@ -74,6 +74,7 @@
         self._lengths: dict[str, int] = {}
         self._durable_index = 0
         self._last_index = 0
+        self._unwritten_bytes = 0  # of the write that is under way, or that has failed
 
     # Identity
 
@@ -120,7 +121,37 @@
         self._durable_index = self._last_index
         return hard_state, Log(snapshot, entries)
 
+    def reopen(self) -> tuple[HardState, Log]:
+        """Return what the folder holds for certain, after a write has failed.
+
+        Entries that were never synced are cut. Nothing was promised of them, and after a failed
+        sync the system may show bytes that the disk does not hold.
+
+        :raises StorageError: if the disk still refuses what it refused, or data are damaged.
+        """
+        promised_index = self._durable_index
+        try:
+            self.load()
+            self.truncate_from(promised_index + 1)
+            self._try_space()
+            hard_state, log = self.load()
+            self.save_hard_state(hard_state)  # the file that is seen may not be durable either
+        except StorageError:
+            self._durable_index = promised_index
+            raise
+        return hard_state, log
+
+    def _try_space(self) -> None:
+        """Write as much as the write that failed, and take it back."""
+        segment = self._segment_for(self._last_index + 1)
+        self.disk.append(segment, bytes(self._unwritten_bytes))
+        self.disk.sync_file(segment)
+        self.disk.truncate(segment, self._lengths[segment])
+        self.disk.sync_file(segment)
+
     def _load_entries(self) -> list[Entry]:
+        self._places = {}
+        self._lengths = {}
         entries: list[Entry] = []
         segments = self._segments()
         for position, segment in enumerate(segments):
@@ -184,9 +215,12 @@
     def append(self, entries: list[Entry]) -> None:
         """Append entries and make them durable, with one sync for all of them."""
         touched: list[str] = []
-        for entry in entries:
+        records = [
+            seal(msgspec.msgpack.encode(Record(self._durable_index, entry))) for entry in entries
+        ]
+        self._unwritten_bytes = sum(map(len, records))
+        for entry, record in zip(entries, records, strict=True):
             segment = self._segment_for(entry.index)
-            record = seal(msgspec.msgpack.encode(Record(self._durable_index, entry)))
             self._places[entry.index] = Place(segment, self._lengths[segment])
             self.disk.append(segment, record)
             self._lengths[segment] += len(record)
@@ -197,6 +231,7 @@
         if entries:
             self._last_index = entries[-1].index
             self._durable_index = self._last_index
+        self._unwritten_bytes = 0
 
     def truncate_from(self, index: int) -> None:
         """Remove the entries from ``index`` on."""
@@ -248,7 +283,10 @@
         return segment
 
     def _save(self, name: str, value: msgspec.Struct) -> None:
-        self.disk.replace(name, seal(msgspec.msgpack.encode(value)))
+        data = seal(msgspec.msgpack.encode(value))
+        self._unwritten_bytes = len(data)
+        self.disk.replace(name, data)
+        self._unwritten_bytes = 0
 
     def _load(self, name: str, kind: type[LoadedType]) -> LoadedType:
         payload = unseal(self.disk.read(name), 0)
--- a/src/rowanrail/control/events.py
+++ b/src/rowanrail/control/events.py
@@ -33,8 +33,15 @@
 STORAGE_FAILED = define(
     122,
     Level.ERROR,
-    "the data folder failed, the node takes no further part: {error}",
-    "Do what the error says; the other nodes go on while a majority is left.",
+    "the data folder failed, the node takes no part: {error}",
+    "Do what the error says; the other nodes go on while a majority is left. The node tries its "
+    "folder again twice a second.",
+)
+STORAGE_REGAINED = define(
+    124,
+    Level.INFO,
+    "the data folder takes writes again, the node takes part in term {term}",
+    "It goes on with what is durable, as after a restart.",
 )
 JOIN_REFUSED = define(
     123,
--- a/src/rowanrail/control/node.py
+++ b/src/rowanrail/control/node.py
@@ -16,6 +16,7 @@
 from rowanrail.control.events import (
     LEADER_CHANGED,
     STORAGE_FAILED,
+    STORAGE_REGAINED,
     TAIL_CUT,
     VERSION_ACCEPTED,
 )
@@ -51,6 +52,7 @@
         self._admitted = asyncio.Event()
         self._seen_leader = ("", 0)
         self._seen_version = 0
+        self._told_failure = False
 
     async def start(self, bootstrap: bool) -> None:
         """Open the folder and begin to serve.
@@ -112,8 +114,7 @@
         raft = self.consensus.raft
         if self.consensus.identity.node in raft.membership.addresses():
             self._admitted.set()
-        if self.consensus.failure is not None:
-            emit(STORAGE_FAILED, error=self.consensus.failure)
+        self._emit_storage()
         leader = (raft.leader, raft.term)
         if raft.leader and leader != self._seen_leader:
             self._seen_leader = leader
@@ -122,6 +123,16 @@
             self._seen_version = self.state.current.version
             emit(VERSION_ACCEPTED, version=self._seen_version)
 
+    def _emit_storage(self) -> None:
+        failure = self.consensus.failure
+        if (failure is not None) == self._told_failure:
+            return
+        self._told_failure = failure is not None
+        if failure is not None:
+            emit(STORAGE_FAILED, error=failure)
+        else:
+            emit(STORAGE_REGAINED, term=self.consensus.raft.term)
+
     async def stop(self) -> None:
         """Stop serving."""
         if self._joining is not None:
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -72,7 +72,14 @@
 STORAGE_LOST = define(
     430,
     Level.ERROR,
-    "the data folder failed, the node takes no further part: {reason}",
-    "Do what the reason says; the other nodes go on while a majority is left. The fields give "
-    "the role that it had, and the newest version and revision that it knows.",
+    "the data folder failed, the node takes no part: {reason}",
+    "Do what the reason says; the other nodes go on while a majority is left. The node tries its "
+    "folder again twice a second. The fields give the role that it had, and the newest version "
+    "and revision that it knows.",
+)
+STORAGE_REGAINED = define(
+    431,
+    Level.INFO,
+    "the data folder takes writes again, the node takes part in term {term}",
+    "It goes on with what is durable, as after a restart.",
 )
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -19,6 +19,7 @@
     LEADER_LOST,
     MEMBERSHIP_CHANGED,
     STORAGE_LOST,
+    STORAGE_REGAINED,
     VERSION_COMMITTED,
 )
 from rowanrail.coordination.member_questions import StatusReader
@@ -171,16 +172,8 @@
     def _on_change(self) -> None:
         self.service.notice_change()
         raft = self.consensus.raft
-        if self.consensus.failure is not None and not self._told_failure:
-            self._told_failure = True
-            self._decisions.note(
-                STORAGE_LOST,
-                reason=str(self.consensus.failure),
-                role=self.consensus.role_at_failure.value,
-                term=raft.term,
-                version=self.state.version,
-                revision=self.state.revision,
-            )
+        if (self.consensus.failure is not None) != self._told_failure:
+            self._note_storage()
         leader = (raft.leader, raft.term)
         if leader != self._seen_leader:
             self._note_leader(leader)
@@ -207,6 +200,21 @@
                 learners=sorted(raft.membership.learners),
             )
 
+    def _note_storage(self) -> None:
+        failure = self.consensus.failure
+        self._told_failure = failure is not None
+        if failure is None:
+            self._decisions.note(STORAGE_REGAINED, term=self.consensus.raft.term)
+            return
+        self._decisions.note(
+            STORAGE_LOST,
+            reason=str(failure),
+            role=self.consensus.role_at_failure.value,
+            term=self.consensus.raft.term,
+            version=self.state.version,
+            revision=self.state.revision,
+        )
+
     def _note_leader(self, leader: tuple[str, int]) -> None:
         was_known = self._seen_leader[0] != ""
         self._seen_leader = leader
--- a/src/rowanrail/kernel/disk.py
+++ b/src/rowanrail/kernel/disk.py
@@ -149,8 +149,8 @@
 
 
 _ADVICE = {
-    errno.ENOSPC: "the disk is full: free space, then start the node again",
-    errno.EDQUOT: "the disk quota is used up: free space, then start the node again",
+    errno.ENOSPC: "the disk is full: free space, and the node goes on by itself",
+    errno.EDQUOT: "the disk quota is used up: free space, and the node goes on by itself",
     errno.EROFS: "the file system is read-only: repair and remount it",
     errno.EACCES: "permission denied: give the daemon's user access to the folder",
     errno.EIO: "the disk reports an error: replace it and let the node join as a new one",
--- a/tests/unit/test_storage.py
+++ b/tests/unit/test_storage.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -32,6 +33,78 @@
     return list(range(log.snapshot_index + 1, log.last_index + 1))
 
 
+class TestReopen(unittest.TestCase):
+    """A disk that refuses writes for a while, and a node that goes on with what is durable."""
+
+    def fail(self, storage, entries):
+        storage.disk.full = True
+        with self.assertRaises(StorageError):
+            storage.append(entries)
+
+    def test_a_full_disk_is_not_reopened(self):
+        storage = new_storage()
+        storage.load()
+        self.fail(storage, [entry(2)])
+        with self.assertRaises(StorageError):
+            storage.reopen()
+
+    def test_what_was_not_synced_is_cut(self):
+        for seed in range(20):
+            storage = new_storage(seed=seed)
+            storage.load()
+            storage.append([entry(2), entry(3)])
+            self.fail(storage, [entry(4), entry(5), entry(6)])
+            with self.assertRaises(StorageError):
+                storage.reopen()
+            storage.disk.full = False
+            _, log = storage.reopen()
+            self.assertEqual(log.last_index, 3)
+
+    def test_entries_that_a_failed_sync_left_are_cut(self):
+        # They can be read, but may never have reached the disk.
+        storage = new_storage()
+        storage.load()
+        storage.append([entry(2)])
+        storage.disk.sync_file = unittest.mock.Mock(side_effect=StorageError("sync"))
+        with self.assertRaises(StorageError):
+            storage.append([entry(3)])
+        with self.assertRaises(StorageError):
+            storage.reopen()
+        del storage.disk.sync_file
+        _, log = storage.reopen()
+        self.assertEqual(log.last_index, 2)
+
+    def test_it_goes_on_where_it_was(self):
+        storage = new_storage()
+        storage.load()
+        storage.save_hard_state(HardState(5, "n@1"))
+        storage.append([entry(2), entry(3)])
+        self.fail(storage, [entry(4)])
+        storage.disk.full = False
+        hard_state, _ = storage.reopen()
+        self.assertEqual(hard_state, HardState(5, "n@1"))
+        storage.append([entry(4), entry(5)])
+        storage.disk.crash()
+        self.assertEqual(indexes(storage.disk), [2, 3, 4, 5])
+
+    def test_room_for_less_than_was_refused_is_not_enough(self):
+        storage = new_storage()
+        storage.load()
+        room = len(storage.disk.read("hard-state")) + 10
+        append = storage.disk.append
+
+        def append_little(name, data):
+            if len(data) > room:
+                raise StorageError("the disk is full")
+            append(name, data)
+
+        storage.disk.append = append_little
+        with self.assertRaises(StorageError):
+            storage.append([entry(2, size=4 * room)])
+        with self.assertRaises(StorageError):
+            storage.reopen()
+
+
 class TestTornTail(unittest.TestCase):
     def test_cut_at_every_byte_of_an_unsynced_tail(self):
         storage = new_storage()
