Simulate control nodes whose disks fill, and judge what they call the newest version

Cause: no scenario had a disk that refuses writes, and no oracle judged a node's word that it holds all that is committed.

--- a/src/rowanlab/simulator/coordination_scenarios.py
+++ b/src/rowanlab/simulator/coordination_scenarios.py
@@ -1,6 +1,7 @@
 """Scenarios of the control nodes for gateways."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from rowanlab.simulator.coordination_world import CoordinationWorld, SimulatedCoordinator
 from rowanlab.simulator.permissive import Guard, registry_without
@@ -36,13 +37,26 @@
     coordination.world.thaw(node.name)
 
 
-async def _run(coordination: CoordinationWorld, operators: int, members: int) -> int:
+async def _fill_disk(coordination: CoordinationWorld, node: SimulatedCoordinator) -> None:
+    node.disk.full = True
+    await asyncio.sleep(coordination.random.uniform(0.1, 2.5))
+    node.disk.full = False
+
+
+Fault = Callable[[CoordinationWorld, SimulatedCoordinator], Awaitable[None]]
+PROCESS_FAULTS: list[Fault] = [_kill, _kill, _isolate, _freeze]
+DISK_FAULTS: list[Fault] = [_fill_disk, _fill_disk, _kill, _isolate, _freeze]
+
+
+async def _run(
+    coordination: CoordinationWorld, operators: int, members: int, faults: list[Fault]
+) -> int:
     world = coordination.world
     await coordination.start(operators, members)
     end = world.loop.now + FAULT_SECONDS
     while world.loop.now < end:
         await asyncio.sleep(coordination.random.uniform(0.1, 0.5))
-        fault = coordination.random.choice([_kill, _kill, _isolate, _freeze])
+        fault = coordination.random.choice(faults)
         node = coordination.random.choice(coordination.controls)
         world.fault_count += 1
         world.note(f"fault {fault.__name__} {node.name}")
@@ -101,12 +115,18 @@
     return Scenario(name, guard, run)
 
 
-def _scenario(name: str, guard: Guard, operators: int, members: int) -> Scenario:
+def _scenario(
+    name: str,
+    guard: Guard,
+    operators: int,
+    members: int,
+    faults: list[Fault] = PROCESS_FAULTS,
+) -> Scenario:
     def run(seed: int, without: Guard | None) -> SeedResult:
         world = World(seed)
         coordination = CoordinationWorld(world, registry_without(without))
         return run_world(
-            world, seed, coordination.oracle, lambda: _run(coordination, operators, members)
+            world, seed, coordination.oracle, lambda: _run(coordination, operators, members, faults)
         )
 
     return Scenario(name, guard, run)
@@ -115,5 +135,6 @@
 COORDINATION_SCENARIOS = [
     _scenario("numbered-versions", Guard.VERSION_MONOTONIC, operators=3, members=0),
     _scenario("announced-members", Guard.INCARNATION, operators=0, members=4),
+    _scenario("full-disks", Guard.VERSION_MONOTONIC, operators=3, members=2, faults=DISK_FAULTS),
     _promotion("promotion", Guard.FENCING_TOKEN),
 ]
--- a/src/rowanlab/simulator/coordination_world.py
+++ b/src/rowanlab/simulator/coordination_world.py
@@ -17,6 +17,7 @@
 from rowanrail.coordination.member_questions import MemberStatus, StatusReader
 from rowanrail.coordination.messages import PutReply
 from rowanrail.coordination.node import Coordinator
+from rowanrail.coordination.service import CURRENT_SECONDS
 from rowanrail.gateway import channel as gateway_channel
 from rowanrail.gateway.model import Answer, ConfigurationFormat, MemberRecord
 from rowanrail.kernel.decisions import DecisionLog
@@ -30,6 +31,9 @@
 REPEAT_SECONDS = 0.15
 LATE_SECONDS = 1.5
 WATCH_SECONDS = 0.02
+# After the acknowledgement of a version, until no node may call an older one the newest: what
+# a node's word rests on lasts for CURRENT_SECONDS, and clocks differ by 2 %.
+FALSELY_CURRENT_SECONDS = 1.1 * CURRENT_SECONDS
 
 
 class CoordinationVerdict(msgspec.Struct):
@@ -40,6 +44,7 @@
     reverted: int = 0
     stale_reads: int = 0
     came_back: int = 0
+    falsely_current: int = 0
     same_token: int = 0
     not_recovered: int = 0
     examples: list[str] = []
@@ -48,7 +53,12 @@
     def violations(self) -> int:
         """Return how many guarantees were broken."""
         return (
-            self.reverted + self.stale_reads + self.came_back + self.same_token + self.not_recovered
+            self.reverted
+            + self.stale_reads
+            + self.came_back
+            + self.falsely_current
+            + self.same_token
+            + self.not_recovered
         )
 
 
@@ -58,6 +68,7 @@
     def __init__(self) -> None:
         self.verdict = CoordinationVerdict(examples=[])
         self.highest = 0
+        self._acknowledged: list[tuple[float, int]] = [(0.0, 0)]
         self.sent: dict[int, set[bytes]] = {}
         self.leaving: set[str] = set()
         self.ended: set[str] = set()
@@ -79,6 +90,20 @@
         if version and document not in self.sent.get(version, set()):
             self.violate("reverted", f"version {version} is not what was sent under it")
 
+    def note_acknowledged(self, version: int, now: float) -> None:
+        """Note that an operator was told that a version is accepted."""
+        self.verdict.acknowledged += 1
+        if version > self.highest:
+            self.highest = version
+            self._acknowledged.append((now, version))
+
+    def judge_current(self, node: str, version: int, now: float) -> None:
+        """Judge a node that says that it holds all that is committed."""
+        expected = max(v for at, v in self._acknowledged if at <= now - FALSELY_CURRENT_SECONDS)
+        if version < expected:
+            what = f"{node} calls {version} the newest, {expected} was accepted long before"
+            self.violate("falsely_current", what)
+
     def judge_members(self, node: str, members: dict[str, MemberRecord], sure: set[str]) -> None:
         """Judge the members that a node holds; ``sure`` were acknowledged as ended before."""
         for instance in sure & set(members):
@@ -157,6 +182,10 @@
         """Whether the process runs and has opened its folder."""
         return self._world.process(self.name).alive and hasattr(self.node, "duty")
 
+    def says_current(self) -> bool:
+        """Return what the node would tell a gateway; to be called within its process."""
+        return self.node is not None and self.node.service.is_current
+
     def start(self, bootstrap: bool) -> None:
         """See :meth:`DurableDaemon.start`."""
         self.node = None
@@ -249,8 +278,7 @@
             while not self.finished:
                 reply = await self.call("put", version, document)
                 if isinstance(reply, PutReply):
-                    self.oracle.verdict.acknowledged += 1
-                    self.oracle.highest = max(self.oracle.highest, version)
+                    self.oracle.note_acknowledged(version, self.world.loop.now)
                     break
                 await asyncio.sleep(REPEAT_SECONDS)
             if self.random.random() < 0.3:
@@ -322,6 +350,9 @@
                     seen.pop(control.name, None)
                     continue
                 version = control.node.state.version
+                process = self.world.process(control.name)
+                if not process.frozen and process.context.run(control.says_current):
+                    self.oracle.judge_current(control.name, version, self.world.loop.now)
                 if version < seen.get(control.name, 0):
                     what = f"{control.name} went from {seen[control.name]} to {version}"
                     self.oracle.violate("reverted", what)
