Let the kernel close served connections whose caller is gone; say once how silence is limited

Cause: a connection that falls silent without a reset is given up by the end that writes; the other end only reads and keeps its descriptor until the process ends. 194 gateways leave as many at a control node each time, of 4,096. Change: keep-alive of the kernel (15 to 20 s) beside the limit of 1.5 s on unacknowledged bytes, in one function in place of three. Ruled out: a shorter keep-alive (bytes between regions on each idle connection).

--- a/src/rowanrail/relay/transport.py
+++ b/src/rowanrail/relay/transport.py
@@ -1,12 +1,12 @@
 """Links over TCP: frames with a length before them, one connection for each pair of gateways."""
 
 import asyncio
-import socket
 import struct
 
 import msgspec
 
 from rowanrail.kernel.lifecycle import listen_error
+from rowanrail.kernel.sockets import limit_silence
 from rowanrail.relay.link import Link, LinkState
 from rowanrail.relay.messages import FromGateway, FromHolder
 from rowanrail.relay.neighbours import LinkOpener
@@ -15,7 +15,6 @@
 __all__ = ["TcpHolderServer", "TcpLinkOpener"]
 
 CONNECT_SECONDS = 0.4  # eight round trips between regions; statements go elsewhere meanwhile
-UNACKNOWLEDGED_MS = 1500  # after it the kernel gives a dark connection up
 MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024  # a statement of 1 MiB and what goes with it
 # A peer that does not read is given up before memory is short.
 MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024
@@ -36,9 +35,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        connection = transport.get_extra_info("socket")
-        if connection is not None:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+        limit_silence(transport)
 
     def data_received(self, data: bytes) -> None:
         buffer = self._buffer + data if self._buffer else data
--- a/src/rowanrail/rpc/tcp.py
+++ b/src/rowanrail/rpc/tcp.py
@@ -1,7 +1,6 @@
 """Network over TCP: length-prefixed frames, one connection for each peer address."""
 
 import asyncio
-import socket
 import struct
 
 import msgspec
@@ -9,6 +8,7 @@
 from rowanrail.kernel.errors import TransportError
 from rowanrail.kernel.lifecycle import listen_error
 from rowanrail.kernel.registry import register
+from rowanrail.kernel.sockets import limit_silence
 from rowanrail.rpc.codec import (
     MAXIMUM_FRAME_BYTES,
     Failure,
@@ -19,7 +19,6 @@
 from rowanrail.rpc.network import Handler, Listener, Network
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # an opening packet that was lost is sent again after a second
-UNACKNOWLEDGED_MILLISECONDS = 1500  # after it the kernel gives a connection up
 MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024  # notices to a peer that does not read are dropped beyond it
 _LENGTH = struct.Struct("<I")
 
@@ -42,15 +41,6 @@
     return await reader.readexactly(length)
 
 
-def _limit_silence(writer: asyncio.StreamWriter) -> None:
-    """Have the kernel close a connection whose peer is gone without a word."""
-    connection = writer.get_extra_info("socket")
-    if connection is not None:
-        connection.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
-        )
-
-
 def _write_frame(writer: asyncio.StreamWriter, frame: bytes) -> None:
     writer.write(_LENGTH.pack(len(frame)) + frame)
 
@@ -145,7 +135,7 @@
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writers.add(writer)
-            _limit_silence(writer)
+            limit_silence(writer.transport)
             try:
                 await self._serve_connection(reader, writer, handler)
             finally:
@@ -257,7 +247,7 @@
         host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await asyncio.open_connection(host, port)
-        _limit_silence(writer)
+        limit_silence(writer.transport)
         connection = _Connection(reader, writer)
         self._connections[address] = connection
         return connection
--- a/tests/unit/test_tcp.py
+++ b/tests/unit/test_tcp.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import gc
+import socket
 import unittest
 
 from rowanrail.control.messages import BarrierReply, BarrierRequest
 from rowanrail.kernel.errors import TransportError
+from rowanrail.kernel.sockets import limit_silence
 from rowanrail.rpc.tcp import TcpNetwork
 
 
@@ -165,3 +167,25 @@
             return BarrierReply(2)
 
         return answer
+
+
+class KeptAliveTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_kernel_probes_idle_connections_at_both_ends(self):
+        # A served connection whose caller is gone without a word would keep its descriptor.
+        kept = []
+
+        async def accept(reader, writer):
+            limit_silence(writer.transport)
+            kept.append(writer.get_extra_info("socket"))
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        limit_silence(writer.transport)
+        kept.append(writer.get_extra_info("socket"))
+        await asyncio.sleep(0.05)
+        for connection in kept:
+            self.assertEqual(connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 1)
+            limit = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            self.assertEqual(limit, 1500)
+        writer.close()
+        server.close()
