Test that fails: a member that a late word displaced gets its place back

Cause: a life of a member whose first heartbeat a cut held up is unknown when it arrives, and takes the place of the next life at the same address. That one then counts as removed and is never heard again, though it beats.

--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -6,6 +6,7 @@
 
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.messages import AnnounceRequest, GatewayReport, HeartbeatNotice
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.service import CoordinationService
@@ -58,6 +59,9 @@
         self.index = 0
         self.identity = None
 
+    class raft:
+        is_leader = True
+
     async def propose(self, data):
         self.index += 1
         return self.state.apply(Entry(1, self.index, EntryKind.COMMAND, data))
@@ -68,6 +72,71 @@
     return msgspec.structs.replace(base, **changes)
 
 
+class SecondLifeTest(unittest.IsolatedAsyncioTestCase):
+    """A heartbeat that a cut held up comes after its sender crashed and another one registered.
+
+    The next life of a member has its address. A word of the earlier life that was never heard
+    before looks like a third one, and took the place of the one that runs, for good.
+    """
+
+    def setUp(self):
+        self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        self.service = CoordinationService(LeadingNode(self.state), self.state, None)
+        self.time = 100.0
+        self.service.now = lambda: self.time
+        self.service.liveness = Liveness(lambda: self.time)
+
+    async def announce(self, instance, sequence, **changes):
+        changes.setdefault("address", "10.0.0.1:1")
+        await self.service.announce(record(instance, sequence, **changes))
+
+    async def beat(self, instance, sequences, seconds=0.5, **changes):
+        for sequence in sequences:
+            self.time += seconds
+            await self.announce(instance, sequence, **changes)
+
+    async def test_a_late_word_of_a_life_that_was_known_changes_nothing(self):
+        await self.announce("first", 7)
+        await self.announce("second", 1)
+        await self.announce("first", 9, primary=True)
+        self.assertEqual(list(self.state.members), ["second"])
+
+    async def test_who_goes_on_to_beat_gets_its_place_back(self):
+        await self.announce("second", 4, primary=True)
+        await self.announce("first", 2)  # held up by the cut; its sender is gone
+        self.assertEqual(list(self.state.members), ["first"])
+        await self.beat("second", range(5, 13), primary=True)
+        self.assertEqual(list(self.state.members), ["second"])
+        self.assertTrue(self.state.members["second"].primary)
+
+    async def test_late_words_do_not_displace_a_member_that_beats(self):
+        await self.announce("first", 4)
+        await self.announce("second", 1)
+        for number in range(2, 12):
+            await self.beat("second", [number])
+            await self.announce("first", 3 + number)
+        self.assertEqual(list(self.state.members), ["second"])
+
+    async def test_a_new_leader_does_not_take_what_it_has_not_heard_for_silence(self):
+        await self.announce("first", 4)
+        await self.announce("second", 1)
+        await self.beat("first", [5])
+        self.assertEqual(list(self.state.members), ["second"])
+
+    async def test_a_displaced_member_that_was_leaving_does_not_come_back(self):
+        await self.announce("first", 4, leaving=True)
+        await self.announce("second", 1)
+        await self.beat("first", range(5, 13))
+        self.assertEqual(list(self.state.members), ["second"])
+
+    async def test_a_displaced_member_that_ended_does_not_come_back(self):
+        await self.announce("first", 4)
+        await self.announce("second", 1)
+        await self.service.remove("first")
+        await self.beat("first", range(5, 13))
+        self.assertEqual(list(self.state.members), ["second"])
+
+
 class LateWordsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
