A member that a late word displaced gets its place back

Cause: who announces itself at an address in use takes it, and whoever had it counts as ended. A first heartbeat that a cut held up comes after its sender has crashed and the next life has registered, and ends the life that runs, for good. Change: a member that lost its place without a word of its own is remembered with its record (200 at most). It gets the place back once it says something newer while nobody else at the address was heard for 3 s. One that was leaving, or leaves, or ends, does not come back. Ruled out: to refuse the newcomer (then a machine that starts again at its address waits for its old life to be forgotten).

--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -29,6 +29,12 @@
     instance: str
 
 
+class Readmit(msgspec.Struct, frozen=True, tag="readmit"):
+    """A member whose address another life had taken is the one that runs after all."""
+
+    record: MemberRecord
+
+
 class GatewayRecord(msgspec.Struct, frozen=True):
     """A gateway that shares the members' connections.
 
@@ -69,7 +75,7 @@
     reason: str
 
 
-Command = PutDocument | Announce | Remove | SetGateways | IntendPromotion
+Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion
 
 
 class Promotion(msgspec.Struct, frozen=True):
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -34,6 +34,7 @@
     PutReply,
     PutRequest,
     PutVerdict,
+    Readmit,
     Remove,
     RemoveRequest,
 )
@@ -47,6 +48,7 @@
 REQUEST_SECONDS = 0.9  # callers go to the next node after 1 s of silence
 RETRY_SECONDS = 0.05  # between looks for a leader; an election takes 0.1 to 0.5 s
 CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
+OCCUPANT_SILENT_SECONDS = 3.0  # more than two heartbeats of a member, which come each 1.2 s
 MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
 
 
@@ -63,6 +65,7 @@
         self._network = network
         self._zone = zone
         self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
+        self._occupants: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
         self._handlers: dict[
@@ -182,14 +185,39 @@
         # comes; anything else that is older than what was heard since is out of date.
         is_late = self.liveness.is_late(record.instance, record.sequence) and not record.leaving
         self.liveness.heartbeat(record.instance, record.sequence)
-        if not is_late and self.state.needs_announcement(record):
+        if record.instance in self.state.displaced:
+            await self._hear_displaced(record, is_late)
+        elif not is_late and self.state.needs_announcement(record):
             await self.propose(Announce(record))
         return Done()
 
+    async def _hear_displaced(self, record: MemberRecord, is_late: bool) -> None:
+        if record.leaving:
+            await self.propose(Remove(record.instance))  # no earlier word may bring it back
+        elif not is_late and self.state.may_return(record) and self._is_place_free(record):
+            await self.propose(Readmit(record))
+
+    def _is_place_free(self, record: MemberRecord) -> bool:
+        """Return whether nobody else at a member's address has been heard for a while.
+
+        A heartbeat that a cut held up may come when its sender has ended and the next life has
+        registered there, and look like a newer one. Only who runs goes on to beat.
+        """
+        occupant = self.state.occupant(record)
+        if occupant is None:
+            return True
+        asked_at = self._occupants.setdefault(occupant.instance, self.now())
+        waited_seconds = self.now() - asked_at
+        silent_seconds = min(waited_seconds, self.liveness.heartbeat_ago(occupant.instance))
+        if silent_seconds < OCCUPANT_SILENT_SECONDS:
+            return False
+        del self._occupants[occupant.instance]
+        return True
+
     async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, RemoveRequest)
         self.liveness.forget_member(request.instance)
-        if request.instance not in self.state.removed:
+        if not self.state.has_ended(request.instance):
             await self.propose(Remove(request.instance))
         return Done()
 
@@ -228,7 +256,7 @@
 
         :raises RowanrailError: if it is new and could not be made durable.
         """
-        if self.state.needs_announcement(record):
+        if self.state.needs_announcement(record) or record.instance in self.state.displaced:
             await self.request(AnnounceRequest(record))
         elif self.node.raft.is_leader:
             self.liveness.heartbeat(record.instance, record.sequence)
@@ -241,7 +269,7 @@
 
         :raises RowanrailError: if it could not be made durable.
         """
-        if instance not in self.state.removed:
+        if not self.state.has_ended(instance):
             await self.request(RemoveRequest(instance))
 
     # Watches
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -14,6 +14,7 @@
     PutDocument,
     PutReply,
     PutVerdict,
+    Readmit,
     Remove,
     SetGateways,
 )
@@ -22,6 +23,8 @@
 
 REMEMBERED_REMOVED = 2000  # identities; a late word of a removed member is seconds old
 
+REMEMBERED_DISPLACED = 200  # records; who still runs has a word to say within some seconds
+
 
 class SavedState(msgspec.Struct, frozen=True):
     """The whole state, as it stands in a snapshot."""
@@ -33,6 +36,7 @@
     removed: list[str]
     gateways: dict[str, GatewayRecord]
     promotions: dict[str, Promotion]
+    displaced: dict[str, MemberRecord] = {}
 
 
 EMPTY_STATE = SavedState(0, b"", 0, {}, [], {}, {})
@@ -61,6 +65,7 @@
         self.removed = dict.fromkeys(saved.removed)
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
+        self.displaced = dict(saved.displaced)
 
     def replayed(self, snapshot: Snapshot | None, entries: list[Entry]) -> "CoordinationState":
         """Return a state of its own to which a log leads, committed or not."""
@@ -81,6 +86,7 @@
             list(self.removed),
             self.gateways,
             self.promotions,
+            self.displaced,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -113,12 +119,15 @@
         self.document = command.document
         return PutReply(PutVerdict.TAKEN, self.version)
 
-    def _change_directory(self, command: Announce | Remove | SetGateways) -> bool:
+    def _change_directory(self, command: Announce | Remove | Readmit | SetGateways) -> bool:
         match command:
             case SetGateways():
                 return self._set_gateways(command)
+            case Readmit(record=record):
+                return self._readmit(record)
             case Remove(instance=instance):
                 self._remember_removed(instance)
+                self.displaced.pop(instance, None)
                 return self.members.pop(instance, None) is not None
             case Announce(record=record):
                 return self._announce(record)
@@ -139,15 +148,47 @@
     def _announce(self, record: MemberRecord) -> bool:
         if not self.needs_announcement(record):
             return False
-        for known in list(self.members.values()):
-            if known.address == record.address and known.instance != record.instance:
-                # The address is in use again: whoever had it before is gone.
-                del self.members[known.instance]
-                self._remember_removed(known.instance)
+        self._take_address(record)
+        return True
+
+    def _readmit(self, record: MemberRecord) -> bool:
+        if not self.may_return(record):
+            return False
+        del self.displaced[record.instance]
+        self.removed.pop(record.instance, None)
+        self._take_address(record)
+        return True
+
+    def _take_address(self, record: MemberRecord) -> None:
+        """Know a member; whoever had its address before is gone, as far as is known."""
+        occupant = self.occupant(record)
+        if occupant is not None:
+            del self.members[occupant.instance]
+            self._remember_removed(occupant.instance)
+            if not occupant.leaving:
+                self._remember_displaced(occupant)
         if record.primary:
             self._demote_others(record)
         self.members[record.instance] = record
-        return True
+
+    def occupant(self, record: MemberRecord) -> MemberRecord | None:
+        """Return the other member that is known at a member's address, if there is one."""
+        for known in self.members.values():
+            if known.address == record.address and known.instance != record.instance:
+                return known
+        return None
+
+    def has_ended(self, instance: str) -> bool:
+        """Return whether a member is gone for good; a displaced one may still return."""
+        return instance in self.removed and instance not in self.displaced
+
+    def may_return(self, record: MemberRecord) -> bool:
+        """Return whether a member lost its place to another life, and has said more since.
+
+        One that was leaving, or said that it has ended, does not come back.
+        """
+        known = self.displaced.get(record.instance)
+        return known is not None and record.sequence > known.sequence and not record.leaving
 
     def _demote_others(self, record: MemberRecord) -> None:
         # A service has one primary: whoever says so last in the log replaced the one before,
@@ -162,6 +203,11 @@
         if len(self.removed) > REMEMBERED_REMOVED:
             del self.removed[next(iter(self.removed))]
 
+    def _remember_displaced(self, record: MemberRecord) -> None:
+        self.displaced[record.instance] = record
+        if len(self.displaced) > REMEMBERED_DISPLACED:
+            del self.displaced[next(iter(self.displaced))]
+
     def needs_announcement(self, record: MemberRecord) -> bool:
         """Return whether a record says something new, and did not come late."""
         known = self.members.get(record.instance)
--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -129,6 +129,14 @@
         await self.beat("first", range(5, 13))
         self.assertEqual(list(self.state.members), ["second"])
 
+    async def test_a_displaced_member_that_leaves_is_not_brought_back_by_an_earlier_word(self):
+        await self.announce("first", 4)
+        await self.announce("second", 1)
+        await self.service.handle(AnnounceRequest(record("first", 20, leaving=True)))
+        self.service.liveness = Liveness(lambda: self.time)  # as at the next leader
+        await self.beat("first", range(5, 13))
+        self.assertEqual(list(self.state.members), ["second"])
+
     async def test_a_displaced_member_that_ended_does_not_come_back(self):
         await self.announce("first", 4)
         await self.announce("second", 1)
