Soak: full disks, added routes, reloads; clients that stay; faults that end early are problems

Cause: the soak had no disk that refuses writes, judged no added route, and a fault that raised ended its worker without a word. Change: a third of the clients keep a connection until it is lost; a control node's disk, often the leader's, takes no bytes while a route is added, which every proxy left alone must know 3 s later; SIGHUP in quick succession; fleets side by side.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m tests.soak --seconds 120 --seed 7``."""
+"""``python -m tests.soak --seconds 120 --seeds 7``; several seeds run one after the other."""
 
 import asyncio
 import sys
@@ -10,14 +10,19 @@
 
 @click.command()
 @click.option("--seconds", default=60.0, help="How long faults are caused.")
-@click.option("--seed", default=1, help="Seed of faults and clients.")
-def main(seconds: float, seed: int) -> None:
-    """Run a fault soak and print its verdict; exit code 1 if a rule was broken."""
-    soak = Soak(seconds, seed)
-    verdict = asyncio.run(soak.run())
-    click.echo(f"faults: {', '.join(soak.log)}")
-    click.echo(verdict)
-    sys.exit(1 if verdict.problems else 0)
+@click.option("--seeds", default="1", help="A seed of faults and clients, or FIRST-LAST.")
+@click.option("--network", default=0, help="Differs for soaks that run side by side, 0 to 255.")
+def main(seconds: float, seeds: str, network: int) -> None:
+    """Run fault soaks and print a verdict of each; exit code 1 if a rule was broken."""
+    first, _, last = seeds.partition("-")
+    broken = 0
+    for seed in range(int(first), int(last or first) + 1):
+        soak = Soak(seconds, seed, network)
+        verdict = asyncio.run(soak.run())
+        broken += bool(verdict.problems)
+        click.echo(f"seed {seed}, faults: {', '.join(soak.log)}")
+        click.echo(f"seed {seed}, {verdict}")
+    sys.exit(1 if broken else 0)
 
 
 main()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,8 @@
 RECOVERY_SECONDS = 6.0
 DATABASES = ("orders", "carts")
 REGIONS = {"a": "r1", "b": "r2"}
+IN_FORCE_SECONDS = 3.0  # after an acknowledgement, with two faults at a time
+REOPENED_SECONDS = 1.0  # a node tries its disk twice a second, and then hears the leader
 WITHDRAWN_SECONDS = 5.0  # after it a key that was taken away must open no session
 
 
@@ -53,6 +55,8 @@
         # Of a route that must see every commit all, else what this session had acknowledged.
         self.must_see: list[str] = []
         self.next = 0
+        # A third of the clients stay on a connection until it is lost.
+        self.stays = number % 3 == 0
 
     async def run(self) -> None:
         while not self.soak.over:
@@ -75,7 +79,9 @@
         return f"{self.key}-{self.next}"
 
     async def session(self, client: LineClient) -> None:
-        for _ in range(self.random.randint(3, 30)):
+        statements = self.random.randint(3, 30)
+        while self.stays or statements > 0:
+            statements -= 1
             if self.soak.over:
                 return
             draw = self.random.random()
@@ -134,7 +140,8 @@
 class Soak:
     """One run: a fleet, clients, and faults two at a time."""
 
-    def __init__(self, seconds: float, seed: int) -> None:
+    def __init__(self, seconds: float, seed: int, network: int = 0) -> None:
+        self.network = network
         self.seconds = seconds
         self.seed = seed
         self.random = random.Random(seed)
@@ -143,10 +150,20 @@
         self.version = 2
         self.keys = [f"secret-{number}-0" for number in range(TENANTS)]
         self.log: list[str] = []
+        self.added: list[str] = []
+        self.ending: set[str] = set()
+        # By process: when a fault last had it in hand, on the loop's clock.
+        self.touched: dict[str, float] = {}
 
     async def run(self) -> Verdict:
         fleet = PlatformFleet(
-            CONTROLS, PROXIES, zones=("a", "b"), group=WatchedGroup("db"), regions=REGIONS
+            CONTROLS,
+            PROXIES,
+            zones=("a", "b"),
+            group=WatchedGroup("db"),
+            regions=REGIONS,
+            control_zones=("a", "b"),
+            network=self.network,
         )
         assert isinstance(fleet.group, WatchedGroup)
         fleet.group.oracle = self.oracle
@@ -159,7 +176,9 @@
             await asyncio.sleep(self.seconds)
             for task in faults:
                 task.cancel()
-            await asyncio.gather(*faults, return_exceptions=True)
+            for ended in await asyncio.gather(*faults, return_exceptions=True):
+                if not isinstance(ended, asyncio.CancelledError):
+                    self.oracle.problem(f"faults ended before the run: {ended!r}")
             await self._heal()
             before = self.oracle.verdict.acknowledged
             await asyncio.sleep(RECOVERY_SECONDS)
@@ -179,7 +198,10 @@
             {"name": f"t{number}", "api-keys": [key], "rate-per-s": 500, "burst": 500}
             for number, key in enumerate(self.keys)
         ]
-        return configuration(self.version, services=services, tenants=tenants)
+        document = configuration(self.version, services=services, tenants=tenants)
+        first = document["routes"][0]
+        document["routes"] += [{**first, "name": f"r-{d}", "host": d} for d in self.added]
+        return document
 
     def _look_for_keys(self) -> None:
         for host in [*self.fleet.proxy_hosts, *self.fleet.control_hosts]:
@@ -205,6 +227,9 @@
             self._crash_primary,
             self._deafen_replica,
             self._rotate_key,
+            self._reload,
+            self._fill_disk,
+            self._add_route,
         ]
         while True:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE))
@@ -219,13 +244,7 @@
         old = self.keys[number]
         self.version += 1
         self.keys[number] = f"secret-{number}-{self.version}"
-        document = self._document()
-        hosts = self.fleet.control_hosts
-        for host in [*hosts, *hosts, *hosts]:
-            if await self.fleet.put(document, host) == 200:
-                break
-            await asyncio.sleep(0.5)
-        else:
+        if not await self._put(self._document()):
             return  # no clear answer: the change may or may not be in force
         await asyncio.sleep(WITHDRAWN_SECONDS)
         host = self._free(self.fleet.proxy_hosts)
@@ -240,6 +259,61 @@
         if first.startswith("READY"):
             self.oracle.problem(f"CONFIG: a withdrawn key opened a session at {host}")
 
+    async def _add_route(self) -> None:
+        """Add a route; after a while no proxy that was left alone may refuse it."""
+        self.version += 1
+        database = f"added-{self.version}"
+        self.added.append(database)
+        document = self._document()
+        began = asyncio.get_running_loop().time()
+        if not await self._put(document):
+            return  # no clear answer: the change may or may not be in force
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        for host in self.fleet.proxy_hosts:
+            if host in self.fleet.busy or self.touched.get(host, 0.0) >= began:
+                continue
+            client = LineClient(host)
+            try:
+                first = await client.start(database, self.keys[0])
+            except (OSError, TimeoutError):
+                continue  # another fault has just taken it in hand
+            finally:
+                if hasattr(client, "writer"):
+                    client.close()
+            if "NODB" in first:
+                self.oracle.problem(f"CONFIG: {host} does not know {database} of {self.version}")
+
+    async def _put(self, document: dict[str, object]) -> bool:
+        hosts = self.fleet.control_hosts
+        for host in [*hosts, *hosts, *hosts]:
+            if await self.fleet.put(document, host) == 200:
+                return True
+            await asyncio.sleep(0.5)
+        return False
+
+    async def _reload(self) -> None:
+        """Say to a few processes that their settings have changed, in quick succession."""
+        for _ in range(self.random.randint(1, 4)):
+            host = self._free([*self.fleet.proxy_hosts, *self.fleet.control_hosts])
+            if host:
+                self.fleet.processes[host].send_signal(signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0.0, 0.2))
+
+    async def _fill_disk(self) -> None:
+        """Let the disk of a control node, often the leader, take no more bytes; add a route."""
+        if any(host in self.fleet.busy for host in self.fleet.control_hosts):
+            return
+        host = self.random.choice(self.fleet.control_hosts)
+        if self.random.random() < 0.5:
+            host = await self.fleet.leader() or host
+        with self.fleet.in_hand(host):
+            self.fleet.fill_disk(host, True)
+            try:
+                await self._add_route()
+            finally:
+                self.fleet.fill_disk(host, False)
+            await asyncio.sleep(REOPENED_SECONDS)
+
     def _free(self, hosts: list[str]) -> str:
         """Return a host whose process runs and that no other fault has in hand."""
         running = [host for host in hosts if host not in self.fleet.busy]
@@ -260,13 +334,18 @@
         if not host:
             return
         with self.fleet.in_hand(host):
-            process = self.fleet.processes[host]
-            process.send_signal(how)
-            while process.poll() is None:
-                await asyncio.sleep(0.05)
+            self.ending.add(host)
+            self.fleet.processes[host].send_signal(how)
+            await self._until_gone(host)
             await asyncio.sleep(self.random.uniform(*OUTAGE))
             self.fleet.start_again(host)
+            self.ending.discard(host)
             await asyncio.sleep(1.0)
+            self._touch(host)
+
+    async def _until_gone(self, host: str) -> None:
+        while self.fleet.processes[host].poll() is None:
+            await asyncio.sleep(0.05)
 
     async def _freeze_proxy(self) -> None:
         await self._freeze(self.fleet.proxy_hosts)
@@ -286,6 +365,10 @@
                 await asyncio.sleep(self.random.uniform(*OUTAGE))
             finally:
                 process.send_signal(signal.SIGCONT)
+                self._touch(host)
+
+    def _touch(self, host: str) -> None:
+        self.touched[host] = asyncio.get_running_loop().time()
 
     async def _crash_primary(self) -> None:
         primary = self.fleet.group.primary
@@ -311,11 +394,14 @@
         member.deaf = False
 
     async def _heal(self) -> None:
-        for host, process in self.fleet.processes.items():
+        for host, process in list(self.fleet.processes.items()):
+            if host in self.ending:
+                await self._until_gone(host)  # it was told to stop, and its fault was cut short
             if process.poll() is not None:
                 self.fleet.start_again(host)
             else:
                 process.send_signal(signal.SIGCONT)
+                self.fleet.fill_disk(host, False)
         for member in self.fleet.members:
             member.deaf = False
             if self.fleet.states.pop(member.instance, "") == "gone":
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -62,16 +62,21 @@
         group: Group | None = None,
         regions: dict[str, str] | None = None,
         control_zones: tuple[str, ...] = ("a",),
+        network: int = 0,
     ) -> None:
+        # Fleets that run side by side differ in the second number of their addresses.
+        self.promote_host = f"127.{network}.10.1"
         self.regions = regions or {}
         self.control_zones = control_zones
         self.zones = zones
         self.busy: set[str] = set()
-        self.control_hosts = [f"127.0.7.{number + 1}" for number in range(controls)]
-        self.proxy_hosts = [f"127.0.8.{number + 1}" for number in range(proxies)]
+        self.control_hosts = [f"127.{network}.7.{number + 1}" for number in range(controls)]
+        self.proxy_hosts = [f"127.{network}.8.{number + 1}" for number in range(proxies)]
         self.group = group or Group("db")
         self.members = [
-            Member(self.group, f"i-{number}", f"127.0.9.{number + 1}", MEMBER_PORT, number == 0)
+            Member(
+                self.group, f"i-{number}", f"127.{network}.9.{number + 1}", MEMBER_PORT, number == 0
+            )
             for number in range(3)
         ]
         self.platform = Platform([self.group])
@@ -86,7 +91,7 @@
         self.http = await self._stack.enter_async_context(
             aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
         )
-        await self.platform.start("127.0.10.1", PROMOTE_PORT)
+        await self.platform.start(self.promote_host, PROMOTE_PORT)
         for member in self.members:
             await member.start()
         for host in self.control_hosts:
@@ -124,7 +129,7 @@
             f"listen: {host}:{CONTROL_PORT}",
             f"host: {host}",
             "tolerated_losses: 1",
-            f"promoter_address: 127.0.10.1:{PROMOTE_PORT}",
+            f"promoter_address: {self.promote_host}:{PROMOTE_PORT}",
             f"bootstrap: {'true' if bootstrap else 'false'}",
             f"metrics: {METRICS}",
         ]
@@ -190,9 +195,13 @@
 
     async def leader(self) -> str:
         """Return the control node that says it leads, empty if not exactly one does."""
-        lines = [await self.metrics(host) for host in self.control_hosts]
-        hosts = zip(self.control_hosts, lines, strict=True)
-        leaders = [host for host, text in hosts if "rowanrail_control_leader 1.0" in text]
+        leaders = []
+        for host in self.control_hosts:
+            try:
+                if "rowanrail_control_leader 1.0" in await self.metrics(host):
+                    leaders.append(host)
+            except (aiohttp.ClientError, TimeoutError):
+                continue  # a process that does not answer leads nothing for long
         return leaders[0] if len(leaders) == 1 else ""
 
     def log(self, host: str) -> str:
