Announcements of members in a module of their own; a failed node does not tell what its log holds

The log in the memory of a node whose disk failed holds what no disk holds, and gateways that start take it for what is durable. Change: coordination.announcements; a claim to a place lapses with its own silence, so that a leader of earlier does not take what it could not hear for silence (test). Test that failed first: HeldRequest at a failed node.

--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -155,7 +155,7 @@
 
         :raises NotLeaderError: if the node does not lead.
         """
-        self._check_failure("propose")
+        self.check_failure("propose")
         try:
             entry = self.raft.propose(EntryKind.COMMAND, data, self._now())
         except NotLeader as error:
@@ -196,7 +196,7 @@
 
         :raises NotLeaderError: if the node does not lead, or can't confirm that it does.
         """
-        self._check_failure("read")
+        self.check_failure("read")
         self._next_read += 1
         token = self._next_read
         future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
@@ -228,7 +228,11 @@
         self.raft.receive(incoming, self._now())
         self._wake.set()
 
-    def _check_failure(self, step: str) -> None:
+    def check_failure(self, step: str) -> None:
+        """Refuse to go on while the storage has failed.
+
+        :raises StorageError: with the reason of the failure.
+        """
         if self.failure is not None:
             raise StorageError(self.failure.message, step=step, peer=self.failure.peer)
 
--- /dev/null
+++ b/src/rowanrail/coordination/announcements.py
@@ -0,0 +1,100 @@
+"""What a leading control node makes of members' own words: news, late words, ends, second lives."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.messages import Announce, Command, Readmit, Remove
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.gateway.model import MemberRecord
+
+__all__ = ["Announcements"]
+
+OCCUPANT_SILENT_SECONDS = 3.0  # more than two heartbeats of a member, which come each 1.2 s
+
+
+@dataclass(slots=True)
+class _Claim:
+    """Since when a displaced member has gone on to beat, and when it was heard last, in seconds."""
+
+    since: float
+    heard_at: float
+
+
+class Announcements:
+    """Turns members' words into commands of the log, where they are news.
+
+    Parameters
+    ----------
+    state : CoordinationState
+        What the log holds.
+    liveness : Liveness
+        Gets the heartbeats.
+    propose : callable
+        Makes a command durable.
+    now : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(
+        self,
+        state: CoordinationState,
+        liveness: Liveness,
+        propose: Callable[[Command], Awaitable[object]],
+        now: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._liveness = liveness
+        self._propose = propose
+        self._now = now
+        self._claims: dict[str, _Claim] = {}
+
+    async def hear(self, record: MemberRecord) -> None:
+        """Take what a member says of itself.
+
+        The log knows the sequence of a member's last change only. Leaving counts whenever it
+        comes; anything else that is older than what was heard since is out of date.
+        """
+        is_late = self._liveness.is_late(record.instance, record.sequence) and not record.leaving
+        self._liveness.heartbeat(record.instance, record.sequence)
+        if record.instance in self._state.displaced:
+            await self._hear_displaced(record, is_late)
+        elif not is_late and self._state.needs_announcement(record):
+            await self._propose(Announce(record))
+
+    async def end(self, instance: str) -> None:
+        """Take a member's word that it has ended."""
+        self._liveness.forget_member(instance)
+        self._claims.pop(instance, None)
+        if not self._state.has_ended(instance):
+            await self._propose(Remove(instance))
+
+    async def _hear_displaced(self, record: MemberRecord, is_late: bool) -> None:
+        if record.leaving:
+            await self._propose(Remove(record.instance))  # no earlier word may bring it back
+        elif not is_late and self._state.may_return(record) and self._is_place_free(record):
+            await self._propose(Readmit(record))
+
+    def _is_place_free(self, record: MemberRecord) -> bool:
+        """Return whether a member beats while nobody else at its address does.
+
+        A heartbeat that a cut held up may come when its sender has ended and the next life has
+        registered there, and look like a newer one. Only who runs goes on to beat.
+        """
+        occupant = self._state.occupant(record)
+        silent = self._liveness.heartbeat_ago(occupant.instance) if occupant else float("inf")
+        if min(self._claimed_seconds(record.instance), silent) < OCCUPANT_SILENT_SECONDS:
+            return False
+        del self._claims[record.instance]
+        return True
+
+    def _claimed_seconds(self, instance: str) -> float:
+        """Return for how long a displaced member has gone on to beat, this time included."""
+        now = self._now()
+        claim = self._claims.get(instance)
+        if claim is None or now - claim.heard_at > OCCUPANT_SILENT_SECONDS:
+            displaced = self._state.displaced
+            self._claims = {i: kept for i, kept in self._claims.items() if i in displaced}
+            claim = self._claims[instance] = _Claim(now, now)
+        claim.heard_at = now
+        return now - claim.since
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -15,9 +15,9 @@
 )
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
+from rowanrail.coordination.announcements import Announcements
 from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.messages import (
-    Announce,
     AnnounceRequest,
     Command,
     DirectoryReply,
@@ -34,8 +34,6 @@
     PutReply,
     PutRequest,
     PutVerdict,
-    Readmit,
-    Remove,
     RemoveRequest,
 )
 from rowanrail.coordination.state import CoordinationState
@@ -48,7 +46,6 @@
 REQUEST_SECONDS = 0.9  # callers go to the next node after 1 s of silence
 RETRY_SECONDS = 0.05  # between looks for a leader; an election takes 0.1 to 0.5 s
 CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
-OCCUPANT_SILENT_SECONDS = 3.0  # more than two heartbeats of a member, which come each 1.2 s
 MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
 
 
@@ -62,10 +59,10 @@
         self.state = state
         self.members = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
+        self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
         self._zone = zone
         self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
-        self._occupants: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
         self._handlers: dict[
@@ -180,45 +177,12 @@
 
     async def _announce(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, AnnounceRequest)
-        record = request.record
-        # The log knows the sequence of a member's last change only. Leaving counts whenever it
-        # comes; anything else that is older than what was heard since is out of date.
-        is_late = self.liveness.is_late(record.instance, record.sequence) and not record.leaving
-        self.liveness.heartbeat(record.instance, record.sequence)
-        if record.instance in self.state.displaced:
-            await self._hear_displaced(record, is_late)
-        elif not is_late and self.state.needs_announcement(record):
-            await self.propose(Announce(record))
+        await self._announcements.hear(request.record)
         return Done()
 
-    async def _hear_displaced(self, record: MemberRecord, is_late: bool) -> None:
-        if record.leaving:
-            await self.propose(Remove(record.instance))  # no earlier word may bring it back
-        elif not is_late and self.state.may_return(record) and self._is_place_free(record):
-            await self.propose(Readmit(record))
-
-    def _is_place_free(self, record: MemberRecord) -> bool:
-        """Return whether nobody else at a member's address has been heard for a while.
-
-        A heartbeat that a cut held up may come when its sender has ended and the next life has
-        registered there, and look like a newer one. Only who runs goes on to beat.
-        """
-        occupant = self.state.occupant(record)
-        if occupant is None:
-            return True
-        asked_at = self._occupants.setdefault(occupant.instance, self.now())
-        waited_seconds = self.now() - asked_at
-        silent_seconds = min(waited_seconds, self.liveness.heartbeat_ago(occupant.instance))
-        if silent_seconds < OCCUPANT_SILENT_SECONDS:
-            return False
-        del self._occupants[occupant.instance]
-        return True
-
     async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, RemoveRequest)
-        self.liveness.forget_member(request.instance)
-        if not self.state.has_ended(request.instance):
-            await self.propose(Remove(request.instance))
+        await self._announcements.end(request.instance)
         return Done()
 
     async def _barrier(self, request: msgspec.Struct) -> msgspec.Struct:
@@ -303,6 +267,7 @@
     async def _tell_held(self, request: msgspec.Struct) -> msgspec.Struct:
         """Tell what the log holds; see :mod:`rowanrail.gateway.held`."""
         assert isinstance(request, HeldRequest)
+        self.node.check_failure("tell what is held")  # the log in memory is not what is on disk
         log = self.node.raft.log
         entries = log.between(log.snapshot_index + 1, log.last_index)
         state = self.state.replayed(log.snapshot, entries)
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -54,6 +54,9 @@
     def leader_address(self):
         return ""
 
+    def check_failure(self, step):
+        pass
+
 
 class DirectoryTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
--- a/tests/coordination/test_failed_storage.py
+++ b/tests/coordination/test_failed_storage.py
@@ -6,7 +6,7 @@
 from rowanlab.simulator.coordination_world import CoordinationWorld
 from rowanlab.simulator.permissive import registry_without
 from rowanlab.simulator.world import World
-from rowanrail.coordination.messages import DirectoryRequest, GatewayReport
+from rowanrail.coordination.messages import DirectoryRequest, GatewayReport, HeldRequest
 from rowanrail.gateway.model import MemberRecord
 from rowanrail.kernel.errors import RowanrailError
 
@@ -71,6 +71,18 @@
 
         self.play(scenario)
 
+    def test_it_does_not_tell_what_its_log_holds(self):
+        # What could not be written stands in its memory, and on no disk.
+        async def scenario():
+            failed = await self.leader()
+            await self.fail(failed)
+            process = self.coordination.world.process(failed.name)
+            with self.assertRaises(RowanrailError):
+                call = failed.node.service.handle(HeldRequest("z1"))
+                await self.coordination.world.run_in(process, call)
+
+        self.play(scenario)
+
     def test_calls_to_it_are_served_by_the_next_leader(self):
         async def scenario():
             failed = await self.leader()
--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -6,7 +6,6 @@
 
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.control.policies import VersionMonotonic
-from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.messages import AnnounceRequest, GatewayReport, HeartbeatNotice
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.service import CoordinationService
@@ -81,10 +80,14 @@
 
     def setUp(self):
         self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
-        self.service = CoordinationService(LeadingNode(self.state), self.state, None)
         self.time = 100.0
-        self.service.now = lambda: self.time
-        self.service.liveness = Liveness(lambda: self.time)
+        test = self
+
+        class TimedService(CoordinationService):
+            def now(self):
+                return test.time
+
+        self.service = TimedService(LeadingNode(self.state), self.state, None)
 
     async def announce(self, instance, sequence, **changes):
         changes.setdefault("address", "10.0.0.1:1")
@@ -123,6 +126,14 @@
         await self.beat("first", [5])
         self.assertEqual(list(self.state.members), ["second"])
 
+    async def test_one_word_after_a_long_silence_is_no_proof_of_life(self):
+        await self.announce("first", 4)
+        await self.announce("second", 1)
+        await self.beat("first", [5])
+        self.time += 60.0
+        await self.beat("first", [6])
+        self.assertEqual(list(self.state.members), ["second"])
+
     async def test_a_displaced_member_that_was_leaving_does_not_come_back(self):
         await self.announce("first", 4, leaving=True)
         await self.announce("second", 1)
@@ -133,7 +144,7 @@
         await self.announce("first", 4)
         await self.announce("second", 1)
         await self.service.handle(AnnounceRequest(record("first", 20, leaving=True)))
-        self.service.liveness = Liveness(lambda: self.time)  # as at the next leader
+        self.service.liveness.forget_member("first")  # as at the next leader
         await self.beat("first", range(5, 13))
         self.assertEqual(list(self.state.members), ["second"])
 
