--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,7 @@
 
 from tests.soak.run import Soak
 
-SECONDS = 10.0
+SECONDS = 60.0
 SEED = 3
 
 
