--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -372,8 +372,8 @@
 
     async def _crash_primary(self) -> None:
         primary = self.fleet.group.primary
-        if any(member.connections is None for member in self.fleet.members):
-            return
+        if any(member.instance in self.fleet.busy for member in self.fleet.members):
+            return  # the other two must not be without a third
         await self._crash(primary)
 
     async def _crash(self, member: Member) -> None:
