--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -28,7 +28,7 @@
 from rowanrail.kernel.registry import Registry
 from rowanrail.rpc.network import Network
 
-# Between tries of a disk that has failed; an election takes as long, and a try costs one sync.
+# Between tries of a disk that has failed: as long as an election, and a try costs a few syncs.
 REOPEN_SECONDS = 0.5
 CONSENSUS_MESSAGES = (VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest)
 
