Interfaces of the decisions under load, in a package of their own

Cause: decisions under load stand inside of the gateway's I/O (the line for a connection, the place check, the choice of a member), so that none can be tested under its load, and the five parts that are to come would meet in the same files. Waiters of a pool carry an Entry, with the moment after which their answer would be late. Nothing decides by it yet.

--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -27,6 +27,7 @@
 from rowanrail.gateway.waiting_line import Waiter
 from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 from rowanrail.proxy.backend import Position
+from rowanrail.scheduling.queue import Entry
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
 RETRY_SECONDS = 0.02  # about a round trip inside a region
@@ -273,10 +274,17 @@
         self.pool = pool
         self.stage = Stage.WAITS_FOR_CONNECTION
         self.member = pool.record.instance
-        waiter = Waiter(self.route.priority, self.session.values, respond, self.tenant)
+        waiter = Waiter(self.entry(), self.session.values, respond)
         self.waiter = waiter
         pool.acquire(waiter)
 
+    def entry(self) -> Entry:
+        """Return how the statement stands among those that want a connection."""
+        deadline = self.arrived_at + self.route.timeout_seconds
+        return Entry(
+            self.route.priority, self.tenant, self.arrived_at * 1000, deadline=deadline * 1000
+        )
+
     def has_place(self, pool: MemberPool) -> bool:
         """Return whether a connection can be had while the statement can still be in time."""
         waited = self.clock.time() - self.arrived_at
--- a/src/rowanrail/gateway/pool_loan.py
+++ b/src/rowanrail/gateway/pool_loan.py
@@ -6,6 +6,7 @@
 from rowanrail.gateway.model import Answer
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.waiting_line import Waiter
+from rowanrail.scheduling.queue import Entry
 
 __all__ = ["PoolLoan"]
 
@@ -27,7 +28,7 @@
 
     def request(self, take: Callable[[Channel | None, Answer], None]) -> None:
         """See :meth:`rowanrail.gateway.probe.Loan.request`."""
-        self._waiter = Waiter(SAMPLE_PRIORITY, {}, take, tenant=None)
+        self._waiter = Waiter(Entry(SAMPLE_PRIORITY, None, 0.0), {}, take)
         self._pool.acquire(self._waiter)
 
     def cancel(self) -> None:
--- a/src/rowanrail/gateway/waiting_line.py
+++ b/src/rowanrail/gateway/waiting_line.py
@@ -5,6 +5,7 @@
 
 from rowanrail.gateway.channel import Channel
 from rowanrail.gateway.model import Answer
+from rowanrail.scheduling.queue import Entry
 
 __all__ = ["Waiter", "WaitingLine"]
 
@@ -12,26 +13,34 @@
 class Waiter:
     """Somebody who wants a connection.
 
+    :param entry: how urgent it is, whose connection it needs, until when.
     :param values: session values that the connection should have already, if one has.
     :param respond: gets the connection, or None with the reason.
-    :param tenant: whose connection it must be; None if anybody's will do.
     """
 
-    __slots__ = ("priority", "respond", "since", "tenant", "values")
+    __slots__ = ("entry", "respond", "since", "values")
 
     def __init__(
         self,
-        priority: int,
+        entry: Entry,
         values: dict[str, str],
         respond: Callable[[Channel | None, Answer], None],
-        tenant: str | None = "",
     ) -> None:
-        self.priority = priority
+        self.entry = entry
         self.values = values
         self.respond = respond
-        self.tenant = tenant
         self.since = 0.0
 
+    @property
+    def priority(self) -> int:
+        """How urgent it is, 0 for the most urgent route."""
+        return self.entry.urgency
+
+    @property
+    def tenant(self) -> str | None:
+        """Whose connection it must be; None if anybody's will do."""
+        return self.entry.tenant
+
     def takes(self, channel: Channel) -> bool:
         """Return whether a connection is of use to it."""
         return self.tenant is None or self.tenant == channel.tenant
