A pool forecasts what a statement can expect

Cause: admission asks a pool for a bare wait, which can't tell tenants or urgencies apart. Change: MemberPool.forecast takes an Entry and returns a Forecast; worked out as before, and not used yet.

--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -10,6 +10,8 @@
 from rowanrail.gateway.idle_channels import IdleChannels
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.waiting_line import Waiter, WaitingLine
+from rowanrail.scheduling.admission import Forecast
+from rowanrail.scheduling.queue import Entry
 
 # A failed connection is tried again after twice this; chosen, not measured apart.
 MINIMUM_BACKOFF_SECONDS = 0.1
@@ -134,6 +136,11 @@
             return 0.0
         return (ahead + 1) * self._lease_seconds / max(1, allowed, self.open_count)
 
+    def forecast(self, entry: Entry) -> Forecast:
+        """Return what a statement that comes now can expect here."""
+        wait = self.expected_wait_seconds
+        return Forecast(wait * 1000, self.latency_seconds * 1000, has_room=not wait)
+
     def acquire(self, waiter: Waiter) -> None:
         """Give the waiter a connection now or later, or a refusal."""
         channel = self._idle.take_for(waiter)
