A side of a split takes those that it does not hear to run as much as those it hears

Cause: the sums of what a tenant runs hold the last words of gateways and regions that are not heard any more. When a cut parts the fleet, a rush that begins after it is seen by each side on its own side only: each runs up to the whole limit. Change: a report says how many gateways are heard; each guard knows from the directory how many there are, and scales what it hears to the whole fleet where fewer than nine tenths are heard. Sides of any number add up to the limit, without memory. While that lasts half of what is tolerated is used, so that small tenants with all of their clients on one side are not refused. Event 332 tells from which share of the gateways its sums come. Tests: a case of MeteringTest counted on 10 operations while one gateway of four was lost; that one may be cut off and run as much, so that 13 is expected until the directory has dropped it, then 10. The last word of a silent region carries `silent`. Left: components of a fleet that hear little of each other divide a limit by gateways, so that a tenant whose clients all are on one small side is refused below its limit there.

--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -144,6 +144,7 @@
             asked=over.asked,
             part=round(over.part, 2),
             age_ms=round(over.age),
+            heard=round(over.heard, 2),
             version=self.version,
         )
         seconds = max(SHORTEST_RETURN_SECONDS, over.wait / 1000)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -105,5 +105,6 @@
     Level.WARNING,
     "an operation of tenant {tenant} is beyond its limit",
     "It was refused at once and has not run. The fields give the limit, what began "
-    "and was asked for at all gateways, which part may begin, and the age of these sums.",
+    "and was asked for at all gateways, which part may begin, the age of these sums, and from "
+    "which share of the gateways they come; the others are taken to run as much.",
 )
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -188,6 +188,7 @@
         for record in directory.members:
             self._members.setdefault(record.service, []).append(record)
         self._population = directory.population
+        self.access.quota.set_population(self._population.gateways)
         if self._neighbours is not None:
             self._neighbours.set_neighbours(directory.neighbours)
         if self._detours is not None:
--- a/src/rowanrail/tenants/demand.py
+++ b/src/rowanrail/tenants/demand.py
@@ -14,7 +14,8 @@
 # Another region's counts for longer, since its clients go on where it is only cut off; twice
 # the time for which regions lose each other on most days.
 REGION_MS = 10000.0
-STALE_MS = 1000.0  # three reports: after it nothing is known of how a count goes on
+# Three reports: after it nothing is known of how a count goes on, and the sender counts as silent.
+STALE_MS = 1000.0
 
 
 class Demand(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -30,12 +31,15 @@
         That were asked for in the last second, begun or refused.
     leaving : int
         That leave the window within the next second.
+    silent : int
+        Of those that began, what is known from gateways that are not heard any more.
     """
 
     begun: int = 0
     begun_lately: int = 0
     asked_lately: int = 0
     leaving: int = 0
+    silent: int = 0
 
     def __add__(self, other: "Demand") -> "Demand":
         """Return the sum.
@@ -43,13 +47,34 @@
         Examples
         --------
         >>> Demand(5, 1, 2) + Demand(1, 1, 1)
-        Demand(begun=6, begun_lately=2, asked_lately=3, leaving=0)
+        Demand(begun=6, begun_lately=2, asked_lately=3, leaving=0, silent=0)
         """
         return Demand(
             self.begun + other.begun,
             self.begun_lately + other.begun_lately,
             self.asked_lately + other.asked_lately,
             self.leaving + other.leaving,
+            self.silent + other.silent,
+        )
+
+    def scaled(self, heard_share: float) -> "Demand":
+        """Return the demand of the whole fleet, of which only a share is heard.
+
+        Who is not heard is taken to run as much as the others: all sides of a split do so, and
+        hold themselves to parts of a limit that add up to the limit.
+
+        Examples
+        --------
+        >>> Demand(60, 10, 20, 8, silent=20).scaled(0.5)
+        Demand(begun=80, begun_lately=20, asked_lately=40, leaving=16, silent=20)
+        """
+        heard = (self.begun - self.silent) / heard_share
+        return Demand(
+            max(self.begun, round(heard)),
+            round(self.begun_lately / heard_share),
+            round(self.asked_lately / heard_share),
+            round(self.leaving / heard_share),
+            self.silent,
         )
 
 
@@ -60,7 +85,7 @@
     ----------
     tenants : dict of str to Demand
     gateways : int
-        How many gateways it speaks for.
+        How many gateways it speaks for that are still heard.
     unknown : float
         Of how many of their windows nothing is known, since they have started a short while ago.
     """
@@ -122,8 +147,9 @@
         """Return a report; of an old one only what began, not how that goes on."""
         if self._clock.now - told.at <= STALE_MS:
             return told.report
-        begun = {name: Demand(demand.begun) for name, demand in told.report.tenants.items()}
-        return msgspec.structs.replace(told.report, tenants=begun)
+        tenants = told.report.tenants.items()
+        silent = {name: Demand(demand.begun, silent=demand.begun) for name, demand in tenants}
+        return Report(silent, gateways=0)
 
     def _since(self, told: dict[str, _Told], age: float) -> dict[str, _Told]:
         limit = self._clock.now - age
--- a/src/rowanrail/tenants/quota.py
+++ b/src/rowanrail/tenants/quota.py
@@ -6,6 +6,11 @@
 the long run as many as leave the window. Every gateway works out the same part from the same
 sums, so that it does not matter at which of them a tenant's clients are, and nothing is divided.
 
+A split of the network parts these sums. Gateways know from the directory how many they are, and
+from the sums how many of them are heard; a side that hears a share of the gateways takes the others
+to run as much as those it hears, so that the sides together stay at the limit whatever each of them
+runs. Neither a meter nor a gateway need remember anything for that.
+
 A share of the limit for each gateway, by its part of the demand, was tried before: with 58 gateways
 a share was often below one operation, and clients were refused at half of a limit.
 """
@@ -39,6 +44,13 @@
 RESTART_SHARE = 0.1
 UNKNOWN_MARGIN = 0.2  # of what is tolerated beyond a limit; the rest is used otherwise
 UNKNOWN_STEP = 0.2  # of a window: what leaves a window of 5 s in REACH_MS
+# Of the gateways, that are heard when nothing is split: some are always being started again, and
+# their last words of before still count.
+WHOLE_SHARE = 0.9
+# Of what is tolerated beyond a limit, while a split lasts: a side's part of the demand is not
+# exactly its part of the gateways, and who asks as usual shall not be refused for that. The rest is
+# for the moment in which a side finds a new meter, and for that in which the sides meet again.
+SPLIT_MARGIN = 0.5
 FIRST_CREDIT = 0.5  # of an operation: gateways that begin together don't all begin with one
 
 
@@ -66,16 +78,22 @@
             return float("inf")
         return tenant.rate * self.window / 1000 + tenant.burst
 
-    def target(self, tenant: Tenant) -> float:
+    def target(self, tenant: Tenant, heard_share: float = 1.0) -> float:
         """Return to how many operations in a window a tenant is held.
 
+        Parameters
+        ----------
+        heard_share : float
+            Share of the fleet's gateways that are heard.
+
         Examples
         --------
         >>> QuotaTerms().target(Tenant("a", rate=100, burst=100))
         620.0
         """
         limit = self.limit(tenant)
-        return limit + USED_MARGIN * (limit * self.excess + self.slack)
+        margin = USED_MARGIN if heard_share >= 1 else SPLIT_MARGIN
+        return limit + margin * (limit * self.excess + self.slack)
 
     def unknown(self, tenant: Tenant) -> float:
         """Return what a tenant is taken to have begun in a window of which nothing is known.
@@ -110,6 +128,8 @@
         Of what is asked for may begin.
     age : float
         Milliseconds since word of the fleet.
+    heard : float
+        Share of the fleet's gateways that were heard.
     """
 
     limit: float
@@ -117,6 +137,7 @@
     asked: int
     part: float
     age: float
+    heard: float = 1.0
 
     @property
     def wait(self) -> float:
@@ -201,6 +222,13 @@
         self._counts: dict[str, _Counts] = {}
         self._started_at = self._told_at = clock.now
         self._unknown_share = 0.0
+        self._population = 0
+        self._heard_share = 1.0
+
+    @property
+    def heard_share(self) -> float:
+        """Share of the fleet's gateways that are heard; 1 unless the network is split."""
+        return self._heard_share
 
     @property
     def is_limiting(self) -> bool:
@@ -215,7 +243,8 @@
             del self._counts[name]
 
     def set_population(self, gateways: int) -> None:
-        """Know how many gateways there are."""
+        """Know how many gateways there are; 0 if that is not known."""
+        self._population = gateways
 
     def begin(self, name: str) -> OverLimit | None:
         """Count an operation of a tenant that begins now, or return why it may not."""
@@ -227,13 +256,13 @@
         if counts is None:
             counts = self._counts[name] = _Counts(self._terms.window)
         counts.asked_lately.add(now)
-        target = self._terms.target(tenant)
+        target = self._terms.target(tenant, self._heard_share)
         part = part_that_begins(counts.fleet, target, self._unknown(tenant))
         if not self._may_begin(counts, target, part):
             fleet = counts.fleet
             age = now - self._told_at
             limit = self._terms.limit(tenant)
-            return OverLimit(limit, fleet.begun, fleet.asked_lately, part, age)
+            return OverLimit(limit, fleet.begun, fleet.asked_lately, part, age, self._heard_share)
         counts.begin(now)
         return None
 
@@ -277,8 +306,15 @@
         """Learn the sums of all gateways."""
         self._told_at = self._clock.now
         self._unknown_share = fleet.unknown_share
+        self._heard_share = self._share_of(fleet.gateways)
         for name, counts in self._counts.items():
-            counts.fleet = fleet.tenants.get(name, _NOTHING)
+            heard = fleet.tenants.get(name, _NOTHING)
+            counts.fleet = heard if self._heard_share >= 1 else heard.scaled(self._heard_share)
+
+    def _share_of(self, gateways: int) -> float:
+        """Return which share of the fleet so many gateways are, 1 if nothing is split."""
+        share = max(1, gateways) / max(1, self._population)
+        return 1.0 if share >= WHOLE_SHARE else share
 
 
 _NOTHING = Demand()
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -275,4 +275,8 @@
                 twin.break_off("reset")
         self.ask(other, 1)
         self.world.clock.advance(1.5)
+        # Nobody knows whether the fourth is lost or cut off: it may run as much as the three.
+        self.assertEqual(self.fleet_at(other), round(10 * 4 / 3))
+        other.gateway.access.quota.set_population(3)
+        self.world.clock.advance(0.5)
         self.assertEqual(self.fleet_at(other), 10)
--- a/tests/tenants/test_quota.py
+++ b/tests/tenants/test_quota.py
@@ -300,6 +300,6 @@
         self.book.note_gateway("g1", Report({"a": Demand(5)}))
         self.book.note_region("r2", Report({"a": Demand(10)}))
         self.manual.advance(GATEWAY_MS / 1000 + 0.1)
-        self.assertEqual(self.book.fleet().tenants, {"a": Demand(10)})
+        self.assertEqual(self.book.fleet().tenants, {"a": Demand(10, silent=10)})
         self.manual.advance((REGION_MS - GATEWAY_MS) / 1000)
         self.assertEqual(self.book.fleet().tenants, {})
