rowanrail inspect load: members, tenants and refusals over all gateways

Cause: what a fleet does under load stands in the metrics of each gateway; nobody could see which member is full, or which tenant is refused, without summing a hundred texts by hand. Ruled out: asking a control node (it does not know tenants or connections, and would have to be told of them). Change: `rowanrail inspect load SOURCE...` reads gateways' metrics (addresses or files), sums them and shows tables, JSON or YAML; what can't be read is named. `inspect DIR` works as before, also as `inspect folder DIR`. Gateways show their largest 100 tenants with limit, begun, asked and refused, and which share of the fleet their limits rest on.

--- a/src/rowanrail/cli/inspect.py
+++ b/src/rowanrail/cli/inspect.py
@@ -1,10 +1,11 @@
-"""``rowanrail inspect``: what a control node's data folder holds."""
+"""``rowanrail inspect``: what a control node's data folder holds, or the load of the fleet."""
 
 from pathlib import Path
 
 import click
 import msgspec
 
+from rowanrail.cli.inspect_load import inspect_load
 from rowanrail.cli.output import ExitCode, OutputFormat, fail, format_table, show
 from rowanrail.consensus.storage import Storage
 from rowanrail.control.policies import ExpectedVersion
@@ -55,10 +56,22 @@
     )
 
 
-@click.command()
+class _FolderByDefault(click.Group):
+    """A group for which a word that is none of its commands is a folder."""
+
+    def resolve_command(
+        self, ctx: click.Context, args: list[str]
+    ) -> tuple[str | None, click.Command | None, list[str]]:
+        """Return the command that the first word names, else the one for folders."""
+        if args and args[0] not in self.commands:
+            args = [inspect_folder.name or "", *args]
+        return super().resolve_command(ctx, args)
+
+
+@click.command("folder")
 @click.argument("folder", metavar="DIR")
 @click.option("--output", type=click.Choice([item.value for item in OutputFormat]), default="table")
-def inspect(folder: str, output: str) -> None:
+def inspect_folder(folder: str, output: str) -> None:
     """Show what a control node's data folder holds. The node should be stopped."""
     if not Path(folder).is_dir():
         fail([f"{folder}: no such folder"], ExitCode.USAGE)
@@ -68,3 +81,8 @@
         fail([str(error)])
     rows = [(name, str(value)) for name, value in msgspec.to_builtins(view).items()]
     show(OutputFormat(output), view, format_table(("FIELD", "VALUE"), rows))
+
+
+@click.group(cls=_FolderByDefault, commands=[inspect_folder, inspect_load])
+def inspect() -> None:
+    """Show a control node's data folder (DIR or `folder DIR`), or the fleet's load (`load`)."""
--- /dev/null
+++ b/src/rowanrail/cli/inspect_load.py
@@ -0,0 +1,106 @@
+"""``rowanrail inspect load``: services, members, tenants and refusals over all gateways."""
+
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import click
+
+from rowanrail.cli.load_view import FleetLoad, Sample, read_samples, summarize
+from rowanrail.cli.output import ExitCode, OutputFormat, fail, format_table, show
+
+# A gateway answers within milliseconds; one that is dark must not hold up the others for long.
+READ_SECONDS = 0.5
+
+
+@click.command("load")
+@click.argument("sources", nargs=-1, required=True, metavar="SOURCE...")
+@click.option("--output", type=click.Choice([item.value for item in OutputFormat]), default="table")
+def inspect_load(sources: tuple[str, ...], output: str) -> None:
+    """Show the load of the fleet from the metrics of its gateways.
+
+    SOURCE: `IP:PORT/PATH` of a gateway's metrics (setting `metrics`), or a file with such a text.
+    """
+    gateways: list[list[Sample]] = []
+    silent: list[str] = []
+    for source in sources:
+        try:
+            gateways.append(read_samples(_read(source)))
+        except (OSError, ValueError) as error:
+            silent.append(f"{source}: {error}")
+    if not gateways:
+        fail(silent, ExitCode.UNAVAILABLE)
+    fleet = summarize(gateways)
+    fleet.silent = silent
+    show(OutputFormat(output), fleet, _tables(fleet))
+
+
+def _read(source: str) -> str:
+    path = Path(source)
+    if path.exists():
+        return path.read_text()
+    try:
+        with urllib.request.urlopen(f"http://{source}", timeout=READ_SECONDS) as answer:
+            content: bytes = answer.read()
+    except urllib.error.URLError as error:
+        raise OSError(f"can't be read ({error.reason}); name a file or IP:PORT/PATH") from error
+    return content.decode()
+
+
+def _tables(fleet: FleetLoad) -> str:
+    parts = [f"{fleet.gateways} gateways; limits rest on {fleet.heard_share:.0%} of the fleet"]
+    parts += [f"silent: {source}" for source in fleet.silent]
+    parts += [
+        format_table(
+            ("SERVICE", "GATEWAYS", "PRIMARY FAILS AT", "OLDEST SAMPLE S"),
+            [
+                (s.service, s.gateways, s.failing_at, f"{s.oldest_sample:.2f}")
+                for s in fleet.services
+            ],
+        ),
+        format_table(
+            [
+                "SERVICE",
+                "MEMBER",
+                "HOLDERS",
+                "CONNECTIONS",
+                "UNDER-WAY",
+                "LIMIT",
+                "WAITING",
+                "LONGEST-S",
+                "WEIGHT",
+            ],
+            [
+                (
+                    m.service,
+                    m.member,
+                    m.holders,
+                    m.connections,
+                    m.under_way,
+                    m.limit,
+                    m.waiting,
+                    f"{m.longest_wait:.2f}",
+                    f"{m.weight:.2f}",
+                )
+                for m in fleet.members
+            ],
+        ),
+    ]
+    if fleet.tenants:
+        parts.append(
+            format_table(
+                ("TENANT", "LIMIT", "BEGUN", "ASKED", "REFUSED"),
+                [
+                    (t.tenant, round(t.limit), round(t.begun), round(t.asked), round(t.refused))
+                    for t in fleet.tenants
+                ],
+            )
+        )
+    if fleet.refusals:
+        parts.append(
+            format_table(
+                ("REFUSED", "OUTCOME", "STAGE", "COUNT"),
+                [(r.kind, r.outcome, r.stage, r.count) for r in fleet.refusals],
+            )
+        )
+    return "\n\n".join(parts)
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -16,7 +16,7 @@
 )
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.gauges import gauges, relay_gauges
+from rowanrail.gateway.gauges import gauges, relay_gauges, tenant_gauges
 from rowanrail.gateway.locality import Locality
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
@@ -149,6 +149,7 @@
             "rowanrail_gateway",
             lambda: [
                 *gauges(gateway),
+                *tenant_gauges(gateway),
                 *relay_gauges(neighbours, holder, detours),
                 log_gauge(decisions),
             ],
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -8,6 +8,7 @@
 from rowanrail.relay.serving import Holder
 
 NEVER = -1.0
+SHOWN_TENANTS = 100  # of a gateway; bounds its metrics where there are thousands
 
 
 def gauges(gateway: Gateway) -> list[Reading]:
@@ -37,6 +38,19 @@
     return readings
 
 
+def tenant_gauges(gateway: Gateway) -> list[Reading]:
+    """Return the largest tenants with their limits, and how much of the fleet is heard."""
+    quota = gateway.access.quota
+    readings: list[Reading] = [("quota_heard_share", {}, quota.heard_share)]
+    for tenant in quota.largest(SHOWN_TENANTS):
+        labels = {"tenant": tenant.name}
+        readings.append(("tenant_limit", labels, tenant.limit))
+        readings.append(("tenant_begun", labels, tenant.begun))
+        readings.append(("tenant_asked", labels, tenant.asked))
+        readings.append(("tenant_refused", labels, tenant.refused))
+    return readings
+
+
 def _seconds(age: float | None) -> float:
     return NEVER if age is None else age / 1000
 
--- a/src/rowanrail/tenants/quota.py
+++ b/src/rowanrail/tenants/quota.py
@@ -22,7 +22,7 @@
 from rowanrail.tenants.model import Tenant, Tenants
 from rowanrail.tenants.window import SlidingCount
 
-__all__ = ["OverLimit", "QuotaGuard", "QuotaTerms"]
+__all__ = ["OverLimit", "QuotaGuard", "QuotaTerms", "TenantCount"]
 
 # Of what is tolerated beyond the limit, so that nothing is refused below it though the sums
 # are a little late. The rest is for what begins before they come.
@@ -148,10 +148,33 @@
 LONGEST_WAIT_MS = 3000.0  # more than half of a window has left by then
 
 
+@dataclass(frozen=True, slots=True)
+class TenantCount:
+    """One tenant at this gateway, for operators.
+
+    Parameters
+    ----------
+    limit : float
+        Operations of the tenant in a window, over all gateways.
+    begun : float
+        What began here in the last window.
+    asked : float
+        What was asked for here in the last second.
+    refused : int
+        What was refused here since the start.
+    """
+
+    name: str
+    limit: float
+    begun: float
+    asked: float
+    refused: int
+
+
 class _Counts:
     """One tenant at this gateway."""
 
-    __slots__ = ("asked_lately", "begun", "begun_lately", "credit", "fleet")
+    __slots__ = ("asked_lately", "begun", "begun_lately", "credit", "fleet", "refused")
 
     def __init__(self, window: float) -> None:
         self.begun = SlidingCount(window)
@@ -159,6 +182,7 @@
         self.asked_lately = SlidingCount(LATELY_MS)
         self.fleet = Demand()
         self.credit = FIRST_CREDIT
+        self.refused = 0
 
     def demand(self, now: float) -> Demand:
         """Return what is reported."""
@@ -259,6 +283,7 @@
         target = self._terms.target(tenant, self._heard_share)
         part = part_that_begins(counts.fleet, target, self._unknown(tenant))
         if not self._may_begin(counts, target, part):
+            counts.refused += 1
             fleet = counts.fleet
             age = now - self._told_at
             limit = self._terms.limit(tenant)
@@ -292,6 +317,21 @@
         if counts is not None:
             counts.begin(self._clock.now, -1.0)
 
+    def largest(self, number: int) -> list[TenantCount]:
+        """Return the tenants that were refused, or ask for, most here."""
+        now = self._clock.now
+        counted = [
+            TenantCount(
+                name,
+                self._terms.limit(self._tenants.by_name[name]),
+                counts.begun.at(now),
+                counts.asked_lately.at(now),
+                counts.refused,
+            )
+            for name, counts in self._counts.items()
+        ]
+        return sorted(counted, key=lambda one: (one.refused, one.begun), reverse=True)[:number]
+
     # What gateways tell each other
 
     def report(self) -> Report:
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -5,6 +5,7 @@
 import unittest
 
 MODULES = (
+    "rowanrail.cli.load_view",
     "rowanrail.gateway.error_share",
     "rowanrail.gateway.locality",
     "rowanrail.gateway.primary",
--- /dev/null
+++ b/tests/unit/test_inspect_load.py
@@ -0,0 +1,77 @@
+"""The load of a fleet from the metrics of its gateways."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from rowanrail.cli.main import main
+from rowanrail.gateway.gauges import gauges, tenant_gauges
+from rowanrail.kernel.metrics import Metrics
+from rowanrail.tenants.model import Tenant, Tenants
+from tests.support.gateway import PlayedGateway
+
+
+def metrics_of(played, refused):
+    """Return the metrics of a gateway whose tenant was refused some times."""
+    quota = played.gateway.access.quota
+    quota.set_tenants(Tenants({"anna": Tenant("anna", rate=1, burst=1)}))
+    while quota.begin("anna") is None or sum(one.refused for one in quota.largest(1)) < refused:
+        pass
+    played.client("reports").run("READ a", seconds=0.1)
+    metrics = Metrics(
+        "rowanrail_gateway", lambda: [*gauges(played.gateway), *tenant_gauges(played.gateway)]
+    )
+    metrics.note_statement("read", "busy", "waits-for-connection", 0.2)
+    metrics.note_statement("read", "done", "sent", 0.1)
+    return metrics.render().decode()
+
+
+class InspectLoadTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.sources = []
+        for name, refused in (("g1", 2), ("g2", 3)):
+            source = self.folder / name
+            source.write_text(metrics_of(PlayedGateway(), refused))
+            self.sources.append(str(source))
+
+    def run_command(self, *arguments):
+        return CliRunner().invoke(main, ["inspect", "load", *arguments])
+
+    def test_the_gateways_are_summed(self):
+        result = self.run_command(*self.sources, "--output", "json")
+        self.assertEqual(result.exit_code, 0, result.output)
+        fleet = json.loads(result.output)
+        self.assertEqual(fleet["gateways"], 2)
+        (tenant,) = fleet["tenants"]
+        self.assertEqual((tenant["tenant"], tenant["limit"], tenant["refused"]), ("anna", 6, 5))
+        (refusal,) = fleet["refusals"]
+        self.assertEqual((refusal["outcome"], refusal["count"]), ("busy", 2))
+        members = {member["member"]: member for member in fleet["members"]}
+        self.assertEqual(sorted(members), ["m1", "m2", "m3"])
+        self.assertEqual(members["m2"]["holders"], 2)
+
+    def test_the_table_names_members_tenants_and_refusals(self):
+        result = self.run_command(*self.sources)
+        for word in ("2 gateways", "m2", "anna", "waits-for-connection"):
+            self.assertIn(word, result.output)
+
+    def test_a_gateway_that_is_silent_is_named_and_the_others_are_shown(self):
+        result = self.run_command(self.sources[0], "127.0.0.1:1/metrics")
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("silent: 127.0.0.1:1/metrics: can't be read", result.output)
+
+    def test_nothing_but_silence_is_an_error(self):
+        result = self.run_command("127.0.0.1:1/metrics")
+        self.assertEqual(result.exit_code, 4)
+
+    def test_a_text_that_holds_no_metrics_is_named(self):
+        broken = self.folder / "broken"
+        broken.write_text("not { metrics")
+        result = self.run_command(self.sources[0], str(broken))
+        self.assertIn(f"silent: {broken}", result.output)
