Admission by forecast and time-out, at arrival and while a statement waits; returns are spread

Cause: a statement was refused at arrival when the wait for a connection passed half of its route's objective, also if it would have been answered in its time; one that was let in was never judged again and waited until its time-out. All were told 0.5 s. Change: rowanrail.scheduling.admission decides: nothing is refused while room is free; else when the part of the forecast wait that is certain, and the run, pass the time left. What is certain follows from how far forecasts of that member were out (mean without mean deviation, as of round trips in TCP). A waiting statement is judged after a quarter of what is left, 50 ms at the least, and goes to a roomier member if it is a read. rowanrail.scheduling.returning gives places to those turned away by the pace of the line, and remembers them so that Entry.returned is true when they come back as told; a tenant over its limit is told times by the same spreading. A pool counts those before an entry, not all that wait.

--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -1,18 +1,27 @@
 """Who may run statements at this gateway: routes, keys, and limits of tenants."""
 
+from collections.abc import Callable
+
 from rowanrail.gateway.events import KEY_UNKNOWN, KEY_WITHDRAWN, OVER_QUOTA, ROUTE_MISSING
-from rowanrail.gateway.model import Answer, Refusal, RoutingConfiguration
+from rowanrail.gateway.model import Answer, Refusal, Rejection, RoutingConfiguration
 from rowanrail.gateway.policies import KeyCheck
 from rowanrail.gateway.session import Session
+from rowanrail.gateway.statement import busy
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.scheduling.admission import Cause
+from rowanrail.scheduling.returning import Label, Returners, client_label, spread
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants, key_digest
-from rowanrail.tenants.quota import QuotaGuard, QuotaTerms
+from rowanrail.tenants.quota import OverLimit, QuotaGuard, QuotaTerms
 
 __all__ = ["Access"]
 
-SHORTEST_RETURN_SECONDS = 0.2  # told to clients over a limit: two steps of its count
+SHORTEST_RETURN_MS = 200.0  # told to clients over a limit: two steps of its count
+# Times are spread from the one that follows from the limit to this many times it: who was refused
+# at one step of the count does not come back at one step.
+SPREAD_FACTOR = 2.0
+UNKNOWN_URGENCY = 1  # of a database whose route has gone
 
 
 class Access:
@@ -41,6 +50,9 @@
         self._quota = QuotaGuard(clock, terms)
         self._demand = DemandBook(clock)
         self._configuration: RoutingConfiguration | None = None
+        self._returners = Returners(clock)
+        self._over_limit = 0
+        self.on_rejection: Callable[[str, int, float], None] = lambda *rejection: None
 
     @property
     def quota(self) -> QuotaGuard:
@@ -135,6 +147,8 @@
         over = self._quota.begin(session.identity.tenant)
         if over is None:
             return None
+        return_in = self._return_in(over)
+        urgency = self._urgency(session)
         self._decisions.note(
             OVER_QUOTA,
             session=session.label,
@@ -145,11 +159,46 @@
             part=round(over.part, 2),
             age_ms=round(over.age),
             version=self.version,
+            urgency=urgency,
+            return_in=round(return_in),
         )
-        seconds = max(SHORTEST_RETURN_SECONDS, over.wait / 1000)
-        message = f"the tenant is at its limit; retry in {seconds:.1f} s"
-        return Answer(refusal=Refusal.BUSY, message=message)
+        self._note_returning(session, Cause.TENANT_LIMIT.value, urgency, return_in)
+        return busy("the tenant is at its limit", return_in)
+
+    def _return_in(self, over: OverLimit) -> float:
+        """Return when a client over a limit had better come back, in milliseconds."""
+        soonest = max(SHORTEST_RETURN_MS, over.wait)
+        self._over_limit += 1
+        return spread(self._over_limit, soonest, SPREAD_FACTOR * soonest)
+
+    def _urgency(self, session: Session) -> int:
+        known = self._configuration
+        route = known.routes.get(session.database) if known is not None else None
+        return UNKNOWN_URGENCY if route is None else route.priority
+
+    # Clients that come back
+
+    def note_turned_away(self, session: Session, rejection: Rejection | None) -> None:
+        """Remember that a session's client was refused as busy, and what it was told."""
+        if rejection is None:
+            self._returners.note(_label(session), 0.0)
+            return
+        cause, urgency, return_in = rejection.cause, rejection.urgency, rejection.return_in
+        self._note_returning(session, cause, urgency, return_in)
+
+    def _note_returning(self, session: Session, cause: str, urgency: int, return_in: float) -> None:
+        self._returners.note(_label(session), return_in)
+        self.on_rejection(cause, urgency, return_in)
+
+    def has_returned(self, session: Session) -> bool:
+        """See :meth:`rowanrail.gateway.session.SessionHost.has_returned`."""
+        return self._returners.claim(_label(session))
 
     def note_not_run(self, session: Session) -> None:
         """Count an operation no longer: nothing of it reached a member."""
         self._quota.note_not_run(session.identity.tenant)
+
+
+def _label(session: Session) -> Label:
+    identity = session.identity
+    return client_label(identity.tenant, session.database, identity.key, session.label)
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -153,7 +153,8 @@
                 log_gauge(decisions),
             ],
         )
-        gateway.on_outcome = metrics.note_statement
+        gateway.outcomes.on_outcome = metrics.note_statement
+        gateway.access.on_rejection = metrics.note_rejection
         await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
     gateway.start()
     holder.start()
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -3,14 +3,11 @@
 import functools
 from collections.abc import Callable
 
-import msgspec
-
 from rowanrail.gateway.access import Access
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock, Timer
 from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.events import (
-    ANSWERED,
     CONFIGURATION_TAKEN,
     DETOUR_FOUND,
     LINK_LOST,
@@ -18,7 +15,6 @@
     MEMBERS_TAKEN,
     PRIMARY_LOST,
     PRIMARY_PROVED,
-    REFUSED,
 )
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
@@ -30,7 +26,7 @@
     RoutingConfiguration,
     TypedStatement,
 )
-from rowanrail.gateway.operation import Stage
+from rowanrail.gateway.outcomes import Outcomes
 from rowanrail.gateway.pending import PendingProof, PendingStart
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.samples import Sample
@@ -81,7 +77,6 @@
         self.configuration: RoutingConfiguration | None = None
         self.services: dict[str, Service] = {}
         self.sessions: dict[Session, None] = {}
-        self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
         self.stopping = False
         self.on_alarm: Callable[[], None] = lambda: None
         self._locality = locality
@@ -102,6 +97,7 @@
         self._session_count = 0
         check = self._policies.key_check
         self.access = Access(MillisecondClock(clock), decisions, check, quota_terms)
+        self.outcomes = Outcomes(decisions, self.access)
 
     def start(self) -> None:
         """Begin to watch the services."""
@@ -359,6 +355,10 @@
         """See :meth:`SessionHost.refuse_over_quota`."""
         return self.access.refuse_over_quota(session)
 
+    def has_returned(self, session: Session) -> bool:
+        """See :meth:`SessionHost.has_returned`."""
+        return self.access.has_returned(session)
+
     def note_not_run(self, session: Session) -> None:
         """See :meth:`SessionHost.note_not_run`."""
         self.access.note_not_run(session)
@@ -372,26 +372,7 @@
         operation: SingleStatement | WorkInTransaction | None,
     ) -> None:
         """See :meth:`SessionHost.note_outcome`."""
-        outcome = answer.refusal.value if answer.refusal else "done"
-        if answer.refusal is None and not answer.signature:
-            return  # answered by the proxy itself; nothing was decided
-        trace = None if operation is None else operation.trace()
-        stage = trace.stage if trace is not None else Stage.ACCEPTED.value
-        self.on_outcome(statement.kind.value, outcome, stage, seconds)
-        fields = {} if trace is None else msgspec.structs.asdict(trace)
-        self._decisions.note(
-            ANSWERED if answer.refusal is None else REFUSED,
-            request=statement.request_id,
-            session=session.label,
-            tenant=session.identity.tenant,
-            database=session.database,
-            kind=statement.kind.value,
-            outcome=outcome,
-            reason=answer.message,
-            milliseconds=round(seconds * 1000, 1),
-            version=self.access.version,
-            **fields,
-        )
+        self.outcomes.note(session, statement, answer, seconds, operation)
 
     def session_closed(self, session: Session) -> None:
         """See :meth:`SessionHost.session_closed`."""
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -5,8 +5,11 @@
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.freshness import oldest_sample, prefetch
 from rowanrail.gateway.model import Answer, Consistency, Refusal, TypedStatement
-from rowanrail.gateway.operation import Operation, Stage, busy
+from rowanrail.gateway.operation import Operation, Stage
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.statement import LATE, busy
 from rowanrail.proxy.backend import ORIGIN, Position
+from rowanrail.scheduling.admission import Cause
 
 READ_ATTEMPTS = 6  # twice each of three members
 ERROR_ATTEMPTS = 3  # members that may fail a read before the client is told
@@ -59,7 +62,7 @@
             self.attempts = 0
             self.retry_later(self._need_floor, busy("no member can serve the read"))
             return
-        if not self.has_place(pool):
+        if not self.may_wait_at(pool):
             roomy = self.roomier(self.excluded)
             if roomy is None:
                 self.refuse_crowded(pool)
@@ -89,6 +92,16 @@
             self.excluded.add(self.pool.record.instance)
         self._choose()
 
+    def try_roomier(self, pool: MemberPool) -> bool:
+        """See :meth:`Operation.try_roomier`."""
+        roomy = self.roomier(self.excluded | {pool.record.instance})
+        if roomy is None:
+            return False
+        self.leave_line()
+        if not (self.service.is_far(roomy) and self._go_home()):
+            self.acquire(roomy, self._with_channel)
+        return True
+
     def _answered(self, answer: Answer) -> None:
         self.end_attempt()
         if self.respond is None:
@@ -140,7 +153,7 @@
         primary = self.service.primary_pool()
         if primary is not None and primary.record.instance not in self.excluded:
             self.attempts += 1
-            if self.has_place(primary):
+            if self.may_wait_at(primary):
                 self.acquire(primary, self._with_channel)
             else:
                 self.refuse_crowded(primary)
@@ -150,7 +163,8 @@
     def on_timeout(self) -> None:
         """See :meth:`Operation.on_timeout`. A read that was sent may still run."""
         self.service.primary.forget(self._with_floor)
-        sent = self.channel is not None
-        refusal = Refusal.TIMEOUT if sent else Refusal.BUSY
-        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        if self.channel is None:
+            self.turn_away(Cause.NO_PLACE, LATE)
+            return
+        self.finish(Answer(refusal=Refusal.TIMEOUT, message=LATE))
         self.discard()
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -3,7 +3,9 @@
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.freshness import note_commit
 from rowanrail.gateway.model import Answer, Refusal, TypedStatement
-from rowanrail.gateway.operation import Operation, Stage, busy
+from rowanrail.gateway.operation import Operation, Stage
+from rowanrail.gateway.statement import LATE, busy
+from rowanrail.scheduling.admission import Cause
 
 
 class LoneWrite(Operation):
@@ -28,7 +30,7 @@
             self.service.primary.prefetch()
             self.retry_later(self._find_primary, busy("no primary is known"))
             return
-        if not self.has_place(pool):
+        if not self.may_wait_at(pool):
             self.refuse_crowded(pool)
             return
         self.acquire(pool, self._with_channel)
@@ -70,7 +72,8 @@
 
     def on_timeout(self) -> None:
         """See :meth:`Operation.on_timeout`."""
-        sent = self.channel is not None
-        refusal = Refusal.OUTCOME_UNKNOWN if sent else Refusal.BUSY
-        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        if self.channel is None:
+            self.turn_away(Cause.NO_PLACE, LATE)
+            return
+        self.finish(Answer(refusal=Refusal.OUTCOME_UNKNOWN, message=LATE))
         self.discard()
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -1,4 +1,4 @@
-"""What all kinds of work of a session share: a deadline, a connection, one final answer.
+"""What all kinds of work of a session share: a connection, a place in line, other gateways.
 
 What a refusal promises is decided here and in the kinds of work: nothing that may have run
 is called "not run".
@@ -7,15 +7,12 @@
 import enum
 from collections.abc import Callable
 
-import msgspec
-
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.clock import Clock, Timer
 from rowanrail.gateway.model import (
     Answer,
     Command,
     CommandKind,
-    Refusal,
     Route,
     StatementKind,
     Trace,
@@ -24,17 +21,20 @@
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import PreparedNames, SessionValues
+from rowanrail.gateway.statement import PRIMARY_RETURN_MS, Statement, busy
 from rowanrail.gateway.waiting_line import Waiter
 from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 from rowanrail.proxy.backend import Position
+from rowanrail.scheduling.admission import (
+    Admit,
+    Cause,
+    judge_arriving,
+    judge_waiting,
+    next_look,
+)
 from rowanrail.scheduling.queue import Entry
+from rowanrail.scheduling.returning import return_base
 
-HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
-RETRY_SECONDS = 0.02  # about a round trip inside a region
-SHORTEST_SECONDS = 0.001  # a statement that is out of time still gets its answer
-ADMISSION_SHARE = 0.5  # of the objective: who would wait longer for a connection is refused
-# Told to clients that are refused; about the time of a backlog after a restart.
-COME_BACK_SECONDS = 0.5
 READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
 READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
 MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
@@ -52,8 +52,8 @@
     SENT = "sent"
 
 
-class Operation:
-    """What all kinds of work share: a deadline, a connection, and one final answer."""
+class Operation(Statement):
+    """What all kinds of work share: a connection for a statement, or for a transaction."""
 
     def __init__(
         self,
@@ -63,20 +63,15 @@
         names: PreparedNames,
         clock: Clock,
     ) -> None:
-        self.service = service
-        self.route = route
-        self.session = session
+        super().__init__(service, route, session, clock)
         self.names = names
-        self.clock = clock
         self.channel: Channel | None = None
         self.pool: MemberPool | None = None
         self.attempts = 0
-        self.timer: Timer | None = None
-        self.hold_timer: Timer | None = None
         self.attempt_timer: Timer | None = None
+        self.look_timer: Timer | None = None
         self.waiter: Waiter | None = None
-        self.respond: Respond | None = None
-        self.arrived_at = 0.0
+        self._expected_wait = 0.0  # ms, forecast when it began to wait
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
@@ -100,27 +95,13 @@
             primary=tracker.believed,
             primary_failing_for=round(now - failing, 3) if failing else 0.0,
             sample_age=round(now - tracker.sample.asked_at, 3) if tracker.sample else None,
+            rejection=self.rejection,
         )
 
-    # Time
-
-    @property
-    def tenant(self) -> str:
-        """On whose connection it runs."""
-        return self.session.identity.tenant
-
     def begin_statement(self, respond: Respond) -> None:
-        """Take a statement and start its clock."""
-        self.respond = respond
-        self.arrived_at = self.clock.time()
+        """See :meth:`Statement.begin_statement`."""
         self.attempts = 0
-        self.timer = self.clock.call_later(self.route.timeout_seconds, self.on_timeout)
-        hold_seconds = HOLD_SHARE * self.route.objective_seconds
-        self.hold_timer = self.clock.call_later(hold_seconds, self.on_hold)
-
-    def on_timeout(self) -> None:
-        """Answer at the end of the statement's time."""
-        raise NotImplementedError
+        super().begin_statement(respond)
 
     def on_hold(self) -> None:
         """Refuse what nobody could run so far if the primary is lost, or has no connection left."""
@@ -129,56 +110,23 @@
             return
         tracker.forget(self.floor_callback())
         state = "is lost" if tracker.failing_since else "has no connection left"
-        self.finish(busy(f"the primary {state}; retry in 1 s"))
+        self.turn_away(Cause.NO_PRIMARY, f"the primary {state}", PRIMARY_RETURN_MS)
 
     def floor_callback(self) -> Callable[[Position | None], None] | None:
         """Return what waits for a sample of the primary, if anything does."""
         return None
 
-    @property
-    def hold_until(self) -> float:
-        """Moment after which a statement that no member could run is refused."""
-        return self.arrived_at + HOLD_SHARE * self.route.objective_seconds
-
-    def retry_later(self, function: Callable[[], None], answer: Answer) -> None:
-        """Try again in a moment, or give the refusal if the time to hold is over."""
-        if self.clock.time() + RETRY_SECONDS > self.hold_until:
-            self.finish(answer)
-            return
-
-        def again() -> None:
-            if self.respond is not None:
-                function()
-
-        self.clock.call_later(RETRY_SECONDS, again)
-
-    def route_left(self) -> Route:
-        """Return the route with the time that is left of the statement's."""
-        waited = self.clock.time() - self.arrived_at
-        return msgspec.structs.replace(
-            self.route,
-            timeout_seconds=max(SHORTEST_SECONDS, self.route.timeout_seconds - waited),
-            objective_seconds=max(SHORTEST_SECONDS, self.route.objective_seconds - waited),
-        )
-
     def stop_timers(self) -> None:
-        """Forget the statement's time: it has its answer, or somebody else minds it."""
-        for timer in (self.timer, self.hold_timer, self.attempt_timer):
-            if timer is not None:
-                timer.cancel()
-        self.timer = self.hold_timer = self.attempt_timer = None
-
-    def finish(self, answer: Answer) -> None:
-        """Give the statement's answer, once."""
-        respond, self.respond = self.respond, None
-        self.stop_timers()
-        if self.away is not None and respond is not None:
+        """See :meth:`Statement.stop_timers`."""
+        super().stop_timers()
+        self.end_attempt()
+        self._end_looks()
+
+    def let_go(self, answer: Answer) -> None:
+        """See :meth:`Statement.let_go`."""
+        if self.away is not None:
             self.away.finish(answer)  # nothing, if the answer is its own
-        if self.waiter is not None and self.pool is not None:
-            self.pool.cancel(self.waiter)
-            self.waiter = None
-        if respond is not None:
-            respond(answer)
+        self.leave_line()
 
     def hand_over(self, statement: TypedStatement, writes: bool) -> bool:
         """Have a gateway that reaches the primary run a statement of which nothing was sent.
@@ -247,8 +195,7 @@
         if self.channel is not None:
             self.channel.close()  # answers as lost what is outstanding, which goes elsewhere
         elif self.waiter is not None:
-            self.pool.cancel(self.waiter)
-            self.waiter = None
+            self.leave_line()
             self.try_next_member()
 
     def try_next_member(self) -> None:
@@ -261,6 +208,8 @@
         """Ask a pool for a connection."""
 
         def respond(channel: Channel | None, answer: Answer) -> None:
+            if channel is not None and self.waiter is not None:
+                self._note_waited(pool, is_over=True)
             self.waiter = None
             if channel is not None and self.respond is None:
                 pool.release(channel)
@@ -276,35 +225,85 @@
         self.member = pool.record.instance
         waiter = Waiter(self.entry(), self.session.values, respond)
         self.waiter = waiter
+        self._expected_wait = 0.0
         pool.acquire(waiter)
+        if self.waiter is waiter:
+            forecast = pool.forecast(waiter.entry)
+            self._expected_wait = forecast.wait
+            self._look_later(forecast.run)
+
+    def leave_line(self) -> None:
+        """Wait no longer for a connection."""
+        waiter, self.waiter = self.waiter, None
+        if waiter is not None and self.pool is not None:
+            self.pool.cancel(waiter)
 
     def entry(self) -> Entry:
         """Return how the statement stands among those that want a connection."""
         deadline = self.arrived_at + self.route.timeout_seconds
         return Entry(
-            self.route.priority, self.tenant, self.arrived_at * 1000, deadline=deadline * 1000
+            self.route.priority,
+            self.tenant,
+            self.arrived_at * 1000,
+            deadline=deadline * 1000,
+            returned=self.session.returned,
         )
 
-    def has_place(self, pool: MemberPool) -> bool:
-        """Return whether a connection can be had while the statement can still be in time."""
-        waited = self.clock.time() - self.arrived_at
-        left = ADMISSION_SHARE * self.route.objective_seconds - waited
-        return pool.expected_wait_seconds <= max(0.0, left)
+    # Admission
+
+    def may_wait_at(self, pool: MemberPool) -> bool:
+        """Return whether the statement can still be served at a member."""
+        forecast, certain = pool.forecast(self.entry()), pool.forecast_error.certain_share
+        verdict = judge_arriving(forecast, self.time_left, self.time_given, certain)
+        return isinstance(verdict, Admit)
 
     def roomier(self, excluded: set[str]) -> MemberPool | None:
-        """Return the member for a read among those where a connection can be had in time."""
+        """Return the member for a read among those where it can still be served."""
         pools = self.service.pools.items()
-        crowded = {instance for instance, pool in pools if not self.has_place(pool)}
+        crowded = {instance for instance, pool in pools if not self.may_wait_at(pool)}
         return self.service.choose(excluded | crowded)
 
-    def refuse_crowded(self, pool: MemberPool) -> None:
+    def refuse_crowded(self, pool: MemberPool, cause: Cause = Cause.CROWDED) -> None:
         """Refuse, as not run, since all connections are in use for too long."""
         self.member = pool.record.instance
         self.stage = Stage.WAITS_FOR_CONNECTION
-        wait = pool.expected_wait_seconds * 1000
-        self.finish(
-            busy(f"{self.member} is crowded for {wait:.0f} ms; retry in {COME_BACK_SECONDS} s")
-        )
+        forecast = pool.forecast(self.entry())
+        reason = f"{self.member} is crowded for {forecast.wait:.0f} ms"
+        self.turn_away(cause, reason, return_base(forecast.wait, self.time_given), forecast)
+
+    def _look_later(self, run: float) -> None:
+        """Judge the statement again after a while, if it waits then."""
+        self._end_looks()
+        if self.waiter is not None:
+            seconds = next_look(self.time_left, run, self.time_given) / 1000
+            self.look_timer = self.clock.call_later(seconds, self._look_again)
+
+    def _end_looks(self) -> None:
+        timer, self.look_timer = self.look_timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def _look_again(self) -> None:
+        self.look_timer = None
+        pool, waiter = self.pool, self.waiter
+        if pool is None or waiter is None:
+            return
+        forecast, certain = pool.forecast(waiter.entry), pool.forecast_error.certain_share
+        if isinstance(judge_waiting(forecast, self.time_left, self.time_given, certain), Admit):
+            self._look_later(forecast.run)
+            return
+        self._note_waited(pool, is_over=False)
+        if not self.try_roomier(pool):
+            self.refuse_crowded(pool, Cause.HOPELESS)
+
+    def _note_waited(self, pool: MemberPool, is_over: bool) -> None:
+        if self.waiter is not None:
+            waited = (self.clock.time() - self.waiter.since) * 1000
+            pool.forecast_error.note(self._expected_wait, waited, is_over)
+
+    def try_roomier(self, pool: MemberPool) -> bool:
+        """Leave the line of a member for another one that has room; return whether it did."""
+        return False
 
     def on_channel_closed(self, channel: Channel) -> None:
         """Note that the connection is gone; outstanding commands learn it by their answers."""
@@ -355,8 +354,3 @@
         self.sent_at = self.clock.time()
         self.stage = Stage.SENT
         channel.send(commands, [check] * (len(commands) - 1) + [respond])
-
-
-def busy(message: str) -> Answer:
-    """Return the refusal of a statement that was not run for want of a place."""
-    return Answer(refusal=Refusal.BUSY, message=message)
--- /dev/null
+++ b/src/rowanrail/gateway/outcomes.py
@@ -0,0 +1,73 @@
+"""What becomes of clients' statements: the log, the metrics, and who will come back."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from rowanrail.gateway.access import Access
+from rowanrail.gateway.events import ANSWERED, REFUSED
+from rowanrail.gateway.model import Answer, Refusal, Rejection, Trace, TypedStatement
+from rowanrail.gateway.operation import Stage
+from rowanrail.gateway.session import Session
+from rowanrail.gateway.work_port import SingleStatement, WorkInTransaction
+from rowanrail.kernel.decisions import DecisionLog
+
+__all__ = ["Outcomes"]
+
+
+class Outcomes:
+    """Notes the answer of each statement.
+
+    Parameters
+    ----------
+    decisions : DecisionLog
+        Gets a line for each answer that a member gave, and for each refusal.
+    access : Access
+        Knows the version in force, and remembers who was turned away.
+    """
+
+    def __init__(self, decisions: DecisionLog, access: Access) -> None:
+        self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
+        self._decisions = decisions
+        self._access = access
+
+    def note(
+        self,
+        session: Session,
+        statement: TypedStatement,
+        answer: Answer,
+        seconds: float,
+        operation: SingleStatement | WorkInTransaction | None,
+    ) -> None:
+        """See :meth:`rowanrail.gateway.session.SessionHost.note_outcome`."""
+        outcome = answer.refusal.value if answer.refusal else "done"
+        if answer.refusal is None and not answer.signature:
+            return  # answered by the proxy itself; nothing was decided
+        trace = None if operation is None else operation.trace()
+        stage = trace.stage if trace is not None else Stage.ACCEPTED.value
+        self.on_outcome(statement.kind.value, outcome, stage, seconds)
+        if answer.refusal is Refusal.BUSY and trace is not None:
+            self._access.note_turned_away(session, trace.rejection)
+        self._decisions.note(
+            ANSWERED if answer.refusal is None else REFUSED,
+            request=statement.request_id,
+            session=session.label,
+            tenant=session.identity.tenant,
+            database=session.database,
+            kind=statement.kind.value,
+            outcome=outcome,
+            reason=answer.message,
+            milliseconds=round(seconds * 1000, 1),
+            version=self._access.version,
+            **_fields(trace),
+        )
+
+
+def _fields(trace: Trace | None) -> dict[str, Any]:
+    """Return what is logged of a trace; a rejection's fields stand beside the others."""
+    if trace is None:
+        return {}
+    fields = msgspec.structs.asdict(trace)
+    rejection: Rejection | None = fields.pop("rejection")
+    return fields if rejection is None else fields | msgspec.structs.asdict(rejection)
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -10,7 +10,7 @@
 from rowanrail.gateway.idle_channels import IdleChannels
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.waiting_line import Waiter, WaitingLine
-from rowanrail.scheduling.admission import Forecast
+from rowanrail.scheduling.admission import Forecast, ForecastError
 from rowanrail.scheduling.queue import Entry
 
 # A failed connection is tried again after twice this; chosen, not measured apart.
@@ -65,6 +65,7 @@
         self.limit = limit
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.failing_until = 0.0
+        self.forecast_error = ForecastError()
         self.leased = 0
         self._lease_seconds = INITIAL_LATENCY_SECONDS
         self._opening_seconds = INITIAL_OPENING_SECONDS
@@ -129,17 +130,25 @@
     @property
     def expected_wait_seconds(self) -> float:
         """About how long somebody who comes now waits for a connection."""
+        return self._wait_behind(len(self._waiting))
+
+    def _wait_behind(self, waiting: int) -> float:
         allowed = self._allowed()
         # A connection that is being opened is for somebody who waits already.
-        ahead = len(self._waiting) - (allowed - self.established)
+        ahead = waiting - (allowed - self.established)
         if self._idle or ahead < 0:
             return 0.0
-        return (ahead + 1) * self._lease_seconds / max(1, allowed, self.open_count)
+        return (ahead + 1) * self._interval_seconds
+
+    @property
+    def _interval_seconds(self) -> float:
+        return self._lease_seconds / max(1, self._allowed(), self.open_count)
 
     def forecast(self, entry: Entry) -> Forecast:
-        """Return what a statement that comes now can expect here."""
-        wait = self.expected_wait_seconds
-        return Forecast(wait * 1000, self.latency_seconds * 1000, has_room=not wait)
+        """Return what a statement that comes now, or waits already, can expect here."""
+        wait = self._wait_behind(self._waiting.count_before(entry)) * 1000
+        run, interval = self.latency_seconds * 1000, self._interval_seconds * 1000
+        return Forecast(wait, run, has_room=not wait, interval=interval)
 
     def acquire(self, waiter: Waiter) -> None:
         """Give the waiter a connection now or later, or a refusal."""
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -8,7 +8,9 @@
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
+from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.relay.placement import Part, Population, connection_limit, is_shared
+from rowanrail.scheduling.returning import ReturnTimes
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
 PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
@@ -35,6 +37,7 @@
         self.primary.lender = self
         self.pools: dict[str, MemberPool] = {}
         self.used_at = -IN_USE_SECONDS
+        self.returns = ReturnTimes(MillisecondClock(clock))
         self._locality = locality
         self._driver = driver
         self._clock = clock
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -36,6 +36,9 @@
     def refuse_over_quota(self, session: "Session") -> Answer | None:
         """Count an operation of a session's tenant, or return why it may not begin now."""
 
+    def has_returned(self, session: "Session") -> bool:
+        """Return whether a session's client was turned away and comes back as it was told."""
+
     def note_not_run(self, session: "Session") -> None:
         """Count an operation no longer: nothing of it reached a member."""
 
@@ -221,6 +224,7 @@
         if over is not None:
             self._finish(over)
             return
+        self.values.returned = self._host.has_returned(self)
         route, work = found
         read_only = statement.kind is StatementKind.BEGIN_READ
         self._transaction = work.transaction(route, self.values, read_only)
@@ -243,6 +247,7 @@
         if over is not None:
             self._finish(over)
             return
+        self.values.returned = self._host.has_returned(self)
         route, work = found
         operation = work.single(route, self.values, is_write(statement, self.values))
         self._operation = operation
--- a/src/rowanrail/gateway/session_values.py
+++ b/src/rowanrail/gateway/session_values.py
@@ -9,16 +9,18 @@
 class SessionValues:
     """What a session set: values and prepared names, which hold until it ends.
 
-    Its identity says on whose connections its statements run.
+    Its identity says on whose connections its statements run. ``returned`` says whether its client
+    was turned away a moment ago and has come back as it was told.
     """
 
-    __slots__ = ("floors", "identity", "prepared", "values")
+    __slots__ = ("floors", "identity", "prepared", "returned", "values")
 
     def __init__(self, identity: Identity = Identity()) -> None:  # noqa: B008 - it is frozen
         self.identity = identity
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[bool, str]] = {}
         self.floors: dict[str, Position] = {}
+        self.returned = False
 
 
 class PreparedNames:
--- /dev/null
+++ b/src/rowanrail/gateway/statement.py
@@ -0,0 +1,185 @@
+"""One statement of a client: its time, its one answer, and what a refusal tells its client."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.gateway.channel import Respond
+from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.model import Answer, Refusal, Rejection, Route
+from rowanrail.gateway.service import Service
+from rowanrail.gateway.session_values import SessionValues
+from rowanrail.scheduling.admission import Cause, Forecast
+from rowanrail.scheduling.returning import SHORTEST_RETURN_MS
+
+__all__ = ["HOLD_SHARE", "LATE", "RETRY_SECONDS", "Statement", "busy", "rejection"]
+
+HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
+RETRY_SECONDS = 0.02  # about a round trip inside a region
+SHORTEST_SECONDS = 0.001  # a statement that is out of time still gets its answer
+# Milliseconds, told to clients while a primary is lost: about what is left of finding and
+# promoting a successor after they have been held.
+PRIMARY_RETURN_MS = 1000.0
+LATE = "no answer in time"
+UNKNOWN = Forecast(0.0, 0.0)  # of no member
+
+
+class Statement:
+    """The time of a statement, and its one answer.
+
+    Parameters
+    ----------
+    service : Service
+        At whose members it runs.
+    route : Route
+        Says how much time it has.
+    session : SessionValues
+        Of its client.
+    clock : Clock
+        Time and timers.
+    """
+
+    def __init__(
+        self, service: Service, route: Route, session: SessionValues, clock: Clock
+    ) -> None:
+        self.service = service
+        self.route = route
+        self.session = session
+        self.clock = clock
+        self.timer: Timer | None = None
+        self.hold_timer: Timer | None = None
+        self.respond: Respond | None = None
+        self.arrived_at = 0.0
+        self.rejection: Rejection | None = None
+
+    @property
+    def tenant(self) -> str:
+        """On whose connection it runs."""
+        return self.session.identity.tenant
+
+    @property
+    def hold_until(self) -> float:
+        """Moment after which a statement that no member could run is refused."""
+        return self.arrived_at + HOLD_SHARE * self.route.objective_seconds
+
+    @property
+    def time_given(self) -> float:
+        """Milliseconds that the statement was given."""
+        return self.route.timeout_seconds * 1000
+
+    @property
+    def time_left(self) -> float:
+        """Milliseconds until the statement's time is over."""
+        return self.time_given - (self.clock.time() - self.arrived_at) * 1000
+
+    def begin_statement(self, respond: Respond) -> None:
+        """Take a statement and start its clock."""
+        self.respond = respond
+        self.arrived_at = self.clock.time()
+        self.rejection = None
+        self.timer = self.clock.call_later(self.route.timeout_seconds, self.on_timeout)
+        hold_seconds = HOLD_SHARE * self.route.objective_seconds
+        self.hold_timer = self.clock.call_later(hold_seconds, self.on_hold)
+
+    def on_timeout(self) -> None:
+        """Answer at the end of the statement's time."""
+        raise NotImplementedError
+
+    def on_hold(self) -> None:
+        """Refuse what nobody could run so far, if nobody will soon."""
+        raise NotImplementedError
+
+    def route_left(self) -> Route:
+        """Return the route with the time that is left of the statement's."""
+        waited = self.clock.time() - self.arrived_at
+        return msgspec.structs.replace(
+            self.route,
+            timeout_seconds=max(SHORTEST_SECONDS, self.route.timeout_seconds - waited),
+            objective_seconds=max(SHORTEST_SECONDS, self.route.objective_seconds - waited),
+        )
+
+    def retry_later(self, function: Callable[[], None], answer: Answer) -> None:
+        """Try again in a moment, or give the refusal if the time to hold is over."""
+        if self.clock.time() + RETRY_SECONDS > self.hold_until:
+            self._refuse_unplaced(answer)
+            return
+
+        def again() -> None:
+            if self.respond is not None:
+                function()
+
+        self.clock.call_later(RETRY_SECONDS, again)
+
+    def _refuse_unplaced(self, answer: Answer) -> None:
+        """Give a refusal at the end of the time to hold; one as busy tells when to come back."""
+        tracker = self.service.primary
+        if answer.refusal is not Refusal.BUSY:
+            self.finish(answer)
+        elif tracker.failing_since or not tracker.believed:
+            self.turn_away(Cause.NO_PRIMARY, answer.message, PRIMARY_RETURN_MS)
+        else:
+            self.turn_away(Cause.NO_PLACE, answer.message)
+
+    def turn_away(
+        self, cause: Cause, reason: str, base: float = 0.0, forecast: Forecast = UNKNOWN
+    ) -> None:
+        """Refuse, as not run, and tell the client its place among those who come back.
+
+        Parameters
+        ----------
+        base : float
+            Milliseconds until the first of them is welcome.
+        """
+        told = self.service.returns.next(max(base, SHORTEST_RETURN_MS), forecast.interval)
+        self.rejection = rejection(cause, forecast, self.time_left, self.route.priority, told)
+        self.finish(busy(reason, told))
+
+    def stop_timers(self) -> None:
+        """Forget the statement's time: it has its answer, or somebody else minds it."""
+        for timer in (self.timer, self.hold_timer):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.hold_timer = None
+
+    def finish(self, answer: Answer) -> None:
+        """Give the statement's answer, once."""
+        respond, self.respond = self.respond, None
+        self.stop_timers()
+        if respond is not None:
+            self.let_go(answer)
+            respond(answer)
+
+    def let_go(self, answer: Answer) -> None:
+        """Give up what was asked of others: the statement has its answer."""
+
+
+def busy(message: str, return_in: float | None = None) -> Answer:
+    """Return the refusal of a statement that was not run for want of a place.
+
+    Parameters
+    ----------
+    return_in : float or None
+        Milliseconds after which the client had better come back.
+
+    Examples
+    --------
+    >>> busy("m1 is crowded for 900 ms", 350).message
+    'm1 is crowded for 900 ms; retry in 0.35 s'
+    """
+    if return_in is not None:
+        message = f"{message or 'busy'}; retry in {return_in / 1000:.2f} s"
+    return Answer(refusal=Refusal.BUSY, message=message)
+
+
+def rejection(
+    cause: Cause, forecast: Forecast, left: float, urgency: int, return_in: float
+) -> Rejection:
+    """Return what is logged of a statement that is turned away; times in milliseconds."""
+    return Rejection(
+        cause.value,
+        round(forecast.wait),
+        round(forecast.run),
+        round(left),
+        urgency,
+        round(return_in),
+    )
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -16,7 +16,8 @@
     StatementKind,
     TypedStatement,
 )
-from rowanrail.gateway.operation import RETRY_SECONDS, Operation, Stage, busy
+from rowanrail.gateway.operation import Operation, Stage
+from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import (
     PreparedNames,
@@ -24,8 +25,10 @@
     is_write,
     replay_in_transaction,
 )
+from rowanrail.gateway.statement import LATE, RETRY_SECONDS, busy
 from rowanrail.gateway.work_port import Work, WorkInTransaction
 from rowanrail.proxy.backend import ORIGIN, Position
+from rowanrail.scheduling.admission import Cause
 
 BUSY_RETRIES = 3  # after 20, 40 and 60 ms, when slots have come free
 
@@ -108,7 +111,7 @@
             self._excluded.clear()
             self.retry_later(self._begin, busy("no member can serve the transaction"))
             return
-        roomy = pool if self.has_place(pool) else self.roomier(self._excluded)
+        roomy = pool if self.may_wait_at(pool) else self.roomier(self._excluded)
         if roomy is None:
             self.refuse_crowded(pool)
             return
@@ -133,7 +136,7 @@
             self.service.primary.prefetch()
             self.retry_later(self._begin, busy("no primary is known"))
             return
-        if not self.has_place(pool):
+        if not self.may_wait_at(pool):
             self.refuse_crowded(pool)
             return
         self._floor = None
@@ -182,6 +185,15 @@
         self._exclude_member()
         self._begin()
 
+    def try_roomier(self, pool: MemberPool) -> bool:
+        """See :meth:`Operation.try_roomier`."""
+        roomy = self.roomier(self._excluded | {pool.record.instance}) if self.read_only else None
+        if roomy is None or self.service.is_far(roomy):
+            return False
+        self.leave_line()
+        self.acquire(roomy, self._with_channel)
+        return True
+
     def _begin_answered(self, answer: Answer) -> None:
         assert self.pool is not None
         self.end_attempt()
@@ -335,13 +347,11 @@
     def on_timeout(self) -> None:
         """See :meth:`Operation.on_timeout`."""
         self.service.primary.forget(self._with_floor)
-        committing = self.statement.kind is StatementKind.COMMIT and self.channel is not None
-        if committing and self.wrote:
-            refusal = Refusal.OUTCOME_UNKNOWN
-        elif self.channel is not None:
-            refusal = Refusal.ABORTED
-        else:
-            refusal = Refusal.BUSY
         self.failed = True
-        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        if self.channel is None:
+            self.turn_away(Cause.NO_PLACE, LATE)
+            return
+        committing = self.statement.kind is StatementKind.COMMIT
+        refusal = Refusal.OUTCOME_UNKNOWN if committing and self.wrote else Refusal.ABORTED
+        self.finish(Answer(refusal=refusal, message=LATE))
         self.discard()
--- a/src/rowanrail/gateway/waiting_line.py
+++ b/src/rowanrail/gateway/waiting_line.py
@@ -59,6 +59,15 @@
     def __iter__(self) -> Iterator[Waiter]:
         return (entry[2] for entry in self._entries)
 
+    def count_before(self, entry: Entry) -> int:
+        """Return how many stand before one that waits, or would if it came now."""
+        count = 0
+        for waiter in self:
+            if waiter.entry is entry or waiter.priority > entry.urgency:
+                break
+            count += 1
+        return count
+
     def add(self, waiter: Waiter) -> None:
         """Put somebody behind all that are as urgent."""
         self._arrivals += 1
--- a/src/rowanrail/kernel/metrics.py
+++ b/src/rowanrail/kernel/metrics.py
@@ -10,6 +10,8 @@
 from rowanrail.kernel.http import HttpRequest, HttpResponse, HttpServer, error_response, serve
 
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+RETURN_BUCKETS_SECONDS = (0.1, 0.2, 0.4, 0.8, 1.6, 3.0, 6.0)
+LEAST_URGENT = 3  # in labels; stands for all that are less urgent, so that their number is bounded
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
 Reading = tuple[str, dict[str, str], float]
@@ -43,6 +45,25 @@
             registry=self._registry,
         )
 
+        self._rejections = Counter(
+            f"{prefix}_turned_away",
+            "Statements refused as not run, by cause and urgency of their route",
+            ["cause", "urgency"],
+            registry=self._registry,
+        )
+        self._returns = Histogram(
+            f"{prefix}_return_seconds",
+            "Time after which clients were told to come back, by cause",
+            ["cause"],
+            buckets=RETURN_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+
+    def note_rejection(self, cause: str, urgency: int, return_in: float) -> None:
+        """Count a statement that was turned away; its client was told ``return_in`` ms."""
+        self._rejections.labels(cause, str(min(max(urgency, 0), LEAST_URGENT))).inc()
+        self._returns.labels(cause).observe(return_in / 1000)
+
     def note_statement(self, kind: str, outcome: str, stage: str, seconds: float) -> None:
         """Count a statement; ``stage`` says how far it came."""
         self._outcomes.labels(kind, outcome, stage).inc()
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -12,9 +12,10 @@
 
 from rowanrail.gateway.channel import Respond
 from rowanrail.gateway.model import Answer, Refusal, Route, StatementKind, Trace, TypedStatement
-from rowanrail.gateway.operation import HOLD_SHARE, Stage, busy
+from rowanrail.gateway.operation import Stage
 from rowanrail.gateway.policies import LinkOutcome
 from rowanrail.gateway.session_values import SessionValues, is_write
+from rowanrail.gateway.statement import HOLD_SHARE, LATE, busy
 from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
 from rowanrail.kernel.clock import Clock, Timer
 from rowanrail.relay.link import Counted, Link, Lost, Outcome, Refused, Replied, Told
@@ -26,7 +27,6 @@
 __all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork"]
 
 RETRY_MS = 10.0  # a link inside a zone opens within it
-LATE = "no answer in time"
 
 
 class Placement(Protocol):
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -1,8 +1,63 @@
-"""Whether a statement that comes, or waits, can still be served in its time."""
+"""Whether a statement that comes, or waits, can still be served in its time.
 
+A refusal costs its client one of a few tries, so that nothing is refused that may still be served:
+never while room is free, and never for a late answer alone, only if the answer would come after the
+statement's time is over. What can't be served is refused as soon as that is known.
+"""
+
+import enum
 from dataclasses import dataclass
 
-__all__ = ["Admit", "Forecast", "Reject", "Verdict"]
+from rowanrail.scheduling.returning import return_base
+
+__all__ = [
+    "Admit",
+    "Cause",
+    "Forecast",
+    "ForecastError",
+    "Reject",
+    "Verdict",
+    "judge_arriving",
+    "judge_sending",
+    "judge_waiting",
+    "next_look",
+]
+
+# Of a forecast wait is taken as certain before it is known how far forecasts are out: the mean
+# length of the last ten leases is off by a third when lengths vary as much as their mean, and some
+# of those ahead leave unserved.
+CERTAIN_SHARE = 0.6
+# Bounds of what is taken as certain: forecasts that hold are believed whole, and one that was far
+# out refuses nobody who would wait less than half of it.
+LEAST_CERTAIN, MOST_CERTAIN = 0.5, 1.5
+NOTED_MS = 50.0  # shorter forecasts say little: one long lease among two makes them wrong
+MOST_RATIO = 4.0  # of a wait to its forecast; one that was never served would count without bound
+ERROR_WEIGHT = 0.1  # of the newest wait in the moving averages, about the last ten count
+# Usual times that must be left of a statement which has waited: nineteen of twenty answers take
+# less, if their times vary as much as their mean. A write that comes late is in doubt, which costs
+# its client more than a refusal.
+LEFT_RUNS = 3
+# Milliseconds that must be left at the least: the shortest statement and its way inside a region.
+SHORTEST_RUN_MS = 10.0
+# Of the time given. A member that is slow for the moment may be faster for the next statement, so
+# that its usual time is held against a statement only when little is left.
+LAST_SHARE = 0.1
+# Of the time left passes between two looks at a statement that waits: eight looks in 800 ms.
+LOOK_SHARE = 0.25
+LOOK_MS = 50.0  # at the least; a tenth of the strictest objective that callers asked for so far
+SHORTEST_LOOK_MS = 1.0  # so that time passes between two looks
+
+
+class Cause(enum.Enum):
+    """Why a statement was turned away; a bounded set, for logs and metrics."""
+
+    CROWDED = "crowded"
+    HOPELESS = "hopeless"
+    HOLDER_CROWDED = "holder-crowded"
+    WAY_TOO_LONG = "way-too-long"
+    NO_PRIMARY = "no-primary"
+    NO_PLACE = "no-place"
+    TENANT_LIMIT = "tenant-limit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,11 +72,14 @@
         Milliseconds from then to its answer.
     has_room : bool
         Whether it could be sent at once; nothing is refused while that is so.
+    interval : float
+        Milliseconds after which the line of those who wait goes on by one; 0 if nobody knows.
     """
 
     wait: float
     run: float
     has_room: bool = False
+    interval: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,14 +93,170 @@
 
     Parameters
     ----------
-    reason : str
-        For the client and the log.
+    cause : Cause
+        For the client, the log and the metrics.
     return_in : float
-        Milliseconds after which its client had better come back.
+        Milliseconds after which its client had better come back, not spread yet.
     """
 
-    reason: str
+    cause: Cause
     return_in: float
 
 
 Verdict = Admit | Reject
+
+
+class ForecastError:
+    """How far the forecasts of one member are out: the mean of wait over forecast, and its spread.
+
+    Both are moving averages, as of round trips in TCP; what is certain is the mean without the
+    deviation.
+
+    Examples
+    --------
+    >>> error = ForecastError()
+    >>> error.certain_share
+    0.6
+    >>> for _ in range(30):
+    ...     error.note(forecast=400, waited=400)
+    >>> round(error.certain_share, 2)
+    0.98
+    """
+
+    __slots__ = ("_deviation", "_mean")
+
+    def __init__(self) -> None:
+        self._mean = 1.0
+        self._deviation = 1.0 - CERTAIN_SHARE
+
+    @property
+    def certain_share(self) -> float:
+        """Of a forecast wait is at least waited."""
+        return min(MOST_CERTAIN, max(LEAST_CERTAIN, self._mean - self._deviation))
+
+    def note(self, forecast: float, waited: float, is_over: bool = True) -> None:
+        """Take how long a statement waited for which a wait was forecast, in milliseconds.
+
+        Parameters
+        ----------
+        is_over : bool
+            Whether it got what it waited for; else it would have waited longer.
+        """
+        if forecast < NOTED_MS or not (is_over or waited > forecast):
+            return
+        ratio = min(MOST_RATIO, waited / forecast)
+        self._deviation += ERROR_WEIGHT * (abs(ratio - self._mean) - self._deviation)
+        self._mean += ERROR_WEIGHT * (ratio - self._mean)
+
+
+def judge_arriving(
+    forecast: Forecast, left: float, whole: float, certain: float = CERTAIN_SHARE
+) -> Verdict:
+    """Judge a statement that comes.
+
+    Parameters
+    ----------
+    forecast : Forecast
+        What it can expect.
+    left : float
+        Milliseconds until its time is over.
+    whole : float
+        Milliseconds that it was given, and would be given again.
+    certain : float
+        See :attr:`ForecastError.certain_share`.
+
+    Returns
+    -------
+    Admit or Reject
+
+    Examples
+    --------
+    >>> judge_arriving(Forecast(wait=900, run=10), left=800, whole=800)
+    Admit()
+    >>> judge_arriving(Forecast(wait=1400, run=10), left=800, whole=800)
+    Reject(cause=<Cause.CROWDED: 'crowded'>, return_in=1000.0)
+
+    Nothing is refused while room is free:
+
+    >>> judge_arriving(Forecast(wait=0, run=1000, has_room=True), left=800, whole=800)
+    Admit()
+    """
+    if forecast.has_room or _may_be_in_time(forecast, left, certain):
+        return Admit()
+    return Reject(Cause.CROWDED, return_base(forecast.wait, whole))
+
+
+def judge_waiting(
+    forecast: Forecast, left: float, whole: float, certain: float = CERTAIN_SHARE
+) -> Verdict:
+    """Judge a statement that waits for room since a while.
+
+    Its wait is what is left of it: only those count that still stand ahead. Room that comes when
+    its time is as good as over is of no use: it would be sent and left in doubt.
+
+    Examples
+    --------
+    >>> judge_waiting(Forecast(wait=300, run=10), left=200, whole=800)
+    Admit()
+    >>> judge_waiting(Forecast(wait=400, run=10), left=200, whole=800)
+    Reject(cause=<Cause.HOPELESS: 'hopeless'>, return_in=100.0)
+    >>> judge_waiting(Forecast(wait=0, run=20, has_room=True), left=50, whole=800)
+    Reject(cause=<Cause.HOPELESS: 'hopeless'>, return_in=100.0)
+    """
+    is_nearly_over = left <= _last_moment(forecast.run, whole)
+    if not is_nearly_over and (forecast.has_room or _may_be_in_time(forecast, left, certain)):
+        return Admit()
+    return Reject(Cause.HOPELESS, return_base(forecast.wait, whole))
+
+
+def judge_sending(told_wait: float, way: float, left: float, whole: float) -> Verdict:
+    """Judge a statement that would be sent to another gateway.
+
+    Parameters
+    ----------
+    told_wait : float
+        Milliseconds of waiting there, as may be assumed of what it told; 0 if nothing is.
+    way : float
+        Milliseconds there and back.
+    left, whole : float
+        See :func:`judge_arriving`.
+
+    Examples
+    --------
+    >>> judge_sending(told_wait=0, way=80, left=60, whole=800).cause
+    <Cause.WAY_TOO_LONG: 'way-too-long'>
+    >>> judge_sending(told_wait=1300, way=80, left=800, whole=800).cause
+    <Cause.HOLDER_CROWDED: 'holder-crowded'>
+    >>> judge_sending(told_wait=0, way=80, left=800, whole=800)
+    Admit()
+    """
+    if left <= way:
+        return Reject(Cause.WAY_TOO_LONG, return_base(told_wait, whole))
+    if told_wait <= 0 or _may_be_in_time(Forecast(told_wait, way), left, CERTAIN_SHARE):
+        return Admit()
+    return Reject(Cause.HOLDER_CROWDED, return_base(told_wait, whole))
+
+
+def next_look(left: float, run: float, whole: float) -> float:
+    """Return after how many milliseconds a waiting statement is judged again.
+
+    The last look comes when its time is as good as over.
+
+    Examples
+    --------
+    >>> next_look(left=800, run=20, whole=800)
+    200.0
+    >>> next_look(left=80, run=20, whole=800)
+    20
+    """
+    last = left - _last_moment(run, whole)
+    return max(SHORTEST_LOOK_MS, min(max(LOOK_MS, LOOK_SHARE * left), last))
+
+
+def _last_moment(run: float, whole: float) -> float:
+    """Return with how much of its time left a statement had better not be sent any more."""
+    return max(SHORTEST_RUN_MS, min(LEFT_RUNS * run, LAST_SHARE * whole))
+
+
+def _may_be_in_time(forecast: Forecast, left: float, certain: float) -> bool:
+    return certain * forecast.wait + forecast.run <= left
