A holder tells its load with its answers; what it would refuse is not sent

Cause: a statement that its holder refuses as crowded crosses a zone or a region first, and comes back with no time for another try; one with less time left than the way there and back was sent all the same, with 1 ms to run. Change: Reply carries ServiceLoad (waits by urgency at the primary and at the roomiest member, pace; nothing where there is room: one byte). The sender keeps the last word of each holder for a second, takes the wait as shorter by its age, lets a probe through each 100 ms, and forgets it with the link. Run says whether its client has returned; those are sent whatever was told, since the holder knows their place. Ruled out: rounds of messages of their own; telling waits by tenant (a word would grow with the tenants of a deployment). Conclusion: a Reply or Trace of the release before decodes; a gateway of the release before passes the new fields over.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -33,6 +33,7 @@
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
+from rowanrail.gateway.told_load import measure
 from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
@@ -43,6 +44,8 @@
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
 from rowanrail.relay.placement import Part, Population, parts_of
+from rowanrail.relay.prospects import Prospects
+from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity
 from rowanrail.tenants.quota import QuotaTerms
@@ -86,12 +89,14 @@
         self._members: dict[str, list[MemberRecord]] = {}
         self._directory_revision = -1
         self._population = Population()
+        self._prospects = Prospects(MillisecondClock(clock))
         self._neighbours = neighbours
         if neighbours is not None:
             neighbours.on_link = self._note_link
         self._detours = detours
         if detours is not None:
             detours.on_found = self._note_detour
+            detours.on_lost = self._prospects.forget
         self._timer: Timer | None = None
         self._unconfigured: list[PendingStart] = []
         self._session_count = 0
@@ -204,6 +209,8 @@
         )
 
     def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
+        if not is_up:
+            self._prospects.forget(peer)
         self._decisions.note(LINK_REGAINED if is_up else LINK_LOST, peer=peer, reason=reason)
 
     def _note_primary(self, service: Service) -> None:
@@ -294,12 +301,18 @@
         return self._forwarded(HomePlacement(self._detours, region), service, is_detour=True)
 
     def _forwarded(
-        self, placement: Placement, service: Service, is_detour: bool = False
+        self,
+        placement: Placement,
+        service: Service,
+        local: LocalWork | None = None,
+        is_detour: bool = False,
     ) -> ForwardedWork:
-        local = LocalWork(service, self.names, self.clock)
+        if local is None:
+            local = LocalWork(service, self.names, self.clock)
         clock = MillisecondClock(self.clock)
         outcome = self._policies.link_outcome
-        return ForwardedWork(placement, local, clock, outcome, is_detour, self.access.version)
+        version = self.access.version
+        return ForwardedWork(placement, local, clock, outcome, self._prospects, is_detour, version)
 
     # Primaries that this gateway does not reach
 
@@ -341,9 +354,12 @@
             return local
         if isinstance(self._neighbours.place_part(part), Here):
             return local
-        clock = MillisecondClock(self.clock)
-        outcome = self._policies.link_outcome
-        return ForwardedWork(self._neighbours, local, clock, outcome, version=self.access.version)
+        return self._forwarded(self._neighbours, self.services[part.service], local)
+
+    def load(self, service: str) -> ServiceLoad | None:
+        """See :meth:`rowanrail.relay.serving.HolderHost.load`."""
+        known = self.services.get(service)
+        return None if known is None else measure(known, self.clock.time() * 1000)
 
     def idle_transaction_seconds(self) -> float:
         """See :meth:`SessionHost.idle_transaction_seconds`."""
--- a/src/rowanrail/relay/detours.py
+++ b/src/rowanrail/relay/detours.py
@@ -58,6 +58,8 @@
         self._asked_at: dict[str, float] = {}
         self._found: dict[str, _Found] = {}
         self.on_found: Callable[[str, str], None] = lambda service, peer: None
+        self.on_lost: Callable[[str], None] = lambda peer: None
+        self._keeper.on_link = self._note_link
 
     @property
     def found(self) -> int:
@@ -73,6 +75,10 @@
         self._zones = {zone: [n.name for n in listed] for zone, listed in others.items()}
         self._keeper.set_neighbours([*own, *(n for listed in others.values() for n in listed)])
 
+    def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
+        if not is_up:
+            self.on_lost(peer)
+
     @property
     def groups(self) -> list[str]:
         """The other zones or regions, whichever share connections."""
--- /dev/null
+++ b/src/rowanrail/relay/forwarded.py
@@ -0,0 +1,242 @@
+"""One statement under way at another gateway: its deadline, its place, its one answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from rowanrail.gateway.channel import Respond
+from rowanrail.gateway.model import Answer, Rejection, Route, Trace, TypedStatement
+from rowanrail.gateway.operation import Stage
+from rowanrail.gateway.policies import LinkOutcome
+from rowanrail.gateway.session_values import SessionValues
+from rowanrail.gateway.statement import HOLD_SHARE, busy, rejection
+from rowanrail.gateway.work import LocalWork
+from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.relay.link import Link, Outcome, Replied
+from rowanrail.relay.neighbours import At, Here, Nowhere, Place
+from rowanrail.relay.placement import Part
+from rowanrail.relay.prospects import Asked, Prospects
+from rowanrail.relay.terms import Order, answer_of, reply_margin, run_of
+from rowanrail.scheduling.admission import Cause, Forecast
+
+__all__ = ["Forwarded", "ForwardingTerms", "Placement"]
+
+RETRY_MS = 10.0  # a link inside a zone opens within it
+# Milliseconds, told to clients while no holder is known: about the time until one is found or the
+# next gateway of the order takes over.
+HOLDER_RETURN_MS = 1000.0
+
+
+class Placement(Protocol):
+    """Says at which gateway a service's statements run."""
+
+    def place_part(self, part: Part) -> Place:
+        """Return where statements of a service, or of some tenants of it, run now."""
+
+    @property
+    def note_up(self) -> Callable[[Link], None]:
+        """Note that the gateway behind a link answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingTerms:
+    """Where statements of one service go, and by which terms.
+
+    Parameters
+    ----------
+    neighbours : Placement
+        Says at which gateway they run.
+    local : LocalWork
+        For the case that it is this gateway in the end.
+    clock : Clock
+        Time and timers.
+    link_outcome : LinkOutcome
+        Says what a lost link leaves in doubt.
+    prospects : Prospects
+        What is assumed of the holders.
+    is_detour : bool
+        Whether they go to a gateway that reaches the primary because this one does not.
+    version : int
+        Of the configuration by which clients' keys were taken.
+    """
+
+    neighbours: Placement
+    local: LocalWork
+    clock: Clock
+    link_outcome: LinkOutcome
+    prospects: Prospects
+    is_detour: bool = False
+    version: int = 0
+
+
+class Forwarded:
+    """One statement under way at a neighbour, with its deadline and its one answer."""
+
+    def __init__(self, work: ForwardingTerms, route: Route, session: SessionValues) -> None:
+        self._work = work
+        self._route = route
+        self._session = session
+        self._respond: Respond | None = None
+        self._statement: TypedStatement | None = None
+        self._began = 0.0
+        self._timer: Timer | None = None
+        self._retry: Timer | None = None
+        self._link: Link | None = None
+        self._call = 0
+        self._sent = False
+        self._attempts = 0
+        self._ran = False  # whether a statement of its transaction was answered
+        self._peer = ""
+        self._told: Trace | None = None
+        self._rejection: Rejection | None = None
+
+    def trace(self) -> Trace:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
+        if self._told is not None:
+            return msgspec.structs.replace(self._told, via=self._peer)
+        stage = Stage.SENT if self._sent else Stage.WAITS_FOR_HOLDER
+        return Trace(
+            self._route.service,
+            stage.value,
+            attempts=self._attempts,
+            via=self._peer,
+            rejection=self._rejection,
+        )
+
+    @property
+    def _left(self) -> float:
+        return self._began + self._route.timeout_seconds * 1000 - self._work.clock.now
+
+    def _begin(self, statement: TypedStatement, respond: Respond) -> None:
+        self._statement = statement
+        self._respond = respond
+        self._told = None
+        self._rejection = None
+        self._sent = False
+        self._attempts = 0
+        self._began = self._work.clock.now
+        timeout = self._route.timeout_seconds * 1000
+        self._timer = self._work.clock.call_in(timeout, self._timed_out)
+
+    @property
+    def _keeps_nothing(self) -> bool:
+        """Whether nothing is kept of the statement, though it may have run at the holder."""
+        raise NotImplementedError
+
+    def _ask(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
+        assert self._statement is not None
+        self._attempts += 1
+        self._sent = True
+        self._peer = link.peer
+        self._link = link
+        self._call = link.number_call()
+        order = Order(
+            self._statement,
+            self._route,
+            self._session,
+            self._left,
+            transaction,
+            read_only,
+            self._work.is_detour,
+            begins=not self._ran,
+            version=self._work.version,
+        )
+        link.ask(run_of(order, self._call), self._settled, self._keeps_nothing)
+
+    def _settled(self, outcome: Outcome) -> None:
+        raise NotImplementedError
+
+    def _timed_out(self) -> None:
+        raise NotImplementedError
+
+    def _run_here(self) -> None:
+        raise NotImplementedError
+
+    def _run_at(self, link: Link) -> None:
+        raise NotImplementedError
+
+    def _refuse_hopeless(self, link: Link, writes: bool) -> bool:
+        """Refuse what its holder would refuse, or can't answer in time; return whether it was.
+
+        Only what may begin anywhere is judged, never a statement of a transaction that has begun.
+        """
+        turned = self._work.prospects.judge(
+            Asked(
+                link.peer,
+                self._route.service,
+                self._route.priority,
+                writes,
+                left=self._left,
+                whole=self._route.timeout_seconds * 1000,
+                way=reply_margin(self._work.is_detour),
+                returned=self._session.returned,
+            )
+        )
+        if turned is None:
+            return False
+        self._peer = link.peer
+        self._rejection = turned.rejection
+        self._finish(turned.answer)
+        return True
+
+    def _place(self) -> None:
+        if self._respond is None:
+            return
+        part = Part.of(self._route.service, self._session.identity.tenant)
+        match self._work.neighbours.place_part(part):
+            case Here():
+                self._run_here()
+            case At(link=link):
+                self._run_at(link)
+            case Nowhere():
+                self._place_later("no gateway of the zone holds connections")
+
+    def _replied(self, outcome: Replied) -> Answer:
+        reply, link = outcome.reply, self._link
+        self._call = 0
+        if link is not None:
+            self._work.neighbours.note_up(link)
+        service = self._route.service
+        floor = self._session.floors.get(service)
+        if reply.floor is not None and (floor is None or reply.floor > floor):
+            self._session.floors[service] = reply.floor
+        self._told = reply.trace
+        self._work.prospects.note(self._peer, service, reply.load)
+        return answer_of(reply)
+
+    def _lost(self, may_be_kept: bool, reason: str) -> Answer:
+        self._work.prospects.forget(self._peer)
+        return Answer(refusal=self._work.link_outcome.refusal(may_be_kept), message=reason)
+
+    def _place_later(self, reason: str) -> None:
+        """Look for a place again in a moment, or refuse once it can't be in time any more."""
+        hold = HOLD_SHARE * self._route.objective_seconds * 1000
+        if self._work.clock.now + RETRY_MS > self._began + hold:
+            self._turn_away(reason)
+            return
+        self._retry = self._work.clock.call_in(RETRY_MS, self._place)
+
+    def _turn_away(self, reason: str) -> None:
+        """Refuse, as not run, what found no place."""
+        told = self._work.prospects.return_in(HOLDER_RETURN_MS)
+        nowhere = Forecast(0.0, 0.0)
+        self._rejection = rejection(Cause.NO_PLACE, nowhere, self._left, self._route.priority, told)
+        self._finish(busy(reason, told))
+
+    def finish(self, answer: Answer) -> None:
+        """See :meth:`rowanrail.gateway.work.SingleStatement.finish`."""
+        self._finish(answer)
+
+    def _finish(self, answer: Answer) -> None:
+        respond, self._respond = self._respond, None
+        for timer in (self._timer, self._retry):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._retry = None
+        if self._call and self._link is not None:
+            self._link.drop(self._call)
+            self._call = 0
+        if respond is not None:
+            respond(answer)
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -5,77 +5,24 @@
 neighbour can't commit what it was not asked to.
 """
 
-from collections.abc import Callable
-from typing import Protocol
-
 import msgspec
 
 from rowanrail.gateway.channel import Respond
 from rowanrail.gateway.model import Answer, Refusal, Route, StatementKind, Trace, TypedStatement
-from rowanrail.gateway.operation import Stage
-from rowanrail.gateway.policies import LinkOutcome
 from rowanrail.gateway.session_values import SessionValues, is_write
-from rowanrail.gateway.statement import HOLD_SHARE, LATE, busy
-from rowanrail.gateway.work import LocalWork, SingleStatement, WorkInTransaction
-from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.gateway.statement import LATE
+from rowanrail.gateway.work import SingleStatement, WorkInTransaction
+from rowanrail.relay.forwarded import Forwarded, ForwardingTerms, Placement
 from rowanrail.relay.link import Counted, Link, Lost, Outcome, Refused, Replied, Told
 from rowanrail.relay.messages import End
-from rowanrail.relay.neighbours import At, Here, Nowhere, Place
-from rowanrail.relay.placement import Part
-from rowanrail.relay.terms import Order, answer_of, run_of
-
-__all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork"]
-
-RETRY_MS = 10.0  # a link inside a zone opens within it
 
+__all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork", "Placement"]
 
-class Placement(Protocol):
-    """Says at which gateway a service's statements run."""
 
-    def place_part(self, part: Part) -> Place:
-        """Return where statements of a service, or of some tenants of it, run now."""
-
-    @property
-    def note_up(self) -> Callable[[Link], None]:
-        """Note that the gateway behind a link answered."""
-
-
-class ForwardedWork:
-    """Statements of one service at whichever gateway holds its connections.
-
-    Parameters
-    ----------
-    neighbours : Neighbours
-        Says where that is.
-    local : LocalWork
-        For the case that it is this gateway in the end.
-    clock : Clock
-        Time and timers.
-    link_outcome : LinkOutcome
-        Says what a lost link leaves in doubt.
-    is_detour : bool
-        Whether it goes to a gateway that reaches the primary because this one does not.
-    version : int
-        Of the configuration by which clients' keys were taken.
-    """
-
-    __slots__ = ("clock", "is_detour", "link_outcome", "local", "neighbours", "version")
+class ForwardedWork(ForwardingTerms):
+    """Statements of one service at whichever gateway holds its connections."""
 
-    def __init__(
-        self,
-        neighbours: Placement,
-        local: LocalWork,
-        clock: Clock,
-        link_outcome: LinkOutcome,
-        is_detour: bool = False,
-        version: int = 0,
-    ) -> None:
-        self.is_detour = is_detour
-        self.version = version
-        self.neighbours = neighbours
-        self.local = local
-        self.clock = clock
-        self.link_outcome = link_outcome
+    __slots__ = ()
 
     def single(self, route: Route, session: SessionValues, writes: bool) -> SingleStatement:
         """See :meth:`rowanrail.gateway.work.Work.single`."""
@@ -88,137 +35,7 @@
         return ForwardedTransaction(self, route, session, read_only)
 
 
-class _Forwarded:
-    """One statement under way at a neighbour, with its deadline and its one answer."""
-
-    def __init__(self, work: ForwardedWork, route: Route, session: SessionValues) -> None:
-        self._work = work
-        self._route = route
-        self._session = session
-        self._respond: Respond | None = None
-        self._statement: TypedStatement | None = None
-        self._began = 0.0
-        self._timer: Timer | None = None
-        self._retry: Timer | None = None
-        self._link: Link | None = None
-        self._call = 0
-        self._sent = False
-        self._attempts = 0
-        self._ran = False  # whether a statement of its transaction was answered
-        self._peer = ""
-        self._told: Trace | None = None
-
-    def trace(self) -> Trace:
-        """See :meth:`rowanrail.gateway.work.SingleStatement.trace`."""
-        if self._told is not None:
-            return msgspec.structs.replace(self._told, via=self._peer)
-        stage = Stage.SENT if self._sent else Stage.WAITS_FOR_HOLDER
-        return Trace(self._route.service, stage.value, attempts=self._attempts, via=self._peer)
-
-    @property
-    def _left(self) -> float:
-        return self._began + self._route.timeout_seconds * 1000 - self._work.clock.now
-
-    def _begin(self, statement: TypedStatement, respond: Respond) -> None:
-        self._statement = statement
-        self._respond = respond
-        self._told = None
-        self._sent = False
-        self._attempts = 0
-        self._began = self._work.clock.now
-        timeout = self._route.timeout_seconds * 1000
-        self._timer = self._work.clock.call_in(timeout, self._timed_out)
-
-    @property
-    def _keeps_nothing(self) -> bool:
-        """Whether nothing is kept of the statement, though it may have run at the holder."""
-        raise NotImplementedError
-
-    def _ask(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
-        assert self._statement is not None
-        self._attempts += 1
-        self._sent = True
-        self._peer = link.peer
-        self._link = link
-        self._call = link.number_call()
-        order = Order(
-            self._statement,
-            self._route,
-            self._session,
-            self._left,
-            transaction,
-            read_only,
-            self._work.is_detour,
-            begins=not self._ran,
-            version=self._work.version,
-        )
-        link.ask(run_of(order, self._call), self._settled, self._keeps_nothing)
-
-    def _settled(self, outcome: Outcome) -> None:
-        raise NotImplementedError
-
-    def _timed_out(self) -> None:
-        raise NotImplementedError
-
-    def _run_here(self) -> None:
-        raise NotImplementedError
-
-    def _run_at(self, link: Link) -> None:
-        raise NotImplementedError
-
-    def _place(self) -> None:
-        if self._respond is None:
-            return
-        part = Part.of(self._route.service, self._session.identity.tenant)
-        match self._work.neighbours.place_part(part):
-            case Here():
-                self._run_here()
-            case At(link=link):
-                self._run_at(link)
-            case Nowhere():
-                self._place_later("no gateway of the zone holds connections; retry in 1 s")
-
-    def _replied(self, outcome: Replied) -> Answer:
-        reply, link = outcome.reply, self._link
-        self._call = 0
-        if link is not None:
-            self._work.neighbours.note_up(link)
-        service = self._route.service
-        floor = self._session.floors.get(service)
-        if reply.floor is not None and (floor is None or reply.floor > floor):
-            self._session.floors[service] = reply.floor
-        self._told = reply.trace
-        return answer_of(reply)
-
-    def _lost(self, may_be_kept: bool, reason: str) -> Answer:
-        return Answer(refusal=self._work.link_outcome.refusal(may_be_kept), message=reason)
-
-    def _place_later(self, reason: str) -> None:
-        """Look for a place again in a moment, or refuse once it can't be in time any more."""
-        hold = HOLD_SHARE * self._route.objective_seconds * 1000
-        if self._work.clock.now + RETRY_MS > self._began + hold:
-            self._finish(busy(reason))
-            return
-        self._retry = self._work.clock.call_in(RETRY_MS, self._place)
-
-    def finish(self, answer: Answer) -> None:
-        """See :meth:`rowanrail.gateway.work.SingleStatement.finish`."""
-        self._finish(answer)
-
-    def _finish(self, answer: Answer) -> None:
-        respond, self._respond = self._respond, None
-        for timer in (self._timer, self._retry):
-            if timer is not None:
-                timer.cancel()
-        self._timer = self._retry = None
-        if self._call and self._link is not None:
-            self._link.drop(self._call)
-            self._call = 0
-        if respond is not None:
-            respond(answer)
-
-
-class ForwardedStatement(_Forwarded):
+class ForwardedStatement(Forwarded):
     """A single read or write; a read is asked for again elsewhere when its link is lost."""
 
     def __init__(
@@ -242,7 +59,8 @@
         return not self._writes
 
     def _run_at(self, link: Link) -> None:
-        self._ask(link)
+        if not self._refuse_hopeless(link, self._writes):
+            self._ask(link)
 
     def _run_here(self) -> None:
         assert self._statement is not None
@@ -262,6 +80,7 @@
                 self._place_later(reason)
             case Lost(reason=reason):
                 self._call = 0
+                self._work.prospects.forget(self._peer)
                 if self._keeps_nothing:
                     self._place()
                 else:
@@ -270,9 +89,10 @@
                 pass  # neither was asked for here
 
     def _timed_out(self) -> None:
-        refusal = Refusal.BUSY
-        if self._call:
-            refusal = Refusal.OUTCOME_UNKNOWN if self._writes else Refusal.TIMEOUT
+        if not self._call:
+            self._turn_away(LATE)
+            return
+        refusal = Refusal.OUTCOME_UNKNOWN if self._writes else Refusal.TIMEOUT
         self._finish(Answer(refusal=refusal, message=LATE))
 
     def finish(self, answer: Answer) -> None:
@@ -282,7 +102,7 @@
         self._finish(answer)
 
 
-class ForwardedTransaction(_Forwarded):
+class ForwardedTransaction(Forwarded):
     """A transaction that stays at the neighbour where its first statement ran."""
 
     def __init__(
@@ -312,6 +132,8 @@
         return super().trace() if self._here is None else self._here.trace()
 
     def _run_at(self, link: Link) -> None:
+        if self._refuse_hopeless(link, writes=not self._read_only):
+            return
         self._number = link.number_transaction()
         self._ask(link, self._number, self._read_only)
 
@@ -362,7 +184,7 @@
         if self._call:
             self._finish(self._lost(not self._keeps_nothing, LATE))
         else:
-            self._finish(busy(LATE))
+            self._turn_away(LATE)
         self.end()
 
     def end(self) -> None:
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -8,6 +8,7 @@
 
 from rowanrail.gateway.model import Consistency, Refusal, StatementKind, Trace
 from rowanrail.proxy.backend import Position
+from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import Report
 
 __all__ = [
@@ -55,6 +56,8 @@
         What the client named, by which its key is checked.
     version : int
         Of the configuration by which the sender took the key.
+    returned : bool
+        Whether the client was turned away a moment ago and came back as it was told.
     """
 
     call: int
@@ -82,6 +85,7 @@
     key: bytes = b""
     database: str = ""
     version: int = 0
+    returned: bool = False
 
 
 class End(msgspec.Struct, tag=2, array_like=True, frozen=True, gc=False):
@@ -131,6 +135,8 @@
         The session's own last commit after it.
     trace : Trace
         How the answer came about, for the log of the client's gateway.
+    load : ServiceLoad or None
+        Of the service at the holder; None if there is room for all.
     """
 
     call: int
@@ -141,6 +147,7 @@
     position: Position | None
     floor: Position | None
     trace: Trace
+    load: ServiceLoad | None = None
 
 
 class NotServed(msgspec.Struct, tag=12, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -26,6 +26,7 @@
     SampleTold,
 )
 from rowanrail.relay.terms import load_session, reply_to, route_of, statement_of
+from rowanrail.scheduling.load import LoadTeller, ServiceLoad
 from rowanrail.tenants.demand import DemandBook, Report
 from rowanrail.tenants.model import Identity
 
@@ -68,6 +69,9 @@
     def prove_primary(self, service: str, give: Callable[[Sample | None], None]) -> None:
         """Give a new sample of a service's primary, None if there is none in time."""
 
+    def load(self, service: str) -> ServiceLoad | None:
+        """Return what statements of a service would wait here now, None if it isn't known."""
+
     def idle_transaction_seconds(self) -> float:
         """Return how long a transaction may rest."""
 
@@ -102,6 +106,7 @@
     def __init__(self, host: HolderHost, clock: Clock) -> None:
         self.host = host
         self.clock = clock
+        self.teller = LoadTeller(clock, host.load)
         self._links: dict[ServedLink, None] = {}
 
     @property
@@ -236,7 +241,8 @@
         single = self._singles.pop(run.call, None)
         if single is not None:
             floor = single.session.floors.get(run.service)
-            self.send(reply_to(run, answer, floor, single.work.trace()))
+            load = self._holder.teller.tell(run.service)
+            self.send(reply_to(run, answer, floor, single.work.trace(), load))
 
     def _work(self, run: Run) -> LocalWork | None:
         """Return the work for new statements, or tell the neighbour that there is none."""
@@ -294,7 +300,8 @@
             del self._transactions[run.transaction]
             transaction.work.end()
         floor = transaction.session.floors.get(run.service)
-        self.send(reply_to(run, answer, floor, transaction.work.trace()))
+        load = self._holder.teller.tell(run.service)
+        self.send(reply_to(run, answer, floor, transaction.work.trace(), load))
 
     def _end(self, number: int) -> None:
         transaction = self._transactions.pop(number, None)
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -6,9 +6,19 @@
 from rowanrail.gateway.session_values import SessionValues, is_write
 from rowanrail.proxy.backend import Position
 from rowanrail.relay.messages import Reply, Run
+from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.model import Identity
 
-__all__ = ["Order", "answer_of", "load_session", "reply_to", "route_of", "run_of", "statement_of"]
+__all__ = [
+    "Order",
+    "answer_of",
+    "load_session",
+    "reply_margin",
+    "reply_to",
+    "route_of",
+    "run_of",
+    "statement_of",
+]
 
 REPLY_MARGIN_MS = 30.0  # the holder gives up this much sooner, so that its answer comes in time
 # The same for a holder in another region: there and back takes 40 ms more. Without it, its word
@@ -44,10 +54,14 @@
     version: int = 0
 
 
+def reply_margin(is_detour: bool) -> float:
+    """Return how much of a statement's milliseconds is kept for the way there and back."""
+    return FAR_REPLY_MARGIN_MS if is_detour else REPLY_MARGIN_MS
+
+
 def run_of(order: Order, call: int) -> Run:
     """Return the message that has an order run."""
     statement, route, session = order.statement, order.route, order.session
-    margin = FAR_REPLY_MARGIN_MS if order.is_detour else REPLY_MARGIN_MS
     shape = ""
     if statement.kind is StatementKind.EXECUTE:
         shape = session.prepared[statement.name][1]
@@ -58,7 +72,7 @@
         service=route.service,
         route=route.name,
         consistency=route.consistency,
-        timeout=max(SHORTEST_MS, order.timeout - margin),
+        timeout=max(SHORTEST_MS, order.timeout - reply_margin(order.is_detour)),
         objective=route.objective_seconds * 1000,
         staleness=route.staleness_seconds * 1000,
         priority=route.priority,
@@ -77,6 +91,7 @@
         key=session.identity.key,
         database=route.database,
         version=order.version,
+        returned=session.returned,
     )
 
 
@@ -103,14 +118,21 @@
     """Give ``session`` exactly what the client's session has set."""
     session.identity = Identity(run.tenant, run.key)
     session.values = run.values
+    session.returned = run.returned
     if run.kind is StatementKind.EXECUTE:
         session.prepared[run.name] = (run.writes, run.shape)
     if run.floor is not None:
         session.floors[run.service] = run.floor
 
 
-def reply_to(run: Run, answer: Answer, floor: Position | None, trace: Trace) -> Reply:
-    """Return the message that answers a statement."""
+def reply_to(
+    run: Run,
+    answer: Answer,
+    floor: Position | None,
+    trace: Trace,
+    load: ServiceLoad | None = None,
+) -> Reply:
+    """Return the message that answers a statement, with the load of its service."""
     return Reply(
         call=run.call,
         rows=answer.rows,
@@ -120,6 +142,7 @@
         position=answer.position,
         floor=floor,
         trace=trace,
+        load=load,
     )
 
 
--- /dev/null
+++ b/tests/relay/test_prospects.py
@@ -0,0 +1,153 @@
+"""What a sender refuses by itself, from what the holder told with its answers."""
+
+import unittest
+
+import msgspec
+
+from rowanrail.gateway.model import Refusal, Trace
+from rowanrail.relay.messages import Reply, Run
+from rowanrail.relay.prospects import Asked, Prospects
+from rowanrail.scheduling.load import ServiceLoad
+from tests.support.relay import PlayedZone
+
+
+def asked(**changes):
+    """Return a write with 800 ms to a holder 40 ms away."""
+    terms = {"peer": "g1", "service": "db", "urgency": 1, "writes": True}
+    terms |= {"left": 800.0, "whole": 800.0, "way": 80.0}
+    return Asked(**(terms | changes))
+
+
+class ProspectsTest(unittest.TestCase):
+    def setUp(self):
+        self.zone = PlayedZone()
+        self.prospects = Prospects(self.zone.relay_clock)
+        self.prospects.note("g1", "db", ServiceLoad([0, 3000], [0, 0], 400))
+
+    def test_what_the_holder_would_refuse_is_not_sent(self):
+        turned = self.prospects.judge(asked())
+        self.assertEqual(turned.answer.refusal, Refusal.BUSY)
+        self.assertRegex(turned.answer.message, r"^g1 is crowded .*; retry in \d\.\d\d s$")
+        self.assertEqual(turned.rejection.cause, "holder-crowded")
+        self.assertEqual(turned.rejection.left, 800)
+
+    def test_what_is_more_urgent_or_only_reads_is_sent(self):
+        self.assertIsNone(self.prospects.judge(asked(urgency=0)))
+        self.assertIsNone(self.prospects.judge(asked(writes=False)))
+
+    def test_who_has_returned_is_sent_since_the_holder_knows_its_place(self):
+        self.assertIsNone(self.prospects.judge(asked(returned=True)))
+
+    def test_what_has_no_time_for_the_way_is_not_sent_even_as_a_probe(self):
+        self.zone.clock.advance(0.5)
+        turned = self.prospects.judge(asked(left=70.0))
+        self.assertEqual(turned.rejection.cause, "way-too-long")
+
+    def test_a_probe_is_sent_each_tenth_of_a_second(self):
+        self.assertIsNotNone(self.prospects.judge(asked()))
+        self.zone.clock.advance(0.11)
+        self.assertIsNone(self.prospects.judge(asked()))
+        self.assertIsNotNone(self.prospects.judge(asked()))
+
+    def test_many_refused_at_one_moment_are_told_different_moments(self):
+        told = {self.prospects.judge(asked()).rejection.return_in for _ in range(50)}
+        self.assertGreater(len(told), 40)
+
+
+class ZoneTest(unittest.TestCase):
+    """Three gateways: clients at ``last``, connections at ``first``."""
+
+    def setUp(self):
+        self.zone = PlayedZone()
+        self.zone.clock.advance(0.2)
+        self.client = self.zone.last.client("orders")
+        self.assertIsNone(self.client.run("WRITE a 1", seconds=0.3).refusal)
+        self.pool = self.zone.first.gateway.services["db"].pools["m1"]
+
+    def fill(self):
+        """Have more wait at the holder than it can serve in the time of a statement."""
+        for _ in range(30):
+            self.pool.note_lease(0.5)
+        self.zone.primary.script = [None] * 500
+        for _ in range(100):
+            self.zone.first.client("orders").ask("WRITE b 2")
+
+    def hear_load(self):
+        """Have the sender learn of it by an answer."""
+        self.client.ask("WRITE c 3")
+        self.zone.clock.advance(0.05)
+
+    def test_the_second_hopeless_statement_is_refused_where_it_came(self):
+        self.fill()
+        self.hear_load()
+        self.assertEqual(self.client.answers[-1].refusal, Refusal.BUSY)
+        held = self.zone.first.holder.running
+        other = self.zone.last.client("orders")
+        self.assertEqual(other.run("WRITE d 4").refusal, Refusal.BUSY)
+        self.assertIn("is crowded", other.answers[-1].message)
+        self.assertEqual(self.zone.first.holder.running, held)
+        self.assertNotIn("WRITE d 4", self.zone.primary.texts())
+
+    def test_when_room_is_back_a_probe_learns_it(self):
+        self.fill()
+        self.hear_load()
+        self.zone.primary.script = []
+        self.zone.clock.advance(1.2)  # those who waited have left
+        for _ in range(60):
+            self.pool.note_lease(0.01)
+        answers = [self.zone.last.client("orders").run("WRITE e 5", 0.2) for _ in range(3)]
+        self.assertIsNone(answers[-1].refusal)
+
+    def test_a_begun_transaction_is_not_judged_by_it(self):
+        self.client.run("BEGIN")
+        self.assertIsNone(self.client.run("WRITE a 2", seconds=0.3).refusal)
+        self.fill()
+        other = self.zone.last.client("orders")
+        other.ask("WRITE c 3")
+        self.zone.clock.advance(0.05)
+        self.assertEqual(other.answers[-1].refusal, Refusal.BUSY)
+        self.zone.primary.script = []
+        self.assertIsNone(self.client.run("WRITE a 3", seconds=0.05).refusal)
+
+    def test_a_lost_holder_s_word_counts_for_nothing_at_the_next_one(self):
+        self.fill()
+        self.hear_load()
+        self.zone.kill(self.zone.first)
+        self.zone.primary.script = []
+        self.assertIsNone(self.client.run("WRITE f 6", seconds=0.5).refusal)
+
+    def test_who_was_turned_away_is_known_at_the_holder_when_it_comes_back(self):
+        self.fill()
+        self.hear_load()
+        told = float(self.client.answers[-1].message.rpartition("retry in ")[2].split(" ")[0])
+        self.zone.clock.advance(told)
+        self.client.ask("WRITE g 7")
+        self.zone.clock.advance(0.02)
+        held = [one for link in self.zone.first.holder._links for one in link._singles.values()]
+        self.assertEqual([one.session.returned for one in held], [True])
+
+
+class RollingRestartTest(unittest.TestCase):
+    """Messages of a gateway that runs the release before, and to one."""
+
+    def test_a_reply_without_a_load_decodes(self):
+        reply = Reply(1, [], b"", None, "", None, None, Trace("db", "sent"), ServiceLoad([1]))
+        old = msgspec.msgpack.decode(msgspec.msgpack.encode(reply))
+        *shorter, _ = old
+        shorter[-1] = shorter[-1][:-1]  # nor does its trace say why a statement was turned away
+        decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(shorter), type=Reply)
+        self.assertIsNone(decoded.load)
+        self.assertIsNone(decoded.trace.rejection)
+
+    def test_what_an_older_gateway_does_not_know_is_passed_over(self):
+        class OldReply(msgspec.Struct, tag=11, array_like=True):
+            call: int
+            rows: list[bytes]
+
+        reply = Reply(1, [], b"", None, "", None, None, Trace("db", "sent"), ServiceLoad([1]))
+        decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=OldReply)
+        self.assertEqual(decoded.call, 1)
+
+    def test_a_run_without_the_last_field_is_a_newcomer_s(self):
+        self.assertEqual(Run.__struct_fields__[-1], "returned")
+        self.assertIs(Run.__struct_defaults__[-1], False)
