A limit for each member, and a queue by urgency, tenant and deadline in front of it

Cause: a gateway sent as much to a member as it had connections, so that statements stood in the member's own queue, which is first come first served and turns away above 32: the most urgent class was served worst, and a rush of one class or tenant delayed all. Change: scheduling.concurrency says how many statements of one holder may be under way at a member, learned from the quickest answers and from being turned away, without messages. scheduling.queue orders who waits: samples, urgency (each less urgent class keeps one start in ten), tenants by weight, deadline; one whose tenant has an idle connection goes first, within a bound. What can no longer be in time is refused before its time is over. gateway.pool is split: connections (idle, leases, openings, resting), member_health, waiter. Gauges: concurrency_limit, under_way, queue_length by urgency, queue_longest_wait_seconds. Ruled out: a fixed part for each holder (wastes what one does not need); messages among holders; the average answer time as the sign of a queue (heavy statements and a long way look like one). BEGIN and ROLLBACK take no slot, and are left out. Tests changed: AdmissionTest plays a member of 24 slots, so that connections bind as they did, not its 3 slots; private names (_idle, _opening, _lease_seconds) follow the split. What they check is unchanged.

--- /dev/null
+++ b/src/rowanrail/gateway/connections.py
@@ -0,0 +1,145 @@
+"""The connections of one pool: idle, in use or being opened, and when one more is worth it."""
+
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel, MemberDriver
+from rowanrail.gateway.clock import Clock
+from rowanrail.gateway.idle_channels import IdleChannels
+from rowanrail.gateway.leases import Leases
+from rowanrail.gateway.model import Answer, MemberRecord
+from rowanrail.gateway.openings import Openings
+from rowanrail.gateway.resting import RestingTransactions
+
+__all__ = ["Connections"]
+
+
+class Connections:
+    """At most ``limit`` connections to one member; each may be a tenant's."""
+
+    def __init__(self, limit: int, driver: MemberDriver, clock: Clock) -> None:
+        self.limit = limit
+        self.idle = IdleChannels()
+        self.leases = Leases(clock)
+        self.opening = Openings(driver, clock)
+        self.resting = RestingTransactions(clock)
+        self._clock = clock
+
+    @property
+    def established(self) -> int:
+        """Number of those that are open."""
+        return len(self.idle) + len(self.leases)
+
+    @property
+    def count(self) -> int:
+        """Number of those that are open or being opened."""
+        return self.established + len(self.opening)
+
+    @property
+    def under_way(self) -> int:
+        """Number of those that the member has to do with: neither idle nor at rest."""
+        return max(0, len(self.leases) - len(self.resting)) + len(self.opening)
+
+    @property
+    def allowed(self) -> int:
+        """How many there may be now."""
+        return self.opening.allowed(self.limit)
+
+    @property
+    def usable(self) -> int:
+        """How many can be under way: a transaction that rests keeps its own."""
+        return max(self.allowed, self.count) - len(self.resting)
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether all that there may be are in use."""
+        return not self.idle and self.count >= self.allowed
+
+    @property
+    def can_lend(self) -> bool:
+        """Whether one may be opened for a sample; it would be no tenant's."""
+        return self.count < self.allowed and not self.leases.are_of_tenants
+
+    def may_come_back(self, tenant: str) -> bool:
+        """Whether one of a tenant is in use by more than a transaction at rest."""
+        if self.opening.of(tenant):
+            return True
+        return self.leases.of(tenant) > self.resting.of(tenant)
+
+    def has_one_for(self, tenant: str | None) -> bool:
+        """Whether one that is there would be of use to a tenant, now or when it comes back."""
+        if tenant is None:
+            return self.established > 0
+        return tenant in self.idle.tenants or self.may_come_back(tenant)
+
+    # Opening
+
+    def is_worth_opening(self, tenant: str | None, waiting: int, waited_seconds: float) -> bool:
+        """Whether one should be opened for a tenant.
+
+        Each takes a slot of the member for a while, is priced, and still counts there for seconds
+        when this gateway is lost. So another one is opened for those who have waited for about as
+        long as its opening takes; until then a connection that is in use may come back.
+
+        :param waiting: how many want one of the tenant.
+        :param waited_seconds: for how long the first of them has waited.
+        """
+        if self.opening.is_full or self.is_crowded:
+            return False
+        if tenant is None and self.leases.are_of_tenants:
+            return False  # the next that comes back will do
+        owner = tenant or ""
+        if self.opening.of(owner) >= waiting:
+            return False
+        return waited_seconds >= self.opening.seconds or not self.may_come_back(owner)
+
+    def open(
+        self,
+        record: MemberRecord,
+        tenant: str,
+        is_wanted: Callable[[str], bool],
+        respond: Callable[[Channel, Answer], None],
+    ) -> bool:
+        """Begin to open one, in place of an idle one if need be; return False if none may be."""
+        if self.count >= self.allowed:
+            self._close_idle(is_wanted)
+        if self.count >= self.allowed:
+            return False
+        self.opening.start(record, tenant, respond)
+        return True
+
+    def _close_idle(self, is_wanted: Callable[[str], bool]) -> None:
+        spare = self.idle.spare(is_wanted)
+        if spare is not None:
+            # Its end reaches the member before the start of the next one, which comes later.
+            self.idle.discard(spare)
+            spare.close()
+
+    # Use
+
+    def lease(self, channel: Channel) -> None:
+        """Note that one is in use."""
+        self.leases.begin(channel)
+        channel.on_closed = lambda channel: None
+
+    def keep(self, channel: Channel) -> None:
+        """Keep one that is free, if it is of any more use."""
+        if channel.busy or channel.in_transaction or self.count >= self.limit:
+            channel.close()
+        if channel.closed:
+            return
+        channel.last_used = self._clock.time()
+        channel.on_closed = self.idle.discard
+        self.idle.add(channel)
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; surplus idle ones are closed."""
+        self.limit = limit
+        while self.idle and self.count > limit:
+            self._close_idle(lambda tenant: False)
+
+    def close(self) -> None:
+        """Close all that are not in use, and keep none from now on."""
+        self.limit = 0
+        for channel in self.idle.take_all():
+            channel.close()
+        self.opening.close()
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -48,7 +48,7 @@
 from rowanrail.relay.neighbours import At, Here, Neighbours
 from rowanrail.relay.placement import Part, Population, parts_of
 from rowanrail.tenants.demand import DemandBook
-from rowanrail.tenants.model import Identity
+from rowanrail.tenants.model import Identity, Tenants
 from rowanrail.tenants.quota import QuotaTerms
 
 TICK_SECONDS = 0.05  # a sixth of the shortest time that is watched, PROBE_TIMEOUT_SECONDS
@@ -160,6 +160,8 @@
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
+        for service in self.services.values():
+            service.set_tenants(configuration.tenants or Tenants())
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._unconfigured = self._unconfigured, []
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -32,6 +32,11 @@
             readings.append(("connections", member, pool.open_count))
             readings.append(("connections_limit", member, pool.limit))
             readings.append(("connections_leased", member, pool.leased))
+            readings.append(("concurrency_limit", member, pool.concurrency_limit))
+            readings.append(("under_way", member, pool.under_way))
+            readings.append(("queue_longest_wait_seconds", member, pool.longest_wait_seconds))
+            for urgency, length in pool.queue_lengths.items():
+                readings.append(("queue_length", {**member, "urgency": str(urgency)}, length))
             readings.append(("member_latency_seconds", member, pool.latency_seconds))
             readings.append(("member_suspect", member, float(pool.is_suspect)))
     return readings
--- a/src/rowanrail/gateway/idle_channels.py
+++ b/src/rowanrail/gateway/idle_channels.py
@@ -1,12 +1,29 @@
 """Connections to one member that nobody uses, the one that was used last at the end."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from rowanrail.gateway.channel import Channel
-from rowanrail.gateway.waiting_line import Waiter
+from rowanrail.gateway.waiter import Waiter
 
 __all__ = ["IdleChannels"]
 
+# A gap between two statements of a busy service is shorter; chosen, not measured apart.
+IDLE_SECONDS = 0.6
+# A connection of a tenant is kept until another tenant needs its place: opening one again takes
+# 12 ms of a slot. Shorter than the 60 s after which members close idle connections; chosen.
+TENANT_IDLE_SECONDS = 30.0
+# At a gateway to which statements no longer come: those under way may still want it. The one that
+# takes over needs the places; with both full a member refuses a third of them.
+GIVEN_UP_IDLE_SECONDS = 0.1
+KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
+
+
+def _idle_seconds(channel: Channel, is_kept: bool) -> float:
+    """Return for how long a connection may be idle."""
+    if not is_kept:
+        return GIVEN_UP_IDLE_SECONDS
+    return TENANT_IDLE_SECONDS if channel.tenant else IDLE_SECONDS
+
 
 class IdleChannels:
     """Idle connections in the order of their last use."""
@@ -20,6 +37,16 @@
     def __iter__(self) -> Iterator[Channel]:
         return iter(self._channels)
 
+    @property
+    def tenants(self) -> set[str]:
+        """Whose they are."""
+        return {channel.tenant for channel in self._channels}
+
+    def spare(self, is_wanted: Callable[[str], bool]) -> Channel | None:
+        """Return the one to give up: unused for longest, and if possible of use to nobody now."""
+        unwanted = (channel for channel in self._channels if not is_wanted(channel.tenant))
+        return next(unwanted, next(iter(self._channels), None))
+
     def add(self, channel: Channel) -> None:
         """Keep a connection that was just used."""
         self._channels.append(channel)
@@ -46,3 +73,17 @@
         """Remove and return all."""
         channels, self._channels = self._channels, []
         return channels
+
+    def trim(self, now: float, is_kept: Callable[[str], bool]) -> None:
+        """Close those that nobody has needed for a while.
+
+        Members count the connections of a lost gateway for seconds more; the fewer there are,
+        the sooner its successor gets some.
+        """
+        surplus = len(self._channels) - KEPT_IDLE
+        for place, channel in enumerate(list(self._channels)):
+            kept = is_kept(channel.tenant)
+            if kept and place >= surplus:
+                continue
+            if channel.last_used < now - _idle_seconds(channel, kept):
+                channel.close()
--- /dev/null
+++ b/src/rowanrail/gateway/leases.py
@@ -0,0 +1,50 @@
+"""Connections to one member that are in use, by tenant, and for how long they usually are."""
+
+from collections import Counter
+
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.clock import Clock
+
+__all__ = ["LATENCY_WEIGHT", "Leases"]
+
+LATENCY_WEIGHT = 0.1  # of the newest answer in a moving average, about the last ten count
+# About a short read within a region, so that no member starts as slow.
+INITIAL_LATENCY_SECONDS = 0.02
+
+
+class Leases:
+    """Leases of one pool; what a transaction rests is left out of their time."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.seconds = INITIAL_LATENCY_SECONDS
+        self._clock = clock
+        self._of: Counter[str] = Counter()
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    @property
+    def are_of_tenants(self) -> bool:
+        """Whether any belongs to a tenant."""
+        return any(tenant for tenant, count in self._of.items() if count)
+
+    def of(self, tenant: str) -> int:
+        """Return how many are a tenant's."""
+        return self._of[tenant]
+
+    def begin(self, channel: Channel) -> None:
+        """Note that a connection is in use."""
+        self._count += 1
+        self._of[channel.tenant] += 1
+        channel.leased_at = self._clock.time()
+
+    def end(self, channel: Channel) -> None:
+        """Note that it is no longer."""
+        self._count -= 1
+        self._of[channel.tenant] -= 1
+        self.note(self._clock.time() - channel.leased_at)
+
+    def note(self, seconds: float) -> None:
+        """Note for how long one was in use."""
+        self.seconds += LATENCY_WEIGHT * (seconds - self.seconds)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -24,7 +24,7 @@
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import PreparedNames, SessionValues
-from rowanrail.gateway.waiting_line import Waiter
+from rowanrail.gateway.waiter import Waiter
 from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 from rowanrail.proxy.backend import Position
 from rowanrail.scheduling.queue import Entry
@@ -39,6 +39,9 @@
 READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
 MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
 OPEN_ATTEMPT_SECONDS = 0.15  # for a member with no connection yet
+# Reads, writes and commits. A member begins and ends a transaction without a slot, so that the
+# time of such an answer says nothing of its queue.
+SLOT_TAKERS = frozenset({CommandKind.STATEMENT, CommandKind.EXECUTE})
 
 
 class Stage(enum.Enum):
@@ -274,15 +277,24 @@
         self.pool = pool
         self.stage = Stage.WAITS_FOR_CONNECTION
         self.member = pool.record.instance
-        waiter = Waiter(self.entry(), self.session.values, respond)
+        waiter = Waiter(self.entry(), self.session.values, respond, self._expire)
         self.waiter = waiter
         pool.acquire(waiter)
 
+    def _expire(self) -> None:
+        """Refuse, as not run, what has waited so long that its answer would come too late."""
+        self.waiter = None
+        self.finish(busy(f"no room at {self.member} in time; retry in {COME_BACK_SECONDS} s"))
+
     def entry(self) -> Entry:
         """Return how the statement stands among those that want a connection."""
         deadline = self.arrived_at + self.route.timeout_seconds
         return Entry(
-            self.route.priority, self.tenant, self.arrived_at * 1000, deadline=deadline * 1000
+            self.route.priority,
+            self.tenant,
+            self.arrived_at * 1000,
+            deadline=deadline * 1000,
+            weight=self.service.weight(self.tenant),
         )
 
     def has_place(self, pool: MemberPool) -> bool:
@@ -352,9 +364,18 @@
             if answer.refusal is not None and not channel.closed:
                 channel.close()  # the session's values are not as promised on this connection
 
-        self.sent_at = self.clock.time()
+        pool, takes_slot = self.pool, commands[-1].kind in SLOT_TAKERS
+        sent_at = self.clock.time()
+
+        def settle(answer: Answer) -> None:
+            if pool is not None and takes_slot:
+                pool.note_answered(answer.refusal, self.clock.time() - sent_at)
+            respond(answer)
+
+        self.sent_at = sent_at
         self.stage = Stage.SENT
-        channel.send(commands, [check] * (len(commands) - 1) + [respond])
+        answered: list[Respond] = [check] * (len(commands) - 1)
+        channel.send(commands, [*answered, settle])
 
 
 def busy(message: str) -> Answer:
--- a/src/rowanrail/gateway/pool_loan.py
+++ b/src/rowanrail/gateway/pool_loan.py
@@ -5,7 +5,7 @@
 from rowanrail.gateway.channel import Channel
 from rowanrail.gateway.model import Answer
 from rowanrail.gateway.pool import MemberPool
-from rowanrail.gateway.waiting_line import Waiter
+from rowanrail.gateway.waiter import Waiter
 from rowanrail.scheduling.queue import Entry
 
 __all__ = ["PoolLoan"]
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -1,5 +1,7 @@
 """One service: its members' pools, its primary, and the choice of a member for a read."""
 
+import math
+
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.locality import Locality
@@ -8,7 +10,16 @@
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
-from rowanrail.relay.placement import Part, Population, connection_limit, is_shared
+from rowanrail.relay.placement import (
+    ASSUMED_GATEWAYS,
+    PARTS,
+    Part,
+    Population,
+    connection_limit,
+    is_shared,
+)
+from rowanrail.scheduling.queue import tenant_weight
+from rowanrail.tenants.model import Tenant, Tenants
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
 PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
@@ -40,6 +51,7 @@
         self._clock = clock
         self._population = Population()
         self._parts: frozenset[Part] = frozenset()
+        self._tenants = Tenants()
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the members that announced themselves; those that left are closed."""
@@ -52,9 +64,12 @@
             pool = self.pools.get(record.instance)
             if pool is None:
                 limit = self._connection_limit(record)
-                self.pools[record.instance] = MemberPool(record, limit, self._driver, self._clock)
+                holders = self._holders(record)
+                pool = MemberPool(record, limit, self._driver, self._clock, holders)
+                self.pools[record.instance] = pool
             else:
                 pool.record = record
+                pool.set_sharing(self._holders(record))
         self.primary.set_members(records)
 
     def set_spec(self, spec: ServiceSpec) -> None:
@@ -84,8 +99,26 @@
             self.spec.connections, self._population, is_near, max(1, len(self._parts))
         )
 
+    def _holders(self, record: MemberRecord) -> int:
+        """Return how many gateways are thought to use a member as much as this one does."""
+        if not self.is_shared:
+            return self._population.gateways or ASSUMED_GATEWAYS
+        if not self.is_regional:
+            return self._population.zones
+        near = math.ceil(PARTS / max(1, len(self._parts)))
+        return near if self._locality.is_near(record.zone) else PARTS * self._population.zones
+
+    def set_tenants(self, tenants: Tenants) -> None:
+        """Know whose statements come."""
+        self._tenants = tenants
+
+    def weight(self, tenant: str) -> float:
+        """Return the share of a tenant among those whose statements are as urgent."""
+        return tenant_weight(self._tenants.by_name.get(tenant, Tenant(tenant)).priority)
+
     def _apply_limit(self) -> None:
         for pool in self.pools.values():
+            pool.set_sharing(self._holders(pool.record))
             limit = self._connection_limit(pool.record)
             if pool.limit != limit:
                 pool.set_limit(limit)
--- /dev/null
+++ b/src/rowanrail/gateway/waiter.py
@@ -0,0 +1,43 @@
+"""Somebody who waits for a connection to one member."""
+
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.model import Answer
+from rowanrail.scheduling.queue import Entry
+
+__all__ = ["Waiter"]
+
+
+class Waiter:
+    """Somebody who wants a connection.
+
+    :param entry: how urgent it is, whose connection it needs, until when.
+    :param values: session values that the connection should have already, if one has.
+    :param respond: gets the connection, or None with the reason.
+    :param expire: learns, in place of ``respond``, that it could no longer be answered in time.
+    """
+
+    __slots__ = ("entry", "expire", "respond", "since", "values")
+
+    def __init__(
+        self,
+        entry: Entry,
+        values: dict[str, str],
+        respond: Callable[[Channel | None, Answer], None],
+        expire: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.entry = entry
+        self.values = values
+        self.respond = respond
+        self.expire = expire
+        self.since = 0.0
+
+    @property
+    def tenant(self) -> str | None:
+        """Whose connection it must be; None if anybody's will do."""
+        return self.entry.tenant
+
+    def takes(self, channel: Channel) -> bool:
+        """Return whether a connection is of use to it."""
+        return self.tenant is None or self.tenant == channel.tenant
--- /dev/null
+++ b/src/rowanrail/scheduling/concurrency.py
@@ -0,0 +1,167 @@
+"""How many statements one holder of connections may have under way at one member.
+
+Several holders share a member and exchange no messages about it. Each one raises its limit slowly
+while it uses all of it, and lowers it by a part when the member shows that statements stand in its
+own queue. A holder with little demand keeps a low limit, and what a lost one leaves is taken up by
+the others within some tens of answers.
+"""
+
+import math
+
+__all__ = ["ConcurrencyLimit"]
+
+# Factor on the slots: what is above it only makes the member's own queue longer. A second set of
+# statements keeps the slots busy while answers are on their way.
+CEILING_FACTOR = 2
+LOWEST_CEILING = 4  # statements; a member that announces one slot may know no better
+LOWEST_START = 2  # statements; a holder that is alone in having demand doubles it in 10 answers
+# Answers after which the limit is looked at again. The quickest of eight shows whether all of them
+# waited: with work of 1:5 in length, one of eight is at most about half as long as the average.
+WINDOW_ANSWERS = 8
+STEP = 1.0  # statements by which the limit rises after a window in which all of it was used
+# Of the limit after a sign of a queue: three holders that see the same queue give up a quarter of
+# what they have under way, which is about what they had added since the last sign.
+BACKOFF = 0.75
+# Of the average answer time. If even the quickest of a window waited so long, about half a
+# statement stands before each of the member's slots all the time.
+STANDING_SHARE = 1 / 3
+SHORTEST_STANDING = 4.0  # ms; less than that is what a busy machine's scheduler adds
+AVERAGE_WEIGHT = 0.1  # of the newest answer: about the last ten count
+# ms for which the quickest answer is remembered, at least. Longer than a rush, so that a queue that
+# stands for seconds isn't taken for the way; shorter than what a slower route lasts.
+MEMORY = 30_000.0
+
+
+class ConcurrencyLimit:
+    """The limit of one holder at one member, adapted to what the member's answers show.
+
+    The quickest answers are compared with the quickest that were seen there, so that neither a
+    long way to the member nor heavy statements look like a queue: that delays the quick ones too.
+
+    Parameters
+    ----------
+    slots : int
+        Statements that the member says it runs at a time.
+    holders : int
+        How many holders are thought to share the member; only a start and a lower bound.
+
+    Examples
+    --------
+    Three holders begin with an even part of twice the slots; one that uses all of its part, and
+    sees no queue, gets more.
+
+    >>> limit = ConcurrencyLimit(slots=4, holders=3)
+    >>> limit.value
+    3
+    >>> for now in range(100):
+    ...     limit.note_answer(now, answer_time=9.0, under_way=limit.value)
+    >>> limit.value
+    8
+
+    Being turned away lowers it; the even part of the slots remains.
+
+    >>> for now in range(100):
+    ...     limit.note_turned_away(under_way=limit.value)
+    >>> limit.value
+    1
+    """
+
+    def __init__(self, slots: int, holders: int = 1) -> None:
+        self._slots = max(1, slots)
+        self._holders = max(1, holders)
+        self._limit = float(
+            min(self._ceiling, max(LOWEST_START, math.ceil(2 * self._slots / self._holders)))
+        )
+        self._average = 0.0
+        self._quickest = _SlowMinimum()
+        self._answers = 0  # of this window
+        self._window_quickest = math.inf
+        self._was_full = False
+        self._sent_before = 0  # answers still to come of statements sent under the limit before
+
+    @property
+    def value(self) -> int:
+        """Statements that may be under way."""
+        return int(self._limit)
+
+    @property
+    def _floor(self) -> int:
+        return max(1, self._slots // self._holders)
+
+    @property
+    def _ceiling(self) -> int:
+        return max(LOWEST_CEILING, CEILING_FACTOR * self._slots)
+
+    def set_sharing(self, slots: int, holders: int) -> None:
+        """Take changed slots, or another number of holders; what was learned is kept."""
+        self._slots = max(1, slots)
+        self._holders = max(1, holders)
+        self._limit = max(self._floor, min(self._ceiling, self._limit))
+
+    def note_answer(self, now: float, answer_time: float, under_way: int) -> None:
+        """Note a statement that the member ran.
+
+        Parameters
+        ----------
+        now : float
+            Steady milliseconds.
+        answer_time : float
+            Milliseconds from sending to the answer.
+        under_way : int
+            Statements under way when it came, itself among them.
+        """
+        self._quickest.note(now, answer_time)
+        self._average += AVERAGE_WEIGHT * (answer_time - self._average)
+        if self._sent_before > 0:
+            self._sent_before -= 1
+            return
+        self._answers += 1
+        self._window_quickest = min(self._window_quickest, answer_time)
+        self._was_full = self._was_full or under_way >= self.value
+        if self._answers >= WINDOW_ANSWERS:
+            self._end_window(under_way)
+
+    def _end_window(self, under_way: int) -> None:
+        waited = self._window_quickest - self._quickest.value
+        if waited > max(SHORTEST_STANDING, STANDING_SHARE * self._average):
+            self._lower(under_way)
+        elif self._was_full:
+            self._limit = min(self._ceiling, self._limit + STEP)
+        self._begin_window()
+
+    def note_turned_away(self, under_way: int) -> None:
+        """Note that the member's own queue was full; a refusal for another reason is no sign."""
+        if self._sent_before > 0:
+            self._sent_before -= 1
+            return
+        self._lower(under_way)
+        self._begin_window()
+
+    def _lower(self, under_way: int) -> None:
+        """Lower the limit once for what is under way: its answers tell of the limit before."""
+        self._limit = max(self._floor, BACKOFF * self._limit)
+        self._sent_before = under_way - 1
+
+    def _begin_window(self) -> None:
+        self._answers = 0
+        self._window_quickest = math.inf
+        self._was_full = False
+
+
+class _SlowMinimum:
+    """The smallest value of the last one to two spans of ``MEMORY``."""
+
+    def __init__(self) -> None:
+        self._began = -math.inf
+        self._before = math.inf
+        self._recent = math.inf
+
+    @property
+    def value(self) -> float:
+        return min(self._before, self._recent)
+
+    def note(self, now: float, value: float) -> None:
+        if now - self._began >= MEMORY:
+            self._before, self._recent = self._recent, math.inf
+            self._began = now
+        self._recent = min(self._recent, value)
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -290,7 +290,7 @@
     """What can't be in time is refused when it comes, not after it has waited."""
 
     def setUp(self):
-        self.played = PlayedGateway()
+        self.played = PlayedGateway(slots=24)  # so that connections bind, not slots
         self.pool = self.played.gateway.services["db"].pools["m1"]
         for _ in range(30):
             self.pool.note_lease(0.2)
@@ -337,7 +337,7 @@
         self.assertEqual(pool.open_count, 2)
         self.assertEqual(pool.established, 0)
         pool.set_limit(2)
-        self.assertAlmostEqual(pool.expected_wait_seconds, pool._lease_seconds / 2)
+        self.assertAlmostEqual(pool.expected_wait_seconds, pool._connections.leases.seconds / 2)
 
     def test_a_member_that_had_no_connection_left_is_asked_again_soon(self):
         # Found in an incident: after a loss of power members count the old connections for 3 s, and
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -194,7 +194,9 @@
     def test_a_gateway_that_stops_gives_its_connections_up(self):
         self.world.home.gateway.stopping = True
         self.world.clock.advance(0.3)
-        self.assertNotIn("a", [channel.tenant for channel in self.service.pools["m1"]._idle])
+        self.assertNotIn(
+            "a", [channel.tenant for channel in self.service.pools["m1"]._connections.idle]
+        )
 
     def test_a_gateway_that_helped_out_gives_its_connections_up(self):
         # Found on a played day: three gateways that had stood in while a primary was cut off
@@ -208,9 +210,9 @@
         single = local.single(routes()["orders"], session.values, True)
         single.start(statement("q1", "WRITE a 1"), answers.append)
         pool = helper.gateway.services["db"].pools["m1"]
-        self.assertEqual([channel.tenant for channel in pool._idle], ["a"])
+        self.assertEqual([channel.tenant for channel in pool._connections.idle], ["a"])
         self.world.clock.advance(0.5)
-        self.assertNotIn("a", [channel.tenant for channel in pool._idle])
+        self.assertNotIn("a", [channel.tenant for channel in pool._connections.idle])
 
 
 class KeysAtHolderTest(unittest.TestCase):
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load."""
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -76,8 +76,9 @@
 class PlayedMember:
     """A member: answers by itself unless a test holds or scripts its answers."""
 
-    def __init__(self, instance: str, primary: bool, zone: str) -> None:
+    def __init__(self, instance: str, primary: bool, zone: str, slots: int = 3) -> None:
         self.instance = instance
+        self.slots = slots
         self.primary = primary
         self.zone = zone
         self.position = Position(1, 10)
@@ -90,7 +91,14 @@
 
     def record(self, leaving: bool = False, sequence: int = 1) -> MemberRecord:
         return MemberRecord(
-            self.instance, "db", f"{self.instance}:1", self.zone, self.primary, leaving, 3, sequence
+            self.instance,
+            "db",
+            f"{self.instance}:1",
+            self.zone,
+            self.primary,
+            leaving,
+            self.slots,
+            sequence,
         )
 
     def texts(self) -> list[str]:
@@ -209,11 +217,11 @@
 class PlayedGateway:
     """A gateway in zone a before one service with a primary and two replicas."""
 
-    def __init__(self, with_regions: bool = False) -> None:
+    def __init__(self, with_regions: bool = False, slots: int = 3) -> None:
         self.clock = ManualClock()
-        self.primary = PlayedMember("m1", True, "b")
-        self.near = PlayedMember("m2", False, "a")
-        self.far = PlayedMember("m3", False, "c")
+        self.primary = PlayedMember("m1", True, "b", slots)
+        self.near = PlayedMember("m2", False, "a", slots)
+        self.far = PlayedMember("m3", False, "c", slots)
         self.members = [self.primary, self.near, self.far]
         self.driver = PlayedDriver(self.members)
         self.decisions = RecordingLog("proxy", wall_clock=self.clock.time)
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -10,6 +10,8 @@
     "rowanrail.gateway.primary",
     "rowanrail.gateway.samples",
     "rowanrail.relay.placement",
+    "rowanrail.scheduling.concurrency",
+    "rowanrail.scheduling.queue",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
     "rowanrail.tenants.quota",
