--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -47,7 +47,7 @@
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import DemandBook
-from rowanrail.tenants.model import Identity
+from rowanrail.tenants.model import Identity, Tenants
 from rowanrail.tenants.quota import QuotaTerms
 
 TICK_SECONDS = 0.05  # a sixth of the shortest time that is watched, PROBE_TIMEOUT_SECONDS
@@ -161,6 +161,8 @@
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
+        for service in self.services.values():
+            service.set_tenants(configuration.tenants or Tenants())
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._unconfigured = self._unconfigured, []
@@ -356,10 +358,10 @@
             return local
         return self._forwarded(self._neighbours, self.services[part.service], local)
 
-    def load(self, service: str) -> ServiceLoad | None:
+    def load(self, service: str, tenant: str) -> ServiceLoad | None:
         """See :meth:`rowanrail.relay.serving.HolderHost.load`."""
         known = self.services.get(service)
-        return None if known is None else measure(known, self.clock.time() * 1000)
+        return None if known is None else measure(known, tenant, self.clock.time() * 1000)
 
     def idle_transaction_seconds(self) -> float:
         """See :meth:`SessionHost.idle_transaction_seconds`."""
--- a/src/rowanrail/relay/forwarded.py
+++ b/src/rowanrail/relay/forwarded.py
@@ -166,6 +166,7 @@
             Asked(
                 link.peer,
                 self._route.service,
+                self._session.identity.tenant,
                 self._route.priority,
                 writes,
                 left=self._left,
@@ -203,7 +204,7 @@
         if reply.floor is not None and (floor is None or reply.floor > floor):
             self._session.floors[service] = reply.floor
         self._told = reply.trace
-        self._work.prospects.note(self._peer, service, reply.load)
+        self._work.prospects.note(self._peer, service, self._session.identity.tenant, reply.load)
         return answer_of(reply)
 
     def _lost(self, may_be_kept: bool, reason: str) -> Answer:
--- a/src/rowanrail/relay/prospects.py
+++ b/src/rowanrail/relay/prospects.py
@@ -10,7 +10,7 @@
 from rowanrail.gateway.statement import busy, rejection
 from rowanrail.kernel.clock import Clock
 from rowanrail.scheduling.admission import Cause, Forecast, Reject, judge_sending
-from rowanrail.scheduling.load import Assumed, LoadBook, ServiceLoad
+from rowanrail.scheduling.load import Assumed, LoadBook, ServiceLoad, Subject
 from rowanrail.scheduling.returning import ReturnTimes
 
 __all__ = ["Asked", "Prospects", "TurnedAway"]
@@ -42,6 +42,7 @@
 
     peer: str
     service: str
+    tenant: str
     urgency: int
     writes: bool
     left: float
@@ -71,9 +72,9 @@
         self._book = LoadBook(clock)
         self._returns = ReturnTimes(clock)
 
-    def note(self, peer: str, service: str, load: ServiceLoad | None) -> None:
-        """Take what a holder told with an answer."""
-        self._book.note(peer, service, load)
+    def note(self, peer: str, service: str, tenant: str, load: ServiceLoad | None) -> None:
+        """Take what a holder told with an answer to a tenant's statement."""
+        self._book.note(Subject(peer, service, tenant), load)
 
     def forget(self, peer: str) -> None:
         """Assume nothing of a holder whose link is lost."""
@@ -81,14 +82,15 @@
 
     def judge(self, asked: Asked) -> TurnedAway | None:
         """Return the refusal of a statement that is hopeless, None for one that is sent."""
+        subject = Subject(asked.peer, asked.service, asked.tenant)
         assumed = Assumed()
         if not asked.returned:
-            assumed = self._book.assume(asked.peer, asked.service, asked.urgency, asked.writes)
+            assumed = self._book.assume(subject, asked.urgency, asked.writes)
         verdict = judge_sending(assumed.wait, asked.way, asked.left, asked.whole)
         if not isinstance(verdict, Reject):
             return None
         is_crowded = verdict.cause is Cause.HOLDER_CROWDED
-        if is_crowded and self._book.may_probe(asked.peer, asked.service):
+        if is_crowded and self._book.may_probe(subject):
             return None
         return self._turn_away(asked, verdict, assumed)
 
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -69,8 +69,8 @@
     def prove_primary(self, service: str, give: Callable[[Sample | None], None]) -> None:
         """Give a new sample of a service's primary, None if there is none in time."""
 
-    def load(self, service: str) -> ServiceLoad | None:
-        """Return what statements of a service would wait here now, None if it isn't known."""
+    def load(self, service: str, tenant: str) -> ServiceLoad | None:
+        """Return what a tenant's statements of a service would wait here, None if nothing."""
 
     def idle_transaction_seconds(self) -> float:
         """Return how long a transaction may rest."""
@@ -241,7 +241,7 @@
         single = self._singles.pop(run.call, None)
         if single is not None:
             floor = single.session.floors.get(run.service)
-            load = self._holder.teller.tell(run.service)
+            load = self._holder.teller.tell(run.service, run.tenant)
             self.send(reply_to(run, answer, floor, single.work.trace(), load))
 
     def _work(self, run: Run) -> LocalWork | None:
@@ -300,7 +300,7 @@
             del self._transactions[run.transaction]
             transaction.work.end()
         floor = transaction.session.floors.get(run.service)
-        load = self._holder.teller.tell(run.service)
+        load = self._holder.teller.tell(run.service, run.tenant)
         self.send(reply_to(run, answer, floor, transaction.work.trace(), load))
 
     def _end(self, number: int) -> None:
--- a/src/rowanrail/scheduling/load.py
+++ b/src/rowanrail/scheduling/load.py
@@ -7,12 +7,22 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 
 from rowanrail.kernel.clock import Clock
 
-__all__ = ["URGENCIES", "Assumed", "LoadBook", "LoadTeller", "ServiceLoad"]
+__all__ = [
+    "URGENCIES",
+    "Assumed",
+    "LoadBook",
+    "LoadTeller",
+    "ServiceLoad",
+    "Subject",
+    "rounded",
+    "worth_telling",
+]
 
 URGENCIES = 3  # told one by one; routes of callers name no more so far
 # Milliseconds for which what a holder told is assumed: about the time of a try, after which its
@@ -24,11 +34,23 @@
 # Milliseconds for which a load that was worked out is told again; short beside what is told.
 TOLD_AGAIN_MS = 10.0
 LEAST_TOLD_MS = 20.0  # shorter waits change no decision
-MOST_BOOKED = 1024  # services at holders: more than a gateway sends to; about 200 KB
+# Words that are kept: those of 100 tenants at 10 holders; about 300 KB.
+MOST_BOOKED = 1024
+
+
+class Subject(NamedTuple):
+    """Of what a holder told: a tenant's statements of one service.
+
+    A tenant's rush stands behind its own share, so that each tenant's wait is another one.
+    """
+
+    peer: str
+    service: str
+    tenant: str = ""
 
 
 class ServiceLoad(msgspec.Struct, array_like=True, frozen=True, gc=False):
-    """The load of one service at the gateway that holds its connections.
+    """The load of one service at the gateway that holds its connections, for one tenant.
 
     Parameters
     ----------
@@ -77,24 +99,25 @@
     clock : Clock
         Time in milliseconds.
     measure : callable
-        Returns the load of a service now, None if it is not known.
+        Returns the load of a service for a tenant now, None if there is room.
     """
 
-    def __init__(self, clock: Clock, measure: Callable[[str], ServiceLoad | None]) -> None:
+    def __init__(self, clock: Clock, measure: Callable[[str, str], ServiceLoad | None]) -> None:
         self._clock = clock
         self._measure = measure
-        self._told: dict[str, tuple[float, ServiceLoad | None]] = {}
+        self._worked_out_at = -TOLD_AGAIN_MS
+        self._told: dict[tuple[str, str], ServiceLoad | None] = {}
 
-    def tell(self, service: str) -> ServiceLoad | None:
-        """Return the load of a service, None if there is room for all."""
-        at, load = self._told.get(service, (-TOLD_AGAIN_MS, None))
-        if self._clock.now - at < TOLD_AGAIN_MS:
-            return load
-        load = self._measure(service)
-        if load is not None and not worth_telling(load):
-            load = None
-        self._told[service] = (self._clock.now, load)
-        return load
+    def tell(self, service: str, tenant: str) -> ServiceLoad | None:
+        """Return the load of a service for a tenant, None if there is room."""
+        if self._clock.now - self._worked_out_at >= TOLD_AGAIN_MS:
+            self._told.clear()
+            self._worked_out_at = self._clock.now
+        if (service, tenant) not in self._told:
+            load = self._measure(service, tenant)
+            is_told = load is not None and worth_telling(load)
+            self._told[service, tenant] = load if is_told else None
+        return self._told[service, tenant]
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +138,7 @@
 
 @dataclass(slots=True)
 class _Word:
-    """The last that a holder told of a service, and when a probe was sent on its account."""
+    """The last that a holder told of a subject, and when a probe was sent on its account."""
 
     load: ServiceLoad
     heard_at: float
@@ -133,34 +156,33 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._words: dict[tuple[str, str], _Word] = {}
+        self._words: dict[Subject, _Word] = {}
 
     def __len__(self) -> int:
         return len(self._words)
 
-    def note(self, peer: str, service: str, load: ServiceLoad | None) -> None:
+    def note(self, subject: Subject, load: ServiceLoad | None) -> None:
         """Take what a holder told; None says that there is room, or comes from an older one."""
-        key = (peer, service)
-        before = self._words.pop(key, None)
+        before = self._words.pop(subject, None)
         if load is None:
             return
         if len(self._words) >= MOST_BOOKED:
             self._forget_old()
         if len(self._words) < MOST_BOOKED:
             probed_at = before.probed_at if before else self._clock.now
-            self._words[key] = _Word(load, self._clock.now, probed_at)
+            self._words[subject] = _Word(load, self._clock.now, probed_at)
 
     def forget(self, peer: str) -> None:
         """Assume nothing of a holder whose link is lost."""
-        for key in [key for key in self._words if key[0] == peer]:
-            del self._words[key]
+        for subject in [subject for subject in self._words if subject.peer == peer]:
+            del self._words[subject]
 
-    def assume(self, peer: str, service: str, urgency: int, writes: bool) -> Assumed:
+    def assume(self, subject: Subject, urgency: int, writes: bool) -> Assumed:
         """Return what may be assumed of a holder for a statement now.
 
         Its line has gone on since it told: the wait is taken as shorter by the age of its word.
         """
-        word = self._words.get((peer, service))
+        word = self._words.get(subject)
         if word is None:
             return Assumed()
         age = self._clock.now - word.heard_at
@@ -168,9 +190,9 @@
             return Assumed()
         return Assumed(max(0.0, word.load.wait(urgency, writes) - age), word.load.pace)
 
-    def may_probe(self, peer: str, service: str) -> bool:
+    def may_probe(self, subject: Subject) -> bool:
         """Return whether a statement is to be sent in spite of what was told; notes that it is."""
-        word = self._words.get((peer, service))
+        word = self._words.get(subject)
         if word is None:
             return True
         if self._clock.now - word.probed_at < PROBE_MS:
@@ -180,8 +202,8 @@
 
     def _forget_old(self) -> None:
         limit = self._clock.now - ASSUMED_MS
-        for key in [key for key, word in self._words.items() if word.heard_at < limit]:
-            del self._words[key]
+        for subject in [known for known, word in self._words.items() if word.heard_at < limit]:
+            del self._words[subject]
 
 
 def rounded(waits: Sequence[float]) -> list[int]:
