--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -158,6 +158,7 @@
             asked=over.asked,
             part=round(over.part, 2),
             age_ms=round(over.age),
+            heard=round(over.heard, 2),
             version=self.version,
             urgency=urgency,
             return_in=round(return_in),
