explain tells why a statement was turned away; a read leaves a line that is too long for its objective

Cause: a read's line at one member was left for another one when half of its objective would pass there; judged by the time-out alone it would have stayed. Places for returns were given in one row for all, so that an urgent client stood behind the places of others. A client that was over its limit twice was remembered twice. Change: a read looks for a member that is prompt first, then for one where it can be served, and is refused only if there is neither. Places are given by cause and urgency. `rowanrail explain` puts the forecast, the time left and the return time into words.

--- a/src/rowanrail/explain/story.py
+++ b/src/rowanrail/explain/story.py
@@ -4,6 +4,7 @@
 
 from rowanrail.coordination import events as control_events
 from rowanrail.explain.lines import LogLine
+from rowanrail.explain.turned_away import why_turned_away
 from rowanrail.gateway import events as gateway_events
 from rowanrail.gateway.model import NOT_RUN, Refusal
 from rowanrail.gateway.operation import Stage
@@ -120,7 +121,8 @@
         member = f"{member} through {via}"
     if outcome == "done":
         return f"it ran at {member} in {fields.get('milliseconds')} ms"
-    if fields.get("stage") == Stage.WAITS_FOR_HOLDER.value:
+    turned_away = why_turned_away(fields)
+    if fields.get("stage") == Stage.WAITS_FOR_HOLDER.value and not turned_away:
         return f"no gateway of its zone held connections to {service} in time ({reason})"
     if via and not fields.get("member") and fields.get("stage") == Stage.SENT.value:
         return f"it was sent to gateway {via}, whose link was lost ({reason})"
@@ -137,7 +139,10 @@
     if outcome == Refusal.OUTCOME_UNKNOWN.value:
         return f"it was sent to {member} and its answer did not come ({reason}){lost}"
     if fields.get("stage") == "waits-for-connection" and not lost:
-        return f"{member} of {service} had no connection free in time ({reason})"
+        short = f"{member} of {service} had no connection free in time ({reason})"
+        return f"{short}: {turned_away}" if turned_away else short
+    if turned_away:
+        return f"{reason}: {turned_away}{lost}"
     if fields.get("stage") == "sent" and outcome == Refusal.BUSY.value:
         return f"{member} of {service} had too much to do and refused it{lost}"
     if lost:
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -7,7 +7,7 @@
 from rowanrail.gateway.model import Answer, Consistency, Refusal, TypedStatement
 from rowanrail.gateway.operation import Operation, Stage
 from rowanrail.gateway.pool import MemberPool
-from rowanrail.gateway.statement import LATE, busy
+from rowanrail.gateway.statement import LATE, PRIMARY_RETURN_MS, busy
 from rowanrail.proxy.backend import ORIGIN, Position
 from rowanrail.scheduling.admission import Cause
 
@@ -46,7 +46,7 @@
         if self.respond is None:
             return
         if position is None:
-            self.finish(busy("no primary confirms its position"))
+            self.turn_away(Cause.NO_PRIMARY, "no primary confirms its position", PRIMARY_RETURN_MS)
             return
         own = self.session.floors.get(self.service.spec.name, ORIGIN)
         self.floor = max(position, own)
@@ -62,7 +62,7 @@
             self.attempts = 0
             self.retry_later(self._need_floor, busy("no member can serve the read"))
             return
-        if not self.may_wait_at(pool):
+        if not self.is_prompt(pool):
             roomy = self.roomier(self.excluded)
             if roomy is None:
                 self.refuse_crowded(pool)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -35,6 +35,9 @@
 from rowanrail.scheduling.queue import Entry
 from rowanrail.scheduling.returning import return_base
 
+# Of the objective: a read goes elsewhere rather than wait for longer, which leaves as much for its
+# run.
+PROMPT_SHARE = 0.5
 READ_ATTEMPT_SHARE = 0.6  # of the objective: after it a silent member is given up for a read
 READ_ATTEMPT_LATENCIES = 8  # usual latencies: the same, if that is sooner
 MINIMUM_ATTEMPT_SECONDS = 0.4  # the slowest reads take that long, also on a calm day
@@ -268,17 +271,28 @@
         verdict = judge_arriving(forecast, self.time_left, self.time_given, certain)
         return isinstance(verdict, Admit)
 
+    def is_prompt(self, pool: MemberPool) -> bool:
+        """Return whether a member has room soon enough for an answer within the objective."""
+        forecast = pool.forecast(self.entry())
+        waited = self.time_given - self.time_left
+        soon = PROMPT_SHARE * self.route.objective_seconds * 1000 - waited
+        return forecast.has_room or forecast.wait <= soon
+
     def roomier(self, excluded: set[str]) -> MemberPool | None:
-        """Return the member for a read among those where it can still be served."""
-        pools = self.service.pools.items()
-        crowded = {instance for instance, pool in pools if not self.may_wait_at(pool)}
-        return self.service.choose(excluded | crowded)
+        """Return the member for a read that has room soon, else one where it can be served."""
+        for is_enough in (self.is_prompt, self.may_wait_at):
+            pools = self.service.pools.items()
+            crowded = {instance for instance, pool in pools if not is_enough(pool)}
+            found = self.service.choose(excluded | crowded)
+            if found is not None:
+                return found
+        return None
 
     def refuse_crowded(self, pool: MemberPool, cause: Cause = Cause.CROWDED) -> None:
         """Refuse, as not run, since all connections are in use for too long."""
         self.member = pool.record.instance
         self.stage = Stage.WAITS_FOR_CONNECTION
-        forecast = pool.forecast(self.entry())
+        forecast = pool.forecast(self.entry() if self.waiter is None else self.waiter.entry)
         reason = f"{self.member} is crowded for {forecast.wait:.0f} ms"
         self.turn_away(cause, reason, return_base(forecast.wait, self.time_given), forecast)
 
@@ -313,7 +327,7 @@
             pool.forecast_error.note(self._expected_wait, waited, is_over)
 
     def try_roomier(self, pool: MemberPool) -> bool:
-        """Leave the line of a member for another one that has room; return whether it did."""
+        """Leave the line of a member for a better one, if there is any; return whether it did."""
         return False
 
     def on_channel_closed(self, channel: Channel) -> None:
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -220,11 +220,11 @@
         if isinstance(found, Answer):
             self._finish(found)
             return
+        self.values.returned = self._host.has_returned(self)
         over = self._host.refuse_over_quota(self)
         if over is not None:
             self._finish(over)
             return
-        self.values.returned = self._host.has_returned(self)
         route, work = found
         read_only = statement.kind is StatementKind.BEGIN_READ
         self._transaction = work.transaction(route, self.values, read_only)
@@ -243,11 +243,11 @@
         if isinstance(found, Answer):
             self._finish(found)
             return
+        self.values.returned = self._host.has_returned(self)
         over = self._host.refuse_over_quota(self)
         if over is not None:
             self._finish(over)
             return
-        self.values.returned = self._host.has_returned(self)
         route, work = found
         operation = work.single(route, self.values, is_write(statement, self.values))
         self._operation = operation
--- a/src/rowanrail/gateway/statement.py
+++ b/src/rowanrail/gateway/statement.py
@@ -12,7 +12,15 @@
 from rowanrail.scheduling.admission import Cause, Forecast
 from rowanrail.scheduling.returning import SHORTEST_RETURN_MS
 
-__all__ = ["HOLD_SHARE", "LATE", "RETRY_SECONDS", "Statement", "busy", "rejection"]
+__all__ = [
+    "HOLD_SHARE",
+    "LATE",
+    "PRIMARY_RETURN_MS",
+    "RETRY_SECONDS",
+    "Statement",
+    "busy",
+    "rejection",
+]
 
 HOLD_SHARE = 0.7  # of the objective: while a new primary may still come in time
 RETRY_SECONDS = 0.02  # about a round trip inside a region
@@ -130,8 +138,11 @@
         base : float
             Milliseconds until the first of them is welcome.
         """
-        told = self.service.returns.next(max(base, SHORTEST_RETURN_MS), forecast.interval)
-        self.rejection = rejection(cause, forecast, self.time_left, self.route.priority, told)
+        urgency = self.route.priority
+        told = self.service.returns.next(
+            max(base, SHORTEST_RETURN_MS), forecast.interval, (cause, urgency)
+        )
+        self.rejection = rejection(cause, forecast, self.time_left, urgency, told)
         self.finish(busy(reason, told))
 
     def stop_timers(self) -> None:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -111,7 +111,7 @@
             self._excluded.clear()
             self.retry_later(self._begin, busy("no member can serve the transaction"))
             return
-        roomy = pool if self.may_wait_at(pool) else self.roomier(self._excluded)
+        roomy = pool if self.is_prompt(pool) else self.roomier(self._excluded)
         if roomy is None:
             self.refuse_crowded(pool)
             return
--- a/src/rowanrail/relay/prospects.py
+++ b/src/rowanrail/relay/prospects.py
@@ -96,7 +96,7 @@
 
     def _turn_away(self, asked: Asked, verdict: Reject, assumed: Assumed) -> TurnedAway:
         interval = 1000 / (SENDER_SHARE * assumed.pace) if assumed.pace else 0.0
-        told = self._returns.next(verdict.return_in, interval)
+        told = self._returns.next(verdict.return_in, interval, (asked.peer, asked.urgency))
         forecast = Forecast(assumed.wait, asked.way)
         if verdict.cause is Cause.WAY_TOO_LONG:
             reason = f"{asked.left:.0f} ms are too short for the way to {asked.peer}"
--- a/src/rowanrail/scheduling/returning.py
+++ b/src/rowanrail/scheduling/returning.py
@@ -38,6 +38,7 @@
 REMEMBERED_MS = 2000.0
 # Returns that are remembered: 10 s of 400 refusals a second, about 1 MB.
 MOST_REMEMBERED = 4096
+MOST_LINES = 64  # before those are looked for whose places have all passed
 _GOLDEN = 0.6180339887498949  # its multiples fill an interval evenly, however many there are
 
 
@@ -85,10 +86,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._next_at = 0.0
+        self._next_at: dict[Hashable, float] = {}
         self._given = 0
 
-    def next(self, base: float, interval: float = 0.0) -> float:
+    def next(self, base: float, interval: float = 0.0, line: Hashable = None) -> float:
         """Return in how many milliseconds the next client that is turned away returns.
 
         Parameters
@@ -97,6 +98,8 @@
             Milliseconds until the first of them is welcome.
         interval : float
             Milliseconds between two of them: the pace of the line; 0 if it is not known.
+        line : Hashable
+            To which they return: urgent ones do not stand behind the places of others.
 
         Notes
         -----
@@ -104,12 +107,14 @@
         then is filled evenly.
         """
         now = self._clock.now
-        at = max(now + base, self._next_at)
+        at = max(now + base, self._next_at.get(line, 0.0))
         latest = now + LONGEST_RETURN_MS
         number, self._given = self._given, self._given + 1
         if at >= latest:
             return spread(number, min(base, LONGEST_RETURN_MS * (1 - JITTER_SHARE)), latest - now)
-        self._next_at = at + (interval or UNKNOWN_INTERVAL_MS)
+        if len(self._next_at) >= MOST_LINES:
+            self._next_at = {known: free for known, free in self._next_at.items() if free > now}
+        self._next_at[line] = at + (interval or UNKNOWN_INTERVAL_MS)
         return min(latest, at + spread(number, 0.0, JITTER_SHARE * base)) - now
 
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -122,6 +122,48 @@
         story = self.story(request)
         self.assertIn("m1 of db had no connection free in time", story.cause)
 
+    def fill(self, pool, ask):
+        """Have so many wait before a member that the last ones are turned away."""
+        for _ in range(30):
+            pool.note_lease(0.5)
+        self.played.primary.script = [None] * 500
+        for _ in range(60):
+            ask()
+
+    def test_turned_away_when_it_came(self):
+        pool = self.played.gateway.services["db"].pools["m1"]
+        self.fill(pool, lambda: self.played.client("orders").ask("WRITE b 2"))
+        self.played.client("orders").run("WRITE a 1")
+        line = [text for text in self.played.logs() if '"cause":"crowded"' in text][-1]
+        story = tell("q1", read_lines([line]).lines)
+        self.assertIn("m1 of db had no connection free in time (m1 is crowded for", story.cause)
+        self.assertRegex(
+            story.cause,
+            r"when it came about \d+ ms of waiting lay before it and 1000 ms were left; "
+            r"told to return in \d\.\d\d s$",
+        )
+        self.assertEqual(story.promise, "nothing of it is kept; it may be sent again")
+
+    def test_turned_away_while_it_waited(self):
+        pool = self.played.gateway.services["db"].pools["m1"]
+        self.fill(pool, lambda: self.played.client("orders").ask("WRITE b 2"))
+        self.played.clock.advance(1.0)
+        line = [text for text in self.played.logs() if '"cause":"hopeless"' in text][-1]
+        story = tell("q1", read_lines([line]).lines)
+        self.assertRegex(story.cause, r"while it waited about \d+ ms still lay before it and")
+
+    def test_turned_away_by_what_the_holder_had_told(self):
+        self.played = zone = PlayedZone()
+        client = zone.last.client("orders")
+        client.run("WRITE a 1", seconds=0.3)
+        pool = zone.first.gateway.services["db"].pools["m1"]
+        self.fill(pool, lambda: zone.last.client("orders").ask("WRITE b 2"))
+        zone.clock.advance(0.05)
+        client.run("WRITE b 2")
+        story = tell("q2", read_lines(zone.last.logs()).lines)
+        self.assertIn(f"{zone.first.name} had told of a line of", story.cause)
+        self.assertIn("so that it was not sent there", story.cause)
+
     def test_a_write_whose_link_to_the_holder_was_lost(self):
         zone = PlayedZone()
         client = zone.last.client("orders")
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -327,6 +327,22 @@
             self.played.client("orders").ask("WRITE b 2")
         self.assertIsNone(self.played.client("reports").run("READ a", seconds=0.1).refusal)
 
+    def test_a_read_leaves_a_line_that_is_too_long_for_its_objective(self):
+        # There it could still be served in its time-out, but other members have room at once.
+        near = self.played.gateway.services["db"].pools["m2"]
+        for _ in range(30):
+            near.note_lease(0.2)
+        near.latency_seconds = 0.001  # so that it is chosen, whatever stands before it
+        self.played.near.script = [None] * 200
+        readers = [self.played.client("reports") for _ in range(60)]
+        for reader in readers:
+            reader.ask("READ a")
+            self.played.clock.advance(0.001)
+        self.assertIn("READ a", self.played.far.texts())
+        self.assertFalse(
+            [answer for reader in readers for answer in reader.answers if answer.refusal]
+        )
+
     def test_who_could_still_be_served_waits_until_its_prospects_are_gone(self):
         waiting = [self.played.client("orders") for _ in range(40)]
         for client in waiting:
--- a/tests/scheduling/test_returning.py
+++ b/tests/scheduling/test_returning.py
@@ -50,6 +50,17 @@
         self.manual.advance(2.0)
         self.assertLess(self.times.next(100.0, INTERVAL), 120.0)
 
+    def test_urgent_ones_do_not_stand_behind_the_places_of_others(self):
+        for _ in range(500):
+            self.times.next(1500.0, INTERVAL, "less urgent")
+        self.assertLess(self.times.next(100.0, INTERVAL, "urgent"), 120.0)
+
+    def test_lines_whose_places_have_passed_are_forgotten(self):
+        for number in range(1000):
+            self.times.next(100.0, INTERVAL, number)
+            self.manual.advance(0.01)
+        self.assertLess(len(self.times._next_at), 100)
+
     def test_an_endless_backlog_is_told_a_time_within_the_clients_patience(self):
         self.assertEqual(return_base(60_000.0, 800.0), LONGEST_RETURN_MS)
         for _ in range(100):
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -6,6 +6,7 @@
 
 MODULES = (
     "rowanrail.cli.load_view",
+    "rowanrail.explain.turned_away",
     "rowanrail.gateway.error_share",
     "rowanrail.gateway.locality",
     "rowanrail.gateway.primary",
