--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -6,11 +6,18 @@
 
 MODULES = (
     "rowanrail.cli.load_view",
+    "rowanrail.explain.turned_away",
     "rowanrail.gateway.error_share",
     "rowanrail.gateway.locality",
     "rowanrail.gateway.primary",
     "rowanrail.gateway.samples",
+    "rowanrail.gateway.statement",
     "rowanrail.relay.placement",
+    "rowanrail.scheduling.admission",
+    "rowanrail.scheduling.concurrency",
+    "rowanrail.scheduling.load",
+    "rowanrail.scheduling.queue",
+    "rowanrail.scheduling.returning",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
     "rowanrail.tenants.precedence",
