--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -144,13 +144,11 @@
 
     def refuse_over_quota(self, session: Session) -> Answer | None:
         """Count an operation of a session's tenant, or return why it may not begin now."""
-        route = self._configuration.routes.get(session.database) if self._configuration else None
-        urgency = route.priority if route is not None else 0
+        urgency = self._urgency(session)
         over = self._quota.begin(session.identity.tenant, urgency)
         if over is None:
             return None
         return_in = self._return_in(over)
-        urgency = self._urgency(session)
         self._decisions.note(
             OVER_QUOTA,
             session=session.label,
@@ -163,7 +161,6 @@
             heard=round(over.heard, 2),
             urgency=urgency,
             version=self.version,
-            urgency=urgency,
             return_in=round(return_in),
         )
         self._note_returning(session, Cause.TENANT_LIMIT.value, urgency, return_in)
