A member's announcement carries how long it stays cold

Cause: members tell in their announcements for how long they are slow after their start; nobody kept it. Ruled out: taking it from each heartbeat. It falls with each one, and every change would be an entry of the log. Change: MemberRecord has cold_ms (appended, with a default, so that records of earlier versions decode); a heartbeat that differs in it alone is no news.

--- a/src/rowanrail/coordination/policies.py
+++ b/src/rowanrail/coordination/policies.py
@@ -31,4 +31,6 @@
             return True
         if record.sequence <= known.sequence:
             return False
-        return msgspec.structs.replace(record, sequence=known.sequence) != known
+        # Members warm up with each heartbeat, which must cost the log nothing.
+        unchanged = {"sequence": known.sequence, "cold_ms": known.cold_ms}
+        return msgspec.structs.replace(record, **unchanged) != known
--- a/src/rowanrail/gateway/model.py
+++ b/src/rowanrail/gateway/model.py
@@ -218,6 +218,7 @@
 
     :param instance: identity of one life of the member.
     :param sequence: rises with each announcement; a lower one came late.
+    :param cold_ms: for how much longer it was slow after its start when it was announced.
     """
 
     instance: str
@@ -228,6 +229,7 @@
     leaving: bool
     slots: int
     sequence: int
+    cold_ms: int = 0
 
 
 class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -55,6 +55,19 @@
         self.assertFalse(self.state.needs_announcement(record(sequence=2)))
         self.assertTrue(self.state.needs_announcement(record(sequence=2, leaving=True)))
 
+    def test_a_member_that_warms_up_needs_no_entry_for_each_heartbeat(self):
+        self.apply(Announce(record(sequence=1, cold_ms=4000)))
+        self.assertFalse(self.state.needs_announcement(record(sequence=2, cold_ms=2800)))
+        self.assertEqual(self.state.members["m1"].cold_ms, 4000)
+        self.apply(Announce(record(sequence=3, cold_ms=1600, primary=True)))
+        self.assertEqual(self.state.members["m1"].cold_ms, 1600)
+
+    def test_members_that_an_earlier_version_saved_are_warm(self):
+        earlier = msgspec.structs.asdict(record())
+        del earlier["cold_ms"]
+        data = msgspec.msgpack.encode(earlier)
+        self.assertEqual(msgspec.msgpack.decode(data, type=MemberRecord), record())
+
     def test_a_late_heartbeat_does_not_bring_a_leaving_member_back(self):
         self.apply(Announce(record(sequence=5, leaving=True)))
         self.apply(Announce(record(sequence=4)))
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,31 @@
+"""What a member's heartbeat becomes in the product's own terms."""
+
+import unittest
+
+import msgspec
+
+from rowanrail_platform.control_api import Heartbeat
+
+PLAIN = {
+    "service": "db",
+    "addr": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 5,
+    "state": "ready",
+    "db-role": "replica",
+    "call-seq": 4,
+}
+
+
+class HeartbeatTest(unittest.TestCase):
+    def record(self, **fields):
+        body = msgspec.json.encode(PLAIN | fields)
+        return msgspec.json.decode(body, type=Heartbeat).record("i-1")
+
+    def test_a_member_tells_how_long_it_stays_slow(self):
+        self.assertEqual(self.record(**{"cold-ms": 3200}).cold_ms, 3200)
+        self.assertEqual(self.record(**{"cold-ms": 3200.4}).cold_ms, 3200)
+
+    def test_one_that_does_not_tell_is_warm(self):
+        self.assertEqual(self.record().cold_ms, 0)
+        self.assertEqual(self.record(**{"cold-ms": -5}).cold_ms, 0)
