Reads go where they are expected to be done soonest

Cause: the cost of a member was its average latency times its own load, times 0.4 or 0.5 for a near one. A near member kept its callers until it was 2.5 times as slow as a far one, whatever the primary among them had to write; turning a statement away, or lacking a floor, taught nothing. Ruled out: power of two choices among all members (of three it leaves the best a third of the time, and nearness with it); one latency for all kinds of work (a primary with short statements looked quick); a way per zone pair as a setting. Change: scheduling.choice takes the expected completion: wait for a connection, run for this kind of work, queue seen lately, own statements under way, coldness, error share, suspicion, expected lag against the floor, a reserve of the primary's slots that grows with its fullness, and a preference in ms for near members. Against herding: own statements count at once, nearly equal members are drawn from, queues are smoothed and forgotten. scheduling.run_times, .lag and .warming learn from answers; gateway.member_estimates gathers the candidates. Locality tells a distance.

--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -176,7 +176,7 @@
     def _distance(self, address: str) -> float:
         """Return how far a control node is; one that was never heard is worth a look."""
         zone = self._zones.get(address)
-        return 0.0 if zone is None else self._locality.factor(zone)
+        return 0.0 if zone is None else 1.0 + self._locality.distance(zone)
 
     async def _return_nearer(self) -> None:
         """Follow a nearer control node again, if one answers and is sure."""
--- a/src/rowanrail/gateway/locality.py
+++ b/src/rowanrail/gateway/locality.py
@@ -5,10 +5,6 @@
 
 __all__ = ["Locality"]
 
-SAME_ZONE_FACTOR = 0.4  # of the cost elsewhere; bytes inside a zone cost nothing
-SAME_REGION_FACTOR = 0.5  # bytes between zones cost a quarter of those between regions
-ELSEWHERE_FACTOR = 1.0  # the others are shares of it
-
 
 @dataclass(frozen=True, slots=True)
 class Locality:
@@ -24,8 +20,8 @@
     Examples
     --------
     >>> here = Locality("a1", {"a1": "a", "a2": "a", "b1": "b"})
-    >>> here.factor("a1") < here.factor("a2") < here.factor("b1")
-    True
+    >>> here.distance("a1"), here.distance("a2"), here.distance("b1")
+    (0, 1, 2)
     """
 
     zone: str
@@ -39,11 +35,8 @@
         """Return whether ``zone`` is in the gateway's own region."""
         return self.region_of(zone) == self.region_of(self.zone)
 
-    def factor(self, zone: str) -> float:
-        """Return by how much a member's cost is multiplied for standing in ``zone``."""
+    def distance(self, zone: str) -> int:
+        """Return 0 for the gateway's own zone, 1 for its region, 2 for all others."""
         if zone == self.zone:
-            return SAME_ZONE_FACTOR
-        region = self.regions.get(self.zone)
-        if region is not None and self.regions.get(zone) == region:
-            return SAME_REGION_FACTOR
-        return ELSEWHERE_FACTOR
+            return 0
+        return 1 if self.is_near(zone) else 2
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -51,7 +51,7 @@
 
     def _choose(self) -> None:
         self.attempts += 1
-        pool = self.service.choose(self.excluded)
+        pool = self.service.choose(self.excluded, self.wanted(self.floor))
         if pool is None or self.attempts > READ_ATTEMPTS:
             if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
                 return
@@ -95,6 +95,7 @@
             self.release()
             return
         assert self.pool is not None
+        self.note_answer(answer, self.floor)
         if answer.refusal is None:
             self.pool.note_answer()
             self.release(self.clock.time() - self.sent_at)
--- /dev/null
+++ b/src/rowanrail/gateway/member_estimates.py
@@ -0,0 +1,137 @@
+"""What answers tell about the members of a service, and the candidates for a read made of it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.model import Answer, MemberRecord, Refusal, Route
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.kernel.clock import Clock
+from rowanrail.proxy.backend import Position
+from rowanrail.scheduling.choice import Candidate
+from rowanrail.scheduling.lag import LagEstimate
+from rowanrail.scheduling.queue import Entry
+from rowanrail.scheduling.run_times import RunTimes
+from rowanrail.scheduling.warming import Warming
+
+__all__ = ["MemberEstimates", "Wanted"]
+
+FAR_WAY = 40.0  # ms there and back between regions of 20 ms one way
+_UNASKED = Entry(0, None, 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a read, or a transaction that only reads, asks of a member.
+
+    Parameters
+    ----------
+    kind : str
+        Name of its route: statements of one route take about as long as each other.
+    entry : Entry
+        How it would stand among those that want a connection.
+    floor : Position or None
+        What the member's log must hold.
+    """
+
+    kind: str = ""
+    entry: Entry = _UNASKED
+    floor: Position | None = None
+
+
+class MemberEstimates:
+    """Run times, lags and warmth of one service's members, as this gateway sees them.
+
+    Parameters
+    ----------
+    locality : Locality
+        Where the gateway stands.
+    tracker : PrimaryTracker
+        Knows since when the primary's log has held a position.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, locality: Locality, tracker: PrimaryTracker, clock: Clock) -> None:
+        self._locality = locality
+        self._tracker = tracker
+        self._clock = clock
+        self._times = RunTimes()
+        self._lags: dict[str, LagEstimate] = {}
+        self._warming: dict[str, Warming] = {}
+
+    def set_members(self, records: list[MemberRecord]) -> None:
+        """Know the members; what was learnt of those that left is forgotten."""
+        now = self._clock.now
+        warming, self._warming = self._warming, {}
+        lags, self._lags = self._lags, {}
+        for record in records:
+            name = record.instance
+            self._warming[name] = warming.get(name) or Warming(record.cold_ms, now)
+            self._lags[name] = lags.get(name) or LagEstimate()
+        self._times.keep(set(self._lags))
+
+    def note_answer(
+        self, instance: str, route: Route, answer: Answer, sent_at: float, floor: Position | None
+    ) -> None:
+        """Learn from a member's answer to a read that was sent at ``sent_at`` seconds."""
+        now = self._clock.now
+        lag = self._lags.get(instance)
+        if lag is None:
+            return
+        match answer.refusal:
+            case None:
+                self._times.note(instance, route.name, now - sent_at * 1000, now)
+                if floor is not None:
+                    lag.note_holds(self._age(floor), now)
+            case Refusal.BEHIND if floor is not None:
+                lag.note_lacks(self._age(floor), now)
+            case Refusal.BUSY:
+                self._times.note_turned_away(instance, route.name, now)
+
+    def _age(self, floor: Position) -> float:
+        """Return for how long the primary's log is known to have held a position."""
+        since = self._tracker.history.held_since(floor)
+        return 0.0 if since is None else max(0.0, self._clock.now - since * 1000)
+
+    def candidates(self, pools: Mapping[str, MemberPool], wanted: Wanted) -> list[Candidate]:
+        """Return members as candidates for a read."""
+        now = self._clock.now
+        age = self._age(wanted.floor) if wanted.floor is not None else None
+        return [self._candidate(pool, wanted, age, now) for pool in pools.values()]
+
+    def _candidate(
+        self, pool: MemberPool, wanted: Wanted, age: float | None, now: float
+    ) -> Candidate:
+        record = pool.record
+        name = record.instance
+        work = self._times.work(wanted.kind)
+        is_primary = name == self._tracker.believed
+        behind = 0.0
+        if age is not None and not is_primary and name in self._lags:
+            behind = self._lags[name].expected_behind(age, now)
+        distance = self._locality.distance(record.zone)
+        return Candidate(
+            instance=name,
+            wait=pool.forecast(wanted.entry).wait,
+            run=self._run(name, wanted.kind, distance),
+            queue=self._times.queue(name, now),
+            work=work,
+            under_way=pool.load,
+            slots=record.slots,
+            is_primary=is_primary,
+            error_share=pool.error_share,
+            is_suspect=pool.is_suspect,
+            slowness=self._warming[name].slowness(now) if name in self._warming else 1.0,
+            distance=distance,
+            behind=behind,
+        )
+
+    def _run(self, instance: str, kind: str, distance: int) -> float:
+        """Return what such a read takes at a member, as known or by where the member stands."""
+        usual = self._times.usual(instance, kind)
+        if usual is not None:
+            return usual
+        has_regions = bool(self._locality.regions)
+        return self._times.work(kind) + (FAR_WAY if distance == 2 and has_regions else 0.0)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -11,6 +11,7 @@
 
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.member_estimates import Wanted
 from rowanrail.gateway.model import (
     Answer,
     Command,
@@ -285,6 +286,16 @@
             self.route.priority, self.tenant, self.arrived_at * 1000, deadline=deadline * 1000
         )
 
+    def wanted(self, floor: Position | None) -> Wanted:
+        """Return what a read behind a position asks of a member."""
+        return Wanted(self.route.name, self.entry(), floor)
+
+    def note_answer(self, answer: Answer, floor: Position | None) -> None:
+        """Have the choice of members learn from an answer to what was sent last."""
+        if self.pool is not None:
+            instance = self.pool.record.instance
+            self.service.estimates.note_answer(instance, self.route, answer, self.sent_at, floor)
+
     def has_place(self, pool: MemberPool) -> bool:
         """Return whether a connection can be had while the statement can still be in time."""
         waited = self.clock.time() - self.arrived_at
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -87,6 +87,11 @@
         """The newest proof of the primary's position."""
         return self._samples.newest
 
+    @property
+    def history(self) -> SampleHistory:
+        """The samples of the newest term."""
+        return self._samples
+
     @property
     def is_long_lost(self) -> bool:
         """Whether it has failed for longer than finding or making a successor takes."""
--- a/src/rowanrail/gateway/samples.py
+++ b/src/rowanrail/gateway/samples.py
@@ -98,6 +98,22 @@
         newest = self._newest
         return newest if newest is not None and newest.asked_at >= asked_since else None
 
+    def held_since(self, position: Position) -> float | None:
+        """Return since when the primary's log is known to hold a position, None if it is not.
+
+        Examples
+        --------
+        >>> history = SampleHistory()
+        >>> _ = [history.add(at, Position(1, int(at)), "m1") for at in (10.0, 11.0, 12.0)]
+        >>> history.held_since(Position(1, 11)), history.held_since(Position(1, 13))
+        (11.0, None)
+        """
+        place = bisect_left(self._kept, position, key=lambda sample: sample.position)
+        if place < len(self._kept):
+            return self._kept[place].asked_at
+        newest = self._newest
+        return newest.asked_at if newest is not None and newest.position >= position else None
+
 
 class FloorWaiters:
     """Reads that wait for a sample that was asked for late enough.
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -1,20 +1,22 @@
 """One service: its members' pools, its primary, and the choice of a member for a read."""
 
+import random
+
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.member_estimates import MemberEstimates, Wanted
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
+from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.relay.placement import Part, Population, connection_limit, is_shared
+from rowanrail.scheduling.choice import choose
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
-PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
-FAILING_PENALTY_SECONDS = 5.0  # above any latency, so that a suspect member comes last
-FAR_SECONDS = 0.04  # there and back between regions of 20 ms one way
-ERROR_FACTOR = 10  # a member whose answers are all errors is as if so many times slower
+_ANY = Wanted()
 
 
 class Service:
@@ -34,7 +36,10 @@
         self.primary.on_proof = self._note_proof
         self.primary.lender = self
         self.pools: dict[str, MemberPool] = {}
+        self.estimates = MemberEstimates(locality, self.primary, MillisecondClock(clock))
         self.used_at = -IN_USE_SECONDS
+        # Holders of the zones draw differently, and a simulation can be played again.
+        self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
         self._locality = locality
         self._driver = driver
         self._clock = clock
@@ -55,6 +60,7 @@
                 self.pools[record.instance] = MemberPool(record, limit, self._driver, self._clock)
             else:
                 pool.record = record
+        self.estimates.set_members(records)
         self.primary.set_members(records)
 
     def set_spec(self, spec: ServiceSpec) -> None:
@@ -119,25 +125,15 @@
         """Return the pool of the member believed to lead."""
         return self.pools.get(self.primary.believed)
 
-    def choose(self, excluded: set[str]) -> MemberPool | None:
+    def choose(self, excluded: set[str], wanted: Wanted = _ANY) -> MemberPool | None:
         """Return the member for a read that any member with a fresh log may serve."""
-        best: MemberPool | None = None
-        best_cost = 0.0
-        for instance, pool in self.pools.items():
-            if instance in excluded or pool.record.leaving:
-                continue
-            cost = pool.latency_seconds * (1 + pool.load / max(1, pool.record.slots))
-            cost *= self._locality.factor(pool.record.zone)
-            if instance == self.primary.believed:
-                cost *= PRIMARY_FACTOR
-            cost *= 1 + ERROR_FACTOR * pool.error_share
-            if self.is_far(pool):
-                cost += FAR_SECONDS
-            if pool.is_suspect:
-                cost += FAILING_PENALTY_SECONDS
-            if best is None or cost < best_cost:
-                best, best_cost = pool, cost
-        return best
+        pools = {
+            instance: pool
+            for instance, pool in self.pools.items()
+            if instance not in excluded and not pool.record.leaving
+        }
+        best = choose(self.estimates.candidates(pools, wanted), self._randomness)
+        return None if best is None else pools[best]
 
     def can_lend(self, instance: str) -> bool:
         """See :meth:`rowanrail.gateway.probe.Lender.can_lend`."""
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -103,8 +103,9 @@
         if self.respond is None:
             return
         own = self.session.floors.get(self.service.spec.name, ORIGIN)
-        pool = self.service.choose(self._excluded)
-        if position is None or pool is None:
+        floor = None if position is None else max(position, own)
+        pool = self.service.choose(self._excluded, self.wanted(floor))
+        if floor is None or pool is None:
             self._excluded.clear()
             self.retry_later(self._begin, busy("no member can serve the transaction"))
             return
@@ -115,7 +116,7 @@
         pool = roomy
         if self.service.is_far(pool) and self._move(self.find_home(self.tenant)):
             return
-        self._floor: Position | None = max(position, own)
+        self._floor: Position | None = floor
         self.attempts += 1
         self.acquire(pool, self._with_channel)
         self.limit_opening()
@@ -186,6 +187,8 @@
         assert self.pool is not None
         self.end_attempt()
         instance = self.pool.record.instance
+        if answer.refusal is not None:
+            self.note_answer(answer, self._floor)
         if answer.refusal is None:
             self._begun = True
             if not self.read_only:
@@ -230,6 +233,8 @@
 
     def _statement_answered(self, answer: Answer) -> None:
         self.end_attempt()
+        if self.read_only:
+            self.note_answer(answer, self._floor)
         if answer.refusal is None:
             if self.read_only and self.pool is not None:
                 self.pool.note_answer()
--- a/src/rowanrail/scheduling/choice.py
+++ b/src/rowanrail/scheduling/choice.py
@@ -1,22 +1,64 @@
-"""Which member serves a read soonest, by what is seen of each."""
+"""Which member serves a read soonest, by what is seen of each.
 
+The member is taken where the read is expected to be done first. Three means keep holders of
+connections that decide on the same stale knowledge from going all to one member:
+
+- A holder's own statements count from the moment at which they are given to a member, long before
+  an answer tells about the queue there.
+- Among members that are nearly equal one is drawn, the quicker with the higher probability.
+- What is learnt from answers is smoothed before it gets here, see
+  :mod:`rowanrail.scheduling.run_times`.
+"""
+
+import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["Candidate"]
+__all__ = ["Candidate", "choose", "completion"]
+
+# Of the best completion: members within it are drawn from. Answers of members that are equally
+# loaded differ by about as much.
+NEARLY_EQUAL = 0.1
+# Milliseconds that a member across zones, or regions, must be quicker to be worth the bytes on
+# callers' links, in part of what a statement runs for, since short ones carry as many bytes.
+ZONE_PREFERENCE = 1.0
+REGION_PREFERENCE = 8.0
+ZONE_PREFERENCE_SHARE = 0.1
+REGION_PREFERENCE_SHARE = 0.3
+# Of a run, on an idle primary and more on a full one: what a write waits longer for a read that
+# took a slot there. Writes and transactions have nowhere else to go, reads do.
+IDLE_RESERVE = 0.3
+FULL_RESERVE = 2.0
+# Errors cost a client an attempt, and after some the answer: as if so many times slower, and for
+# short statements by no less than what a client takes to come back (ms).
+ERROR_FACTOR = 10.0
+ERROR_COST = 200.0
+SUSPICION = 5000.0  # ms; above any completion, so that a suspect member comes last
+# Milliseconds of a round trip and a new decision, lost where the log lacks the floor.
+BEHIND_COST = 40.0
+LONGEST_BEHIND = 1000.0  # ms; a member that is further behind is as good as unusable
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """What is known of a member that may serve a read.
+    """What is known of a member that may serve a read; times in milliseconds.
 
     Parameters
     ----------
     instance : str
         Identity of one life of the member.
     wait : float
-        Milliseconds until a statement may be sent there.
+        Until a statement may be sent there.
     run : float
-        Milliseconds from then to its answer, the way there and back included.
+        From then to its answer if nothing is in its way, the way there and back included.
+    queue : float
+        By how much the latest answers took longer than that.
+    work : float
+        What a slot takes for such a statement.
+    under_way : int
+        Own statements that were given to the member and not answered yet.
+    slots : int
+        Statements that the member runs at once.
     is_primary : bool
         Whether it is believed to lead, so that all writes need its slots.
     error_share : float
@@ -24,16 +66,99 @@
     is_suspect : bool
         Whether it failed a moment ago, so that it is tried by one request at a time.
     slowness : float
-        Factor on ``run`` while it is cold after its start; 1 for a warm one.
-    has_room : bool
-        Whether a statement could be sent at once.
+        Factor on ``work`` while it is cold after its start; 1 for a warm one.
+    weight : float
+        What is left of its part of the work after failures, above 0 to 1.
+    distance : int
+        0 in the holder's own zone, 1 in its region, 2 elsewhere.
+    behind : float
+        For how long the member's log is still expected to lack what the read must see.
     """
 
     instance: str
     wait: float
     run: float
+    queue: float = 0.0
+    work: float = 20.0
+    under_way: int = 0
+    slots: int = 1
     is_primary: bool = False
     error_share: float = 0.0
     is_suspect: bool = False
     slowness: float = 1.0
-    has_room: bool = True
+    weight: float = 1.0
+    distance: int = 0
+    behind: float = 0.0
+
+    @property
+    def fullness(self) -> float:
+        """How full the member is, 0 to 1: by own statements, or by how long its answers take."""
+        by_answers = self.queue / max(self.queue + self.work, 1.0)
+        return min(1.0, max(self.under_way / max(1, self.slots), by_answers))
+
+
+def completion(candidate: Candidate) -> float:
+    """Return in how many milliseconds a read is expected to be done at a member, or as if.
+
+    Examples
+    --------
+    >>> near, far = Candidate("m1", 0, 20), Candidate("m2", 0, 60, distance=2)
+    >>> completion(near) < completion(far)
+    True
+    >>> full = Candidate("m1", 0, 20, queue=80, under_way=2)
+    >>> completion(full) > completion(far)
+    True
+    """
+    cold = (candidate.slowness - 1) * candidate.work
+    # A cold member's slowness shows in its answers, too: once is enough.
+    queue = max(candidate.queue, cold)
+    queue += candidate.work * candidate.under_way / max(1, candidate.slots)
+    served = (candidate.run + queue) * (1 + ERROR_FACTOR * candidate.error_share)
+    served += ERROR_COST * candidate.error_share
+    cost = candidate.wait + served / candidate.weight + _preference(candidate)
+    if candidate.is_primary:
+        cost += candidate.work * (IDLE_RESERVE + FULL_RESERVE * candidate.fullness)
+    if candidate.behind > 0:
+        cost += BEHIND_COST + candidate.run + min(candidate.behind, LONGEST_BEHIND)
+    if candidate.is_suspect:
+        cost += SUSPICION
+    return cost
+
+
+def _preference(candidate: Candidate) -> float:
+    if candidate.distance == 0:
+        return 0.0
+    if candidate.distance == 1:
+        return ZONE_PREFERENCE + ZONE_PREFERENCE_SHARE * candidate.work
+    return REGION_PREFERENCE + REGION_PREFERENCE_SHARE * candidate.work
+
+
+def choose(candidates: Iterable[Candidate], randomness: random.Random) -> str | None:
+    """Return the member for a read, None if there is no candidate.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+        The members that may serve it.
+    randomness : Random
+        Draws among those that are nearly equal.
+
+    Examples
+    --------
+    >>> draw = random.Random(1)
+    >>> choose([Candidate("m1", 0, 20), Candidate("m2", 0, 60)], draw)
+    'm1'
+    >>> equal = [Candidate("m1", 0, 20), Candidate("m2", 0, 20)]
+    >>> sorted({choose(equal, draw) for _ in range(20)})
+    ['m1', 'm2']
+    """
+    costs = {candidate.instance: completion(candidate) for candidate in candidates}
+    if not costs:
+        return None
+    best = min(costs.values())
+    margin = max(NEARLY_EQUAL * best, 1.0)
+    nearly = {name: 1 - (cost - best) / margin for name, cost in costs.items()}
+    names = [name for name, weight in nearly.items() if weight > 0]
+    if len(names) == 1:
+        return names[0]
+    return randomness.choices(names, [nearly[name] for name in names])[0]
--- /dev/null
+++ b/tests/gateway/test_choice_of_member.py
@@ -0,0 +1,79 @@
+"""What a gateway's own answers change in its choice of a member for reads."""
+
+import unittest
+
+import msgspec
+
+from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.model import Answer, Refusal, SessionState
+from rowanrail.relay.placement import Population
+from tests.support.gateway import PlayedGateway
+
+FULL = Answer(refusal=Refusal.BUSY, state=SessionState.IDLE)
+
+
+class ChoiceOfMemberTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.client = self.played.client("carts")
+        self.client.run("READ warm", seconds=0.1)
+
+    def answer_times(self, seconds):
+        """Have the near member's answers be known to take so long; here they take no time."""
+        service = self.played.gateway.services["db"]
+        route = self.played.gateway.configuration.routes["carts"]
+        for member in self.played.members:
+            sent_at = self.played.clock.now - seconds
+            done = Answer()
+            service.estimates.note_answer(member.instance, route, done, sent_at, None)
+
+    def test_a_replica_that_is_behind_is_spared_reads_that_need_more(self):
+        self.client.run("WRITE a 1")
+        self.assertIsNone(self.client.run("READ b").refusal)
+        self.assertEqual(self.played.primary.texts()[-1], "READ b")
+        known = len(self.played.near.texts())
+        self.client.run("WRITE a 2")
+        self.assertIsNone(self.client.run("READ c").refusal)
+        self.assertEqual(len(self.played.near.texts()), known)
+
+    def test_it_still_serves_reads_that_accept_the_age(self):
+        self.played.clock.advance(0.5)
+        self.client.run("WRITE a 1")
+        self.client.run("READ b")
+        self.played.client("reports").run("READ d")
+        self.assertEqual(self.played.near.texts()[-1], "READ d")
+
+    def test_it_is_tried_again_after_a_while(self):
+        self.client.run("WRITE a 1")
+        self.client.run("READ b")
+        self.played.near.position = self.played.primary.position
+        self.played.clock.advance(3)
+        self.client.run("READ c", seconds=0.1)
+        self.assertEqual(self.played.near.texts()[-1], "READ c")
+
+    def test_a_member_that_turned_a_read_away_is_left_alone_for_a_moment(self):
+        self.answer_times(0.02)
+        self.played.near.script = [FULL] * 5
+        for text in ("READ a", "READ b", "READ c"):
+            self.assertIsNone(self.client.run(text).refusal)
+        turned_away = 5 - len(self.played.near.script)
+        self.assertEqual(turned_away, 1)
+        self.played.near.script.clear()
+        self.played.clock.advance(3)
+        self.client.run("READ d", seconds=0.1)
+        self.assertEqual(self.played.near.texts()[-1], "READ d")
+
+    def test_a_member_that_has_just_started_gets_reads_once_it_is_warm(self):
+        self.answer_times(0.02)
+        fresh = self.played.near
+        fresh.instance = "m4"
+        self.played.driver.members["m4:1"] = fresh
+        records = [member.record() for member in self.played.members]
+        records[1] = msgspec.structs.replace(records[1], cold_ms=4000)
+        self.played.gateway.set_directory(Directory(2, records, Population(3, 3)))
+        known = len(fresh.texts())
+        self.client.run("READ a", seconds=0.1)
+        self.assertEqual(len(fresh.texts()), known)
+        self.played.clock.advance(4)
+        self.client.run("READ b", seconds=0.1)
+        self.assertEqual(fresh.texts()[-1], "READ b")
