Members lose weight by what clients met and get it back by probes

Cause: a member that failed was tried again by a client's statement after 0.1 to 2 s, and one that fails half of its requests (its health check good) after the 2 s in which its error share fades, at every gateway, again and again. Ruled out: taking a client's success as proof of recovery (a member that fails 45 % succeeds more often than not); BEGIN and ROLLBACK as the probe (they take no slot, so that a member that can't work would pass). Change: scheduling.health: weight of a member, lost by errors, silence, refused starts, four statements turned away in a row; regained by STATUS once a second (fewer where many gateways would ask), each fall within 30 s halving the gain down to an eighth. gateway.member_probes asks on connections of the pool. Events 350 and 351, gauges member_weight (with the reason) and member_queue_seconds. The check is as it was.

--- a/src/rowanlab/simulator/gateway_members.py
+++ b/src/rowanlab/simulator/gateway_members.py
@@ -291,7 +291,7 @@
             if self.writes:
                 self.member.group.commit(tuple(self.writes))
             self.writes = []
-        else:
+        elif kind is not CommandKind.STATUS:  # a question about the member runs nothing
             self._execute(command)
 
     def _execute(self, command: Command) -> None:
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -108,3 +108,16 @@
     "and was asked for at all gateways, which part may begin, the age of these sums, and from "
     "which share of the gateways they come; the others are taken to run as much.",
 )
+MEMBER_FELL = define(
+    350,
+    Level.WARNING,
+    "{instance} of {service} lost most of its weight: {reason}",
+    "Reads go elsewhere while others serve them. It gets its weight back by this gateway's own "
+    "probes, the slower the oftener it fell within half a minute.",
+)
+MEMBER_ROSE = define(
+    351,
+    Level.INFO,
+    "{instance} of {service} has its weight back",
+    "It answered probes; reads go there again.",
+)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -37,6 +37,7 @@
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
+from rowanrail.gateway.weight_lines import note_weight
 from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
@@ -157,6 +158,7 @@
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.primary.on_trouble = functools.partial(self._ask_around, service)
+            service.estimates.on_weight = functools.partial(note_weight, self._decisions, service)
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -35,6 +35,12 @@
             readings.append(("connections_leased", member, pool.leased))
             readings.append(("member_latency_seconds", member, pool.latency_seconds))
             readings.append(("member_suspect", member, float(pool.is_suspect)))
+            weight = service.estimates.weight(instance)
+            reasoned = member | {"reason": weight.reason}
+            readings.append(("member_weight", reasoned, weight.value))
+            readings.append(
+                ("member_queue_seconds", member, service.estimates.queue_seconds(instance))
+            )
     return readings
 
 
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -11,6 +11,7 @@
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.waiting_line import Waiter, WaitingLine
 from rowanrail.scheduling.admission import Forecast
+from rowanrail.scheduling.health import Trouble
 from rowanrail.scheduling.queue import Entry
 
 # A failed connection is tried again after twice this; chosen, not measured apart.
@@ -80,6 +81,7 @@
         self._resting: dict[Resting, float] = {}
         self._leased_of: Counter[str] = Counter()  # connections in use by tenant
         self._closed = False
+        self.on_trouble: Callable[[Trouble], None] = lambda trouble: None
 
     @property
     def open_count(self) -> int:
@@ -290,6 +292,7 @@
             self._crowded_limit = max(1, self.open_count)
         else:
             self._note_failure()
+            self.on_trouble(Trouble.REFUSED)
         if not self.open_count:
             self._refuse_waiting(answer)
         elif channel.tenant and not self._may_come_back(channel.tenant):
@@ -317,6 +320,7 @@
     def note_silence(self) -> None:
         """Note that the member left a command unanswered."""
         self._note_failure()
+        self.on_trouble(Trouble.SILENCE)
 
     def note_answer(self) -> None:
         """Note that the member answered."""
@@ -326,6 +330,7 @@
     def note_error(self) -> None:
         """Note that the member answered with an error of its own."""
         self._errors.note(1.0, self._clock.time())
+        self.on_trouble(Trouble.ERROR)
 
     @property
     def error_share(self) -> float:
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -1,11 +1,13 @@
 """One service: its members' pools, its primary, and the choice of a member for a read."""
 
 import random
+from functools import partial
 
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.member_estimates import MemberEstimates, Wanted
+from rowanrail.gateway.member_probes import MemberProbes
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
@@ -36,7 +38,9 @@
         self.primary.on_proof = self._note_proof
         self.primary.lender = self
         self.pools: dict[str, MemberPool] = {}
-        self.estimates = MemberEstimates(locality, self.primary, MillisecondClock(clock))
+        milliseconds = MillisecondClock(clock)
+        self.estimates = MemberEstimates(locality, self.primary, milliseconds)
+        self._probes = MemberProbes(self.estimates, milliseconds)
         self.used_at = -IN_USE_SECONDS
         # Holders of the zones draw differently, and a simulation can be played again.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
@@ -57,7 +61,9 @@
             pool = self.pools.get(record.instance)
             if pool is None:
                 limit = self._connection_limit(record)
-                self.pools[record.instance] = MemberPool(record, limit, self._driver, self._clock)
+                pool = MemberPool(record, limit, self._driver, self._clock)
+                pool.on_trouble = partial(self.estimates.note_trouble, record.instance)
+                self.pools[record.instance] = pool
             else:
                 pool.record = record
         self.estimates.set_members(records)
@@ -169,6 +175,8 @@
     def tick(self) -> None:
         """Let time pass."""
         self.primary.tick(self.in_use)
+        if self.in_use:
+            self._probes.tick(self.pools, self._sampling_gateways)
         for pool in self.pools.values():
             pool.trim(self._is_kept)
 
--- /dev/null
+++ b/src/rowanrail/gateway/weight_lines.py
@@ -0,0 +1,27 @@
+"""Lines of the log on members that lose their weight, or have it back."""
+
+from rowanrail.gateway.events import MEMBER_FELL, MEMBER_ROSE
+from rowanrail.gateway.service import Service
+from rowanrail.kernel.decisions import DecisionLog
+
+__all__ = ["note_weight"]
+
+
+def note_weight(decisions: DecisionLog, service: Service, instance: str, has_fallen: bool) -> None:
+    """Log a change of a member's weight with what decided it.
+
+    A member is told to fall once, until it has risen again, which takes its probes seconds.
+    """
+    weight = service.estimates.weight(instance)
+    pool = service.pools.get(instance)
+    decisions.note(
+        MEMBER_FELL if has_fallen else MEMBER_ROSE,
+        service=service.spec.name,
+        instance=instance,
+        weight=weight.value,
+        reason=weight.reason,
+        falls=weight.falls,
+        error_share=0.0 if pool is None else round(pool.error_share, 3),
+        queue=round(service.estimates.queue_seconds(instance), 3),
+        primary=service.primary.believed,
+    )
--- /dev/null
+++ b/tests/gateway/test_member_weight.py
@@ -0,0 +1,117 @@
+"""A member loses weight by what clients met, and gets it back by the gateway's own probes."""
+
+import unittest
+
+from rowanrail.gateway.gauges import gauges
+from rowanrail.gateway.model import Answer, CommandKind, Refusal, SessionState
+from tests.support.gateway import PlayedGateway
+
+FAILED = Answer(refusal=Refusal.FAILED, state=SessionState.IDLE)
+FULL = Answer(refusal=Refusal.BUSY, state=SessionState.IDLE)
+
+
+class MemberWeightTest(unittest.TestCase):
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.client = self.played.client("reports")
+        self.client.run("READ warm", seconds=0.1)
+        self.estimates = self.played.gateway.services["db"].estimates
+
+    def weight(self):
+        return self.estimates.weight("m2").value
+
+    def fail(self):
+        """Have the near member fail reads until it has lost most of its weight."""
+        self.played.near.script = [FAILED] * 8
+        pool = self.played.gateway.services["db"].pools["m2"]
+        while self.weight() >= 0.5:
+            pool.note_error()
+        self.played.near.script.clear()
+
+    def probes(self):
+        return [
+            command for _, command in self.played.near.ran if command.kind is CommandKind.STATUS
+        ]
+
+    def use(self, seconds):
+        """Have a client keep the service in use, and another member busy with it."""
+        for _ in range(round(seconds * 10)):
+            self.played.clock.advance(0.1)
+            self.client.run("READ a", seconds=0.1)
+
+    def test_a_well_member_is_not_probed(self):
+        self.use(3)
+        self.assertEqual(self.probes(), [])
+
+    def test_errors_cost_weight_and_probes_bring_it_back(self):
+        self.fail()
+        self.use(2)
+        self.assertGreater(len(self.probes()), 0)
+        self.use(5)
+        self.assertEqual(self.weight(), 1.0)
+
+    def test_a_probe_a_second_at_most(self):
+        self.fail()
+        self.use(2)
+        self.assertLessEqual(len(self.probes()), 3)
+
+    def test_clients_statements_bring_nothing_back(self):
+        self.fail()
+        before = self.weight()
+        for _ in range(20):
+            self.client.run("READ a")  # no time passes, so that no probe is due
+        self.assertEqual(self.weight(), before)
+
+    def test_a_probe_that_is_left_unanswered_costs_weight(self):
+        self.fail()
+        before = self.weight()
+        self.played.near.silent = True
+        self.use(2)
+        self.assertLess(self.weight(), before)
+
+    def test_a_member_that_refuses_connections_loses_weight(self):
+        for wire in self.played.near.open_wires():
+            wire.channel.lost("closed")
+        self.played.near.reachable = False
+        self.use(1)
+        self.assertLess(self.weight(), 0.5)
+
+    def test_a_silent_member_loses_weight(self):
+        self.played.near.silent = True
+        self.client.run("READ a", seconds=0.5)
+        self.assertLess(self.weight(), 0.5)
+
+    def test_a_member_that_always_turns_away_loses_weight_and_a_full_one_does_not(self):
+        self.played.near.script = [FULL] * 3
+        for _ in range(3):
+            self.played.clock.advance(3)
+            self.client.run("READ a", seconds=0.1)
+        self.assertEqual(self.weight(), 1.0)
+        self.played.near.script = [FULL] * 9
+        for _ in range(9):
+            self.played.clock.advance(3)
+            self.client.run("READ a", seconds=0.1)
+        self.assertLess(self.weight(), 1.0)
+
+    def test_a_fall_and_the_return_are_told_once_each_with_what_decided(self):
+        self.fail()
+        pool = self.played.gateway.services["db"].pools["m2"]
+        for _ in range(5):
+            pool.note_error()
+        self.use(10)
+        fallen = [line for line in self.played.logs() if '"event":350' in line]
+        risen = [line for line in self.played.logs() if '"event":351' in line]
+        self.assertEqual((len(fallen), len(risen)), (1, 1))
+        for word in ('"instance":"m2"', '"reason":"error"', '"weight":', '"error_share":'):
+            self.assertIn(word, fallen[0])
+
+    def test_operators_see_weight_and_reason(self):
+        self.fail()
+        readings = {
+            labels["member"]: (labels["reason"], value)
+            for name, labels, value in gauges(self.played.gateway)
+            if name == "member_weight"
+        }
+        self.assertEqual(readings["m1"], ("", 1.0))
+        self.assertEqual(readings["m2"][0], "error")
+        self.assertLess(readings["m2"][1], 0.5)
--- a/tests/scheduling/holders.py
+++ b/tests/scheduling/holders.py
@@ -1,17 +1,28 @@
 """Several holders of connections before members with few slots and a bounded queue."""
 
+import enum
 import random
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
+from rowanrail.gateway.error_share import ErrorShare
 from rowanrail.kernel.clock import Clock
 from rowanrail.scheduling.choice import Candidate, choose
+from rowanrail.scheduling.health import MemberHealth, Trouble
 from rowanrail.scheduling.run_times import RunTimes
 from tests.support.gateway import ManualClock
 
 KIND = "reports"
 REGION_WAY = 20.0  # ms one way between regions
 ZONE_WAY = 1.0  # ms one way between zones
+PATIENCE = 400.0  # ms after which a read is asked for elsewhere
+
+
+class Outcome(enum.Enum):
+    DONE = "done"
+    TURNED_AWAY = "turned away"
+    FAILED = "failed"
+    SILENT = "silent"
 
 
 @dataclass(eq=False)
@@ -21,22 +32,31 @@
     name: str
     zone: str
     clock: Clock
+    randomness: random.Random
     slots: int = 6
     queue_limit: int = 6
     factor: float = 1.0
+    error_share: float = 0.0
+    is_down: bool = False
     running: int = 0
     queue: deque = field(default_factory=deque)
-    turned_away: int = 0
-    served: int = 0
+    outcomes: Counter = field(default_factory=Counter)
+
+    @property
+    def served(self):
+        return self.outcomes[Outcome.DONE]
 
     def arrive(self, work, respond):
-        if self.running < self.slots:
+        if self.is_down:
+            self.outcomes[Outcome.SILENT] += 1
+            self.clock.call_in(PATIENCE, respond, Outcome.SILENT)
+        elif self.running < self.slots:
             self._run(work, respond)
         elif len(self.queue) < self.queue_limit:
             self.queue.append((work, respond))
         else:
-            self.turned_away += 1
-            respond(False)
+            self.outcomes[Outcome.TURNED_AWAY] += 1
+            respond(Outcome.TURNED_AWAY)
 
     def _run(self, work, respond):
         self.running += 1
@@ -44,20 +64,24 @@
 
     def _done(self, respond):
         self.running -= 1
-        self.served += 1
         if self.queue:
             self._run(*self.queue.popleft())
-        respond(True)
+        is_failed = self.randomness.random() < self.error_share
+        outcome = Outcome.FAILED if is_failed else Outcome.DONE
+        self.outcomes[outcome] += 1
+        respond(outcome)
 
 
 class Holder:
     """Decides by what its own statements told it."""
 
-    def __init__(self, zone, regions, randomness, primary):
+    def __init__(self, zone, regions, randomness, primary, members):
         self.zone, self.regions, self.primary = zone, regions, primary
         self.randomness = randomness
         self.times = RunTimes()
         self.under_way = Counter()
+        self.health = {member.name: MemberHealth() for member in members}
+        self.errors = {member.name: ErrorShare() for member in members}
 
     def distance(self, zone):
         if zone == self.zone:
@@ -77,9 +101,25 @@
             under_way=self.under_way[member.name],
             slots=member.slots,
             is_primary=member.name == self.primary,
+            error_share=self.errors[member.name].at(now / 1000),
+            weight=self.health[member.name].weight.value,
             distance=distance,
         )
 
+    def note(self, name, outcome, taken, now):
+        errors, health = self.errors[name], self.health[name]
+        match outcome:
+            case Outcome.DONE:
+                self.times.note(name, KIND, taken, now)
+                errors.note(0.0, now / 1000)
+            case Outcome.TURNED_AWAY:
+                self.times.note_turned_away(name, KIND, now)
+            case Outcome.FAILED:
+                errors.note(1.0, now / 1000)
+                health.note_trouble(Trouble.ERROR, now)
+            case Outcome.SILENT:
+                health.note_trouble(Trouble.SILENCE, now)
+
     def way(self, zone):
         return (0.5, ZONE_WAY, REGION_WAY)[self.distance(zone)]
 
@@ -90,15 +130,32 @@
     def __init__(self, demand, writes=0.0, work=28.0, regions=None, primary="m1", seed=1):
         self.manual = ManualClock()
         self.clock = Clock(self.manual)
-        self.randomness = random.Random(seed)
+        self.randomness = draw = random.Random(seed)
         self.work, self.writes, self.demand = work, writes, demand
         regions = regions or {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
         zones = ("a1", "b1", "c1")
-        self.members = [SlottedMember(f"m{n + 1}", z, self.clock) for n, z in enumerate(zones)]
-        self.holders = [Holder(zone, regions, self.randomness, primary) for zone in regions]
+        self.members = [
+            SlottedMember(f"m{n + 1}", z, self.clock, draw) for n, z in enumerate(zones)
+        ]
+        self.holders = [Holder(z, regions, draw, primary, self.members) for z in regions]
         self.taken = []
         self.reads = Counter()
         self.attempts = 0
+        self.clock.call_in(100.0, self._probe)
+
+    def _probe(self):
+        now = self.clock.now
+        for holder in self.holders:
+            for member in self.members:
+                health = holder.health[member.name]
+                if health.wants_probe(now):
+                    health.note_probing(now)
+                    # A probe of a member that limps is answered, as its health check is.
+                    if member.is_down:
+                        health.note_trouble(Trouble.PROBE_FAILED, now)
+                    else:
+                        health.note_probe(now)
+        self.clock.call_in(100.0, self._probe)
 
     def play(self, seconds, rate):
         """Have ``rate`` statements a second come, as Poisson arrivals."""
@@ -120,30 +177,32 @@
         sent_at = self.clock.now
         way = holder.way(member.zone)
 
-        def answered(was_run):
+        def answered(outcome):
             holder.under_way[name] -= 1
             now = self.clock.now
-            if was_run:
-                if not writes:
-                    self.reads[name] += 1
-                    holder.times.note(name, KIND, now - sent_at, now)
+            if not writes:
+                holder.note(name, outcome, now - sent_at, now)
+            if outcome is Outcome.DONE:
+                self.reads[name] += not writes
                 self.taken.append(now - since)
-                return
-            holder.times.note_turned_away(name, KIND, now)
-            if writes:
+            elif writes:
                 self.clock.call_in(20.0, self.send, holder, excluded, True, since)
             else:
                 self.send(holder, excluded | {name}, False, since)
 
-        def respond(was_run):
-            self.clock.call_in(way, answered, was_run)
+        def respond(outcome):
+            self.clock.call_in(way, answered, outcome)
 
         work = self.work * self.randomness.uniform(0.8, 1.2)
         self.clock.call_in(way, member.arrive, work, respond)
 
+    def share_of(self, outcome):
+        """Return the share of attempts that ended so."""
+        return sum(member.outcomes[outcome] for member in self.members) / self.attempts
+
     @property
     def turned_away_share(self):
-        return sum(member.turned_away for member in self.members) / self.attempts
+        return self.share_of(Outcome.TURNED_AWAY)
 
     @property
     def busiest(self):
