--- a/src/rowanrail/gateway/member_estimates.py
+++ b/src/rowanrail/gateway/member_estimates.py
@@ -11,8 +11,8 @@
 from rowanrail.kernel.clock import Clock
 from rowanrail.proxy.backend import Position
 from rowanrail.scheduling.choice import Candidate
-from rowanrail.scheduling.health import MemberHealth, Trouble, Weight
 from rowanrail.scheduling.lag import LagEstimate
+from rowanrail.scheduling.member_weight import MemberWeight, Trouble, Weight
 from rowanrail.scheduling.queue import Entry
 from rowanrail.scheduling.run_times import RunTimes
 from rowanrail.scheduling.warming import Warming
@@ -22,6 +22,10 @@
 FAR_WAY = 40.0  # ms there and back between regions of 20 ms one way
 # By a member that is full by chance each is as likely as its load, so that so many are rare.
 TURNED_AWAY_IN_A_ROW = 4
+# Of an opening, for a connection that belongs to a tenant: it serves about two statements before
+# another tenant needs its place. One that belongs to nobody serves whoever comes next, and a
+# member must not be passed over for good because nobody has opened a connection to it yet.
+OPENING_SHARE = 0.5
 _UNASKED = Entry(0, None, 0.0)
 
 
@@ -64,7 +68,7 @@
         self._times = RunTimes()
         self._lags: dict[str, LagEstimate] = {}
         self._warming: dict[str, Warming] = {}
-        self._health: dict[str, MemberHealth] = {}
+        self._health: dict[str, MemberWeight] = {}
         self._turned_away: Counter[str] = Counter()  # one after the other
         self.on_weight: Callable[[str, bool], None] = lambda instance, has_fallen: None
 
@@ -78,7 +82,7 @@
             name = record.instance
             self._warming[name] = warming.get(name) or Warming(record.cold_ms, now)
             self._lags[name] = lags.get(name) or LagEstimate()
-            self._health[name] = health.get(name) or MemberHealth()
+            self._health[name] = health.get(name) or MemberWeight()
         self._times.keep(set(self._lags))
 
     def note_answer(
@@ -174,11 +178,11 @@
         distance = self._locality.distance(record.zone)
         return Candidate(
             instance=name,
-            wait=pool.forecast(wanted.entry).wait,
+            wait=_wait(pool, wanted.entry),
             run=self._run(name, wanted.kind, distance),
             queue=self._times.queue(name, now),
             work=work,
-            under_way=pool.load,
+            under_way=pool.under_way,
             slots=record.slots,
             is_primary=is_primary,
             error_share=pool.error_share,
@@ -196,3 +200,10 @@
             return usual
         has_regions = bool(self._locality.regions)
         return self._times.work(kind) + (FAR_WAY if distance == 2 and has_regions else 0.0)
+
+
+def _wait(pool: MemberPool, entry: Entry) -> float:
+    """Return the milliseconds until a statement may be sent, as far as they count for a choice."""
+    forecast = pool.forecast(entry)
+    share = OPENING_SHARE if entry.tenant else 0.0
+    return forecast.wait - (1 - share) * forecast.opening
--- a/src/rowanrail/gateway/member_probes.py
+++ b/src/rowanrail/gateway/member_probes.py
@@ -1,18 +1,21 @@
-"""Probes of members that lost weight, on connections that are open for statements anyway.
+"""Probes of members that lost weight.
 
 A probe is the question for a member's status, which takes a slot as a statement does: a member
-that only accepts connections does not pass for one that is well.
+that only accepts connections does not pass for one that is well. It is asked on a connection that
+is open for statements, if there is one, else on one of its own: clients' statements would wait for
+the end of an opening that a dark member leaves unanswered. The primary's samples prove as much, so
+that it is not probed beside them.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.channel import Channel, MemberDriver
 from rowanrail.gateway.member_estimates import MemberEstimates
 from rowanrail.gateway.model import Answer, Command, CommandKind, Refusal
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
-from rowanrail.kernel.clock import Clock
-from rowanrail.scheduling.health import Trouble
+from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.scheduling.member_weight import Trouble
 
 __all__ = ["MemberProbes"]
 
@@ -26,65 +29,104 @@
     ----------
     estimates : MemberEstimates
         Says which members are to be probed, and learns what became of it.
+    driver : MemberDriver
+        Opens connections.
     clock : Clock
         Time and timers.
     """
 
-    def __init__(self, estimates: MemberEstimates, clock: Clock) -> None:
-        self._estimates = estimates
-        self._clock = clock
+    def __init__(self, estimates: MemberEstimates, driver: MemberDriver, clock: Clock) -> None:
+        self.estimates = estimates
+        self.driver = driver
+        self.clock = clock
 
-    def tick(self, pools: Mapping[str, MemberPool], gateways: int) -> None:
+    def tick(self, pools: Mapping[str, MemberPool], primary: str, gateways: int) -> None:
         """Probe the members that are due.
 
         Parameters
         ----------
+        primary : str
+            The member that is believed to lead.
         gateways : int
             How many may probe a member, this one included.
         """
         for instance, pool in pools.items():
-            if self._estimates.wants_probe(instance, gateways):
-                _Probe(pool, self._estimates, self._clock).start()
+            if instance != primary and self.estimates.wants_probe(instance, gateways):
+                _Probe(self, pool).start()
 
 
 class _Probe:
     """One question to one member."""
 
-    def __init__(self, pool: MemberPool, estimates: MemberEstimates, clock: Clock) -> None:
+    def __init__(self, probes: MemberProbes, pool: MemberPool) -> None:
+        self._probes = probes
         self._pool = pool
         self._instance = pool.record.instance
-        self._estimates = estimates
-        self._clock = clock
-        self._loan = PoolLoan(pool)
+        self._loan: PoolLoan | None = None
         self._channel: Channel | None = None
-        self._end: Callable[[], None] = lambda: None
+        self._timer: Timer | None = None
 
     def start(self) -> None:
         """Ask for a connection."""
-        self._end = self._clock.call_in(PROBE_TIMEOUT, self._late).cancel
-        self._loan.request(self._with_channel)
+        self._timer = self._probes.clock.call_in(PROBE_TIMEOUT, self._late)
+        if self._pool.established:
+            self._loan = PoolLoan(self._pool)
+            self._loan.request(self._lent)
+            return
+        record = self._pool.record
+        self._channel = Channel(record.address, self._instance, self._opened)
+        self._probes.driver.open(record.address, record.service, self._instance, self._channel)
 
-    def _with_channel(self, channel: Channel | None, answer: Answer) -> None:
+    def _lent(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
-            self._end()  # the pool has counted a refused start already
+            self._end()  # nothing was asked
             return
-        self._channel = channel
         channel.on_closed = lambda channel: None  # its answer tells the loss
+        self._channel = channel
+        self._ask(channel)
+
+    def _opened(self, channel: Channel, answer: Answer) -> None:
+        if answer.refusal is None:
+            self._ask(channel)
+        elif answer.refusal is Refusal.TOO_MANY_CONNECTIONS:
+            self._end()  # it is full, and alive
+        else:
+            self._fail()
+
+    def _ask(self, channel: Channel) -> None:
         channel.send([Command(CommandKind.STATUS)], [self._answered])
 
     def _answered(self, answer: Answer) -> None:
-        self._end()
-        channel = self._channel
-        assert channel is not None
-        self._loan.give_back(channel)
         if answer.refusal is None:
-            self._estimates.note_probe(self._instance)
+            self._end()
+            self._probes.estimates.note_probe(self._instance)
             self._pool.note_reachable()
-        elif answer.refusal is not Refusal.BUSY:  # one that is full is alive, and proves no more
-            self._estimates.note_trouble(self._instance, Trouble.PROBE_FAILED)
+        elif answer.refusal is Refusal.BUSY:  # one that is full is alive, and proves no more
+            self._end()
+        else:
+            self._fail()
 
     def _late(self) -> None:
         if self._channel is None:
-            self._loan.cancel()  # all connections are in use: nothing was asked
+            self._end()  # all connections are in use: nothing was asked
+        elif self._channel.wire is None:
+            self._fail()
         else:
             self._channel.close()  # answers as lost
+
+    def _fail(self) -> None:
+        self._end()
+        self._probes.estimates.note_trouble(self._instance, Trouble.PROBE_FAILED)
+
+    def _end(self) -> None:
+        """Give back, or close, what was used."""
+        if self._timer is not None:
+            self._timer.cancel()
+        channel, self._channel = self._channel, None
+        if self._loan is None:
+            if channel is not None:
+                channel.close()
+        elif channel is None:
+            self._loan.cancel()
+        else:
+            self._loan.give_back(channel)
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -1,5 +1,6 @@
 """One service: its members' pools, its primary, and the choice of a member for a read."""
 
+import math
 import random
 from functools import partial
 
@@ -14,8 +15,17 @@
 from rowanrail.gateway.pool_loan import PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
 from rowanrail.kernel.clock import Clock as MillisecondClock
-from rowanrail.relay.placement import Part, Population, connection_limit, is_shared
+from rowanrail.relay.placement import (
+    ASSUMED_GATEWAYS,
+    PARTS,
+    Part,
+    Population,
+    connection_limit,
+    is_shared,
+)
 from rowanrail.scheduling.choice import choose
+from rowanrail.scheduling.queue import tenant_weight
+from rowanrail.tenants.model import Tenant, Tenants
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
 _ANY = Wanted()
@@ -40,7 +50,7 @@
         self.pools: dict[str, MemberPool] = {}
         milliseconds = MillisecondClock(clock)
         self.estimates = MemberEstimates(locality, self.primary, milliseconds)
-        self._probes = MemberProbes(self.estimates, milliseconds)
+        self._probes = MemberProbes(self.estimates, driver, milliseconds)
         self.used_at = -IN_USE_SECONDS
         # Holders of the zones draw differently, and a simulation can be played again.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
@@ -49,6 +59,7 @@
         self._clock = clock
         self._population = Population()
         self._parts: frozenset[Part] = frozenset()
+        self._tenants = Tenants()
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the members that announced themselves; those that left are closed."""
@@ -61,11 +72,13 @@
             pool = self.pools.get(record.instance)
             if pool is None:
                 limit = self._connection_limit(record)
-                pool = MemberPool(record, limit, self._driver, self._clock)
+                holders = self._holders(record)
+                pool = MemberPool(record, limit, self._driver, self._clock, holders)
                 pool.on_trouble = partial(self.estimates.note_trouble, record.instance)
                 self.pools[record.instance] = pool
             else:
                 pool.record = record
+                pool.set_sharing(self._holders(record))
         self.estimates.set_members(records)
         self.primary.set_members(records)
 
@@ -96,8 +109,26 @@
             self.spec.connections, self._population, is_near, max(1, len(self._parts))
         )
 
+    def _holders(self, record: MemberRecord) -> int:
+        """Return how many gateways are thought to use a member as much as this one does."""
+        if not self.is_shared:
+            return self._population.gateways or ASSUMED_GATEWAYS
+        if not self.is_regional:
+            return self._population.zones
+        near = math.ceil(PARTS / max(1, len(self._parts)))
+        return near if self._locality.is_near(record.zone) else PARTS * self._population.zones
+
+    def set_tenants(self, tenants: Tenants) -> None:
+        """Know whose statements come."""
+        self._tenants = tenants
+
+    def weight(self, tenant: str) -> float:
+        """Return the share of a tenant among those whose statements are as urgent."""
+        return tenant_weight(self._tenants.by_name.get(tenant, Tenant(tenant)).priority)
+
     def _apply_limit(self) -> None:
         for pool in self.pools.values():
+            pool.set_sharing(self._holders(pool.record))
             limit = self._connection_limit(pool.record)
             if pool.limit != limit:
                 pool.set_limit(limit)
@@ -155,6 +186,8 @@
         pool = self.pools.get(instance)
         if pool is not None:
             pool.note_reachable()
+        if self.estimates.wants_probe(instance, self._sampling_gateways):
+            self.estimates.note_probe(instance)
 
     def set_parts(self, parts: frozenset[Part]) -> None:
         """Note for which parts of the service statements come to this gateway."""
@@ -176,7 +209,7 @@
         """Let time pass."""
         self.primary.tick(self.in_use)
         if self.in_use:
-            self._probes.tick(self.pools, self._sampling_gateways)
+            self._probes.tick(self.pools, self.primary.believed, self._sampling_gateways)
         for pool in self.pools.values():
             pool.trim(self._is_kept)
 
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -17,11 +17,14 @@
         Milliseconds from then to its answer.
     has_room : bool
         Whether it could be sent at once; nothing is refused while that is so.
+    opening : float
+        The part of ``wait`` that is the opening of a connection.
     """
 
     wait: float
     run: float
     has_room: bool = False
+    opening: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/scheduling/health.py
+++ b/src/rowanrail/scheduling/member_weight.py
@@ -9,7 +9,7 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["MemberHealth", "Trouble", "Weight"]
+__all__ = ["MemberWeight", "Trouble", "Weight"]
 
 # ms between probes of a member that lost weight: with 3 members a slot is taken for a hundredth
 # of the time, and a member that is well again is back within the few seconds that clients retry.
@@ -65,19 +65,19 @@
     falls: int
 
 
-class MemberHealth:
+class MemberWeight:
     """The weight of one member; times in milliseconds.
 
     Examples
     --------
-    >>> health = MemberHealth()
+    >>> weight = MemberWeight()
     >>> for _ in range(3):
-    ...     health.note_trouble(Trouble.SILENCE, now=0.0)
-    >>> health.weight.value, health.weight.falls, health.wants_probe(now=0.0)
+    ...     weight.note_trouble(Trouble.SILENCE, now=0.0)
+    >>> weight.weight.value, weight.weight.falls, weight.wants_probe(now=0.0)
     (0.064, 1, True)
     >>> for second in range(1, 5):
-    ...     health.note_probe(now=1000.0 * second)
-    >>> health.weight.value, health.wants_probe(now=9000.0)
+    ...     weight.note_probe(now=1000.0 * second)
+    >>> weight.weight.value, weight.wants_probe(now=9000.0)
     (1.0, False)
     """
 
--- a/tests/gateway/test_member_weight.py
+++ b/tests/gateway/test_member_weight.py
@@ -20,7 +20,7 @@
     def weight(self):
         return self.estimates.weight("m2").value
 
-    def fail(self):
+    def lose_weight(self):
         """Have the near member fail reads until it has lost most of its weight."""
         self.played.near.script = [FAILED] * 8
         pool = self.played.gateway.services["db"].pools["m2"]
@@ -44,26 +44,26 @@
         self.assertEqual(self.probes(), [])
 
     def test_errors_cost_weight_and_probes_bring_it_back(self):
-        self.fail()
+        self.lose_weight()
         self.use(2)
         self.assertGreater(len(self.probes()), 0)
         self.use(5)
         self.assertEqual(self.weight(), 1.0)
 
     def test_a_probe_a_second_at_most(self):
-        self.fail()
+        self.lose_weight()
         self.use(2)
         self.assertLessEqual(len(self.probes()), 3)
 
     def test_clients_statements_bring_nothing_back(self):
-        self.fail()
+        self.lose_weight()
         before = self.weight()
         for _ in range(20):
             self.client.run("READ a")  # no time passes, so that no probe is due
         self.assertEqual(self.weight(), before)
 
     def test_a_probe_that_is_left_unanswered_costs_weight(self):
-        self.fail()
+        self.lose_weight()
         before = self.weight()
         self.played.near.silent = True
         self.use(2)
@@ -94,7 +94,7 @@
         self.assertLess(self.weight(), 1.0)
 
     def test_a_fall_and_the_return_are_told_once_each_with_what_decided(self):
-        self.fail()
+        self.lose_weight()
         pool = self.played.gateway.services["db"].pools["m2"]
         for _ in range(5):
             pool.note_error()
@@ -106,7 +106,7 @@
             self.assertIn(word, fallen[0])
 
     def test_operators_see_weight_and_reason(self):
-        self.fail()
+        self.lose_weight()
         readings = {
             labels["member"]: (labels["reason"], value)
             for name, labels, value in gauges(self.played.gateway)
--- a/tests/scheduling/holders.py
+++ b/tests/scheduling/holders.py
@@ -8,7 +8,7 @@
 from rowanrail.gateway.error_share import ErrorShare
 from rowanrail.kernel.clock import Clock
 from rowanrail.scheduling.choice import Candidate, choose
-from rowanrail.scheduling.health import MemberHealth, Trouble
+from rowanrail.scheduling.member_weight import MemberWeight, Trouble
 from rowanrail.scheduling.run_times import RunTimes
 from tests.support.gateway import ManualClock
 
@@ -80,7 +80,7 @@
         self.randomness = randomness
         self.times = RunTimes()
         self.under_way = Counter()
-        self.health = {member.name: MemberHealth() for member in members}
+        self.health = {member.name: MemberWeight() for member in members}
         self.errors = {member.name: ErrorShare() for member in members}
 
     def distance(self, zone):
--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_member_weight.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from rowanrail.scheduling.health import FALL_MEMORY, LEAST_WEIGHT, MemberHealth, Trouble
+from rowanrail.scheduling.member_weight import FALL_MEMORY, LEAST_WEIGHT, MemberWeight, Trouble
 
 
 class HealthTest(unittest.TestCase):
     def setUp(self):
-        self.health = MemberHealth()
+        self.health = MemberWeight()
         self.now = 0.0
 
     def fall(self):
