A read for which its region is too full runs at the holder of the chosen member's region

Cause: work went to another region's holder only where that was the primary's. With the members of the own region full, a replica of a third region was reached over the two connections that each gateway keeps for emergencies, which belong to one tenant each. Ruled out: a measure of a far member by the few statements on own connections (there are none, so that it always looked idle): what comes back from its holder is timed, and reads under way there count. Change: find_home takes the member that was chosen; lone reads and transactions that only read go to the holder in its region. What that holder refuses costs the member no weight, since it may speak of another. Conclusion: nothing is sent on twice: what comes from another region stays there.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -291,9 +291,12 @@
             functools.partial(self._find_home, known),
         )
 
-    def _find_home(self, service: Service, tenant: str) -> ForwardedWork | None:
-        """Return work at the holder of another region's primary, None if it is this region's."""
-        pool = service.primary_pool()
+    def _find_home(self, service: Service, tenant: str, instance: str = "") -> ForwardedWork | None:
+        """Return work at the holder of another region's member, None if it is this region's.
+
+        Without a member's name the primary is meant.
+        """
+        pool = service.pools.get(instance) if instance else service.primary_pool()
         if self._detours is None or pool is None or not service.is_far(pool):
             return None
         region = self._locality.region_of(pool.record.zone)
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -29,6 +29,22 @@
     def _go_home(self) -> bool:
         return self.hand_home(self.statement, writes=False)
 
+    def _go_to(self, instance: str) -> bool:
+        """Have the holder in a far member's region run the read."""
+        respond, sent_at = self.respond, self.clock.time()
+        assert respond is not None
+
+        def answered(answer: Answer) -> None:
+            self.service.estimates.note_answer_from_afar(instance, self.route, answer, sent_at)
+            respond(answer)
+
+        self.respond = answered
+        if self.hand_home(self.statement, False, instance):
+            self.service.estimates.note_sent_afar(instance)
+            return True
+        self.respond = respond
+        return False
+
     def _need_floor(self) -> None:
         self.stage = Stage.WAITS_FOR_SAMPLE
         prefetch(self.service, self.route, self.clock.time())
@@ -65,7 +81,7 @@
                 self.refuse_crowded(pool)
                 return
             pool = roomy
-        if self.service.is_far(pool) and self._go_home():
+        if self.service.is_far(pool) and self._go_to(pool.record.instance):
             return
         self.acquire(pool, self._with_channel)
         self.limit_opening()
--- a/src/rowanrail/gateway/member_estimates.py
+++ b/src/rowanrail/gateway/member_estimates.py
@@ -70,6 +70,7 @@
         self._warming: dict[str, Warming] = {}
         self._health: dict[str, MemberWeight] = {}
         self._turned_away: Counter[str] = Counter()  # one after the other
+        self._sent_afar: Counter[str] = Counter()  # under way at holders of other regions
         self.on_weight: Callable[[str, bool], None] = lambda instance, has_fallen: None
 
     def set_members(self, records: list[MemberRecord]) -> None:
@@ -84,6 +85,8 @@
             self._lags[name] = lags.get(name) or LagEstimate()
             self._health[name] = health.get(name) or MemberWeight()
         self._times.keep(set(self._lags))
+        for gone in self._sent_afar.keys() - self._lags.keys():
+            del self._sent_afar[gone]
 
     def note_answer(
         self, instance: str, route: Route, answer: Answer, sent_at: float, floor: Position | None
@@ -105,6 +108,25 @@
                 self._times.note_turned_away(instance, route.name, now)
                 self._note_turned_away(instance)
 
+    def note_sent_afar(self, instance: str) -> None:
+        """Note that a read was sent to the holder in a member's region."""
+        self._sent_afar[instance] += 1
+
+    def note_answer_from_afar(
+        self, instance: str, route: Route, answer: Answer, sent_at: float
+    ) -> None:
+        """Learn from the answer of the holder in a member's region, sent at in seconds.
+
+        It may have come from another member there, and what that holder refuses says nothing of
+        the member: only times are learnt.
+        """
+        now = self._clock.now
+        self._sent_afar[instance] -= 1
+        if answer.refusal is None:
+            self._times.note(instance, route.name, now - sent_at * 1000, now)
+        elif answer.refusal is Refusal.BUSY:
+            self._times.note_turned_away(instance, route.name, now)
+
     def _note_turned_away(self, instance: str) -> None:
         """Doubt a member that turns statements away whenever it is asked."""
         self._turned_away[instance] += 1
@@ -182,7 +204,7 @@
             run=self._run(name, wanted.kind, distance),
             queue=self._times.queue(name, now),
             work=work,
-            under_way=pool.under_way,
+            under_way=pool.under_way + self._sent_afar[name],
             slots=record.slots,
             is_primary=is_primary,
             error_share=pool.error_share,
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -85,7 +85,7 @@
         self.stage = Stage.ACCEPTED
         self.member = ""
         self.find_detour: Callable[[], Work | None] = lambda: None
-        self.find_home: Callable[[str], Work | None] = lambda tenant: None
+        self.find_home: Callable[..., Work | None] = lambda tenant, instance="": None
         self.away: SingleStatement | WorkInTransaction | None = None
         service.used_at = clock.time()
 
@@ -191,12 +191,13 @@
         """
         return self._hand_to(self.find_detour(), statement, writes)
 
-    def hand_home(self, statement: TypedStatement, writes: bool) -> bool:
-        """Have the gateway run it that holds the connections to a primary of another region.
+    def hand_home(self, statement: TypedStatement, writes: bool, instance: str = "") -> bool:
+        """Have the gateway run it that holds the connections to a member of another region.
 
-        Returns False if the primary stands in this region, or that gateway is not known.
+        That is the primary if none is named. Returns False if the member stands in this region, or
+        that gateway is not known.
         """
-        return self._hand_to(self.find_home(self.tenant), statement, writes)
+        return self._hand_to(self.find_home(self.tenant, instance), statement, writes)
 
     def _hand_to(self, work: Work | None, statement: TypedStatement, writes: bool) -> bool:
         if work is None:
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -114,7 +114,8 @@
             self.refuse_crowded(pool)
             return
         pool = roomy
-        if self.service.is_far(pool) and self._move(self.find_home(self.tenant)):
+        home = self.find_home(self.tenant, pool.record.instance)
+        if home is not None and self._move(home):
             return
         self._floor: Position | None = floor
         self.attempts += 1
--- a/src/rowanrail/gateway/work.py
+++ b/src/rowanrail/gateway/work.py
@@ -28,8 +28,8 @@
     find_detour : callable
         Returns work at a gateway that reaches the primary, if this one does not and one is known.
     find_home : callable
-        Returns work at the gateway that holds a tenant's connections to a primary of another
-        region.
+        Returns work at the gateway that holds a tenant's connections to a member of another
+        region, the primary if none is named.
     """
 
     __slots__ = ("_clock", "_find_detour", "_find_home", "_names", "_service")
@@ -40,7 +40,7 @@
         names: PreparedNames,
         clock: Clock,
         find_detour: Callable[[], Work | None] = lambda: None,
-        find_home: Callable[[str], Work | None] = lambda tenant: None,
+        find_home: Callable[..., Work | None] = lambda tenant, instance="": None,
     ) -> None:
         self._service = service
         self._names = names
