--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -20,6 +20,7 @@
     "rowanrail.scheduling.warming",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
+    "rowanrail.tenants.precedence",
     "rowanrail.tenants.quota",
     "rowanrail.tenants.window",
 )
