--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -34,6 +34,7 @@
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
 from rowanrail.gateway.told_load import measure
+from rowanrail.gateway.weight_lines import note_weight
 from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
@@ -158,6 +159,7 @@
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.primary.on_trouble = functools.partial(self._ask_around, service)
+            service.estimates.on_weight = functools.partial(note_weight, self._decisions, service)
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
@@ -292,9 +294,12 @@
             functools.partial(self._find_home, known),
         )
 
-    def _find_home(self, service: Service, tenant: str) -> ForwardedWork | None:
-        """Return work at the holder of another region's primary, None if it is this region's."""
-        pool = service.primary_pool()
+    def _find_home(self, service: Service, tenant: str, instance: str = "") -> ForwardedWork | None:
+        """Return work at the holder of another region's member, None if it is this region's.
+
+        Without a member's name the primary is meant.
+        """
+        pool = service.pools.get(instance) if instance else service.primary_pool()
         if self._detours is None or pool is None or not service.is_far(pool):
             return None
         region = self._locality.region_of(pool.record.zone)
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -40,6 +40,12 @@
                 readings.append(("queue_length", {**member, "urgency": str(urgency)}, length))
             readings.append(("member_latency_seconds", member, pool.latency_seconds))
             readings.append(("member_suspect", member, float(pool.is_suspect)))
+            weight = service.estimates.weight(instance)
+            reasoned = member | {"reason": weight.reason}
+            readings.append(("member_weight", reasoned, weight.value))
+            readings.append(
+                ("member_queue_seconds", member, service.estimates.queue_seconds(instance))
+            )
     return readings
 
 
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -32,6 +32,22 @@
     def _go_home(self) -> bool:
         return self.hand_home(self.statement, writes=False)
 
+    def _go_to(self, instance: str) -> bool:
+        """Have the holder in a far member's region run the read."""
+        respond, sent_at = self.respond, self.clock.time()
+        assert respond is not None
+
+        def answered(answer: Answer) -> None:
+            self.service.estimates.note_answer_from_afar(instance, self.route, answer, sent_at)
+            respond(answer)
+
+        self.respond = answered
+        if self.hand_home(self.statement, False, instance):
+            self.service.estimates.note_sent_afar(instance)
+            return True
+        self.respond = respond
+        return False
+
     def _need_floor(self) -> None:
         self.stage = Stage.WAITS_FOR_SAMPLE
         prefetch(self.service, self.route, self.clock.time())
@@ -54,7 +70,7 @@
 
     def _choose(self) -> None:
         self.attempts += 1
-        pool = self.service.choose(self.excluded)
+        pool = self.service.choose(self.excluded, self.wanted(self.floor))
         if pool is None or self.attempts > READ_ATTEMPTS:
             if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
                 return
@@ -68,7 +84,7 @@
                 self.refuse_crowded(pool)
                 return
             pool = roomy
-        if self.service.is_far(pool) and self._go_home():
+        if self.service.is_far(pool) and self._go_to(pool.record.instance):
             return
         self.acquire(pool, self._with_channel)
         self.limit_opening()
@@ -108,6 +124,7 @@
             self.release()
             return
         assert self.pool is not None
+        self.note_answer(answer, self.floor)
         if answer.refusal is None:
             self.pool.note_answer()
             self.release(self.clock.time() - self.sent_at)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -9,6 +9,7 @@
 
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.member_estimates import Wanted
 from rowanrail.gateway.model import (
     Answer,
     Command,
@@ -82,7 +83,7 @@
         self.stage = Stage.ACCEPTED
         self.member = ""
         self.find_detour: Callable[[], Work | None] = lambda: None
-        self.find_home: Callable[[str], Work | None] = lambda tenant: None
+        self.find_home: Callable[..., Work | None] = lambda tenant, instance="": None
         self.away: SingleStatement | WorkInTransaction | None = None
         service.used_at = clock.time()
 
@@ -141,12 +142,13 @@
         """
         return self._hand_to(self.find_detour(), statement, writes)
 
-    def hand_home(self, statement: TypedStatement, writes: bool) -> bool:
-        """Have the gateway run it that holds the connections to a primary of another region.
+    def hand_home(self, statement: TypedStatement, writes: bool, instance: str = "") -> bool:
+        """Have the gateway run it that holds the connections to a member of another region.
 
-        Returns False if the primary stands in this region, or that gateway is not known.
+        That is the primary if none is named. Returns False if the member stands in this region, or
+        that gateway is not known.
         """
-        return self._hand_to(self.find_home(self.tenant), statement, writes)
+        return self._hand_to(self.find_home(self.tenant, instance), statement, writes)
 
     def _hand_to(self, work: Work | None, statement: TypedStatement, writes: bool) -> bool:
         if work is None:
@@ -278,6 +280,16 @@
         soon = PROMPT_SHARE * self.route.objective_seconds * 1000 - waited
         return forecast.has_room or forecast.wait <= soon
 
+    def wanted(self, floor: Position | None) -> Wanted:
+        """Return what a read behind a position asks of a member."""
+        return Wanted(self.route.name, self.entry(), floor)
+
+    def note_answer(self, answer: Answer, floor: Position | None) -> None:
+        """Have the choice of members learn from an answer to what was sent last."""
+        if self.pool is not None:
+            instance = self.pool.record.instance
+            self.service.estimates.note_answer(instance, self.route, answer, self.sent_at, floor)
+
     def roomier(self, excluded: set[str]) -> MemberPool | None:
         """Return the member for a read that has room soon, else one where it can be served."""
         for is_enough in (self.is_prompt, self.may_wait_at):
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -12,6 +12,7 @@
 from rowanrail.gateway.waiter import Waiter
 from rowanrail.scheduling.admission import Forecast, ForecastError
 from rowanrail.scheduling.concurrency import ConcurrencyLimit
+from rowanrail.scheduling.member_weight import Trouble
 from rowanrail.scheduling.queue import Entry, WorkQueue, is_hopeless
 
 
@@ -41,6 +42,7 @@
         self._waiting: WorkQueue[Waiter] = WorkQueue()
         self._is_starting = False
         self._closed = False
+        self.on_trouble: Callable[[Trouble], None] = lambda trouble: None
 
     @property
     def limit(self) -> int:
@@ -148,6 +150,7 @@
             self.latency_seconds * 1000,
             has_room=wait == 0 and not ahead,
             interval=self._connections.leases.seconds * 1000 / self._places,
+            opening=opening * 1000,
         )
 
     def note_lease(self, seconds: float) -> None:
@@ -281,6 +284,7 @@
             self._connections.opening.note_crowded(self.open_count)
         else:
             self._note_failure()
+            self.on_trouble(Trouble.REFUSED)
         if not self.open_count:
             self._refuse_waiting(answer)
         elif channel.tenant and not self._connections.may_come_back(channel.tenant):
@@ -303,6 +307,7 @@
     def note_silence(self) -> None:
         """Note that the member left a command unanswered."""
         self._note_failure()
+        self.on_trouble(Trouble.SILENCE)
 
     def note_answer(self) -> None:
         """Note that the member answered."""
@@ -311,6 +316,7 @@
     def note_error(self) -> None:
         """Note that the member answered with an error of its own."""
         self._health.note_answer(is_error=True)
+        self.on_trouble(Trouble.ERROR)
 
     # Changes
 
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -1,10 +1,14 @@
 """One service: its members' pools, its primary, and the choice of a member for a read."""
 
 import math
+import random
+from functools import partial
 
 from rowanrail.gateway.channel import MemberDriver
 from rowanrail.gateway.clock import Clock
 from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.member_estimates import MemberEstimates, Wanted
+from rowanrail.gateway.member_probes import MemberProbes
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
@@ -19,15 +23,13 @@
     connection_limit,
     is_shared,
 )
+from rowanrail.scheduling.choice import choose
 from rowanrail.scheduling.queue import tenant_weight
 from rowanrail.scheduling.returning import ReturnTimes
 from rowanrail.tenants.model import Tenant, Tenants
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
-PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
-FAILING_PENALTY_SECONDS = 5.0  # above any latency, so that a suspect member comes last
-FAR_SECONDS = 0.04  # there and back between regions of 20 ms one way
-ERROR_FACTOR = 10  # a member whose answers are all errors is as if so many times slower
+_ANY = Wanted()
 
 
 class Service:
@@ -47,8 +49,13 @@
         self.primary.on_proof = self._note_proof
         self.primary.lender = self
         self.pools: dict[str, MemberPool] = {}
+        milliseconds = MillisecondClock(clock)
+        self.estimates = MemberEstimates(locality, self.primary, milliseconds)
+        self._probes = MemberProbes(self.estimates, driver, milliseconds)
         self.used_at = -IN_USE_SECONDS
         self.returns = ReturnTimes(MillisecondClock(clock))
+        # Holders of the zones draw differently, and a simulation can be played again.
+        self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
         self._locality = locality
         self._driver = driver
         self._clock = clock
@@ -69,10 +76,12 @@
                 limit = self._connection_limit(record)
                 holders = self._holders(record)
                 pool = MemberPool(record, limit, self._driver, self._clock, holders)
+                pool.on_trouble = partial(self.estimates.note_trouble, record.instance)
                 self.pools[record.instance] = pool
             else:
                 pool.record = record
                 pool.set_sharing(self._holders(record))
+        self.estimates.set_members(records)
         self.primary.set_members(records)
 
     def set_spec(self, spec: ServiceSpec) -> None:
@@ -155,25 +164,15 @@
         """Return the pool of the member believed to lead."""
         return self.pools.get(self.primary.believed)
 
-    def choose(self, excluded: set[str]) -> MemberPool | None:
+    def choose(self, excluded: set[str], wanted: Wanted = _ANY) -> MemberPool | None:
         """Return the member for a read that any member with a fresh log may serve."""
-        best: MemberPool | None = None
-        best_cost = 0.0
-        for instance, pool in self.pools.items():
-            if instance in excluded or pool.record.leaving:
-                continue
-            cost = pool.latency_seconds * (1 + pool.load / max(1, pool.record.slots))
-            cost *= self._locality.factor(pool.record.zone)
-            if instance == self.primary.believed:
-                cost *= PRIMARY_FACTOR
-            cost *= 1 + ERROR_FACTOR * pool.error_share
-            if self.is_far(pool):
-                cost += FAR_SECONDS
-            if pool.is_suspect:
-                cost += FAILING_PENALTY_SECONDS
-            if best is None or cost < best_cost:
-                best, best_cost = pool, cost
-        return best
+        pools = {
+            instance: pool
+            for instance, pool in self.pools.items()
+            if instance not in excluded and not pool.record.leaving
+        }
+        best = choose(self.estimates.candidates(pools, wanted), self._randomness)
+        return None if best is None else pools[best]
 
     def can_lend(self, instance: str) -> bool:
         """See :meth:`rowanrail.gateway.probe.Lender.can_lend`."""
@@ -189,6 +188,8 @@
         pool = self.pools.get(instance)
         if pool is not None:
             pool.note_reachable()
+        if self.estimates.wants_probe(instance, self._sampling_gateways):
+            self.estimates.note_probe(instance)
 
     def set_parts(self, parts: frozenset[Part]) -> None:
         """Note for which parts of the service statements come to this gateway."""
@@ -209,6 +210,8 @@
     def tick(self) -> None:
         """Let time pass."""
         self.primary.tick(self.in_use)
+        if self.in_use:
+            self._probes.tick(self.pools, self.primary.believed, self._sampling_gateways)
         for pool in self.pools.values():
             pool.trim(self._is_kept)
 
