What one holder found out of a member reaches those that send to it

Cause: each holder had to find out by its own clients that a member fails. Ruled out: weights that others tell on (a rumour that nobody's statements met would go round); weights that bind (a gateway that is cut off would keep others from members that serve them); messages of their own. Tests: DoubtsTest in tests/relay/test_far_replicas.py. Conclusion: reaches holders of a region that send to each other, as where tenants' connections are held in parts, and the other regions' holders with answers from home. Where zones share and send nothing to each other it reaches nobody.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -158,7 +158,8 @@
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.primary.on_trouble = functools.partial(self._ask_around, service)
-            service.estimates.on_weight = functools.partial(note_weight, self._decisions, service)
+            told = functools.partial(note_weight, self._decisions, service)
+            service.estimates.weights.on_change = told
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -40,7 +40,7 @@
                 readings.append(("queue_length", {**member, "urgency": str(urgency)}, length))
             readings.append(("member_latency_seconds", member, pool.latency_seconds))
             readings.append(("member_suspect", member, float(pool.is_suspect)))
-            weight = service.estimates.weight(instance)
+            weight = service.estimates.weights.own(instance)
             reasoned = member | {"reason": weight.reason}
             readings.append(("member_weight", reasoned, weight.value))
             readings.append(
--- a/src/rowanrail/gateway/member_estimates.py
+++ b/src/rowanrail/gateway/member_estimates.py
@@ -1,10 +1,11 @@
 """What answers tell about the members of a service, and the candidates for a read made of it."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.member_weights import MemberWeights
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal, Route
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.primary import PrimaryTracker
@@ -12,7 +13,6 @@
 from rowanrail.proxy.backend import Position
 from rowanrail.scheduling.choice import Candidate
 from rowanrail.scheduling.lag import LagEstimate
-from rowanrail.scheduling.member_weight import MemberWeight, Trouble, Weight
 from rowanrail.scheduling.queue import Entry
 from rowanrail.scheduling.run_times import RunTimes
 from rowanrail.scheduling.warming import Warming
@@ -20,8 +20,6 @@
 __all__ = ["MemberEstimates", "Wanted"]
 
 FAR_WAY = 40.0  # ms there and back between regions of 20 ms one way
-# By a member that is full by chance each is as likely as its load, so that so many are rare.
-TURNED_AWAY_IN_A_ROW = 4
 # Of an opening, for a connection that belongs to a tenant: it serves about two statements before
 # another tenant needs its place. One that belongs to nobody serves whoever comes next, and a
 # member must not be passed over for good because nobody has opened a connection to it yet.
@@ -68,24 +66,22 @@
         self._times = RunTimes()
         self._lags: dict[str, LagEstimate] = {}
         self._warming: dict[str, Warming] = {}
-        self._health: dict[str, MemberWeight] = {}
-        self._turned_away: Counter[str] = Counter()  # one after the other
         self._sent_afar: Counter[str] = Counter()  # under way at holders of other regions
-        self.on_weight: Callable[[str, bool], None] = lambda instance, has_fallen: None
+        self.weights = MemberWeights(clock)
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the members; what was learnt of those that left is forgotten."""
         now = self._clock.now
         warming, self._warming = self._warming, {}
         lags, self._lags = self._lags, {}
-        health, self._health = self._health, {}
         for record in records:
             name = record.instance
             self._warming[name] = warming.get(name) or Warming(record.cold_ms, now)
             self._lags[name] = lags.get(name) or LagEstimate()
-            self._health[name] = health.get(name) or MemberWeight()
-        self._times.keep(set(self._lags))
-        for gone in self._sent_afar.keys() - self._lags.keys():
+        instances = set(self._lags)
+        self._times.keep(instances)
+        self.weights.set_members(instances)
+        for gone in self._sent_afar.keys() - instances:
             del self._sent_afar[gone]
 
     def note_answer(
@@ -98,7 +94,7 @@
             return
         match answer.refusal:
             case None:
-                self._turned_away.pop(instance, None)
+                self.weights.note_served(instance)
                 self._times.note(instance, route.name, now - sent_at * 1000, now)
                 if floor is not None:
                     lag.note_holds(self._age(floor), now)
@@ -106,7 +102,7 @@
                 lag.note_lacks(self._age(floor), now)
             case Refusal.BUSY:
                 self._times.note_turned_away(instance, route.name, now)
-                self._note_turned_away(instance)
+                self.weights.note_turned_away(instance)
 
     def note_sent_afar(self, instance: str) -> None:
         """Note that a read was sent to the holder in a member's region."""
@@ -121,61 +117,18 @@
         the member: only times are learnt.
         """
         now = self._clock.now
+        if instance not in self._sent_afar:
+            return  # the member left meanwhile
         self._sent_afar[instance] -= 1
         if answer.refusal is None:
             self._times.note(instance, route.name, now - sent_at * 1000, now)
         elif answer.refusal is Refusal.BUSY:
             self._times.note_turned_away(instance, route.name, now)
 
-    def _note_turned_away(self, instance: str) -> None:
-        """Doubt a member that turns statements away whenever it is asked."""
-        self._turned_away[instance] += 1
-        if self._turned_away[instance] >= TURNED_AWAY_IN_A_ROW:
-            self._turned_away.pop(instance)
-            self.note_trouble(instance, Trouble.TURNED_AWAY)
-
-    # Weights
-
-    def weight(self, instance: str) -> Weight:
-        """Return a member's weight."""
-        health = self._health.get(instance)
-        return Weight(1.0, "", 0) if health is None else health.weight
-
     def queue_seconds(self, instance: str) -> float:
         """Return by how many seconds a member's latest answers took longer than usual."""
         return self._times.queue(instance, self._clock.now) / 1000
 
-    def note_trouble(self, instance: str, trouble: Trouble) -> None:
-        """Note a failure of a member."""
-        health = self._health.get(instance)
-        if health is None:
-            return
-        was_fallen = health.is_fallen
-        health.note_trouble(trouble, self._clock.now)
-        if health.is_fallen and not was_fallen:
-            self.on_weight(instance, True)
-
-    def wants_probe(self, instance: str, gateways: int) -> bool:
-        """Return whether to probe a member now, which is taken to be done then."""
-        health = self._health.get(instance)
-        now = self._clock.now
-        if health is None or not health.wants_probe(now, gateways):
-            return False
-        health.note_probing(now)
-        return True
-
-    def note_probe(self, instance: str) -> None:
-        """Note that a member answered a probe."""
-        health = self._health.get(instance)
-        if health is None:
-            return
-        was_fallen = health.is_fallen
-        health.note_probe(self._clock.now)
-        if was_fallen and not health.is_fallen:
-            self.on_weight(instance, False)
-
-    # Candidates
-
     def _age(self, floor: Position) -> float:
         """Return for how long the primary's log is known to have held a position."""
         since = self._tracker.history.held_since(floor)
@@ -210,7 +163,7 @@
             error_share=pool.error_share,
             is_suspect=pool.is_suspect,
             slowness=self._warming[name].slowness(now) if name in self._warming else 1.0,
-            weight=self.weight(name).value,
+            weight=self.weights.effective(name),
             distance=distance,
             behind=behind,
         )
--- a/src/rowanrail/gateway/member_probes.py
+++ b/src/rowanrail/gateway/member_probes.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 
 from rowanrail.gateway.channel import Channel, MemberDriver
-from rowanrail.gateway.member_estimates import MemberEstimates
+from rowanrail.gateway.member_weights import MemberWeights
 from rowanrail.gateway.model import Answer, Command, CommandKind, Refusal
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
@@ -27,7 +27,7 @@
 
     Parameters
     ----------
-    estimates : MemberEstimates
+    weights : MemberWeights
         Says which members are to be probed, and learns what became of it.
     driver : MemberDriver
         Opens connections.
@@ -35,8 +35,8 @@
         Time and timers.
     """
 
-    def __init__(self, estimates: MemberEstimates, driver: MemberDriver, clock: Clock) -> None:
-        self.estimates = estimates
+    def __init__(self, weights: MemberWeights, driver: MemberDriver, clock: Clock) -> None:
+        self.weights = weights
         self.driver = driver
         self.clock = clock
 
@@ -51,7 +51,7 @@
             How many may probe a member, this one included.
         """
         for instance, pool in pools.items():
-            if instance != primary and self.estimates.wants_probe(instance, gateways):
+            if instance != primary and self.weights.wants_probe(instance, gateways):
                 _Probe(self, pool).start()
 
 
@@ -99,7 +99,7 @@
     def _answered(self, answer: Answer) -> None:
         if answer.refusal is None:
             self._end()
-            self._probes.estimates.note_probe(self._instance)
+            self._probes.weights.note_probe(self._instance)
             self._pool.note_reachable()
         elif answer.refusal is Refusal.BUSY:  # one that is full is alive, and proves no more
             self._end()
@@ -116,7 +116,7 @@
 
     def _fail(self) -> None:
         self._end()
-        self._probes.estimates.note_trouble(self._instance, Trouble.PROBE_FAILED)
+        self._probes.weights.note_trouble(self._instance, Trouble.PROBE_FAILED)
 
     def _end(self) -> None:
         """Give back, or close, what was used."""
--- /dev/null
+++ b/src/rowanrail/gateway/member_weights.py
@@ -0,0 +1,100 @@
+"""The weights of one service's members at this gateway, and what others told of them."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from rowanrail.kernel.clock import Clock
+from rowanrail.scheduling.member_weight import MemberWeight, Trouble, Weight
+from rowanrail.scheduling.told_weights import ToldWeights
+
+__all__ = ["MemberWeights"]
+
+# By a member that is full by chance each is as likely as its load, so that so many are rare.
+TURNED_AWAY_IN_A_ROW = 4
+
+
+class MemberWeights:
+    """Weights by member.
+
+    Parameters
+    ----------
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.on_change: Callable[[str, bool], None] = lambda instance, has_fallen: None
+        self._clock = clock
+        self._weights: dict[str, MemberWeight] = {}
+        self._told = ToldWeights()
+        self._turned_away: Counter[str] = Counter()  # one after the other
+
+    def set_members(self, instances: set[str]) -> None:
+        """Know the members; those that left are forgotten."""
+        self._weights = {name: self._weights.get(name) or MemberWeight() for name in instances}
+        self._told.keep(instances)
+
+    def own(self, instance: str) -> Weight:
+        """Return a member's weight by what was met here."""
+        known = self._weights.get(instance)
+        return Weight(1.0, "", 0) if known is None else known.weight
+
+    def effective(self, instance: str) -> float:
+        """Return a member's weight with what others told."""
+        return self.own(instance).value * self._told.factor(instance, self._clock.now)
+
+    # What was met here
+
+    def note_served(self, instance: str) -> None:
+        """Note that a member ran a statement; it gets back no weight by it."""
+        self._turned_away.pop(instance, None)
+
+    def note_turned_away(self, instance: str) -> None:
+        """Doubt a member that turns statements away whenever it is asked."""
+        self._turned_away[instance] += 1
+        if self._turned_away[instance] >= TURNED_AWAY_IN_A_ROW:
+            self._turned_away.pop(instance)
+            self.note_trouble(instance, Trouble.TURNED_AWAY)
+
+    def note_trouble(self, instance: str, trouble: Trouble) -> None:
+        """Note a failure of a member."""
+        known = self._weights.get(instance)
+        if known is None:
+            return
+        was_fallen = known.is_fallen
+        known.note_trouble(trouble, self._clock.now)
+        if known.is_fallen and not was_fallen:
+            self.on_change(instance, True)
+
+    # Probes
+
+    def wants_probe(self, instance: str, gateways: int) -> bool:
+        """Return whether to probe a member now, which is taken to be done then."""
+        known = self._weights.get(instance)
+        now = self._clock.now
+        if known is None or not known.wants_probe(now, gateways):
+            return False
+        known.note_probing(now)
+        return True
+
+    def note_probe(self, instance: str) -> None:
+        """Note that a member answered a probe."""
+        known = self._weights.get(instance)
+        if known is None:
+            return
+        was_fallen = known.is_fallen
+        known.note_probe(self._clock.now)
+        if was_fallen and not known.is_fallen:
+            self.on_change(instance, False)
+
+    # What gateways tell each other
+
+    def doubts(self) -> dict[str, int]:
+        """Return the members that lost weight here, and how much is left in hundredths."""
+        weights = {name: weight.weight.value for name, weight in self._weights.items()}
+        return {name: round(value * 100) for name, value in weights.items() if value < 1.0}
+
+    def note_doubts(self, doubts: dict[str, int]) -> None:
+        """Take what another gateway told of the members that it doubts."""
+        known = {name: left / 100 for name, left in doubts.items() if name in self._weights}
+        self._told.note(known, self._clock.now)
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -50,7 +50,7 @@
         self.pools: dict[str, MemberPool] = {}
         milliseconds = MillisecondClock(clock)
         self.estimates = MemberEstimates(locality, self.primary, milliseconds)
-        self._probes = MemberProbes(self.estimates, driver, milliseconds)
+        self._probes = MemberProbes(self.estimates.weights, driver, milliseconds)
         self.used_at = -IN_USE_SECONDS
         # Holders of the zones draw differently, and a simulation can be played again.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
@@ -74,7 +74,7 @@
                 limit = self._connection_limit(record)
                 holders = self._holders(record)
                 pool = MemberPool(record, limit, self._driver, self._clock, holders)
-                pool.on_trouble = partial(self.estimates.note_trouble, record.instance)
+                pool.on_trouble = partial(self.estimates.weights.note_trouble, record.instance)
                 self.pools[record.instance] = pool
             else:
                 pool.record = record
@@ -186,8 +186,9 @@
         pool = self.pools.get(instance)
         if pool is not None:
             pool.note_reachable()
-        if self.estimates.wants_probe(instance, self._sampling_gateways):
-            self.estimates.note_probe(instance)
+        weights = self.estimates.weights
+        if weights.wants_probe(instance, self._sampling_gateways):
+            weights.note_probe(instance)
 
     def set_parts(self, parts: frozenset[Part]) -> None:
         """Note for which parts of the service statements come to this gateway."""
--- a/src/rowanrail/gateway/weight_lines.py
+++ b/src/rowanrail/gateway/weight_lines.py
@@ -12,7 +12,7 @@
 
     A member is told to fall once, until it has risen again, which takes its probes seconds.
     """
-    weight = service.estimates.weight(instance)
+    weight = service.estimates.weights.own(instance)
     pool = service.pools.get(instance)
     decisions.note(
         MEMBER_FELL if has_fallen else MEMBER_ROSE,
--- a/src/rowanrail/gateway/work.py
+++ b/src/rowanrail/gateway/work.py
@@ -64,3 +64,11 @@
         transaction.find_detour = self._find_detour
         transaction.find_home = self._find_home
         return transaction
+
+    def doubts(self) -> dict[str, int]:
+        """Return the members of which this gateway's statements found trouble, see Reply."""
+        return self._service.estimates.weights.doubts()
+
+    def note_doubts(self, doubts: dict[str, int]) -> None:
+        """Take what another gateway told of the members that it doubts."""
+        self._service.estimates.weights.note_doubts(doubts)
--- a/src/rowanrail/relay/forwarding.py
+++ b/src/rowanrail/relay/forwarding.py
@@ -187,6 +187,7 @@
         floor = self._session.floors.get(service)
         if reply.floor is not None and (floor is None or reply.floor > floor):
             self._session.floors[service] = reply.floor
+        self._work.local.note_doubts(reply.doubts)
         self._told = reply.trace
         return answer_of(reply)
 
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -131,6 +131,9 @@
         The session's own last commit after it.
     trace : Trace
         How the answer came about, for the log of the client's gateway.
+    doubts : dict of str to int
+        Members that lost weight by what the holder's own statements met, and how much is left to
+        them in hundredths; empty while all are well.
     """
 
     call: int
@@ -141,6 +144,7 @@
     position: Position | None
     floor: Position | None
     trace: Trace
+    doubts: dict[str, int] = {}
 
 
 class NotServed(msgspec.Struct, tag=12, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -76,6 +76,7 @@
 class _Transaction:
     """A neighbour's transaction; its work begins with its first statement."""
 
+    place: LocalWork
     work: WorkInTransaction
     session: SessionValues
     call: int = 0  # of the statement that runs, 0 while it rests
@@ -84,6 +85,7 @@
 
 @dataclass(slots=True)
 class _Single:
+    place: LocalWork
     work: SingleStatement
     session: SessionValues = field(default_factory=SessionValues)
 
@@ -229,14 +231,15 @@
         session = SessionValues()
         load_session(session, run)
         single = work.single(route_of(run), session, run.writes)
-        self._singles[run.call] = _Single(single, session)
+        self._singles[run.call] = _Single(work, single, session)
         single.start(statement_of(run), lambda answer: self._answer_single(run, answer))
 
     def _answer_single(self, run: Run, answer: Answer) -> None:
         single = self._singles.pop(run.call, None)
         if single is not None:
             floor = single.session.floors.get(run.service)
-            self.send(reply_to(run, answer, floor, single.work.trace()))
+            doubts = single.place.doubts()
+            self.send(reply_to(run, answer, floor, single.work.trace(), doubts))
 
     def _work(self, run: Run) -> LocalWork | None:
         """Return the work for new statements, or tell the neighbour that there is none."""
@@ -268,7 +271,7 @@
                 return
             session = SessionValues()
             opened = work.transaction(route_of(run), session, run.read_only)
-            transaction = self._transactions[run.transaction] = _Transaction(opened, session)
+            transaction = self._transactions[run.transaction] = _Transaction(work, opened, session)
         elif not self._admits(run):
             self._end(run.transaction)
             self._refuse(run, Refusal.DENIED, WITHDRAWN)
@@ -294,7 +297,8 @@
             del self._transactions[run.transaction]
             transaction.work.end()
         floor = transaction.session.floors.get(run.service)
-        self.send(reply_to(run, answer, floor, transaction.work.trace()))
+        doubts = transaction.place.doubts()
+        self.send(reply_to(run, answer, floor, transaction.work.trace(), doubts))
 
     def _end(self, number: int) -> None:
         transaction = self._transactions.pop(number, None)
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -1,6 +1,8 @@
 """Statements and answers in the words of the messages, and back."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from rowanrail.gateway.model import Answer, Route, StatementKind, Trace, TypedStatement
 from rowanrail.gateway.session_values import SessionValues, is_write
@@ -109,7 +111,13 @@
         session.floors[run.service] = run.floor
 
 
-def reply_to(run: Run, answer: Answer, floor: Position | None, trace: Trace) -> Reply:
+def reply_to(
+    run: Run,
+    answer: Answer,
+    floor: Position | None,
+    trace: Trace,
+    doubts: Mapping[str, int] = MappingProxyType({}),
+) -> Reply:
     """Return the message that answers a statement."""
     return Reply(
         call=run.call,
@@ -120,6 +128,7 @@
         position=answer.position,
         floor=floor,
         trace=trace,
+        doubts=dict(doubts),
     )
 
 
--- a/tests/gateway/test_member_weight.py
+++ b/tests/gateway/test_member_weight.py
@@ -15,10 +15,10 @@
         self.played = PlayedGateway()
         self.client = self.played.client("reports")
         self.client.run("READ warm", seconds=0.1)
-        self.estimates = self.played.gateway.services["db"].estimates
+        self.weights = self.played.gateway.services["db"].estimates.weights
 
     def weight(self):
-        return self.estimates.weight("m2").value
+        return self.weights.own("m2").value
 
     def lose_weight(self):
         """Have the near member fail reads until it has lost most of its weight."""
--- a/tests/relay/test_far_replicas.py
+++ b/tests/relay/test_far_replicas.py
@@ -3,6 +3,7 @@
 import unittest
 
 from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.member_estimates import Wanted
 from rowanrail.gateway.model import Answer, Refusal, SessionState
 from rowanrail.relay.neighbours import Neighbour
 from tests.relay.test_regions import GATEWAYS, POPULATION, REGIONS, Regions
@@ -67,3 +68,44 @@
             if {"gb1", "gb2"} & set(twin.ends):
                 twin.break_off("reset")
         self.assertIsNone(self.client.run("READ a", seconds=0.4).refusal)
+
+
+class DoubtsTest(unittest.TestCase):
+    """What one holder found out of a member reaches those that send to it with its answers."""
+
+    def setUp(self):
+        self.world = Regions()
+        self.home = self.world.home.gateway.services["db"]
+        self.here = self.world.far.gateway.services["db"]
+        for _ in range(5):
+            self.home.pools["m2"].note_error()
+
+    def weight_here(self):
+        wanted = Wanted("reports")
+        (candidate,) = self.here.estimates.candidates({"m2": self.here.pools["m2"]}, wanted)
+        return candidate.weight
+
+    def run_at_home(self):
+        answer = self.world.client("orders").run("WRITE a 1", seconds=0.3)
+        self.assertIsNone(answer.refusal)
+
+    def test_it_comes_with_an_answer_and_takes_a_part_of_the_weight(self):
+        self.assertEqual(self.weight_here(), 1.0)
+        self.run_at_home()
+        self.assertLess(self.weight_here(), 0.6)
+        self.assertGreater(self.weight_here(), 0.2)
+
+    def test_it_ages(self):
+        self.run_at_home()
+        self.world.clock.advance(9)
+        self.assertGreater(self.weight_here(), 0.95)
+
+    def test_it_is_not_told_on(self):
+        self.run_at_home()
+        self.assertEqual(self.here.estimates.weights.doubts(), {})
+        self.assertEqual(list(self.home.estimates.weights.doubts()), ["m2"])
+
+    def test_a_member_that_others_can_not_reach_still_serves_here(self):
+        self.run_at_home()
+        self.world.client("reports").run("READ a", seconds=0.3)
+        self.assertEqual(self.world.near.texts()[-1], "READ a")
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -17,6 +17,7 @@
     "rowanrail.scheduling.lag",
     "rowanrail.scheduling.queue",
     "rowanrail.scheduling.run_times",
+    "rowanrail.scheduling.told_weights",
     "rowanrail.scheduling.warming",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
