The choice knows what a read asks wherever it is made; errors inside of read transactions cost weight

Cause: where the best member is too crowded, the next one was chosen without the read's floor and kind, so that a replica known to lag could be taken. A member's own error inside of a transaction that only reads counted nowhere. Ruled out: counting errors of transactions that write, which the caller's own statement may cause. Change: an operation keeps its floor, and the choice asks it for what it wants; a FAILED answer in a read transaction is noted as it is for a single read. Tests: one in tests/gateway/test_member_weight.py, which fails without the line.

--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -67,7 +67,7 @@
 
     def _choose(self) -> None:
         self.attempts += 1
-        pool = self.service.choose(self.excluded, self.wanted(self.floor))
+        pool = self.service.choose(self.excluded, self.wanted())
         if pool is None or self.attempts > READ_ATTEMPTS:
             if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
                 return
@@ -111,7 +111,7 @@
             self.release()
             return
         assert self.pool is not None
-        self.note_answer(answer, self.floor)
+        self.note_answer(answer)
         if answer.refusal is None:
             self.pool.note_answer()
             self.release(self.clock.time() - self.sent_at)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -80,6 +80,7 @@
         self.attempt_timer: Timer | None = None
         self.waiter: Waiter | None = None
         self.respond: Respond | None = None
+        self.floor: Position | None = None  # what a member's log must hold
         self.arrived_at = 0.0
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
@@ -299,15 +300,17 @@
             weight=self.service.weight(self.tenant),
         )
 
-    def wanted(self, floor: Position | None) -> Wanted:
-        """Return what a read behind a position asks of a member."""
-        return Wanted(self.route.name, self.entry(), floor)
+    def wanted(self) -> Wanted:
+        """Return what the read asks of a member."""
+        return Wanted(self.route.name, self.entry(), self.floor)
 
-    def note_answer(self, answer: Answer, floor: Position | None) -> None:
+    def note_answer(self, answer: Answer) -> None:
         """Have the choice of members learn from an answer to what was sent last."""
         if self.pool is not None:
             instance = self.pool.record.instance
-            self.service.estimates.note_answer(instance, self.route, answer, self.sent_at, floor)
+            self.service.estimates.note_answer(
+                instance, self.route, answer, self.sent_at, self.floor
+            )
 
     def has_place(self, pool: MemberPool) -> bool:
         """Return whether a connection can be had while the statement can still be in time."""
@@ -319,7 +322,7 @@
         """Return the member for a read among those where a connection can be had in time."""
         pools = self.service.pools.items()
         crowded = {instance for instance, pool in pools if not self.has_place(pool)}
-        return self.service.choose(excluded | crowded)
+        return self.service.choose(excluded | crowded, self.wanted())
 
     def refuse_crowded(self, pool: MemberPool) -> None:
         """Refuse, as not run, since all connections are in use for too long."""
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -103,9 +103,9 @@
         if self.respond is None:
             return
         own = self.session.floors.get(self.service.spec.name, ORIGIN)
-        floor = None if position is None else max(position, own)
-        pool = self.service.choose(self._excluded, self.wanted(floor))
-        if floor is None or pool is None:
+        self.floor = None if position is None else max(position, own)
+        pool = self.service.choose(self._excluded, self.wanted())
+        if position is None or pool is None:
             self._excluded.clear()
             self.retry_later(self._begin, busy("no member can serve the transaction"))
             return
@@ -117,7 +117,6 @@
         home = self.find_home(self.tenant, pool.record.instance)
         if home is not None and self._move(home):
             return
-        self._floor: Position | None = floor
         self.attempts += 1
         self.acquire(pool, self._with_channel)
         self.limit_opening()
@@ -138,7 +137,7 @@
         if not self.has_place(pool):
             self.refuse_crowded(pool)
             return
-        self._floor = None
+        self.floor = None
         self.acquire(pool, self._with_channel)
 
     def _move(self, work: Work | None) -> bool:
@@ -169,7 +168,7 @@
             return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
         commands = self.replay(channel)
-        commands.append(Command(kind, floor=self._floor))
+        commands.append(Command(kind, floor=self.floor))
         channel.in_transaction = True
         if self.read_only:
             self.limit_answer()
@@ -189,7 +188,7 @@
         self.end_attempt()
         instance = self.pool.record.instance
         if answer.refusal is not None:
-            self.note_answer(answer, self._floor)
+            self.note_answer(answer)
         if answer.refusal is None:
             self._begun = True
             if not self.read_only:
@@ -235,7 +234,7 @@
     def _statement_answered(self, answer: Answer) -> None:
         self.end_attempt()
         if self.read_only:
-            self.note_answer(answer, self._floor)
+            self.note_answer(answer)
         if answer.refusal is None:
             if self.read_only and self.pool is not None:
                 self.pool.note_answer()
@@ -270,6 +269,8 @@
         assert self.pool is not None
         if answer.refusal is Refusal.NOT_PRIMARY:
             self.service.primary.note_not_primary(self.pool.record.instance)
+        if answer.refusal is Refusal.FAILED and self.read_only:
+            self.pool.note_error()
         if answer.refusal is Refusal.LOST:
             answer = Answer(refusal=Refusal.ABORTED, message=answer.message)
         self.failed = True
--- a/tests/gateway/test_member_weight.py
+++ b/tests/gateway/test_member_weight.py
@@ -50,6 +50,13 @@
         self.use(5)
         self.assertEqual(self.weight(), 1.0)
 
+    def test_errors_inside_of_transactions_that_only_read_cost_weight(self):
+        self.client.run("BEGIN READ")
+        self.client.run("READ a")
+        self.played.near.script = [FAILED]
+        self.assertEqual(self.client.run("READ b").refusal, Refusal.FAILED)
+        self.assertLess(self.weight(), 1.0)
+
     def test_a_probe_a_second_at_most(self):
         self.lose_weight()
         self.use(2)
