--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -38,7 +38,7 @@
         assert respond is not None
 
         def answered(answer: Answer) -> None:
-            self.service.estimates.note_answer_from_afar(instance, self.route, answer, sent_at)
+            self.service.estimates.note_answer_from_afar(instance, self.kind, answer, sent_at)
             respond(answer)
 
         self.respond = answered
@@ -70,7 +70,7 @@
 
     def _choose(self) -> None:
         self.attempts += 1
-        pool = self.service.choose(self.excluded, self.wanted(self.floor))
+        pool = self.service.choose(self.excluded, self.wanted())
         if pool is None or self.attempts > READ_ATTEMPTS:
             if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
                 return
@@ -124,7 +124,7 @@
             self.release()
             return
         assert self.pool is not None
-        self.note_answer(answer, self.floor)
+        self.note_answer(answer)
         if answer.refusal is None:
             self.pool.note_answer()
             self.release(self.clock.time() - self.sent_at)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -79,6 +79,7 @@
         self.look_timer: Timer | None = None
         self.waiter: Waiter | None = None
         self._expected_wait = 0.0  # ms, forecast when it began to wait
+        self.floor: Position | None = None  # what a member's log must hold
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
@@ -280,22 +281,28 @@
         soon = PROMPT_SHARE * self.route.objective_seconds * 1000 - waited
         return forecast.has_room or forecast.wait <= soon
 
-    def wanted(self, floor: Position | None) -> Wanted:
-        """Return what a read behind a position asks of a member."""
-        return Wanted(self.route.name, self.entry(), floor)
+    # Choice
 
-    def note_answer(self, answer: Answer, floor: Position | None) -> None:
+    @property
+    def kind(self) -> str:
+        """Which statements take about as long as this one."""
+        return self.route.name
+
+    def wanted(self) -> Wanted:
+        """Return what the read asks of a member."""
+        return Wanted(self.kind, self.entry(), self.floor)
+
+    def note_answer(self, answer: Answer) -> None:
         """Have the choice of members learn from an answer to what was sent last."""
-        if self.pool is not None:
-            instance = self.pool.record.instance
-            self.service.estimates.note_answer(instance, self.route, answer, self.sent_at, floor)
+        estimates = self.service.estimates
+        estimates.note_answer(self.member, self.kind, answer, self.sent_at, self.floor)
 
     def roomier(self, excluded: set[str]) -> MemberPool | None:
         """Return the member for a read that has room soon, else one where it can be served."""
         for is_enough in (self.is_prompt, self.may_wait_at):
             pools = self.service.pools.items()
             crowded = {instance for instance, pool in pools if not is_enough(pool)}
-            found = self.service.choose(excluded | crowded)
+            found = self.service.choose(excluded | crowded, self.wanted())
             if found is not None:
                 return found
         return None
--- a/src/rowanrail/relay/forwarded.py
+++ b/src/rowanrail/relay/forwarded.py
@@ -203,6 +203,7 @@
         floor = self._session.floors.get(service)
         if reply.floor is not None and (floor is None or reply.floor > floor):
             self._session.floors[service] = reply.floor
+        self._work.local.note_doubts(reply.doubts)
         self._told = reply.trace
         self._work.prospects.note(self._peer, service, self._session.identity.tenant, reply.load)
         return answer_of(reply)
--- a/src/rowanrail/relay/terms.py
+++ b/src/rowanrail/relay/terms.py
@@ -1,6 +1,8 @@
 """Statements and answers in the words of the messages, and back."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from rowanrail.gateway.model import Answer, Route, StatementKind, Trace, TypedStatement
 from rowanrail.gateway.session_values import SessionValues, is_write
@@ -131,8 +133,9 @@
     floor: Position | None,
     trace: Trace,
     load: ServiceLoad | None = None,
+    doubts: Mapping[str, int] = MappingProxyType({}),
 ) -> Reply:
-    """Return the message that answers a statement, with the load of its service."""
+    """Return the message that answers a statement, with what the holder knows of its service."""
     return Reply(
         call=run.call,
         rows=answer.rows,
@@ -143,6 +146,7 @@
         floor=floor,
         trace=trace,
         load=load,
+        doubts=dict(doubts),
     )
 
 
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -22,6 +22,7 @@
     "rowanrail.scheduling.member_weight",
     "rowanrail.scheduling.lag",
     "rowanrail.scheduling.run_times",
+    "rowanrail.scheduling.told_weights",
     "rowanrail.scheduling.warming",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
