--- a/tests/relay/test_prospects.py
+++ b/tests/relay/test_prospects.py
@@ -137,10 +137,11 @@
     def test_a_reply_without_a_load_decodes(self):
         reply = Reply(1, [], b"", None, "", None, None, Trace("db", "sent"), ServiceLoad([1]))
         old = msgspec.msgpack.decode(msgspec.msgpack.encode(reply))
-        *shorter, _ = old
+        *shorter, _, _ = old  # neither a load nor doubts
         shorter[-1] = shorter[-1][:-1]  # nor does its trace say why a statement was turned away
         decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(shorter), type=Reply)
         self.assertIsNone(decoded.load)
+        self.assertEqual(decoded.doubts, {})
         self.assertIsNone(decoded.trace.rejection)
 
     def test_what_an_older_gateway_does_not_know_is_passed_over(self):
