--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -13,7 +13,8 @@
 from rowanrail.scheduling.returning import Label, Returners, client_label, spread
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants, key_digest
-from rowanrail.tenants.quota import OverLimit, QuotaGuard, QuotaTerms
+from rowanrail.tenants.quota import OverLimit, QuotaGuard
+from rowanrail.tenants.terms import QuotaTerms
 
 __all__ = ["Access"]
 
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -30,7 +30,7 @@
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
-from rowanrail.tenants.quota import QuotaTerms
+from rowanrail.tenants.terms import QuotaTerms
 
 READY_PATH = "/ready"
 LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -49,7 +49,7 @@
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants
-from rowanrail.tenants.quota import QuotaTerms
+from rowanrail.tenants.terms import QuotaTerms
 
 TICK_SECONDS = 0.05  # a sixth of the shortest time that is watched, PROBE_TIMEOUT_SECONDS
 DEFAULT_IDLE_SECONDS = 60.0  # until the configuration says how long a transaction may rest
--- a/src/rowanrail/relay/metering.py
+++ b/src/rowanrail/relay/metering.py
@@ -15,8 +15,9 @@
 from rowanrail.relay.messages import CountDemand
 from rowanrail.relay.neighbours import At, Here, Neighbours, Nowhere
 from rowanrail.relay.placement import METER
+from rowanrail.tenants.counts import REPORT_MS
 from rowanrail.tenants.demand import DemandBook
-from rowanrail.tenants.quota import REPORT_MS, QuotaGuard
+from rowanrail.tenants.quota import QuotaGuard
 
 __all__ = ["Metering"]
 
--- /dev/null
+++ b/src/rowanrail/tenants/counts.py
@@ -0,0 +1,124 @@
+"""What one gateway counts of one tenant."""
+
+from dataclasses import dataclass
+
+from rowanrail.tenants.demand import Demand
+from rowanrail.tenants.precedence import part_of_class
+from rowanrail.tenants.window import SlidingCount
+
+__all__ = ["LATELY_MS", "REPORT_MS", "Counts", "TenantCount"]
+
+# Between reports of a gateway. With 58 gateways and 72 tenants about 35 KB a second inside of
+# regions and 14 KB between them, reckoned from the sizes of the messages.
+REPORT_MS = 300.0
+LATELY_MS = 1000.0  # over which rates are taken: three reports
+# What a tenant asks for here since the last report, against what the last report lets expect, and
+# operations at least: then the next report doesn't wait for its turn. The sums would else tell of
+# a rush 0.3 to 0.6 s late, and at four times a limit that is all that is tolerated beyond it.
+RUSH_FACTOR = 2.0
+RUSH_LEAST = 3
+# Over which a gateway counts how a tenant's demand is made up of urgent and other operations: a
+# few of each kind come to one gateway in it, and a mix changes slowly.
+MIX_MS = 3000.0
+FIRST_CREDIT = 0.5  # of an operation: gateways that begin together don't all begin with one
+
+
+@dataclass(frozen=True, slots=True)
+class TenantCount:
+    """One tenant at this gateway, for operators.
+
+    Parameters
+    ----------
+    limit : float
+        Operations of the tenant in a window, over all gateways.
+    begun : float
+        What began here in the last window.
+    asked : float
+        What was asked for here in the last second.
+    refused : int
+        What was refused here since the start.
+    """
+
+    name: str
+    limit: float
+    begun: float
+    asked: float
+    refused: int
+
+
+class Counts:
+    """One tenant at this gateway."""
+
+    __slots__ = (
+        "asked_by_urgency",
+        "asked_lately",
+        "begun",
+        "begun_lately",
+        "credits",
+        "expected",
+        "fleet",
+        "refused",
+        "unreported",
+    )
+
+    def __init__(self, window: float) -> None:
+        self.begun = SlidingCount(window)
+        self.begun_lately = SlidingCount(LATELY_MS)
+        self.asked_lately = SlidingCount(LATELY_MS)
+        self.fleet = Demand()
+        self.asked_by_urgency: dict[int, SlidingCount] = {}
+        self.credits: dict[int, float] = {}
+        self.refused = 0
+        self.unreported = 0  # asked for since the last report
+        self.expected = 0.0  # to be asked for until the next one
+
+    @property
+    def is_rush(self) -> bool:
+        """Whether much more is asked for than the last report lets expect."""
+        return self.unreported >= max(RUSH_LEAST, RUSH_FACTOR * self.expected)
+
+    def ask(self, now: float, urgency: int) -> None:
+        """Count an operation that is asked for."""
+        self.asked_lately.add(now)
+        self.unreported += 1
+        count = self.asked_by_urgency.get(urgency)
+        if count is None:
+            count = self.asked_by_urgency[urgency] = SlidingCount(MIX_MS)
+        count.add(now)
+
+    def is_urgent(self, urgency: int) -> bool:
+        """Whether the tenant also asks for what is less urgent."""
+        return urgency < max(self.asked_by_urgency)
+
+    def spend_credit(self, now: float, part: float, urgency: int) -> bool:
+        """Return whether an operation is among the part of its class that may begin."""
+        asked = {other: count.at(now) for other, count in self.asked_by_urgency.items()}
+        credit = self.credits.get(urgency, FIRST_CREDIT) + part_of_class(part, asked, urgency)
+        is_enough = credit >= 1
+        self.credits[urgency] = min(credit - is_enough, 1.0)
+        return is_enough
+
+    def demand(self, now: float) -> Demand:
+        """Return what is reported."""
+        self.unreported = 0
+        self.expected = self.asked_lately.at(now) * REPORT_MS / LATELY_MS
+        return Demand(
+            round(self.begun.at(now)),
+            round(self.begun_lately.at(now)),
+            round(self.asked_lately.at(now)),
+            round(self._leaving(now)),
+        )
+
+    def _leaving(self, now: float) -> float:
+        """Return what leaves the window within a second, at the slower rate if that changes.
+
+        After a rush many leave at once, and then few. Room that is only about to come free is not
+        given away: the sums of others are late by as much.
+        """
+        soon = self.begun.leaving(now, REPORT_MS) * LATELY_MS / REPORT_MS
+        return min(soon, self.begun.leaving(now, LATELY_MS))
+
+    def begin(self, now: float, number: float = 1.0) -> None:
+        """Count an operation that begins; a negative number takes back one that did not run."""
+        self.begun.add(now, number)
+        self.begun_lately.add(now, number)
--- a/src/rowanrail/tenants/quota.py
+++ b/src/rowanrail/tenants/quota.py
@@ -2,7 +2,7 @@
 
 Each gateway counts what its own clients ask for and what begins, and learns the sums of the fleet a
 few times a second. From these it works out which part of what is asked for may begin so that the
-count of a window comes to the limit within a second: all of it while the limit is far, and in
+count of a window comes to the limit within half a second: all of it while the limit is far, and in
 the long run as many as leave the window. Every gateway works out the same part from the same
 sums, so that it does not matter at which of them a tenant's clients are, and nothing is divided.
 
@@ -19,28 +19,16 @@
 from dataclasses import dataclass
 
 from rowanrail.kernel.clock import Clock
+from rowanrail.tenants.counts import LATELY_MS, Counts, TenantCount
 from rowanrail.tenants.demand import Demand, Report
 from rowanrail.tenants.model import Tenant, Tenants
-from rowanrail.tenants.precedence import part_of_class
-from rowanrail.tenants.window import SlidingCount
-
-__all__ = ["REPORT_MS", "OverLimit", "QuotaGuard", "QuotaTerms", "TenantCount"]
-
-# Of what is tolerated beyond the limit, so that nothing is refused below it though the sums are a
-# little late, and though a side's part of the demand is not exactly its part of the gateways while
-# the network is split. The rest is for what begins before the sums come. With a quarter in place
-# of half, 28 in place of 11 of 1,444 operations were refused below a limit (12 gateways, test).
-USED_MARGIN = 0.5
-# The same for operations that are more urgent than others of their tenant. The count swings about
-# the limit; what is between the two margins keeps urgent operations going when it is above.
-URGENT_MARGIN = 0.9
+from rowanrail.tenants.terms import URGENT_MARGIN, USED_MARGIN, QuotaTerms
+
+__all__ = ["OverLimit", "QuotaGuard"]
+
 # For which sums of a part of the fleet are passed over after sums of all of it: two reports, after
 # which a meter that has just taken over has heard of everybody.
 GRACE_MS = 700.0
-# Between reports of a gateway. With 58 gateways and 72 tenants about 35 KB a second inside of
-# regions and 14 KB between them, reckoned from the sizes of the messages.
-REPORT_MS = 300.0
-LATELY_MS = 1000.0  # over which rates are taken: three reports
 # Age of the fleet's sums while a tenant's demand grows: two looks for a rush, and the way between
 # regions. At other times they are up to 600 ms old, but then little changes.
 LATE_MS = 300.0
@@ -54,80 +42,10 @@
 # shut out: three such gateways stay within what is tolerated beyond a limit.
 ALONE_SHARE = 0.01
 ALONE_LEAST = 2.0
-# Of a window that is empty when gateways are back after a loss of all: 0.5 s at the least until
-# they start; the 0.27 s until they listen are left as a margin.
-RESTART_SHARE = 0.1
-UNKNOWN_MARGIN = 0.2  # of what is tolerated beyond a limit; the rest is used otherwise
-UNKNOWN_STEP = 0.2  # of a window: what leaves a window of 5 s in REACH_MS
+UNKNOWN_STEP = 0.2  # of a window: what leaves a window of 5 s in a second
 # Of the gateways, that are heard when nothing is split: some are always being started again, and
 # their last words of before still count.
 WHOLE_SHARE = 0.9
-# What a tenant asks for here since the last report, against what the last report lets expect, and
-# operations at least: then the next report doesn't wait for its turn. The sums would else tell of
-# a rush 0.3 to 0.6 s late, and at four times a limit that is all that is tolerated beyond it.
-RUSH_FACTOR = 2.0
-RUSH_LEAST = 3
-# Over which a gateway counts how a tenant's demand is made up of urgent and other operations: a
-# few of each kind come to one gateway in it, and a mix changes slowly.
-MIX_MS = 3000.0
-FIRST_CREDIT = 0.5  # of an operation: gateways that begin together don't all begin with one
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaTerms:
-    """How limits are judged.
-
-    Parameters
-    ----------
-    window : float
-        Milliseconds of a window.
-    excess : float
-        Share of a limit that is tolerated beyond it.
-    slack : float
-        Operations that are tolerated beyond that.
-    """
-
-    window: float = 5000.0
-    excess: float = 0.1
-    slack: float = 20.0
-
-    def limit(self, tenant: Tenant) -> float:
-        """Return the operations of a tenant in a window, infinite without a rate."""
-        if tenant.rate is None:
-            return float("inf")
-        return tenant.rate * self.window / 1000 + tenant.burst
-
-    def target(self, tenant: Tenant, margin: float = USED_MARGIN) -> float:
-        """Return to how many operations in a window a tenant is held.
-
-        Parameters
-        ----------
-        margin : float
-            Of what is tolerated beyond the limit.
-
-        Examples
-        --------
-        >>> QuotaTerms().target(Tenant("a", rate=100, burst=100))
-        640.0
-        """
-        limit = self.limit(tenant)
-        return limit + margin * (limit * self.excess + self.slack)
-
-    def unknown(self, tenant: Tenant) -> float:
-        """Return what a tenant is taken to have begun in a window of which nothing is known.
-
-        That is its limit, without what a restart leaves empty and what is tolerated beyond it.
-
-        Examples
-        --------
-        >>> round(QuotaTerms().unknown(Tenant("a", rate=100, burst=100)))
-        524
-        >>> QuotaTerms().unknown(Tenant("a", rate=0.5, burst=0.5))
-        0.0
-        """
-        limit = self.limit(tenant)
-        tolerated = UNKNOWN_MARGIN * (limit * self.excess + self.slack)
-        return max(0.0, (1 - RESTART_SHARE) * limit - tolerated)
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,107 +84,6 @@
 LONGEST_WAIT_MS = 3000.0  # more than half of a window has left by then
 
 
-@dataclass(frozen=True, slots=True)
-class TenantCount:
-    """One tenant at this gateway, for operators.
-
-    Parameters
-    ----------
-    limit : float
-        Operations of the tenant in a window, over all gateways.
-    begun : float
-        What began here in the last window.
-    asked : float
-        What was asked for here in the last second.
-    refused : int
-        What was refused here since the start.
-    """
-
-    name: str
-    limit: float
-    begun: float
-    asked: float
-    refused: int
-
-
-class _Counts:
-    """One tenant at this gateway."""
-
-    __slots__ = (
-        "asked_by_urgency",
-        "asked_lately",
-        "begun",
-        "begun_lately",
-        "credits",
-        "expected",
-        "fleet",
-        "refused",
-        "unreported",
-    )
-
-    def __init__(self, window: float) -> None:
-        self.begun = SlidingCount(window)
-        self.begun_lately = SlidingCount(LATELY_MS)
-        self.asked_lately = SlidingCount(LATELY_MS)
-        self.fleet = Demand()
-        self.asked_by_urgency: dict[int, SlidingCount] = {}
-        self.credits: dict[int, float] = {}
-        self.refused = 0
-        self.unreported = 0  # asked for since the last report
-        self.expected = 0.0  # to be asked for until the next one
-
-    @property
-    def is_rush(self) -> bool:
-        """Whether much more is asked for than the last report lets expect."""
-        return self.unreported >= max(RUSH_LEAST, RUSH_FACTOR * self.expected)
-
-    def ask(self, now: float, urgency: int) -> None:
-        """Count an operation that is asked for."""
-        self.asked_lately.add(now)
-        self.unreported += 1
-        count = self.asked_by_urgency.get(urgency)
-        if count is None:
-            count = self.asked_by_urgency[urgency] = SlidingCount(MIX_MS)
-        count.add(now)
-
-    def is_urgent(self, urgency: int) -> bool:
-        """Whether the tenant also asks for what is less urgent."""
-        return urgency < max(self.asked_by_urgency)
-
-    def spend_credit(self, now: float, part: float, urgency: int) -> bool:
-        """Return whether an operation is among the part of its class that may begin."""
-        asked = {other: count.at(now) for other, count in self.asked_by_urgency.items()}
-        credit = self.credits.get(urgency, FIRST_CREDIT) + part_of_class(part, asked, urgency)
-        is_enough = credit >= 1
-        self.credits[urgency] = min(credit - is_enough, 1.0)
-        return is_enough
-
-    def demand(self, now: float) -> Demand:
-        """Return what is reported."""
-        self.unreported = 0
-        self.expected = self.asked_lately.at(now) * REPORT_MS / LATELY_MS
-        return Demand(
-            round(self.begun.at(now)),
-            round(self.begun_lately.at(now)),
-            round(self.asked_lately.at(now)),
-            round(self._leaving(now)),
-        )
-
-    def _leaving(self, now: float) -> float:
-        """Return what leaves the window within a second, at the slower rate if that changes.
-
-        After a rush many leave at once, and then few. Room that is only about to come free is not
-        given away: the sums of others are late by as much.
-        """
-        soon = self.begun.leaving(now, REPORT_MS) * LATELY_MS / REPORT_MS
-        return min(soon, self.begun.leaving(now, LATELY_MS))
-
-    def begin(self, now: float, number: float = 1.0) -> None:
-        """Count an operation that begins; a negative number takes back one that did not run."""
-        self.begun.add(now, number)
-        self.begun_lately.add(now, number)
-
-
 def part_that_begins(fleet: Demand, target: float, unknown: float = 0.0) -> float:
     """Return which part of what is asked for may begin; 1 or more for all.
 
@@ -311,7 +128,7 @@
         self._clock = clock
         self._terms = terms
         self._tenants = Tenants()
-        self._counts: dict[str, _Counts] = {}
+        self._counts: dict[str, Counts] = {}
         self._started_at = self._told_at = clock.now
         self._unknown_share = 0.0
         self._population = 0
@@ -359,7 +176,7 @@
         now = self._clock.now
         counts = self._counts.get(name)
         if counts is None:
-            counts = self._counts[name] = _Counts(self._terms.window)
+            counts = self._counts[name] = Counts(self._terms.window)
         counts.ask(now, urgency)
         self._has_rush = self._has_rush or counts.is_rush
         margin = URGENT_MARGIN if counts.is_urgent(urgency) else USED_MARGIN
@@ -379,7 +196,7 @@
         share = max(0.0, self._unknown_share - UNKNOWN_STEP)
         return share * self._terms.unknown(tenant)
 
-    def _may_begin(self, counts: _Counts, target: float, part: float, urgency: int) -> bool:
+    def _may_begin(self, counts: Counts, target: float, part: float, urgency: int) -> bool:
         now = self._clock.now
         begun = counts.begun.at(now)
         if now - self._told_at > ALONE_MS:
--- a/tests/tenants/test_quota.py
+++ b/tests/tenants/test_quota.py
@@ -11,7 +11,8 @@
 from rowanrail.relay.metering import LOOK_MS
 from rowanrail.tenants.demand import GATEWAY_MS, REGION_MS, Demand, DemandBook, Report
 from rowanrail.tenants.model import Tenant, Tenants
-from rowanrail.tenants.quota import ALONE_MS, QuotaGuard, QuotaTerms
+from rowanrail.tenants.quota import ALONE_MS, QuotaGuard
+from rowanrail.tenants.terms import QuotaTerms
 from tests.support.gateway import ManualClock
 
 REPORT_SECONDS = 0.3
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -28,6 +28,7 @@
     "rowanrail.tenants.model",
     "rowanrail.tenants.precedence",
     "rowanrail.tenants.quota",
+    "rowanrail.tenants.terms",
     "rowanrail.tenants.window",
 )
 
