--- a/src/rowanrail/gateway/connections.py
+++ b/src/rowanrail/gateway/connections.py
@@ -1,5 +1,6 @@
 """The connections of one pool: idle, in use or being opened, and when one more is worth it."""
 
+import math
 from collections.abc import Callable
 
 from rowanrail.gateway.channel import Channel, MemberDriver
@@ -12,6 +13,11 @@
 
 __all__ = ["Connections"]
 
+# Of the limit, are kept while nobody needs more. Members count the connections of gateways that
+# lost their power for 3 s more; with half of them left free, those that start again have as many at
+# once as they had.
+KEPT_SHARE = 0.5
+
 
 class Connections:
     """At most ``limit`` connections to one member; each may be a tenant's."""
@@ -131,6 +137,14 @@
         channel.on_closed = self.idle.discard
         self.idle.add(channel)
 
+    def trim(self, now: float, is_kept: Callable[[str], bool]) -> None:
+        """Close idle ones that nobody has needed for a while, sooner if there are many.
+
+        :param is_kept: says whether a tenant's statements come to this gateway.
+        """
+        spare = self.count - math.ceil(KEPT_SHARE * self.limit)
+        self.idle.trim(now, is_kept, spare)
+
     def set_limit(self, limit: int) -> None:
         """Change the limit; surplus idle ones are closed."""
         self.limit = limit
--- a/src/rowanrail/gateway/idle_channels.py
+++ b/src/rowanrail/gateway/idle_channels.py
@@ -15,6 +15,8 @@
 # At a gateway to which statements no longer come: those under way may still want it. The one that
 # takes over needs the places; with both full a member refuses a third of them.
 GIVEN_UP_IDLE_SECONDS = 0.1
+# The same for connections of tenants beyond those that are to be left free for successors.
+SPARE_IDLE_SECONDS = 2.0
 KEPT_IDLE = 1  # for the next statement and for samples; each more would be one that others lack
 
 
@@ -74,16 +76,21 @@
         channels, self._channels = self._channels, []
         return channels
 
-    def trim(self, now: float, is_kept: Callable[[str], bool]) -> None:
+    def trim(self, now: float, is_kept: Callable[[str], bool], spare: int = 0) -> None:
         """Close those that nobody has needed for a while.
 
         Members count the connections of a lost gateway for seconds more; the fewer there are,
         the sooner its successor gets some.
+
+        :param spare: how many of them there are beyond what should be kept.
         """
         surplus = len(self._channels) - KEPT_IDLE
         for place, channel in enumerate(list(self._channels)):
             kept = is_kept(channel.tenant)
             if kept and place >= surplus:
                 continue
-            if channel.last_used < now - _idle_seconds(channel, kept):
+            seconds = _idle_seconds(channel, kept)
+            if place < spare:
+                seconds = min(seconds, SPARE_IDLE_SECONDS)
+            if channel.last_used < now - seconds:
                 channel.close()
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -330,7 +330,7 @@
             self._expire(waiter)
         if self._connections.is_crowded:
             self._connections.resting.reclaim(waiter.since for waiter in self._waiting)
-        self._connections.idle.trim(now, is_kept)
+        self._connections.trim(now, is_kept)
 
     def set_limit(self, limit: int) -> None:
         """Change the limit; surplus idle connections are closed."""
