--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -16,7 +16,7 @@
 )
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.gauges import gauges, relay_gauges
+from rowanrail.gateway.gauges import gauges, relay_gauges, tenant_gauges
 from rowanrail.gateway.locality import Locality
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
@@ -30,7 +30,7 @@
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
-from rowanrail.tenants.quota import QuotaTerms
+from rowanrail.tenants.terms import QuotaTerms
 
 READY_PATH = "/ready"
 LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
@@ -149,11 +149,13 @@
             "rowanrail_gateway",
             lambda: [
                 *gauges(gateway),
+                *tenant_gauges(gateway),
                 *relay_gauges(neighbours, holder, detours),
                 log_gauge(decisions),
             ],
         )
-        gateway.on_outcome = metrics.note_statement
+        gateway.outcomes.on_outcome = metrics.note_statement
+        gateway.access.on_rejection = metrics.note_rejection
         await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
     gateway.start()
     holder.start()
--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -5,8 +5,11 @@
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.freshness import oldest_sample, prefetch
 from rowanrail.gateway.model import Answer, Consistency, Refusal, TypedStatement
-from rowanrail.gateway.operation import Operation, Stage, busy
+from rowanrail.gateway.operation import Operation, Stage
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.statement import LATE, PRIMARY_RETURN_MS, busy
 from rowanrail.proxy.backend import ORIGIN, Position
+from rowanrail.scheduling.admission import Cause
 
 READ_ATTEMPTS = 6  # twice each of three members
 ERROR_ATTEMPTS = 3  # members that may fail a read before the client is told
@@ -29,6 +32,22 @@
     def _go_home(self) -> bool:
         return self.hand_home(self.statement, writes=False)
 
+    def _go_to(self, instance: str) -> bool:
+        """Have the holder in a far member's region run the read."""
+        respond, sent_at = self.respond, self.clock.time()
+        assert respond is not None
+
+        def answered(answer: Answer) -> None:
+            self.service.estimates.note_answer_from_afar(instance, self.kind, answer, sent_at)
+            respond(answer)
+
+        self.respond = answered
+        if self.hand_home(self.statement, False, instance):
+            self.service.estimates.note_sent_afar(instance)
+            return True
+        self.respond = respond
+        return False
+
     def _need_floor(self) -> None:
         self.stage = Stage.WAITS_FOR_SAMPLE
         prefetch(self.service, self.route, self.clock.time())
@@ -43,7 +62,7 @@
         if self.respond is None:
             return
         if position is None:
-            self.finish(busy("no primary confirms its position"))
+            self.turn_away(Cause.NO_PRIMARY, "no primary confirms its position", PRIMARY_RETURN_MS)
             return
         own = self.session.floors.get(self.service.spec.name, ORIGIN)
         self.floor = max(position, own)
@@ -51,7 +70,7 @@
 
     def _choose(self) -> None:
         self.attempts += 1
-        pool = self.service.choose(self.excluded)
+        pool = self.service.choose(self.excluded, self.wanted())
         if pool is None or self.attempts > READ_ATTEMPTS:
             if self.service.primary.failing_since and self.hand_over(self.statement, writes=False):
                 return
@@ -59,13 +78,13 @@
             self.attempts = 0
             self.retry_later(self._need_floor, busy("no member can serve the read"))
             return
-        if not self.has_place(pool):
+        if not self.is_prompt(pool):
             roomy = self.roomier(self.excluded)
             if roomy is None:
                 self.refuse_crowded(pool)
                 return
             pool = roomy
-        if self.service.is_far(pool) and self._go_home():
+        if self.service.is_far(pool) and self._go_to(pool.record.instance):
             return
         self.acquire(pool, self._with_channel)
         self.limit_opening()
@@ -89,12 +108,23 @@
             self.excluded.add(self.pool.record.instance)
         self._choose()
 
+    def try_roomier(self, pool: MemberPool) -> bool:
+        """See :meth:`Operation.try_roomier`."""
+        roomy = self.roomier(self.excluded | {pool.record.instance})
+        if roomy is None:
+            return False
+        self.leave_line()
+        if not (self.service.is_far(roomy) and self._go_home()):
+            self.acquire(roomy, self._with_channel)
+        return True
+
     def _answered(self, answer: Answer) -> None:
         self.end_attempt()
         if self.respond is None:
             self.release()
             return
         assert self.pool is not None
+        self.note_answer(answer)
         if answer.refusal is None:
             self.pool.note_answer()
             self.release(self.clock.time() - self.sent_at)
@@ -140,7 +170,7 @@
         primary = self.service.primary_pool()
         if primary is not None and primary.record.instance not in self.excluded:
             self.attempts += 1
-            if self.has_place(primary):
+            if self.may_wait_at(primary):
                 self.acquire(primary, self._with_channel)
             else:
                 self.refuse_crowded(primary)
@@ -150,7 +180,8 @@
     def on_timeout(self) -> None:
         """See :meth:`Operation.on_timeout`. A read that was sent may still run."""
         self.service.primary.forget(self._with_floor)
-        sent = self.channel is not None
-        refusal = Refusal.TIMEOUT if sent else Refusal.BUSY
-        self.finish(Answer(refusal=refusal, message="no answer in time"))
+        if self.channel is None:
+            self.turn_away(Cause.NO_PLACE, LATE)
+            return
+        self.finish(Answer(refusal=Refusal.TIMEOUT, message=LATE))
         self.discard()
--- /dev/null
+++ b/src/rowanrail/gateway/member_estimates.py
@@ -0,0 +1,184 @@
+"""What answers tell about the members of a service, and the candidates for a read made of it."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.member_weights import MemberWeights
+from rowanrail.gateway.model import Answer, MemberRecord, Refusal
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.kernel.clock import Clock
+from rowanrail.proxy.backend import Position
+from rowanrail.scheduling.choice import Candidate
+from rowanrail.scheduling.lag import LagEstimate
+from rowanrail.scheduling.queue import Entry
+from rowanrail.scheduling.run_times import RunTimes
+from rowanrail.scheduling.warming import Warming
+
+__all__ = ["MemberEstimates", "Wanted"]
+
+FAR_WAY = 40.0  # ms there and back between regions of 20 ms one way
+# Of an opening, for a connection that belongs to a tenant: it serves about two statements before
+# another tenant needs its place. One that belongs to nobody serves whoever comes next, and a
+# member must not be passed over for good because nobody has opened a connection to it yet.
+OPENING_SHARE = 0.5
+_UNASKED = Entry(0, None, 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a read, or a transaction that only reads, asks of a member.
+
+    Parameters
+    ----------
+    kind : str
+        Name of its route: reads of one route take about as long as each other.
+    entry : Entry
+        How it would stand among those that want a connection.
+    floor : Position or None
+        What the member's log must hold.
+    """
+
+    kind: str = ""
+    entry: Entry = _UNASKED
+    floor: Position | None = None
+
+
+class MemberEstimates:
+    """Run times, lags and warmth of one service's members, as this gateway sees them.
+
+    Parameters
+    ----------
+    locality : Locality
+        Where the gateway stands.
+    tracker : PrimaryTracker
+        Knows since when the primary's log has held a position.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, locality: Locality, tracker: PrimaryTracker, clock: Clock) -> None:
+        self._locality = locality
+        self._tracker = tracker
+        self._clock = clock
+        self._times = RunTimes()
+        self._lags: dict[str, LagEstimate] = {}
+        self._warming: dict[str, Warming] = {}
+        self._sent_afar: Counter[str] = Counter()  # under way at holders of other regions
+        self.weights = MemberWeights(clock)
+
+    def set_members(self, records: list[MemberRecord]) -> None:
+        """Know the members; what was learnt of those that left is forgotten."""
+        now = self._clock.now
+        warming, self._warming = self._warming, {}
+        lags, self._lags = self._lags, {}
+        for record in records:
+            name = record.instance
+            self._warming[name] = warming.get(name) or Warming(record.cold_ms, now)
+            self._lags[name] = lags.get(name) or LagEstimate()
+        instances = set(self._lags)
+        self._times.keep(instances)
+        self.weights.set_members(instances)
+        for gone in self._sent_afar.keys() - instances:
+            del self._sent_afar[gone]
+
+    def note_answer(
+        self, instance: str, kind: str, answer: Answer, sent_at: float, floor: Position | None
+    ) -> None:
+        """Learn from a member's answer to what was sent at ``sent_at`` seconds."""
+        now = self._clock.now
+        lag = self._lags.get(instance)
+        if lag is None:
+            return
+        match answer.refusal:
+            case None:
+                self.weights.note_served(instance)
+                self._times.note(instance, kind, now - sent_at * 1000, now)
+                if floor is not None:
+                    lag.note_holds(self._age(floor), now)
+            case Refusal.BEHIND if floor is not None:
+                lag.note_lacks(self._age(floor), now)
+            case Refusal.BUSY:
+                self._times.note_turned_away(instance, kind, now)
+                self.weights.note_turned_away(instance)
+
+    def note_sent_afar(self, instance: str) -> None:
+        """Note that a read was sent to the holder in a member's region."""
+        self._sent_afar[instance] += 1
+
+    def note_answer_from_afar(
+        self, instance: str, kind: str, answer: Answer, sent_at: float
+    ) -> None:
+        """Learn from the answer of the holder in a member's region, sent at in seconds.
+
+        It may have come from another member there, and what that holder refuses says nothing of
+        the member: only times are learnt.
+        """
+        now = self._clock.now
+        if instance not in self._sent_afar:
+            return  # the member left meanwhile
+        self._sent_afar[instance] -= 1
+        if answer.refusal is None:
+            self._times.note(instance, kind, now - sent_at * 1000, now)
+        elif answer.refusal is Refusal.BUSY:
+            self._times.note_turned_away(instance, kind, now)
+
+    def queue_seconds(self, instance: str) -> float:
+        """Return by how many seconds a member's latest answers took longer than usual."""
+        return self._times.queue(instance, self._clock.now) / 1000
+
+    def _age(self, floor: Position) -> float:
+        """Return for how long the primary's log is known to have held a position."""
+        since = self._tracker.history.held_since(floor)
+        return 0.0 if since is None else max(0.0, self._clock.now - since * 1000)
+
+    def candidates(self, pools: Mapping[str, MemberPool], wanted: Wanted) -> list[Candidate]:
+        """Return members as candidates for a read."""
+        now = self._clock.now
+        age = self._age(wanted.floor) if wanted.floor is not None else None
+        return [self._candidate(pool, wanted, age, now) for pool in pools.values()]
+
+    def _candidate(
+        self, pool: MemberPool, wanted: Wanted, age: float | None, now: float
+    ) -> Candidate:
+        record = pool.record
+        name = record.instance
+        work = self._times.work(wanted.kind)
+        is_primary = name == self._tracker.believed
+        behind = 0.0
+        if age is not None and not is_primary and name in self._lags:
+            behind = self._lags[name].expected_behind(age, now)
+        distance = self._locality.distance(record.zone)
+        return Candidate(
+            instance=name,
+            wait=_wait(pool, wanted.entry),
+            run=self._run(name, wanted.kind, distance),
+            queue=self._times.queue(name, now),
+            work=work,
+            under_way=pool.under_way + self._sent_afar[name],
+            slots=record.slots,
+            is_primary=is_primary,
+            error_share=pool.error_share,
+            is_suspect=pool.is_suspect,
+            slowness=self._warming[name].slowness(now) if name in self._warming else 1.0,
+            weight=self.weights.effective(name),
+            distance=distance,
+            behind=behind,
+        )
+
+    def _run(self, instance: str, kind: str, distance: int) -> float:
+        """Return what such a read takes at a member, as known or by where the member stands."""
+        usual = self._times.usual(instance, kind)
+        if usual is not None:
+            return usual
+        has_regions = bool(self._locality.regions)
+        return self._times.work(kind) + (FAR_WAY if distance == 2 and has_regions else 0.0)
+
+
+def _wait(pool: MemberPool, entry: Entry) -> float:
+    """Return the milliseconds until a statement may be sent, as far as they count for a choice."""
+    forecast = pool.forecast(entry)
+    share = OPENING_SHARE if entry.tenant else 0.0
+    return forecast.wait - (1 - share) * forecast.opening
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -10,8 +10,9 @@
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.resting import Resting
 from rowanrail.gateway.waiter import Waiter
-from rowanrail.scheduling.admission import Forecast
+from rowanrail.scheduling.admission import Forecast, ForecastError
 from rowanrail.scheduling.concurrency import ConcurrencyLimit
+from rowanrail.scheduling.member_weight import Trouble
 from rowanrail.scheduling.queue import Entry, Supply, WorkQueue, is_hopeless
 
 
@@ -33,6 +34,7 @@
     ) -> None:
         self.record = record
         self.latency_seconds = INITIAL_LATENCY_SECONDS
+        self.forecast_error = ForecastError()
         self._clock = clock
         self._concurrency = ConcurrencyLimit(record.slots, holders)
         self._health = MemberHealth(clock)
@@ -40,6 +42,7 @@
         self._waiting: WorkQueue[Waiter] = WorkQueue()
         self._is_starting = False
         self._closed = False
+        self.on_trouble: Callable[[Trouble], None] = lambda trouble: None
 
     @property
     def limit(self) -> int:
@@ -137,14 +140,19 @@
         return self._wait_seconds(len(self._waiting) - len(self._connections.opening))
 
     def forecast(self, entry: Entry) -> Forecast:
-        """Return what a statement that comes now can expect here."""
+        """Return what a statement that comes now, or waits already, can expect here."""
         needs_opening = not self._connections.has_one_for(entry.tenant)
         ahead = self._waiting.ahead_of(entry, needs_opening) - len(self._connections.opening)
         ahead = max(0.0, ahead)  # who has a connection coming is no longer before it
         wait = self._wait_seconds(ahead)
         opening = self._connections.opening.seconds if needs_opening else 0.0
-        has_room = not wait and not ahead
-        return Forecast((wait + opening) * 1000, self.latency_seconds * 1000, has_room)
+        return Forecast(
+            (wait + opening) * 1000,
+            self.latency_seconds * 1000,
+            has_room=wait == 0 and not ahead,
+            interval=self._connections.leases.seconds * 1000 / self._places,
+            opening=opening * 1000,
+        )
 
     def note_lease(self, seconds: float) -> None:
         """Note for how long a connection was in use."""
@@ -278,6 +286,7 @@
             self._connections.opening.note_crowded(self.open_count)
         else:
             self._note_failure()
+            self.on_trouble(Trouble.REFUSED)
         if not self.open_count:
             self._refuse_waiting(answer)
         elif channel.tenant and not self._connections.may_come_back(channel.tenant):
@@ -300,6 +309,7 @@
     def note_silence(self) -> None:
         """Note that the member left a command unanswered."""
         self._note_failure()
+        self.on_trouble(Trouble.SILENCE)
 
     def note_answer(self) -> None:
         """Note that the member answered."""
@@ -308,6 +318,7 @@
     def note_error(self) -> None:
         """Note that the member answered with an error of its own."""
         self._health.note_answer(is_error=True)
+        self.on_trouble(Trouble.ERROR)
 
     # Changes
 
--- a/src/rowanrail/scheduling/fair_share.py
+++ b/src/rowanrail/scheduling/fair_share.py
@@ -121,4 +121,6 @@
 
 
 def _is_before(place: Place[T], entry: Entry) -> bool:
+    if place.item.entry is entry:
+        return False  # its own place
     return place.order[:2] <= (not entry.returned, entry.deadline)
--- a/src/rowanrail/scheduling/queue.py
+++ b/src/rowanrail/scheduling/queue.py
@@ -226,7 +226,7 @@
         return [item for item in self if is_hopeless(item.entry, now, run_time)]
 
     def ahead_of(self, entry: Entry, needs_opening: bool = False) -> float:
-        """Return about how many run before an entry that comes now.
+        """Return about how many run before an entry that comes now, or waits already.
 
         All that are more urgent do, those of its own urgency by their tenants' shares, and of the
         less urgent their share of the turns; and while these run, more urgent ones come. An entry
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -5,17 +5,31 @@
 import unittest
 
 MODULES = (
+    "rowanrail.cli.load_view",
+    "rowanrail.explain.turned_away",
     "rowanrail.gateway.error_share",
     "rowanrail.gateway.locality",
     "rowanrail.gateway.primary",
     "rowanrail.gateway.samples",
+    "rowanrail.gateway.statement",
     "rowanrail.relay.placement",
+    "rowanrail.scheduling.admission",
     "rowanrail.scheduling.concurrency",
     "rowanrail.scheduling.entry",
+    "rowanrail.scheduling.load",
     "rowanrail.scheduling.queue",
+    "rowanrail.scheduling.returning",
+    "rowanrail.scheduling.choice",
+    "rowanrail.scheduling.member_weight",
+    "rowanrail.scheduling.lag",
+    "rowanrail.scheduling.run_times",
+    "rowanrail.scheduling.told_weights",
+    "rowanrail.scheduling.warming",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
+    "rowanrail.tenants.precedence",
     "rowanrail.tenants.quota",
+    "rowanrail.tenants.terms",
     "rowanrail.tenants.window",
 )
 
