--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -15,6 +15,7 @@
     "rowanrail.relay.placement",
     "rowanrail.scheduling.admission",
     "rowanrail.scheduling.concurrency",
+    "rowanrail.scheduling.entry",
     "rowanrail.scheduling.load",
     "rowanrail.scheduling.queue",
     "rowanrail.scheduling.returning",
