A queue of a moment is waited in; who comes back for its last try goes first

Cause, seen by a trial in virtual time (one member of 4 slots, three holders, nine tenants in three classes, every class at 1.6 to 4 times its usual for 8 s, clients that try three times): forecasts jump while a member's limit is lowered, and one such moment gave up statements that would have been served; what was learned from the least urgent class refused more urgent ones. Those who came back for their second try took the place of newcomers, so that both were late. Change: how far forecasts are out is learned by urgency, is believed only where lately served ones waited for half of their time, and is never believed beyond what the forecast says. A waiting statement is given up after two hopeless looks in a row, or at its last moment. A client goes before newcomers once it was turned away twice running (callers try three times). Returns are told up to 3.5 s ahead, so that two of them and three tries fit into 10 s.

--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -10,7 +10,7 @@
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.scheduling.admission import Cause
-from rowanrail.scheduling.returning import Label, Returners, client_label, spread
+from rowanrail.scheduling.returning import GOES_FIRST_AFTER, Label, Returners, client_label, spread
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants, key_digest
 from rowanrail.tenants.quota import OverLimit, QuotaGuard, QuotaTerms
@@ -182,18 +182,23 @@
     def note_turned_away(self, session: Session, rejection: Rejection | None) -> None:
         """Remember that a session's client was refused as busy, and what it was told."""
         if rejection is None:
-            self._returners.note(_label(session), 0.0)
+            self._remember(session, 0.0)
             return
         cause, urgency, return_in = rejection.cause, rejection.urgency, rejection.return_in
         self._note_returning(session, cause, urgency, return_in)
 
     def _note_returning(self, session: Session, cause: str, urgency: int, return_in: float) -> None:
-        self._returners.note(_label(session), return_in)
+        self._remember(session, return_in)
         self.on_rejection(cause, urgency, return_in)
 
-    def has_returned(self, session: Session) -> bool:
-        """See :meth:`rowanrail.gateway.session.SessionHost.has_returned`."""
-        return self._returners.claim(_label(session))
+    def _remember(self, session: Session, return_in: float) -> None:
+        self._returners.note(_label(session), return_in, session.values.turned_away + 1)
+
+    def note_return(self, session: Session) -> None:
+        """See :meth:`rowanrail.gateway.session.SessionHost.note_return`."""
+        times = self._returners.claim(_label(session))
+        session.values.turned_away = times
+        session.values.returned = times >= GOES_FIRST_AFTER
 
     def note_not_run(self, session: Session) -> None:
         """Count an operation no longer: nothing of it reached a member."""
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -374,9 +374,9 @@
         """See :meth:`SessionHost.refuse_over_quota`."""
         return self.access.refuse_over_quota(session)
 
-    def has_returned(self, session: Session) -> bool:
-        """See :meth:`SessionHost.has_returned`."""
-        return self.access.has_returned(session)
+    def note_return(self, session: Session) -> None:
+        """See :meth:`SessionHost.note_return`."""
+        self.access.note_return(session)
 
     def note_not_run(self, session: Session) -> None:
         """See :meth:`SessionHost.note_not_run`."""
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -28,10 +28,11 @@
 from rowanrail.scheduling.admission import (
     Admit,
     Cause,
+    Forecast,
+    Watch,
     judge_arriving,
-    judge_waiting,
-    next_look,
 )
+from rowanrail.scheduling.forecast_error import ForecastError
 from rowanrail.scheduling.queue import Entry
 from rowanrail.scheduling.returning import return_base
 
@@ -78,6 +79,7 @@
         self.look_timer: Timer | None = None
         self.waiter: Waiter | None = None
         self._expected_wait = 0.0  # ms, forecast when it began to wait
+        self._watch = Watch(self.time_given)
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
@@ -236,7 +238,8 @@
         if self.waiter is waiter:
             forecast = pool.forecast(waiter.entry)
             self._expected_wait = forecast.wait
-            self._look_later(forecast.run)
+            self._watch = Watch(self.time_given)
+            self._look_later(forecast)
 
     def leave_line(self) -> None:
         """Wait no longer for a connection."""
@@ -267,10 +270,13 @@
 
     def may_wait_at(self, pool: MemberPool) -> bool:
         """Return whether the statement can still be served at a member."""
-        forecast, certain = pool.forecast(self.entry()), pool.forecast_error.certain_share
+        forecast, certain = pool.forecast(self.entry()), self._error_at(pool).certain_share
         verdict = judge_arriving(forecast, self.time_left, self.time_given, certain)
         return isinstance(verdict, Admit)
 
+    def _error_at(self, pool: MemberPool) -> ForecastError:
+        return pool.forecast_errors.of(self.route.priority)
+
     def is_prompt(self, pool: MemberPool) -> bool:
         """Return whether a member has room soon enough for an answer within the objective."""
         forecast = pool.forecast(self.entry())
@@ -296,11 +302,11 @@
         reason = f"{self.member} is crowded for {forecast.wait:.0f} ms"
         self.turn_away(cause, reason, return_base(forecast.wait, self.time_given), forecast)
 
-    def _look_later(self, run: float) -> None:
+    def _look_later(self, forecast: Forecast) -> None:
         """Judge the statement again after a while, if it waits then."""
         self._end_looks()
         if self.waiter is not None:
-            seconds = next_look(self.time_left, run, self.time_given) / 1000
+            seconds = self._watch.next_look(forecast, self.time_left) / 1000
             self.look_timer = self.clock.call_later(seconds, self._look_again)
 
     def _end_looks(self) -> None:
@@ -313,9 +319,9 @@
         pool, waiter = self.pool, self.waiter
         if pool is None or waiter is None:
             return
-        forecast, certain = pool.forecast(waiter.entry), pool.forecast_error.certain_share
-        if isinstance(judge_waiting(forecast, self.time_left, self.time_given, certain), Admit):
-            self._look_later(forecast.run)
+        forecast, certain = pool.forecast(waiter.entry), self._error_at(pool).certain_share
+        if isinstance(self._watch.judge(forecast, self.time_left, certain), Admit):
+            self._look_later(forecast)
             return
         self._note_waited(pool, is_over=False)
         if not self.try_roomier(pool):
@@ -324,7 +330,7 @@
     def _note_waited(self, pool: MemberPool, is_over: bool) -> None:
         if self.waiter is not None:
             waited = (self.clock.time() - self.waiter.since) * 1000
-            pool.forecast_error.note(self._expected_wait, waited, is_over)
+            self._error_at(pool).note(self._expected_wait, waited, self.time_given, is_over)
 
     def try_roomier(self, pool: MemberPool) -> bool:
         """Leave the line of a member for a better one, if there is any; return whether it did."""
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -10,8 +10,9 @@
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.resting import Resting
 from rowanrail.gateway.waiter import Waiter
-from rowanrail.scheduling.admission import Forecast, ForecastError
+from rowanrail.scheduling.admission import Forecast
 from rowanrail.scheduling.concurrency import ConcurrencyLimit
+from rowanrail.scheduling.forecast_error import ForecastErrors
 from rowanrail.scheduling.queue import Entry, WorkQueue, is_hopeless
 
 
@@ -33,7 +34,7 @@
     ) -> None:
         self.record = record
         self.latency_seconds = INITIAL_LATENCY_SECONDS
-        self.forecast_error = ForecastError()
+        self.forecast_errors = ForecastErrors()
         self._clock = clock
         self._concurrency = ConcurrencyLimit(record.slots, holders)
         self._health = MemberHealth(clock)
--- a/src/rowanrail/gateway/session.py
+++ b/src/rowanrail/gateway/session.py
@@ -36,8 +36,8 @@
     def refuse_over_quota(self, session: "Session") -> Answer | None:
         """Count an operation of a session's tenant, or return why it may not begin now."""
 
-    def has_returned(self, session: "Session") -> bool:
-        """Return whether a session's client was turned away and comes back as it was told."""
+    def note_return(self, session: "Session") -> None:
+        """Tell a session whether its client was turned away and comes back as it was told."""
 
     def note_not_run(self, session: "Session") -> None:
         """Count an operation no longer: nothing of it reached a member."""
@@ -220,7 +220,7 @@
         if isinstance(found, Answer):
             self._finish(found)
             return
-        self.values.returned = self._host.has_returned(self)
+        self._host.note_return(self)
         over = self._host.refuse_over_quota(self)
         if over is not None:
             self._finish(over)
@@ -243,7 +243,7 @@
         if isinstance(found, Answer):
             self._finish(found)
             return
-        self.values.returned = self._host.has_returned(self)
+        self._host.note_return(self)
         over = self._host.refuse_over_quota(self)
         if over is not None:
             self._finish(over)
--- a/src/rowanrail/gateway/session_values.py
+++ b/src/rowanrail/gateway/session_values.py
@@ -9,11 +9,12 @@
 class SessionValues:
     """What a session set: values and prepared names, which hold until it ends.
 
-    Its identity says on whose connections its statements run. ``returned`` says whether its client
-    was turned away a moment ago and has come back as it was told.
+    Its identity says on whose connections its statements run. ``turned_away`` says how many times
+    running its client was turned away before what it runs now, and has come back as it was told;
+    ``returned`` whether it goes before newcomers for that.
     """
 
-    __slots__ = ("floors", "identity", "prepared", "returned", "values")
+    __slots__ = ("floors", "identity", "prepared", "returned", "turned_away", "values")
 
     def __init__(self, identity: Identity = Identity()) -> None:  # noqa: B008 - it is frozen
         self.identity = identity
@@ -21,6 +22,7 @@
         self.prepared: dict[str, tuple[bool, str]] = {}
         self.floors: dict[str, Position] = {}
         self.returned = False
+        self.turned_away = 0
 
 
 class PreparedNames:
--- a/src/rowanrail/gateway/told_load.py
+++ b/src/rowanrail/gateway/told_load.py
@@ -9,7 +9,7 @@
 
 
 def measure(service: Service, tenant: str, now: float) -> ServiceLoad | None:
-    """Return what a tenant's statements of each urgency would wait now, None if they would not.
+    """Return how long a tenant's statements of each urgency take, None if there is room.
 
     Members of other regions count for nothing: what needs them is sent on to their own holders.
 
@@ -35,9 +35,15 @@
 
 
 def _waits(pool: MemberPool, entries: list[Entry]) -> list[float]:
-    """Return the waits at a member; an opening alone is none."""
-    forecasts = [pool.forecast(entry) for entry in entries]
-    return [0.0 if forecast.has_room else forecast.wait for forecast in forecasts]
+    """Return how long answers of a member certainly take; 0 where there is room."""
+    return [_certain_time(pool, entry) for entry in entries]
+
+
+def _certain_time(pool: MemberPool, entry: Entry) -> float:
+    forecast = pool.forecast(entry)
+    if forecast.has_room:
+        return 0.0
+    return forecast.wait * pool.forecast_errors.of(entry.urgency).certain_share + forecast.run
 
 
 def _pace(pool: MemberPool, entry: Entry) -> int:
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -57,7 +57,7 @@
     version : int
         Of the configuration by which the sender took the key.
     returned : bool
-        Whether the client was turned away a moment ago and came back as it was told.
+        Whether it goes before newcomers, since its client was turned away more than once.
     """
 
     call: int
--- a/src/rowanrail/relay/prospects.py
+++ b/src/rowanrail/relay/prospects.py
@@ -1,7 +1,7 @@
 """What a sender refuses by itself, from what the holders told with their answers.
 
-A statement that its holder would refuse does not cross regions to learn that. What was told is
-taken at its most hopeful, and one statement every 100 ms is sent all the same.
+A statement that its holder would refuse does not cross regions to learn that. One every 100 ms is
+sent all the same, so that its answer tells when there is room.
 """
 
 from dataclasses import dataclass
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -8,31 +8,22 @@
 import enum
 from dataclasses import dataclass
 
+from rowanrail.scheduling.forecast_error import CERTAIN_SHARE
 from rowanrail.scheduling.returning import return_base
 
 __all__ = [
     "Admit",
     "Cause",
     "Forecast",
-    "ForecastError",
     "Reject",
     "Verdict",
+    "Watch",
     "judge_arriving",
     "judge_sending",
     "judge_waiting",
     "next_look",
 ]
 
-# Of a forecast wait is taken as certain before it is known how far forecasts are out: the mean
-# length of the last ten leases is off by a third when lengths vary as much as their mean, and some
-# of those ahead leave unserved.
-CERTAIN_SHARE = 0.6
-# Bounds of what is taken as certain: forecasts that hold are believed whole, and one that was far
-# out refuses nobody who would wait less than half of it.
-LEAST_CERTAIN, MOST_CERTAIN = 0.5, 1.5
-NOTED_MS = 50.0  # shorter forecasts say little: one long lease among two makes them wrong
-MOST_RATIO = 4.0  # of a wait to its forecast; one that was never served would count without bound
-ERROR_WEIGHT = 0.1  # of the newest wait in the moving averages, about the last ten count
 # Usual times that must be left of a statement which has waited: nineteen of twenty answers take
 # less, if their times vary as much as their mean. A write that comes late is in doubt, which costs
 # its client more than a refusal.
@@ -44,6 +35,7 @@
 LAST_SHARE = 0.1
 # Of the time left passes between two looks at a statement that waits: eight looks in 800 ms.
 LOOK_SHARE = 0.25
+HOPELESS_LOOKS = 2  # in a row, after which a statement is given up
 LOOK_MS = 50.0  # at the least; a tenth of the strictest objective that callers asked for so far
 SHORTEST_LOOK_MS = 1.0  # so that time passes between two looks
 
@@ -106,49 +98,6 @@
 Verdict = Admit | Reject
 
 
-class ForecastError:
-    """How far the forecasts of one member are out: the mean of wait over forecast, and its spread.
-
-    Both are moving averages, as of round trips in TCP; what is certain is the mean without the
-    deviation.
-
-    Examples
-    --------
-    >>> error = ForecastError()
-    >>> error.certain_share
-    0.6
-    >>> for _ in range(30):
-    ...     error.note(forecast=400, waited=400)
-    >>> round(error.certain_share, 2)
-    0.98
-    """
-
-    __slots__ = ("_deviation", "_mean")
-
-    def __init__(self) -> None:
-        self._mean = 1.0
-        self._deviation = 1.0 - CERTAIN_SHARE
-
-    @property
-    def certain_share(self) -> float:
-        """Of a forecast wait is at least waited."""
-        return min(MOST_CERTAIN, max(LEAST_CERTAIN, self._mean - self._deviation))
-
-    def note(self, forecast: float, waited: float, is_over: bool = True) -> None:
-        """Take how long a statement waited for which a wait was forecast, in milliseconds.
-
-        Parameters
-        ----------
-        is_over : bool
-            Whether it got what it waited for; else it would have waited longer.
-        """
-        if forecast < NOTED_MS or not (is_over or waited > forecast):
-            return
-        ratio = min(MOST_RATIO, waited / forecast)
-        self._deviation += ERROR_WEIGHT * (abs(ratio - self._mean) - self._deviation)
-        self._mean += ERROR_WEIGHT * (ratio - self._mean)
-
-
 def judge_arriving(
     forecast: Forecast, left: float, whole: float, certain: float = CERTAIN_SHARE
 ) -> Verdict:
@@ -215,7 +164,8 @@
     Parameters
     ----------
     told_wait : float
-        Milliseconds of waiting there, as may be assumed of what it told; 0 if nothing is.
+        Milliseconds that an answer certainly takes there, as may be assumed of what it told; 0
+        if nothing is.
     way : float
         Milliseconds there and back.
     left, whole : float
@@ -225,18 +175,57 @@
     --------
     >>> judge_sending(told_wait=0, way=80, left=60, whole=800).cause
     <Cause.WAY_TOO_LONG: 'way-too-long'>
-    >>> judge_sending(told_wait=1300, way=80, left=800, whole=800).cause
+    >>> judge_sending(told_wait=800, way=80, left=800, whole=800).cause
     <Cause.HOLDER_CROWDED: 'holder-crowded'>
     >>> judge_sending(told_wait=0, way=80, left=800, whole=800)
     Admit()
     """
     if left <= way:
         return Reject(Cause.WAY_TOO_LONG, return_base(told_wait, whole))
-    if told_wait <= 0 or _may_be_in_time(Forecast(told_wait, way), left, CERTAIN_SHARE):
+    if told_wait + way <= left:
         return Admit()
     return Reject(Cause.HOLDER_CROWDED, return_base(told_wait, whole))
 
 
+class Watch:
+    """Judges one waiting statement look by look.
+
+    A forecast jumps for a moment when a member answers slowly or urgent statements come, so that
+    a statement is given up only if two looks in a row found it hopeless, or at the last one.
+
+    Parameters
+    ----------
+    whole : float
+        Milliseconds that the statement was given.
+
+    Examples
+    --------
+    >>> watch = Watch(whole=800)
+    >>> [type(watch.judge(Forecast(wait, 10), 300, 1.0)).__name__ for wait in (400, 200, 400, 400)]
+    ['Admit', 'Admit', 'Admit', 'Reject']
+    """
+
+    __slots__ = ("_hopeless_looks", "_whole")
+
+    def __init__(self, whole: float) -> None:
+        self._whole = whole
+        self._hopeless_looks = 0
+
+    def judge(self, forecast: Forecast, left: float, certain: float) -> Verdict:
+        """Judge the statement again; see :func:`judge_waiting`."""
+        verdict = judge_waiting(forecast, left, self._whole, certain)
+        if isinstance(verdict, Admit):
+            self._hopeless_looks = 0
+            return verdict
+        self._hopeless_looks += 1
+        is_last = left <= _last_moment(forecast.run, self._whole)
+        return verdict if is_last or self._hopeless_looks >= HOPELESS_LOOKS else Admit()
+
+    def next_look(self, forecast: Forecast, left: float) -> float:
+        """Return after how many milliseconds it is judged again; see :func:`next_look`."""
+        return next_look(left, forecast.run, self._whole)
+
+
 def next_look(left: float, run: float, whole: float) -> float:
     """Return after how many milliseconds a waiting statement is judged again.
 
--- a/src/rowanrail/scheduling/load.py
+++ b/src/rowanrail/scheduling/load.py
@@ -33,6 +33,9 @@
 PROBE_MS = 100.0
 # Milliseconds for which a load that was worked out is told again; short beside what is told.
 TOLD_AGAIN_MS = 10.0
+# Milliseconds for which a word is taken as it was told: until the answer to the next probe is here,
+# 40 ms away. A line that stands is refilled as it goes on, so that it is as long as before.
+FRESH_MS = PROBE_MS + 50.0
 LEAST_TOLD_MS = 20.0  # shorter waits change no decision
 # Words that are kept: those of 100 tenants at 10 holders; about 300 KB.
 MOST_BOOKED = 1024
@@ -55,10 +58,11 @@
     Parameters
     ----------
     waits : list of int
-        Milliseconds that a statement of each urgency, from 0 on, would wait for room at the
-        primary now; the last one also stands for all that are less urgent.
+        Milliseconds that a statement of each urgency, from 0 on, certainly takes at the primary,
+        waiting for room and running; 0 where there is room. The last one also stands for all that
+        are less urgent.
     reads : list of int
-        The same at the member where a read would wait least.
+        The same at the member where a read takes least.
     pace : int
         Statements a second by which the line at the primary goes on; 0 if it is not known.
     """
@@ -68,7 +72,7 @@
     pace: int = 0
 
     def wait(self, urgency: int, writes: bool) -> int:
-        """Return the wait of a statement in milliseconds.
+        """Return the time of a statement in milliseconds.
 
         Examples
         --------
@@ -127,7 +131,7 @@
     Parameters
     ----------
     wait : float
-        Milliseconds of waiting there, at the least; 0 if nothing is known.
+        Milliseconds that an answer takes there, at the least; 0 if nothing is known.
     pace : float
         Statements a second by which its line goes on; 0 if it is not known.
     """
@@ -180,7 +184,8 @@
     def assume(self, subject: Subject, urgency: int, writes: bool) -> Assumed:
         """Return what may be assumed of a holder for a statement now.
 
-        Its line has gone on since it told: the wait is taken as shorter by the age of its word.
+        If no probe has renewed its word, the line may have gone on without being refilled: the
+        time is taken as shorter by what its word is too old.
         """
         word = self._words.get(subject)
         if word is None:
@@ -188,7 +193,8 @@
         age = self._clock.now - word.heard_at
         if age > ASSUMED_MS:
             return Assumed()
-        return Assumed(max(0.0, word.load.wait(urgency, writes) - age), word.load.pace)
+        time = word.load.wait(urgency, writes) - max(0.0, age - FRESH_MS)
+        return Assumed(max(0.0, time), word.load.pace)
 
     def may_probe(self, subject: Subject) -> bool:
         """Return whether a statement is to be sent in spite of what was told; notes that it is."""
--- a/src/rowanrail/scheduling/queue.py
+++ b/src/rowanrail/scheduling/queue.py
@@ -47,7 +47,7 @@
     weight : float
         Share of its tenant among tenants of the same urgency.
     returned : bool
-        Whether its client was turned away a moment ago and has come back as it was told.
+        Whether its client was turned away more than once and has come back as it was told.
     """
 
     urgency: int
--- a/src/rowanrail/scheduling/returning.py
+++ b/src/rowanrail/scheduling/returning.py
@@ -12,6 +12,7 @@
 from rowanrail.kernel.clock import Clock
 
 __all__ = [
+    "GOES_FIRST_AFTER",
     "SHORTEST_RETURN_MS",
     "Label",
     "ReturnTimes",
@@ -23,8 +24,8 @@
 
 # Milliseconds. Sooner than that a client's way and a new try cost more than waiting would have.
 SHORTEST_RETURN_MS = 100.0
-# Milliseconds. Clients try three times within 10 s: two returns leave each try its time.
-LONGEST_RETURN_MS = 3000.0
+# Milliseconds. Clients try three times within 10 s: two returns leave each try about a second.
+LONGEST_RETURN_MS = 3500.0
 # Of the time that a try is given may pass in the line, so that a returned one is answered early.
 LINE_SHARE = 0.5
 # Milliseconds between two returns to a line whose pace is not known: 200 a second.
@@ -39,6 +40,10 @@
 # Returns that are remembered: 10 s of 400 refusals a second, about 1 MB.
 MOST_REMEMBERED = 4096
 MOST_LINES = 64  # before those are looked for whose places have all passed
+# Times that a client was turned away running, after which it goes before newcomers. Callers try
+# three times, so that this is their last try. After the first one a client stands in the line as a
+# newcomer does: served in its place it comes late, and the newcomer with it.
+GOES_FIRST_AFTER = 2
 _GOLDEN = 0.6180339887498949  # its multiples fill an interval evenly, however many there are
 
 
@@ -57,7 +62,7 @@
     >>> return_base(wait=1400, whole=800)
     1000.0
     >>> return_base(wait=0, whole=800), return_base(wait=60000, whole=800)
-    (100.0, 3000.0)
+    (100.0, 3500.0)
     """
     return min(LONGEST_RETURN_MS, max(SHORTEST_RETURN_MS, wait - LINE_SHARE * whole))
 
@@ -140,11 +145,10 @@
 
 
 class Returners:
-    """Who was turned away a moment ago, as many times as it was and no more.
+    """Who was turned away a moment ago, and how many times running.
 
-    A returned statement goes before newcomers of its urgency. A label stands for all clients that
-    share a key; as each refusal is good for one return, they can't jump the line more often than
-    they were turned away.
+    A label stands for all clients that share a key; as each refusal is good for one return, they
+    can't jump the line more often than they were turned away.
 
     Parameters
     ----------
@@ -158,41 +162,52 @@
     def __init__(self, clock: Clock, most: int = MOST_REMEMBERED) -> None:
         self._clock = clock
         self._most = most
-        self._due: OrderedDict[Label, list[float]] = OrderedDict()  # moments told, a heap each
+        # By label a heap of the moments told, each with the times turned away until then.
+        self._due: OrderedDict[Label, list[tuple[float, int]]] = OrderedDict()
         self._count = 0
 
     def __len__(self) -> int:
         return self._count
 
-    def note(self, label: Label, return_in: float) -> None:
-        """Remember that a client was turned away and told when to come back."""
+    def note(self, label: Label, return_in: float, times: int = 1) -> None:
+        """Remember that a client was turned away and told when to come back.
+
+        Parameters
+        ----------
+        times : int
+            How many times running, this one included.
+        """
         self._forget_old()
         while self._count >= self._most:
             self._drop(next(iter(self._due)))
-        heapq.heappush(self._due.setdefault(label, []), self._clock.now + return_in)
+        heapq.heappush(self._due.setdefault(label, []), (self._clock.now + return_in, times))
         self._due.move_to_end(label)
         self._count += 1
 
-    def claim(self, label: Label) -> bool:
-        """Return whether a client comes back as it was told; each refusal counts once."""
+    def claim(self, label: Label) -> int:
+        """Return how many times running a client was turned away that comes back as it was told.
+
+        It is 0 for a newcomer. Each refusal counts once.
+        """
         due = self._due.get(label)
         if due is None:
-            return False
+            return 0
         now = self._clock.now
-        is_due = False
-        while due and not is_due and due[0] <= now + EARLY_MS:
-            is_due = heapq.heappop(due) >= now - REMEMBERED_MS
+        found = 0
+        while due and not found and due[0][0] <= now + EARLY_MS:
+            told, times = heapq.heappop(due)
+            found = times if told >= now - REMEMBERED_MS else 0
             self._count -= 1
         if not due:
             del self._due[label]
-        return is_due
+        return found
 
     def _forget_old(self) -> None:
         """Forget labels at the front whose last moment has passed long ago."""
         limit = self._clock.now - REMEMBERED_MS
         while self._due:
             label = next(iter(self._due))
-            if max(self._due[label]) >= limit:
+            if max(self._due[label])[0] >= limit:
                 return
             self._drop(label)
 
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -305,7 +305,7 @@
     def test_a_write_that_would_wait_too_long_is_refused_at_once(self):
         interval = self.pool.forecast(Entry(1, "", 0.0)).interval
         served_in_time = int(1000 / interval)  # of the route's time-out of 1 s
-        later = [self.played.client("orders") for _ in range(2 * served_in_time + 40)]
+        later = [self.played.client("orders") for _ in range(4 * served_in_time + 40)]
         for client in later:
             client.ask("WRITE b 2")
         refused = [client for client in later if client.answers]
@@ -316,14 +316,14 @@
             self.assertIn("retry in", client.answers[-1].message)
 
     def test_a_transaction_is_refused_at_its_first_statement(self):
-        for _ in range(200):
+        for _ in range(300):
             self.played.client("orders").ask("WRITE b 2")
         client = self.played.client("orders")
         client.run("BEGIN")
         self.assertEqual(client.run("READ a").refusal, Refusal.BUSY)
 
     def test_a_read_goes_where_there_is_room(self):
-        for _ in range(200):
+        for _ in range(300):
             self.played.client("orders").ask("WRITE b 2")
         self.assertIsNone(self.played.client("reports").run("READ a", seconds=0.1).refusal)
 
@@ -355,11 +355,11 @@
         self.assertNotIn("WRITE b 2", self.played.primary.texts())
 
     def test_those_at_the_end_of_the_line_learn_it_first(self):
-        waiting = [self.played.client("orders") for _ in range(70)]
+        waiting = [self.played.client("orders") for _ in range(150)]
         for client in waiting:
             client.ask("WRITE b 2")
             self.played.clock.advance(1e-6)
-        self.played.clock.advance(0.6)
+        self.played.clock.advance(0.7)
         answered = [bool(client.answers) for client in waiting]
         self.assertTrue(answered[-1])
         self.assertFalse(answered[0])
@@ -386,6 +386,29 @@
         self.played.clock.advance(2.0)
         self.assertNotIn("WRITE given-up 1", self.played.primary.texts())
 
+    def test_who_was_turned_away_twice_goes_before_newcomers(self):
+        client = self.played.client("orders")
+        for times in range(3):
+            for _ in range(300):
+                self.played.client("orders").ask("WRITE b 2")
+            client.ask("WRITE c 3")
+            self.assertEqual(client.session.values.turned_away, times)
+            if times < 2:
+                told = client.answers[-1].message.rpartition("retry in ")[2].removesuffix(" s")
+                self.played.clock.advance(float(told))
+        first, *_ = sorted(self.pool._waiting, key=lambda waiter: not waiter.entry.returned)
+        self.assertTrue(first.entry.returned)
+        self.assertLess(self.pool.forecast(first.entry).wait, 100.0)
+
+    def test_who_comes_sooner_than_it_was_told_is_a_newcomer(self):
+        client = self.played.client("orders")
+        for _ in range(300):
+            self.played.client("orders").ask("WRITE b 2")
+        client.ask("WRITE c 3")
+        self.played.clock.advance(0.05)
+        client.ask("WRITE c 3")
+        self.assertEqual(client.session.values.turned_away, 0)
+
     def test_refusals_at_one_moment_tell_different_moments(self):
         told = set()
         for _ in range(400):
@@ -395,14 +418,14 @@
         self.assertGreater(len(told), 50)
 
     def test_a_refusal_is_logged_with_what_it_rests_on(self):
-        for _ in range(200):
+        for _ in range(300):
             self.played.client("orders").ask("WRITE b 2")
         line = json.loads(next(text for text in self.played.logs() if '"event":301' in text))
         self.assertEqual(line["cause"], "crowded")
         self.assertGreater(line["wait"], 1000)
         self.assertEqual(line["left"], 1000)
         self.assertEqual(line["urgency"], 1)
-        self.assertIn(f"retry in {line['return_in'] / 1000:.1f}", line["reason"])
+        self.assertIn(f"retry in {line['return_in'] / 1000:.2f}", line["reason"])
 
     def test_those_whose_connections_are_being_opened_stand_before_nobody(self):
         # Found by reading: they counted as waiting and as using a connection, so that reads were
@@ -455,7 +478,7 @@
         for _ in range(pool.limit - 1):
             played.client("orders").ask("WRITE b 2")
         played.clock.advance(0.3)  # until they have their connections
-        for _ in range(250):
+        for _ in range(300):
             played.client("orders").ask("WRITE b 2")
         self.assertEqual(played.client("orders").run("WRITE b 2").refusal, Refusal.BUSY)
         self.assertIsNone(begun.run("WRITE a 2").refusal)
--- a/tests/relay/test_prospects.py
+++ b/tests/relay/test_prospects.py
@@ -4,10 +4,13 @@
 
 import msgspec
 
-from rowanrail.gateway.model import Refusal, Trace
+from rowanrail.gateway.model import Consistency, Refusal, Route, Trace
+from rowanrail.gateway.session_values import SessionValues
 from rowanrail.relay.messages import Reply, Run
 from rowanrail.relay.prospects import Asked, Prospects
+from rowanrail.relay.terms import Order, load_session, run_of
 from rowanrail.scheduling.load import ServiceLoad
+from tests.support.gateway import statement
 from tests.support.relay import PlayedZone
 
 
@@ -120,15 +123,15 @@
         self.zone.primary.script = []
         self.assertIsNone(self.client.run("WRITE f 6", seconds=0.5).refusal)
 
-    def test_who_was_turned_away_is_known_at_the_holder_when_it_comes_back(self):
-        self.fill()
-        self.hear_load()
-        told = float(self.client.answers[-1].message.rpartition("retry in ")[2].split(" ")[0])
-        self.zone.clock.advance(told)
-        self.client.ask("WRITE g 7")
-        self.zone.clock.advance(0.02)
-        held = [one for link in self.zone.first.holder._links for one in link._singles.values()]
-        self.assertEqual([one.session.returned for one in held], [True])
+
+class ReturnedTest(unittest.TestCase):
+    def test_who_goes_before_newcomers_is_known_at_the_holder(self):
+        session, held = SessionValues(), SessionValues()
+        session.returned = True
+        route = Route("orders", "orders", "db", Consistency.PRIMARY, 1.0, 0.5)
+        run = run_of(Order(statement("q1", "WRITE a 1"), route, session, 800.0), 1)
+        load_session(held, msgspec.msgpack.decode(msgspec.msgpack.encode(run), type=Run))
+        self.assertTrue(held.returned)
 
 
 class RollingRestartTest(unittest.TestCase):
--- a/tests/scheduling/line.py
+++ b/tests/scheduling/line.py
@@ -6,12 +6,12 @@
 
 from rowanrail.scheduling.admission import (
     Forecast,
-    ForecastError,
     Reject,
+    Watch,
     judge_arriving,
-    judge_waiting,
     next_look,
 )
+from rowanrail.scheduling.forecast_error import ForecastError
 from rowanrail.scheduling.queue import Entry
 
 
@@ -22,6 +22,7 @@
     entry: Entry
     whole: float
     look_at: float
+    watch: Watch
     forecast: float = 0.0
 
     @property
@@ -59,7 +60,7 @@
     def arrive(self, entry: Entry, now: float) -> Reject | None:
         """Judge a statement that comes; return its refusal."""
         whole = entry.deadline - entry.arrived
-        waiting = Waiting(entry, whole, now + next_look(whole, self._mean, whole))
+        waiting = Waiting(entry, whole, now + next_look(whole, self._mean, whole), Watch(whole))
         forecast = self.forecast(waiting.order, now)
         waiting.forecast = forecast.wait
         certain = self._error.certain_share
@@ -78,7 +79,7 @@
             if end <= now and self._line:
                 first = self._line.pop(0)
                 entry = first.entry
-                self._error.note(first.forecast, now - entry.arrived)
+                self._error.note(first.forecast, now - entry.arrived, first.whole)
                 self._ends[place] = now + next(self._runs)
                 self._note("served" if self._ends[place] <= entry.deadline else "late", entry)
         for waiting in list(self._line):
@@ -93,11 +94,11 @@
             self._note("expired", waiting.entry)
         elif now >= waiting.look_at:
             forecast = self.forecast(waiting.order, now)
-            verdict = judge_waiting(forecast, left, waiting.whole, self._error.certain_share)
+            verdict = waiting.watch.judge(forecast, left, self._error.certain_share)
             if isinstance(verdict, Reject):
                 self._line.remove(waiting)
                 waited = now - waiting.entry.arrived
-                self._error.note(waiting.forecast, waited, is_over=False)
+                self._error.note(waiting.forecast, waited, waiting.whole, is_over=False)
                 self.waited_in_vain.append(waited)
                 self._note("refused-waiting", waiting.entry)
                 self.refused.append((now, verdict))
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -7,6 +7,7 @@
 from rowanrail.kernel.clock import Clock
 from rowanrail.scheduling.load import (
     ASSUMED_MS,
+    FRESH_MS,
     MOST_BOOKED,
     Assumed,
     LoadBook,
@@ -37,7 +38,9 @@
         self.assertEqual(self.assumed(1, writes=False), 0)
         self.assertEqual(self.assumed(2, writes=False), 700)
 
-    def test_a_word_that_ages_is_taken_at_its_most_hopeful(self):
+    def test_a_word_that_no_probe_renews_is_taken_at_its_most_hopeful(self):
+        self.manual.advance(FRESH_MS / 1000)
+        self.assertAlmostEqual(self.assumed(1), 900.0)
         self.manual.advance(0.4)
         self.assertAlmostEqual(self.assumed(1), 500.0)
 
--- a/tests/scheduling/test_returning.py
+++ b/tests/scheduling/test_returning.py
@@ -78,8 +78,12 @@
     def test_a_client_that_comes_back_in_its_time_is_known_once(self):
         self.returners.note(self.label, 300.0)
         self.manual.advance(0.3)
-        self.assertTrue(self.returners.claim(self.label))
-        self.assertFalse(self.returners.claim(self.label))
+        self.assertEqual(self.returners.claim(self.label), 1)
+        self.assertEqual(self.returners.claim(self.label), 0)
+
+    def test_it_is_known_how_many_times_running_it_was_turned_away(self):
+        self.returners.note(self.label, 0.0, times=2)
+        self.assertEqual(self.returners.claim(self.label), 2)
 
     def test_on_another_session_of_the_same_key_it_is_known(self):
         self.returners.note(self.label, 300.0)
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -15,6 +15,7 @@
     "rowanrail.relay.placement",
     "rowanrail.scheduling.admission",
     "rowanrail.scheduling.concurrency",
+    "rowanrail.scheduling.forecast_error",
     "rowanrail.scheduling.load",
     "rowanrail.scheduling.queue",
     "rowanrail.scheduling.returning",
