--- a/src/rowanrail/gateway/access.py
+++ b/src/rowanrail/gateway/access.py
@@ -13,7 +13,8 @@
 from rowanrail.scheduling.returning import GOES_FIRST_AFTER, Label, Returners, client_label, spread
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants, key_digest
-from rowanrail.tenants.quota import OverLimit, QuotaGuard, QuotaTerms
+from rowanrail.tenants.quota import OverLimit, QuotaGuard
+from rowanrail.tenants.terms import QuotaTerms
 
 __all__ = ["Access"]
 
@@ -144,11 +145,11 @@
 
     def refuse_over_quota(self, session: Session) -> Answer | None:
         """Count an operation of a session's tenant, or return why it may not begin now."""
-        over = self._quota.begin(session.identity.tenant)
+        urgency = self._urgency(session)
+        over = self._quota.begin(session.identity.tenant, urgency)
         if over is None:
             return None
         return_in = self._return_in(over)
-        urgency = self._urgency(session)
         self._decisions.note(
             OVER_QUOTA,
             session=session.label,
@@ -159,8 +160,8 @@
             part=round(over.part, 2),
             age_ms=round(over.age),
             heard=round(over.heard, 2),
-            version=self.version,
             urgency=urgency,
+            version=self.version,
             return_in=round(return_in),
         )
         self._note_returning(session, Cause.TENANT_LIMIT.value, urgency, return_in)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -34,6 +34,7 @@
 from rowanrail.gateway.session import Session
 from rowanrail.gateway.session_values import PreparedNames
 from rowanrail.gateway.told_load import measure
+from rowanrail.gateway.weight_lines import note_weight
 from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
@@ -48,7 +49,7 @@
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants
-from rowanrail.tenants.quota import QuotaTerms
+from rowanrail.tenants.terms import QuotaTerms
 
 TICK_SECONDS = 0.05  # a sixth of the shortest time that is watched, PROBE_TIMEOUT_SECONDS
 DEFAULT_IDLE_SECONDS = 60.0  # until the configuration says how long a transaction may rest
@@ -158,6 +159,8 @@
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.primary.on_trouble = functools.partial(self._ask_around, service)
+            told = functools.partial(note_weight, self._decisions, service)
+            service.estimates.weights.on_change = told
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
@@ -292,9 +295,12 @@
             functools.partial(self._find_home, known),
         )
 
-    def _find_home(self, service: Service, tenant: str) -> ForwardedWork | None:
-        """Return work at the holder of another region's primary, None if it is this region's."""
-        pool = service.primary_pool()
+    def _find_home(self, service: Service, tenant: str, instance: str = "") -> ForwardedWork | None:
+        """Return work at the holder of another region's member, None if it is this region's.
+
+        Without a member's name the primary is meant.
+        """
+        pool = service.pools.get(instance) if instance else service.primary_pool()
         if self._detours is None or pool is None or not service.is_far(pool):
             return None
         region = self._locality.region_of(pool.record.zone)
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -9,6 +9,7 @@
 
 from rowanrail.gateway.channel import Channel, Respond
 from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.member_estimates import Wanted
 from rowanrail.gateway.model import (
     Answer,
     Command,
@@ -80,11 +81,12 @@
         self.waiter: Waiter | None = None
         self._expected_wait = 0.0  # ms, forecast when it began to wait
         self._watch = Watch(self.time_given)
+        self.floor: Position | None = None  # what a member's log must hold
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
         self.member = ""
         self.find_detour: Callable[[], Work | None] = lambda: None
-        self.find_home: Callable[[str], Work | None] = lambda tenant: None
+        self.find_home: Callable[..., Work | None] = lambda tenant, instance="": None
         self.away: SingleStatement | WorkInTransaction | None = None
         service.used_at = clock.time()
 
@@ -143,12 +145,13 @@
         """
         return self._hand_to(self.find_detour(), statement, writes)
 
-    def hand_home(self, statement: TypedStatement, writes: bool) -> bool:
-        """Have the gateway run it that holds the connections to a primary of another region.
+    def hand_home(self, statement: TypedStatement, writes: bool, instance: str = "") -> bool:
+        """Have the gateway run it that holds the connections to a member of another region.
 
-        Returns False if the primary stands in this region, or that gateway is not known.
+        That is the primary if none is named. Returns False if the member stands in this region, or
+        that gateway is not known.
         """
-        return self._hand_to(self.find_home(self.tenant), statement, writes)
+        return self._hand_to(self.find_home(self.tenant, instance), statement, writes)
 
     def _hand_to(self, work: Work | None, statement: TypedStatement, writes: bool) -> bool:
         if work is None:
@@ -284,12 +287,28 @@
         soon = PROMPT_SHARE * self.route.objective_seconds * 1000 - waited
         return forecast.has_room or forecast.wait <= soon
 
+    # Choice
+
+    @property
+    def kind(self) -> str:
+        """Which statements take about as long as this one."""
+        return self.route.name
+
+    def wanted(self) -> Wanted:
+        """Return what the read asks of a member."""
+        return Wanted(self.kind, self.entry(), self.floor)
+
+    def note_answer(self, answer: Answer) -> None:
+        """Have the choice of members learn from an answer to what was sent last."""
+        estimates = self.service.estimates
+        estimates.note_answer(self.member, self.kind, answer, self.sent_at, self.floor)
+
     def roomier(self, excluded: set[str]) -> MemberPool | None:
         """Return the member for a read that has room soon, else one where it can be served."""
         for is_enough in (self.is_prompt, self.may_wait_at):
             pools = self.service.pools.items()
             crowded = {instance for instance, pool in pools if not is_enough(pool)}
-            found = self.service.choose(excluded | crowded)
+            found = self.service.choose(excluded | crowded, self.wanted())
             if found is not None:
                 return found
         return None
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -137,6 +137,9 @@
         How the answer came about, for the log of the client's gateway.
     load : ServiceLoad or None
         Of the service at the holder; None if there is room for all.
+    doubts : dict of str to int
+        Members that lost weight by what the holder's own statements met, and how much is left to
+        them in hundredths; empty while all are well.
     """
 
     call: int
@@ -148,6 +151,7 @@
     floor: Position | None
     trace: Trace
     load: ServiceLoad | None = None
+    doubts: dict[str, int] = {}
 
 
 class NotServed(msgspec.Struct, tag=12, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -66,12 +66,15 @@
         Whether it could be sent at once; nothing is refused while that is so.
     interval : float
         Milliseconds after which the line of those who wait goes on by one; 0 if nobody knows.
+    opening : float
+        The part of ``wait`` that is the opening of a connection.
     """
 
     wait: float
     run: float
     has_room: bool = False
     interval: float = 0.0
+    opening: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -19,9 +19,17 @@
     "rowanrail.scheduling.load",
     "rowanrail.scheduling.queue",
     "rowanrail.scheduling.returning",
+    "rowanrail.scheduling.choice",
+    "rowanrail.scheduling.member_weight",
+    "rowanrail.scheduling.lag",
+    "rowanrail.scheduling.run_times",
+    "rowanrail.scheduling.told_weights",
+    "rowanrail.scheduling.warming",
     "rowanrail.tenants.demand",
     "rowanrail.tenants.model",
+    "rowanrail.tenants.precedence",
     "rowanrail.tenants.quota",
+    "rowanrail.tenants.terms",
     "rowanrail.tenants.window",
 )
 
