A statement's place in a line is a class of its own

Change: gateway.place_in_line; a read that leaves a line for a far member has that region's holder run it, as at its arrival.

--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -113,8 +113,7 @@
         roomy = self.roomier(self.excluded | {pool.record.instance})
         if roomy is None:
             return False
-        self.leave_line()
-        if not (self.service.is_far(roomy) and self._go_home()):
+        if not (self.service.is_far(roomy) and self._go_to(roomy.record.instance)):
             self.acquire(roomy, self._with_channel)
         return True
 
--- a/src/rowanrail/gateway/operation.py
+++ b/src/rowanrail/gateway/operation.py
@@ -19,21 +19,18 @@
     Trace,
     TypedStatement,
 )
+from rowanrail.gateway.place_in_line import PlaceInLine
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session_values import PreparedNames, SessionValues
 from rowanrail.gateway.statement import PRIMARY_RETURN_MS, Statement, busy
-from rowanrail.gateway.waiter import Waiter
 from rowanrail.gateway.work_port import SingleStatement, Work, WorkInTransaction
 from rowanrail.proxy.backend import Position
 from rowanrail.scheduling.admission import (
     Admit,
     Cause,
-    Forecast,
-    Watch,
     judge_arriving,
 )
-from rowanrail.scheduling.forecast_error import ForecastError
 from rowanrail.scheduling.queue import Entry
 from rowanrail.scheduling.returning import return_base
 
@@ -77,10 +74,7 @@
         self.pool: MemberPool | None = None
         self.attempts = 0
         self.attempt_timer: Timer | None = None
-        self.look_timer: Timer | None = None
-        self.waiter: Waiter | None = None
-        self._expected_wait = 0.0  # ms, forecast when it began to wait
-        self._watch = Watch(self.time_given)
+        self.place: PlaceInLine | None = None
         self.floor: Position | None = None  # what a member's log must hold
         self.sent_at = 0.0
         self.stage = Stage.ACCEPTED
@@ -130,7 +124,6 @@
         """See :meth:`Statement.stop_timers`."""
         super().stop_timers()
         self.end_attempt()
-        self._end_looks()
 
     def let_go(self, answer: Answer) -> None:
         """See :meth:`Statement.let_go`."""
@@ -179,7 +172,7 @@
 
     def limit_opening(self) -> None:
         """Wait only a short while for the first connection to a member."""
-        if self.waiter is not None and self.pool is not None and not self.pool.established:
+        if self.place is not None and self.pool is not None and not self.pool.established:
             self._limit_attempt(OPEN_ATTEMPT_SECONDS)
 
     def limit_answer(self) -> None:
@@ -205,7 +198,7 @@
         self.pool.note_silence()
         if self.channel is not None:
             self.channel.close()  # answers as lost what is outstanding, which goes elsewhere
-        elif self.waiter is not None:
+        elif self.place is not None:
             self.leave_line()
             self.try_next_member()
 
@@ -219,9 +212,7 @@
         """Ask a pool for a connection."""
 
         def respond(channel: Channel | None, answer: Answer) -> None:
-            if channel is not None and self.waiter is not None:
-                self._note_waited(pool, is_over=True)
-            self.waiter = None
+            self.place = None
             if channel is not None and self.respond is None:
                 pool.release(channel)
                 return
@@ -234,27 +225,20 @@
         self.pool = pool
         self.stage = Stage.WAITS_FOR_CONNECTION
         self.member = pool.record.instance
-        waiter = Waiter(self.entry(), self.session.values, respond, self._expire)
-        self.waiter = waiter
-        self._expected_wait = 0.0
-        pool.acquire(waiter)
-        if self.waiter is waiter:
-            forecast = pool.forecast(waiter.entry)
-            self._expected_wait = forecast.wait
-            self._watch = Watch(self.time_given)
-            self._look_later(forecast)
+        entry, values = self.entry(), self.session.values
+        self.place = PlaceInLine(pool, entry, values, self.clock, respond, self._leave_hopeless)
+        self.place.start()
 
     def leave_line(self) -> None:
         """Wait no longer for a connection."""
-        waiter, self.waiter = self.waiter, None
-        if waiter is not None and self.pool is not None:
-            self.pool.cancel(waiter)
-
-    def _expire(self) -> None:
-        """Refuse, as not run, what has waited so long that its answer would come too late."""
-        if self.pool is not None:
-            self._note_waited(self.pool, is_over=False)
-            self.waiter = None
+        place, self.place = self.place, None
+        if place is not None:
+            place.leave()
+
+    def _leave_hopeless(self) -> None:
+        """Go where there is room, or refuse, as not run, what would be answered too late."""
+        self.place = None
+        if self.pool is not None and not self.try_roomier(self.pool):
             self.refuse_crowded(self.pool, Cause.HOPELESS)
 
     def entry(self) -> Entry:
@@ -273,13 +257,11 @@
 
     def may_wait_at(self, pool: MemberPool) -> bool:
         """Return whether the statement can still be served at a member."""
-        forecast, certain = pool.forecast(self.entry()), self._error_at(pool).certain_share
+        forecast = pool.forecast(self.entry())
+        certain = pool.forecast_errors.of(self.route.priority).certain_share
         verdict = judge_arriving(forecast, self.time_left, self.time_given, certain)
         return isinstance(verdict, Admit)
 
-    def _error_at(self, pool: MemberPool) -> ForecastError:
-        return pool.forecast_errors.of(self.route.priority)
-
     def is_prompt(self, pool: MemberPool) -> bool:
         """Return whether a member has room soon enough for an answer within the objective."""
         forecast = pool.forecast(self.entry())
@@ -317,42 +299,12 @@
         """Refuse, as not run, since all connections are in use for too long."""
         self.member = pool.record.instance
         self.stage = Stage.WAITS_FOR_CONNECTION
-        forecast = pool.forecast(self.entry() if self.waiter is None else self.waiter.entry)
+        forecast = pool.forecast(self.entry())
         reason = f"{self.member} is crowded for {forecast.wait:.0f} ms"
         self.turn_away(cause, reason, return_base(forecast.wait, self.time_given), forecast)
 
-    def _look_later(self, forecast: Forecast) -> None:
-        """Judge the statement again after a while, if it waits then."""
-        self._end_looks()
-        if self.waiter is not None:
-            seconds = self._watch.next_look(forecast, self.time_left) / 1000
-            self.look_timer = self.clock.call_later(seconds, self._look_again)
-
-    def _end_looks(self) -> None:
-        timer, self.look_timer = self.look_timer, None
-        if timer is not None:
-            timer.cancel()
-
-    def _look_again(self) -> None:
-        self.look_timer = None
-        pool, waiter = self.pool, self.waiter
-        if pool is None or waiter is None:
-            return
-        forecast, certain = pool.forecast(waiter.entry), self._error_at(pool).certain_share
-        if isinstance(self._watch.judge(forecast, self.time_left, certain), Admit):
-            self._look_later(forecast)
-            return
-        self._note_waited(pool, is_over=False)
-        if not self.try_roomier(pool):
-            self.refuse_crowded(pool, Cause.HOPELESS)
-
-    def _note_waited(self, pool: MemberPool, is_over: bool) -> None:
-        if self.waiter is not None:
-            waited = (self.clock.time() - self.waiter.since) * 1000
-            self._error_at(pool).note(self._expected_wait, waited, self.time_given, is_over)
-
     def try_roomier(self, pool: MemberPool) -> bool:
-        """Leave the line of a member for a better one, if there is any; return whether it did."""
+        """Go to a better member than one, if there is any; return whether it did."""
         return False
 
     def on_channel_closed(self, channel: Channel) -> None:
--- /dev/null
+++ b/src/rowanrail/gateway/place_in_line.py
@@ -0,0 +1,109 @@
+"""A statement's place in the line for a connection to one member, until it has one or leaves."""
+
+from collections.abc import Callable
+
+from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.clock import Clock, Timer
+from rowanrail.gateway.model import Answer
+from rowanrail.gateway.pool import MemberPool
+from rowanrail.gateway.waiter import Waiter
+from rowanrail.scheduling.admission import Admit, Forecast, Watch
+from rowanrail.scheduling.queue import Entry
+
+__all__ = ["PlaceInLine"]
+
+
+class PlaceInLine:
+    """Waits for a connection, and is judged again while it does.
+
+    Parameters
+    ----------
+    pool : MemberPool
+        The member's connections.
+    entry : Entry
+        How the statement stands among the others.
+    values : dict
+        Session values that the connection should have already, if one has.
+    clock : Clock
+        Time and timers.
+    take : callable
+        Gets the connection, or None with the reason.
+    give_up : callable
+        Called when its prospects are gone; the place is left by then.
+    """
+
+    def __init__(
+        self,
+        pool: MemberPool,
+        entry: Entry,
+        values: dict[str, str],
+        clock: Clock,
+        take: Callable[[Channel | None, Answer], None],
+        give_up: Callable[[], None],
+    ) -> None:
+        self._pool = pool
+        self._waiter = Waiter(entry, values, self._respond, self._lose)
+        self._clock = clock
+        self._take = take
+        self._give_up = give_up
+        self._given = entry.deadline - entry.arrived
+        self._watch = Watch(self._given)
+        self._error = pool.forecast_errors.of(entry.urgency)
+        self._expected = 0.0  # ms, forecast when it began to wait
+        self._timer: Timer | None = None
+        self._is_over = False
+
+    @property
+    def _now(self) -> float:
+        return self._clock.time() * 1000
+
+    @property
+    def _left(self) -> float:
+        return self._waiter.entry.deadline - self._now
+
+    def start(self) -> None:
+        """Ask for the connection; it may come at once."""
+        self._pool.acquire(self._waiter)
+        if not self._is_over:
+            forecast = self._pool.forecast(self._waiter.entry)
+            self._expected = forecast.wait
+            self._look_later(forecast)
+
+    def leave(self) -> None:
+        """Wait no longer."""
+        if not self._is_over:
+            self._end()
+            self._pool.cancel(self._waiter)
+
+    def _respond(self, channel: Channel | None, answer: Answer) -> None:
+        if channel is not None:
+            self._note_waited(was_served=True)
+        self._end()
+        self._take(channel, answer)
+
+    def _look_later(self, forecast: Forecast) -> None:
+        seconds = self._watch.next_look(forecast, self._left) / 1000
+        self._timer = self._clock.call_later(seconds, self._look)
+
+    def _look(self) -> None:
+        forecast = self._pool.forecast(self._waiter.entry)
+        if isinstance(self._watch.judge(forecast, self._left, self._error.certain_share), Admit):
+            self._look_later(forecast)
+        else:
+            self._lose()
+
+    def _lose(self) -> None:
+        """Give up what can't be answered in time any more."""
+        self._note_waited(was_served=False)
+        self.leave()
+        self._give_up()
+
+    def _note_waited(self, was_served: bool) -> None:
+        waited = self._now - self._waiter.since * 1000
+        self._error.note(self._expected, waited, self._given, was_served)
+
+    def _end(self) -> None:
+        self._is_over = True
+        timer, self._timer = self._timer, None
+        if timer is not None:
+            timer.cancel()
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -196,7 +196,6 @@
         roomy = self.roomier(self._excluded | {pool.record.instance}) if self.read_only else None
         if roomy is None or self.service.is_far(roomy):
             return False
-        self.leave_line()
         self.acquire(roomy, self._with_channel)
         return True
 
--- a/src/rowanrail/scheduling/forecast_error.py
+++ b/src/rowanrail/scheduling/forecast_error.py
@@ -54,18 +54,18 @@
         share = (self._mean - self._deviation) * has_line
         return min(MOST_CERTAIN, max(LEAST_CERTAIN, share))
 
-    def note(self, forecast: float, waited: float, whole: float, is_over: bool = True) -> None:
+    def note(self, forecast: float, waited: float, whole: float, was_served: bool = True) -> None:
         """Take how long a statement waited for which a wait was forecast, in milliseconds.
 
         Parameters
         ----------
         whole : float
             Milliseconds that it was given.
-        is_over : bool
+        was_served : bool
             Whether it got what it waited for; else it would have waited longer.
         """
         self._waited_share += ERROR_WEIGHT * (waited / whole - self._waited_share)
-        if forecast < NOTED_MS or not (is_over or waited > forecast):
+        if forecast < NOTED_MS or not (was_served or waited > forecast):
             return
         ratio = min(MOST_RATIO, waited / forecast)
         self._deviation += ERROR_WEIGHT * (abs(ratio - self._mean) - self._deviation)
--- a/tests/scheduling/line.py
+++ b/tests/scheduling/line.py
@@ -98,7 +98,7 @@
             if isinstance(verdict, Reject):
                 self._line.remove(waiting)
                 waited = now - waiting.entry.arrived
-                self._error.note(waiting.forecast, waited, waiting.whole, is_over=False)
+                self._error.note(waiting.forecast, waited, waiting.whole, was_served=False)
                 self.waited_in_vain.append(waited)
                 self._note("refused-waiting", waiting.entry)
                 self.refused.append((now, verdict))
