--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -16,6 +16,7 @@
     "rowanrail.scheduling.admission",
     "rowanrail.scheduling.concurrency",
     "rowanrail.scheduling.entry",
+    "rowanrail.scheduling.forecast_error",
     "rowanrail.scheduling.load",
     "rowanrail.scheduling.queue",
     "rowanrail.scheduling.returning",
