A slow primary in the tests; kinds of work are bounded; the interval of samples has its own module

Change: tests/gateway/test_choice_of_member.py, SlowPrimaryTest; at most 100 kinds of a member; monitor_interval. The list of doctests names the module to which the example moved.

--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -20,6 +20,7 @@
     PrimaryHealth,
     Refusal,
 )
+from rowanrail.gateway.monitor_interval import MONITOR_SECONDS
 from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.gateway.probe import Lender, Probe
 from rowanrail.gateway.samples import FloorWaiters, GiveFloor, Sample, SampleHistory
@@ -30,11 +31,6 @@
 OPEN_TIMEOUT_SECONDS = 0.8  # an opening packet that was lost is sent again only after a second
 SEARCH_SECONDS = 0.1  # between looks at all members while no primary is known
 FAILING_SEARCH_SECONDS = 0.15  # between looks at all members while the primary fails
-MONITOR_SECONDS = 0.3  # without a proof: when the primary of a service in use is asked
-# Samples that all gateways together ask a primary for when they have no other reason to. With 194
-# gateways, 1.0 in place of 0.3 s saved 6 of 24 MB between regions on a calm day, one run.
-MONITOR_SAMPLES_PER_SECOND = 320.0
-LONGEST_MONITOR_SECONDS = 0.6  # so that a silent primary is noticed about as soon as before
 LONG_LOST_SECONDS = 2.0  # a successor stands within 1 to 2 s; whoever is cut off waits longer
 RETRY_OPEN_SECONDS = 0.3  # before a member that refused a connection is tried again
 OWN_SECONDS = 5.0  # for which a connection of its own is kept, though the pool could lend one
@@ -44,18 +40,6 @@
 _PROBE = [Command(CommandKind.BEGIN), Command(CommandKind.ROLLBACK)]
 
 
-def monitor_seconds(gateways: int) -> float:
-    """Return after how long without a proof one of so many gateways asks for a sample.
-
-    Examples
-    --------
-    >>> monitor_seconds(9), monitor_seconds(160), monitor_seconds(2000)
-    (0.3, 0.5, 0.6)
-    """
-    even = gateways / MONITOR_SAMPLES_PER_SECOND
-    return min(max(MONITOR_SECONDS, even), LONGEST_MONITOR_SECONDS)
-
-
 class PrimaryTracker:
     """Finds the primary of one service and keeps its newest sample."""
 
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -10,10 +10,11 @@
 from rowanrail.gateway.member_estimates import MemberEstimates, Wanted
 from rowanrail.gateway.member_probes import MemberProbes
 from rowanrail.gateway.model import MemberRecord, ServiceSpec
+from rowanrail.gateway.monitor_interval import monitor_seconds
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
-from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
+from rowanrail.gateway.primary import PrimaryTracker
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.relay.placement import (
     ASSUMED_GATEWAYS,
--- a/src/rowanrail/scheduling/run_times.py
+++ b/src/rowanrail/scheduling/run_times.py
@@ -26,6 +26,7 @@
 # less than a round trip between regions (ms): so much is lost if the next one is, too.
 TURNED_AWAY_RUNS = 3.0
 SHORTEST_TURNED_AWAY = 40.0
+MOST_KINDS = 100  # of one member; routes come and go with configurations
 SHORTEST_RUN = 0.5  # ms; a fast network there and back. Steps are shares, and never leave 0
 
 
@@ -72,6 +73,8 @@
             usual *= 1 + STEP_UP if taken > usual else 1 - STEP_DOWN
             usual = max(usual, SHORTEST_RUN)
         kinds[kind] = usual
+        if len(kinds) > MOST_KINDS:
+            del kinds[next(iter(kinds))]
         self._excess.setdefault(instance, _Excess()).note(max(0.0, taken - usual), now)
 
     def note_turned_away(self, instance: str, kind: str, now: float) -> None:
--- a/tests/gateway/test_choice_of_member.py
+++ b/tests/gateway/test_choice_of_member.py
@@ -6,6 +6,7 @@
 
 from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.model import Answer, Refusal, SessionState
+from rowanrail.proxy.backend import Position
 from rowanrail.relay.placement import Population
 from tests.support.gateway import PlayedGateway
 
@@ -76,3 +77,39 @@
         self.played.clock.advance(4)
         self.client.run("READ b", seconds=0.1)
         self.assertEqual(fresh.texts()[-1], "READ b")
+
+
+class SlowPrimaryTest(unittest.TestCase):
+    """A primary that is slow still leads; what need not go there does not."""
+
+    def setUp(self):
+        self.played = PlayedGateway()
+        self.played.primary.zone, self.played.near.zone = "a", "b"
+        self.played.announce(2)
+        self.played.near.position = self.played.far.position = Position(1, 99)
+        self.writer = self.played.client("orders")
+        self.writer.run("WRITE warm 1", seconds=0.1)
+        self.estimates = self.played.gateway.services["db"].estimates
+        for instance in ("m1", "m2", "m3") * 10:
+            self.note(instance, 0.02)
+        self.reader = self.played.client("reports")
+        self.reader.run("READ before", seconds=0.1)
+        for instance in ["m1"] * 5:
+            self.note(instance, 0.6)
+
+    def note(self, instance, seconds):
+        """Have a member be known to have taken so long for a write or read of the route."""
+        sent_at = self.played.clock.now - seconds
+        self.estimates.note_answer(instance, "reports", Answer(), sent_at, None)
+
+    def test_reads_that_accept_an_age_go_elsewhere(self):
+        self.assertEqual(self.played.primary.texts()[-1], "READ before")
+        for number in range(5):
+            self.assertIsNone(self.reader.run(f"READ r{number}", seconds=0.1).refusal)
+        self.assertEqual(self.played.primary.texts()[-1], "READ before")
+
+    def test_it_is_not_called_lost_and_keeps_its_writes(self):
+        (health,) = self.played.gateway.health()
+        self.assertEqual(health.failing_for_ms, 0)
+        self.assertIsNone(self.writer.run("WRITE a 1", seconds=0.1).refusal)
+        self.assertEqual(self.estimates.weights.own("m1").value, 1.0)
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -8,7 +8,7 @@
     "rowanrail.cli.load_view",
     "rowanrail.gateway.error_share",
     "rowanrail.gateway.locality",
-    "rowanrail.gateway.primary",
+    "rowanrail.gateway.monitor_interval",
     "rowanrail.gateway.samples",
     "rowanrail.relay.placement",
     "rowanrail.scheduling.choice",
