Changes of the directory that nobody is harmed by knowing later are gathered

Cause: each member and each batch of gateways that comes at a start wakes every long poll, and each answer holds the whole directory. Bytes of a control node grew with gateways times members.

Change: the state says which of its changes are urgent (a member leaves, is gone, takes another's address, another primary); a configuration is so always. A gateway that starts does not wait. Long polls move from service.py to watches.py.

Ruled out: to gather urgent changes, too (DRAIN and the gap of a failover would grow by it); to gather at the gateway (the bytes are sent by then).

--- a/src/rowanlab/simulator/coordination_world.py
+++ b/src/rowanlab/simulator/coordination_world.py
@@ -17,7 +17,7 @@
 from rowanrail.coordination.member_questions import MemberStatus, StatusReader
 from rowanrail.coordination.messages import PutReply
 from rowanrail.coordination.node import Coordinator
-from rowanrail.coordination.service import CURRENT_SECONDS
+from rowanrail.coordination.watches import CURRENT_SECONDS
 from rowanrail.gateway import channel as gateway_channel
 from rowanrail.gateway.model import Answer, ConfigurationFormat, MemberRecord
 from rowanrail.kernel.decisions import DecisionLog
--- /dev/null
+++ b/src/rowanrail/coordination/changes.py
@@ -0,0 +1,73 @@
+"""What one entry of the log changed in the directory of members and gateways."""
+
+from dataclasses import dataclass, field
+
+from rowanrail.coordination.messages import GatewayRecord
+from rowanrail.gateway.model import MemberRecord
+
+__all__ = ["DirectoryChange", "GatewayStep", "MemberStep"]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStep:
+    """One member before and after; None where it was not, or is no longer, known."""
+
+    before: MemberRecord | None
+    after: MemberRecord | None
+
+    @property
+    def instance(self) -> str:
+        """The member whose record it is."""
+        record = self.after or self.before
+        return record.instance if record is not None else ""
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether statements may fail, or run at the wrong member, until gateways know.
+
+        A member that comes and is no primary only adds room.
+
+        Examples
+        --------
+        >>> new = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 1)
+        >>> MemberStep(None, new).is_urgent, MemberStep(new, None).is_urgent
+        (False, True)
+        """
+        before, after = self.before, self.after
+        if after is None:
+            return True
+        if before is None:
+            return after.primary or after.leaving
+        return _duty(before) != _duty(after)
+
+
+def _duty(record: MemberRecord) -> tuple[bool, bool, str, str]:
+    return record.primary, record.leaving, record.address, record.service
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayStep:
+    """One gateway before and after; None where it was not, or is no longer, known."""
+
+    before: GatewayRecord | None
+    after: GatewayRecord | None
+
+
+@dataclass(slots=True)
+class DirectoryChange:
+    """All that one entry of the log changed.
+
+    Parameters
+    ----------
+    revision : int
+        Place of the entry in the log.
+    """
+
+    revision: int
+    members: list[MemberStep] = field(default_factory=list)
+    gateways: list[GatewayStep] = field(default_factory=list)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether gateways are told at once; see :mod:`rowanrail.coordination.gathering`."""
+        return any(step.is_urgent for step in self.members)
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -5,6 +5,7 @@
 from rowanrail.consensus.messages import Entry, EntryKind, Snapshot
 from rowanrail.consensus.node import StateMachine
 from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.changes import DirectoryChange, GatewayStep, MemberStep
 from rowanrail.coordination.messages import (
     Announce,
     Command,
@@ -47,6 +48,8 @@
 
     ``revision`` is the place in the log of the last change of members or gateways. It is the
     same on every node, so that a gateway can compare what different nodes tell it.
+    ``urgent_revision`` is the place of the last change of which gateways are told at once; what
+    a snapshot brought may have been one.
     """
 
     def __init__(
@@ -61,6 +64,8 @@
         self.version = saved.version
         self.document = saved.document
         self.revision = saved.revision
+        self.urgent_revision = saved.revision
+        self._change = DirectoryChange(saved.revision)
         self.members = dict(saved.members)
         self.removed = dict.fromkeys(saved.removed)
         self.gateways = dict(saved.gateways)
@@ -108,8 +113,11 @@
             promotion = Promotion(command.instance, self._fence.token(entry.index))
             self.promotions[command.service] = promotion
             return promotion
+        self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
             self.revision = entry.index
+            if self._change.is_urgent:
+                self.urgent_revision = entry.index
         return None
 
     def _put(self, command: PutDocument) -> PutReply:
@@ -128,17 +136,20 @@
             case Remove(instance=instance):
                 self._remember_removed(instance)
                 self.displaced.pop(instance, None)
-                return self.members.pop(instance, None) is not None
+                return self._drop_member(instance)
             case Announce(record=record):
                 return self._announce(record)
 
     def _set_gateways(self, command: SetGateways) -> bool:
-        before = dict(self.gateways)
+        names = dict.fromkeys([*command.absent, *(gateway.name for gateway in command.present)])
+        before = {name: self.gateways.get(name) for name in names}
         for name in command.absent:
             self.gateways.pop(name, None)
         for gateway in command.present:
             self.gateways[gateway.name] = gateway
-        return self.gateways != before
+        steps = [GatewayStep(known, self.gateways.get(name)) for name, known in before.items()]
+        self._change.gateways = [step for step in steps if step.before != step.after]
+        return bool(self._change.gateways)
 
     @property
     def groups(self) -> int:
@@ -163,13 +174,24 @@
         """Know a member; whoever had its address before is gone, as far as is known."""
         occupant = self.occupant(record)
         if occupant is not None:
-            del self.members[occupant.instance]
+            self._drop_member(occupant.instance)
             self._remember_removed(occupant.instance)
             if not occupant.leaving:
                 self._remember_displaced(occupant)
         if record.primary:
             self._demote_others(record)
+        self._set_member(record)
+
+    def _set_member(self, record: MemberRecord) -> None:
+        step = MemberStep(self.members.get(record.instance), record)
         self.members[record.instance] = record
+        self._change.members.append(step)
+
+    def _drop_member(self, instance: str) -> bool:
+        record = self.members.pop(instance, None)
+        if record is not None:
+            self._change.members.append(MemberStep(record, None))
+        return record is not None
 
     def occupant(self, record: MemberRecord) -> MemberRecord | None:
         """Return the other member that is known at a member's address, if there is one."""
@@ -193,10 +215,11 @@
     def _demote_others(self, record: MemberRecord) -> None:
         # A service has one primary: whoever says so last in the log replaced the one before,
         # which may be cut off and unable to say anything.
-        for known in self.members.values():
+        for known in list(self.members.values()):
+            if known.instance == record.instance:
+                continue
             if known.service == record.service and known.primary:
-                demoted = msgspec.structs.replace(known, primary=False)
-                self.members[known.instance] = demoted
+                self._set_member(msgspec.structs.replace(known, primary=False))
 
     def _remember_removed(self, instance: str) -> None:
         self.removed[instance] = None
--- /dev/null
+++ b/src/rowanrail/coordination/watches.py
@@ -0,0 +1,180 @@
+"""Long polls of gateways: what a control node tells them of its state, and when."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.consensus.node import ConsensusNode
+from rowanrail.coordination.gathering import Gathering
+from rowanrail.coordination.messages import (
+    DirectoryReply,
+    DirectoryRequest,
+    GatewayRecord,
+    HeldReply,
+    HeldRequest,
+)
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.kernel.clock import Clock, Timer
+from rowanrail.relay.placement import METER, parts_of, rank
+
+__all__ = ["Watches"]
+
+CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
+MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
+
+
+class _LoopTime:
+    """The running loop's timers beside the node's own steady time."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+
+    def time(self) -> float:
+        """Return the steady time in seconds."""
+        return self._now()
+
+    @staticmethod
+    def call_later(delay: float, callback: Callable[..., object], *args: object) -> Timer:
+        """Call ``callback`` after ``delay`` seconds."""
+        return asyncio.get_running_loop().call_later(delay, callback, *args)
+
+
+class Watches:
+    """Answers gateways that wait for what is newer than what they know.
+
+    Parameters
+    ----------
+    node : ConsensusNode
+        The log, and whether the node is sure of it.
+    state : CoordinationState
+        What the log's committed entries lead to.
+    zone : str
+        Where the node stands.
+    now : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(
+        self, node: ConsensusNode, state: CoordinationState, zone: str, now: Callable[[], float]
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._zone = zone
+        self._now = now
+        self._gathering = Gathering(Clock(_LoopTime(now)), self.notice_change)
+        self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
+        self._changed = asyncio.Event()
+        self._seen = (0, 0, False)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this node held all that is committed a short while ago."""
+        return self._node.raft.current_seconds_ago(self._now()) < CURRENT_SECONDS
+
+    def notice_change(self) -> None:
+        """Wake those who wait if something changed that they are to be told."""
+        self._gathering.note(self._state.revision, self._state.urgent_revision)
+        seen = (self._state.version, self._gathering.released, self.is_current)
+        if seen != self._seen:
+            self._seen = seen
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def answer(self, request: DirectoryRequest) -> DirectoryReply:
+        """Tell what is newer than a gateway knows, at the latest when its hold is over."""
+        deadline = self._now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
+        while not self._may_answer(request):
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        return self._directory(request)
+
+    async def tell_held(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Tell what the log holds; see :mod:`rowanrail.gateway.held`."""
+        assert isinstance(request, HeldRequest)
+        self._node.check_failure("tell what is held")  # the log in memory is not what is on disk
+        log = self._node.raft.log
+        entries = log.between(log.snapshot_index + 1, log.last_index)
+        state = self._state.replayed(log.snapshot, entries)
+        return HeldReply(
+            self._node.raft.node,
+            log.last_term,
+            log.last_index,
+            sorted(log.membership.voters),
+            self._reply(state, request.group, is_newer=True, is_changed=True),
+        )
+
+    def _may_answer(self, request: DirectoryRequest) -> bool:
+        """Return whether to answer before the request's hold is over.
+
+        A gateway that follows a node which is not sure goes on to the next one; one that has
+        just started asks all nodes, and each answers once it is sure.
+        """
+        if self.is_current:
+            return self._has_news(request)
+        return request.known_version > 0 and request.known_revision >= 0
+
+    def _has_news(self, request: DirectoryRequest) -> bool:
+        """Return whether there is something that a gateway is to be told now."""
+        return (
+            request.known_revision < 0
+            or self._state.version > request.known_version
+            or self._gathering.released > request.known_revision
+        )
+
+    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
+        return self._reply(
+            self._state,
+            request.report.sharing_group,
+            is_newer=self._state.version > request.known_version,
+            is_changed=self._state.revision > request.known_revision,
+        )
+
+    def _reply(
+        self, state: CoordinationState, group: str, is_newer: bool, is_changed: bool
+    ) -> DirectoryReply:
+        return DirectoryReply(
+            current=self.is_current,
+            version=state.version,
+            document=state.document if is_newer else b"",
+            revision=state.revision,
+            members=list(state.members.values()) if is_changed else None,
+            gateways=len(state.gateways),
+            zones=state.groups,
+            neighbours=_neighbours(state, group) if is_changed else [],
+            controls=sorted(self._node.raft.membership.addresses().values()),
+            zone=self._zone,
+            others=self._others(state, group) if is_changed else [],
+        )
+
+    def _others(self, state: CoordinationState, group: str) -> list[GatewayRecord]:
+        """Return the gateways of other groups that hold a service's connections there."""
+        known, revision, holders = self._holders
+        if known is not state or revision != state.revision:
+            holders = _group_holders(state)  # the same for all who ask; worked out once
+            self._holders = (state, state.revision, holders)
+        return [gateway for gateway in holders if gateway.sharing_group != group]
+
+
+def _neighbours(state: CoordinationState, group: str) -> list[GatewayRecord]:
+    return [gateway for gateway in state.gateways.values() if gateway.sharing_group == group]
+
+
+def _group_holders(state: CoordinationState) -> list[GatewayRecord]:
+    """Return the gateways that hold a service's connections in their groups.
+
+    Where regions share, the gateway that sums tenants' demand for its region is one of them.
+    """
+    by_group: dict[str, list[str]] = {}
+    for gateway in state.gateways.values():
+        by_group.setdefault(gateway.sharing_group, []).append(gateway.name)
+    services = {member.service for member in state.members.values()}
+    held = set(services)
+    if any(gateway.group for gateway in state.gateways.values()):
+        held = {part.key for service in services for part in parts_of(service)} | {METER}
+    names = {rank(service, known)[0] for known in by_group.values() for service in held}
+    return [state.gateways[name] for name in sorted(names)]
--- /dev/null
+++ b/tests/support/control_cost.py
@@ -0,0 +1,252 @@
+"""A control node's state and the gateways that follow it, in virtual time: bytes and work."""
+
+import asyncio
+import json
+import sys
+import time
+import zlib
+from dataclasses import dataclass, field
+
+import msgspec
+from returns.result import Success
+
+from rowanlab.simulator.loop import VirtualLoop
+from rowanrail.consensus.messages import Entry, EntryKind
+from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.messages import (
+    Announce,
+    GatewayRecord,
+    GatewayReport,
+    PutDocument,
+    SetGateways,
+)
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.gateway.directory_watch import DirectoryWatch
+from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.model import MemberRecord, PrimaryHealth, RoutingConfiguration
+from rowanrail.kernel.errors import TransportError
+from rowanrail.rpc.codec import FrameKind, encode_frame
+from tests.coordination.test_directory import PlayedNode
+
+ZONES = 6
+MACHINES_PER_SERVICE = 7.5
+MEMBERS_PER_SERVICE = 3
+ROUTES = 40
+START_SECONDS = 4.0
+CALM_SECONDS = 4.0
+STORM_SECONDS = 4.0
+STORM_VERSIONS = 20
+
+
+@dataclass
+class Cost:
+    """What one phase cost: bytes that a control node sent and took, answers that hold members."""
+
+    sent: int = 0
+    taken: int = 0
+    seconds: float = 0.0
+
+
+@dataclass
+class Costs:
+    """The phases of one run."""
+
+    machines: int
+    phases: dict[str, Cost] = field(default_factory=dict)
+
+
+class PlainFormat:
+    def parse(self, document):
+        return Success(RoutingConfiguration(json.loads(document)["version"], {}, {}))
+
+
+class QuietLog:
+    def note(self, event, **fields):
+        pass
+
+
+class FollowingGateway:
+    """Keeps the last directory that it was told."""
+
+    def __init__(self):
+        self.access = self
+        self.directory = None
+        self.version = 0
+
+    def apply(self, configuration, corrects=False):
+        self.version = configuration.version
+
+    def set_directory(self, directory):
+        self.directory = directory
+
+    def hear_control(self, peer):
+        pass
+
+
+class CountingNetwork:
+    """Passes calls to a control node and counts their frames."""
+
+    def __init__(self, service):
+        self.service = service
+        self.cost = Cost()
+
+    async def call(self, address, request, timeout_seconds):
+        if type(request).__name__ == "HeldRequest":
+            raise TransportError("not listening yet", peer=address)
+        self.cost.taken += len(encode_frame(FrameKind.REQUEST, 1, request))
+        reply = await self.service.handle(request)
+        self.cost.sent += len(encode_frame(FrameKind.REPLY, 1, reply))
+        return reply
+
+
+def document(version):
+    """Return a configuration of some routes, as the operator sends it."""
+    routes = [
+        {
+            "name": f"r-{hash_of(number)}",
+            "host": f"fiti{hash_of(number)}",
+            "path-prefix": "/",
+            "kind": "read_your_writes",
+            "timeout-ms": 1000 + version,
+            "target-latency-ms": 800,
+            "priority": number % 3,
+            "service": f"db{number}",
+            "max-attempts": 2,
+            "max-staleness-ms": 2500,
+        }
+        for number in range(ROUTES)
+    ]
+    return zlib.compress(json.dumps({"version": version, "routes": routes}).encode())
+
+
+def hash_of(number):
+    """Return a word that does not compress, the same in each run."""
+    return f"{zlib.crc32(str(number).encode()):08x}"
+
+
+class ControlledFleet:
+    """Gateways before services whose number grows with the machines."""
+
+    def __init__(self, machines):
+        self.costs = Costs(machines)
+        self.services = max(2, round(machines / MACHINES_PER_SERVICE))
+        self.state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        self.service = CoordinationService(PlayedNode(), self.state, None, "z0")
+        self.network = CountingNetwork(self.service)
+        self.gateways = [
+            GatewayRecord(
+                f"front-z{n % ZONES}-{n}", f"z{n % ZONES}", f"10.1.{n // 250}.{n % 250}:1"
+            )
+            for n in range(machines)
+        ]
+        self.members = [
+            MemberRecord(
+                f"i-{hash_of(1000 + n)}",
+                f"db{n // MEMBERS_PER_SERVICE}",
+                f"10.128.{n // 250}.{n % 250}:8080",
+                f"z{n % ZONES}",
+                n % MEMBERS_PER_SERVICE == 0,
+                False,
+                5,
+                1,
+            )
+            for n in range(self.services * MEMBERS_PER_SERVICE)
+        ]
+        self.followers = []
+        self._index = 0
+
+    def apply(self, command):
+        self._index += 1
+        data = msgspec.msgpack.encode(command)
+        self.state.apply(Entry(1, self._index, EntryKind.COMMAND, data))
+        self.service.notice_change()
+
+    def _follow(self, record):
+        gateway = FollowingGateway()
+        health = [PrimaryHealth(f"db{n}", "", -1, 0) for n in range(self.services)]
+        watch = DirectoryWatch(
+            gateway,
+            self.network,
+            ["c1:1"],
+            PlainFormat(),
+            lambda: GatewayReport(record.name, record.zone, health, 0, record.relay_address),
+            QuietLog(),
+            Locality(record.zone),
+        )
+        watch.start()
+        self.followers.append((gateway, watch))
+
+    async def _phase(self, name, playing, seconds):
+        self.network.cost = self.costs.phases[name] = Cost()
+        began = time.process_time()
+        playing = asyncio.ensure_future(playing)
+        await asyncio.sleep(seconds)
+        await playing
+        self.network.cost.seconds = time.process_time() - began
+
+    async def _start(self):
+        """Announce members and gateways as they come at a first start."""
+        self.apply(PutDocument(1, document(1)))
+        for record in self.gateways:
+            self._follow(record)
+        coming = [self.gateways[n :: int(START_SECONDS)] for n in range(int(START_SECONDS))]
+        steps = len(self.members)
+        for number, record in enumerate(self.members):
+            if number % max(1, steps // int(START_SECONDS)) == 0 and coming:
+                self.apply(SetGateways(coming.pop(), []))
+            self.apply(Announce(record))
+            await asyncio.sleep(START_SECONDS / steps)
+        for batch in coming:
+            self.apply(SetGateways(batch, []))
+
+    async def _restarts(self):
+        """Have members leave and others take their places, one each half a second."""
+        for number in range(int(CALM_SECONDS / 0.5)):
+            before = self.members[number]
+            self.apply(Announce(msgspec.structs.replace(before, leaving=True, sequence=9)))
+            await asyncio.sleep(0.25)
+            after = msgspec.structs.replace(before, instance=f"i-{hash_of(9000 + number)}")
+            self.apply(Announce(after))
+            await asyncio.sleep(0.25)
+
+    async def _storm(self):
+        for version in range(2, 2 + STORM_VERSIONS):
+            self.apply(PutDocument(version, document(version)))
+            await asyncio.sleep(STORM_SECONDS / STORM_VERSIONS)
+
+    async def _calm(self):
+        pass
+
+    async def play(self):
+        """Run all phases."""
+        await self._phase("start", self._start(), START_SECONDS + 1.0)
+        await self._phase("calm", self._calm(), CALM_SECONDS)
+        await self._phase("restarts", self._restarts(), CALM_SECONDS + 1.0)
+        await self._phase("storm", self._storm(), STORM_SECONDS + 1.0)
+        for _, watch in self.followers:
+            watch.stop()
+        await asyncio.sleep(0)
+        return self.costs
+
+
+def play(machines):
+    """Return a fleet after all its phases."""
+    loop = VirtualLoop()
+    fleet = ControlledFleet(machines)
+    try:
+        loop.run_until_complete(fleet.play())
+    finally:
+        loop.close()
+    return fleet
+
+
+if __name__ == "__main__":
+    for size in map(int, sys.argv[1:] or ("30", "100", "300")):
+        costs = play(size).costs
+        for name, cost in costs.phases.items():
+            print(
+                f"{size:4} {name:9} sent {cost.sent / 1e3:10.1f} KB, taken "
+                f"{cost.taken / 1e3:8.1f} KB, {cost.seconds:7.3f} s of processor"
+            )
