Holders of other groups and what a log holds are kept up to date by difference

Cause: for each revision a control node ranked all gateways for all services, and each gateway that started had it replay its whole log.

Change: coordination.holders keeps the first gateway of each group for each thing held; a member or gateway moves only what it is first for. coordination.replay goes on from the state that it told the last time, if the entry there has the same term.

Ruled out: a cache by sets of gateways and services (each member of a new service and each batch of gateways is a miss, and that is what a start consists of).

--- /dev/null
+++ b/src/rowanrail/coordination/replay.py
@@ -0,0 +1,43 @@
+"""The state to which a control node's whole log leads, committed or not."""
+
+from rowanrail.consensus.log import Log
+from rowanrail.coordination.state import CoordinationState
+
+__all__ = ["Replay"]
+
+
+class Replay:
+    """Replays a log, and goes on from where it was asked the last time if that still stands.
+
+    At a first start each gateway asks each control node, while the log grows with each member.
+
+    Parameters
+    ----------
+    state : CoordinationState
+        Gives the rules by which entries are applied; it is not changed.
+    """
+
+    def __init__(self, state: CoordinationState) -> None:
+        self._state = state
+        self._replayed: CoordinationState | None = None
+        self._term = 0
+        self._index = 0
+
+    def state_of(self, log: Log) -> CoordinationState:
+        """Return the state after the last entry; it is to be read at once and not changed.
+
+        Two logs whose entries at one index have the same term are the same up to there.
+        """
+        replayed = self._replayed
+        if replayed is None or self._is_replaced(log):
+            entries = log.between(log.snapshot_index + 1, log.last_index)
+            replayed = self._replayed = self._state.replayed(log.snapshot, entries)
+        else:
+            for entry in log.between(self._index + 1, log.last_index):
+                replayed.apply(entry)
+        self._index, self._term = log.last_index, log.last_term
+        return replayed
+
+    def _is_replaced(self, log: Log) -> bool:
+        is_held = log.snapshot_index <= self._index <= log.last_index
+        return not is_held or log.term_of(self._index) != self._term
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -6,6 +6,7 @@
 from rowanrail.consensus.node import StateMachine
 from rowanrail.control.policies import VersionMonotonic
 from rowanrail.coordination.changes import DirectoryChange, GatewayStep, MemberStep
+from rowanrail.coordination.holders import Holders
 from rowanrail.coordination.messages import (
     Announce,
     Command,
@@ -71,6 +72,7 @@
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
+        self.holders = Holders(self.members.values(), self.gateways.values())
 
     def replayed(self, snapshot: Snapshot | None, entries: list[Entry]) -> "CoordinationState":
         """Return a state of its own to which a log leads, committed or not."""
@@ -116,6 +118,7 @@
         self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
             self.revision = entry.index
+            self.holders.apply(self._change)
             if self._change.is_urgent:
                 self.urgent_revision = entry.index
         return None
@@ -154,7 +157,7 @@
     @property
     def groups(self) -> int:
         """Number of zones, or regions if those share connections, that have a gateway."""
-        return len({gateway.sharing_group for gateway in self.gateways.values()})
+        return self.holders.groups
 
     def _announce(self, record: MemberRecord) -> bool:
         if not self.needs_announcement(record):
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -14,9 +14,9 @@
     HeldReply,
     HeldRequest,
 )
+from rowanrail.coordination.replay import Replay
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.kernel.clock import Clock, Timer
-from rowanrail.relay.placement import METER, parts_of, rank
 
 __all__ = ["Watches"]
 
@@ -63,7 +63,7 @@
         self._zone = zone
         self._now = now
         self._gathering = Gathering(Clock(_LoopTime(now)), self.notice_change)
-        self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
+        self._replay = Replay(state)
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
 
@@ -98,8 +98,7 @@
         assert isinstance(request, HeldRequest)
         self._node.check_failure("tell what is held")  # the log in memory is not what is on disk
         log = self._node.raft.log
-        entries = log.between(log.snapshot_index + 1, log.last_index)
-        state = self._state.replayed(log.snapshot, entries)
+        state = self._replay.state_of(log)
         return HeldReply(
             self._node.raft.node,
             log.last_term,
@@ -148,33 +147,14 @@
             neighbours=_neighbours(state, group) if is_changed else [],
             controls=sorted(self._node.raft.membership.addresses().values()),
             zone=self._zone,
-            others=self._others(state, group) if is_changed else [],
+            others=_others(state, group) if is_changed else [],
         )
 
-    def _others(self, state: CoordinationState, group: str) -> list[GatewayRecord]:
-        """Return the gateways of other groups that hold a service's connections there."""
-        known, revision, holders = self._holders
-        if known is not state or revision != state.revision:
-            holders = _group_holders(state)  # the same for all who ask; worked out once
-            self._holders = (state, state.revision, holders)
-        return [gateway for gateway in holders if gateway.sharing_group != group]
-
 
 def _neighbours(state: CoordinationState, group: str) -> list[GatewayRecord]:
     return [gateway for gateway in state.gateways.values() if gateway.sharing_group == group]
 
 
-def _group_holders(state: CoordinationState) -> list[GatewayRecord]:
-    """Return the gateways that hold a service's connections in their groups.
-
-    Where regions share, the gateway that sums tenants' demand for its region is one of them.
-    """
-    by_group: dict[str, list[str]] = {}
-    for gateway in state.gateways.values():
-        by_group.setdefault(gateway.sharing_group, []).append(gateway.name)
-    services = {member.service for member in state.members.values()}
-    held = set(services)
-    if any(gateway.group for gateway in state.gateways.values()):
-        held = {part.key for service in services for part in parts_of(service)} | {METER}
-    names = {rank(service, known)[0] for known in by_group.values() for service in held}
-    return [state.gateways[name] for name in sorted(names)]
+def _others(state: CoordinationState, group: str) -> list[GatewayRecord]:
+    """Return the gateways of other groups that hold a service's connections there."""
+    return [holder for holder in state.holders.records if holder.sharing_group != group]
--- a/src/rowanrail/relay/placement.py
+++ b/src/rowanrail/relay/placement.py
@@ -14,6 +14,7 @@
     "PARTS",
     "Part",
     "Population",
+    "claim",
     "connection_limit",
     "is_shared",
     "parts_of",
@@ -185,8 +186,17 @@
     >>> rank("orders", [name for name in order if name != order[1]]) == [order[0], order[2]]
     True
     """
-    return sorted(gateways, key=lambda name: (_weight(service, name), name), reverse=True)
+    return sorted(gateways, key=lambda name: claim(service, name), reverse=True)
 
 
-def _weight(service: str, gateway: str) -> bytes:
-    return hashlib.blake2b(f"{gateway}/{service}".encode(), digest_size=8).digest()
+def claim(service: str, gateway: str) -> tuple[bytes, str]:
+    """Return by what a gateway is compared with others for a service; the highest comes first.
+
+    Examples
+    --------
+    >>> names = ["a", "b", "c"]
+    >>> max(claim("orders", name) for name in names)[1] == rank("orders", names)[0]
+    True
+    """
+    weight = hashlib.blake2b(f"{gateway}/{service}".encode(), digest_size=8).digest()
+    return weight, gateway
--- /dev/null
+++ b/tests/coordination/test_holders.py
@@ -0,0 +1,139 @@
+"""Holders that are kept up to date, beside those that are worked out anew."""
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrail.consensus.log import Log
+from rowanrail.consensus.messages import Entry, EntryKind, Membership, Snapshot
+from rowanrail.control.policies import VersionMonotonic
+from rowanrail.coordination.changes import DirectoryChange, GatewayStep
+from rowanrail.coordination.holders import Holders
+from rowanrail.coordination.messages import Announce, GatewayRecord, Remove, SetGateways
+from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.replay import Replay
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.relay.placement import METER, parts_of, rank
+
+
+def ranked(state):
+    """Return the holders by ranking all gateways for all services."""
+    by_group = {}
+    for gateway in state.gateways.values():
+        by_group.setdefault(gateway.sharing_group, []).append(gateway.name)
+    services = {member.service for member in state.members.values()}
+    held = set(services)
+    if any(gateway.group for gateway in state.gateways.values()):
+        held = {part.key for service in services for part in parts_of(service)} | {METER}
+    names = {rank(service, known)[0] for known in by_group.values() for service in held}
+    return [state.gateways[name] for name in sorted(names)]
+
+
+def new_state():
+    return CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+
+
+members = st.builds(
+    MemberRecord,
+    st.sampled_from([f"m{n}" for n in range(6)]),
+    st.sampled_from(["db1", "db2", "db3"]),
+    st.sampled_from([f"10.0.0.{n}:1" for n in range(4)]),
+    st.sampled_from(["a", "b"]),
+    st.booleans(),
+    st.booleans(),
+    st.just(3),
+    st.integers(0, 50),
+)
+gateways = st.builds(
+    GatewayRecord,
+    st.sampled_from([f"g{n}" for n in range(8)]),
+    st.sampled_from(["a", "b", "c"]),
+    st.sampled_from(["10.0.1.1:1", "10.0.1.2:1"]),
+    st.sampled_from(["", "", "east"]),
+)
+commands = st.one_of(
+    st.builds(Announce, members),
+    st.builds(Remove, st.sampled_from([f"m{n}" for n in range(6)])),
+    st.builds(
+        SetGateways,
+        st.lists(gateways, max_size=4, unique_by=lambda gateway: gateway.name),
+        st.lists(st.sampled_from([f"g{n}" for n in range(8)]), max_size=3),
+    ),
+)
+
+
+def entries(listed, term=1):
+    return [
+        Entry(term, index, EntryKind.COMMAND, msgspec.msgpack.encode(command))
+        for index, command in enumerate(listed, 1)
+    ]
+
+
+class HoldersTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(commands, max_size=30))
+    def test_any_changes_lead_to_the_holders_that_ranking_finds(self, listed):
+        state = new_state()
+        for entry in entries(listed):
+            state.apply(entry)
+            after = {record.name: record for record in ranked(state)}
+            self.assertEqual(state.holders.records, [after[name] for name in sorted(after)])
+            self.assertEqual(state.groups, len({g.sharing_group for g in state.gateways.values()}))
+        restored = new_state()
+        restored.restore(state.snapshot())
+        self.assertEqual(restored.holders.records, state.holders.records)
+
+    def test_a_change_names_the_holders_that_it_moves_and_no_others(self):
+        listed = [GatewayRecord(f"g{n}", "a", f"g{n}:1") for n in range(5)]
+        member = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 1)
+        holders = Holders([member], listed)
+        (first,) = holders.records
+        others = [gateway for gateway in listed if gateway is not first]
+        gone = DirectoryChange(2, gateways=[GatewayStep(others[0], None)])
+        self.assertEqual(holders.apply(gone), [])
+        gone = DirectoryChange(3, gateways=[GatewayStep(first, None)])
+        (second,) = Holders([member], others[1:]).records
+        self.assertCountEqual(
+            holders.apply(gone), [GatewayStep(first, None), GatewayStep(None, second)]
+        )
+
+
+class ReplayTest(unittest.TestCase):
+    """What a node tells of its log, committed or not, while the log changes."""
+
+    def log(self, listed):
+        return Log(Snapshot(0, 0, Membership(), b""), listed)
+
+    def replayed(self, replay, log):
+        return replay.state_of(log).snapshot()
+
+    def expected(self, log):
+        return new_state().replayed(log.snapshot, log.between(1, log.last_index)).snapshot()
+
+    def test_entries_that_another_leader_replaced_are_told_no_more(self):
+        member = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 1)
+        lost = msgspec.structs.replace(member, instance="m2", address="m2:1")
+        replay = Replay(new_state())
+        log = self.log(entries([Announce(member), Announce(lost)]))
+        self.assertEqual(self.replayed(replay, log), self.expected(log))
+        log.truncate_from(2)
+        log.append([Entry(2, 2, EntryKind.COMMAND, msgspec.msgpack.encode(Remove("m1")))])
+        self.assertEqual(self.replayed(replay, log), self.expected(log))
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(st.tuples(commands, st.integers(0, 3)), max_size=20))
+    def test_any_growing_and_replacing_leads_to_the_state_of_the_whole_log(self, steps):
+        replay = Replay(new_state())
+        log = self.log([])
+        for term, (command, dropped) in enumerate(steps, 1):
+            log.truncate_from(max(1, log.last_index + 1 - dropped))
+            data = msgspec.msgpack.encode(command)
+            log.append([Entry(term, log.last_index + 1, EntryKind.COMMAND, data)])
+            self.assertEqual(self.replayed(replay, log), self.expected(log))
+
+
+if __name__ == "__main__":
+    unittest.main()
