Gateways are told what changed of the directory since the revision they hold

Cause: each answer to a gateway held all members, neighbours and holders, and the gateway built everything anew from it.

Change: control nodes remember the last 500 changes by revision, which is the place in the log and so the same at all nodes (coordination.history); a part of the directory, whole or a difference, is packed once for all gateways of a group that hold the same revision (coordination.parts). Each part names a digest of the whole it leads to, the sum of the records' hashes; a gateway whose copy comes to another keeps the directory in force and asks for the whole at once, of that revision or a later one (event RR0360). Gateways that ask without takes_parts get all in plain, as before. At the gateway only services whose members changed, links whose gateways changed and limits whose population changed are touched (gateway.known_directory). What a log holds is packed too.

Ruled out: control/delta.py for both (it compares two whole configurations; here nobody has the older one any more); a digest over the whole encoding (1 ms a change at 300 machines, at every gateway).

--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -174,15 +174,41 @@
 
 # Watches
 
+WHOLE = -1  # a revision below any that the log gives: of who knows nothing of the directory
+
+
+class DirectoryPart(msgspec.Struct, frozen=True, array_like=True):
+    """The directory as one group's gateways know it, or what changed of it.
+
+    :param since: the revision from which it leads on; ``WHOLE`` if it holds everything.
+    :param digest: of the whole directory to which it leads, see ``coordination.digests``.
+    :param gone_members: instances that are known no more; so for the other two.
+    """
+
+    since: int
+    digest: bytes
+    members: list[MemberRecord]
+    gone_members: list[str] = []
+    neighbours: list[GatewayRecord] = []
+    gone_neighbours: list[str] = []
+    others: list[GatewayRecord] = []
+    gone_others: list[str] = []
+
 
 @message
 class DirectoryRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Tell what is newer than the gateway knows, within ``hold_seconds``."""
+    """Tell what is newer than the gateway knows, within ``hold_seconds``.
+
+    :param takes_parts: whether the gateway understands ``part`` of the reply.
+    :param wants_whole: whether it needs the whole directory, of its revision or a later one.
+    """
 
     report: GatewayReport
     known_version: int
     known_revision: int
     hold_seconds: float
+    takes_parts: bool = False
+    wants_whole: bool = False
 
 
 @message
@@ -191,12 +217,13 @@
 
     :param current: whether this node hears a leader; else the gateway asks another node.
     :param document: the configuration (compressed), empty if the known one is the newest.
-    :param members: all members, None if the known revision is the newest.
+    :param members: all members, None if the known revision is the newest, or with ``part``.
     :param gateways: how many gateways there are, in ``zones`` zones (or regions that share).
     :param neighbours: the gateways of the asking gateway's group, with ``members``.
     :param controls: addresses of all control nodes.
     :param zone: where the answering node stands.
     :param others: gateways of other groups that hold connections there, with ``members``.
+    :param part: a packed :class:`DirectoryPart` for who takes it; empty if there is nothing new.
     """
 
     current: bool
@@ -210,6 +237,7 @@
     controls: list[str]
     zone: str = ""
     others: list[GatewayRecord] = []
+    part: bytes = b""
 
 
 @message
@@ -217,9 +245,11 @@
     """Tell a gateway that has just started what your log holds, committed or not.
 
     :param group: the zone or region with whose gateways it shares connections.
+    :param takes_parts: whether the gateway understands ``part`` of the directory.
     """
 
     group: str
+    takes_parts: bool = False
 
 
 @message
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -34,6 +34,7 @@
     PutVerdict,
     RemoveRequest,
 )
+from rowanrail.coordination.parts import PartCounts
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.watches import Watches
 from rowanrail.gateway.model import MemberRecord
@@ -240,6 +241,11 @@
         """Whether this node held all that is committed a short while ago."""
         return self._watches.is_current
 
+    @property
+    def directory_counts(self) -> dict[str, PartCounts]:
+        """How many directories were sent whole and by difference, and their bytes."""
+        return self._watches.counts
+
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
         self.liveness.report(request.report)
         self.notify_leader(msgspec.structs.replace(request.report, hops=1))
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -6,6 +6,7 @@
 from rowanrail.consensus.node import StateMachine
 from rowanrail.control.policies import VersionMonotonic
 from rowanrail.coordination.changes import DirectoryChange, GatewayStep, MemberStep
+from rowanrail.coordination.history import DirectoryHistory
 from rowanrail.coordination.holders import Holders
 from rowanrail.coordination.messages import (
     Announce,
@@ -73,6 +74,9 @@
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
         self.holders = Holders(self.members.values(), self.gateways.values())
+        self.history = DirectoryHistory(
+            saved.revision, self.members.values(), self.gateways.values(), self.holders.records
+        )
 
     def replayed(self, snapshot: Snapshot | None, entries: list[Entry]) -> "CoordinationState":
         """Return a state of its own to which a log leads, committed or not."""
@@ -118,7 +122,7 @@
         self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
             self.revision = entry.index
-            self.holders.apply(self._change)
+            self.history.note(self._change, self.holders.apply(self._change))
             if self._change.is_urgent:
                 self.urgent_revision = entry.index
         return None
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -8,12 +8,13 @@
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.gathering import Gathering
 from rowanrail.coordination.messages import (
+    WHOLE,
     DirectoryReply,
     DirectoryRequest,
-    GatewayRecord,
     HeldReply,
     HeldRequest,
 )
+from rowanrail.coordination.parts import DirectoryParts, PartCounts, whole_for
 from rowanrail.coordination.replay import Replay
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.kernel.clock import Clock, Timer
@@ -63,10 +64,17 @@
         self._zone = zone
         self._now = now
         self._gathering = Gathering(Clock(_LoopTime(now)), self.notice_change)
+        self._parts = DirectoryParts(state)
         self._replay = Replay(state)
+        self._held_parts = DirectoryParts(state)
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
 
+    @property
+    def counts(self) -> dict[str, PartCounts]:
+        """How many directories were sent whole and by difference, and their bytes."""
+        return self._parts.counts
+
     @property
     def is_current(self) -> bool:
         """Whether this node held all that is committed a short while ago."""
@@ -99,12 +107,18 @@
         self._node.check_failure("tell what is held")  # the log in memory is not what is on disk
         log = self._node.raft.log
         state = self._replay.state_of(log)
+        if self._held_parts.state is not state:
+            self._held_parts = DirectoryParts(state)
+        if request.takes_parts:
+            directory = self._plain(state, True, self._held_parts.packed(request.group, WHOLE))
+        else:
+            directory = self._with_all(self._plain(state, True), state, request.group, True)
         return HeldReply(
             self._node.raft.node,
             log.last_term,
             log.last_index,
             sorted(log.membership.voters),
-            self._reply(state, request.group, is_newer=True, is_changed=True),
+            directory,
         )
 
     def _may_answer(self, request: DirectoryRequest) -> bool:
@@ -120,41 +134,52 @@
     def _has_news(self, request: DirectoryRequest) -> bool:
         """Return whether there is something that a gateway is to be told now."""
         return (
-            request.known_revision < 0
+            self._wants_whole(request)
             or self._state.version > request.known_version
             or self._gathering.released > request.known_revision
         )
 
-    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
-        return self._reply(
-            self._state,
-            request.report.sharing_group,
-            is_newer=self._state.version > request.known_version,
-            is_changed=self._state.revision > request.known_revision,
-        )
+    def _wants_whole(self, request: DirectoryRequest) -> bool:
+        """Return whether a gateway needs everything, and this node is as far as it was told."""
+        if request.known_revision < 0:
+            return True
+        return request.wants_whole and self._state.revision >= request.known_revision
 
-    def _reply(
-        self, state: CoordinationState, group: str, is_newer: bool, is_changed: bool
-    ) -> DirectoryReply:
+    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
+        state = self._state
+        group = request.report.sharing_group
+        wants_whole = self._wants_whole(request)
+        is_newer = state.version > request.known_version
+        is_changed = wants_whole or state.revision > request.known_revision
+        if not request.takes_parts:
+            return self._with_all(self._plain(state, is_newer), state, group, is_changed)
+        since = WHOLE if wants_whole else request.known_revision
+        part = self._parts.packed(group, since) if is_changed else b""
+        return self._plain(state, is_newer, part)
+
+    def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
         return DirectoryReply(
             current=self.is_current,
             version=state.version,
             document=state.document if is_newer else b"",
             revision=state.revision,
-            members=list(state.members.values()) if is_changed else None,
+            members=None,
             gateways=len(state.gateways),
             zones=state.groups,
-            neighbours=_neighbours(state, group) if is_changed else [],
+            neighbours=[],
             controls=sorted(self._node.raft.membership.addresses().values()),
             zone=self._zone,
-            others=_others(state, group) if is_changed else [],
+            part=part,
         )
 
-
-def _neighbours(state: CoordinationState, group: str) -> list[GatewayRecord]:
-    return [gateway for gateway in state.gateways.values() if gateway.sharing_group == group]
-
-
-def _others(state: CoordinationState, group: str) -> list[GatewayRecord]:
-    """Return the gateways of other groups that hold a service's connections there."""
-    return [holder for holder in state.holders.records if holder.sharing_group != group]
+    @staticmethod
+    def _with_all(
+        reply: DirectoryReply, state: CoordinationState, group: str, is_changed: bool
+    ) -> DirectoryReply:
+        """Return a reply for a gateway of an earlier version, which takes no parts."""
+        if not is_changed:
+            return reply
+        whole = whole_for(state, group)
+        return msgspec.structs.replace(
+            reply, members=whole.members, neighbours=whole.neighbours, others=whole.others
+        )
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -16,21 +16,23 @@
 from rowanrail.coordination.messages import (
     DirectoryReply,
     DirectoryRequest,
-    GatewayRecord,
     GatewayReport,
     HeldReply,
     HeldRequest,
 )
-from rowanrail.gateway.directory import Directory
-from rowanrail.gateway.events import CONTROL_LOST, CONTROL_REGAINED, HELD_TAKEN
+from rowanrail.gateway.directory_copy import DirectoryCopy
+from rowanrail.gateway.events import (
+    CONTROL_LOST,
+    CONTROL_REGAINED,
+    DIRECTORY_DIFFERS,
+    HELD_TAKEN,
+)
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.held import longest_of_majority
 from rowanrail.gateway.locality import Locality
-from rowanrail.gateway.model import ConfigurationFormat, MemberRecord
+from rowanrail.gateway.model import ConfigurationFormat
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import TransportError
-from rowanrail.relay.neighbours import Neighbour
-from rowanrail.relay.placement import Population
 from rowanrail.rpc.network import Network
 
 HOLD_SECONDS = 1.0  # of a long poll, and so the time between reports; see REPORT_LIVE_SECONDS
@@ -66,10 +68,10 @@
         self._locality = locality
         self._zones: dict[str, str] = {}
         self._version = 0
-        self._revision = -1
         self._silent = False
         self._started_at = 0.0
         self._return_due = 0.0
+        self._copy = self._new_copy()
         self._held: dict[str, HeldReply] = {}
         self._provisional: DirectoryReply | None = None
         self._task: asyncio.Task[None] | None = None
@@ -107,7 +109,7 @@
 
     @property
     def _is_informed(self) -> bool:
-        return self._version > 0 and self._revision >= 0
+        return self._version > 0 and self._copy.revision >= 0
 
     async def _make_first_contact(self) -> None:
         """Ask all control nodes until one of them gave a configuration and the members.
@@ -131,16 +133,16 @@
 
     async def _ask_held(self, address: str) -> None:
         """Ask one control node what its log holds, until it answers."""
-        while True:
+        while not self._is_informed:
             try:
-                request = HeldRequest(self._make_report().sharing_group)
+                request = HeldRequest(self._make_report().sharing_group, takes_parts=True)
                 reply = await self._network.call(address, request, CALL_SECONDS)
-                break
+                if isinstance(reply, HeldReply) and not self._is_informed:
+                    self._held[reply.node] = reply
+                    self._take_held()
+                return
             except TransportError:
                 await asyncio.sleep(START_RETRY_SECONDS)
-        if isinstance(reply, HeldReply) and not self._is_informed:
-            self._held[reply.node] = reply
-            self._take_held()
 
     def _take_held(self) -> None:
         """Go by what a majority holds, until a node is sure."""
@@ -151,12 +153,13 @@
         if self._is_taken(directory):
             return
         parsed = self._format.parse(zlib.decompress(directory.document))
-        if not isinstance(parsed, Success) or directory.members is None:
+        provisional = msgspec.structs.replace(directory, revision=PROVISIONAL_REVISION)
+        members = self._new_copy().take(provisional)
+        if not isinstance(parsed, Success) or members is None:
             return
         self._provisional = directory
         self._gateway.apply(parsed.unwrap())
-        provisional = msgspec.structs.replace(directory, revision=PROVISIONAL_REVISION)
-        self._gateway.set_directory(self._directory(provisional, directory.members))
+        self._gateway.set_directory(members)
         self._decisions.note(
             HELD_TAKEN, version=directory.version, revision=directory.revision, held=longest.node
         )
@@ -193,18 +196,24 @@
 
     async def _poll(self, address: str, hold_seconds: float) -> bool:
         """Ask one control node for what is newer; return whether to stay with it."""
-        request = DirectoryRequest(self._make_report(), self._version, self._revision, hold_seconds)
+        request = DirectoryRequest(
+            self._make_report(),
+            self._version,
+            self._copy.revision,
+            hold_seconds,
+            takes_parts=True,
+            wants_whole=self._copy.is_broken,
+        )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
+            if not isinstance(reply, DirectoryReply):
+                raise TransportError(f"unexpected {type(reply).__name__}", peer=address)
+            self._zones[address] = reply.zone
+            if reply.current or self._may_take_old():
+                self._take(address, reply)
         except TransportError as error:
             self._note_lost(address, str(error))
             return False
-        if not isinstance(reply, DirectoryReply):
-            self._note_lost(address, f"unexpected {type(reply).__name__}")
-            return False
-        self._zones[address] = reply.zone
-        if reply.current or self._may_take_old():
-            self._take(address, reply)
         if not reply.current:
             self._note_lost(address, "it does not hold what the leader has committed")
             return False
@@ -230,7 +239,7 @@
                 peer=address,
                 reason=reason,
                 version=self._version,
-                revision=self._revision,
+                revision=self._copy.revision,
             )
         self._silent = True
 
@@ -241,13 +250,24 @@
                 self._version = reply.version
                 self._gateway.apply(parsed.unwrap(), corrects=self._corrects(reply))
                 self._provisional = None
-        if reply.members is not None and reply.revision > self._revision:
-            self._revision = reply.revision
-            self._gateway.set_directory(self._directory(reply, reply.members))
+        self._take_directory(address, reply)
         self._follow_controls(address, reply.controls)
 
-    def _directory(self, reply: DirectoryReply, members: list[MemberRecord]) -> Directory:
-        return _directory_of(reply, members, is_regional=bool(self._make_report().group))
+    def _take_directory(self, address: str, reply: DirectoryReply) -> None:
+        was_broken = self._copy.is_broken
+        directory = self._copy.take(reply)
+        if directory is not None:
+            self._gateway.set_directory(directory)
+        elif self._copy.is_broken and not was_broken:
+            self._decisions.note(
+                DIRECTORY_DIFFERS,
+                peer=address,
+                since=self._copy.revision,
+                revision=reply.revision,
+            )
+
+    def _new_copy(self) -> DirectoryCopy:
+        return DirectoryCopy(is_regional=bool(self._make_report().group))
 
     def _is_taken(self, directory: DirectoryReply) -> bool:
         """Return whether another node held the same, and it was taken."""
@@ -275,19 +295,3 @@
         kept = [control for control in self._controls if control in wanted]
         self._controls = kept + [control for control in wanted if control not in kept]
         self._zones = {c: zone for c, zone in self._zones.items() if c in wanted}
-
-
-def _directory_of(
-    reply: DirectoryReply, members: list[MemberRecord], is_regional: bool
-) -> Directory:
-    neighbours = [_neighbour(gateway) for gateway in reply.neighbours if gateway.relay_address]
-    others: dict[str, list[Neighbour]] = {}
-    for gateway in reply.others:
-        if gateway.relay_address:
-            others.setdefault(gateway.sharing_group, []).append(_neighbour(gateway))
-    population = Population(reply.gateways, reply.zones, is_regional)
-    return Directory(reply.revision, members, population, neighbours, others)
-
-
-def _neighbour(gateway: GatewayRecord) -> Neighbour:
-    return Neighbour(gateway.name, gateway.relay_address)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -107,3 +107,10 @@
     "It was refused at once and has not run. The fields give the limit, what began "
     "and was asked for at all gateways, which part may begin, and the age of these sums.",
 )
+DIRECTORY_DIFFERS = define(
+    360,
+    Level.WARNING,
+    "what {peer} told since revision {since} leads to another directory than its own",
+    "The gateway goes on with the one in force and asks for the whole at once. It is usual while "
+    "processes of different versions run beside each other; else it is a fault.",
+)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -20,10 +20,10 @@
     PRIMARY_PROVED,
     REFUSED,
 )
+from rowanrail.gateway.known_directory import KnownDirectory
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
     Answer,
-    MemberRecord,
     PrimaryHealth,
     Refusal,
     Route,
@@ -46,7 +46,7 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
-from rowanrail.relay.placement import Part, Population, parts_of
+from rowanrail.relay.placement import Part, parts_of
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity
 from rowanrail.tenants.quota import QuotaTerms
@@ -88,9 +88,7 @@
         self._driver = driver
         self._decisions = decisions
         self._policies = GatewayPolicies.create(registry)
-        self._members: dict[str, list[MemberRecord]] = {}
-        self._directory_revision = -1
-        self._population = Population()
+        self._known = KnownDirectory(neighbours, detours)
         self._neighbours = neighbours
         if neighbours is not None:
             neighbours.on_link = self._note_link
@@ -133,7 +131,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new clients are welcome."""
-        return self.configuration is not None and bool(self._members) and not self.stopping
+        return self.configuration is not None and self._known.has_members and not self.stopping
 
     # Configuration and members
 
@@ -157,8 +155,8 @@
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
             service.primary.on_trouble = functools.partial(self._ask_around, service)
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
+            service.set_population(self._known.population)
+            service.set_members(self._known.members(name))
             self.services[name] = service
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
@@ -181,20 +179,8 @@
 
     def set_directory(self, directory: Directory) -> None:
         """Know the members that announced themselves, and the gateways beside this one."""
-        if directory.revision < self._directory_revision:
+        if not self._known.set(directory, self.services):
             return
-        self._directory_revision = directory.revision
-        self._members = {}
-        for record in directory.members:
-            self._members.setdefault(record.service, []).append(record)
-        self._population = directory.population
-        if self._neighbours is not None:
-            self._neighbours.set_neighbours(directory.neighbours)
-        if self._detours is not None:
-            self._detours.set_gateways(directory.neighbours, directory.others)
-        for name, service in self.services.items():
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
--- /dev/null
+++ b/src/rowanrail/gateway/known_directory.py
@@ -0,0 +1,77 @@
+"""The directory in force at a gateway: hands on what is another than before, and nothing else."""
+
+from collections.abc import Mapping
+
+from rowanrail.gateway.directory import Directory
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.gateway.service import Service
+from rowanrail.relay.detours import Detours
+from rowanrail.relay.neighbours import Neighbours
+from rowanrail.relay.placement import Population
+
+__all__ = ["KnownDirectory"]
+
+
+class KnownDirectory:
+    """Members by service, and the gateways beside this one.
+
+    To rank the gateways of a zone anew for each service takes longer than all else that a change
+    of one member asks of a gateway.
+
+    Parameters
+    ----------
+    neighbours : Neighbours or None
+        Gateways of the same group, where connections are shared.
+    detours : Detours or None
+        Gateways that may be asked for a way to a primary.
+    """
+
+    def __init__(self, neighbours: Neighbours | None, detours: Detours | None) -> None:
+        self._neighbours = neighbours
+        self._detours = detours
+        self._directory = Directory(-1, [])
+        self._members: dict[str, list[MemberRecord]] = {}
+
+    @property
+    def has_members(self) -> bool:
+        """Whether any member is known."""
+        return bool(self._members)
+
+    @property
+    def population(self) -> Population:
+        """How many gateways share the members' connections."""
+        return self._directory.population
+
+    def members(self, service: str) -> list[MemberRecord]:
+        """Return the members of a service."""
+        return self._members.get(service, [])
+
+    def set(self, directory: Directory, services: Mapping[str, Service]) -> bool:
+        """Know a directory, unless a newer one is known; return whether it was taken."""
+        before = self._directory
+        if directory.revision < before.revision:
+            return False
+        self._directory = directory
+        self._set_gateways(before, directory)
+        if directory.population != before.population:
+            for service in services.values():
+                service.set_population(directory.population)
+        self._set_members(directory.members, services)
+        return True
+
+    def _set_gateways(self, before: Directory, directory: Directory) -> None:
+        is_own_group = directory.neighbours != before.neighbours
+        if self._neighbours is not None and is_own_group:
+            self._neighbours.set_neighbours(directory.neighbours)
+        if self._detours is not None and (is_own_group or directory.others != before.others):
+            self._detours.set_gateways(directory.neighbours, directory.others)
+
+    def _set_members(self, records: list[MemberRecord], services: Mapping[str, Service]) -> None:
+        """Tell services whose members changed, and those that look for a primary."""
+        before, self._members = self._members, {}
+        for record in records:
+            self._members.setdefault(record.service, []).append(record)
+        for name, service in services.items():
+            members = self.members(name)
+            if members != before.get(name, []) or service.primary.failing_since:
+                service.set_members(members)
--- /dev/null
+++ b/tests/coordination/test_differences.py
@@ -0,0 +1,358 @@
+"""Directories by difference: the same as the whole, whatever is asked of whom, and never older."""
+
+import asyncio
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrail.consensus.messages import Entry, EntryKind
+from rowanrail.coordination import history
+from rowanrail.coordination.messages import (
+    WHOLE,
+    Announce,
+    DirectoryReply,
+    DirectoryRequest,
+    GatewayRecord,
+    GatewayReport,
+    HeldRequest,
+    Remove,
+    SetGateways,
+)
+from rowanrail.coordination.parts import difference_since, pack, unpack, whole_for
+from rowanrail.coordination.service import CoordinationService
+from rowanrail.gateway.directory_copy import DirectoryCopy
+from rowanrail.gateway.directory_watch import DirectoryWatch
+from rowanrail.gateway.locality import Locality
+from rowanrail.gateway.model import MemberRecord
+from rowanrail.kernel.errors import TransportError
+from tests.coordination.test_directory import PlayedNode
+from tests.coordination.test_holders import commands, new_state
+from tests.support.control_cost import FollowingGateway, PlainFormat, document
+
+GROUPS = ("a", "b", "east")
+GATEWAY = GatewayReport("g1", "a", [])
+
+
+def entry(index, command):
+    return Entry(1, index, EntryKind.COMMAND, msgspec.msgpack.encode(command))
+
+
+def member(instance="m1", sequence=1, **changes):
+    record = MemberRecord(instance, "db", f"{instance}:1", "a", False, False, 3, sequence)
+    return msgspec.structs.replace(record, **changes)
+
+
+class ControlledNode:
+    """A control node that has applied a log up to some place."""
+
+    def __init__(self):
+        self.state = new_state()
+        self.service = CoordinationService(PlayedNode(), self.state, None, "a")
+        self.applied = 0
+
+    def apply(self, log, until):
+        for index in range(self.applied + 1, until + 1):
+            self.state.apply(entry(index, log[index - 1]))
+        self.applied = max(self.applied, until)
+        return self
+
+    def install(self, other):
+        """Take another node's snapshot, as a node does that was behind for long."""
+        self.state.restore(other.state.snapshot())
+        self.applied = other.applied
+
+
+class Follower:
+    """A gateway's copy of the directory, with what a request and a reply carry."""
+
+    def __init__(self, group):
+        self.group = group
+        self.copy = DirectoryCopy(is_regional=False)
+        self.directory = None
+
+    async def ask(self, node):
+        """Ask a node; return the part that it told, None if there was none."""
+        report = GatewayReport("g1", "zone", [], group=self.group)
+        request = DirectoryRequest(
+            report,
+            0,
+            self.copy.revision,
+            0.0,
+            takes_parts=True,
+            wants_whole=self.copy.is_broken,
+        )
+        reply = await node.service.handle(request)
+        directory = self.copy.take(reply)
+        if directory is not None:
+            self.directory = directory
+        return unpack(reply.part) if reply.part else None
+
+
+def seen(state, group):
+    """Return what a group is to know of a state, in an order of its own."""
+    whole = whole_for(state, group)
+    others = {}
+    for gateway in whole.others:
+        if gateway.relay_address:
+            others.setdefault(gateway.sharing_group, []).append(gateway.name)
+    return (
+        sorted(whole.members, key=lambda known: known.instance),
+        sorted(gateway.name for gateway in whole.neighbours if gateway.relay_address),
+        {zone: sorted(names) for zone, names in others.items()},
+        (len(state.gateways), state.groups),
+    )
+
+
+def known(directory):
+    return (
+        sorted(directory.members, key=lambda one: one.instance),
+        sorted(gateway.name for gateway in directory.neighbours),
+        {zone: sorted(one.name for one in listed) for zone, listed in directory.others.items()},
+        (directory.population.gateways, directory.population.zones),
+    )
+
+
+steps = st.one_of(
+    st.tuples(st.just("advance"), st.integers(0, 2), st.integers(1, 6)),
+    st.tuples(st.just("ask"), st.integers(0, 2), st.sampled_from(GROUPS)),
+    st.tuples(st.just("install"), st.integers(0, 2), st.integers(0, 2)),
+    st.tuples(st.just("restart"), st.integers(0, 2), st.integers(0, 30)),
+)
+
+
+class AnyOrderTest(unittest.TestCase):
+    """Three nodes, each as far as it is; gateways of three groups ask any of them."""
+
+    def play(self, log, listed, remembered):
+        async def run():
+            nodes = [ControlledNode() for _ in range(3)]
+            followers = {group: Follower(group) for group in GROUPS}
+            for what, number, value in listed:
+                node = nodes[number]
+                match what:
+                    case "advance":
+                        node.apply(log, min(len(log), node.applied + value))
+                    case "install" if nodes[value].applied >= node.applied:
+                        node.install(nodes[value])
+                    case "restart":
+                        again = ControlledNode()
+                        again.apply(log, min(value, node.applied))
+                        nodes[number] = again.apply(log, node.applied)
+                    case "ask":
+                        await self.judge(followers[value], node)
+            for follower in followers.values():
+                last = ControlledNode().apply(log, len(log))
+                await self.judge(follower, last)
+                self.assertEqual(follower.copy.revision, last.state.revision)
+
+        kept, history.REMEMBERED_CHANGES = history.REMEMBERED_CHANGES, remembered
+        try:
+            asyncio.run(run())
+        finally:
+            history.REMEMBERED_CHANGES = kept
+
+    async def judge(self, follower, node):
+        before = follower.copy.revision
+        await follower.ask(node)
+        self.assertFalse(follower.copy.is_broken)
+        self.assertGreaterEqual(follower.copy.revision, before)
+        self.assertEqual(follower.copy.revision, max(before, node.state.revision))
+        if follower.copy.revision == node.state.revision:
+            self.assertEqual(known(follower.directory), seen(node.state, follower.group))
+
+    @settings(max_examples=150, deadline=None)
+    @given(
+        st.lists(commands, max_size=30), st.lists(steps, max_size=40), st.sampled_from([1, 4, 500])
+    )
+    def test_any_changes_gaps_and_nodes_give_the_directory_of_the_whole(
+        self, log, listed, remembered
+    ):
+        self.play(log, listed, remembered)
+
+
+class DifferenceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = [Announce(member(f"m{n}")) for n in range(1, 9)]
+        self.log.append(SetGateways([GatewayRecord("g1", "a", "g1:1")], []))
+        self.node = ControlledNode().apply(self.log, len(self.log))
+        self.follower = Follower("a")
+
+    def lose(self, instance):
+        """Have the copy take what no node has told."""
+        self.follower.copy._members.change([], [instance])
+
+    async def test_a_gateway_that_holds_a_revision_gets_what_changed_since(self):
+        self.assertEqual((await self.follower.ask(self.node)).since, WHOLE)
+        self.log += [Announce(member("m2", 2, leaving=True)), Remove("m3")]
+        self.node.apply(self.log, len(self.log))
+        part = await self.follower.ask(self.node)
+        self.assertEqual(part.since, 9)
+        self.assertEqual([known.instance for known in part.members], ["m2"])
+        self.assertEqual((part.gone_members, part.neighbours, part.others), (["m3"], [], []))
+
+    async def test_a_gap_that_is_not_remembered_gets_the_whole(self):
+        await self.follower.ask(self.node)
+        for sequence in range(2, history.REMEMBERED_CHANGES + 3):
+            self.log.append(Announce(member("m1", sequence, slots=sequence)))
+        self.node.apply(self.log, len(self.log))
+        self.assertEqual((await self.follower.ask(self.node)).since, WHOLE)
+
+    async def test_a_node_that_is_behind_takes_nothing_back(self):
+        await self.follower.ask(self.node)
+        behind = ControlledNode().apply(self.log, 4)
+        self.assertIsNone(await self.follower.ask(behind))
+        self.assertEqual(
+            (self.follower.copy.revision, len(self.follower.directory.members)), (9, 8)
+        )
+
+    async def test_a_node_after_a_snapshot_tells_the_whole_of_what_was_before_it(self):
+        await self.follower.ask(self.node)
+        self.log += [Remove("m3"), Remove("m4")]
+        ahead = ControlledNode().apply(self.log, len(self.log))
+        self.node.install(ahead)
+        self.assertEqual((await self.follower.ask(self.node)).since, WHOLE)
+        self.assertEqual(len(self.follower.directory.members), 6)
+
+    async def test_a_copy_that_differs_is_left_aside_and_the_whole_taken(self):
+        await self.follower.ask(self.node)
+        self.lose("m5")
+        before = self.follower.directory
+        self.log.append(Remove("m3"))
+        self.node.apply(self.log, len(self.log))
+        await self.follower.ask(self.node)
+        self.assertTrue(self.follower.copy.is_broken)
+        self.assertIs(self.follower.directory, before)
+        self.assertEqual((await self.follower.ask(self.node)).since, WHOLE)
+        self.assertEqual(known(self.follower.directory), seen(self.node.state, "a"))
+        self.assertEqual(self.follower.copy.counts, {"whole": 2, "difference": 1, "mismatch": 1})
+
+    async def test_a_broken_copy_does_not_take_an_older_whole(self):
+        await self.follower.ask(self.node)
+        self.lose("m5")
+        self.log.append(Remove("m3"))
+        await self.follower.ask(self.node.apply(self.log, len(self.log)))
+        behind = ControlledNode().apply(self.log, 4)
+        self.assertIsNone(await self.follower.ask(behind))
+        self.assertIsNone(self.follower.copy.take(self.plain_whole(behind)))
+        self.assertTrue(self.follower.copy.is_broken)
+
+    async def test_answers_that_come_out_of_order_take_nothing_back(self):
+        behind = ControlledNode().apply(self.log, 4)
+        await self.follower.ask(self.node)
+        self.assertIsNone(self.follower.copy.take(self.plain_whole(behind)))
+        self.assertEqual(self.follower.copy.revision, 9)
+
+    @staticmethod
+    def plain_whole(node):
+        """Return what a node of an earlier version tells, whatever the gateway knows."""
+        members = list(node.state.members.values())
+        return DirectoryReply(True, 0, b"", node.state.revision, members, 1, 1, [], [])
+
+    async def test_a_gateway_of_an_earlier_version_gets_all_in_plain(self):
+        reply = await self.node.service.handle(DirectoryRequest(GATEWAY, 0, 3, 0.0))
+        self.assertEqual((len(reply.members), reply.part), (8, b""))
+        self.assertEqual([gateway.name for gateway in reply.neighbours], ["g1"])
+
+    async def test_what_a_log_holds_comes_packed_to_who_takes_it(self):
+        service = CoordinationService(PlayedNode(self.log, leads=False), new_state(), None, "a")
+        held = await service.handle(HeldRequest("a", takes_parts=True))
+        self.assertIsNone(held.directory.members)
+        self.assertEqual(len(unpack(held.directory.part).members), 8)
+
+    def test_a_part_that_is_damaged_is_a_fault_of_the_transport(self):
+        packed = pack(whole_for(self.node.state, "a"))
+        for damaged in (packed[:-9], b"no part", pack(b"other")):
+            with self.assertRaises(TransportError):
+                unpack(damaged)
+
+    def test_a_difference_from_before_the_history_is_none(self):
+        self.node.install(ControlledNode().apply(self.log, len(self.log)))
+        self.assertIsNone(difference_since(self.node.state, "a", 8))
+        self.assertEqual(difference_since(self.node.state, "a", 9).members, [])
+
+
+class NotedEvents:
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, **fields):
+        self.events.append(event.number)
+
+
+class PassedNetwork:
+    """Passes calls to nodes by address, or answers for them."""
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+        self.requests = []
+
+    async def call(self, address, request, timeout_seconds):
+        if isinstance(request, HeldRequest):
+            raise TransportError("not listening yet", peer=address)
+        self.requests.append((address, request))
+        if address not in self.nodes:
+            raise TransportError("not listening yet", peer=address)
+        return await self.nodes[address].handle(request)
+
+
+class DamagedNode:
+    """A node whose parts can't be read."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def handle(self, request):
+        reply = await self.node.handle(request)
+        return msgspec.structs.replace(reply, part=b"damaged" if reply.part else b"")
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    """A watch beside nodes that fail one way or another."""
+
+    def watch(self, network):
+        self.gateway = FollowingGateway()
+        self.log = NotedEvents()
+        return DirectoryWatch(
+            self.gateway,
+            network,
+            list(network.nodes),
+            PlainFormat(),
+            lambda: GATEWAY,
+            self.log,
+            Locality("a"),
+        )
+
+    def node(self, *listed):
+        node = ControlledNode()
+        node.state.version, node.state.document = 7, document(7)
+        return node.apply([Announce(member(name)) for name in listed], len(listed))
+
+    async def test_a_part_that_can_not_be_read_sends_the_gateway_to_the_next_node(self):
+        node = self.node("m1", "m2")
+        network = PassedNetwork({"c1:1": DamagedNode(node.service), "c2:1": node.service})
+        watch = self.watch(network)
+        watch.start()
+        await asyncio.sleep(0.4)
+        watch.stop()
+        self.assertEqual(len(self.gateway.directory.members), 2)
+        self.assertEqual(network.requests[-1][0], "c2:1")
+
+    async def test_a_copy_that_differs_is_replaced_within_the_same_second(self):
+        node = self.node("m1", "m2", "m3")
+        watch = self.watch(PassedNetwork({"c1:1": node.service}))
+        watch.start()
+        await asyncio.sleep(0.05)
+        watch._copy._members.change([], ["m2"])  # what no node has told
+        node.state.apply(entry(9, Remove("m3")))
+        node.service.notice_change()
+        await asyncio.sleep(0.1)
+        watch.stop()
+        self.assertIn(360, self.log.events)
+        instances = [known.instance for known in self.gateway.directory.members]
+        self.assertEqual((instances, self.gateway.directory.revision), (["m1", "m2"], 9))
+
+
+if __name__ == "__main__":
+    unittest.main()
