A region's sums reach its neighbours' meters also while the network is split

Cause: each region knows a few gateways of the others, the first holders of something, and sends its sums of tenants' demand to the first that it reaches. Ruled out: naming more gateways to all regions (bytes of each directory, and the right one may still be missing). Change: a gateway that hears of another region without being the meter passes it on to its own meter, once. Figures: the new test, two regions of two gateways each, fails without it (24 and 36 in place of 36).

--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -109,6 +109,7 @@
         gateway.access.demand,
     )
     holder = Holder(gateway, clock)
+    holder.on_region = metering.pass_on
     holder_server = TcpHolderServer(holder)
     relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -118,12 +118,15 @@
     ----------
     sender : str
         Name of one life of the gateway, or of the region if ``is_region``.
+    is_passed_on : bool
+        Whether it comes from a gateway of the same region that is not the meter itself.
     """
 
     call: int
     sender: str
     report: Report
     is_region: bool = False
+    is_passed_on: bool = False
 
 
 class Reply(msgspec.Struct, tag=11, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/relay/metering.py
+++ b/src/rowanrail/relay/metering.py
@@ -91,6 +91,20 @@
             case Nowhere():
                 pass  # the guard sees by the age of what it knows that it is alone
 
+    def pass_on(self, message: CountDemand) -> None:
+        """Tell the meter of this region what another region told this gateway.
+
+        Other regions know of a few gateways of each region, and take the first that they reach for
+        its meter. While the network is split that may be another one.
+        """
+        if message.is_passed_on:
+            return  # two that take each other for the meter would go on for ever
+        place = self._neighbours.place(METER)
+        if isinstance(place, At):
+            link = place.link
+            passed_on = msgspec.structs.replace(message, call=link.number_call(), is_passed_on=True)
+            link.ask(passed_on, lambda outcome: None, keeps_nothing=True)
+
     def _settled(self, outcome: Outcome) -> None:
         if isinstance(outcome, Counted):
             self._guard.take_fleet(outcome.fleet)
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -109,6 +109,7 @@
         self.host = host
         self.clock = clock
         self.teller = LoadTeller(clock, host.load)
+        self.on_region: Callable[[CountDemand], None] = lambda message: None
         self._links: dict[ServedLink, None] = {}
 
     @property
@@ -220,6 +221,7 @@
         book = self._holder.host.demand
         if message.is_region:
             book.note_region(message.sender, message.report)
+            self._holder.on_region(message)
         else:
             book.note_gateway(message.sender, message.report)
         fleet = book.fleet()
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -68,7 +68,8 @@
         )
         self.gateway.start()
         self.metering.start()
-        world.network.holders[name] = Holder(self.gateway, clock)
+        holder = world.network.holders[name] = Holder(self.gateway, clock)
+        holder.on_region = self.metering.pass_on
 
     def client(self, database, key="key-of-a"):
         session = self.gateway.open_session(database, key)
@@ -266,6 +267,18 @@
         self.world.clock.advance(1.3)
         self.assertEqual([self.fleet_at(one) for one in self.world.gateways.values()], [36] * 4)
 
+    def test_a_region_that_takes_another_gateway_for_the_meter_is_heard_all_the_same(self):
+        # Seen on a played day: while the network was split, regions heard of a fifth of the fleet
+        # where half of it was in reach, since each sent its sums to a gateway that nobody asked.
+        _, other = rank(METER, ["gb1", "gb2"])
+        for name in ("ga1", "ga2"):
+            detours = self.world.gateways[name].gateway._detours
+            detours.place_in = lambda group, held, detours=detours: detours._keeper.look(other)
+        for one, number in zip(self.world.gateways.values(), (5, 7, 11, 13), strict=True):
+            self.ask(one, number)
+        self.world.clock.advance(1.3)
+        self.assertEqual([self.fleet_at(one) for one in self.world.gateways.values()], [36] * 4)
+
     def test_another_gateway_takes_over_from_a_lost_meter(self):
         names = rank(METER, ["ga1", "ga2"])
         meter, other = (self.world.gateways[name] for name in names)
