Soak: tenants that rush beyond their limits, members with slots that are slow or small, statements held past their time

Cause: the soak's members ran any number of statements at once in no time, its tenants never came near a limit, and nobody measured how long an answer took; none of the decisions under load was met by it. Judged besides: what a tenant runs in any 5 s (QUOTA), and answers later than their time by 1.5 s at a gateway that was left alone (HELD). Left: that nothing is refused while room is free, and that nobody is turned away again while newcomers are let in, is judged in tests of the decisions only.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -6,6 +6,11 @@
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY", "UNKNOWN")
 
 
+# A tenant's limit holds over each span of so many seconds; so much beyond it is tolerated.
+WINDOW_SECONDS = 5.0
+EXCESS, SLACK = 0.1, 20
+
+
 @dataclass
 class Verdict:
     """Counts of one run; ``problems`` is empty if every rule held."""
@@ -16,6 +21,7 @@
     in_doubt: int = 0
     rolled_back: int = 0
     faults: int = 0
+    fullest: int = 0  # operations of a tenant in a window of its limit
     problems: list[str] = field(default_factory=list)
 
 
@@ -30,6 +36,7 @@
         self._promised: set[str] = set()
         self._together: list[tuple[str, ...]] = []
         self._order: dict[str, int] = {}
+        self._began: dict[str, list[float]] = {}
 
     # What the members did
 
@@ -39,6 +46,24 @@
         if tenant != wanted:
             self.problem(f"UNASKED: a statement on {thing} ran for {tenant}, not {wanted}")
 
+    def began(self, tenant: str, now: float) -> None:
+        """Note an operation of a tenant that ran: a single statement, or a transaction."""
+        self._began.setdefault(tenant, []).append(now)
+
+    def judge_limits(self, rate: float, burst: float) -> None:
+        """Judge that no tenant ran more than its limit in any window."""
+        allowed = (1 + EXCESS) * (rate * WINDOW_SECONDS + burst) + SLACK
+        for tenant, moments in self._began.items():
+            first = 0
+            most = 0
+            for last, moment in enumerate(moments):
+                while moment - moments[first] > WINDOW_SECONDS:
+                    first += 1
+                most = max(most, last - first + 1)
+            self.verdict.fullest = max(self.verdict.fullest, most)
+            if most > allowed:
+                self.problem(f"QUOTA: {tenant} ran {most} in a window, {allowed:.0f} are tolerated")
+
     def committed(self, writes: list[tuple[str, str]]) -> None:
         for _, value in writes:
             self._committed[value] = self._committed.get(value, 0) + 1
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable
 
+from tests.soak.members import SlottedMember
 from tests.soak.oracle import TENANTS, Oracle, Verdict
 from tests.support.line_member import Group, Member
 from tests.support.platform_fleet import LineClient, PlatformFleet, configuration
@@ -20,6 +21,15 @@
 REGIONS = {"a": "r1", "b": "r2"}
 IN_FORCE_SECONDS = 3.0  # after an acknowledgement, with two faults at a time
 REOPENED_SECONDS = 1.0  # a node tries its disk twice a second, and then hears the leader
+# Of each tenant, so that its three clients stay below it and a rush of six more does not.
+RATE_PER_SECOND, BURST = 150, 150
+RUSHING_CLIENTS = 6
+RUSH_SECONDS = (2.0, 5.0)
+SLOWNESS = 8.0  # factor on a member's work
+STATEMENT_SECONDS = 1.0  # the route's time-out
+HELD_SECONDS = (
+    1.5  # later than that after its time no answer may come; the test's own loop lags, too
+)
 WITHDRAWN_SECONDS = 5.0  # after it a key that was taken away must open no session
 
 
@@ -31,6 +41,9 @@
     def ran(self, tenant: str, thing: str) -> None:
         self.oracle.ran(tenant, thing)
 
+    def began(self, tenant: str) -> None:
+        self.oracle.began(tenant, asyncio.get_running_loop().time())
+
     def commit(self, writes: list[tuple[str, str]]) -> None:
         self.oracle.committed(writes)
         super().commit(writes)
@@ -46,8 +59,10 @@
 class SoakClient:
     """One client with a key of its own: sessions one after the other, on any proxy."""
 
-    def __init__(self, soak: "Soak", number: int) -> None:
+    def __init__(self, soak: "Soak", number: int, until: float = float("inf")) -> None:
         self.soak = soak
+        self.until = until
+        self.host = ""
         self.random = random.Random(soak.seed * 1000 + number)
         self.key = f"k{number}"
         self.tenant = number % TENANTS
@@ -58,9 +73,14 @@
         # A third of the clients stay on a connection until it is lost.
         self.stays = number % 3 == 0
 
+    @property
+    def over(self) -> bool:
+        return self.soak.over or asyncio.get_running_loop().time() > self.until
+
     async def run(self) -> None:
-        while not self.soak.over:
-            client = LineClient(self.random.choice(self.soak.fleet.proxy_hosts))
+        while not self.over:
+            self.host = self.random.choice(self.soak.fleet.proxy_hosts)
+            client = LineClient(self.host)
             try:
                 database = self.random.choice(DATABASES)
                 key = self.soak.keys[self.tenant]
@@ -82,7 +102,7 @@
         statements = self.random.randint(3, 30)
         while self.stays or statements > 0:
             statements -= 1
-            if self.soak.over:
+            if self.over:
                 return
             draw = self.random.random()
             if draw < 0.4:
@@ -95,10 +115,16 @@
 
     async def ask(self, client: LineClient, text: str) -> list[str]:
         """Return the lines of an answer; an empty one stands for no answer."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
-            return await client.query(text) or [""]
+            lines = await client.query(text) or [""]
         except (OSError, TimeoutError):
             return [""]
+        late = loop.time() - began - STATEMENT_SECONDS
+        if late > HELD_SECONDS and self.soak.is_left_alone(self.host, began):
+            self.soak.oracle.problem(f"HELD: {text} was answered {late:.1f} s after its time")
+        return lines
 
     async def write(self, client: LineClient) -> None:
         value = self.value()
@@ -151,6 +177,7 @@
         self.keys = [f"secret-{number}-0" for number in range(TENANTS)]
         self.log: list[str] = []
         self.added: list[str] = []
+        self.clients = CLIENTS
         self.ending: set[str] = set()
         # By process: when a fault last had it in hand, on the loop's clock.
         self.touched: dict[str, float] = {}
@@ -164,6 +191,7 @@
             regions=REGIONS,
             control_zones=("a", "b"),
             network=self.network,
+            member_type=SlottedMember,
         )
         assert isinstance(fleet.group, WatchedGroup)
         fleet.group.oracle = self.oracle
@@ -186,6 +214,7 @@
                 self.oracle.problem("RECOVER: nothing was acknowledged after the faults")
             self.over = True
             await asyncio.gather(*clients)
+            self.oracle.judge_limits(RATE_PER_SECOND, BURST)
             self.forwarded = await self._forwarded()
             self._look_for_keys()
             held = {value for _, writes in fleet.group.primary.log for _, value in writes}
@@ -195,7 +224,7 @@
     def _document(self) -> dict[str, object]:
         services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
         tenants = [
-            {"name": f"t{number}", "api-keys": [key], "rate-per-s": 500, "burst": 500}
+            {"name": f"t{number}", "api-keys": [key], "rate-per-s": RATE_PER_SECOND, "burst": BURST}
             for number, key in enumerate(self.keys)
         ]
         document = configuration(self.version, services=services, tenants=tenants)
@@ -230,6 +259,9 @@
             self._reload,
             self._fill_disk,
             self._add_route,
+            self._rush,
+            self._slow_member,
+            self._small_member,
         ]
         while True:
             await asyncio.sleep(self.random.uniform(*FAULT_PAUSE))
@@ -238,6 +270,36 @@
             self.log.append(kind.__name__)
             await kind()  # type: ignore[misc]
 
+    async def _rush(self) -> None:
+        """Have many more clients of one tenant come for a while."""
+        tenant = self.random.randrange(TENANTS)
+        until = asyncio.get_running_loop().time() + self.random.uniform(*RUSH_SECONDS)
+        rushing = []
+        for _ in range(RUSHING_CLIENTS):
+            self.clients += TENANTS  # numbers that differ by that are of one tenant
+            rushing.append(SoakClient(self, self.clients + tenant, until).run())
+        await asyncio.gather(*rushing)
+
+    async def _slow_member(self) -> None:
+        """Have a member take many times as long for its work."""
+        member = self.random.choice(self.fleet.members)
+        assert isinstance(member, SlottedMember)
+        member.slowness = SLOWNESS
+        await asyncio.sleep(self.random.uniform(*RUSH_SECONDS))
+        member.slowness = 1.0
+
+    async def _small_member(self) -> None:
+        """Have a member run one statement at a time, though it announced more slots."""
+        member = self.random.choice(self.fleet.members)
+        assert isinstance(member, SlottedMember)
+        member.usable = 1
+        await asyncio.sleep(self.random.uniform(*RUSH_SECONDS))
+        member.usable = member.slots
+
+    def is_left_alone(self, host: str, since: float) -> bool:
+        """Return whether no fault has had a process in hand since a moment."""
+        return host not in self.fleet.busy and self.touched.get(host, 0.0) < since
+
     async def _rotate_key(self) -> None:
         """Take a tenant's key away and give it another; the old one must soon open nothing."""
         number = self.random.randrange(TENANTS)
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -38,6 +38,9 @@
     def ran(self, tenant: str, thing: str) -> None:
         """Hear for whom a read or write ran."""
 
+    def began(self, tenant: str) -> None:
+        """Hear for whom an operation began: a single statement, or a transaction."""
+
     def promote(self, instance: str) -> None:
         member = self.members[instance]
         if member.leads:
@@ -54,10 +57,13 @@
 class Member:
     """One member, listening on an address of its own."""
 
+    connection_type: "type[MemberConnection]"
+
     def __init__(self, group: Group, instance: str, host: str, port: int, leads: bool) -> None:
         self.group, self.instance, self.host, self.port = group, instance, host, port
         self.leads = leads
         self.deaf = False
+        self.slots = 5
         self.log: list[tuple[int, list[tuple[str, str]]]] = []
         self.sequence = 0
         self.ran: list[str] = []
@@ -90,7 +96,7 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: MemberConnection(self), self.host, self.port
+            lambda: self.connection_type(self), self.host, self.port
         )
 
     def stop(self) -> None:
@@ -106,7 +112,7 @@
             "addr": self.address,
             "zone": "a",
             "version": "v1",
-            "slots": 5,
+            "slots": self.slots,
             "state": state,
             "cold-ms": 0,
             "db-role": "primary" if self.leads else "replica",
@@ -249,6 +255,9 @@
         return [row, *self.done()]
 
 
+Member.connection_type = MemberConnection
+
+
 class Platform:
     """The platform's promote call, with its fence."""
 
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -63,6 +63,7 @@
         regions: dict[str, str] | None = None,
         control_zones: tuple[str, ...] = ("a",),
         network: int = 0,
+        member_type: type[Member] = Member,
     ) -> None:
         # Fleets that run side by side differ in the second number of their addresses.
         self.promote_host = f"127.{network}.10.1"
@@ -74,7 +75,7 @@
         self.proxy_hosts = [f"127.{network}.8.{number + 1}" for number in range(proxies)]
         self.group = group or Group("db")
         self.members = [
-            Member(
+            member_type(
                 self.group, f"i-{number}", f"127.{network}.9.{number + 1}", MEMBER_PORT, number == 0
             )
             for number in range(3)
