--- a/src/rowanrail/scheduling/concurrency.py
+++ b/src/rowanrail/scheduling/concurrency.py
@@ -13,6 +13,9 @@
 # Factor on the slots: what is above it only makes the member's own queue longer. A second set of
 # statements keeps the slots busy while answers are on their way.
 CEILING_FACTOR = 2
+# More of the slots, at most, for statements on their way to a distant member and back: a way of two
+# statements' time. They stand in no queue; one that they come to make is seen as any other.
+LONGEST_WAY = 2.0
 LOWEST_CEILING = 4  # statements; a member that announces one slot may know no better
 # Factor on the slots, divided among the holders: so many under way keep all slots busy while some
 # answers are on their way.
@@ -76,11 +79,11 @@
     def __init__(self, slots: int, holders: int = 1) -> None:
         self._slots = max(1, slots)
         self._holders = max(1, holders)
+        self._average = 0.0
+        self._quickest = _SlowMinimum()
         self._limit = float(
             min(self._ceiling, max(LOWEST_START, math.ceil(2 * self._slots / self._holders)))
         )
-        self._average = 0.0
-        self._quickest = _SlowMinimum()
         self._answers = 0  # of this window
         self._window_quickest = math.inf
         self._was_full = False
@@ -98,7 +101,14 @@
 
     @property
     def _ceiling(self) -> int:
-        return max(LOWEST_CEILING, CEILING_FACTOR * self._slots)
+        factor = CEILING_FACTOR + min(LONGEST_WAY, self._way)
+        return max(LOWEST_CEILING, int(factor * self._slots))
+
+    @property
+    def _way(self) -> float:
+        """Time of the way there and back, in times of a statement, beyond the first."""
+        work = self._average - self._quickest.value
+        return max(0.0, self._quickest.value / work - 1) if work > 0 else 0.0
 
     def set_sharing(self, slots: int, holders: int) -> None:
         """Take changed slots, or another number of holders; what was learned is kept."""
@@ -119,6 +129,8 @@
             Statements under way when it came, itself among them.
         """
         self._quickest.note(now, answer_time)
+        if not self._average:
+            self._average = answer_time
         self._average += AVERAGE_WEIGHT * (answer_time - self._average)
         if self._sent_before > 0:
             self._sent_before -= 1
--- a/src/rowanrail/scheduling/queue.py
+++ b/src/rowanrail/scheduling/queue.py
@@ -30,9 +30,17 @@
 # The same for an opening that is put off by less urgent work: about 25 ms, a twentieth of what
 # urgent callers aim at; openings may take a quarter of the slots for it.
 URGENT_REUSES_BETWEEN = 4
+# Factor on both for a tenant of which connections are in use, which must itself have been put off
+# so often: one of them mostly comes back sooner, unless others pass theirs on to themselves.
+COMING_BACK_FACTOR = 4
 LATEST_STARTS = 64  # by which the part that each class has of the starts is told
 
 T = TypeVar("T", bound=Queued)
+FlowKey = tuple[int, str | None]  # urgency and tenant
+
+
+def _flow_of(item: Queued) -> FlowKey:
+    return (item.entry.urgency, item.entry.tenant)
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +112,7 @@
         self._tenants: Counter[str | None] = Counter()
         self._numbers = 0
         self._reuses = 0  # starts since the last opening
+        self._put_off: Counter[FlowKey] = Counter()  # times since a tenant's last start
         self._parts: dict[int, float] = defaultdict(float)  # of the latest starts, by urgency
 
     def __len__(self) -> int:
@@ -156,6 +165,7 @@
             return
         urgency = item.entry.urgency
         self._reuses += 1
+        self._put_off.pop(_flow_of(item), None)
         self._note_part(urgency)
         self._classes[urgency].start(place)
         self._classes[urgency].passed_over = 0
@@ -187,6 +197,8 @@
             if supply.has_idle(tenant):
                 if opening is not None and self._is_due(opening, place, supply):
                     break
+                if opening is not None:
+                    self._put_off[_flow_of(opening.item)] += 1
                 return Pick(place.item, needs_opening=False)
             if opening is None and supply.may_open(tenant, place.since):
                 opening = place
@@ -197,11 +209,12 @@
 
     def _is_due(self, opening: Place[T], other: Place[T], supply: Supply) -> bool:
         """Return whether an opening is put off no longer for another that needs none."""
-        entry = opening.item.entry
-        if supply.may_come_back(entry.tenant or ""):
-            return False
-        is_more_urgent = entry.urgency < other.item.entry.urgency
-        return self._reuses >= (URGENT_REUSES_BETWEEN if is_more_urgent else REUSES_BETWEEN)
+        is_more_urgent = opening.item.entry.urgency < other.item.entry.urgency
+        bound = URGENT_REUSES_BETWEEN if is_more_urgent else REUSES_BETWEEN
+        if supply.may_come_back(opening.item.entry.tenant or ""):
+            put_off = self._put_off[_flow_of(opening.item)]
+            return put_off >= COMING_BACK_FACTOR * bound <= self._reuses
+        return self._reuses >= bound
 
     def _in_order(self, only_samples: bool) -> Iterator[Place[T]]:
         """Return the first entry of each tenant in each class."""
--- a/tests/scheduling/test_shared_member.py
+++ b/tests/scheduling/test_shared_member.py
@@ -3,11 +3,12 @@
 import unittest
 
 from rowanrail.gateway.channel import Channel
+from rowanrail.gateway.gauges import gauges
 from rowanrail.gateway.model import Refusal
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.scheduling.queue import Entry
 from tests.scheduling.member import Caller, Kind, SlottedMember, play
-from tests.support.gateway import ManualClock
+from tests.support.gateway import ManualClock, PlayedGateway
 
 WORK = 0.009  # s, on average
 OBJECTIVE = 0.5  # s, of the most urgent callers
@@ -147,6 +148,15 @@
         shared.play(8.0)
         self.assertGreater(served(kinds), 0.99)
 
+    def test_connections_far_away_are_not_kept_from_the_urgent(self):
+        # Work of 48 ms on each connection: who passes his on to himself keeps the others waiting.
+        shared = SharedMember(way=0.02)
+        urgent = shared.load(0, 0.1, work=0.003) + shared.load(1, 0.3, work=0.015)
+        shared.load(2, 1.1)
+        shared.play(8.0)
+        self.assertGreater(served(urgent), 0.99)
+        self.assertGreater(shared.work_share, 0.8)
+
     def test_a_slow_member_is_used_as_well(self):
         shared = SharedMember()
         shared.member.slowness = 5.0
@@ -323,3 +333,22 @@
         forecast = pool.forecast(Entry(1, "a", 0.0))
         self.assertTrue(forecast.has_room)
         self.assertGreater(forecast.wait, 10.0)  # its connection has to be opened
+
+
+class GaugesTest(unittest.TestCase):
+    """What an operator sees of a queue."""
+
+    def test_limit_places_and_queue_are_told_by_member_and_urgency(self):
+        played = PlayedGateway()
+        played.primary.script = [None] * 10
+        for _ in range(5):
+            played.client("orders").ask("WRITE a 1")
+        played.clock.advance(0.1)
+        told = {}
+        for name, labels, value in gauges(played.gateway):
+            if labels.get("member") == "m1":
+                told[name, labels.get("urgency")] = value
+        self.assertEqual(told["concurrency_limit", None], 2)
+        self.assertEqual(told["under_way", None], 2)
+        self.assertEqual(told["queue_length", "1"], 3)
+        self.assertAlmostEqual(told["queue_longest_wait_seconds", None], 0.1, delta=0.01)
