--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -122,3 +122,10 @@
     "{instance} of {service} has its weight back",
     "It answered probes; reads go there again.",
 )
+DIRECTORY_DIFFERS = define(
+    360,
+    Level.WARNING,
+    "what {peer} told since revision {since} leads to another directory than its own",
+    "The gateway goes on with the one in force and asks for the whole at once. It is usual while "
+    "processes of different versions run beside each other; else it is a fault.",
+)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -16,10 +16,10 @@
     PRIMARY_LOST,
     PRIMARY_PROVED,
 )
+from rowanrail.gateway.known_directory import KnownDirectory
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
     Answer,
-    MemberRecord,
     PrimaryHealth,
     Refusal,
     Route,
@@ -44,7 +44,7 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
-from rowanrail.relay.placement import Part, Population, parts_of
+from rowanrail.relay.placement import Part, parts_of
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.tenants.demand import DemandBook
@@ -87,9 +87,7 @@
         self._driver = driver
         self._decisions = decisions
         self._policies = GatewayPolicies.create(registry)
-        self._members: dict[str, list[MemberRecord]] = {}
-        self._directory_revision = -1
-        self._population = Population()
+        self._known = KnownDirectory(neighbours, detours)
         self._prospects = Prospects(MillisecondClock(clock))
         self._neighbours = neighbours
         if neighbours is not None:
@@ -135,7 +133,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new clients are welcome."""
-        return self.configuration is not None and bool(self._members) and not self.stopping
+        return self.configuration is not None and self._known.has_members and not self.stopping
 
     # Configuration and members
 
@@ -161,8 +159,8 @@
             service.primary.on_trouble = functools.partial(self._ask_around, service)
             told = functools.partial(note_weight, self._decisions, service)
             service.estimates.weights.on_change = told
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
+            service.set_population(self._known.population)
+            service.set_members(self._known.members(name))
             self.services[name] = service
         for service in self.services.values():
             service.set_tenants(configuration.tenants or Tenants())
@@ -187,21 +185,9 @@
 
     def set_directory(self, directory: Directory) -> None:
         """Know the members that announced themselves, and the gateways beside this one."""
-        if directory.revision < self._directory_revision:
+        if not self._known.set(directory, self.services):
             return
-        self._directory_revision = directory.revision
-        self._members = {}
-        for record in directory.members:
-            self._members.setdefault(record.service, []).append(record)
-        self._population = directory.population
-        self.access.quota.set_population(self._population.gateways)
-        if self._neighbours is not None:
-            self._neighbours.set_neighbours(directory.neighbours)
-        if self._detours is not None:
-            self._detours.set_gateways(directory.neighbours, directory.others)
-        for name, service in self.services.items():
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
+        self.access.quota.set_population(directory.population.gateways)
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
@@ -380,9 +366,9 @@
         """See :meth:`SessionHost.refuse_over_quota`."""
         return self.access.refuse_over_quota(session)
 
-    def has_returned(self, session: Session) -> bool:
-        """See :meth:`SessionHost.has_returned`."""
-        return self.access.has_returned(session)
+    def note_return(self, session: Session) -> None:
+        """See :meth:`SessionHost.note_return`."""
+        self.access.note_return(session)
 
     def note_not_run(self, session: Session) -> None:
         """See :meth:`SessionHost.note_not_run`."""
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -10,8 +10,9 @@
 from rowanrail.gateway.model import Answer, MemberRecord, Refusal
 from rowanrail.gateway.resting import Resting
 from rowanrail.gateway.waiter import Waiter
-from rowanrail.scheduling.admission import Forecast, ForecastError
+from rowanrail.scheduling.admission import Forecast
 from rowanrail.scheduling.concurrency import ConcurrencyLimit
+from rowanrail.scheduling.forecast_error import ForecastErrors
 from rowanrail.scheduling.member_weight import Trouble
 from rowanrail.scheduling.queue import Entry, Supply, WorkQueue, is_hopeless
 
@@ -34,7 +35,7 @@
     ) -> None:
         self.record = record
         self.latency_seconds = INITIAL_LATENCY_SECONDS
-        self.forecast_error = ForecastError()
+        self.forecast_errors = ForecastErrors()
         self._clock = clock
         self._concurrency = ConcurrencyLimit(record.slots, holders)
         self._health = MemberHealth(clock)
@@ -332,7 +333,7 @@
             self._expire(waiter)
         if self._connections.is_crowded:
             self._connections.resting.reclaim(waiter.since for waiter in self._waiting)
-        self._connections.idle.trim(now, is_kept)
+        self._connections.trim(now, is_kept)
 
     def set_limit(self, limit: int) -> None:
         """Change the limit; surplus idle connections are closed."""
--- a/src/rowanrail/relay/messages.py
+++ b/src/rowanrail/relay/messages.py
@@ -57,7 +57,7 @@
     version : int
         Of the configuration by which the sender took the key.
     returned : bool
-        Whether the client was turned away a moment ago and came back as it was told.
+        Whether it goes before newcomers, since its client was turned away more than once.
     """
 
     call: int
@@ -118,12 +118,15 @@
     ----------
     sender : str
         Name of one life of the gateway, or of the region if ``is_region``.
+    is_passed_on : bool
+        Whether it comes from a gateway of the same region that is not the meter itself.
     """
 
     call: int
     sender: str
     report: Report
     is_region: bool = False
+    is_passed_on: bool = False
 
 
 class Reply(msgspec.Struct, tag=11, array_like=True, frozen=True, gc=False):
