A fleet of tests starts only where nobody listens; a soak's client knows when its BEGIN was refused

Processes of a run on the same addresses that had been ended by force were still there; the soak's own could not listen and ended, and its clients talked to those, whose configuration had no tenants and a higher version. With a fleet left behind that holds version 50 on the soak's addresses: the same words at once. Change: a fleet looks for listeners at its addresses first, and says so.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -150,7 +150,12 @@
 
     async def transaction(self, client: LineClient) -> None:
         values = (self.value(), self.value())
-        await self.ask(client, "BEGIN")
+        begun = await self.ask(client, "BEGIN")
+        if not begun[0].startswith("DONE"):
+            # A tenant at its limit: there is no transaction, and a write would stand alone.
+            if not begun[0]:
+                raise EOFError
+            return
         for value in values:
             lines = await self.ask(client, f"WRITE {self.key} {value}")
             if not lines[0].startswith("DONE"):
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -92,6 +92,7 @@
         self.http = await self._stack.enter_async_context(
             aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
         )
+        await self._check_addresses()
         await self.platform.start(self.promote_host, PROMOTE_PORT)
         for member in self.members:
             await member.start()
@@ -105,6 +106,24 @@
             await self.until(lambda host=host: self.ready(host), 200)
         return self
 
+    async def _check_addresses(self) -> None:
+        """Make sure that nobody answers where the processes are to listen.
+
+        Processes that a killed run left behind would be taken for this fleet's own, which end at
+        once then; with a configuration of theirs, statements run for other tenants.
+        """
+        places = [(host, CONTROL_PORT) for host in self.control_hosts]
+        places += [(host, FRONT_PORT) for host in self.proxy_hosts]
+        for host, port in places:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+            except OSError:
+                continue
+            writer.close()
+            raise RuntimeError(
+                f"{host}:{port} is taken: end the processes of the other run, or use another network"
+            )
+
     async def __aexit__(self, *error: object) -> None:
         if error[0] is not None:
             for host, process in self.processes.items():
