--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -121,7 +121,7 @@
                 continue
             writer.close()
             raise RuntimeError(
-                f"{host}:{port} is taken: end the processes of the other run, or use another network"
+                f"{host}:{port} is taken: end the other run, or use another network"
             )
 
     async def __aexit__(self, *error: object) -> None:
