Reports tell what has weight, and the leader finds it by service

Cause: each gateway reported each service each second, also those of whose primary it knows nothing, and the leader went through all reports, members and gateways for each service ten times a second. Each answer named all control nodes.

Change: a report leaves out services with neither a failure nor a proof of the last 30 s; coordination.reports keeps the latest by service, with who fails; the duty looks closer only where a primary is missing or leaving, its own samples fail, or a gateway says so. Members by service are indexed by revision. A gateway says by a checksum which control nodes it was told of, and is told of others only.

Ruled out: reports as differences with a whole one now and then (state on both sides for each gateway, lost with each node that is followed instead); omitting proofs that are recent, too (they are what contradicts the others' failures).

Tests: what is left out decides nothing (property, against all reports in whole); who is called calm would have waited (property); control nodes are told again when they change and when the settings do.

--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -94,6 +94,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._holding_since: float | None = None
         self._known_revision = -1
+        self._indexed_revision = -1
+        self._by_service: dict[str, list[MemberRecord]] = {}
         self._gateways_due = 0.0
         self._missing_since: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
@@ -137,7 +139,13 @@
         self._trackers.clear()
 
     def _members(self, service: str) -> list[MemberRecord]:
-        return [m for m in self._service.state.members.values() if m.service == service]
+        state = self._service.state
+        if state.revision != self._indexed_revision:
+            self._indexed_revision = state.revision
+            self._by_service = {}
+            for member in state.members.values():
+                self._by_service.setdefault(member.service, []).append(member)
+        return self._by_service.get(service, [])
 
     def _follow_directory(self) -> None:
         state = self._service.state
@@ -159,6 +167,9 @@
     def _consider(self, service: str) -> None:
         if service in self._busy:
             return
+        if self._is_calm(service):
+            self._waiting_reasons.pop(service, None)
+            return
         decision = decide(self._view(service, {}))
         if decision.action is Action.WAIT:
             self._waiting_reasons.pop(service, None)
@@ -168,6 +179,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _is_calm(self, service: str) -> bool:
+        """Return whether nobody has a reason to replace a primary, which is so nearly always.
+
+        It spares a look at what all gateways say; :func:`decide` would wait as well.
+        """
+        if self._trackers[service].failing_since or self._service.liveness.fails(service):
+            return False
+        return any(member.primary and not member.leaving for member in self._members(service))
+
     async def _replace(self, service: str, first: Decision) -> None:
         try:
             decision = await self._decide_with_statuses(service)
@@ -221,7 +241,7 @@
             [own, *liveness.views(service)],
             self._attempt_view(service, now),
             now - holding_since,
-            1 + len(liveness.gateways()),
+            1 + liveness.gateway_count,
             self._acknowledging_replicas(service),
             statuses_fresh,
         )
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -2,21 +2,15 @@
 
 from collections.abc import Callable
 
-import msgspec
-
-from rowanrail.coordination.failover import ReportView, report_view
+from rowanrail.coordination.failover import ReportView
 from rowanrail.coordination.messages import GatewayRecord, GatewayReport
+from rowanrail.coordination.reports import ReportIndex
 
 FORGET_GATEWAY_SECONDS = 12.0  # longer than a gateway takes to come back; links tell sooner
 DIRECT_REPORT_SECONDS = 1.3  # a gateway that is there has told something since
 NEVER_SECONDS = 1e9  # an age that is above all limits
 
 
-class _HeardReport(msgspec.Struct):
-    report: GatewayReport
-    at: float
-
-
 class Liveness:
     """Moments at which members and gateways were last heard, on the steady clock."""
 
@@ -24,7 +18,7 @@
         self._now = now
         self._heartbeats: dict[str, float] = {}
         self._sequences: dict[str, int] = {}
-        self._reports: dict[str, _HeardReport] = {}
+        self._reports = ReportIndex()
 
     def heartbeat(self, instance: str, sequence: int) -> None:
         """Note a heartbeat, unless it is one that came late."""
@@ -49,34 +43,35 @@
 
     def report(self, report: GatewayReport) -> None:
         """Note a gateway's report."""
-        self._reports[report.gateway] = _HeardReport(report, self._now())
+        self._reports.put(report, self._now())
 
     def direct_reports(self) -> list[GatewayReport]:
         """Return what gateways told this node itself a short while ago."""
         limit = self._now() - DIRECT_REPORT_SECONDS
-        return [
-            heard.report
-            for heard in self._reports.values()
-            if heard.at >= limit and not heard.report.hops
-        ]
+        return [report for report, at in self._reports.reports if at >= limit and not report.hops]
+
+    @property
+    def gateway_count(self) -> int:
+        """How many gateways were heard and not found silent by :meth:`gateways` since."""
+        return len(self._reports)
 
     def gateways(self) -> dict[str, GatewayRecord]:
         """Return the gateways that were heard a short while ago, by name."""
         limit = self._now() - FORGET_GATEWAY_SECONDS
-        self._reports = {name: heard for name, heard in self._reports.items() if heard.at >= limit}
-        return {
-            name: GatewayRecord(
-                name, heard.report.zone, heard.report.relay_address, heard.report.group
+        records: dict[str, GatewayRecord] = {}
+        for report, at in self._reports.reports:
+            if at < limit:
+                self._reports.drop(report.gateway)
+                continue
+            records[report.gateway] = GatewayRecord(
+                report.gateway, report.zone, report.relay_address, report.group
             )
-            for name, heard in self._reports.items()
-        }
+        return records
+
+    def fails(self, service: str) -> bool:
+        """Return whether any gateway says that a service's primary fails."""
+        return self._reports.fails(service)
 
     def views(self, service: str) -> list[ReportView]:
         """Return what the gateways say of a service's primary."""
-        now = self._now()
-        return [
-            report_view(name, health, now - heard.at)
-            for name, heard in self._reports.items()
-            for health in heard.report.services
-            if health.service == service
-        ]
+        return self._reports.views(service, self._now())
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -1,6 +1,7 @@
 """Commands of the replicated log, and messages between gateways and control nodes."""
 
 import enum
+import zlib
 
 import msgspec
 
@@ -201,6 +202,7 @@
 
     :param takes_parts: whether the gateway understands ``part`` of the reply.
     :param wants_whole: whether it needs the whole directory, of its revision or a later one.
+    :param known_controls: see :func:`controls_mark`.
     """
 
     report: GatewayReport
@@ -209,6 +211,12 @@
     hold_seconds: float
     takes_parts: bool = False
     wants_whole: bool = False
+    known_controls: int = 0
+
+
+def controls_mark(controls: list[str]) -> int:
+    """Return a number by which a gateway says which control nodes it was told of; 0 for none."""
+    return zlib.crc32(" ".join(controls).encode())
 
 
 @message
@@ -220,7 +228,7 @@
     :param members: all members, None if the known revision is the newest, or with ``part``.
     :param gateways: how many gateways there are, in ``zones`` zones (or regions that share).
     :param neighbours: the gateways of the asking gateway's group, with ``members``.
-    :param controls: addresses of all control nodes.
+    :param controls: addresses of all control nodes; empty if the gateway was told of them.
     :param zone: where the answering node stands.
     :param others: gateways of other groups that hold connections there, with ``members``.
     :param part: a packed :class:`DirectoryPart` for who takes it; empty if there is nothing new.
--- /dev/null
+++ b/src/rowanrail/coordination/reports.py
@@ -0,0 +1,93 @@
+"""What gateways report of primaries: what has weight in a decision, kept by service."""
+
+from collections.abc import Iterable
+
+from rowanrail.coordination.failover import ReportView, report_view
+from rowanrail.coordination.messages import GatewayReport
+from rowanrail.gateway.model import PrimaryHealth
+
+__all__ = ["ReportIndex", "telling"]
+
+# A proof contradicts others who have failed for longer than it is old. Those who fail are heard
+# within 0.3 s and decided on within seconds; a proof of half a minute ago contradicts nobody.
+TOLD_PROOF_MS = 30_000
+
+
+def telling(health: Iterable[PrimaryHealth]) -> list[PrimaryHealth]:
+    """Return what has weight in a decision about a primary.
+
+    Most gateways use few services, and where connections are shared most have none of their own:
+    of the others they have neither a proof nor a failure to tell.
+
+    Parameters
+    ----------
+    health : iterable of PrimaryHealth
+        What a gateway sees of all services.
+
+    Examples
+    --------
+    >>> seen = [PrimaryHealth("db1", "m1", 900, 0), PrimaryHealth("db2", "m2", -1, 0)]
+    >>> seen += [PrimaryHealth("db3", "", -1, 250), PrimaryHealth("db4", "m4", 90_000, 0)]
+    >>> [one.service for one in telling(seen)]
+    ['db1', 'db3']
+    """
+    return [one for one in health if one.failing_for_ms or 0 <= one.proved_ago_ms < TOLD_PROOF_MS]
+
+
+class ReportIndex:
+    """The latest report of each gateway, by service.
+
+    A leader looks at each service ten times a second, and each gateway reports each second: what
+    is looked at is found without going through all reports.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[GatewayReport, float]] = {}
+        self._by_service: dict[str, dict[str, PrimaryHealth]] = {}
+        self._failing: dict[str, set[str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    @property
+    def reports(self) -> list[tuple[GatewayReport, float]]:
+        """All reports, each with the moment at which it came, in seconds."""
+        return list(self._reports.values())
+
+    def put(self, report: GatewayReport, at: float) -> None:
+        """Take a report, which replaces the gateway's earlier one."""
+        self.drop(report.gateway)
+        self._reports[report.gateway] = (report, at)
+        for health in telling(report.services):
+            self._by_service.setdefault(health.service, {})[report.gateway] = health
+            if health.failing_for_ms:
+                self._failing.setdefault(health.service, set()).add(report.gateway)
+
+    def drop(self, gateway: str) -> None:
+        """Forget a gateway's report."""
+        known = self._reports.pop(gateway, None)
+        if known is None:
+            return
+        for health in known[0].services:
+            self._forget(health.service, gateway)
+
+    def _forget(self, service: str, gateway: str) -> None:
+        told = self._by_service.get(service, {})
+        told.pop(gateway, None)
+        if not told:
+            self._by_service.pop(service, None)
+        failing = self._failing.get(service, set())
+        failing.discard(gateway)
+        if not failing:
+            self._failing.pop(service, None)
+
+    def fails(self, service: str) -> bool:
+        """Return whether any gateway says that a service's primary fails."""
+        return service in self._failing
+
+    def views(self, service: str, now: float) -> list[ReportView]:
+        """Return what the gateways tell of a service's primary."""
+        return [
+            report_view(gateway, health, now - self._reports[gateway][1])
+            for gateway, health in self._by_service.get(service, {}).items()
+        ]
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rowanrail.consensus.messages import Membership
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.gathering import Gathering
 from rowanrail.coordination.messages import (
@@ -13,6 +14,7 @@
     DirectoryRequest,
     HeldReply,
     HeldRequest,
+    controls_mark,
 )
 from rowanrail.coordination.parts import DirectoryParts, PartCounts, whole_for
 from rowanrail.coordination.replay import Replay
@@ -67,6 +69,9 @@
         self._parts = DirectoryParts(state)
         self._replay = Replay(state)
         self._held_parts = DirectoryParts(state)
+        self._membership: Membership | None = None
+        self._addresses: list[str] = []
+        self._mark = 0
         self._changed = asyncio.Event()
         self._seen = (0, 0, False)
 
@@ -155,9 +160,24 @@
             return self._with_all(self._plain(state, is_newer), state, group, is_changed)
         since = WHOLE if wants_whole else request.known_revision
         part = self._parts.packed(group, since) if is_changed else b""
-        return self._plain(state, is_newer, part)
-
-    def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
+        return self._plain(state, is_newer, part, request.known_controls)
+
+    def _controls(self, known: int) -> list[str]:
+        """Return all control nodes, none if a gateway was told of them."""
+        membership = self._node.raft.membership
+        if self._membership is not membership:
+            self._membership = membership
+            self._addresses = sorted(membership.addresses().values())
+            self._mark = controls_mark(self._addresses)
+        return [] if known == self._mark else self._addresses
+
+    def _plain(
+        self,
+        state: CoordinationState,
+        is_newer: bool,
+        part: bytes = b"",
+        known_controls: int = 0,
+    ) -> DirectoryReply:
         return DirectoryReply(
             current=self.is_current,
             version=state.version,
@@ -167,7 +187,7 @@
             gateways=len(state.gateways),
             zones=state.groups,
             neighbours=[],
-            controls=sorted(self._node.raft.membership.addresses().values()),
+            controls=self._controls(known_controls),
             zone=self._zone,
             part=part,
         )
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 from rowanrail.config.settings import GatewaySettings, rpc_addresses
 from rowanrail.coordination.messages import GatewayReport
+from rowanrail.coordination.reports import telling
 from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.events import (
     GATEWAY_RELOADED,
@@ -117,7 +118,7 @@
         return GatewayReport(
             settings.name,
             settings.zone,
-            gateway.health(),
+            telling(gateway.health()),
             relay_address=relay_address,
             group=settings.sharing_group,
         )
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -19,6 +19,7 @@
     GatewayReport,
     HeldReply,
     HeldRequest,
+    controls_mark,
 )
 from rowanrail.gateway.directory_copy import DirectoryCopy
 from rowanrail.gateway.events import (
@@ -66,6 +67,7 @@
         self._make_report = make_report
         self._decisions = decisions
         self._locality = locality
+        self._told_controls = 0
         self._zones: dict[str, str] = {}
         self._version = 0
         self._silent = False
@@ -89,6 +91,7 @@
     def set_seeds(self, controls: list[str]) -> None:
         """Take a changed list of control nodes from the settings."""
         self._seeds = controls
+        self._told_controls = 0  # what is told next is joined with the changed list
         self._controls.extend(c for c in controls if c not in self._controls)
 
     def report_now(self) -> None:
@@ -203,6 +206,7 @@
             hold_seconds,
             takes_parts=True,
             wants_whole=self._copy.is_broken,
+            known_controls=self._told_controls,
         )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
@@ -291,6 +295,7 @@
         """Know the control nodes of the log's membership, beside those of the settings."""
         if not controls:
             return
+        self._told_controls = controls_mark(controls)
         wanted = dict.fromkeys([*controls, *self._seeds])
         kept = [control for control in self._controls if control in wanted]
         self._controls = kept + [control for control in wanted if control not in kept]
--- /dev/null
+++ b/tests/coordination/test_reports.py
@@ -0,0 +1,160 @@
+"""Reports by service: a leader decides from them as from all that gateways could tell."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrail.coordination.duty import FailoverDuty
+from rowanrail.coordination.failover import (
+    REPORT_LIVE_SECONDS,
+    Action,
+    MemberView,
+    ServiceView,
+    decide,
+    report_view,
+)
+from rowanrail.coordination.liveness import FORGET_GATEWAY_SECONDS, Liveness
+from rowanrail.coordination.messages import GatewayReport
+from rowanrail.coordination.reports import TOLD_PROOF_MS, ReportIndex, telling
+from rowanrail.gateway.model import MemberRecord, PrimaryHealth
+from rowanrail.proxy.backend import Position
+
+SERVICES = ("db1", "db2")
+HOLDING_SECONDS = 60.0
+# A proof that is left out contradicts nobody who fails for less than this; who fails for longer
+# was decided on long before.
+LONGEST_FAILING_MS = TOLD_PROOF_MS - round(1000 * REPORT_LIVE_SECONDS) - 1
+
+health = st.builds(
+    PrimaryHealth,
+    st.sampled_from(SERVICES),
+    st.sampled_from(["", "m1", "m2"]),
+    st.one_of(st.just(-1), st.integers(0, 4 * TOLD_PROOF_MS)),
+    st.one_of(st.just(0), st.integers(1, LONGEST_FAILING_MS)),
+)
+reports = st.builds(
+    GatewayReport,
+    st.sampled_from([f"g{n}" for n in range(5)]),
+    st.just("a"),
+    st.lists(health, max_size=2, unique_by=lambda one: one.service),
+    st.just(1),
+)
+heard = st.lists(st.tuples(reports, st.floats(0.0, 1.0)), max_size=20)
+
+
+def member(instance, primary, leaving=False):
+    return MemberRecord(instance, "db1", f"{instance}:1", "a", primary, leaving, 3, 1)
+
+
+def view(members, told, gateways):
+    """Return what a holder of the duty sees whose own samples say nothing."""
+    own = report_view("duty", PrimaryHealth("db1", "", -1, 0), 0.0)
+    views = [
+        MemberView(record, 5.0, False, 1, Position(1, number))
+        for number, record in enumerate(members)
+    ]
+    return ServiceView(
+        "db1", views, [own, *told], None, HOLDING_SECONDS, 1 + gateways, statuses_fresh=True
+    )
+
+
+class TellingTest(unittest.TestCase):
+    @settings(max_examples=400, deadline=None)
+    @given(heard, st.booleans(), st.booleans())
+    def test_what_is_left_out_decides_nothing(self, listed, leads, leaving):
+        """The latest report of each gateway, whole, against what the index gives."""
+        index, latest = ReportIndex(), {}
+        now = 0.0
+        for report, pause in listed:
+            now += pause
+            index.put(report, now)
+            latest[report.gateway] = (report, now)
+        whole = [
+            report_view(name, one, now - at)
+            for name, (report, at) in latest.items()
+            for one in report.services
+            if one.service == "db1"
+        ]
+        members = [member("m1", leads, leaving), member("m2", False)]
+        told = index.views("db1", now)
+        self.assertEqual(
+            decide(view(members, told, len(index))), decide(view(members, whole, len(latest)))
+        )
+
+    def test_a_report_of_many_services_that_are_not_used_is_empty(self):
+        seen = [PrimaryHealth(f"db{n}", "m1", -1, 0) for n in range(40)]
+        self.assertEqual(telling(seen), [])
+
+    def test_a_report_replaces_the_earlier_one(self):
+        index = ReportIndex()
+        failing = PrimaryHealth("db1", "m1", 900, 300)
+        index.put(GatewayReport("g1", "a", [failing]), 1.0)
+        self.assertTrue(index.fails("db1"))
+        index.put(GatewayReport("g1", "a", []), 2.0)
+        self.assertFalse(index.fails("db1"))
+        self.assertEqual(index.views("db1", 2.0), [])
+
+    def test_a_gateway_that_is_silent_for_long_tells_nothing_more(self):
+        time = [0.0]
+        liveness = Liveness(lambda: time[0])
+        liveness.report(GatewayReport("g1", "a", [PrimaryHealth("db1", "m1", -1, 300)], 1))
+        time[0] = FORGET_GATEWAY_SECONDS + 1
+        self.assertEqual(liveness.gateways(), {})
+        self.assertEqual((liveness.gateway_count, liveness.fails("db1")), (0, False))
+
+
+class PlayedState:
+    def __init__(self, members):
+        self.revision = 1
+        self.members = {record.instance: record for record in members}
+
+
+class PlayedService:
+    def __init__(self, members, liveness):
+        self.state, self.liveness = PlayedState(members), liveness
+
+
+class LeadingNode:
+    class raft:
+        is_established_leader = True
+
+
+class ServingTracker:
+    failing_since = 0.0
+
+
+class CalmTest(unittest.IsolatedAsyncioTestCase):
+    """The look that is spared would have led to waiting."""
+
+    def duty(self, members, liveness):
+        return FailoverDuty(
+            LeadingNode(), PlayedService(members, liveness), None, None, None, None, None
+        )
+
+    @settings(max_examples=400, deadline=None)
+    @given(heard, st.booleans(), st.booleans(), st.booleans())
+    def test_a_service_that_is_called_calm_needs_nothing(self, listed, first, second, leaving):
+        liveness = Liveness(lambda: 1.0)
+        for report, _ in listed:
+            liveness.report(report)
+        members = [member("m1", first, leaving), member("m2", second)]
+        duty = self.duty(members, liveness)
+        duty._trackers["db1"] = ServingTracker()
+        seen = view(members, liveness.views("db1"), liveness.gateway_count)
+        if duty._is_calm("db1"):
+            self.assertIs(decide(seen).action, Action.WAIT)
+        elif any(one.primary and not one.leaving for one in members):
+            self.assertTrue(liveness.fails("db1"))
+
+    async def test_members_are_those_of_the_newest_revision(self):
+        duty = self.duty([member("m1", True)], Liveness(lambda: 1.0))
+        self.assertEqual(len(duty._members("db1")), 1)
+        state = duty._service.state
+        state.members["m2"] = member("m2", False)
+        state.revision = 2
+        self.assertEqual(len(duty._members("db1")), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/test_directory_watch.py
+++ b/tests/gateway/test_directory_watch.py
@@ -11,6 +11,7 @@
     GatewayReport,
     HeldReply,
     HeldRequest,
+    controls_mark,
 )
 from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.held import longest_of_majority
@@ -144,6 +145,57 @@
         self.assertGreaterEqual(controls.asked.count("n2") + controls.asked.count("n3"), 4)
 
 
+class ControlsTest(unittest.IsolatedAsyncioTestCase):
+    """Addresses of control nodes are told when they are news."""
+
+    def setUp(self):
+        self.network = PlayedControls()
+        self.watch = DirectoryWatch(
+            TakenGateway(),
+            self.network,
+            ["n1"],
+            PlainFormat(),
+            lambda: GatewayReport("g1", "a1", []),
+            QuietLog(),
+            LOCALITY,
+        )
+
+    def follow(self, told):
+        """Have ``n1`` tell these control nodes to whoever does not know them."""
+        self.known = []
+
+        async def answer(request):
+            self.known.append(request.known_controls)
+            controls = [] if request.known_controls == controls_mark(told) else told
+            return DirectoryReply(True, 7, b"", 3, None, 1, 1, [], controls, "a1")
+
+        self.network.nodes = {"n1": answer, "n2": answer, "n3": answer}
+
+    async def poll(self):
+        self.assertTrue(await self.watch._poll("n1", 0.0))
+        return list(self.watch._controls)
+
+    async def test_who_was_told_of_them_is_not_told_again_and_keeps_them(self):
+        self.follow(["n1", "n2", "n3"])
+        self.assertEqual(await self.poll(), ["n1", "n2", "n3"])
+        self.assertEqual(await self.poll(), ["n1", "n2", "n3"])
+        self.assertEqual(self.known, [0, controls_mark(["n1", "n2", "n3"])])
+
+    async def test_another_list_is_told_again(self):
+        self.follow(["n1", "n2"])
+        await self.poll()
+        self.follow(["n1", "n3"])
+        self.assertEqual(await self.poll(), ["n1", "n3"])
+
+    async def test_a_changed_list_in_the_settings_is_joined_with_what_is_told(self):
+        self.follow(["n1", "n2"])
+        await self.poll()
+        self.watch.set_seeds(["n3"])
+        await self.poll()
+        self.assertCountEqual(self.watch._controls, ["n1", "n2", "n3"])
+        self.assertEqual(self.known[-1], 0)
+
+
 class HeldTest(unittest.IsolatedAsyncioTestCase):
     """A start before a leader is known."""
 
--- a/tests/support/control_cost.py
+++ b/tests/support/control_cost.py
@@ -21,6 +21,7 @@
     SetGateways,
 )
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.reports import telling
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.gateway.directory_watch import DirectoryWatch
@@ -171,7 +172,9 @@
             self.network,
             ["c1:1"],
             PlainFormat(),
-            lambda: GatewayReport(record.name, record.zone, health, 0, record.relay_address),
+            lambda: GatewayReport(
+                record.name, record.zone, telling(health), 0, record.relay_address
+            ),
             QuietLog(),
             Locality(record.zone),
         )
