Reports that tell nothing reach the leader each four seconds

Cause: the node that a gateway follows sent each report on to the leader each second, also of gateways that use no service.

Change: coordination.forwarding sends on what tells something, the first that tells nothing any more, a gateway that moved, all to a new leader, and the rest each 4 s.

Ruled out: 6 s (one lost notice would make the leader forget the gateway, 12 s).

--- /dev/null
+++ b/src/rowanrail/coordination/forwarding.py
@@ -0,0 +1,55 @@
+"""Which reports of gateways a control node sends on to the leader."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rowanrail.coordination.messages import GatewayReport
+
+__all__ = ["CENSUS_SECONDS", "ReportForwarding"]
+
+# Between reports that tell only that a gateway is there. The leader forgets one that it has not
+# heard for 12 s (FORGET_GATEWAY_SECONDS), so that two such reports may be lost.
+CENSUS_SECONDS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """What was last sent on of one gateway, when in seconds, and to whom."""
+
+    at: float
+    leader: str
+    told: bool
+    place: tuple[str, str, str]
+
+
+class ReportForwarding:
+    """Leaves out reports that tell the leader nothing new.
+
+    Most gateways most of the time have neither a proof nor a failure to tell; one that had, and
+    has no longer, is told at once.
+
+    Parameters
+    ----------
+    now : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._sent: dict[str, _Sent] = {}
+
+    def is_due(self, report: GatewayReport, leader: str) -> bool:
+        """Return whether to send a report on to the leader, and take it as sent."""
+        place = (report.zone, report.relay_address, report.group)
+        now = self._now()
+        sent = self._sent.get(report.gateway)
+        if (
+            sent is not None
+            and not report.services
+            and not sent.told
+            and (sent.leader, sent.place) == (leader, place)
+            and now - sent.at < CENSUS_SECONDS
+        ):
+            return False
+        self._sent[report.gateway] = _Sent(now, leader, bool(report.services), place)
+        return True
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -16,6 +16,7 @@
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
 from rowanrail.coordination.announcements import Announcements
+from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.messages import (
     AnnounceRequest,
@@ -58,6 +59,7 @@
         self.liveness = Liveness(self.now)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
+        self._forwarding = ReportForwarding(self.now)
         self._watches = Watches(node, state, zone, self.now)
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
@@ -248,5 +250,6 @@
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
         self.liveness.report(request.report)
-        self.notify_leader(msgspec.structs.replace(request.report, hops=1))
+        if self._forwarding.is_due(request.report, self.node.leader_address()):
+            self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         return await self._watches.answer(request)
