--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 from rowanrail.config.settings import GatewaySettings, rpc_addresses
 from rowanrail.coordination.messages import GatewayReport
+from rowanrail.coordination.reports import telling
 from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.events import (
     GATEWAY_RELOADED,
@@ -16,7 +17,7 @@
 )
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.gauges import gauges, relay_gauges, tenant_gauges
+from rowanrail.gateway.gauges import directory_gauges, gauges, relay_gauges, tenant_gauges
 from rowanrail.gateway.locality import Locality
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
@@ -118,7 +119,7 @@
         return GatewayReport(
             settings.name,
             settings.zone,
-            gateway.health(),
+            telling(gateway.health()),
             relay_address=relay_address,
             group=settings.sharing_group,
         )
@@ -150,6 +151,7 @@
             "rowanrail_gateway",
             lambda: [
                 *gauges(gateway),
+                *directory_gauges(watch),
                 *tenant_gauges(gateway),
                 *relay_gauges(neighbours, holder, detours),
                 log_gauge(decisions),
--- a/tests/support/control_cost.py
+++ b/tests/support/control_cost.py
@@ -21,6 +21,7 @@
     SetGateways,
 )
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.reports import telling
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.gateway.directory_watch import DirectoryWatch
@@ -42,7 +43,7 @@
 
 @dataclass
 class Cost:
-    """What one phase cost: bytes that a control node sent and took, answers that hold members."""
+    """What one phase cost: bytes that a control node sent and took, processor time of all."""
 
     sent: int = 0
     taken: int = 0
@@ -155,6 +156,7 @@
             for n in range(self.services * MEMBERS_PER_SERVICE)
         ]
         self.followers = []
+        self.replaced = 0
         self._index = 0
 
     def apply(self, command):
@@ -171,7 +173,9 @@
             self.network,
             ["c1:1"],
             PlainFormat(),
-            lambda: GatewayReport(record.name, record.zone, health, 0, record.relay_address),
+            lambda: GatewayReport(
+                record.name, record.zone, telling(health), 0, record.relay_address
+            ),
             QuietLog(),
             Locality(record.zone),
         )
@@ -203,7 +207,8 @@
 
     async def _restarts(self):
         """Have members leave and others take their places, one each half a second."""
-        for number in range(int(CALM_SECONDS / 0.5)):
+        self.replaced = int(CALM_SECONDS / 0.5)
+        for number in range(self.replaced):
             before = self.members[number]
             self.apply(Announce(msgspec.structs.replace(before, leaving=True, sequence=9)))
             await asyncio.sleep(0.25)
