--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -21,6 +21,13 @@
     COORDINATOR = "coordinator"
 
 
+class Holders(enum.Enum):
+    """How it is decided which gateways hold a service's connections."""
+
+    HASHED = "hashed"
+    PLANNED = "planned"
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Logging of a daemon."""
 
@@ -96,6 +103,7 @@
     quota_window_seconds: float = 5.0
     quota_excess: float = 0.1
     quota_slack: float = 20.0
+    holders: Holders = Holders.HASHED
     metrics: str = ""
     log_lines_per_second: int = 400
     log_level: Level = Level.INFO
@@ -120,6 +128,7 @@
     bootstrap: bool = False
     tolerated_losses: int = 1
     promoter_address: str = ""
+    holders: Holders = Holders.HASHED
     metrics: str = ""
     log_lines_per_second: int = 400
     log_level: Level = Level.INFO
@@ -176,6 +185,9 @@
     "GatewaySettings.quota_window_seconds": "Span over which operations of a tenant are counted.",
     "GatewaySettings.quota_excess": "Share of a tenant's limit that is tolerated beyond it.",
     "GatewaySettings.quota_slack": "Operations that are tolerated beyond that.",
+    "GatewaySettings.holders": "Who holds a service's connections: `hashed`, or `planned` by the "
+    "control nodes as demand asks for it. A gateway that says `hashed` passes plans over: set it "
+    "alike everywhere, control nodes included.",
     "GatewaySettings.metrics": "`PORT/PATH` on the listening IP for metrics; empty for none.",
     "GatewaySettings.log_lines_per_second": "Budget of the decision log; a tenth of it is for "
     "successes.",
@@ -195,6 +207,8 @@
     "CoordinatorSettings.bootstrap": "First start of a new system, with empty folders.",
     "CoordinatorSettings.tolerated_losses": "Nodes that may be lost at once.",
     "CoordinatorSettings.promoter_address": "`IP:port` of the platform's calls; empty for none.",
+    "CoordinatorSettings.holders": "Whether holders of connections are `planned` by demand; with "
+    "`hashed` a plan that is in force is ended.",
     "CoordinatorSettings.heartbeat_seconds": "Interval of the leader's heartbeats.",
     "CoordinatorSettings.election_timeout_seconds": "Silence after which a leader is elected.",
     "CoordinatorSettings.snapshot_entries": "Log entries after which a snapshot is taken.",
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -69,6 +69,31 @@
     "{service} needs a primary ({cause}), but: {reason}",
     "The duty's holder tries again in a moment.",
 )
+HOLDERS_CHANGED = define(
+    445,
+    Level.INFO,
+    "{part} in {group} goes from {before} to {after}: {cause}",
+    "The leader's plan of holders changed. The fields give the statements a second that are asked "
+    "for of the part, and the load of the busiest gateway concerned before and after.",
+)
+SHARES_CHANGED = define(
+    446,
+    Level.INFO,
+    "connections of {service} are divided anew: {part} in {group} was short by {factor}",
+    "Half of a member's connections are divided evenly, half by demand.",
+)
+PLAN_ENDED = define(
+    447,
+    Level.INFO,
+    "plan {number} has ended",
+    "The settings of the control nodes say that holders are hashed.",
+)
+PLAN_NOT_LOGGED = define(
+    448,
+    Level.WARNING,
+    "a plan of holders was not logged: {reason}",
+    "Holders stay as they are. The leader looks again after 5 s.",
+)
 STORAGE_LOST = define(
     430,
     Level.ERROR,
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -22,6 +22,24 @@
         ("voters", {}, len(raft.membership.voters)),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
+    readings += _plan_gauges(node)
     for service, promotion in state.promotions.items():
         readings.append(("promotion_token", {"service": service}, promotion.token))
     return readings
+
+
+def _plan_gauges(node: Coordinator) -> list[Reading]:
+    """Return the plan of holders: its number, and what each part is asked for at the leader."""
+    plan = node.state.plan
+    readings: list[Reading] = [("plan_number", {}, plan.number)]
+    for group, parts in plan.groups.items():
+        for key, part in parts.items():
+            for holding in part.holdings:
+                labels = {"group": group, "part": key, "gateway": holding.gateway}
+                labels["cause"] = part.cause.value
+                readings.append(("planned_share", labels, holding.share))
+    for group, demand in node.planning.demand.items():
+        for key, part_demand in demand.items():
+            labels = {"group": group, "part": key}
+            readings.append(("part_statements_per_second", labels, part_demand.rate))
+    return readings
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -6,6 +6,8 @@
 
 from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 from rowanrail.rpc.codec import message
+from rowanrail.scheduling.load_report import LoadReport
+from rowanrail.scheduling.plan import PartPlan, Plan
 
 # Commands. Each is applied by every node in the order of the log.
 
@@ -75,7 +77,18 @@
     reason: str
 
 
-Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion
+class SetPlan(msgspec.Struct, frozen=True, tag="plan"):
+    """Holders of services' connections, in place of the plan ``base`` if that is still in force.
+
+    The entry's place in the log is the number of the plan.
+    """
+
+    base: int
+    groups: dict[str, dict[str, PartPlan]]
+    addresses: dict[str, str]
+
+
+Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion | SetPlan
 
 
 class Promotion(msgspec.Struct, frozen=True):
@@ -157,6 +170,7 @@
 
     :param hops: 1 once a control node has sent it on.
     :param group: the zone or region whose gateways share connections; empty for the zone.
+    :param load: what came to it in a span of time, None if that was told before.
     """
 
     gateway: str
@@ -165,6 +179,7 @@
     hops: int = 0
     relay_address: str = ""
     group: str = ""
+    load: LoadReport | None = None
 
     @property
     def sharing_group(self) -> str:
@@ -183,6 +198,7 @@
     known_version: int
     known_revision: int
     hold_seconds: float
+    known_plan: int = 0
 
 
 @message
@@ -197,6 +213,7 @@
     :param controls: addresses of all control nodes.
     :param zone: where the answering node stands.
     :param others: gateways of other groups that hold connections there, with ``members``.
+    :param plan: of holders, None if the known one is the newest.
     """
 
     current: bool
@@ -210,6 +227,7 @@
     controls: list[str]
     zone: str = ""
     others: list[GatewayRecord] = []
+    plan: Plan | None = None
 
 
 @message
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from rowanrail.config.settings import CoordinatorSettings, NodeAddress
+from rowanrail.config.settings import CoordinatorSettings, Holders, NodeAddress
 from rowanrail.consensus.node import ConsensusNode, NodeOptions
 from rowanrail.consensus.raft_types import RaftConfig
 from rowanrail.consensus.storage import Identity, Storage
@@ -23,6 +23,7 @@
     VERSION_COMMITTED,
 )
 from rowanrail.coordination.member_questions import StatusReader
+from rowanrail.coordination.planner import PlanDuty
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.voters import VoterManager
@@ -111,6 +112,9 @@
             self._acknowledging_replicas,
         )
         self.duty.start()
+        is_planned = settings.holders is Holders.PLANNED
+        self.planning = PlanDuty(self.consensus, self.service, self._decisions, is_planned)
+        self.planning.start()
         self._joining = asyncio.ensure_future(self._join_when_unheard(identity))
 
     def _acknowledging_replicas(self, service: str) -> int:
@@ -229,6 +233,7 @@
         if self._joining is not None:
             self._joining.cancel()
         self.duty.stop()
+        self.planning.stop()
         if self._listener is not None:
             await self._listener.close()
         await self.service.members.stop()
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -17,6 +17,7 @@
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
 from rowanrail.coordination.announcements import Announcements
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.loads import LoadBook
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     Command,
@@ -59,12 +60,13 @@
         self.state = state
         self.members = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
+        self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
         self._zone = zone
         self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
         self._changed = asyncio.Event()
-        self._seen = (0, 0, False)
+        self._seen = (0, 0, 0, False)
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
         ] = {
@@ -96,12 +98,16 @@
             self.liveness.heartbeat(request.instance, request.sequence)
             return None
         if isinstance(request, GatewayReport):
-            self.liveness.report(request)
+            self._note_report(request)
             if not self.node.raft.is_leader and request.hops == 0:
                 self.notify_leader(msgspec.structs.replace(request, hops=1))
             return None
         return await self._serve(request)
 
+    def _note_report(self, report: GatewayReport) -> None:
+        self.liveness.report(report)
+        self.loads.note(report.gateway, report.load)
+
     async def _serve(self, request: msgspec.Struct) -> msgspec.Struct:
         handler = self._handlers.get(type(request))
         if handler is None:
@@ -240,7 +246,8 @@
 
     def notice_change(self) -> None:
         """Wake the watches if something changed."""
-        seen = (self.state.version, self.state.revision, self.is_current)
+        state = self.state
+        seen = (state.version, state.revision, state.plan.number, self.is_current)
         if seen != self._seen:
             self._seen = seen
             self._changed.set()
@@ -252,7 +259,7 @@
         return self.node.raft.current_seconds_ago(self.now()) < CURRENT_SECONDS
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
-        self.liveness.report(request.report)
+        self._note_report(request.report)
         self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         deadline = self.now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
         while not self._may_answer(request):
@@ -293,15 +300,19 @@
         return (
             self.state.version > request.known_version
             or self.state.revision > request.known_revision
+            or self.state.plan.number > request.known_plan
         )
 
     def _directory(self, request: DirectoryRequest) -> DirectoryReply:
-        return self._reply(
+        reply = self._reply(
             self.state,
             request.report.sharing_group,
             is_newer=self.state.version > request.known_version,
             is_changed=self.state.revision > request.known_revision,
         )
+        if self.state.plan.number <= request.known_plan:
+            return reply
+        return msgspec.structs.replace(reply, plan=self.state.plan)
 
     def _reply(
         self, state: CoordinationState, group: str, is_newer: bool, is_changed: bool
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -17,9 +17,11 @@
     Readmit,
     Remove,
     SetGateways,
+    SetPlan,
 )
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.gateway.model import MemberRecord
+from rowanrail.scheduling.plan import NO_PLAN, Plan
 
 REMEMBERED_REMOVED = 2000  # identities; a late word of a removed member is seconds old
 
@@ -37,6 +39,7 @@
     gateways: dict[str, GatewayRecord]
     promotions: dict[str, Promotion]
     displaced: dict[str, MemberRecord] = {}
+    plan: Plan = NO_PLAN
 
 
 EMPTY_STATE = SavedState(0, b"", 0, {}, [], {}, {})
@@ -66,6 +69,7 @@
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
+        self.plan = saved.plan
 
     def replayed(self, snapshot: Snapshot | None, entries: list[Entry]) -> "CoordinationState":
         """Return a state of its own to which a log leads, committed or not."""
@@ -87,6 +91,7 @@
             self.gateways,
             self.promotions,
             self.displaced,
+            self.plan,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -108,6 +113,8 @@
             promotion = Promotion(command.instance, self._fence.token(entry.index))
             self.promotions[command.service] = promotion
             return promotion
+        if isinstance(command, SetPlan):
+            return self._set_plan(command, entry.index)
         if self._change_directory(command):
             self.revision = entry.index
         return None
@@ -119,6 +126,13 @@
         self.document = command.document
         return PutReply(PutVerdict.TAKEN, self.version)
 
+    def _set_plan(self, command: SetPlan, index: int) -> bool:
+        """Put a plan in force if it was worked out from the one that still is."""
+        if command.base != self.plan.number:
+            return False
+        self.plan = Plan(index, command.groups, command.addresses)
+        return True
+
     def _change_directory(self, command: Announce | Remove | Readmit | SetGateways) -> bool:
         match command:
             case SetGateways():
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Callable
 
-from rowanrail.config.settings import GatewaySettings, rpc_addresses
+from rowanrail.config.settings import GatewaySettings, Holders, rpc_addresses
 from rowanrail.coordination.messages import GatewayReport
 from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.events import (
@@ -25,8 +25,10 @@
 from rowanrail.kernel.metrics import Metrics, log_gauge, serve_metrics
 from rowanrail.kernel.registry import Registry
 from rowanrail.relay.detours import Detours
+from rowanrail.relay.load_meter import LoadMeter
 from rowanrail.relay.metering import Metering
 from rowanrail.relay.neighbours import Neighbours
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
@@ -97,8 +99,12 @@
     terms = QuotaTerms(
         settings.quota_window_seconds * 1000, settings.quota_excess, settings.quota_slack
     )
-    gateway = Gateway(locality, driver, loop, decisions, registry, neighbours, detours, terms)
     region = settings.sharing_group or settings.zone
+    is_planned = settings.holders is Holders.PLANNED
+    planned = PlannedHolders(settings.name, region, clock) if is_planned else None
+    gateway = Gateway(
+        locality, driver, loop, decisions, registry, neighbours, detours, terms, planned
+    )
     metering = Metering(
         settings.name,
         region,
@@ -110,6 +116,10 @@
     )
     holder = Holder(gateway, clock)
     holder_server = TcpHolderServer(holder)
+    meter = LoadMeter(clock, lambda: holder_server.unsent_bytes)
+    if is_planned:
+        gateway.holdings.meter = meter
+        holder.on_run = gateway.holdings.note_held
     relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
 
@@ -120,6 +130,7 @@
             gateway.health(),
             relay_address=relay_address,
             group=settings.sharing_group,
+            load=meter.latest,
         )
 
     watch = DirectoryWatch(
@@ -158,6 +169,8 @@
     gateway.start()
     holder.start()
     metering.start()
+    if is_planned:
+        meter.start()
     watch.start()
     decisions.note(GATEWAY_STARTED, name=settings.name, zone=settings.zone, listen=settings.listen)
     await wait_for_stop_signal()
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -67,6 +67,7 @@
         self._zones: dict[str, str] = {}
         self._version = 0
         self._revision = -1
+        self._plan = 0
         self._silent = False
         self._started_at = 0.0
         self._return_due = 0.0
@@ -193,7 +194,9 @@
 
     async def _poll(self, address: str, hold_seconds: float) -> bool:
         """Ask one control node for what is newer; return whether to stay with it."""
-        request = DirectoryRequest(self._make_report(), self._version, self._revision, hold_seconds)
+        request = DirectoryRequest(
+            self._make_report(), self._version, self._revision, hold_seconds, self._plan
+        )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
         except TransportError as error:
@@ -244,6 +247,9 @@
         if reply.members is not None and reply.revision > self._revision:
             self._revision = reply.revision
             self._gateway.set_directory(self._directory(reply, reply.members))
+        if reply.plan is not None and reply.plan.number > self._plan:
+            self._plan = reply.plan.number
+            self._gateway.set_plan(reply.plan)
         self._follow_controls(address, reply.controls)
 
     def _directory(self, reply: DirectoryReply, members: list[MemberRecord]) -> Directory:
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -65,6 +65,24 @@
     "version {version} is taken from what a majority of the control nodes holds",
     "They know no leader yet. What is taken is provisional, until a leader is known.",
 )
+PLAN_TAKEN = define(
+    355,
+    Level.INFO,
+    "plan {number} names holders of {parts} parts",
+    "The control nodes planned who holds connections. The field `held` lists what is held here.",
+)
+HOLDING_BEGUN = define(
+    356,
+    Level.INFO,
+    "{part} is held here from plan {number} on: {cause}",
+    "For 2 s half of its share of the connections is opened; see event 445 for the figures.",
+)
+HOLDING_ENDED = define(
+    357,
+    Level.INFO,
+    "{part} is held elsewhere from plan {number} on",
+    "What is under way is finished here; idle connections are closed.",
+)
 GATEWAY_STARTED = define(
     320, Level.INFO, "gateway {name} started in zone {zone}", "The process serves."
 )
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -20,6 +20,7 @@
     PRIMARY_PROVED,
     REFUSED,
 )
+from rowanrail.gateway.holdings import Holdings
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
     Answer,
@@ -46,7 +47,9 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
-from rowanrail.relay.placement import Part, Population, parts_of
+from rowanrail.relay.placement import Part, Population
+from rowanrail.relay.planned import PlannedHolders
+from rowanrail.scheduling.plan import Plan
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity
 from rowanrail.tenants.quota import QuotaTerms
@@ -75,6 +78,7 @@
         neighbours: Neighbours | None = None,
         detours: Detours | None = None,
         quota_terms: QuotaTerms = QuotaTerms(),  # noqa: B008 - it is frozen
+        planned: PlannedHolders | None = None,
     ) -> None:
         self.clock = clock
         self.names = PreparedNames()
@@ -82,7 +86,7 @@
         self.services: dict[str, Service] = {}
         self.sessions: dict[Session, None] = {}
         self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
-        self.stopping = False
+        self.holdings = Holdings(self.services, neighbours, detours, planned, decisions)
         self.on_alarm: Callable[[], None] = lambda: None
         self._locality = locality
         self._driver = driver
@@ -108,22 +112,20 @@
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
     def _tick(self) -> None:
+        self.holdings.tick()
         for service in self.services.values():
-            if service.is_regional and service.has_connections:
-                service.set_parts(self._parts_held(service))
             service.tick()
         self._decisions.flush()
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
-    def _parts_held(self, service: Service) -> frozenset[Part]:
-        """Return for which parts of a service statements come to this gateway."""
-        if self.stopping:
-            return frozenset()
-        parts = parts_of(service.spec.name)
-        if self._neighbours is None:
-            return frozenset(parts)
-        place = self._neighbours.place_part
-        return frozenset(part for part in parts if isinstance(place(part), Here))
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.holdings.stopping
+
+    @stopping.setter
+    def stopping(self, is_stopping: bool) -> None:
+        self.holdings.stopping = is_stopping
 
     @property
     def zone(self) -> str:
@@ -160,6 +162,7 @@
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
             self.services[name] = service
+        self.holdings.apply()
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._unconfigured = self._unconfigured, []
@@ -195,6 +198,7 @@
         for name, service in self.services.items():
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
+        self.holdings.apply()
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
@@ -207,6 +211,10 @@
             neighbours=len(directory.neighbours),
         )
 
+    def set_plan(self, plan: Plan) -> None:
+        """Know who holds services' connections by the control nodes' newest plan."""
+        self.holdings.take(plan)
+
     def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
         self._decisions.note(LINK_REGAINED if is_up else LINK_LOST, peer=peer, reason=reason)
 
@@ -293,7 +301,7 @@
             return None
         region = self._locality.region_of(pool.record.zone)
         part = Part.of(service.spec.name, tenant)
-        if not isinstance(self._detours.place_in(region, part.key), At):
+        if not isinstance(self._detours.place_part_in(region, part), At):
             return None
         return self._forwarded(HomePlacement(self._detours, region), service, is_detour=True)
 
@@ -376,6 +384,7 @@
         if answer.refusal is None and not answer.signature:
             return  # answered by the proxy itself; nothing was decided
         trace = None if operation is None else operation.trace()
+        self.holdings.note_own(session.identity.tenant, trace)
         stage = trace.stage if trace is not None else Stage.ACCEPTED.value
         self.on_outcome(statement.kind.value, outcome, stage, seconds)
         fields = {} if trace is None else msgspec.structs.asdict(trace)
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -19,6 +19,7 @@
         ("ready", {}, float(gateway.is_ready)),
         ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
     ]
+    readings += _plan_gauges(gateway)
     now = gateway.clock.time()
     for name, service in gateway.services.items():
         labels = {"service": name}
@@ -37,6 +38,18 @@
     return readings
 
 
+def _plan_gauges(gateway: Gateway) -> list[Reading]:
+    """Return the plan's number, and the parts that are held here by it, with their cause."""
+    planned = gateway.holdings.planned
+    if planned is None:
+        return []
+    readings: list[Reading] = [("plan_number", {}, planned.plan.number)]
+    for held in planned.held_parts(list(gateway.services)):
+        labels = {"service": held.service, "part": held.key, "cause": held.cause}
+        readings.append(("held_share", labels, held.share))
+    return readings
+
+
 def _seconds(age: float | None) -> float:
     return NEVER if age is None else age / 1000
 
--- /dev/null
+++ b/src/rowanrail/gateway/holdings.py
@@ -0,0 +1,152 @@
+"""What this gateway holds of services' connections: by the plan, and by the hash without one."""
+
+from collections.abc import Iterable, Mapping
+
+from rowanrail.gateway.events import HOLDING_BEGUN, HOLDING_ENDED, PLAN_TAKEN
+from rowanrail.gateway.model import Trace
+from rowanrail.gateway.service import Service
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.relay.detours import Detours
+from rowanrail.relay.load_meter import LoadMeter
+from rowanrail.relay.neighbours import Here, Neighbours
+from rowanrail.relay.placement import Part, parts_of, rank
+from rowanrail.relay.planned import PlannedHolders
+from rowanrail.scheduling.plan import Plan
+
+__all__ = ["Holdings"]
+
+
+class Holdings:
+    """Tells services how many connections they may open here, and which are kept.
+
+    Parameters
+    ----------
+    services : mapping of str to Service
+        All services, by name, as they are at any moment.
+    neighbours : Neighbours or None
+        The gateways with which connections are shared; None if there are none.
+    detours : Detours or None
+        Gateways of other groups.
+    planned : PlannedHolders or None
+        The plan; None if holders are hashed.
+    decisions : DecisionLog
+        Gets what begins and ends to be held.
+    """
+
+    def __init__(
+        self,
+        services: Mapping[str, Service],
+        neighbours: Neighbours | None,
+        detours: Detours | None,
+        planned: PlannedHolders | None,
+        decisions: DecisionLog,
+    ) -> None:
+        self._services = services
+        self._neighbours = neighbours
+        self._detours = detours
+        self._planned = planned
+        self._decisions = decisions
+        self.stopping = False
+        self.meter: LoadMeter | None = None
+        if planned is not None and neighbours is not None:
+            neighbours.planned = planned
+        if planned is not None and detours is not None:
+            detours.planned = planned
+
+    @property
+    def planned(self) -> PlannedHolders | None:
+        """The plan; None if holders are hashed."""
+        return self._planned
+
+    def note_held(self, part: Part) -> None:
+        """Count a statement that another gateway sent here."""
+        if self.meter is not None and self._is_shared(part.service):
+            self.meter.note_held(part)
+
+    def note_own(self, tenant: str, trace: Trace | None) -> None:
+        """Count a statement of a client of this gateway, held here if no other one ran it."""
+        if self.meter is None or trace is None or not self._is_shared(trace.service):
+            return
+        self.meter.note_own()
+        if not trace.via:
+            self.meter.note_held(Part.of(trace.service, tenant))
+
+    def _is_shared(self, name: str) -> bool:
+        service = self._services.get(name)
+        return service is not None and service.is_shared
+
+    def take(self, plan: Plan) -> None:
+        """Go by a plan if it is newer than the one in force.
+
+        Statements under way stay where they are.
+        """
+        planned = self._planned
+        if planned is None or self._neighbours is None:
+            return
+        before = planned.held
+        if not planned.take(plan, self._is_hashed_here):
+            return
+        if self._detours is not None:
+            self._detours.set_addresses(plan.addresses)
+        self._note(before, planned, plan)
+        self.apply()
+
+    def _is_hashed_here(self, key: str) -> bool:
+        assert self._neighbours is not None
+        name = self._neighbours.name
+        return rank(key, [*self._neighbours.names, name])[0] == name
+
+    def _note(self, before: Iterable[str], planned: PlannedHolders, plan: Plan) -> None:
+        held = planned.held
+        parts = sum(len(parts) for parts in plan.groups.values())
+        self._decisions.note(PLAN_TAKEN, number=plan.number, parts=parts, held=sorted(held))
+        for key in sorted(set(held) - set(before)):
+            part = held[key]
+            self._decisions.note(
+                HOLDING_BEGUN,
+                number=plan.number,
+                part=key,
+                share=round(part.share / len(part.holdings), 3),
+                holders=part.gateways,
+                cause=part.cause.value,
+            )
+        for key in sorted(set(before) - set(held)):
+            self._decisions.note(HOLDING_ENDED, number=plan.number, part=key)
+
+    def apply(self) -> None:
+        """Tell services what they may open by the plan in force."""
+        for service in self._services.values():
+            self._tell(service)
+
+    def tick(self) -> None:
+        """Let time pass: handovers end, and others stand in for holders that are down.
+
+        Only services with connections are looked at: most gateways hold none of most services.
+        """
+        for service in self._services.values():
+            if service.has_connections and (service.is_regional or service.is_planned):
+                self._tell(service)
+
+    def _tell(self, service: Service) -> None:
+        name, is_regional = service.spec.name, service.is_regional
+        allowance = None
+        if self._planned is not None and service.is_shared:
+            allowance = self._planned.allowance(name, is_regional)
+        service.set_allowance(allowance)
+        if service.has_connections and (is_regional or allowance is not None):
+            service.set_parts(self._parts_held(service))
+        elif allowance is not None:
+            service.set_parts(allowance.parts)
+
+    def _parts_held(self, service: Service) -> frozenset[Part]:
+        """Return for which parts of a service statements come to this gateway."""
+        if self.stopping:
+            return frozenset()
+        name = service.spec.name
+        parts = parts_of(name) if service.is_regional else [Part(name)]
+        if self._neighbours is None:
+            return frozenset(parts)
+        named = service.planned_parts
+        place = self._neighbours.place_part
+        here = frozenset(p for p in parts if p not in named and isinstance(place(p), Here))
+        return named | here
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -8,7 +8,15 @@
 from rowanrail.gateway.pool import MemberPool
 from rowanrail.gateway.pool_loan import PoolLoan
 from rowanrail.gateway.primary import PrimaryTracker, monitor_seconds
-from rowanrail.relay.placement import Part, Population, connection_limit, is_shared
+from rowanrail.relay.placement import (
+    Part,
+    Population,
+    connection_limit,
+    even_share,
+    is_shared,
+    planned_limit,
+)
+from rowanrail.relay.planned import HANDOVER_PART, Allowance
 
 IN_USE_SECONDS = 10.0  # without a statement for so long a primary need not be watched; chosen
 PRIMARY_FACTOR = 1.3  # the primary also has all writes; chosen, not measured apart
@@ -40,6 +48,7 @@
         self._clock = clock
         self._population = Population()
         self._parts: frozenset[Part] = frozenset()
+        self._allowance: Allowance | None = None
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Know the members that announced themselves; those that left are closed."""
@@ -80,10 +89,28 @@
 
     def _connection_limit(self, record: MemberRecord) -> int:
         is_near = self._locality.is_near(record.zone)
+        if self._allowance is not None and self.is_shared:
+            return self._planned_limit(self._allowance, is_near)
         return connection_limit(
             self.spec.connections, self._population, is_near, max(1, len(self._parts))
         )
 
+    def _planned_limit(self, allowance: Allowance, is_near: bool) -> int:
+        """Return the limit by a plan; who stands in for a holder that is down has an even share.
+
+        A gateway that the plan does not name, or names no more, may still be asked by those that
+        go by another plan, and finishes what it began.
+        """
+        even = even_share(self._population)
+        share = allowance.share + even * len(self._parts - allowance.parts)
+        return planned_limit(
+            self.spec.connections,
+            self._population,
+            share or even * HANDOVER_PART,
+            allowance.samplers,
+            is_near,
+        )
+
     def _apply_limit(self) -> None:
         for pool in self.pools.values():
             limit = self._connection_limit(pool.record)
@@ -106,6 +133,16 @@
             return False
         return not self._locality.is_near(pool.record.zone)
 
+    @property
+    def is_planned(self) -> bool:
+        """Whether a plan names the holders of the service's connections."""
+        return self._allowance is not None
+
+    @property
+    def planned_parts(self) -> frozenset[Part]:
+        """The parts for which the plan names this gateway."""
+        return frozenset() if self._allowance is None else self._allowance.parts
+
     @property
     def has_connections(self) -> bool:
         """Whether any connection to a member is open or being opened.
@@ -160,15 +197,21 @@
             self._parts = parts
             self._apply_limit()
 
+    def set_allowance(self, allowance: Allowance | None) -> None:
+        """Note what the plan lets this gateway open; None if it has no word of the service."""
+        if allowance != self._allowance:
+            self._allowance = allowance
+            self._apply_limit()
+
     def _is_kept(self, tenant: str) -> bool:
         """Return whether idle connections of a tenant are kept for its next statement.
 
         What another gateway of the region is to hold is missing there: a member that both keep
         full refuses a third of them.
         """
-        if not tenant or not self.is_regional:
-            return True
-        return Part.of(self.spec.name, tenant) in self._parts
+        if self.is_regional:
+            return not tenant or Part.of(self.spec.name, tenant) in self._parts
+        return self._allowance is None or Part(self.spec.name) in self._parts
 
     def tick(self) -> None:
         """Let time pass."""
--- a/src/rowanrail/relay/detours.py
+++ b/src/rowanrail/relay/detours.py
@@ -18,6 +18,7 @@
 from rowanrail.relay.messages import AskSample
 from rowanrail.relay.neighbours import At, LinkKeeper, LinkOpener, Neighbour, Nowhere, Place
 from rowanrail.relay.placement import Part, rank
+from rowanrail.relay.planned import PlannedHolders
 
 __all__ = ["Detours", "TakeSample"]
 
@@ -55,6 +56,9 @@
         self._keeper = LinkKeeper(clock, opener)
         self._own_zone: list[str] = []
         self._zones: dict[str, list[str]] = {}
+        self._listed: list[Neighbour] = []
+        self._addresses: dict[str, str] = {}
+        self.planned: PlannedHolders | None = None
         self._asked_at: dict[str, float] = {}
         self._found: dict[str, _Found] = {}
         self.on_found: Callable[[str, str], None] = lambda service, peer: None
@@ -71,7 +75,18 @@
         own = [neighbour for neighbour in own_zone if neighbour.name != self._name]
         self._own_zone = [neighbour.name for neighbour in own]
         self._zones = {zone: [n.name for n in listed] for zone, listed in others.items()}
-        self._keeper.set_neighbours([*own, *(n for listed in others.values() for n in listed)])
+        self._listed = [*own, *(n for listed in others.values() for n in listed)]
+        self._set_known()
+
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """Know where the holders that a plan names take statements."""
+        self._addresses = dict(addresses)
+        self._set_known()
+
+    def _set_known(self) -> None:
+        """Know both kinds of gateways; the directory's word on an address goes first."""
+        named = [Neighbour(name, address) for name, address in self._addresses.items()]
+        self._keeper.set_neighbours(n for n in [*named, *self._listed] if n.name != self._name)
 
     @property
     def groups(self) -> list[str]:
@@ -80,7 +95,19 @@
 
     def place_in(self, group: str, held: str) -> Place:
         """Return the link to the gateway of another group that holds something there."""
-        for name in rank(held, self._zones.get(group, [])):
+        return self._first(rank(held, self._zones.get(group, [])))
+
+    def place_part_in(self, group: str, part: Part) -> Place:
+        """Return the link to the gateway of another group that holds a part there."""
+        return self._first(self._order(group, part))
+
+    def _order(self, group: str, part: Part) -> list[str]:
+        planned = self.planned.order(group, part) if self.planned is not None else []
+        return [*planned, *rank(part.key, self._zones.get(group, []))]
+
+    def _first(self, order: Sequence[str]) -> Place:
+        """Return the first of an order that does not count as down."""
+        for name in order:
             found = self._keeper.look(name)
             if found is not None:
                 return found
@@ -88,7 +115,8 @@
 
     def candidates(self, service: str, with_own_zone: bool) -> list[str]:
         """Return the names of the gateways to ask about a service."""
-        names = [rank(service, listed)[0] for listed in self._zones.values() if listed]
+        orders = [self._order(zone, Part(service)) for zone in self._zones]
+        names = [order[0] for order in orders if order]
         if with_own_zone:
             names += rank(service, self._own_zone)[:OWN_ZONE_ASKED]
         return names
--- a/src/rowanrail/relay/homes.py
+++ b/src/rowanrail/relay/homes.py
@@ -39,7 +39,7 @@
 
     def place_part(self, part: Part) -> Place:
         """See :meth:`rowanrail.relay.forwarding.Placement.place_part`."""
-        found = self._detours.place_in(self._region, part.key)
+        found = self._detours.place_part_in(self._region, part)
         if self._was_tried or not isinstance(found, At):
             return Here()
         self._was_tried = True
--- /dev/null
+++ b/src/rowanrail/relay/load_meter.py
@@ -0,0 +1,99 @@
+"""What comes to a gateway, as a holder and from its own clients, and whether it is slow."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.placement import Part
+from rowanrail.scheduling.load_report import LoadReport, PartLoad
+
+__all__ = ["SPAN_MS", "LoadMeter"]
+
+SPAN_MS = 5000.0  # a wave of 10 s touches three spans of the seven that planners look at
+# For which a span is told. Reports go about every 1 s (the hold of a poll), so that one of them
+# has it; a span that is told twice counts once.
+TOLD_MS = 1400.0
+LOOK_MS = 500.0  # between looks at the loop and the links, ten in a span
+# Of the loop, on average. A statement passes a holder's loop four times: a fifth of a second, of
+# the half within which the most urgent ones told of are wanted.
+SLOW_LAG_MS = 50.0
+CHOKED_SHARE = 0.5  # of the looks of a span at which bytes waited for a link
+MOST_PARTS = 8  # that are told, about 150 bytes; the others are small ones
+
+
+class LoadMeter:
+    """Counts statements of one gateway.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time and timers.
+    unsent : callable
+        Returns the bytes that wait for the links to other gateways.
+    """
+
+    def __init__(self, clock: Clock, unsent: Callable[[], int] = lambda: 0) -> None:
+        self._clock = clock
+        self._unsent = unsent
+        self._parts: Counter[str] = Counter()
+        self._tenants: dict[str, Counter[str]] = {}
+        self._own = 0
+        self._looks = 0
+        self._lag = 0.0
+        self._choked = 0
+        self._began = clock.now
+        self._told: LoadReport | None = None
+
+    @property
+    def latest(self) -> LoadReport | None:
+        """The last span, as long as it has to be told; None before and after that."""
+        is_due = self._clock.now - self._began <= TOLD_MS
+        return self._told if is_due else None
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._began = self._clock.now
+        self._look_later()
+
+    def note_held(self, part: Part) -> None:
+        """Count a statement that this gateway takes as a holder."""
+        key = part.key
+        self._parts[key] += 1
+        if part.tenant:
+            self._tenants.setdefault(key, Counter())[part.tenant] += 1
+
+    def note_own(self) -> None:
+        """Count a statement of a client of this gateway."""
+        self._own += 1
+
+    def _look_later(self) -> None:
+        self._clock.call_in(LOOK_MS, self._look, self._clock.now + LOOK_MS)
+
+    def _look(self, due: float) -> None:
+        self._looks += 1
+        self._lag += self._clock.now - due
+        self._choked += self._unsent() > 0
+        if self._clock.now - self._began >= SPAN_MS - LOOK_MS / 2:
+            self._end_span()
+        self._look_later()
+
+    @property
+    def _is_slow(self) -> bool:
+        return self._lag > SLOW_LAG_MS * self._looks or self._choked > CHOKED_SHARE * self._looks
+
+    def _end_span(self) -> None:
+        span = round(self._clock.now - self._began)
+        parts = [self._part(key, count) for key, count in self._parts.most_common(MOST_PARTS)]
+        self._told = LoadReport(span, self._own, self._is_slow, parts)
+        self._parts.clear()
+        self._tenants.clear()
+        self._own = self._looks = self._choked = 0
+        self._lag = 0.0
+        self._began = self._clock.now
+
+    def _part(self, key: str, count: int) -> PartLoad:
+        tenants = self._tenants.get(key)
+        if not tenants:
+            return PartLoad(key, count)
+        ((tenant, largest),) = tenants.most_common(1)
+        return PartLoad(key, count, tenant, largest)
--- a/src/rowanrail/relay/neighbours.py
+++ b/src/rowanrail/relay/neighbours.py
@@ -3,10 +3,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import chain
 
 from rowanrail.kernel.clock import Clock
 from rowanrail.relay.link import Link, LinkState
 from rowanrail.relay.placement import Part, rank
+from rowanrail.relay.planned import PlannedHolders
 
 __all__ = ["At", "Here", "LinkKeeper", "LinkOpener", "Neighbour", "Neighbours", "Nowhere", "Place"]
 
@@ -160,6 +162,12 @@
         super().__init__(clock, opener)
         self._name = name
         self._orders: dict[str, list[str]] = {}
+        self.planned: PlannedHolders | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of this gateway."""
+        return self._name
 
     def set_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
         """Know the gateways of the zone; this one may be among them or not."""
@@ -168,17 +176,27 @@
 
     def place_part(self, part: Part) -> Place:
         """See :meth:`rowanrail.relay.forwarding.Placement.place_part`."""
-        return self.place(part.key)
+        order = self._order(part.key)
+        planned = self.planned.order_here(part) if self.planned is not None else []
+        if not planned:
+            return self._first(order)
+        return self._first(chain(planned, (name for name in order if name not in planned)))
 
     def place(self, held: str) -> Place:
-        """Return where statements run now for which a gateway holds connections.
+        """Return where statements run now for which a gateway holds connections, by the hash."""
+        return self._first(self._order(held))
 
-        The first gateways of the order that were not found down a moment ago are kept
-        connected; the first of them that stands is taken.
-        """
+    def _order(self, held: str) -> list[str]:
         order = self._orders.get(held)
         if order is None:
             order = self._orders[held] = rank(held, [*self._peers, self._name])
+        return order
+
+    def _first(self, order: Iterable[str]) -> Place:
+        """Return the first gateway of an order that stands.
+
+        The first ones that were not found down a moment ago are kept connected.
+        """
         chosen: Place = Nowhere()
         seen = 0
         for name in order:
--- a/src/rowanrail/relay/placement.py
+++ b/src/rowanrail/relay/placement.py
@@ -7,16 +7,19 @@
 import hashlib
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = [
     "METER",
+    "MINIMUM_CONNECTIONS",
     "PARTS",
     "Part",
     "Population",
     "connection_limit",
+    "even_share",
     "is_shared",
     "parts_of",
+    "planned_limit",
     "rank",
 ]
 
@@ -35,6 +38,7 @@
 # 250 KB a second, and a statement takes about 1.7 KB of it each way, so that one holder would be
 # choked by 150 statements a second, which a primary's region gets while replicas lag.
 PARTS = 3
+ROUNDING = 0.01  # connections that a share may lack by the rounding of its digits
 METER = "tenants' demand"  # ranked like a service: the gateway that sums it for a region
 SMALLEST_OWN_SHARE = 3  # connections a gateway; below it a zone shares one gateway's
 
@@ -66,6 +70,8 @@
     ----------
     number : int or None
         Which tenants; None for a service that is not divided.
+    tenant : str
+        Whose statement is placed, if one is; it makes no other part.
 
     Examples
     --------
@@ -75,6 +81,7 @@
 
     service: str
     number: int | None = None
+    tenant: str = field(default="", compare=False)
 
     @classmethod
     @functools.lru_cache(maxsize=4096)
@@ -83,7 +90,7 @@
         if not tenant:
             return cls(service)
         digest = hashlib.blake2b(tenant.encode(), digest_size=4).digest()
-        return cls(service, int.from_bytes(digest, "big") % PARTS)
+        return cls(service, int.from_bytes(digest, "big") % PARTS, tenant)
 
     @property
     def key(self) -> str:
@@ -167,6 +174,53 @@
     return min(left, max(MINIMUM_CONNECTIONS, DEMAND_FACTOR * (share - 1)))
 
 
+def even_share(population: Population) -> float:
+    """Return the share of a member's connections that each holder has where nobody plans.
+
+    Examples
+    --------
+    >>> even_share(Population(84, 4)), even_share(Population(90, 3, is_regional=True)) == 1 / PARTS
+    (0.25, True)
+    """
+    return 1 / PARTS if population.is_regional else 1 / max(1, population.zones)
+
+
+def planned_limit(
+    connections: int, population: Population, share: float, samplers: int, is_near: bool = True
+) -> int:
+    """Return how many connections a gateway may open to one member by a plan.
+
+    Parameters
+    ----------
+    connections : int
+        Connections that one member takes from all gateways together.
+    population : Population
+        The gateways among which they are divided.
+    share : float
+        The gateway's share of what is divided.
+    samplers : int
+        How many gateways open one more to sample a primary: all holders, or those of the other
+        regions where regions share.
+    is_near : bool
+        Whether the member stands in the gateway's own region.
+
+    Examples
+    --------
+    >>> zones = Population(103, 6)
+    >>> [planned_limit(79, zones, share, samplers=6) for share in (1 / 6, 0.25, 0.0)]
+    [11, 17, 2]
+    >>> region = Population(86, 3, is_regional=True)
+    >>> planned_limit(56, region, 0.5, samplers=6), planned_limit(56, region, 0.5, 6, is_near=False)
+    (20, 2)
+    """
+    if population.is_regional and not is_near:
+        return FAR_CONNECTIONS
+    divided = connections - RESERVED_CONNECTIONS - samplers
+    if population.is_regional:
+        divided -= SUCCESSOR_CONNECTIONS
+    return max(MINIMUM_CONNECTIONS, int(divided * share + ROUNDING))
+
+
 def rank(service: str, gateways: Iterable[str]) -> list[str]:
     """Return gateways in the order in which they should hold a service's connections.
 
--- /dev/null
+++ b/src/rowanrail/relay/planned.py
@@ -0,0 +1,175 @@
+"""The plan of holders as one gateway goes by it: who holds a part, and how much is held here.
+
+Without a word of the plan all is as the hash says. Gateways that go by different plans cost each
+other a detour: a holder runs whatever comes, and members refuse what is beyond their connections.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.placement import Part, parts_of, rank
+from rowanrail.scheduling.plan import NO_PLAN, PartPlan, Plan
+
+__all__ = ["HANDOVER_MS", "Allowance", "HeldPart", "PlannedHolders"]
+
+# For which a new holder opens half of its share only. The one before hears of the plan within the
+# hold of a poll (1 s) if its control node changes, and closes what is idle 0.1 s later.
+HANDOVER_MS = 2000.0
+HANDOVER_PART = 0.5  # of its share, meanwhile; the one before keeps at most as much
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """What a gateway may open by the plan of one service's connections.
+
+    Parameters
+    ----------
+    share : float
+        Of each member's connections; 0 if the plan names other gateways only.
+    samplers : int
+        Holders that open one connection more to sample a primary.
+    parts : frozenset of Part
+        For which the plan names the gateway.
+    """
+
+    share: float
+    samplers: int
+    parts: frozenset[Part]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPart:
+    """A part that this gateway holds by the plan, and why."""
+
+    service: str
+    key: str
+    share: float
+    cause: str
+
+
+class PlannedHolders:
+    """The plan in force at a gateway.
+
+    Parameters
+    ----------
+    name : str
+        Name of this gateway.
+    group : str
+        The zone or region with whose gateways it shares connections.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, name: str, group: str, clock: Clock) -> None:
+        self._name = name
+        self._group = group
+        self._clock = clock
+        self._plan = NO_PLAN
+        self._gained_at: dict[str, float] = {}
+
+    @property
+    def plan(self) -> Plan:
+        """The plan in force."""
+        return self._plan
+
+    @property
+    def held(self) -> dict[str, PartPlan]:
+        """The parts for which the plan names this gateway, by key."""
+        parts = self._plan.groups.get(self._group, {})
+        return {key: part for key, part in parts.items() if self._name in part.gateways}
+
+    def take(self, plan: Plan, was_here: Callable[[str], bool]) -> bool:
+        """Go by a plan if it is newer than the one in force; return whether it is.
+
+        Parameters
+        ----------
+        plan : Plan
+            The plan.
+        was_here : callable
+            Says whether the hash names this gateway for a part, by key.
+        """
+        if plan.number <= self._plan.number:
+            return False
+        before, known = self._plan, self.held
+        self._plan = plan
+        held = self.held
+        self._gained_at = {key: at for key, at in self._gained_at.items() if key in held}
+        for key in held:
+            is_named = before.part(self._group, key) is not None
+            if not (key in known if is_named else was_here(key)):
+                self._gained_at[key] = self._clock.now
+        return True
+
+    def order_here(self, part: Part) -> list[str]:
+        """Return the holders of a part in the gateway's own group, see :meth:`order`."""
+        return self.order(self._group, part)
+
+    def order(self, group: str, part: Part) -> list[str]:
+        """Return the holders that the plan names for a part, the one to be asked first at first.
+
+        Clients' gateways, or tenants, are spread over several; one that is added takes over a
+        part of what each had.
+        """
+        planned = self._plan.part(group, part.key)
+        if planned is None:
+            return []
+        names = planned.gateways
+        if len(names) == 1:
+            return names
+        return rank(f"{part.key} {self._chooser(part, planned)}", names)
+
+    def _chooser(self, part: Part, planned: PartPlan) -> str:
+        if not part.tenant:
+            return self._name
+        return f"{part.tenant} {self._name}" if planned.is_split else part.tenant
+
+    def allowance(self, service: str, is_regional: bool) -> Allowance | None:
+        """Return what may be opened here of a service's connections, None if it isn't named."""
+        parts = parts_of(service) if is_regional else [Part(service)]
+        mine = self._plan.groups.get(self._group, {})
+        if not any(part.key in mine for part in parts):
+            return None
+        held = frozenset(part for part in parts if self._holds(part.key))
+        share = sum(self._share_now(part.key) for part in held)
+        return Allowance(share, self._samplers(parts, is_regional), held)
+
+    def _holds(self, key: str) -> bool:
+        planned = self._plan.part(self._group, key)
+        return planned is not None and self._name in planned.gateways
+
+    def _share_now(self, key: str) -> float:
+        """Return the share of a part that is held here; half of it during the handover."""
+        share = self._share(key)
+        gained_at = self._gained_at.get(key)
+        if gained_at is not None and self._clock.now < gained_at + HANDOVER_MS:
+            return share * HANDOVER_PART
+        return share
+
+    def _share(self, key: str) -> float:
+        planned = self._plan.part(self._group, key)
+        if planned is None:
+            return 0.0
+        return sum(h.share for h in planned.holdings if h.gateway == self._name)
+
+    def _samplers(self, parts: list[Part], is_regional: bool) -> int:
+        """Return how many holders sample the primary beside those who divide its connections."""
+        named = [
+            name
+            for group, planned in self._plan.groups.items()
+            if not (is_regional and group == self._group)
+            for part in parts
+            if part.key in planned
+            for name in planned[part.key].gateways
+        ]
+        return len(named)
+
+    def held_parts(self, services: list[str]) -> Iterator[HeldPart]:
+        """Yield what is held here by the plan, and why."""
+        for service in services:
+            for part in [Part(service), *parts_of(service)]:
+                planned = self._plan.part(self._group, part.key)
+                if planned is not None and self._holds(part.key):
+                    yield HeldPart(
+                        service, part.key, self._share_now(part.key), planned.cause.value
+                    )
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -25,6 +25,7 @@
     Run,
     SampleTold,
 )
+from rowanrail.relay.placement import Part
 from rowanrail.relay.terms import load_session, reply_to, route_of, statement_of
 from rowanrail.tenants.demand import DemandBook, Report
 from rowanrail.tenants.model import Identity
@@ -97,12 +98,18 @@
         The gateway.
     clock : Clock
         Time and timers.
+
+    Attributes
+    ----------
+    on_run : callable
+        Gets the part to which each statement of a neighbour belongs.
     """
 
     def __init__(self, host: HolderHost, clock: Clock) -> None:
         self.host = host
         self.clock = clock
         self._links: dict[ServedLink, None] = {}
+        self.on_run: Callable[[Part], None] = lambda part: None
 
     @property
     def open_transactions(self) -> int:
@@ -176,6 +183,8 @@
 
     def receive(self, message: FromGateway) -> None:
         """Take a message of the neighbour."""
+        if isinstance(message, Run):
+            self._holder.on_run(Part.of(message.service, message.tenant))
         match message:
             case Run(transaction=0):
                 self._run_single(message)
--- a/src/rowanrail/relay/transport.py
+++ b/src/rowanrail/relay/transport.py
@@ -78,6 +78,14 @@
         frame = _encoder.encode(message)
         transport.write(_LENGTH.pack(len(frame)) + frame)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait until the peer, or the link, takes them."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        return transport.get_write_buffer_size()
+
     def close(self) -> None:
         """Close at once."""
         if self.transport is not None and not self.transport.is_closing():
@@ -168,6 +176,11 @@
         self._holder = holder
         self._server: asyncio.Server | None = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that wait for the links."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     async def start(self, address: str) -> None:
         """Listen on ``host:port``.
 
--- /dev/null
+++ b/src/rowanrail/scheduling/demand.py
@@ -0,0 +1,86 @@
+"""What is asked for in each group of gateways: what lasts, and not a short wave."""
+
+import statistics
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+__all__ = ["SPANS", "DemandWindow", "GroupDemand", "PartDemand"]
+
+# Spans of 5 s that are kept. A wave of 10 s touches three of them at most, so that the median is
+# what is asked for without it; what lasts counts after four spans, 20 s.
+SPANS = 7
+
+
+@dataclass(frozen=True, slots=True)
+class PartDemand:
+    """What is asked for of one part of a service.
+
+    Parameters
+    ----------
+    rate : float
+        Statements a second.
+    largest : float
+        Share of them that the tenant with most of them asks for, 0 to 1; 0 without tenants.
+    """
+
+    rate: float
+    largest: float = 0.0
+
+
+GroupDemand = Mapping[str, PartDemand]
+"""Demand in one group, by the key of a part."""
+
+
+@dataclass(slots=True)
+class DemandWindow:
+    """The last spans of the demand in all groups.
+
+    Examples
+    --------
+    A wave of two spans does not show, nor does it while more than half of them are missing.
+
+    >>> window = DemandWindow()
+    >>> for rate in (10, 10, 90, 90, 10, 10):
+    ...     window.add({"east": {"orders": PartDemand(rate)}})
+    >>> window.is_full
+    False
+    >>> window.add({"east": {"orders": PartDemand(10)}})
+    >>> window.lasting()["east"]["orders"].rate
+    10
+    """
+
+    _spans: deque[Mapping[str, GroupDemand]] = field(default_factory=lambda: deque(maxlen=SPANS))
+
+    @property
+    def is_full(self) -> bool:
+        """Whether enough is known to go by it."""
+        return len(self._spans) == SPANS
+
+    def add(self, span: Mapping[str, GroupDemand]) -> None:
+        """Note the demand of a span, by group."""
+        self._spans.append(span)
+
+    def clear(self) -> None:
+        """Forget all; what was measured before is out of date."""
+        self._spans.clear()
+
+    def lasting(self) -> dict[str, dict[str, PartDemand]]:
+        """Return the median of the spans, by group and part."""
+        groups = {group for span in self._spans for group in span}
+        return {group: self._of_group(group) for group in groups}
+
+    def _of_group(self, group: str) -> dict[str, PartDemand]:
+        spans = [span.get(group, {}) for span in self._spans]
+        return {key: _median(spans, key) for key in {key for span in spans for key in span}}
+
+
+_NONE = PartDemand(0.0)
+
+
+def _median(spans: list[GroupDemand], key: str) -> PartDemand:
+    known = [span.get(key, _NONE) for span in spans]
+    return PartDemand(
+        statistics.median(part.rate for part in known),
+        statistics.median(part.largest for part in known),
+    )
--- a/src/rowanrail/scheduling/plan.py
+++ b/src/rowanrail/scheduling/plan.py
@@ -1,37 +1,94 @@
-"""Which gateways hold a service's connections, by the demand that was measured."""
+"""Which gateways hold a service's connections, by the demand that was measured: the types."""
 
-from dataclasses import dataclass
+import enum
 
-__all__ = ["Holding", "Plan"]
+import msgspec
 
+__all__ = ["NO_PLAN", "Cause", "Holding", "PartPlan", "Plan"]
 
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """What one gateway holds of a service.
+
+class Cause(enum.Enum):
+    """Why a part is held as the plan says."""
+
+    HASH = "hash"  # as the hash says; it is named for its share
+    BUSY = "busy"  # its holder carried more than others
+    SLOW = "slow"  # its holder was slow
+    DIVIDED = "divided"  # more is asked for than one holder should carry
+    JOINED = "joined"  # fewer holders carry it
+    LOST = "lost"  # its holder was not heard any more
+
+
+class Holding(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """What one gateway holds of a part.
 
     Parameters
     ----------
     gateway : str
         Name of the gateway.
     share : float
-        Share of each member's connections that it may open, 0 to 1.
+        Share of each member's connections that it may open for the part, 0 to 1: of those for the
+        whole system, or for the member's region where regions share.
     """
 
     gateway: str
     share: float
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """Holders in one group of gateways, by the key of what they hold.
+class PartPlan(msgspec.Struct, array_like=True, frozen=True):
+    """Who holds one part of a service in one group of gateways.
+
+    Parameters
+    ----------
+    holdings : list of Holding
+        One or more; clients' gateways, or tenants, are spread over them evenly.
+    cause : Cause
+        Of the last change of its holders.
+    is_split : bool
+        Whether one tenant's statements, too, go to several holders, by its clients' gateways.
+    """
+
+    holdings: list[Holding]
+    cause: Cause = Cause.HASH
+    is_split: bool = False
+
+    @property
+    def gateways(self) -> list[str]:
+        """Names of the holders."""
+        return [holding.gateway for holding in self.holdings]
+
+    @property
+    def share(self) -> float:
+        """Share of each member's connections that all its holders have together."""
+        return sum(holding.share for holding in self.holdings)
+
+
+class Plan(msgspec.Struct, array_like=True, frozen=True):
+    """Holders in all groups of gateways, of the services for which the hash isn't good enough.
 
     Parameters
     ----------
     number : int
-        Rises with each plan; the highest that was heard is in force.
-    holders : dict of str to list of Holding
-        By the key of a part; a part that is missing falls back to rendezvous hashing.
+        Rises with each plan; the highest that was heard is in force. 0 if there was none.
+    groups : dict of str to dict of str to PartPlan
+        By zone, or region where those share, and by the key of a part. A part that is missing
+        falls back to rendezvous hashing.
+    addresses : dict of str to str
+        Where the holders take statements, by name.
+
+    Examples
+    --------
+    >>> plan = Plan(3, {"east": {"orders": PartPlan([Holding("g1", 0.25)])}})
+    >>> plan.part("east", "orders").gateways, plan.part("west", "orders")
+    (['g1'], None)
     """
 
-    number: int
-    holders: dict[str, list[Holding]]
+    number: int = 0
+    groups: dict[str, dict[str, PartPlan]] = {}
+    addresses: dict[str, str] = {}
+
+    def part(self, group: str, key: str) -> PartPlan | None:
+        """Return who holds a part in a group, None if the hash says it."""
+        return self.groups.get(group, {}).get(key)
+
+
+NO_PLAN = Plan()
--- /dev/null
+++ b/src/rowanrail/scheduling/planner.py
@@ -0,0 +1,269 @@
+"""Works out which gateways hold what, from the demand that lasts and what gateways bear.
+
+The load that it answers: groups of gateways that are asked for unequal amounts, services or
+tenants that are more than one holder should carry, holders that the hash gave too much, slow ones.
+"""
+
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from rowanrail.scheduling.demand import GroupDemand
+from rowanrail.scheduling.group_draft import Change, GatewayLoad, GroupDraft
+from rowanrail.scheduling.plan import Cause, Holding, PartPlan, Plan
+
+__all__ = ["Layout", "Proposal", "SharesChange", "propose", "shares_by_demand"]
+
+# Of a member's connections that are divided evenly, whatever the demand: clients that come to a
+# group all at once have to be served there until the plan follows them.
+EVEN_SHARE = 0.5
+SHORT_FACTOR = 1.25  # shares change if one should be larger by so much: one connection in four
+SHARE_DIGITS = 4  # of a share, on the wire
+# By which the shares of one member's connections may miss one: above what rounding leaves, below
+# the share of any zone of 19 that has gone.
+SHARE_TOLERANCE = 0.01
+
+_PartOf = tuple[str, str]  # a group, and the key of a part
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Parts of all services, and whom the hash names for each.
+
+    Parameters
+    ----------
+    defaults : dict of str to dict of str to dict of str to str
+        By service, by group, by the key of a part.
+    is_regional : bool
+        Whether regions share: a member's connections are those of its region. Else all zones
+        divide them.
+    """
+
+    defaults: Mapping[str, Mapping[str, Mapping[str, str]]]
+    is_regional: bool = False
+
+    def of_group(self, group: str) -> dict[str, str]:
+        """Return whom the hash names in a group, by the key of a part."""
+        services = self.defaults.values()
+        return {key: name for groups in services for key, name in groups.get(group, {}).items()}
+
+    def parts(self, service: str) -> list[_PartOf]:
+        """Return the parts of a service in all groups."""
+        return [(group, key) for group, keys in self.defaults[service].items() for key in keys]
+
+    def divided_together(self, service: str) -> list[list[_PartOf]]:
+        """Return the parts of a service, those together that divide the same connections."""
+        if not self.is_regional:
+            return [self.parts(service)]
+        return [[(group, key) for key in keys] for group, keys in self.defaults[service].items()]
+
+
+@dataclass(frozen=True, slots=True)
+class SharesChange:
+    """A service whose connections are divided anew.
+
+    Parameters
+    ----------
+    short : float
+        By which factor the share that was shortest has grown.
+    group, key : str
+        Where that was.
+    """
+
+    service: str
+    short: float
+    group: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A plan that is better than the one in force, and why.
+
+    Parameters
+    ----------
+    plan : Plan or None
+        None if the one in force is good enough. Its number is that of the one in force.
+    """
+
+    plan: Plan | None = None
+    changes: list[Change] = field(default_factory=list)
+    shares: list[SharesChange] = field(default_factory=list)
+
+
+def shares_by_demand(rates: Mapping[_PartOf, float]) -> dict[_PartOf, float]:
+    """Return the share of the connections for each part: half evenly, half by demand.
+
+    Examples
+    --------
+    >>> shares_by_demand({("east", "orders"): 30.0, ("west", "orders"): 10.0})
+    {('east', 'orders'): 0.625, ('west', 'orders'): 0.375}
+    >>> shares_by_demand({("east", "orders"): 0.0})
+    {('east', 'orders'): 1.0}
+    """
+    total = sum(rates.values())
+    even = 1 / len(rates)
+    if not total:
+        return dict.fromkeys(rates, even)
+    by_demand = 1 - EVEN_SHARE
+    return {part: EVEN_SHARE * even + by_demand * rate / total for part, rate in rates.items()}
+
+
+def propose(
+    demand: Mapping[str, GroupDemand],
+    gateways: Iterable[GatewayLoad],
+    layout: Layout,
+    current: Plan,
+    resting: Collection[_PartOf] = (),
+) -> Proposal:
+    """Return a plan that is better than the one in force, if there is one.
+
+    Parameters
+    ----------
+    demand : mapping of str to mapping of str to PartDemand
+        What is asked for, by group and by the key of a part.
+    gateways : iterable of GatewayLoad
+        Those that were heard a short while ago.
+    layout : Layout
+        What there is to hold, and whom the hash names.
+    current : Plan
+        The plan in force.
+    resting : collection of (str, str)
+        Group and part of what was changed a short while ago; an empty group and a service for
+        its shares.
+    """
+    drafts = _drafts(demand, gateways, layout, current)
+    for draft in drafts.values():
+        draft.improve(resting)
+    changes = [change for draft in drafts.values() for change in draft.changes]
+    planner = _Shares(drafts, layout, current)
+    moved = {(change.group, change.key) for change in changes}
+    kept, divided, shares = [], [], []
+    for service in layout.defaults:
+        parts = layout.parts(service)
+        is_moved = not moved.isdisjoint(parts)
+        found = None if ("", service) in resting else planner.shortest(service)
+        if is_moved or found is not None or planner.is_torn(service):
+            divided.append(service)
+        elif planner.is_named(service):
+            kept.append(service)
+        if found is not None:
+            shares.append(found)
+    if not divided and not _is_outdated(current, layout):
+        return Proposal()
+    groups = planner.groups(kept, divided)
+    return Proposal(
+        Plan(current.number, groups, _addresses(groups, drafts, current)), changes, shares
+    )
+
+
+def _drafts(
+    demand: Mapping[str, GroupDemand],
+    gateways: Iterable[GatewayLoad],
+    layout: Layout,
+    current: Plan,
+) -> dict[str, GroupDraft]:
+    by_group: dict[str, dict[str, GatewayLoad]] = {}
+    for gateway in gateways:
+        by_group.setdefault(gateway.group, {})[gateway.name] = gateway
+    names = {group for groups in layout.defaults.values() for group in groups}
+    return {
+        group: GroupDraft(
+            group,
+            by_group.get(group, {}),
+            demand.get(group, {}),
+            layout.of_group(group),
+            current.groups.get(group, {}),
+        )
+        for group in sorted(names)
+    }
+
+
+def _is_outdated(current: Plan, layout: Layout) -> bool:
+    """Return whether the plan names something that is no more."""
+    known = {part for service in layout.defaults for part in layout.parts(service)}
+    return any((group, key) not in known for group, keys in current.groups.items() for key in keys)
+
+
+def _addresses(
+    groups: Mapping[str, Mapping[str, PartPlan]], drafts: Mapping[str, GroupDraft], current: Plan
+) -> dict[str, str]:
+    heard = {g.name: g.address for draft in drafts.values() for g in draft.gateways.values()}
+    known = {**current.addresses, **heard}
+    names = {name for parts in groups.values() for part in parts.values() for name in part.gateways}
+    return {name: known[name] for name in sorted(names) if name in known}
+
+
+class _Shares:
+    """Connections of each part: as they are, and as they should be."""
+
+    def __init__(self, drafts: Mapping[str, GroupDraft], layout: Layout, current: Plan) -> None:
+        self._drafts = drafts
+        self._layout = layout
+        self._current = current
+
+    def is_named(self, service: str) -> bool:
+        """Return whether the plan in force names a service."""
+        return any(self._current.part(*part) is not None for part in self._layout.parts(service))
+
+    def is_torn(self, service: str) -> bool:
+        """Return whether it names a service in some groups only: one has come since, or gone."""
+        parts = self._layout.parts(service)
+        named = [part for part in parts if self._current.part(*part) is not None]
+        if not named:
+            return False
+        # A group that has gone took its share with it.
+        total = sum(planned.share for part in named if (planned := self._current.part(*part)))
+        sets = len(self._layout.divided_together(service))
+        return len(named) < len(parts) or total < sets - SHARE_TOLERANCE
+
+    def shortest(self, service: str) -> SharesChange | None:
+        """Return the part that lacks most of its share, None if none is short by much."""
+        worst: SharesChange | None = None
+        for together in self._layout.divided_together(service):
+            for part, share in self._wanted(together).items():
+                short = share / self._share_now(part, len(together))
+                if short >= SHORT_FACTOR and (worst is None or short > worst.short):
+                    worst = SharesChange(service, short, *part)
+        return worst
+
+    def _share_now(self, part: _PartOf, count: int) -> float:
+        planned = self._current.part(*part)
+        return planned.share if planned is not None else 1 / count
+
+    def _wanted(self, together: list[_PartOf]) -> dict[_PartOf, float]:
+        return shares_by_demand({part: self._drafts[part[0]].rate(part[1]) for part in together})
+
+    def groups(self, kept: list[str], divided: list[str]) -> dict[str, dict[str, PartPlan]]:
+        """Return the whole plan: some services as they are named now, some anew."""
+        groups: dict[str, dict[str, PartPlan]] = {}
+        for (group, key), planned in self._parts(kept, divided):
+            groups.setdefault(group, {})[key] = planned
+        return groups
+
+    def _parts(self, kept: list[str], divided: list[str]) -> Iterator[tuple[_PartOf, PartPlan]]:
+        for service in kept:
+            for part in self._layout.parts(service):
+                planned = self._current.part(*part)
+                if planned is not None:
+                    yield part, planned
+        for service in divided:
+            for together in self._layout.divided_together(service):
+                for part, share in self._wanted(together).items():
+                    yield part, self._planned(part, share)
+
+    def _planned(self, part: _PartOf, share: float) -> PartPlan:
+        group, key = part
+        draft = self._drafts[group]
+        holders = draft.holders(key)
+        each = round(share / len(holders), SHARE_DIGITS)
+        return PartPlan(
+            [Holding(name, each) for name in holders], self._cause(part), draft.is_split(key)
+        )
+
+    def _cause(self, part: _PartOf) -> Cause:
+        """Return why a part has the holders that it gets: the last change of them."""
+        for change in self._drafts[part[0]].changes:
+            if change.key == part[1]:
+                return change.cause
+        planned = self._current.part(*part)
+        return Cause.HASH if planned is None else planned.cause
--- /dev/null
+++ b/tests/relay/test_planned.py
@@ -0,0 +1,320 @@
+"""Gateways that go by a plan of holders, and what happens while it changes or is lost."""
+
+import unittest
+
+from rowanrail.gateway.model import Refusal
+from rowanrail.kernel.clock import Clock
+from rowanrail.relay.load_meter import LOOK_MS, SPAN_MS, LoadMeter
+from rowanrail.relay.placement import Part, Population, even_share, planned_limit
+from rowanrail.relay.planned import HANDOVER_MS, PlannedHolders
+from rowanrail.scheduling.plan import NO_PLAN, Cause, Holding, PartPlan, Plan
+from tests.support.gateway import ManualClock
+from tests.support.relay import PlayedZone
+
+CONNECTIONS = 30  # of a member of the played zone
+OTHER_ZONES = ("b", "c", "d", "e", "f")
+
+
+def plan(number, *holders, share=1 / 6):
+    """Return a plan that names holders of the played zone; five other zones have one each."""
+    own = PartPlan([Holding(name, share / len(holders)) for name in holders], Cause.BUSY)
+    rest = (1 - share) / len(OTHER_ZONES)
+    groups = {zone: {"db": PartPlan([Holding(f"{zone}1", rest)])} for zone in OTHER_ZONES}
+    return Plan(number, {"a": {"db": own}, **groups}, {name: name for name in holders})
+
+
+class PlannedZone(PlayedZone):
+    """A zone whose gateways hear of plans; by the hash, ``first`` holds."""
+
+    def tell(self, known, *names):
+        for one in self.gateways.values():
+            if not names or one.name in names:
+                one.gateway.set_plan(known)
+
+    def open_links(self):
+        """Have all gateways open their links; until then the next of the order runs statements."""
+        for one in self.gateways.values():
+            one.client("reports").run("READ x", seconds=0.1)
+        self.clock.advance(0.1)
+
+    def limits(self, one):
+        return [pool.limit for pool in one.gateway.services["db"].pools.values()]
+
+    def most_open(self):
+        """Return the most connections that one member has from the zone."""
+        pools = [one.gateway.services["db"].pools for one in self.gateways.values()]
+        return max(sum(p[name].open_count for p in pools) for name in ("m1", "m2", "m3"))
+
+
+class HolderTest(unittest.TestCase):
+    def setUp(self):
+        self.zone = PlannedZone()
+        self.client = self.zone.second.client("reports")
+
+    def test_without_a_plan_the_hash_holds(self):
+        self.zone.open_links()
+        self.assertIsNone(self.client.run("READ a", seconds=0.1).refusal)
+        self.assertGreater(self.zone.opened_by(self.zone.first), 0)
+        self.assertEqual(self.zone.opened_by(self.zone.last), 0)
+
+    def test_statements_run_at_the_holder_that_the_plan_names(self):
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.assertIsNone(self.client.run("READ a", seconds=0.1).refusal)
+        self.assertGreater(self.zone.opened_by(self.zone.last), 0)
+        self.assertEqual(self.zone.opened_by(self.zone.first), 0)
+
+    def test_an_older_plan_changes_nothing(self):
+        self.zone.tell(plan(7, self.zone.last.name))
+        self.zone.tell(plan(6, self.zone.second.name))
+        self.client.run("READ a", seconds=0.1)
+        self.assertGreater(self.zone.opened_by(self.zone.last), 0)
+
+    def test_an_empty_plan_gives_the_word_back_to_the_hash(self):
+        self.zone.tell(plan(1, self.zone.last.name))
+        before = self.zone.limits(self.zone.first)
+        self.zone.tell(Plan(2))
+        self.zone.open_links()
+        self.client.run("READ a", seconds=0.1)
+        self.assertGreater(self.zone.opened_by(self.zone.first), 0)
+        self.assertLess(before, self.zone.limits(self.zone.first))
+
+    def test_a_transaction_stays_where_it_began(self):
+        client = self.zone.second.client("orders")
+        client.run("BEGIN")
+        client.run("WRITE a 1", seconds=0.1)
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.zone.clock.advance(0.3)
+        client.run("WRITE b 2", seconds=0.1)
+        self.assertIsNone(client.run("COMMIT", seconds=0.1).refusal)
+        wires = {number for number, c in self.zone.primary.ran if c.text.startswith("WRITE")}
+        self.assertEqual(len(wires), 1)
+
+    def test_it_says_in_the_log_what_it_holds_and_why(self):
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.zone.tell(plan(2, self.zone.first.name))
+        text = "\n".join(self.zone.last.logs())
+        self.assertIn('"cause":"busy"', text)
+        for event in (355, 356, 357):
+            self.assertIn(str(event), text)
+
+
+class HandoverTest(unittest.TestCase):
+    def setUp(self):
+        self.zone = PlannedZone()
+        self.clients = [self.zone.second.client("orders") for _ in range(8)]
+        self.zone.open_links()
+
+    def all_ask(self):
+        for client in self.clients:
+            client.ask("READ a")
+        self.zone.clock.advance(0.3)
+
+    def test_the_new_holder_begins_with_half_and_has_its_share_later(self):
+        self.zone.tell(plan(1, self.zone.last.name, share=0.5))
+        half = self.zone.limits(self.zone.last)
+        self.zone.clock.advance(HANDOVER_MS / 1000 + 0.1)
+        self.all_ask()
+        self.zone.clock.advance(0.1)
+        whole = self.zone.limits(self.zone.last)
+        self.assertEqual(half, [5, 5, 5])
+        self.assertEqual(whole, [10, 10, 10])
+
+    def test_both_stay_within_what_the_zone_may_open(self):
+        even = planned_limit(CONNECTIONS, Population(60, 6), even_share(Population(60, 6)), 6)
+        self.all_ask()
+        for number, holder in enumerate((self.zone.last, self.zone.first, self.zone.last), 1):
+            self.zone.tell(plan(number, holder.name))
+            for _ in range(12):
+                self.all_ask()
+                self.assertLessEqual(self.zone.most_open(), even + 1, "a sample's beside them")
+
+    def test_the_old_holder_closes_what_nobody_uses(self):
+        self.all_ask()
+        self.assertGreater(self.zone.opened_by(self.zone.first), 0)
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.zone.clock.advance(0.5)
+        self.assertLessEqual(self.zone.opened_by(self.zone.first), 1, "it samples for a while")
+        self.zone.clock.advance(12.0)
+        self.assertEqual(self.zone.opened_by(self.zone.first), 0)
+
+    def test_who_held_before_by_the_hash_goes_on_with_its_whole_share(self):
+        before = self.zone.limits(self.zone.first)
+        self.zone.tell(plan(1, self.zone.first.name))
+        self.assertGreaterEqual(self.zone.limits(self.zone.first), before)
+
+    def test_a_new_holder_that_is_lost_during_the_handover_is_stood_in_for(self):
+        self.all_ask()
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.zone.kill(self.zone.last)
+        client = self.zone.second.client("reports")
+        self.assertIsNone(client.run("READ b", seconds=0.3).refusal)
+        self.zone.clock.advance(0.2)
+        self.assertGreater(self.zone.opened_by(self.zone.first), 0)
+        self.assertEqual(self.zone.limits(self.zone.first), [3, 3, 3], "as by the hash")
+
+    def test_a_write_under_way_at_the_old_holder_is_answered_once(self):
+        client = self.zone.second.client("orders")
+        self.zone.primary.script = [None]
+        client.ask("WRITE a 1")
+        self.zone.clock.advance(0.05)
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.zone.clock.advance(2.0)
+        self.assertEqual([a.refusal for a in client.answers], [Refusal.OUTCOME_UNKNOWN])
+        self.assertEqual(self.zone.primary.texts().count("WRITE a 1"), 1)
+
+
+class TwoPlansTest(unittest.TestCase):
+    """The client's gateway goes by the old plan, all others by the new one."""
+
+    def setUp(self):
+        self.zone = PlannedZone()
+        self.zone.tell(plan(1, self.zone.first.name))
+        self.zone.open_links()
+        self.zone.tell(plan(2, self.zone.last.name), self.zone.first.name, self.zone.last.name)
+
+    def test_the_old_holder_runs_what_comes(self):
+        client = self.zone.second.client("orders")
+        old, new = (one.gateway.services["db"] for one in (self.zone.first, self.zone.last))
+        before = (old.used_at, new.used_at)
+        for text in ("READ a", "WRITE a 1", "READ a"):
+            self.assertIsNone(client.run(text, seconds=0.2).refusal, text)
+        self.assertGreater(old.used_at, before[0])
+        self.assertEqual(new.used_at, before[1])
+
+    def test_a_transaction_runs_there_to_its_end(self):
+        client = self.zone.second.client("orders")
+        client.run("BEGIN")
+        for text in ("READ a", "WRITE a 1", "COMMIT"):
+            self.assertIsNone(client.run(text, seconds=0.2).refusal, text)
+
+    def test_it_opens_half_of_an_even_share_at_most(self):
+        self.zone.clock.advance(0.1)
+        self.assertEqual(self.zone.limits(self.zone.first), [2, 2, 2])
+
+    def test_a_gateway_that_starts_anew_goes_by_the_hash_until_it_hears(self):
+        one = self.zone.second
+        one.gateway.holdings.planned._plan = NO_PLAN  # as after its restart
+        self.assertIsNone(one.client("reports").run("READ a", seconds=0.1).refusal)
+        one.gateway.set_plan(plan(2, self.zone.last.name))
+        self.assertIsNone(one.client("reports").run("READ a", seconds=0.1).refusal)
+
+
+class LinkLostTest(unittest.TestCase):
+    def test_a_gateway_cut_off_from_the_holder_goes_to_the_next(self):
+        zone = PlannedZone()
+        zone.tell(plan(1, zone.last.name))
+        client = zone.second.client("reports")
+        client.run("READ a", seconds=0.1)
+        zone.network.cut.add((zone.second.name, zone.last.name))
+        client.ask("READ b")
+        zone.clock.advance(0.9)
+        self.assertEqual([answer.refusal for answer in client.answers], [None, None])
+
+    def test_it_comes_back_when_the_link_does(self):
+        zone = PlannedZone()
+        zone.tell(plan(1, zone.last.name))
+        client = zone.second.client("reports")
+        zone.network.cut.add((zone.second.name, zone.last.name))
+        client.ask("READ b")
+        zone.clock.advance(3.0)
+        zone.network.cut.clear()
+        zone.clock.advance(3.0)
+        held = zone.last.gateway.services["db"]
+        held.used_at = 0.0
+        client.run("READ c", seconds=0.5)
+        client.run("READ d", seconds=0.5)
+        self.assertGreater(held.used_at, 0.0)
+
+
+class SpreadTest(unittest.TestCase):
+    def holders(self, part, known, name="g1"):
+        planned = PlannedHolders(name, "a", Clock(ManualClock()))
+        planned.take(known, lambda key: False)
+        return planned.order_here(part)
+
+    def known(self, is_split):
+        holdings = [Holding(name, 0.1) for name in ("h1", "h2", "h3")]
+        parts = {f"db/{n}": PartPlan(holdings, Cause.DIVIDED, is_split) for n in range(3)}
+        return Plan(1, {"a": parts})
+
+    def first_of(self, tenant, is_split):
+        names = [f"g{n}" for n in range(30)]
+        return {self.holders(Part.of("db", tenant), self.known(is_split), n)[0] for n in names}
+
+    def test_tenants_of_a_divided_part_are_spread_and_each_stays_with_one_holder(self):
+        firsts = [self.first_of(f"tenant{n}", is_split=False) for n in range(40)]
+        self.assertTrue(all(len(first) == 1 for first in firsts))
+        self.assertEqual(len(set.union(*firsts)), 3)
+
+    def test_a_large_tenant_is_spread_by_its_clients_gateways(self):
+        self.assertEqual(len(self.first_of("large", is_split=True)), 3)
+
+    def test_a_service_without_tenants_is_spread_by_clients_gateways(self):
+        holdings = [Holding(name, 0.1) for name in ("h1", "h2")]
+        known = Plan(1, {"a": {"db": PartPlan(holdings, Cause.DIVIDED)}})
+        firsts = [self.holders(Part("db"), known, f"g{n}")[0] for n in range(40)]
+        self.assertGreater(min(firsts.count("h1"), firsts.count("h2")), 10)
+
+    def test_the_others_stand_behind_the_first(self):
+        self.assertEqual(
+            sorted(self.holders(Part.of("db", "t"), self.known(False))), ["h1", "h2", "h3"]
+        )
+
+
+class LimitTest(unittest.TestCase):
+    def test_all_holders_of_a_plan_stay_within_a_members_limit(self):
+        for connections in (40, 56, 79):
+            for shares in ([1 / 6] * 6, [0.5, 0.1, 0.1, 0.1, 0.1, 0.1]):
+                zones = Population(103, 6)
+                limits = [planned_limit(connections, zones, s, len(shares)) for s in shares]
+                self.assertLessEqual(sum(limits) + len(shares) + 3, connections)
+
+    def test_a_regions_holders_leave_room_for_samples_and_who_takes_over(self):
+        region = Population(86, 3, is_regional=True)
+        limits = [planned_limit(56, region, share, samplers=6) for share in (0.6, 0.2, 0.2)]
+        self.assertLessEqual(sum(limits) + 3 + 6 + 6, 56)
+
+
+class LoadMeterTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.unsent = 0
+        self.meter = LoadMeter(Clock(self.clock), lambda: self.unsent)
+        self.meter.start()
+
+    def span(self):
+        self.clock.advance(SPAN_MS / 1000)
+        return self.meter.latest
+
+    def test_it_tells_a_span_for_a_while_and_then_no_more(self):
+        self.assertIsNone(self.meter.latest)
+        for _ in range(10):
+            self.meter.note_held(Part("db"))
+            self.meter.note_own()
+        report = self.span()
+        self.assertEqual((report.own, [(p.key, p.count) for p in report.parts]), (10, [("db", 10)]))
+        self.clock.advance(2.0)
+        self.assertIsNone(self.meter.latest)
+
+    def test_it_names_the_largest_parts_and_their_largest_tenant(self):
+        for number in range(12):
+            for _ in range(number + 1):
+                self.meter.note_held(Part(f"db{number}"))
+        for tenant in ("a", "b", "b"):
+            part = Part.of("db", tenant)
+            for _ in range(50):
+                self.meter.note_held(part)
+        report = self.span()
+        self.assertEqual(len(report.parts), 8)
+        self.assertIn("b", [part.tenant for part in report.parts])
+
+    def test_links_that_choke_for_most_of_a_span_make_it_slow(self):
+        self.unsent = 4000
+        self.assertTrue(self.span().is_slow)
+        self.unsent = 0
+        self.assertFalse(self.span().is_slow)
+        self.unsent = 4000
+        self.clock.advance(LOOK_MS / 1000)
+        self.unsent = 0
+        self.clock.advance((SPAN_MS - LOOK_MS) / 1000)
+        self.assertFalse(self.meter.latest.is_slow, "a moment is no sign")
--- /dev/null
+++ b/tests/scheduling/test_planner.py
@@ -0,0 +1,273 @@
+"""Which gateways hold what, under uneven demand and with slow or lost gateways."""
+
+import unittest
+
+from rowanrail.scheduling.demand import SPANS, DemandWindow, PartDemand
+from rowanrail.scheduling.group_draft import DIVIDE_AT, GatewayLoad
+from rowanrail.scheduling.plan import NO_PLAN, Cause, Plan
+from rowanrail.scheduling.planner import Layout, propose
+
+ZONES = ("z1", "z2", "z3", "z4")
+PER_ZONE = 6
+SPAN_SECONDS = 5
+
+
+def gateways(zones=ZONES, slow=(), lost=(), own=2.0):
+    return [
+        GatewayLoad(f"{zone}-g{n}", zone, f"{zone}-g{n}:1", own, f"{zone}-g{n}" in slow)
+        for zone in zones
+        for n in range(PER_ZONE)
+        if f"{zone}-g{n}" not in lost
+    ]
+
+
+def zone_layout(zones=ZONES, services=("db1", "db2")):
+    """The hash is unlucky: it gives both services of a zone to the same gateway."""
+    return Layout({s: {zone: {s: f"{zone}-g0"} for zone in zones} for s in services})
+
+
+def region_layout(regions=("east", "west")):
+    return Layout(
+        {"db": {region: {f"db/{n}": f"{region}-g{n}" for n in range(3)} for region in regions}},
+        is_regional=True,
+    )
+
+
+def rates(**zones):
+    """Return the demand of both services in each zone."""
+    return {
+        zone: {"db1": PartDemand(one), "db2": PartDemand(two)} for zone, (one, two) in zones.items()
+    }
+
+
+def numbered(plan, number):
+    return Plan(number, plan.groups, plan.addresses)
+
+
+def settle(demand, loads, layout, current=NO_PLAN, rounds=6):
+    """Plan until nothing changes; return the plan and how many times it changed."""
+    for changes in range(rounds):
+        proposal = propose(demand, loads, layout, current)
+        if proposal.plan is None:
+            return current, changes
+        current = numbered(proposal.plan, current.number + 1)
+    raise AssertionError("the plan does not come to rest")
+
+
+def busiest(plan, demand, layout):
+    """Return the most that one gateway carries, in statements a second."""
+    held = {}
+    for group, parts in demand.items():
+        for key, part in parts.items():
+            planned = plan.part(group, key)
+            default = layout.of_group(group)[key]
+            names = planned.gateways if planned is not None else [default]
+            for name in names:
+                held[name] = held.get(name, 0.0) + part.rate / len(names)
+    return max(held.values())
+
+
+def shares(plan, key):
+    return {group: parts[key].share for group, parts in plan.groups.items() if key in parts}
+
+
+class MovesTest(unittest.TestCase):
+    def test_two_busy_services_of_one_holder_come_apart(self):
+        demand = rates(z1=(30, 30), z2=(30, 30), z3=(30, 30), z4=(30, 30))
+        layout = zone_layout()
+        plan, changes = settle(demand, gateways(), layout)
+        self.assertEqual(busiest(NO_PLAN, demand, layout), 60)
+        self.assertEqual(busiest(plan, demand, layout), 30)
+        self.assertEqual(changes, 1)
+
+    def test_small_services_stay_where_the_hash_put_them(self):
+        demand = rates(z1=(3, 3), z2=(3, 3), z3=(3, 3), z4=(3, 3))
+        self.assertIsNone(propose(demand, gateways(), zone_layout(), NO_PLAN).plan)
+
+    def test_a_move_that_takes_less_than_a_quarter_off_is_not_made(self):
+        demand = rates(z1=(35, 5), z2=(35, 5), z3=(35, 5), z4=(35, 5))
+        self.assertEqual(propose(demand, gateways(), zone_layout(), NO_PLAN).changes, [])
+
+    def test_a_slow_holder_gives_up_what_it_holds_and_gets_nothing(self):
+        demand = {zone: {"db1": PartDemand(20.0)} for zone in ZONES}
+        layout = zone_layout(services=("db1",))
+        proposal = propose(demand, gateways(slow=("z1-g0", "z1-g1")), layout, NO_PLAN)
+        (change,) = proposal.changes
+        self.assertEqual(
+            (change.group, change.before, change.cause), ("z1", ("z1-g0",), Cause.SLOW)
+        )
+        self.assertNotIn(change.after[0], ("z1-g0", "z1-g1"))
+        self.assertEqual(proposal.plan.part("z2", "db1").gateways, ["z2-g0"])
+
+    def test_what_was_changed_a_moment_ago_rests(self):
+        demand = rates(z1=(30, 30), z2=(3, 3), z3=(3, 3), z4=(3, 3))
+        resting = {("z1", "db1"), ("z1", "db2"), ("", "db1"), ("", "db2")}
+        self.assertIsNone(propose(demand, gateways(), zone_layout(), NO_PLAN, resting).plan)
+
+    def test_a_gateway_that_has_just_come_is_given_nothing(self):
+        demand = rates(z1=(30, 30), z2=(0, 0), z3=(0, 0), z4=(0, 0))
+        loads = [
+            GatewayLoad(g.name, g.group, g.address, g.own, is_settled=False) for g in gateways()
+        ]
+        self.assertEqual(propose(demand, loads, zone_layout(), NO_PLAN).changes, [])
+
+    def test_addresses_of_all_holders_go_with_the_plan(self):
+        demand = rates(z1=(30, 30), z2=(30, 30), z3=(30, 30), z4=(30, 30))
+        plan = propose(demand, gateways(), zone_layout(), NO_PLAN).plan
+        named = {
+            name for parts in plan.groups.values() for p in parts.values() for name in p.gateways
+        }
+        self.assertEqual(plan.addresses, {name: f"{name}:1" for name in named})
+
+
+class DivisionTest(unittest.TestCase):
+    def test_a_busy_service_is_divided_and_a_small_one_is_not(self):
+        demand = rates(z1=(140, 12), z2=(12, 12), z3=(12, 12), z4=(12, 12))
+        plan, _ = settle(demand, gateways(), zone_layout())
+        self.assertEqual(len(plan.part("z1", "db1").gateways), 3)
+        for zone in ("z2", "z3", "z4"):
+            self.assertEqual(len(plan.part(zone, "db1").gateways), 1)
+        self.assertLess(busiest(plan, demand, zone_layout()), DIVIDE_AT + 12, "db2 may stay there")
+
+    def test_a_tenant_with_a_third_of_all_work_is_carried_by_several_holders(self):
+        # 240 statements a second, a third of them one tenant's, in the region of the primary.
+        demand = {
+            "east": {
+                "db/0": PartDemand(133.0, largest=0.6),
+                "db/1": PartDemand(53.0, largest=0.1),
+                "db/2": PartDemand(40.0, largest=0.1),
+            },
+            "west": {f"db/{n}": PartDemand(4.0, largest=0.2) for n in range(3)},
+        }
+        loads = gateways(("east", "west"))
+        plan, _ = settle(demand, loads, region_layout())
+        self.assertGreaterEqual(len(plan.part("east", "db/0").gateways), 3)
+        self.assertTrue(plan.part("east", "db/0").is_split)
+        self.assertFalse(plan.part("east", "db/1").is_split, "its tenants are small")
+        self.assertFalse(any(part.is_split for part in plan.groups["west"].values()))
+        self.assertLessEqual(busiest(plan, demand, region_layout()), DIVIDE_AT)
+        self.assertGreater(plan.part("east", "db/0").share, 0.45)
+
+    def test_holders_are_joined_again_only_when_much_less_is_asked_for(self):
+        loads, layout = gateways(), zone_layout()
+        plan, _ = settle(rates(z1=(90, 0), z2=(0, 0), z3=(0, 0), z4=(0, 0)), loads, layout)
+        self.assertEqual(len(plan.part("z1", "db1").gateways), 2)
+        for rate, expected in ((60, 2), (40, 2), (25, 1)):
+            demand = rates(z1=(rate, 0), z2=(0, 0), z3=(0, 0), z4=(0, 0))
+            after, _ = settle(demand, loads, layout, plan)
+            self.assertEqual(len(after.part("z1", "db1").gateways), expected, rate)
+
+
+class SharesTest(unittest.TestCase):
+    def test_shares_of_a_members_connections_add_up_to_one(self):
+        for uneven in ((30, 30, 30, 30), (100, 10, 10, 0), (0, 0, 7, 90), (200, 200, 1, 1)):
+            demand = rates(**{zone: (rate, 1) for zone, rate in zip(ZONES, uneven, strict=True)})
+            plan, _ = settle(demand, gateways(), zone_layout())
+            for key in ("db1", "db2"):
+                if shares(plan, key):
+                    self.assertAlmostEqual(sum(shares(plan, key).values()), 1.0, places=2)
+
+    def test_clients_that_move_to_another_zone_take_connections_with_them(self):
+        before = rates(z1=(40, 0), z2=(40, 0), z3=(40, 0), z4=(40, 0))
+        layout = zone_layout(services=("db1",))
+        plan, _ = settle(before, gateways(), layout)
+        self.assertEqual(shares(plan, "db1"), {})
+        moved = rates(z1=(5, 0), z2=(45, 0), z3=(70, 0), z4=(40, 0))
+        plan, _ = settle(moved, gateways(), layout, plan)
+        after = shares(plan, "db1")
+        self.assertGreater(after["z3"], 1.3 * 0.25)
+        self.assertGreaterEqual(after["z1"], 0.125, "those that come back are served, too")
+
+    def test_a_little_less_even_changes_nothing(self):
+        demand = rates(z1=(20, 0), z2=(24, 0), z3=(17, 0), z4=(19, 0))
+        self.assertIsNone(propose(demand, gateways(), zone_layout(), NO_PLAN).plan)
+
+    def test_a_region_divides_its_members_connections_among_its_parts_only(self):
+        demand = {
+            "east": {"db/0": PartDemand(40.0), "db/1": PartDemand(4.0), "db/2": PartDemand(4.0)},
+            "west": {f"db/{n}": PartDemand(9.0) for n in range(3)},
+        }
+        plan, _ = settle(demand, gateways(("east", "west")), region_layout())
+        for region in ("east", "west"):
+            total = sum(part.share for part in plan.groups[region].values())
+            self.assertAlmostEqual(total, 1.0, places=2)
+        self.assertGreater(plan.part("east", "db/0").share, 0.5)
+        self.assertAlmostEqual(plan.part("west", "db/0").share, 1 / 3, places=2)
+
+
+class LostTest(unittest.TestCase):
+    def setUp(self):
+        self.layout = zone_layout()
+        self.demand = rates(z1=(30, 30), z2=(30, 30), z3=(30, 30), z4=(30, 30))
+        self.plan, _ = settle(self.demand, gateways(), self.layout)
+
+    def holder_beside_the_hash(self):
+        named = [part for key in ("db1", "db2") if (part := self.plan.part("z1", key))]
+        (other,) = {name for part in named for name in part.gateways} - {"z1-g0"}
+        return other
+
+    def test_what_a_lost_holder_held_goes_to_others_though_it_rests(self):
+        lost = self.holder_beside_the_hash()
+        resting = {("z1", "db1"), ("z1", "db2"), ("", "db1"), ("", "db2")}
+        loads = gateways(lost=(lost,))
+        proposal = propose(self.demand, loads, self.layout, self.plan, resting)
+        (change,) = proposal.changes
+        self.assertEqual((change.before, change.cause), ((lost,), Cause.LOST))
+        self.assertEqual(change.after, ("z1-g0",), "the hash has it stand in already")
+
+    def test_a_zone_that_is_gone_leaves_its_connections_to_the_others(self):
+        left = ZONES[1:]
+        demand = {zone: self.demand[zone] for zone in left}
+        layout = zone_layout(left)
+        plan, _ = settle(demand, gateways(left), layout, self.plan)
+        self.assertNotIn("z1", plan.groups)
+        self.assertAlmostEqual(sum(shares(plan, "db1").values()), 1.0, places=2)
+
+    def test_a_zone_that_comes_gets_its_part(self):
+        zones = (*ZONES, "z5")
+        plan, _ = settle(self.demand, gateways(zones), zone_layout(zones), self.plan)
+        self.assertAlmostEqual(sum(shares(plan, "db1").values()), 1.0, places=2)
+        self.assertGreater(plan.part("z5", "db1").share, 0)
+
+    def test_a_service_that_is_gone_leaves_the_plan(self):
+        layout = zone_layout(services=("db1",))
+        plan, _ = settle(self.demand, gateways(), layout, self.plan)
+        self.assertFalse(any("db2" in parts for parts in plan.groups.values()))
+
+
+class WaveTest(unittest.TestCase):
+    def play(self, rate_at, rounds=40):
+        """Plan each 5 s for what a zone is asked for; return how often, and when, it changed."""
+        window, current, changed = DemandWindow(), NO_PLAN, []
+        for step in range(rounds):
+            rate = rate_at(step * SPAN_SECONDS)
+            window.add(rates(z1=(rate, 4), z2=(20, 4), z3=(20, 4), z4=(20, 4)))
+            if not window.is_full:
+                continue
+            proposal = propose(window.lasting(), gateways(), zone_layout(), current)
+            if proposal.plan is not None:
+                current = numbered(proposal.plan, current.number + 1)
+                changed.append(step * SPAN_SECONDS)
+        return changed
+
+    def test_a_wave_of_ten_seconds_moves_nothing_however_high(self):
+        # Ten seconds lie in three spans at most, where gateways' spans begin at different times.
+        for height in (46, 200, 2000):
+            self.assertEqual(self.play(lambda t, h=height: h if 70 <= t < 85 else 20), [])
+
+    def test_a_gap_of_ten_seconds_moves_nothing(self):
+        self.assertEqual(self.play(lambda t: 0 if 70 <= t < 85 else 20), [])
+
+    def test_what_lasts_is_followed_within_half_a_minute_and_then_left_alone(self):
+        changed = self.play(lambda t: 200 if t >= 70 else 20)
+        self.assertTrue(changed)
+        self.assertLessEqual(changed[0], 100)
+        self.assertLessEqual(len(changed), 3)
+
+    def test_nothing_is_planned_in_the_first_half_minute(self):
+        changed = self.play(lambda t: 200)
+        self.assertGreaterEqual(changed[0], (SPANS - 1) * SPAN_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -10,6 +10,7 @@
 from rowanrail.kernel.registry import Registry
 from rowanrail.relay.neighbours import Neighbour, Neighbours
 from rowanrail.relay.placement import Population, rank
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.serving import Holder
 from tests.support.gateway import (
     ManualClock,
@@ -34,7 +35,13 @@
         self.neighbours = Neighbours(name, zone.relay_clock, zone.network.opener(name))
         driver = PlayedDriver(zone.members)
         self.gateway = Gateway(
-            Locality("a"), driver, zone.clock, self.decisions, Registry(), self.neighbours
+            Locality("a"),
+            driver,
+            zone.clock,
+            self.decisions,
+            Registry(),
+            self.neighbours,
+            planned=PlannedHolders(name, "a", zone.relay_clock),
         )
         self.holder = Holder(self.gateway, zone.relay_clock)
         self.gateway.start()
