Tests of planned holders between regions

Cause: homes of members in other regions go by the plan, too, and had no test of it. Change: tests of a home that the plan names, one that is lost, and gateways that did not hear of the plan.

--- /dev/null
+++ b/tests/relay/test_planned_regions.py
@@ -0,0 +1,87 @@
+"""Regions whose parts are held as a plan says: homes of members, and tenants' connections."""
+
+import unittest
+
+from rowanrail.relay.placement import Part, rank
+from rowanrail.scheduling.plan import Cause, Holding, PartPlan, Plan
+from tests.relay.test_regions import PART_OF_A, Regions
+
+
+class PlannedRegions(Regions):
+    """The plan names, in the primary's region, the gateway that the hash does not."""
+
+    def __init__(self):
+        super().__init__()
+        self.planned_home = next(
+            one
+            for name, one in self.gateways.items()
+            if name.startswith("gb") and one is not self.home
+        )
+
+    def plan(self, number, home, share=1 / 3):
+        parts = [f"db/{n}" for n in range(3)]
+        east = {key: PartPlan([Holding(self.far.name, 1 / 3)]) for key in parts}
+        west = {key: PartPlan([Holding(home.name, 1 / 3)], Cause.BUSY) for key in parts}
+        west[PART_OF_A.key] = PartPlan([Holding(home.name, share)], Cause.BUSY)
+        return Plan(number, {"a": east, "b": west}, {home.name: home.name})
+
+    def tell(self, plan, *only):
+        for one in only or self.gateways.values():
+            one.gateway.set_plan(plan)
+        self.clock.advance(0.1)
+
+
+class PlannedHomeTest(unittest.TestCase):
+    def setUp(self):
+        self.world = PlannedRegions()
+        self.new = self.world.planned_home
+        self.old = self.world.home
+
+    def write(self, times=2):
+        for _ in range(times):
+            answer = self.world.client("orders").run("WRITE a 1", seconds=0.3)
+            self.assertIsNone(answer.refusal, answer)
+            self.world.clock.advance(0.1)  # a link that was asked for opens
+
+    def open_at(self, one):
+        return one.gateway.services["db"].pools["m1"].open_count
+
+    def test_a_write_runs_at_the_home_that_the_plan_names(self):
+        self.world.tell(self.world.plan(1, self.new))
+        self.write(3)
+        self.assertGreater(self.open_at(self.new), 0)
+        self.world.clock.advance(0.5)
+        kept = [c.tenant for c in self.old.gateway.services["db"].pools["m1"]._idle]
+        self.assertNotIn("a", kept, "the hash's holder gives it up")
+
+    def test_a_planned_home_that_is_lost_is_stood_in_for_by_the_hash(self):
+        self.world.tell(self.world.plan(1, self.new))
+        self.write()
+        del self.world.network.holders[self.new.name]
+        for twin in self.world.network.links:
+            if self.new.name in twin.ends:
+                twin.break_off("reset")
+        self.write()
+
+    def test_a_home_that_did_not_hear_of_the_plan_runs_what_comes(self):
+        self.world.tell(self.world.plan(1, self.new), self.world.far)
+        self.write()
+
+    def test_a_sender_that_did_not_hear_of_the_plan_is_served_by_the_old_home(self):
+        self.world.tell(self.world.plan(1, self.new), self.new, self.old)
+        self.write()
+
+    def test_a_plan_divides_the_regions_connections(self):
+        even = self.old.gateway.services["db"].pools["m1"].limit
+        self.world.tell(self.world.plan(1, self.new, share=0.2))
+        self.world.clock.advance(2.2)
+        self.write()
+        self.world.clock.advance(0.1)
+        limit = self.new.gateway.services["db"].pools["m1"].limit
+        self.assertGreater(limit, even)
+        self.assertLessEqual(limit, 30 - 3 - 6, "all parts of the region are held there")
+
+    def test_the_order_without_a_plan_is_that_of_the_hash(self):
+        neighbours = self.world.far.gateway._neighbours
+        part = Part.of("db", "somebody")
+        self.assertEqual(neighbours._order(part.key), rank(part.key, ["ga1", "ga2"]))
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -14,6 +14,7 @@
 from rowanrail.relay.metering import Metering
 from rowanrail.relay.neighbours import Neighbour, Neighbours
 from rowanrail.relay.placement import METER, Part, Population, rank
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.serving import Holder
 from rowanrail.tenants.model import Tenant, Tenants, key_digest
 from tests.relay.test_detours import CutDriver
@@ -56,6 +57,7 @@
             Registry(),
             neighbours,
             detours,
+            planned=PlannedHolders(name, REGIONS[zone], clock),
         )
         self.metering = Metering(
             name,
