--- a/src/rowanlab/simulator/gateway_world.py
+++ b/src/rowanlab/simulator/gateway_world.py
@@ -8,6 +8,7 @@
 from rowanlab.simulator.gateway_keys import SimulatedKeys
 from rowanlab.simulator.gateway_members import SERVICE, Group, SimulatedDriver
 from rowanlab.simulator.gateway_oracle import Asked, GatewayOracle
+from rowanlab.simulator.gateway_plans import SimulatedPlans
 from rowanlab.simulator.relay_network import RelayNetwork
 from rowanrail.gateway.directory import Directory
 from rowanrail.gateway.gateway import Gateway
@@ -29,6 +30,7 @@
 from rowanrail.relay.detours import Detours
 from rowanrail.relay.neighbours import Neighbour, Neighbours
 from rowanrail.relay.placement import Population
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.serving import Holder
 
 STALENESS_SECONDS = 0.5
@@ -87,6 +89,7 @@
             opener = self.relay.opener(name)
             neighbours = Neighbours(name, relay_clock, opener)
             detours = Detours(name, relay_clock, opener)
+            group = REGIONS[zone] if options.tenants else zone
             gateway = Gateway(
                 Locality(zone, REGIONS if options.tenants else {}),
                 driver,
@@ -95,8 +98,8 @@
                 registry,
                 neighbours,
                 detours,
+                planned=PlannedHolders(name, group, relay_clock),
             )
-            group = REGIONS[zone] if options.tenants else zone
             self._groups.setdefault(group, []).append(Neighbour(name, name))
             gateway.start()
             gateway.apply(self._first_configuration())
@@ -104,6 +107,7 @@
             holder.start()
             self.drivers.append(driver)
             self.gateways.append(gateway)
+        self.plans = SimulatedPlans(self.clock, self._groups, options.tenants)
         self._revision = 0
         self._announce()
         self._next = 0
