A share that grows opens more only when the others have shrunk

Cause: with shares changed and holders kept, one zone grew at once while another still had its connections: together above the member's cap. Ruled out: two entries in the log, one for each phase. Change: a holder keeps the smaller of old and new share for 2 s, a new one half of its own; samplers are counted once a plan. 313 tests of scheduling, coordination, relay, gateway pass.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -199,7 +199,7 @@
         for name, service in self.services.items():
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
-        self.holdings.apply()
+        self.holdings.set_population(self._population)
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
--- a/src/rowanrail/gateway/holdings.py
+++ b/src/rowanrail/gateway/holdings.py
@@ -9,7 +9,7 @@
 from rowanrail.relay.detours import Detours
 from rowanrail.relay.load_meter import LoadMeter
 from rowanrail.relay.neighbours import Here, Neighbours
-from rowanrail.relay.placement import Part, parts_of, rank
+from rowanrail.relay.placement import Part, Population, even_share, parts_of, rank
 from rowanrail.relay.planned import PlannedHolders
 from rowanrail.scheduling.plan import Plan
 
@@ -46,6 +46,7 @@
         self._detours = detours
         self._planned = planned
         self._decisions = decisions
+        self._population = Population()
         self.stopping = False
         self.meter: LoadMeter | None = None
         if planned is not None and neighbours is not None:
@@ -84,17 +85,19 @@
         if planned is None or self._neighbours is None:
             return
         before = planned.held
-        if not planned.take(plan, self._is_hashed_here):
+        if not planned.take(plan, self._hashed_share):
             return
         if self._detours is not None:
             self._detours.set_addresses(plan.addresses)
         self._note(before, planned, plan)
         self.apply()
 
-    def _is_hashed_here(self, key: str) -> bool:
+    def _hashed_share(self, key: str) -> float:
+        """Return the share that this gateway has of a part by the hash; 0 if others hold it."""
         assert self._neighbours is not None
         name = self._neighbours.name
-        return rank(key, [*self._neighbours.names, name])[0] == name
+        is_first = rank(key, [*self._neighbours.names, name])[0] == name
+        return even_share(self._population) if is_first else 0.0
 
     def _note(self, before: Iterable[str], planned: PlannedHolders, plan: Plan) -> None:
         held = planned.held
@@ -113,6 +116,11 @@
         for key in sorted(set(before) - set(held)):
             self._decisions.note(HOLDING_ENDED, number=plan.number, part=key)
 
+    def set_population(self, population: Population) -> None:
+        """Note how many gateways share connections."""
+        self._population = population
+        self.apply()
+
     def apply(self) -> None:
         """Tell services what they may open by the plan in force."""
         for service in self._services.values():
--- a/src/rowanrail/relay/planned.py
+++ b/src/rowanrail/relay/planned.py
@@ -13,10 +13,11 @@
 
 __all__ = ["HANDOVER_MS", "Allowance", "HeldPart", "PlannedHolders"]
 
-# For which a new holder opens half of its share only. The one before hears of the plan within the
-# hold of a poll (1 s) if its control node changes, and closes what is idle 0.1 s later.
+# For which a holder that gains opens no more than before, a new one half of its share. Those that
+# lose hear of the plan within the hold of a poll (1 s) if their control node changes, and close
+# what is idle 0.1 s later.
 HANDOVER_MS = 2000.0
-HANDOVER_PART = 0.5  # of its share, meanwhile; the one before keeps at most as much
+HANDOVER_PART = 0.5  # of a new holder's share, meanwhile; the one before keeps at most as much
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,14 @@
     parts: frozenset[Part]
 
 
+@dataclass(frozen=True, slots=True)
+class _Handover:
+    """Until when a part that grows here has which share."""
+
+    until: float
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class HeldPart:
     """A part that this gateway holds by the plan, and why."""
@@ -66,7 +75,8 @@
         self._group = group
         self._clock = clock
         self._plan = NO_PLAN
-        self._gained_at: dict[str, float] = {}
+        self._handovers: dict[str, _Handover] = {}
+        self._samplers: dict[str, int] = {}
 
     @property
     def plan(self) -> Plan:
@@ -79,28 +89,35 @@
         parts = self._plan.groups.get(self._group, {})
         return {key: part for key, part in parts.items() if self._name in part.gateways}
 
-    def take(self, plan: Plan, was_here: Callable[[str], bool]) -> bool:
+    def take(self, plan: Plan, hashed_share: Callable[[str], float]) -> bool:
         """Go by a plan if it is newer than the one in force; return whether it is.
 
         Parameters
         ----------
         plan : Plan
             The plan.
-        was_here : callable
-            Says whether the hash names this gateway for a part, by key.
+        hashed_share : callable
+            Returns the share that this gateway has of a part by the hash, by key.
         """
         if plan.number <= self._plan.number:
             return False
-        before, known = self._plan, self.held
+        before = self._plan.groups.get(self._group, {})
+        known = {key: self._share_now(key) for key in before}
         self._plan = plan
-        held = self.held
-        self._gained_at = {key: at for key, at in self._gained_at.items() if key in held}
-        for key in held:
-            is_named = before.part(self._group, key) is not None
-            if not (key in known if is_named else was_here(key)):
-                self._gained_at[key] = self._clock.now
+        self._samplers.clear()
+        until = self._clock.now + HANDOVER_MS
+        self._handovers = {
+            key: _Handover(until, self._meanwhile(share, known.get(key, hashed_share(key))))
+            for key in self.held
+            if (share := self._share(key))
+        }
         return True
 
+    @staticmethod
+    def _meanwhile(share: float, before: float) -> float:
+        """Return the share during the handover: others still have what is gained."""
+        return min(share, before) if before else share * HANDOVER_PART
+
     def order_here(self, part: Part) -> list[str]:
         """Return the holders of a part in the gateway's own group, see :meth:`order`."""
         return self.order(self._group, part)
@@ -132,19 +149,20 @@
             return None
         held = frozenset(part for part in parts if self._holds(part.key))
         share = sum(self._share_now(part.key) for part in held)
-        return Allowance(share, self._samplers(parts, is_regional), held)
+        if service not in self._samplers:
+            self._samplers[service] = self._count_samplers(parts, is_regional)
+        return Allowance(share, self._samplers[service], held)
 
     def _holds(self, key: str) -> bool:
         planned = self._plan.part(self._group, key)
         return planned is not None and self._name in planned.gateways
 
     def _share_now(self, key: str) -> float:
-        """Return the share of a part that is held here; half of it during the handover."""
-        share = self._share(key)
-        gained_at = self._gained_at.get(key)
-        if gained_at is not None and self._clock.now < gained_at + HANDOVER_MS:
-            return share * HANDOVER_PART
-        return share
+        """Return the share of a part that may be opened here at the moment."""
+        handover = self._handovers.get(key)
+        if handover is not None and self._clock.now < handover.until:
+            return handover.share
+        return self._share(key)
 
     def _share(self, key: str) -> float:
         planned = self._plan.part(self._group, key)
@@ -152,7 +170,7 @@
             return 0.0
         return sum(h.share for h in planned.holdings if h.gateway == self._name)
 
-    def _samplers(self, parts: list[Part], is_regional: bool) -> int:
+    def _count_samplers(self, parts: list[Part], is_regional: bool) -> int:
         """Return how many holders sample the primary beside those who divide its connections."""
         named = [
             name
--- a/tests/relay/test_planned.py
+++ b/tests/relay/test_planned.py
@@ -142,6 +142,19 @@
         self.zone.tell(plan(1, self.zone.first.name))
         self.assertGreaterEqual(self.zone.limits(self.zone.first), before)
 
+    def test_a_share_that_grows_grows_when_the_others_have_shrunk(self):
+        self.zone.tell(plan(1, self.zone.first.name))
+        self.all_ask()
+        self.zone.clock.advance(HANDOVER_MS / 1000)
+        before = self.zone.limits(self.zone.first)
+        self.zone.tell(plan(2, self.zone.first.name, share=0.5))
+        self.all_ask()
+        self.assertEqual(self.zone.limits(self.zone.first), before)
+        self.zone.clock.advance(HANDOVER_MS / 1000 - 0.2)
+        self.assertEqual(self.zone.limits(self.zone.first), [10, 10, 10])
+        self.zone.tell(plan(3, self.zone.first.name, share=0.2))
+        self.assertEqual(self.zone.limits(self.zone.first), [4, 4, 4], "at once")
+
     def test_a_new_holder_that_is_lost_during_the_handover_is_stood_in_for(self):
         self.all_ask()
         self.zone.tell(plan(1, self.zone.last.name))
@@ -229,7 +242,7 @@
 class SpreadTest(unittest.TestCase):
     def holders(self, part, known, name="g1"):
         planned = PlannedHolders(name, "a", Clock(ManualClock()))
-        planned.take(known, lambda key: False)
+        planned.take(known, lambda key: 0.0)
         return planned.order_here(part)
 
     def known(self, is_split):
