--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -86,7 +86,8 @@
         self.services: dict[str, Service] = {}
         self.sessions: dict[Session, None] = {}
         self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
-        self.holdings = Holdings(self.services, neighbours, detours, planned, decisions)
+        self.stopping = False
+        self.holdings = Holdings(self, neighbours, detours, planned, decisions)
         self.on_alarm: Callable[[], None] = lambda: None
         self._locality = locality
         self._driver = driver
@@ -118,15 +119,6 @@
         self._decisions.flush()
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
-    @property
-    def stopping(self) -> bool:
-        """Whether a planned stop has begun."""
-        return self.holdings.stopping
-
-    @stopping.setter
-    def stopping(self, is_stopping: bool) -> None:
-        self.holdings.stopping = is_stopping
-
     @property
     def zone(self) -> str:
         """The zone in which it stands."""
--- a/src/rowanrail/gateway/holdings.py
+++ b/src/rowanrail/gateway/holdings.py
@@ -1,6 +1,7 @@
 """What this gateway holds of services' connections: by the plan, and by the hash without one."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from typing import Protocol
 
 from rowanrail.gateway.events import HOLDING_BEGUN, HOLDING_ENDED, PLAN_TAKEN
 from rowanrail.gateway.model import Trace
@@ -16,13 +17,20 @@
 __all__ = ["Holdings"]
 
 
+class HoldingsHost(Protocol):
+    """What is asked of the gateway."""
+
+    stopping: bool
+    services: dict[str, Service]
+
+
 class Holdings:
     """Tells services how many connections they may open here, and which are kept.
 
     Parameters
     ----------
-    services : mapping of str to Service
-        All services, by name, as they are at any moment.
+    host : HoldingsHost
+        The gateway.
     neighbours : Neighbours or None
         The gateways with which connections are shared; None if there are none.
     detours : Detours or None
@@ -35,19 +43,18 @@
 
     def __init__(
         self,
-        services: Mapping[str, Service],
+        host: HoldingsHost,
         neighbours: Neighbours | None,
         detours: Detours | None,
         planned: PlannedHolders | None,
         decisions: DecisionLog,
     ) -> None:
-        self._services = services
+        self._host = host
         self._neighbours = neighbours
         self._detours = detours
         self._planned = planned
         self._decisions = decisions
         self._population = Population()
-        self.stopping = False
         self.meter: LoadMeter | None = None
         if planned is not None and neighbours is not None:
             neighbours.planned = planned
@@ -73,7 +80,7 @@
             self.meter.note_held(Part.of(trace.service, tenant))
 
     def _is_shared(self, name: str) -> bool:
-        service = self._services.get(name)
+        service = self._host.services.get(name)
         return service is not None and service.is_shared
 
     def take(self, plan: Plan) -> None:
@@ -123,7 +130,7 @@
 
     def apply(self) -> None:
         """Tell services what they may open by the plan in force."""
-        for service in self._services.values():
+        for service in self._host.services.values():
             self._tell(service)
 
     def tick(self) -> None:
@@ -131,7 +138,7 @@
 
         Only services with connections are looked at: most gateways hold none of most services.
         """
-        for service in self._services.values():
+        for service in self._host.services.values():
             if service.has_connections and (service.is_regional or service.is_planned):
                 self._tell(service)
 
@@ -148,7 +155,7 @@
 
     def _parts_held(self, service: Service) -> frozenset[Part]:
         """Return for which parts of a service statements come to this gateway."""
-        if self.stopping:
+        if self._host.stopping:
             return frozenset()
         name = service.spec.name
         parts = parts_of(name) if service.is_regional else [Part(name)]
