The first plan divides and shares at once

Cause: in a trial with nine gateways the first plan only shared connections, and the division came 5 s later, since no gateway had been heard for 30 s; a holder of two parts counted as two samplers.

--- a/src/rowanrail/coordination/loads.py
+++ b/src/rowanrail/coordination/loads.py
@@ -13,7 +13,8 @@
 
 # Without word a span counts no more: three of them, as long as a gateway counts as being there.
 FORGET_MS = 15_000.0
-SETTLED_MS = 30_000.0  # heard for so long, a gateway may be given something to hold
+# Heard for so long, a gateway may be given something to hold: as long as demand has to last.
+SETTLED_MS = 20_000.0
 SLOW_SPANS = 2  # in succession make a gateway slow: one pause doesn't
 QUICK_SPANS = 4  # in succession make it quick again
 
--- a/src/rowanrail/relay/planned.py
+++ b/src/rowanrail/relay/planned.py
@@ -172,14 +172,14 @@
 
     def _count_samplers(self, parts: list[Part], is_regional: bool) -> int:
         """Return how many holders sample the primary beside those who divide its connections."""
-        named = [
+        named = {
             name
             for group, planned in self._plan.groups.items()
             if not (is_regional and group == self._group)
             for part in parts
             if part.key in planned
             for name in planned[part.key].gateways
-        ]
+        }
         return len(named)
 
     def held_parts(self, services: list[str]) -> Iterator[HeldPart]:
--- a/tests/coordination/test_planner.py
+++ b/tests/coordination/test_planner.py
@@ -151,6 +151,23 @@
         self.assertEqual(self.fleet.play(SPANS - 1), [])
         self.assertEqual(len(self.fleet.play(1)), 1)
 
+    def test_the_first_plan_divides_and_shares_at_once(self):
+        self.fleet.rates["a", "db"] = 200.0
+        self.assertEqual(len(self.fleet.play(SPANS + 6)), 1)
+        plan = self.fleet.log.states[0].plan
+        self.assertGreater(len(plan.part("a", "db").gateways), 1)
+        self.assertGreater(plan.part("a", "db").share, 0.5)
+
+    def test_a_gateway_that_has_just_come_is_given_nothing(self):
+        self.fleet.play(SPANS)
+        new = GatewayRecord("a9", "a", "a9:1")
+        self.fleet.log.append(SetGateways([new], []))
+        self.fleet.slow = set(names("a"))
+        for _ in range(3):
+            for book in self.fleet.books:
+                book.note("a9", LoadReport(SPAN, 0, False, []))
+            self.assertEqual(self.fleet.play(1), [], "nobody else bears it, and it is new")
+
     def test_clients_that_move_are_followed_once(self):
         self.fleet.play(SPANS)
         self.fleet.rates = {("a", "db"): 4.0, ("b", "db"): 36.0, ("c", "db"): 20.0}
