--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -32,7 +32,7 @@
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
-from rowanrail.tenants.quota import QuotaTerms
+from rowanrail.tenants.terms import QuotaTerms
 
 READY_PATH = "/ready"
 LEAVE_SHARE = 0.37  # of the time to stop: until then clients still come, not knowing better
@@ -166,7 +166,8 @@
                 log_gauge(decisions),
             ],
         )
-        gateway.on_outcome = metrics.note_statement
+        gateway.outcomes.on_outcome = metrics.note_statement
+        gateway.access.on_rejection = metrics.note_rejection
         await serve_metrics(settings.listen.rpartition(":")[0], settings.metrics, metrics)
     gateway.start()
     holder.start()
--- a/src/rowanrail/gateway/holdings.py
+++ b/src/rowanrail/gateway/holdings.py
@@ -55,6 +55,7 @@
         self._planned = planned
         self._decisions = decisions
         self._population = Population()
+        self._is_handing_over = False
         self.meter: LoadMeter | None = None
         if planned is not None and neighbours is not None:
             neighbours.planned = planned
@@ -96,6 +97,7 @@
             return
         if self._detours is not None:
             self._detours.set_addresses(plan.addresses)
+        self._is_handing_over = planned.is_handing_over
         self._note(before, planned, plan)
         self.apply()
 
@@ -138,10 +140,16 @@
 
         Only services with connections are looked at: most gateways hold none of most services.
         """
+        was_handing_over, self._is_handing_over = self._is_handing_over, self._hands_over()
+        if was_handing_over and not self._is_handing_over:
+            self.apply()
         for service in self._host.services.values():
             if service.has_connections and (service.is_regional or service.is_planned):
                 self._tell(service)
 
+    def _hands_over(self) -> bool:
+        return self._planned is not None and self._planned.is_handing_over
+
     def _tell(self, service: Service) -> None:
         name, is_regional = service.spec.name, service.is_regional
         allowance = None
--- a/src/rowanrail/relay/detours.py
+++ b/src/rowanrail/relay/detours.py
@@ -62,6 +62,8 @@
         self._asked_at: dict[str, float] = {}
         self._found: dict[str, _Found] = {}
         self.on_found: Callable[[str, str], None] = lambda service, peer: None
+        self.on_lost: Callable[[str], None] = lambda peer: None
+        self._keeper.on_link = self._note_link
 
     @property
     def found(self) -> int:
@@ -88,6 +90,10 @@
         named = [Neighbour(name, address) for name, address in self._addresses.items()]
         self._keeper.set_neighbours(n for n in [*named, *self._listed] if n.name != self._name)
 
+    def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
+        if not is_up:
+            self.on_lost(peer)
+
     @property
     def groups(self) -> list[str]:
         """The other zones or regions, whichever share connections."""
--- a/src/rowanrail/relay/planned.py
+++ b/src/rowanrail/relay/planned.py
@@ -89,6 +89,12 @@
         parts = self._plan.groups.get(self._group, {})
         return {key: part for key, part in parts.items() if self._name in part.gateways}
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether anything that grows here has not its whole share yet."""
+        now = self._clock.now
+        return any(now < handover.until for handover in self._handovers.values())
+
     def take(self, plan: Plan, hashed_share: Callable[[str], float]) -> bool:
         """Go by a plan if it is newer than the one in force; return whether it is.
 
--- a/tests/relay/test_planned.py
+++ b/tests/relay/test_planned.py
@@ -155,6 +155,16 @@
         self.zone.tell(plan(3, self.zone.first.name, share=0.2))
         self.assertEqual(self.zone.limits(self.zone.first), [4, 4, 4], "at once")
 
+    def test_a_holder_takes_part_in_a_members_slots_as_its_share_says(self):
+        service = self.zone.last.gateway.services["db"]
+        record = next(iter(service.pools.values())).record
+        self.assertEqual(service._holders(record), 6, "one of six zones")
+        self.zone.tell(plan(1, self.zone.last.name, share=0.5))
+        self.assertEqual(service._holders(record), 4, "half of it during the handover")
+        self.all_ask()
+        self.zone.clock.advance(HANDOVER_MS / 1000)
+        self.assertEqual(service._holders(record), 2)
+
     def test_a_new_holder_that_is_lost_during_the_handover_is_stood_in_for(self):
         self.all_ask()
         self.zone.tell(plan(1, self.zone.last.name))
--- a/tests/relay/test_planned_regions.py
+++ b/tests/relay/test_planned_regions.py
@@ -51,7 +51,8 @@
         self.write(3)
         self.assertGreater(self.open_at(self.new), 0)
         self.world.clock.advance(0.5)
-        kept = [c.tenant for c in self.old.gateway.services["db"].pools["m1"]._idle]
+        pool = self.old.gateway.services["db"].pools["m1"]
+        kept = [channel.tenant for channel in pool._connections.idle]
         self.assertNotIn("a", kept, "the hash's holder gives it up")
 
     def test_a_planned_home_that_is_lost_is_stood_in_for_by_the_hash(self):
