--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -26,10 +26,8 @@
     DocumentReply,
     DocumentRequest,
     Done,
-    GatewayRecord,
     GatewayReport,
     HeartbeatNotice,
-    HeldReply,
     HeldRequest,
     PutDocument,
     PutReply,
@@ -37,17 +35,16 @@
     PutVerdict,
     RemoveRequest,
 )
+from rowanrail.coordination.parts import PartCounts
 from rowanrail.coordination.state import CoordinationState
+from rowanrail.coordination.watches import Watches
 from rowanrail.gateway.model import MemberRecord
 from rowanrail.kernel.errors import RowanrailError, TransportError
-from rowanrail.relay.placement import METER, parts_of, rank
 from rowanrail.rpc.network import Network
 
 LEADER_CALL_SECONDS = 0.8  # within REQUEST_SECONDS, so that another leader can be asked
 REQUEST_SECONDS = 0.9  # callers go to the next node after 1 s of silence
 RETRY_SECONDS = 0.05  # between looks for a leader; an election takes 0.1 to 0.5 s
-CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
-MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
 
 
 class CoordinationService:
@@ -63,10 +60,14 @@
         self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
+<<<<<<< HEAD
         self._zone = zone
         self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
         self._changed = asyncio.Event()
         self._seen = (0, 0, 0, False)
+=======
+        self._watches = Watches(node, state, zone, self.now)
+>>>>>>> main
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
         ] = {
@@ -76,7 +77,7 @@
             RemoveRequest: self._remove,
             BarrierRequest: self._barrier,
             JoinRequest: self._join,
-            HeldRequest: self._tell_held,
+            HeldRequest: self._watches.tell_held,
         }
 
     @staticmethod
@@ -245,6 +246,7 @@
     # Watches
 
     def notice_change(self) -> None:
+<<<<<<< HEAD
         """Wake the watches if something changed."""
         state = self.state
         seen = (state.version, state.revision, state.plan.number, self.is_current)
@@ -252,15 +254,25 @@
             self._seen = seen
             self._changed.set()
             self._changed = asyncio.Event()
+=======
+        """Wake the watches if something changed that gateways are to be told."""
+        self._watches.notice_change()
+>>>>>>> main
 
     @property
     def is_current(self) -> bool:
         """Whether this node held all that is committed a short while ago."""
-        return self.node.raft.current_seconds_ago(self.now()) < CURRENT_SECONDS
+        return self._watches.is_current
+
+    @property
+    def directory_counts(self) -> dict[str, PartCounts]:
+        """How many directories were sent whole and by difference, and their bytes."""
+        return self._watches.counts
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
         self._note_report(request.report)
         self.notify_leader(msgspec.structs.replace(request.report, hops=1))
+<<<<<<< HEAD
         deadline = self.now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
         while not self._may_answer(request):
             changed = self._changed
@@ -363,3 +375,6 @@
         held = {part.key for service in services for part in parts_of(service)} | {METER}
     names = {rank(service, known)[0] for known in by_group.values() for service in held}
     return [state.gateways[name] for name in sorted(names)]
+=======
+        return await self._watches.answer(request)
+>>>>>>> main
--- /dev/null
+++ b/src/rowanrail/coordination/watches.py
@@ -0,0 +1,185 @@
+"""Long polls of gateways: what a control node tells them of its state, and when."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from rowanrail.consensus.node import ConsensusNode
+from rowanrail.coordination.gathering import Gathering
+from rowanrail.coordination.messages import (
+    WHOLE,
+    DirectoryReply,
+    DirectoryRequest,
+    HeldReply,
+    HeldRequest,
+)
+from rowanrail.coordination.parts import DirectoryParts, PartCounts, whole_for
+from rowanrail.coordination.replay import Replay
+from rowanrail.coordination.state import CoordinationState
+from rowanrail.kernel.clock import Clock, Timer
+
+__all__ = ["Watches"]
+
+CURRENT_SECONDS = 1.5  # since word of the leader; more than ten heartbeats
+MAXIMUM_HOLD_SECONDS = 3.0  # of a long poll, whatever is asked for
+
+
+class _LoopTime:
+    """The running loop's timers beside the node's own steady time."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+
+    def time(self) -> float:
+        """Return the steady time in seconds."""
+        return self._now()
+
+    @staticmethod
+    def call_later(delay: float, callback: Callable[..., object], *args: object) -> Timer:
+        """Call ``callback`` after ``delay`` seconds."""
+        return asyncio.get_running_loop().call_later(delay, callback, *args)
+
+
+class Watches:
+    """Answers gateways that wait for what is newer than what they know.
+
+    Parameters
+    ----------
+    node : ConsensusNode
+        The log, and whether the node is sure of it.
+    state : CoordinationState
+        What the log's committed entries lead to.
+    zone : str
+        Where the node stands.
+    now : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(
+        self, node: ConsensusNode, state: CoordinationState, zone: str, now: Callable[[], float]
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._zone = zone
+        self._now = now
+        self._gathering = Gathering(Clock(_LoopTime(now)), self.notice_change)
+        self._parts = DirectoryParts(state)
+        self._replay = Replay(state)
+        self._held_parts = DirectoryParts(state)
+        self._changed = asyncio.Event()
+        self._seen = (0, 0, False)
+
+    @property
+    def counts(self) -> dict[str, PartCounts]:
+        """How many directories were sent whole and by difference, and their bytes."""
+        return self._parts.counts
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this node held all that is committed a short while ago."""
+        return self._node.raft.current_seconds_ago(self._now()) < CURRENT_SECONDS
+
+    def notice_change(self) -> None:
+        """Wake those who wait if something changed that they are to be told."""
+        self._gathering.note(self._state.revision, self._state.urgent_revision)
+        seen = (self._state.version, self._gathering.released, self.is_current)
+        if seen != self._seen:
+            self._seen = seen
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def answer(self, request: DirectoryRequest) -> DirectoryReply:
+        """Tell what is newer than a gateway knows, at the latest when its hold is over."""
+        deadline = self._now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
+        while not self._may_answer(request):
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        return self._directory(request)
+
+    async def tell_held(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Tell what the log holds; see :mod:`rowanrail.gateway.held`."""
+        assert isinstance(request, HeldRequest)
+        self._node.check_failure("tell what is held")  # the log in memory is not what is on disk
+        log = self._node.raft.log
+        state = self._replay.state_of(log)
+        if self._held_parts.state is not state:
+            self._held_parts = DirectoryParts(state)
+        if request.takes_parts:
+            directory = self._plain(state, True, self._held_parts.packed(request.group, WHOLE))
+        else:
+            directory = self._with_all(self._plain(state, True), state, request.group, True)
+        return HeldReply(
+            self._node.raft.node,
+            log.last_term,
+            log.last_index,
+            sorted(log.membership.voters),
+            directory,
+        )
+
+    def _may_answer(self, request: DirectoryRequest) -> bool:
+        """Return whether to answer before the request's hold is over.
+
+        A gateway that follows a node which is not sure goes on to the next one; one that has
+        just started asks all nodes, and each answers once it is sure.
+        """
+        if self.is_current:
+            return self._has_news(request)
+        return request.known_version > 0 and request.known_revision >= 0
+
+    def _has_news(self, request: DirectoryRequest) -> bool:
+        """Return whether there is something that a gateway is to be told now."""
+        return (
+            self._wants_whole(request)
+            or self._state.version > request.known_version
+            or self._gathering.released > request.known_revision
+        )
+
+    def _wants_whole(self, request: DirectoryRequest) -> bool:
+        """Return whether a gateway needs everything, and this node is as far as it was told."""
+        if request.known_revision < 0:
+            return True
+        return request.wants_whole and self._state.revision >= request.known_revision
+
+    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
+        state = self._state
+        group = request.report.sharing_group
+        wants_whole = self._wants_whole(request)
+        is_newer = state.version > request.known_version
+        is_changed = wants_whole or state.revision > request.known_revision
+        if not request.takes_parts:
+            return self._with_all(self._plain(state, is_newer), state, group, is_changed)
+        since = WHOLE if wants_whole else request.known_revision
+        part = self._parts.packed(group, since) if is_changed else b""
+        return self._plain(state, is_newer, part)
+
+    def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
+        return DirectoryReply(
+            current=self.is_current,
+            version=state.version,
+            document=state.document if is_newer else b"",
+            revision=state.revision,
+            members=None,
+            gateways=len(state.gateways),
+            zones=state.groups,
+            neighbours=[],
+            controls=sorted(self._node.raft.membership.addresses().values()),
+            zone=self._zone,
+            part=part,
+        )
+
+    @staticmethod
+    def _with_all(
+        reply: DirectoryReply, state: CoordinationState, group: str, is_changed: bool
+    ) -> DirectoryReply:
+        """Return a reply for a gateway of an earlier version, which takes no parts."""
+        if not is_changed:
+            return reply
+        whole = whole_for(state, group)
+        return msgspec.structs.replace(
+            reply, members=whole.members, neighbours=whole.neighbours, others=whole.others
+        )
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -115,6 +115,7 @@
         gateway.access.demand,
     )
     holder = Holder(gateway, clock)
+    holder.on_region = metering.pass_on
     holder_server = TcpHolderServer(holder)
     meter = LoadMeter(clock, lambda: holder_server.unsent_bytes)
     if is_planned:
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -16,11 +16,14 @@
     PRIMARY_LOST,
     PRIMARY_PROVED,
 )
+<<<<<<< HEAD
 from rowanrail.gateway.holdings import Holdings
+=======
+from rowanrail.gateway.known_directory import KnownDirectory
+>>>>>>> main
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
     Answer,
-    MemberRecord,
     PrimaryHealth,
     Refusal,
     Route,
@@ -45,8 +48,12 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
+<<<<<<< HEAD
 from rowanrail.relay.placement import Part, Population
 from rowanrail.relay.planned import PlannedHolders
+=======
+from rowanrail.relay.placement import Part, parts_of
+>>>>>>> main
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.scheduling.plan import Plan
@@ -92,9 +99,7 @@
         self._driver = driver
         self._decisions = decisions
         self._policies = GatewayPolicies.create(registry)
-        self._members: dict[str, list[MemberRecord]] = {}
-        self._directory_revision = -1
-        self._population = Population()
+        self._known = KnownDirectory(neighbours, detours)
         self._prospects = Prospects(MillisecondClock(clock))
         self._neighbours = neighbours
         if neighbours is not None:
@@ -130,7 +135,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new clients are welcome."""
-        return self.configuration is not None and bool(self._members) and not self.stopping
+        return self.configuration is not None and self._known.has_members and not self.stopping
 
     # Configuration and members
 
@@ -156,8 +161,8 @@
             service.primary.on_trouble = functools.partial(self._ask_around, service)
             told = functools.partial(note_weight, self._decisions, service)
             service.estimates.weights.on_change = told
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
+            service.set_population(self._known.population)
+            service.set_members(self._known.members(name))
             self.services[name] = service
         for service in self.services.values():
             service.set_tenants(configuration.tenants or Tenants())
@@ -183,8 +188,9 @@
 
     def set_directory(self, directory: Directory) -> None:
         """Know the members that announced themselves, and the gateways beside this one."""
-        if directory.revision < self._directory_revision:
+        if not self._known.set(directory, self.services):
             return
+<<<<<<< HEAD
         self._directory_revision = directory.revision
         self._members = {}
         for record in directory.members:
@@ -199,6 +205,9 @@
             service.set_population(self._population)
             service.set_members(self._members.get(name, []))
         self.holdings.set_population(self._population)
+=======
+        self.access.quota.set_population(directory.population.gateways)
+>>>>>>> main
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
@@ -381,9 +390,9 @@
         """See :meth:`SessionHost.refuse_over_quota`."""
         return self.access.refuse_over_quota(session)
 
-    def has_returned(self, session: Session) -> bool:
-        """See :meth:`SessionHost.has_returned`."""
-        return self.access.has_returned(session)
+    def note_return(self, session: Session) -> None:
+        """See :meth:`SessionHost.note_return`."""
+        self.access.note_return(session)
 
     def note_not_run(self, session: Session) -> None:
         """See :meth:`SessionHost.note_not_run`."""
