--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -22,13 +22,10 @@
         ("voters", {}, len(raft.membership.voters)),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
-<<<<<<< HEAD
     readings += _plan_gauges(node)
-=======
     for kind, counts in node.service.directory_counts.items():
         readings.append(("directory_answers", {"kind": kind}, counts.answers))
         readings.append(("directory_bytes", {"kind": kind}, counts.bytes))
->>>>>>> main
     for service, promotion in state.promotions.items():
         readings.append(("promotion_token", {"service": service}, promotion.token))
     return readings
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -214,24 +214,18 @@
 class DirectoryRequest(msgspec.Struct, frozen=True, array_like=True):
     """Tell what is newer than the gateway knows, within ``hold_seconds``.
 
-<<<<<<< HEAD
-    :param known_plan: number of the plan of holders, None if the gateway goes by none.
-=======
     :param takes_parts: whether the gateway understands ``part`` of the reply.
     :param wants_whole: whether it needs the whole directory, of its revision or a later one.
->>>>>>> main
+    :param known_plan: number of the plan of holders, None if the gateway goes by none.
     """
 
     report: GatewayReport
     known_version: int
     known_revision: int
     hold_seconds: float
-<<<<<<< HEAD
-    known_plan: int | None = None
-=======
     takes_parts: bool = False
     wants_whole: bool = False
->>>>>>> main
+    known_plan: int | None = None
 
 
 @message
@@ -246,11 +240,8 @@
     :param controls: addresses of all control nodes.
     :param zone: where the answering node stands.
     :param others: gateways of other groups that hold connections there, with ``members``.
-<<<<<<< HEAD
-    :param plan: of holders, None if the known one is the newest.
-=======
     :param part: a packed :class:`DirectoryPart` for who takes it; empty if there is nothing new.
->>>>>>> main
+    :param plan: of holders, None if the known one is the newest.
     """
 
     current: bool
@@ -264,11 +255,8 @@
     controls: list[str]
     zone: str = ""
     others: list[GatewayRecord] = []
-<<<<<<< HEAD
-    plan: Plan | None = None
-=======
     part: bytes = b""
->>>>>>> main
+    plan: Plan | None = None
 
 
 @message
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -60,14 +60,7 @@
         self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
-<<<<<<< HEAD
-        self._zone = zone
-        self._holders: tuple[CoordinationState, int, list[GatewayRecord]] = (state, -1, [])
-        self._changed = asyncio.Event()
-        self._seen = (0, 0, 0, False)
-=======
         self._watches = Watches(node, state, zone, self.now)
->>>>>>> main
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
         ] = {
@@ -246,18 +239,8 @@
     # Watches
 
     def notice_change(self) -> None:
-<<<<<<< HEAD
-        """Wake the watches if something changed."""
-        state = self.state
-        seen = (state.version, state.revision, state.plan.number, self.is_current)
-        if seen != self._seen:
-            self._seen = seen
-            self._changed.set()
-            self._changed = asyncio.Event()
-=======
         """Wake the watches if something changed that gateways are to be told."""
         self._watches.notice_change()
->>>>>>> main
 
     @property
     def is_current(self) -> bool:
@@ -272,109 +255,4 @@
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
         self._note_report(request.report)
         self.notify_leader(msgspec.structs.replace(request.report, hops=1))
-<<<<<<< HEAD
-        deadline = self.now() + min(request.hold_seconds, MAXIMUM_HOLD_SECONDS)
-        while not self._may_answer(request):
-            changed = self._changed
-            try:
-                async with asyncio.timeout_at(deadline):
-                    await changed.wait()
-            except TimeoutError:
-                break
-        return self._directory(request)
-
-    async def _tell_held(self, request: msgspec.Struct) -> msgspec.Struct:
-        """Tell what the log holds; see :mod:`rowanrail.gateway.held`."""
-        assert isinstance(request, HeldRequest)
-        self.node.check_failure("tell what is held")  # the log in memory is not what is on disk
-        log = self.node.raft.log
-        entries = log.between(log.snapshot_index + 1, log.last_index)
-        state = self.state.replayed(log.snapshot, entries)
-        return HeldReply(
-            self.node.raft.node,
-            log.last_term,
-            log.last_index,
-            sorted(log.membership.voters),
-            self._reply(state, request.group, is_newer=True, is_changed=True),
-        )
-
-    def _may_answer(self, request: DirectoryRequest) -> bool:
-        """Return whether to answer before the request's hold is over.
-
-        A gateway that follows a node which is not sure goes on to the next one; one that has
-        just started asks all nodes, and each answers once it is sure.
-        """
-        if self.is_current:
-            return self._has_news(request)
-        return request.known_version > 0 and request.known_revision >= 0
-
-    def _has_news(self, request: DirectoryRequest) -> bool:
-        return (
-            self.state.version > request.known_version
-            or self.state.revision > request.known_revision
-            or self._has_plan(request)
-        )
-
-    def _has_plan(self, request: DirectoryRequest) -> bool:
-        """Return whether there is a plan that a gateway wants to know, and does not."""
-        known = request.known_plan
-        return known is not None and self.state.plan.number > known
-
-    def _directory(self, request: DirectoryRequest) -> DirectoryReply:
-        reply = self._reply(
-            self.state,
-            request.report.sharing_group,
-            is_newer=self.state.version > request.known_version,
-            is_changed=self.state.revision > request.known_revision,
-        )
-        if self._has_plan(request):
-            return msgspec.structs.replace(reply, plan=self.state.plan)
-        return reply
-
-    def _reply(
-        self, state: CoordinationState, group: str, is_newer: bool, is_changed: bool
-    ) -> DirectoryReply:
-        return DirectoryReply(
-            current=self.is_current,
-            version=state.version,
-            document=state.document if is_newer else b"",
-            revision=state.revision,
-            members=list(state.members.values()) if is_changed else None,
-            gateways=len(state.gateways),
-            zones=state.groups,
-            neighbours=_neighbours(state, group) if is_changed else [],
-            controls=sorted(self.node.raft.membership.addresses().values()),
-            zone=self._zone,
-            others=self._others(state, group) if is_changed else [],
-        )
-
-    def _others(self, state: CoordinationState, group: str) -> list[GatewayRecord]:
-        """Return the gateways of other groups that hold a service's connections there."""
-        known, revision, holders = self._holders
-        if known is not state or revision != state.revision:
-            holders = _group_holders(state)  # the same for all who ask; worked out once
-            self._holders = (state, state.revision, holders)
-        return [gateway for gateway in holders if gateway.sharing_group != group]
-
-
-def _neighbours(state: CoordinationState, group: str) -> list[GatewayRecord]:
-    return [gateway for gateway in state.gateways.values() if gateway.sharing_group == group]
-
-
-def _group_holders(state: CoordinationState) -> list[GatewayRecord]:
-    """Return the gateways that hold a service's connections in their groups.
-
-    Where regions share, the gateway that sums tenants' demand for its region is one of them.
-    """
-    by_group: dict[str, list[str]] = {}
-    for gateway in state.gateways.values():
-        by_group.setdefault(gateway.sharing_group, []).append(gateway.name)
-    services = {member.service for member in state.members.values()}
-    held = set(services)
-    if any(gateway.group for gateway in state.gateways.values()):
-        held = {part.key for service in services for part in parts_of(service)} | {METER}
-    names = {rank(service, known)[0] for known in by_group.values() for service in held}
-    return [state.gateways[name] for name in sorted(names)]
-=======
         return await self._watches.answer(request)
->>>>>>> main
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -76,14 +76,11 @@
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
-<<<<<<< HEAD
         self.plan = saved.plan
-=======
         self.holders = Holders(self.members.values(), self.gateways.values())
         self.history = DirectoryHistory(
             saved.revision, self.members.values(), self.gateways.values(), self.holders.records
         )
->>>>>>> main
 
     def replayed(self, snapshot: Snapshot | None, entries: list[Entry]) -> "CoordinationState":
         """Return a state of its own to which a log leads, committed or not."""
@@ -127,12 +124,9 @@
             promotion = Promotion(command.instance, self._fence.token(entry.index))
             self.promotions[command.service] = promotion
             return promotion
-<<<<<<< HEAD
         if isinstance(command, SetPlan):
             return self._set_plan(command, entry.index)
-=======
         self._change = DirectoryChange(entry.index)
->>>>>>> main
         if self._change_directory(command):
             self.revision = entry.index
             self.history.note(self._change, self.holders.apply(self._change))
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -68,7 +68,7 @@
         self._replay = Replay(state)
         self._held_parts = DirectoryParts(state)
         self._changed = asyncio.Event()
-        self._seen = (0, 0, False)
+        self._seen = (0, 0, 0, False)
 
     @property
     def counts(self) -> dict[str, PartCounts]:
@@ -83,7 +83,8 @@
     def notice_change(self) -> None:
         """Wake those who wait if something changed that they are to be told."""
         self._gathering.note(self._state.revision, self._state.urgent_revision)
-        seen = (self._state.version, self._gathering.released, self.is_current)
+        state = self._state
+        seen = (state.version, self._gathering.released, state.plan.number, self.is_current)
         if seen != self._seen:
             self._seen = seen
             self._changed.set()
@@ -137,8 +138,14 @@
             self._wants_whole(request)
             or self._state.version > request.known_version
             or self._gathering.released > request.known_revision
+            or self._has_plan(request)
         )
 
+    def _has_plan(self, request: DirectoryRequest) -> bool:
+        """Return whether there is a plan that a gateway wants to know, and does not."""
+        known = request.known_plan
+        return known is not None and self._state.plan.number > known
+
     def _wants_whole(self, request: DirectoryRequest) -> bool:
         """Return whether a gateway needs everything, and this node is as far as it was told."""
         if request.known_revision < 0:
@@ -155,7 +162,8 @@
             return self._with_all(self._plain(state, is_newer), state, group, is_changed)
         since = WHOLE if wants_whole else request.known_revision
         part = self._parts.packed(group, since) if is_changed else b""
-        return self._plain(state, is_newer, part)
+        plan = state.plan if self._has_plan(request) else None
+        return msgspec.structs.replace(self._plain(state, is_newer, part), plan=plan)
 
     def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
         return DirectoryReply(
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -69,11 +69,7 @@
         self._locality = locality
         self._zones: dict[str, str] = {}
         self._version = 0
-<<<<<<< HEAD
-        self._revision = -1
         self._plan = 0 if takes_plans else None
-=======
->>>>>>> main
         self._silent = False
         self._started_at = 0.0
         self._return_due = 0.0
@@ -203,16 +199,13 @@
     async def _poll(self, address: str, hold_seconds: float) -> bool:
         """Ask one control node for what is newer; return whether to stay with it."""
         request = DirectoryRequest(
-<<<<<<< HEAD
-            self._make_report(), self._version, self._revision, hold_seconds, self._plan
-=======
             self._make_report(),
             self._version,
             self._copy.revision,
             hold_seconds,
             takes_parts=True,
             wants_whole=self._copy.is_broken,
->>>>>>> main
+            known_plan=self._plan,
         )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
@@ -260,16 +253,10 @@
                 self._version = reply.version
                 self._gateway.apply(parsed.unwrap(), corrects=self._corrects(reply))
                 self._provisional = None
-<<<<<<< HEAD
-        if reply.members is not None and reply.revision > self._revision:
-            self._revision = reply.revision
-            self._gateway.set_directory(self._directory(reply, reply.members))
+        self._take_directory(address, reply)
         if reply.plan is not None:
             self._plan = reply.plan.number
             self._gateway.set_plan(reply.plan)
-=======
-        self._take_directory(address, reply)
->>>>>>> main
         self._follow_controls(address, reply.controls)
 
     def _take_directory(self, address: str, reply: DirectoryReply) -> None:
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -16,11 +16,8 @@
     PRIMARY_LOST,
     PRIMARY_PROVED,
 )
-<<<<<<< HEAD
 from rowanrail.gateway.holdings import Holdings
-=======
 from rowanrail.gateway.known_directory import KnownDirectory
->>>>>>> main
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
     Answer,
@@ -48,12 +45,8 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
-<<<<<<< HEAD
-from rowanrail.relay.placement import Part, Population
+from rowanrail.relay.placement import Part
 from rowanrail.relay.planned import PlannedHolders
-=======
-from rowanrail.relay.placement import Part, parts_of
->>>>>>> main
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.scheduling.plan import Plan
@@ -190,24 +183,8 @@
         """Know the members that announced themselves, and the gateways beside this one."""
         if not self._known.set(directory, self.services):
             return
-<<<<<<< HEAD
-        self._directory_revision = directory.revision
-        self._members = {}
-        for record in directory.members:
-            self._members.setdefault(record.service, []).append(record)
-        self._population = directory.population
-        self.access.quota.set_population(self._population.gateways)
-        if self._neighbours is not None:
-            self._neighbours.set_neighbours(directory.neighbours)
-        if self._detours is not None:
-            self._detours.set_gateways(directory.neighbours, directory.others)
-        for name, service in self.services.items():
-            service.set_population(self._population)
-            service.set_members(self._members.get(name, []))
-        self.holdings.set_population(self._population)
-=======
         self.access.quota.set_population(directory.population.gateways)
->>>>>>> main
+        self.holdings.set_population(directory.population)
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
--- a/tests/coordination/test_planner.py
+++ b/tests/coordination/test_planner.py
@@ -287,7 +287,8 @@
     async def ask(self, known_plan):
         report = GatewayReport("a0", "a", [])
         revision = self.service.state.revision
-        return await self.service.handle(DirectoryRequest(report, 0, revision, 0.0, known_plan))
+        request = DirectoryRequest(report, 0, revision, 0.0, known_plan=known_plan)
+        return await self.service.handle(request)
 
     async def test_a_plan_goes_into_the_log_and_out_to_gateways_once(self):
         await self.plan(self.duty())
