--- a/src/rowanrail/coordination/forwarding.py
+++ b/src/rowanrail/coordination/forwarding.py
@@ -45,11 +45,16 @@
         sent = self._sent.get(report.gateway)
         if (
             sent is not None
-            and not report.services
+            and not _tells_something(report)
             and not sent.told
             and (sent.leader, sent.place) == (leader, place)
             and now - sent.at < CENSUS_SECONDS
         ):
             return False
-        self._sent[report.gateway] = _Sent(now, leader, bool(report.services), place)
+        self._sent[report.gateway] = _Sent(now, leader, _tells_something(report), place)
         return True
+
+
+def _tells_something(report: GatewayReport) -> bool:
+    """Return whether a report tells of primaries, or of the demand by which holders are planned."""
+    return bool(report.services) or report.load is not None
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -18,6 +18,7 @@
 from rowanrail.coordination.announcements import Announcements
 from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.loads import LoadBook
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     Command,
@@ -57,6 +58,7 @@
         self.state = state
         self.members = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
+        self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
         self._forwarding = ReportForwarding(self.now)
@@ -92,12 +94,16 @@
             self.liveness.heartbeat(request.instance, request.sequence)
             return None
         if isinstance(request, GatewayReport):
-            self.liveness.report(request)
+            self._note_report(request)
             if not self.node.raft.is_leader and request.hops == 0:
                 self.notify_leader(msgspec.structs.replace(request, hops=1))
             return None
         return await self._serve(request)
 
+    def _note_report(self, report: GatewayReport) -> None:
+        self.liveness.report(report)
+        self.loads.note(report.gateway, report.load)
+
     async def _serve(self, request: msgspec.Struct) -> msgspec.Struct:
         handler = self._handlers.get(type(request))
         if handler is None:
@@ -249,7 +255,7 @@
         return self._watches.counts
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
-        self.liveness.report(request.report)
+        self._note_report(request.report)
         if self._forwarding.is_due(request.report, self.node.leader_address()):
             self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         return await self._watches.answer(request)
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -73,7 +73,7 @@
         self._addresses: list[str] = []
         self._mark = 0
         self._changed = asyncio.Event()
-        self._seen = (0, 0, False)
+        self._seen = (0, 0, 0, False)
 
     @property
     def counts(self) -> dict[str, PartCounts]:
@@ -88,7 +88,8 @@
     def notice_change(self) -> None:
         """Wake those who wait if something changed that they are to be told."""
         self._gathering.note(self._state.revision, self._state.urgent_revision)
-        seen = (self._state.version, self._gathering.released, self.is_current)
+        state = self._state
+        seen = (state.version, self._gathering.released, state.plan.number, self.is_current)
         if seen != self._seen:
             self._seen = seen
             self._changed.set()
@@ -142,8 +143,14 @@
             self._wants_whole(request)
             or self._state.version > request.known_version
             or self._gathering.released > request.known_revision
+            or self._has_plan(request)
         )
 
+    def _has_plan(self, request: DirectoryRequest) -> bool:
+        """Return whether there is a plan that a gateway wants to know, and does not."""
+        known = request.known_plan
+        return known is not None and self._state.plan.number > known
+
     def _wants_whole(self, request: DirectoryRequest) -> bool:
         """Return whether a gateway needs everything, and this node is as far as it was told."""
         if request.known_revision < 0:
@@ -156,11 +163,14 @@
         wants_whole = self._wants_whole(request)
         is_newer = state.version > request.known_version
         is_changed = wants_whole or state.revision > request.known_revision
-        if not request.takes_parts:
-            return self._with_all(self._plain(state, is_newer), state, group, is_changed)
-        since = WHOLE if wants_whole else request.known_revision
-        part = self._parts.packed(group, since) if is_changed else b""
-        return self._plain(state, is_newer, part, request.known_controls)
+        if request.takes_parts:
+            since = WHOLE if wants_whole else request.known_revision
+            part = self._parts.packed(group, since) if is_changed else b""
+            reply = self._plain(state, is_newer, part, request.known_controls)
+        else:
+            reply = self._with_all(self._plain(state, is_newer), state, group, is_changed)
+        plan = state.plan if self._has_plan(request) else None
+        return msgspec.structs.replace(reply, plan=plan)
 
     def _controls(self, known: int) -> list[str]:
         """Return all control nodes, none if a gateway was told of them."""
--- a/src/rowanrail/gateway/directory_watch.py
+++ b/src/rowanrail/gateway/directory_watch.py
@@ -58,6 +58,7 @@
         make_report: Callable[[], GatewayReport],
         decisions: DecisionLog,
         locality: Locality,
+        takes_plans: bool = False,
     ) -> None:
         self._gateway = gateway
         self._network = network
@@ -70,6 +71,7 @@
         self._told_controls = 0
         self._zones: dict[str, str] = {}
         self._version = 0
+        self._plan = 0 if takes_plans else None
         self._silent = False
         self._started_at = 0.0
         self._return_due = 0.0
@@ -212,6 +214,7 @@
             takes_parts=True,
             wants_whole=self._copy.is_broken,
             known_controls=self._told_controls,
+            known_plan=self._plan,
         )
         try:
             reply = await self._network.call(address, request, hold_seconds + CALL_SECONDS)
@@ -260,6 +263,9 @@
                 self._gateway.apply(parsed.unwrap(), corrects=self._corrects(reply))
                 self._provisional = None
         self._take_directory(address, reply)
+        if reply.plan is not None:
+            self._plan = reply.plan.number
+            self._gateway.set_plan(reply.plan)
         self._follow_controls(address, reply.controls)
 
     def _take_directory(self, address: str, reply: DirectoryReply) -> None:
--- a/src/rowanrail/gateway/outcomes.py
+++ b/src/rowanrail/gateway/outcomes.py
@@ -29,6 +29,7 @@
 
     def __init__(self, decisions: DecisionLog, access: Access) -> None:
         self.on_outcome: Callable[[str, str, str, float], None] = lambda *outcome: None
+        self.on_trace: Callable[[str, Trace | None], None] = lambda tenant, trace: None
         self._decisions = decisions
         self._access = access
 
@@ -47,6 +48,7 @@
         trace = None if operation is None else operation.trace()
         stage = trace.stage if trace is not None else Stage.ACCEPTED.value
         self.on_outcome(statement.kind.value, outcome, stage, seconds)
+        self.on_trace(session.identity.tenant, trace)
         if answer.refusal is Refusal.BUSY and trace is not None:
             self._access.note_turned_away(session, trace.rejection)
         self._decisions.note(
--- a/src/rowanrail/gateway/service.py
+++ b/src/rowanrail/gateway/service.py
@@ -22,8 +22,11 @@
     Part,
     Population,
     connection_limit,
+    even_share,
     is_shared,
+    planned_limit,
 )
+from rowanrail.relay.planned import HANDOVER_PART, Allowance
 from rowanrail.scheduling.choice import choose
 from rowanrail.scheduling.queue import tenant_weight
 from rowanrail.scheduling.returning import ReturnTimes
@@ -62,6 +65,7 @@
         self._clock = clock
         self._population = Population()
         self._parts: frozenset[Part] = frozenset()
+        self._allowance: Allowance | None = None
         self._tenants = Tenants()
 
     def set_members(self, records: list[MemberRecord]) -> None:
@@ -108,18 +112,39 @@
 
     def _connection_limit(self, record: MemberRecord) -> int:
         is_near = self._locality.is_near(record.zone)
+        if self._allowance is not None and self.is_shared:
+            return self._planned_limit(self._allowance, is_near)
         return connection_limit(
             self.spec.connections, self._population, is_near, max(1, len(self._parts))
         )
 
+    def _planned_limit(self, allowance: Allowance, is_near: bool) -> int:
+        share = self._planned_share(allowance)
+        return planned_limit(
+            self.spec.connections, self._population, share, allowance.samplers, is_near
+        )
+
+    def _planned_share(self, allowance: Allowance) -> float:
+        """Return the share by a plan; who stands in for a holder that is down has an even one.
+
+        A gateway that the plan does not name, or names no more, may still be asked by those that
+        go by another plan, and finishes what it began.
+        """
+        even = even_share(self._population)
+        share = allowance.share + even * len(self._parts - allowance.parts)
+        return share or even * HANDOVER_PART
+
     def _holders(self, record: MemberRecord) -> int:
         """Return how many gateways are thought to use a member as much as this one does."""
         if not self.is_shared:
             return self._population.gateways or ASSUMED_GATEWAYS
+        is_near = self._locality.is_near(record.zone)
+        if self._allowance is not None and (is_near or not self.is_regional):
+            return max(1, round(1 / self._planned_share(self._allowance)))
         if not self.is_regional:
             return self._population.zones
         near = math.ceil(PARTS / max(1, len(self._parts)))
-        return near if self._locality.is_near(record.zone) else PARTS * self._population.zones
+        return near if is_near else PARTS * self._population.zones
 
     def set_tenants(self, tenants: Tenants) -> None:
         """Know whose statements come."""
@@ -152,6 +177,16 @@
             return False
         return not self._locality.is_near(pool.record.zone)
 
+    @property
+    def is_planned(self) -> bool:
+        """Whether a plan names the holders of the service's connections."""
+        return self._allowance is not None
+
+    @property
+    def planned_parts(self) -> frozenset[Part]:
+        """The parts for which the plan names this gateway."""
+        return frozenset() if self._allowance is None else self._allowance.parts
+
     @property
     def has_connections(self) -> bool:
         """Whether any connection to a member is open or being opened.
@@ -199,15 +234,21 @@
             self._parts = parts
             self._apply_limit()
 
+    def set_allowance(self, allowance: Allowance | None) -> None:
+        """Note what the plan lets this gateway open; None if it has no word of the service."""
+        if allowance != self._allowance:
+            self._allowance = allowance
+            self._apply_limit()
+
     def _is_kept(self, tenant: str) -> bool:
         """Return whether idle connections of a tenant are kept for its next statement.
 
         What another gateway of the region is to hold is missing there: a member that both keep
         full refuses a third of them.
         """
-        if not tenant or not self.is_regional:
-            return True
-        return Part.of(self.spec.name, tenant) in self._parts
+        if self.is_regional:
+            return not tenant or Part.of(self.spec.name, tenant) in self._parts
+        return self._allowance is None or Part(self.spec.name) in self._parts
 
     def tick(self) -> None:
         """Let time pass."""
--- a/src/rowanrail/relay/serving.py
+++ b/src/rowanrail/relay/serving.py
@@ -25,6 +25,7 @@
     Run,
     SampleTold,
 )
+from rowanrail.relay.placement import Part
 from rowanrail.relay.terms import load_session, reply_to, route_of, statement_of
 from rowanrail.scheduling.load import LoadTeller, ServiceLoad
 from rowanrail.tenants.demand import DemandBook, Report
@@ -103,6 +104,11 @@
         The gateway.
     clock : Clock
         Time and timers.
+
+    Attributes
+    ----------
+    on_run : callable
+        Gets the part to which each statement of a neighbour belongs.
     """
 
     def __init__(self, host: HolderHost, clock: Clock) -> None:
@@ -111,6 +117,7 @@
         self.teller = LoadTeller(clock, host.load)
         self.on_region: Callable[[CountDemand], None] = lambda message: None
         self._links: dict[ServedLink, None] = {}
+        self.on_run: Callable[[Part], None] = lambda part: None
 
     @property
     def open_transactions(self) -> int:
@@ -184,6 +191,8 @@
 
     def receive(self, message: FromGateway) -> None:
         """Take a message of the neighbour."""
+        if isinstance(message, Run):
+            self._holder.on_run(Part.of(message.service, message.tenant))
         match message:
             case Run(transaction=0):
                 self._run_single(message)
