--- a/src/rowanrail/gateway/connections.py
+++ b/src/rowanrail/gateway/connections.py
@@ -82,9 +82,9 @@
     def is_worth_opening(self, tenant: str | None, waiting: int, waited_seconds: float) -> bool:
         """Whether one should be opened for a tenant.
 
-        Each takes a slot of the member for a while, is priced, and still counts there for seconds
-        when this gateway is lost. So another one is opened for those who have waited for about as
-        long as its opening takes; until then a connection that is in use may come back.
+        Each takes a slot of the member for a while, and still counts there for seconds when this
+        gateway is lost. So another one is opened for those who have waited for about as long as
+        its opening takes; until then a connection that is in use may come back.
 
         :param waiting: how many want one of the tenant.
         :param waited_seconds: for how long the first of them has waited.
--- a/src/rowanrail/gateway/pool.py
+++ b/src/rowanrail/gateway/pool.py
@@ -20,9 +20,9 @@
 class MemberPool:
     """Connections to one member, at most ``limit`` open or being opened.
 
-    Of those, only as many are used at a time as its :class:`ConcurrencyLimit` says, so that who
-    waits does so here, where it is known how urgent he is. A transaction that rests uses none, and
-    its later statements aren't held back.
+    Of those, only as many are in use at a time as its :class:`ConcurrencyLimit` says, so that
+    statements wait here, where urgency and deadline are known, and not at the member. A transaction
+    that rests uses none, and its later statements aren't held back.
     """
 
     def __init__(
