--- a/src/rowanlab/standin/member.py
+++ b/src/rowanlab/standin/member.py
@@ -15,14 +15,10 @@
 
 from rowanlab.standin.engine import Engine
 from rowanrail.config.settings import NodeAddress
+from rowanrail.consensus.errors import NotLeaderError
+from rowanrail.consensus.machine import StateMachine
 from rowanrail.consensus.messages import Entry, EntryKind
-from rowanrail.consensus.node import (
-    CONSENSUS_MESSAGES,
-    ConsensusNode,
-    NodeOptions,
-    NotLeaderError,
-    StateMachine,
-)
+from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode, NodeOptions
 from rowanrail.consensus.policies import LearnerFirst
 from rowanrail.consensus.raft_types import RaftConfig
 from rowanrail.consensus.storage import Identity, Storage
--- /dev/null
+++ b/src/rowanrail/consensus/machine.py
@@ -0,0 +1,23 @@
+"""What the replicated log acts on."""
+
+from abc import ABC, abstractmethod
+
+from rowanrail.consensus.messages import Entry
+
+__all__ = ["StateMachine"]
+
+
+class StateMachine(ABC):
+    """What the log's commands act on. Must depend on nothing but the commands."""
+
+    @abstractmethod
+    def apply(self, entry: Entry) -> object:
+        """Apply a committed entry and return its result."""
+
+    @abstractmethod
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    @abstractmethod
+    def restore(self, data: bytes) -> None:
+        """Replace the state."""
--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 import msgspec
 
+from rowanrail.consensus.errors import LeadershipLostError, NotLeaderError, SupersededError
 from rowanrail.consensus.log import Log
+from rowanrail.consensus.machine import StateMachine
 from rowanrail.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -33,38 +34,6 @@
 CONSENSUS_MESSAGES = (VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest)
 
 
-class NotLeaderError(RowanrailError):
-    """The node can't serve the request; ``leader`` is the address to ask, if known."""
-
-    def __init__(self, leader: str, step: str) -> None:
-        super().__init__(f"not the leader (leader: {leader or 'none known'})", step=step)
-        self.leader = leader
-
-
-class SupersededError(RowanrailError):
-    """The proposed entry was replaced by another leader's; it will never be applied."""
-
-
-class LeadershipLostError(RowanrailError):
-    """The leader changed while the entry was under way; it may still be applied."""
-
-
-class StateMachine(ABC):
-    """What the log's commands act on. Must depend on nothing but the commands."""
-
-    @abstractmethod
-    def apply(self, entry: Entry) -> object:
-        """Apply a committed entry and return its result."""
-
-    @abstractmethod
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    @abstractmethod
-    def restore(self, data: bytes) -> None:
-        """Replace the state."""
-
-
 class NodeOptions(msgspec.Struct, frozen=True):
     """How a node runs.
 
--- a/src/rowanrail/control/membership.py
+++ b/src/rowanrail/control/membership.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
+from rowanrail.consensus.errors import NotLeaderError
 from rowanrail.consensus.messages import Membership
-from rowanrail.consensus.node import ConsensusNode, NotLeaderError
+from rowanrail.consensus.node import ConsensusNode
 from rowanrail.consensus.raft_types import MembershipBusy
 from rowanrail.control.messages import JoinRequest, NodesReply, NodesRequest, NodeView
 from rowanrail.kernel.errors import InvalidRequestError, RowanrailError
--- a/src/rowanrail/control/service.py
+++ b/src/rowanrail/control/service.py
@@ -10,13 +10,9 @@
 from rowanrail.config.checks import check_configuration
 from rowanrail.config.diff import Change, difference
 from rowanrail.config.model import Configuration
+from rowanrail.consensus.errors import NotLeaderError, SupersededError
 from rowanrail.consensus.messages import ConsensusMessage
-from rowanrail.consensus.node import (
-    CONSENSUS_MESSAGES,
-    ConsensusNode,
-    NotLeaderError,
-    SupersededError,
-)
+from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.control.census import ProxyCensus
 from rowanrail.control.delta import make_delta
 from rowanrail.control.membership import MembershipManager
--- a/src/rowanrail/control/state.py
+++ b/src/rowanrail/control/state.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from rowanrail.config.model import Configuration, VersionedConfiguration
+from rowanrail.consensus.machine import StateMachine
 from rowanrail.consensus.messages import Entry, EntryKind
-from rowanrail.consensus.node import StateMachine
 from rowanrail.control.delta import apply_delta, is_empty
 from rowanrail.control.messages import ChangeCommand, Outcome, Revision, Verdict
 from rowanrail.control.policies import ExpectedVersion
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -5,14 +5,9 @@
 
 import msgspec
 
+from rowanrail.consensus.errors import LeadershipLostError, NotLeaderError, SupersededError
 from rowanrail.consensus.messages import ConsensusMessage
-from rowanrail.consensus.node import (
-    CONSENSUS_MESSAGES,
-    ConsensusNode,
-    LeadershipLostError,
-    NotLeaderError,
-    SupersededError,
-)
+from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
 from rowanrail.coordination.announcements import Announcements
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from rowanrail.consensus.machine import StateMachine
 from rowanrail.consensus.messages import Entry, EntryKind, Snapshot
-from rowanrail.consensus.node import StateMachine
 from rowanrail.control.policies import VersionMonotonic
 from rowanrail.coordination.changes import DirectoryChange, GatewayStep, MemberStep
 from rowanrail.coordination.history import DirectoryHistory
