--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -37,15 +37,13 @@
 from rowanrail.gateway.told_load import measure
 from rowanrail.gateway.weight_lines import note_weight
 from rowanrail.gateway.work import LocalWork, SingleStatement, Work, WorkInTransaction
+from rowanrail.gateway.work_places import WorkPlaces
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.proxy.backend import Position
 from rowanrail.relay.detours import Detours
-from rowanrail.relay.forwarding import ForwardedWork, Placement
-from rowanrail.relay.homes import HomePlacement
-from rowanrail.relay.neighbours import At, Here, Neighbours
-from rowanrail.relay.placement import Part
+from rowanrail.relay.neighbours import Neighbours
 from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
@@ -95,9 +93,9 @@
         self._known = KnownDirectory(neighbours, detours)
         self._prospects = Prospects(MillisecondClock(clock))
         self._neighbours = neighbours
+        self._detours = detours
         if neighbours is not None:
             neighbours.on_link = self._note_link
-        self._detours = detours
         if detours is not None:
             detours.on_found = self._note_detour
             detours.on_lost = self._prospects.forget
@@ -106,6 +104,16 @@
         self._session_count = 0
         check = self._policies.key_check
         self.access = Access(MillisecondClock(clock), decisions, check, quota_terms)
+        self._places = WorkPlaces(
+            locality,
+            self.names,
+            clock,
+            self._policies.link_outcome,
+            self._prospects,
+            neighbours,
+            detours,
+            lambda: self.access.version,
+        )
         self.outcomes = Outcomes(decisions, self.access)
         self.outcomes.on_trace = self.holdings.note_own
 
@@ -151,7 +159,7 @@
                 continue
             service = Service(spec, self._locality, self._driver, self.clock, self._policies)
             service.primary.on_alarm = functools.partial(self._note_primary, service)
-            service.primary.on_trouble = functools.partial(self._ask_around, service)
+            service.primary.on_trouble = functools.partial(self._places.ask_around, service)
             told = functools.partial(note_weight, self._decisions, service)
             service.estimates.weights.on_change = told
             service.set_population(self._known.population)
@@ -263,77 +271,16 @@
         local = self.local_work(route.service) if route is not None else None
         if route is None or local is None:
             return self.access.refuse_database(database)
-        return route, self._placed(Part.of(route.service, tenant), local)
+        return route, self._places.place(self.services[route.service], tenant, local)
 
     def local_work(self, service: str, is_detour: bool = False) -> LocalWork | None:
         """See :meth:`rowanrail.relay.serving.HolderHost.local_work`."""
         known = self.services.get(service)
-        if known is None:
-            return None
-        if is_detour and known.is_regional and known.primary.failing_since:
-            return None  # the sender's own connections may still reach the primary
-        if is_detour or self._detours is None:
-            return LocalWork(known, self.names, self.clock)
-        return LocalWork(
-            known,
-            self.names,
-            self.clock,
-            functools.partial(self._find_detour, known),
-            functools.partial(self._find_home, known),
-        )
-
-    def _find_home(self, service: Service, tenant: str, instance: str = "") -> ForwardedWork | None:
-        """Return work at the holder of another region's member, None if it is this region's.
-
-        Without a member's name the primary is meant.
-        """
-        pool = service.pools.get(instance) if instance else service.primary_pool()
-        if self._detours is None or pool is None or not service.is_far(pool):
-            return None
-        region = self._locality.region_of(pool.record.zone)
-        part = Part.of(service.spec.name, tenant)
-        if not isinstance(self._detours.place_part_in(region, part), At):
-            return None
-        return self._forwarded(HomePlacement(self._detours, region), service, is_detour=True)
-
-    def _forwarded(
-        self,
-        placement: Placement,
-        service: Service,
-        local: LocalWork | None = None,
-        is_detour: bool = False,
-    ) -> ForwardedWork:
-        if local is None:
-            local = LocalWork(service, self.names, self.clock)
-        clock = MillisecondClock(self.clock)
-        outcome = self._policies.link_outcome
-        version = self.access.version
-        return ForwardedWork(placement, local, clock, outcome, self._prospects, is_detour, version)
-
-    # Primaries that this gateway does not reach
-
-    def _find_detour(self, service: Service) -> ForwardedWork | None:
-        """Return work at a gateway that reaches a service's primary, if one is known."""
-        detours = self._detours
-        if detours is None or not detours.knows_a_way(service.spec.name):
-            return None
-        return self._forwarded(detours, service, is_detour=True)
+        return None if known is None else self._places.local(known, is_detour)
 
     def _note_detour(self, service: str, peer: str) -> None:
         self._decisions.note(DETOUR_FOUND, service=service, peer=peer)
 
-    def _ask_around(self, service: Service) -> None:
-        """Ask other gateways for a sample of a primary that this one gets none of."""
-        if self._detours is None:
-            return
-        tracker = service.primary
-
-        def take(asked_at_ms: float, instance: str, position: Position) -> None:
-            tracker.note_told(asked_at_ms / 1000, instance, position)
-
-        # Gateways that hold no connections yet are no help while the primary has none left.
-        self._detours.ask(service.spec.name, bool(tracker.failing_since), take)
-
     def prove_primary(self, service: str, give: Callable[[Sample | None], None]) -> None:
         """See :meth:`rowanrail.relay.serving.HolderHost.prove_primary`."""
         known = self.services.get(service)
@@ -344,14 +291,6 @@
         self.clock.call_later(PROVE_SECONDS, proof.give_up)
         proof.ask()
 
-    def _placed(self, part: Part, local: LocalWork) -> Work:
-        """Return where work on a service is done: here, or through a neighbour's connections."""
-        if self._neighbours is None or not self.services[part.service].is_shared:
-            return local
-        if isinstance(self._neighbours.place_part(part), Here):
-            return local
-        return self._forwarded(self._neighbours, self.services[part.service], local)
-
     def load(self, service: str, tenant: str) -> ServiceLoad | None:
         """See :meth:`rowanrail.relay.serving.HolderHost.load`."""
         known = self.services.get(service)
