--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -63,6 +63,7 @@
         regions: dict[str, str] | None = None,
         control_zones: tuple[str, ...] = ("a",),
         network: int = 0,
+        member_type: type[Member] = Member,
     ) -> None:
         # Fleets that run side by side differ in the second number of their addresses.
         self.promote_host = f"127.{network}.10.1"
@@ -74,7 +75,7 @@
         self.proxy_hosts = [f"127.{network}.8.{number + 1}" for number in range(proxies)]
         self.group = group or Group("db")
         self.members = [
-            Member(
+            member_type(
                 self.group, f"i-{number}", f"127.{network}.9.{number + 1}", MEMBER_PORT, number == 0
             )
             for number in range(3)
@@ -91,6 +92,7 @@
         self.http = await self._stack.enter_async_context(
             aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
         )
+        await self._check_addresses()
         await self.platform.start(self.promote_host, PROMOTE_PORT)
         for member in self.members:
             await member.start()
@@ -104,6 +106,24 @@
             await self.until(lambda host=host: self.ready(host), 200)
         return self
 
+    async def _check_addresses(self) -> None:
+        """Make sure that nobody answers where the processes are to listen.
+
+        Processes that a killed run left behind would be taken for this fleet's own, which end at
+        once then; with a configuration of theirs, statements run for other tenants.
+        """
+        places = [(host, CONTROL_PORT) for host in self.control_hosts]
+        places += [(host, FRONT_PORT) for host in self.proxy_hosts]
+        for host, port in places:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+            except OSError:
+                continue
+            writer.close()
+            raise RuntimeError(
+                f"{host}:{port} is taken: end the other run, or use another network"
+            )
+
     async def __aexit__(self, *error: object) -> None:
         if error[0] is not None:
             for host, process in self.processes.items():
