--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -120,9 +120,7 @@
             except OSError:
                 continue
             writer.close()
-            raise RuntimeError(
-                f"{host}:{port} is taken: end the other run, or use another network"
-            )
+            raise RuntimeError(f"{host}:{port} is taken: end the other run, or use another network")
 
     async def __aexit__(self, *error: object) -> None:
         if error[0] is not None:
