A statement at its time-out tells why it found no place; what a client gave up is not run at the holder

Cause: a statement whose time-out is shorter than its hold (0.7 of an objective of 2 s) ended as "no-place" though its primary was lost, and its client was told 0.1 s. That a client's leaving reaches the line at the holder was not tested. Change: the same refusal as at the end of the hold. Tests of a single statement and of a transaction's first one. The two new tests passed at once; no fault was found there.

--- a/src/rowanrail/gateway/lone_read.py
+++ b/src/rowanrail/gateway/lone_read.py
@@ -180,7 +180,7 @@
         """See :meth:`Operation.on_timeout`. A read that was sent may still run."""
         self.service.primary.forget(self._with_floor)
         if self.channel is None:
-            self.turn_away(Cause.NO_PLACE, LATE)
+            self.refuse_unplaced(busy(LATE))
             return
         self.finish(Answer(refusal=Refusal.TIMEOUT, message=LATE))
         self.discard()
--- a/src/rowanrail/gateway/lone_write.py
+++ b/src/rowanrail/gateway/lone_write.py
@@ -5,7 +5,6 @@
 from rowanrail.gateway.model import Answer, Refusal, TypedStatement
 from rowanrail.gateway.operation import Operation, Stage
 from rowanrail.gateway.statement import LATE, busy
-from rowanrail.scheduling.admission import Cause
 
 
 class LoneWrite(Operation):
@@ -79,7 +78,7 @@
     def on_timeout(self) -> None:
         """See :meth:`Operation.on_timeout`."""
         if self.channel is None:
-            self.turn_away(Cause.NO_PLACE, LATE)
+            self.refuse_unplaced(busy(LATE))
             return
         self.finish(Answer(refusal=Refusal.OUTCOME_UNKNOWN, message=LATE))
         self.discard()
--- a/src/rowanrail/gateway/statement.py
+++ b/src/rowanrail/gateway/statement.py
@@ -109,7 +109,7 @@
     def retry_later(self, function: Callable[[], None], answer: Answer) -> None:
         """Try again in a moment, or give the refusal if the time to hold is over."""
         if self.clock.time() + RETRY_SECONDS > self.hold_until:
-            self._refuse_unplaced(answer)
+            self.refuse_unplaced(answer)
             return
 
         def again() -> None:
@@ -118,8 +118,8 @@
 
         self.clock.call_later(RETRY_SECONDS, again)
 
-    def _refuse_unplaced(self, answer: Answer) -> None:
-        """Give a refusal at the end of the time to hold; one as busy tells when to come back."""
+    def refuse_unplaced(self, answer: Answer) -> None:
+        """Refuse what found no place; one that is busy tells when to come back."""
         tracker = self.service.primary
         if answer.refusal is not Refusal.BUSY:
             self.finish(answer)
--- a/src/rowanrail/gateway/transaction.py
+++ b/src/rowanrail/gateway/transaction.py
@@ -28,7 +28,6 @@
 from rowanrail.gateway.statement import LATE, RETRY_SECONDS, busy
 from rowanrail.gateway.work_port import Work, WorkInTransaction
 from rowanrail.proxy.backend import ORIGIN, Position
-from rowanrail.scheduling.admission import Cause
 
 BUSY_RETRIES = 3  # after 20, 40 and 60 ms, when slots have come free
 
@@ -359,7 +358,7 @@
         self.service.primary.forget(self._with_floor)
         self.failed = True
         if self.channel is None:
-            self.turn_away(Cause.NO_PLACE, LATE)
+            self.refuse_unplaced(busy(LATE))
             return
         committing = self.statement.kind is StatementKind.COMMIT
         refusal = Refusal.OUTCOME_UNKNOWN if committing and self.wrote else Refusal.ABORTED
--- a/tests/relay/test_prospects.py
+++ b/tests/relay/test_prospects.py
@@ -124,6 +124,42 @@
         self.assertIsNone(self.client.run("WRITE f 6", seconds=0.5).refusal)
 
 
+class GivenUpTest(unittest.TestCase):
+    """What its client gave up while it waited at the holder isn't run there."""
+
+    def setUp(self):
+        self.zone = PlayedZone()
+        self.zone.clock.advance(0.2)
+        self.assertIsNone(self.zone.last.client("orders").run("WRITE a 1", seconds=0.3).refusal)
+        self.pool = self.zone.first.gateway.services["db"].pools["m1"]
+        self.zone.primary.script = [None] * 10
+        self.busy = [self.zone.first.client("orders") for _ in range(self.pool.concurrency_limit)]
+        for client in self.busy:
+            client.ask("WRITE b 2")
+            self.zone.clock.advance(0.05)
+
+    def give_up(self, *texts):
+        client = self.zone.last.client("orders")
+        for text in texts:
+            client.ask(text)
+        self.zone.clock.advance(0.05)
+        self.assertGreater(len(self.pool._waiting), 0)
+        client.session.close()
+        self.zone.clock.advance(0.05)
+        self.assertEqual(len(self.pool._waiting), 0)
+        self.zone.primary.script = []
+        for client in self.busy:
+            client.session.close()
+        self.zone.clock.advance(1.0)
+        self.assertNotIn("WRITE given-up 1", self.zone.primary.texts())
+
+    def test_a_single_statement(self):
+        self.give_up("WRITE given-up 1")
+
+    def test_the_first_statement_of_a_transaction(self):
+        self.give_up("BEGIN", "WRITE given-up 1")
+
+
 class ReturnedTest(unittest.TestCase):
     def test_who_goes_before_newcomers_is_known_at_the_holder(self):
         session, held = SessionValues(), SessionValues()
