--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -1,11 +1,14 @@
 """Commands of the replicated log, and messages between gateways and control nodes."""
 
 import enum
+import zlib
 
 import msgspec
 
 from rowanrail.gateway.model import MemberRecord, PrimaryHealth
 from rowanrail.rpc.codec import message
+from rowanrail.scheduling.load_report import LoadReport
+from rowanrail.scheduling.plan import PartPlan, Plan
 
 # Commands. Each is applied by every node in the order of the log.
 
@@ -75,7 +78,18 @@
     reason: str
 
 
-Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion
+class SetPlan(msgspec.Struct, frozen=True, tag="plan"):
+    """Holders of services' connections, in place of the plan ``base`` if that is still in force.
+
+    The entry's place in the log is the number of the plan.
+    """
+
+    base: int
+    groups: dict[str, dict[str, PartPlan]]
+    addresses: dict[str, str]
+
+
+Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion | SetPlan
 
 
 class Promotion(msgspec.Struct, frozen=True):
@@ -157,6 +171,7 @@
 
     :param hops: 1 once a control node has sent it on.
     :param group: the zone or region whose gateways share connections; empty for the zone.
+    :param load: what came to it in a span of time, None if that was told before.
     """
 
     gateway: str
@@ -165,6 +180,7 @@
     hops: int = 0
     relay_address: str = ""
     group: str = ""
+    load: LoadReport | None = None
 
     @property
     def sharing_group(self) -> str:
@@ -201,6 +217,8 @@
 
     :param takes_parts: whether the gateway understands ``part`` of the reply.
     :param wants_whole: whether it needs the whole directory, of its revision or a later one.
+    :param known_controls: see :func:`controls_mark`.
+    :param known_plan: number of the plan of holders, None if the gateway goes by none.
     """
 
     report: GatewayReport
@@ -209,6 +227,13 @@
     hold_seconds: float
     takes_parts: bool = False
     wants_whole: bool = False
+    known_controls: int = 0
+    known_plan: int | None = None
+
+
+def controls_mark(controls: list[str]) -> int:
+    """Return a number by which a gateway says which control nodes it was told of; 0 for none."""
+    return zlib.crc32(" ".join(controls).encode())
 
 
 @message
@@ -220,10 +245,11 @@
     :param members: all members, None if the known revision is the newest, or with ``part``.
     :param gateways: how many gateways there are, in ``zones`` zones (or regions that share).
     :param neighbours: the gateways of the asking gateway's group, with ``members``.
-    :param controls: addresses of all control nodes.
+    :param controls: addresses of all control nodes; empty if the gateway was told of them.
     :param zone: where the answering node stands.
     :param others: gateways of other groups that hold connections there, with ``members``.
     :param part: a packed :class:`DirectoryPart` for who takes it; empty if there is nothing new.
+    :param plan: of holders, None if the known one is the newest.
     """
 
     current: bool
@@ -238,6 +264,7 @@
     zone: str = ""
     others: list[GatewayRecord] = []
     part: bytes = b""
+    plan: Plan | None = None
 
 
 @message
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -5,18 +5,15 @@
 
 import msgspec
 
+from rowanrail.consensus.errors import LeadershipLostError, NotLeaderError, SupersededError
 from rowanrail.consensus.messages import ConsensusMessage
-from rowanrail.consensus.node import (
-    CONSENSUS_MESSAGES,
-    ConsensusNode,
-    LeadershipLostError,
-    NotLeaderError,
-    SupersededError,
-)
+from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
 from rowanrail.coordination.announcements import Announcements
+from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.loads import LoadBook
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     Command,
@@ -56,8 +53,10 @@
         self.state = state
         self.members = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
+        self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
+        self._forwarding = ReportForwarding(self.now)
         self._watches = Watches(node, state, zone, self.now)
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
@@ -90,12 +89,16 @@
             self.liveness.heartbeat(request.instance, request.sequence)
             return None
         if isinstance(request, GatewayReport):
-            self.liveness.report(request)
+            self._note_report(request)
             if not self.node.raft.is_leader and request.hops == 0:
                 self.notify_leader(msgspec.structs.replace(request, hops=1))
             return None
         return await self._serve(request)
 
+    def _note_report(self, report: GatewayReport) -> None:
+        self.liveness.report(report)
+        self.loads.note(report.gateway, report.load)
+
     async def _serve(self, request: msgspec.Struct) -> msgspec.Struct:
         handler = self._handlers.get(type(request))
         if handler is None:
@@ -247,6 +250,7 @@
         return self._watches.counts
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
-        self.liveness.report(request.report)
-        self.notify_leader(msgspec.structs.replace(request.report, hops=1))
+        self._note_report(request.report)
+        if self._forwarding.is_due(request.report, self.node.leader_address()):
+            self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         return await self._watches.answer(request)
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rowanrail.consensus.messages import Membership
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.gathering import Gathering
 from rowanrail.coordination.messages import (
@@ -13,6 +14,7 @@
     DirectoryRequest,
     HeldReply,
     HeldRequest,
+    controls_mark,
 )
 from rowanrail.coordination.parts import DirectoryParts, PartCounts, whole_for
 from rowanrail.coordination.replay import Replay
@@ -67,8 +69,11 @@
         self._parts = DirectoryParts(state)
         self._replay = Replay(state)
         self._held_parts = DirectoryParts(state)
+        self._membership: Membership | None = None
+        self._addresses: list[str] = []
+        self._mark = 0
         self._changed = asyncio.Event()
-        self._seen = (0, 0, False)
+        self._seen = (0, 0, 0, False)
 
     @property
     def counts(self) -> dict[str, PartCounts]:
@@ -83,7 +88,8 @@
     def notice_change(self) -> None:
         """Wake those who wait if something changed that they are to be told."""
         self._gathering.note(self._state.revision, self._state.urgent_revision)
-        seen = (self._state.version, self._gathering.released, self.is_current)
+        state = self._state
+        seen = (state.version, self._gathering.released, state.plan.number, self.is_current)
         if seen != self._seen:
             self._seen = seen
             self._changed.set()
@@ -137,8 +143,14 @@
             self._wants_whole(request)
             or self._state.version > request.known_version
             or self._gathering.released > request.known_revision
+            or self._has_plan(request)
         )
 
+    def _has_plan(self, request: DirectoryRequest) -> bool:
+        """Return whether there is a plan that a gateway wants to know, and does not."""
+        known = request.known_plan
+        return known is not None and self._state.plan.number > known
+
     def _wants_whole(self, request: DirectoryRequest) -> bool:
         """Return whether a gateway needs everything, and this node is as far as it was told."""
         if request.known_revision < 0:
@@ -151,13 +163,31 @@
         wants_whole = self._wants_whole(request)
         is_newer = state.version > request.known_version
         is_changed = wants_whole or state.revision > request.known_revision
-        if not request.takes_parts:
-            return self._with_all(self._plain(state, is_newer), state, group, is_changed)
-        since = WHOLE if wants_whole else request.known_revision
-        part = self._parts.packed(group, since) if is_changed else b""
-        return self._plain(state, is_newer, part)
-
-    def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
+        if request.takes_parts:
+            since = WHOLE if wants_whole else request.known_revision
+            part = self._parts.packed(group, since) if is_changed else b""
+            reply = self._plain(state, is_newer, part, request.known_controls)
+        else:
+            reply = self._with_all(self._plain(state, is_newer), state, group, is_changed)
+        plan = state.plan if self._has_plan(request) else None
+        return msgspec.structs.replace(reply, plan=plan)
+
+    def _controls(self, known: int) -> list[str]:
+        """Return all control nodes, none if a gateway was told of them."""
+        membership = self._node.raft.membership
+        if self._membership is not membership:
+            self._membership = membership
+            self._addresses = sorted(membership.addresses().values())
+            self._mark = controls_mark(self._addresses)
+        return [] if known == self._mark else self._addresses
+
+    def _plain(
+        self,
+        state: CoordinationState,
+        is_newer: bool,
+        part: bytes = b"",
+        known_controls: int = 0,
+    ) -> DirectoryReply:
         return DirectoryReply(
             current=self.is_current,
             version=state.version,
@@ -167,7 +197,7 @@
             gateways=len(state.gateways),
             zones=state.groups,
             neighbours=[],
-            controls=sorted(self._node.raft.membership.addresses().values()),
+            controls=self._controls(known_controls),
             zone=self._zone,
             part=part,
         )
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -5,8 +5,9 @@
 import signal
 from collections.abc import Callable
 
-from rowanrail.config.settings import GatewaySettings, rpc_addresses
+from rowanrail.config.settings import GatewaySettings, Holders, rpc_addresses
 from rowanrail.coordination.messages import GatewayReport
+from rowanrail.coordination.reports import telling
 from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.events import (
     GATEWAY_RELOADED,
@@ -16,7 +17,7 @@
 )
 from rowanrail.gateway.frontend import Frontend
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.gauges import gauges, relay_gauges, tenant_gauges
+from rowanrail.gateway.gauges import directory_gauges, gauges, relay_gauges, tenant_gauges
 from rowanrail.gateway.locality import Locality
 from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
@@ -25,8 +26,10 @@
 from rowanrail.kernel.metrics import Metrics, log_gauge, serve_metrics
 from rowanrail.kernel.registry import Registry
 from rowanrail.relay.detours import Detours
+from rowanrail.relay.load_meter import LoadMeter
 from rowanrail.relay.metering import Metering
 from rowanrail.relay.neighbours import Neighbours
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.serving import Holder
 from rowanrail.relay.transport import TcpHolderServer, TcpLinkOpener
 from rowanrail.rpc.network import Network
@@ -97,8 +100,12 @@
     terms = QuotaTerms(
         settings.quota_window_seconds * 1000, settings.quota_excess, settings.quota_slack
     )
-    gateway = Gateway(locality, driver, loop, decisions, registry, neighbours, detours, terms)
     region = settings.sharing_group or settings.zone
+    is_planned = settings.holders is Holders.PLANNED
+    planned = PlannedHolders(settings.name, region, clock) if is_planned else None
+    gateway = Gateway(
+        locality, driver, loop, decisions, registry, neighbours, detours, terms, planned
+    )
     metering = Metering(
         settings.name,
         region,
@@ -111,6 +118,10 @@
     holder = Holder(gateway, clock)
     holder.on_region = metering.pass_on
     holder_server = TcpHolderServer(holder)
+    meter = LoadMeter(clock, lambda: holder_server.unsent_bytes)
+    if is_planned:
+        gateway.holdings.meter = meter
+        holder.on_run = gateway.holdings.note_held
     relay_address = f"{settings.listen.rpartition(':')[0]}:{settings.rpc_port}"
     frontend: Frontend = registry.create("frontend", settings.protocol, gateway)
 
@@ -118,9 +129,10 @@
         return GatewayReport(
             settings.name,
             settings.zone,
-            gateway.health(),
+            telling(gateway.health()),
             relay_address=relay_address,
             group=settings.sharing_group,
+            load=meter.latest,
         )
 
     watch = DirectoryWatch(
@@ -131,6 +143,7 @@
         make_report,
         decisions,
         locality,
+        is_planned,
     )
 
     gateway.on_alarm = watch.report_now
@@ -150,6 +163,7 @@
             "rowanrail_gateway",
             lambda: [
                 *gauges(gateway),
+                *directory_gauges(watch),
                 *tenant_gauges(gateway),
                 *relay_gauges(neighbours, holder, detours),
                 log_gauge(decisions),
@@ -161,6 +175,8 @@
     gateway.start()
     holder.start()
     metering.start()
+    if is_planned:
+        meter.start()
     watch.start()
     decisions.note(GATEWAY_STARTED, name=settings.name, zone=settings.zone, listen=settings.listen)
     await wait_for_stop_signal()
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -16,6 +16,7 @@
     PRIMARY_LOST,
     PRIMARY_PROVED,
 )
+from rowanrail.gateway.holdings import Holdings
 from rowanrail.gateway.known_directory import KnownDirectory
 from rowanrail.gateway.locality import Locality
 from rowanrail.gateway.model import (
@@ -44,9 +45,11 @@
 from rowanrail.relay.forwarding import ForwardedWork, Placement
 from rowanrail.relay.homes import HomePlacement
 from rowanrail.relay.neighbours import At, Here, Neighbours
-from rowanrail.relay.placement import Part, parts_of
+from rowanrail.relay.placement import Part
+from rowanrail.relay.planned import PlannedHolders
 from rowanrail.relay.prospects import Prospects
 from rowanrail.scheduling.load import ServiceLoad
+from rowanrail.scheduling.plan import Plan
 from rowanrail.tenants.demand import DemandBook
 from rowanrail.tenants.model import Identity, Tenants
 from rowanrail.tenants.terms import QuotaTerms
@@ -75,6 +78,7 @@
         neighbours: Neighbours | None = None,
         detours: Detours | None = None,
         quota_terms: QuotaTerms = QuotaTerms(),  # noqa: B008 - it is frozen
+        planned: PlannedHolders | None = None,
     ) -> None:
         self.clock = clock
         self.names = PreparedNames()
@@ -82,6 +86,7 @@
         self.services: dict[str, Service] = {}
         self.sessions: dict[Session, None] = {}
         self.stopping = False
+        self.holdings = Holdings(self, neighbours, detours, planned, decisions)
         self.on_alarm: Callable[[], None] = lambda: None
         self._locality = locality
         self._driver = driver
@@ -102,29 +107,19 @@
         check = self._policies.key_check
         self.access = Access(MillisecondClock(clock), decisions, check, quota_terms)
         self.outcomes = Outcomes(decisions, self.access)
+        self.outcomes.on_trace = self.holdings.note_own
 
     def start(self) -> None:
         """Begin to watch the services."""
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
     def _tick(self) -> None:
+        self.holdings.tick()
         for service in self.services.values():
-            if service.is_regional and service.has_connections:
-                service.set_parts(self._parts_held(service))
             service.tick()
         self._decisions.flush()
         self._timer = self.clock.call_later(TICK_SECONDS, self._tick)
 
-    def _parts_held(self, service: Service) -> frozenset[Part]:
-        """Return for which parts of a service statements come to this gateway."""
-        if self.stopping:
-            return frozenset()
-        parts = parts_of(service.spec.name)
-        if self._neighbours is None:
-            return frozenset(parts)
-        place = self._neighbours.place_part
-        return frozenset(part for part in parts if isinstance(place(part), Here))
-
     @property
     def zone(self) -> str:
         """The zone in which it stands."""
@@ -164,6 +159,7 @@
             self.services[name] = service
         for service in self.services.values():
             service.set_tenants(configuration.tenants or Tenants())
+        self.holdings.apply()
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._unconfigured = self._unconfigured, []
@@ -188,6 +184,7 @@
         if not self._known.set(directory, self.services):
             return
         self.access.quota.set_population(directory.population.gateways)
+        self.holdings.set_population(directory.population)
         records = directory.members
         self._decisions.note(
             MEMBERS_TAKEN,
@@ -200,6 +197,10 @@
             neighbours=len(directory.neighbours),
         )
 
+    def set_plan(self, plan: Plan) -> None:
+        """Know who holds services' connections by the control nodes' newest plan."""
+        self.holdings.take(plan)
+
     def _note_link(self, peer: str, is_up: bool, reason: str) -> None:
         if not is_up:
             self._prospects.forget(peer)
@@ -291,7 +292,7 @@
             return None
         region = self._locality.region_of(pool.record.zone)
         part = Part.of(service.spec.name, tenant)
-        if not isinstance(self._detours.place_in(region, part.key), At):
+        if not isinstance(self._detours.place_part_in(region, part), At):
             return None
         return self._forwarded(HomePlacement(self._detours, region), service, is_detour=True)
 
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -1,5 +1,6 @@
 """What a gateway measures of itself at the moment when it is asked."""
 
+from rowanrail.gateway.directory_watch import DirectoryWatch
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.kernel.metrics import Reading
 from rowanrail.relay.detours import Detours
@@ -20,6 +21,7 @@
         ("ready", {}, float(gateway.is_ready)),
         ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
     ]
+    readings += _plan_gauges(gateway)
     now = gateway.clock.time()
     for name, service in gateway.services.items():
         labels = {"service": name}
@@ -49,6 +51,18 @@
     return readings
 
 
+def _plan_gauges(gateway: Gateway) -> list[Reading]:
+    """Return the plan's number, and the parts that are held here by it, with their cause."""
+    planned = gateway.holdings.planned
+    if planned is None:
+        return []
+    readings: list[Reading] = [("plan_number", {}, planned.plan.number)]
+    for held in planned.held_parts(list(gateway.services)):
+        labels = {"service": held.service, "part": held.key, "cause": held.cause}
+        readings.append(("held_share", labels, held.share))
+    return readings
+
+
 def tenant_gauges(gateway: Gateway) -> list[Reading]:
     """Return the largest tenants with their limits, and how much of the fleet is heard."""
     quota = gateway.access.quota
@@ -62,6 +76,12 @@
     return readings
 
 
+def directory_gauges(watch: DirectoryWatch) -> list[Reading]:
+    """Return how the directory came: whole, by difference, and by difference that differed."""
+    counts = watch.counts.items()
+    return [("directories_taken", {"kind": kind}, count) for kind, count in counts]
+
+
 def _seconds(age: float | None) -> float:
     return NEVER if age is None else age / 1000
 
