--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -13,8 +13,6 @@
     LINK_LOST,
     LINK_REGAINED,
     MEMBERS_TAKEN,
-    PRIMARY_LOST,
-    PRIMARY_PROVED,
 )
 from rowanrail.gateway.holdings import Holdings
 from rowanrail.gateway.known_directory import KnownDirectory
@@ -30,6 +28,7 @@
 from rowanrail.gateway.outcomes import Outcomes
 from rowanrail.gateway.pending import PendingProof, PendingStart
 from rowanrail.gateway.policies import GatewayPolicies
+from rowanrail.gateway.primary_lines import note_primary
 from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.service import Service
 from rowanrail.gateway.session import Session
@@ -60,11 +59,6 @@
 START_HOLD_SECONDS = 1.2  # clients wait for the answer to their start for 2 s
 
 
-def position_text(position: Position) -> str:
-    """Return a position as it stands in logs: term and index."""
-    return f"{position.term}.{position.index}"
-
-
 class Gateway:
     """Sessions and services of one proxy."""
 
@@ -208,22 +202,7 @@
 
     def _note_primary(self, service: Service) -> None:
         """Log that a primary was lost or found again, and have the control nodes told."""
-        tracker = service.primary
-        if tracker.failing_since:
-            self._decisions.note(
-                PRIMARY_LOST,
-                service=tracker.service,
-                instance=tracker.believed,
-                failing_for=round(self.clock.time() - tracker.failing_since, 3),
-                proved_ago=round(self.clock.time() - tracker.proved_at, 3),
-            )
-        elif tracker.sample is not None:
-            self._decisions.note(
-                PRIMARY_PROVED,
-                service=tracker.service,
-                instance=tracker.sample.instance,
-                position=position_text(tracker.sample.position),
-            )
+        note_primary(self._decisions, service.primary, self.clock.time())
         self.on_alarm()
 
     def health(self) -> list[PrimaryHealth]:
--- /dev/null
+++ b/src/rowanrail/gateway/primary_lines.py
@@ -0,0 +1,37 @@
+"""Lines of the log about a service's primary: lost, or found again."""
+
+from rowanrail.gateway.events import PRIMARY_LOST, PRIMARY_PROVED
+from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.kernel.decisions import DecisionLog
+from rowanrail.proxy.backend import Position
+
+__all__ = ["note_primary"]
+
+
+def note_primary(decisions: DecisionLog, tracker: PrimaryTracker, now: float) -> None:
+    """Log where a service's primary stands, after an alarm about it.
+
+    Parameters
+    ----------
+    now : float
+        Steady seconds.
+    """
+    if tracker.failing_since:
+        decisions.note(
+            PRIMARY_LOST,
+            service=tracker.service,
+            instance=tracker.believed,
+            failing_for=round(now - tracker.failing_since, 3),
+            proved_ago=round(now - tracker.proved_at, 3),
+        )
+    elif tracker.sample is not None:
+        decisions.note(
+            PRIMARY_PROVED,
+            service=tracker.service,
+            instance=tracker.sample.instance,
+            position=_text(tracker.sample.position),
+        )
+
+
+def _text(position: Position) -> str:
+    return f"{position.term}.{position.index}"
--- a/src/rowanrail/scheduling/returning.py
+++ b/src/rowanrail/scheduling/returning.py
@@ -34,8 +34,8 @@
 JITTER_SHARE = 0.1
 # Milliseconds that a client may be early: times are told in hundredths of a second.
 EARLY_MS = 20.0
-# Milliseconds after its time for which a client is remembered: a try and a half of 800 ms, and the
-# way of a client that changes its gateway's session.
+# Milliseconds after its time for which a client is remembered: one that comes later than that had
+# something else to do, or gave up.
 REMEMBERED_MS = 2000.0
 # Returns that are remembered: 10 s of 400 refusals a second, about 1 MB.
 MOST_REMEMBERED = 4096
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -43,11 +43,12 @@
 class RushTest(unittest.TestCase):
     """A class at 2.5 times its usual load before one member, beside a more urgent one."""
 
-    def setUp(self):
-        self.line = MemberLine(SLOTS, itertools.cycle(UNEVEN_RUNS), RUN)
+    @classmethod
+    def setUpClass(cls):
+        cls.line = MemberLine(SLOTS, itertools.cycle(UNEVEN_RUNS), RUN)
         usual = 0.7 * CAPACITY
-        play(self.line, {0: 0.1 * CAPACITY, 2: 2.5 * usual}, 5000)
-        self.happened = self.line.happened
+        play(cls.line, {0: 0.1 * CAPACITY, 2: 2.5 * usual}, 5000)
+        cls.happened = cls.line.happened
 
     def test_nobody_waits_until_its_time_is_over(self):
         self.assertEqual(self.happened["expired", 2], 0)
