--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -153,6 +153,12 @@
         return request.wants_whole and self._state.revision >= request.known_revision
 
     def _directory(self, request: DirectoryRequest) -> DirectoryReply:
+        reply = self._without_plan(request)
+        if self._has_plan(request):
+            return msgspec.structs.replace(reply, plan=self._state.plan)
+        return reply
+
+    def _without_plan(self, request: DirectoryRequest) -> DirectoryReply:
         state = self._state
         group = request.report.sharing_group
         wants_whole = self._wants_whole(request)
@@ -162,8 +168,7 @@
             return self._with_all(self._plain(state, is_newer), state, group, is_changed)
         since = WHOLE if wants_whole else request.known_revision
         part = self._parts.packed(group, since) if is_changed else b""
-        plan = state.plan if self._has_plan(request) else None
-        return msgspec.structs.replace(self._plain(state, is_newer, part), plan=plan)
+        return self._plain(state, is_newer, part)
 
     def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
         return DirectoryReply(
