--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -5,17 +5,13 @@
 
 import msgspec
 
+from rowanrail.consensus.errors import LeadershipLostError, NotLeaderError, SupersededError
 from rowanrail.consensus.messages import ConsensusMessage
-from rowanrail.consensus.node import (
-    CONSENSUS_MESSAGES,
-    ConsensusNode,
-    LeadershipLostError,
-    NotLeaderError,
-    SupersededError,
-)
+from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.control.membership import MembershipManager
 from rowanrail.control.messages import BarrierReply, BarrierRequest, JoinRequest
 from rowanrail.coordination.announcements import Announcements
+from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.loads import LoadBook
 from rowanrail.coordination.messages import (
@@ -60,6 +56,7 @@
         self.loads = LoadBook(lambda: self.now() * 1000)
         self._announcements = Announcements(state, self.liveness, self.propose, self.now)
         self._network = network
+        self._forwarding = ReportForwarding(self.now)
         self._watches = Watches(node, state, zone, self.now)
         self._handlers: dict[
             type[msgspec.Struct], Callable[[msgspec.Struct], Awaitable[msgspec.Struct]]
@@ -254,5 +251,6 @@
 
     async def _watch(self, request: DirectoryRequest) -> DirectoryReply:
         self._note_report(request.report)
-        self.notify_leader(msgspec.structs.replace(request.report, hops=1))
+        if self._forwarding.is_due(request.report, self.node.leader_address()):
+            self.notify_leader(msgspec.structs.replace(request.report, hops=1))
         return await self._watches.answer(request)
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rowanrail.consensus.messages import Membership
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.gathering import Gathering
 from rowanrail.coordination.messages import (
@@ -13,6 +14,7 @@
     DirectoryRequest,
     HeldReply,
     HeldRequest,
+    controls_mark,
 )
 from rowanrail.coordination.parts import DirectoryParts, PartCounts, whole_for
 from rowanrail.coordination.replay import Replay
@@ -67,6 +69,9 @@
         self._parts = DirectoryParts(state)
         self._replay = Replay(state)
         self._held_parts = DirectoryParts(state)
+        self._membership: Membership | None = None
+        self._addresses: list[str] = []
+        self._mark = 0
         self._changed = asyncio.Event()
         self._seen = (0, 0, 0, False)
 
@@ -153,24 +158,36 @@
         return request.wants_whole and self._state.revision >= request.known_revision
 
     def _directory(self, request: DirectoryRequest) -> DirectoryReply:
-        reply = self._without_plan(request)
-        if self._has_plan(request):
-            return msgspec.structs.replace(reply, plan=self._state.plan)
-        return reply
-
-    def _without_plan(self, request: DirectoryRequest) -> DirectoryReply:
         state = self._state
         group = request.report.sharing_group
         wants_whole = self._wants_whole(request)
         is_newer = state.version > request.known_version
         is_changed = wants_whole or state.revision > request.known_revision
-        if not request.takes_parts:
-            return self._with_all(self._plain(state, is_newer), state, group, is_changed)
-        since = WHOLE if wants_whole else request.known_revision
-        part = self._parts.packed(group, since) if is_changed else b""
-        return self._plain(state, is_newer, part)
-
-    def _plain(self, state: CoordinationState, is_newer: bool, part: bytes = b"") -> DirectoryReply:
+        if request.takes_parts:
+            since = WHOLE if wants_whole else request.known_revision
+            part = self._parts.packed(group, since) if is_changed else b""
+            reply = self._plain(state, is_newer, part, request.known_controls)
+        else:
+            reply = self._with_all(self._plain(state, is_newer), state, group, is_changed)
+        plan = state.plan if self._has_plan(request) else None
+        return msgspec.structs.replace(reply, plan=plan)
+
+    def _controls(self, known: int) -> list[str]:
+        """Return all control nodes, none if a gateway was told of them."""
+        membership = self._node.raft.membership
+        if self._membership is not membership:
+            self._membership = membership
+            self._addresses = sorted(membership.addresses().values())
+            self._mark = controls_mark(self._addresses)
+        return [] if known == self._mark else self._addresses
+
+    def _plain(
+        self,
+        state: CoordinationState,
+        is_newer: bool,
+        part: bytes = b"",
+        known_controls: int = 0,
+    ) -> DirectoryReply:
         return DirectoryReply(
             current=self.is_current,
             version=state.version,
@@ -180,7 +197,7 @@
             gateways=len(state.gateways),
             zones=state.groups,
             neighbours=[],
-            controls=sorted(self._node.raft.membership.addresses().values()),
+            controls=self._controls(known_controls),
             zone=self._zone,
             part=part,
         )
--- a/tests/relay/test_planned.py
+++ b/tests/relay/test_planned.py
@@ -89,6 +89,11 @@
         wires = {number for number, c in self.zone.primary.ran if c.text.startswith("WRITE")}
         self.assertEqual(len(wires), 1)
 
+    def test_a_busy_holder_that_logs_no_informative_lines_says_what_it_holds(self):
+        self.zone.last.decisions._info_budget = 0
+        self.zone.tell(plan(1, self.zone.last.name))
+        self.assertIn('"event":356', "".join(self.zone.last.logs()).replace(" ", ""))
+
     def test_it_says_in_the_log_what_it_holds_and_why(self):
         self.zone.tell(plan(1, self.zone.last.name))
         self.zone.tell(plan(2, self.zone.first.name))
