--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -71,15 +71,16 @@
     "plan {number} names holders of {parts} parts",
     "The control nodes planned who holds connections. The field `held` lists what is held here.",
 )
+# Above the level of answered statements, which use up a busy holder's budget of informative lines.
 HOLDING_BEGUN = define(
     356,
-    Level.INFO,
+    Level.WARNING,
     "{part} is held here from plan {number} on: {cause}",
     "For 2 s half of its share of the connections is opened; see event 445 for the figures.",
 )
 HOLDING_ENDED = define(
     357,
-    Level.INFO,
+    Level.WARNING,
     "{part} is held elsewhere from plan {number} on",
     "What is under way is finished here; idle connections are closed.",
 )
