--- a/src/rowanrail/coordination/duty.py
+++ b/src/rowanrail/coordination/duty.py
@@ -32,6 +32,7 @@
 from rowanrail.gateway.model import Command, CommandKind, MemberRecord
 from rowanrail.gateway.policies import LeadershipProof
 from rowanrail.gateway.primary import PrimaryTracker
+from rowanrail.gateway.primary_health import health_of
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 
@@ -232,7 +233,7 @@
                     status.received if status else None,
                 )
             )
-        health = self._trackers[service].health()
+        health = health_of(self._trackers[service], now)
         own = report_view(OWN_SOURCE, health, age=0.0)
         holding_since = now if self._holding_since is None else self._holding_since
         return ServiceView(
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -28,6 +28,7 @@
 from rowanrail.gateway.outcomes import Outcomes
 from rowanrail.gateway.pending import PendingProof, PendingStart
 from rowanrail.gateway.policies import GatewayPolicies
+from rowanrail.gateway.primary_health import health_of
 from rowanrail.gateway.primary_lines import note_primary
 from rowanrail.gateway.samples import Sample
 from rowanrail.gateway.service import Service
@@ -40,7 +41,6 @@
 from rowanrail.kernel.clock import Clock as MillisecondClock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
-from rowanrail.proxy.backend import Position
 from rowanrail.relay.detours import Detours
 from rowanrail.relay.neighbours import Neighbours
 from rowanrail.relay.planned import PlannedHolders
@@ -215,7 +215,8 @@
 
     def health(self) -> list[PrimaryHealth]:
         """Return what this proxy sees of the primaries that it uses."""
-        return [service.primary.health() for service in self.services.values()]
+        now = self.clock.time()
+        return [health_of(service.primary, now) for service in self.services.values()]
 
     # Sessions
 
--- a/src/rowanrail/gateway/primary.py
+++ b/src/rowanrail/gateway/primary.py
@@ -17,7 +17,6 @@
     Command,
     CommandKind,
     MemberRecord,
-    PrimaryHealth,
     Refusal,
 )
 from rowanrail.gateway.monitor_interval import MONITOR_SECONDS
@@ -103,14 +102,6 @@
             if self.failing_since:
                 self._ask()
 
-    def health(self) -> PrimaryHealth:
-        """Return what to report of the primary."""
-        now = self._clock.time()
-        proved_ago = round(1000 * (now - self.proved_at)) if self.proved_at >= 0 else -1
-        # A failure of less than a millisecond is one all the same.
-        failing_for = max(1, round(1000 * (now - self.failing_since))) if self.failing_since else 0
-        return PrimaryHealth(self.service, self.believed, proved_ago, failing_for)
-
     # Proofs
 
     def note_proof(self, instance: str, asked_at: float, position: Position | None) -> None:
--- /dev/null
+++ b/src/rowanrail/gateway/primary_health.py
@@ -0,0 +1,15 @@
+"""What a gateway reports of a primary to the control nodes."""
+
+from rowanrail.gateway.model import PrimaryHealth
+from rowanrail.gateway.primary import PrimaryTracker
+
+__all__ = ["health_of"]
+
+
+def health_of(tracker: PrimaryTracker, now: float) -> PrimaryHealth:
+    """Return what to report of a primary at a moment in seconds."""
+    proved_ago = round(1000 * (now - tracker.proved_at)) if tracker.proved_at >= 0 else -1
+    failing = tracker.failing_since
+    # A failure of less than a millisecond is one all the same.
+    failing_for = max(1, round(1000 * (now - failing))) if failing else 0
+    return PrimaryHealth(tracker.service, tracker.believed, proved_ago, failing_for)
