A member that leaves is not probed

Cause: a member that lost weight and then drained was still asked for its status each second, which takes a slot that its last statements need; nobody is sent there any more. Ruled out: forgetting its weight; it may be announced as ready again. Change: MemberProbes passes leaving members over. Tests: one in tests/gateway/test_member_weight.py, which failed before the change. Conclusion: nothing else changes.

--- a/src/rowanrail/gateway/member_probes.py
+++ b/src/rowanrail/gateway/member_probes.py
@@ -51,7 +51,9 @@
             How many may probe a member, this one included.
         """
         for instance, pool in pools.items():
-            if instance != primary and self.weights.wants_probe(instance, gateways):
+            if instance == primary or pool.record.leaving:
+                continue
+            if self.weights.wants_probe(instance, gateways):
                 _Probe(self, pool).start()
 
 
--- a/tests/gateway/test_member_weight.py
+++ b/tests/gateway/test_member_weight.py
@@ -62,6 +62,12 @@
         self.use(2)
         self.assertLessEqual(len(self.probes()), 3)
 
+    def test_a_member_that_leaves_is_not_probed(self):
+        self.lose_weight()
+        self.played.announce(2, leaving=("m2",))
+        self.use(2)
+        self.assertEqual(self.probes(), [])
+
     def test_clients_statements_bring_nothing_back(self):
         self.lose_weight()
         before = self.weight()
