--- a/src/rowanrail/cli/inspect_load.py
+++ b/src/rowanrail/cli/inspect_load.py
@@ -103,4 +103,11 @@
                 [(r.kind, r.outcome, r.stage, r.count) for r in fleet.refusals],
             )
         )
+    if fleet.turned_away:
+        parts.append(
+            format_table(
+                ("TURNED AWAY", "URGENCY", "COUNT"),
+                [(t.cause, t.urgency, t.count) for t in fleet.turned_away],
+            )
+        )
     return "\n\n".join(parts)
--- a/src/rowanrail/cli/load_view.py
+++ b/src/rowanrail/cli/load_view.py
@@ -5,7 +5,16 @@
 
 import msgspec
 
-__all__ = ["FleetLoad", "MemberLoad", "RefusalCount", "ServiceLoadView", "TenantLoad", "summarize"]
+__all__ = [
+    "FleetLoad",
+    "MemberLoad",
+    "RefusalCount",
+    "ServiceLoadView",
+    "TenantLoad",
+    "TurnedAwayCount",
+    "read_samples",
+    "summarize",
+]
 
 PREFIX = "rowanrail_gateway_"
 
@@ -78,6 +87,14 @@
     count: int
 
 
+class TurnedAwayCount(msgspec.Struct):
+    """Statements that were refused as not run, by cause and urgency of their route."""
+
+    cause: str
+    urgency: str
+    count: int
+
+
 @dataclass(slots=True)
 class FleetLoad:
     """All gateways together.
@@ -98,6 +115,7 @@
     members: list[MemberLoad] = field(default_factory=list)
     tenants: list[TenantLoad] = field(default_factory=list)
     refusals: list[RefusalCount] = field(default_factory=list)
+    turned_away: list[TurnedAwayCount] = field(default_factory=list)
     silent: list[str] = field(default_factory=list)
 
 
@@ -143,6 +161,7 @@
         self._members: dict[tuple[str, str], MemberLoad] = {}
         self._tenants: dict[str, TenantLoad] = {}
         self._refusals: dict[tuple[str, str, str], int] = {}
+        self._turned_away: dict[tuple[str, str], int] = {}
 
     def add(self, samples: list[Sample]) -> None:
         """Take the samples of one gateway."""
@@ -154,6 +173,9 @@
                 self._add_tenant(sample)
             elif sample.name == "statements_total":
                 self._add_outcome(sample)
+            elif sample.name == "turned_away_total":
+                key = sample.labels["cause"], sample.labels["urgency"]
+                self._turned_away[key] = self._turned_away.get(key, 0) + int(sample.value)
             elif "service" in sample.labels:
                 self._add_service(sample)
             elif sample.name == "quota_heard_share":
@@ -226,4 +248,6 @@
         fleet.tenants = sorted(self._tenants.values(), key=lambda t: (-t.refused, -t.begun))
         counts = sorted(self._refusals.items(), key=lambda entry: -entry[1])
         fleet.refusals = [RefusalCount(*key, count) for key, count in counts if count]
+        turned_away = sorted(self._turned_away.items(), key=lambda entry: -entry[1])
+        fleet.turned_away = [TurnedAwayCount(*key, count) for key, count in turned_away if count]
         return fleet
--- a/tests/unit/test_inspect_load.py
+++ b/tests/unit/test_inspect_load.py
@@ -26,6 +26,7 @@
     )
     metrics.note_statement("read", "busy", "waits-for-connection", 0.2)
     metrics.note_statement("read", "done", "sent", 0.1)
+    metrics.note_rejection("crowded", 2, 300.0)
     return metrics.render().decode()
 
 
@@ -52,13 +53,15 @@
         self.assertEqual((tenant["tenant"], tenant["limit"], tenant["refused"]), ("anna", 6, 5))
         (refusal,) = fleet["refusals"]
         self.assertEqual((refusal["outcome"], refusal["count"]), ("busy", 2))
+        (turned_away,) = fleet["turned_away"]
+        self.assertEqual(turned_away, {"cause": "crowded", "urgency": "2", "count": 2})
         members = {member["member"]: member for member in fleet["members"]}
         self.assertEqual(sorted(members), ["m1", "m2", "m3"])
         self.assertEqual(members["m2"]["holders"], 2)
 
     def test_the_table_names_members_tenants_and_refusals(self):
         result = self.run_command(*self.sources)
-        for word in ("2 gateways", "m2", "anna", "waits-for-connection"):
+        for word in ("2 gateways", "m2", "anna", "waits-for-connection", "crowded"):
             self.assertIn(word, result.output)
 
     def test_a_gateway_that_is_silent_is_named_and_the_others_are_shown(self):
