Interfaces of the new parts: lives, evacuations, regions, warm-up

Cause: two kinds of deployments ask for members that return under their identity, evacuated zones, data that stays in regions, and warm-up limits. The parts are built side by side, so what they share comes first: the record's start, commands and messages, the revision of evacuations in the directory's messages, the feature level, and one rule that tells which members may be sent a statement.

Change: Eligibility is asked by whoever chooses a member; nothing is evacuated, no configuration so far names regions, so that nothing changes for present deployments. Fields are appended with defaults; in stored records they are not encoded until they are used.

--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -1,6 +1,7 @@
 """Commands of the replicated log; each control node applies them in log order."""
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.directory.messages import GatewayRecord
 from rowanrail.model.members import MemberRecord
@@ -21,9 +22,16 @@
 
 
 class Remove(msgspec.Struct, frozen=True, tag="remove"):
-    """Remove a member that announced its end."""
+    """Remove a member that announced its end.
+
+    Parameters
+    ----------
+    start_ms : int or UnsetType
+        Start of the life that ended, in Unix milliseconds; not encoded if it is unknown.
+    """
 
     instance: str
+    start_ms: int | UnsetType = UNSET
 
 
 class Readmit(msgspec.Struct, frozen=True, tag="readmit"):
@@ -61,7 +69,44 @@
     addresses: dict[str, str]
 
 
-Command = PutDocument | Announce | Remove | Readmit | SetGateways | IntendPromotion | SetPlan
+class SetEvacuation(msgspec.Struct, frozen=True, tag="evacuation"):
+    """Evacuate a zone, or end its evacuation.
+
+    Parameters
+    ----------
+    at_ms : int
+        Unix milliseconds of the leader's clock when it proposed the command.
+    """
+
+    zone: str
+    is_evacuated: bool
+    at_ms: int
+
+
+class RaiseFeatureLevel(msgspec.Struct, frozen=True, tag="features"):
+    """Allow commands of a feature level; all control nodes have said that they know them."""
+
+    level: int
+
+
+class ReplaceLife(msgspec.Struct, frozen=True, tag="life"):
+    """Replace a member's silent life by one with an earlier start time that is heard."""
+
+    record: MemberRecord
+
+
+Command = (
+    PutDocument
+    | Announce
+    | Remove
+    | Readmit
+    | SetGateways
+    | IntendPromotion
+    | SetPlan
+    | SetEvacuation
+    | RaiseFeatureLevel
+    | ReplaceLife
+)
 
 
 class Promotion(msgspec.Struct, frozen=True):
--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -7,6 +7,7 @@
 import enum
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.model.members import MemberRecord
 from rowanrail.rpc.codec import message
@@ -60,9 +61,36 @@
 
 @message("RemoveRequest")
 class RemoveRequest(msgspec.Struct, frozen=True):
-    """Record in the log that a member has ended."""
+    """Record in the log that a member has ended.
+
+    Parameters
+    ----------
+    start_ms : int or UnsetType
+        Start of the life that ended, in Unix milliseconds; not encoded if it is unknown.
+    """
 
     instance: str
+    start_ms: int | UnsetType = UNSET
+
+
+@message("EvacuationRequest")
+class EvacuationRequest(msgspec.Struct, frozen=True):
+    """Evacuate a zone, or end its evacuation; answered with :class:`Done` once committed."""
+
+    zone: str
+    is_evacuated: bool
+
+
+@message("FeatureLevelRequest")
+class FeatureLevelRequest(msgspec.Struct, frozen=True):
+    """Ask a control node up to which feature level it knows the log's commands."""
+
+
+@message("FeatureLevelReply")
+class FeatureLevelReply(msgspec.Struct, frozen=True):
+    """Answer to :class:`FeatureLevelRequest`."""
+
+    level: int
 
 
 @message("Done")
@@ -76,3 +104,4 @@
 
     instance: str
     sequence: int
+    started_ms: int = 0
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -1,10 +1,11 @@
-"""The replicated state: configuration, members, gateways, promotions, plan of holders.
+"""The replicated state: configuration, members, gateways, evacuations, promotions, plan of holders.
 
 It depends on the log alone: all nodes that applied the same entries hold the same state. Defines
 the snapshot's format; relies on the commands and on the guards of :mod:`policies`.
 """
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.cluster.policies import VersionMonotonic
 from rowanrail.consensus.messages import Entry, EntryKind, Snapshot
@@ -16,16 +17,20 @@
     IntendPromotion,
     Promotion,
     PutDocument,
+    RaiseFeatureLevel,
     Readmit,
     Remove,
+    ReplaceLife,
+    SetEvacuation,
     SetGateways,
     SetPlan,
 )
+from rowanrail.coordination.evacuations import changed_evacuations
 from rowanrail.coordination.history import DirectoryHistory
 from rowanrail.coordination.holders import RankedHolders
 from rowanrail.coordination.messages import PutOutcome, PutReply
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
-from rowanrail.directory.messages import GatewayRecord
+from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations, GatewayRecord
 from rowanrail.model.members import MemberRecord
 from rowanrail.scheduling.plan import NO_PLAN, Plan
 
@@ -35,7 +40,11 @@
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
-    """The whole state, as stored in a snapshot."""
+    """The whole state, as stored in a snapshot.
+
+    Fields of a feature level above 0 are not encoded until they are used, so that a node of the
+    version before reads the snapshot.
+    """
 
     version: int
     document: bytes
@@ -46,6 +55,8 @@
     promotions: dict[str, Promotion]
     displaced: dict[str, MemberRecord] = {}
     plan: Plan = NO_PLAN
+    feature_level: int | UnsetType = UNSET
+    evacuations: Evacuations | UnsetType = UNSET
 
 
 EMPTY_STATE = StateSnapshot(0, b"", 0, {}, [], {}, {})
@@ -80,6 +91,8 @@
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
         self.plan = saved.plan
+        self.feature_level = saved.feature_level or 0
+        self.evacuations = saved.evacuations or NO_EVACUATIONS
         self.holders = RankedHolders(self.members.values(), self.gateways.values())
         self.history = DirectoryHistory(
             saved.revision, self.members.values(), self.gateways.values(), self.holders.records
@@ -106,6 +119,8 @@
             self.promotions,
             self.displaced,
             self.plan,
+            self.feature_level or UNSET,
+            self.evacuations if self.evacuations.revision else UNSET,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -129,6 +144,12 @@
             return promotion
         if isinstance(command, SetPlan):
             return self._set_plan(command, entry.index)
+        if isinstance(command, RaiseFeatureLevel):
+            self.feature_level = max(self.feature_level, command.level)
+            return None
+        if isinstance(command, SetEvacuation):
+            self.evacuations = changed_evacuations(self.evacuations, command, entry.index)
+            return None
         self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
             self.revision = entry.index
@@ -151,7 +172,9 @@
         self.plan = Plan(index, command.groups, command.addresses)
         return True
 
-    def _change_directory(self, command: Announce | Remove | Readmit | SetGateways) -> bool:
+    def _change_directory(
+        self, command: Announce | Remove | Readmit | ReplaceLife | SetGateways
+    ) -> bool:
         match command:
             case SetGateways():
                 return self._set_gateways(command)
@@ -163,6 +186,9 @@
                 return self._drop_member(instance)
             case Announce(record=record):
                 return self._announce(record)
+            case ReplaceLife(record=record):
+                self._assign_address(record)
+                return True
 
     def _set_gateways(self, command: SetGateways) -> bool:
         names = dict.fromkeys([*command.absent, *(gateway.name for gateway in command.present)])
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -1,4 +1,4 @@
-"""Long polls of gateways for the configuration, the directory and the plan.
+"""Long polls of gateways for the configuration, the directory, the evacuations and the plan.
 
 Owns the waiting polls. Relies on :mod:`change_batcher` for when a change is sent, on
 :mod:`directory_updates` for its encoding, and on the consensus node for whether the state is
@@ -78,7 +78,7 @@
         self._addresses: list[str] = []
         self._control_nodes_checksum = 0
         self._changed = asyncio.Event()
-        self._notified = (0, 0, 0, False)
+        self._notified = (0, 0, 0, 0, False)
 
     @property
     def counts(self) -> dict[str, UpdateCounts]:
@@ -94,7 +94,13 @@
         """Wake the waiting polls if something changed that gateways need to know."""
         self._batcher.update(self._state.revision, self._state.urgent_revision)
         state = self._state
-        seen = (state.version, self._batcher.notified_revision, state.plan.number, self.is_current)
+        seen = (
+            state.version,
+            self._batcher.notified_revision,
+            state.plan.number,
+            state.evacuations.revision,
+            self.is_current,
+        )
         if seen != self._notified:
             self._notified = seen
             self._changed.set()
@@ -132,6 +138,7 @@
             directory = self._with_full_directory(
                 self._base_reply(state, True), state, request.group, True
             )
+        directory = msgspec.structs.replace(directory, evacuations=state.evacuations)
         return LoggedDirectoryReply(
             self._node.raft.node,
             log.last_term,
@@ -157,6 +164,7 @@
             or self._state.version > request.known_version
             or self._batcher.notified_revision > request.known_revision
             or self._has_newer_plan(request)
+            or self._has_newer_evacuations(request)
         )
 
     def _has_newer_plan(self, request: DirectoryRequest) -> bool:
@@ -164,6 +172,11 @@
         known = request.known_plan
         return known is not None and self._state.plan.number > known
 
+    def _has_newer_evacuations(self, request: DirectoryRequest) -> bool:
+        """Return whether the gateway applies evacuations and there are newer ones."""
+        known = request.known_evacuations
+        return known is not None and self._state.evacuations.revision > known
+
     def _needs_full(self, request: DirectoryRequest) -> bool:
         """Return whether the gateway needs a full update and this node is not behind it."""
         if request.known_revision < 0:
@@ -185,7 +198,8 @@
                 self._base_reply(state, is_newer), state, group, is_changed
             )
         plan = state.plan if self._has_newer_plan(request) else None
-        return msgspec.structs.replace(reply, plan=plan)
+        evacuations = state.evacuations if self._has_newer_evacuations(request) else None
+        return msgspec.structs.replace(reply, plan=plan, evacuations=evacuations)
 
     def _control_nodes(self, known: int) -> list[str]:
         """Return the addresses of all control nodes, none if the gateway knows them."""
--- a/src/rowanrail/directory/messages.py
+++ b/src/rowanrail/directory/messages.py
@@ -92,6 +92,27 @@
     removed_remote_holders: list[str] = []
 
 
+class Evacuations(msgspec.Struct, frozen=True, array_like=True):
+    """The zones whose members get no statements, and those whose evacuation has ended.
+
+    Parameters
+    ----------
+    revision : int
+        Log index of the last change; 0 if there was none.
+    zones : dict of str to int
+        Evacuated zones, with the Unix milliseconds of the order.
+    ended : dict of str to int
+        Zones that are no longer evacuated, with the Unix milliseconds of the end.
+    """
+
+    revision: int = 0
+    zones: dict[str, int] = {}
+    ended: dict[str, int] = {}
+
+
+NO_EVACUATIONS = Evacuations()
+
+
 @message("DirectoryRequest")
 class DirectoryRequest(msgspec.Struct, frozen=True, array_like=True):
     """Long poll for what is newer than the gateway knows, for up to ``wait_seconds``.
@@ -106,6 +127,8 @@
         See :func:`control_nodes_checksum`.
     known_plan : int or None
         Number of the gateway's plan of holders, None if its settings select ``hashed``.
+    known_evacuations : int or None
+        Revision of the evacuations that the gateway applies, None if it knows of none.
     """
 
     report: GatewayReport
@@ -116,6 +139,7 @@
     wants_full: bool = False
     known_controls_checksum: int = 0
     known_plan: int | None = None
+    known_evacuations: int | None = None
 
 
 def control_nodes_checksum(addresses: list[str]) -> int:
@@ -149,6 +173,8 @@
         An encoded :class:`DirectoryUpdate` for gateways that accept it; empty if nothing is new.
     plan : Plan or None
         The plan of holders, None if the known one is the newest.
+    evacuations : Evacuations or None
+        The evacuated zones, None if the known ones are the newest.
     """
 
     current: bool
@@ -164,6 +190,7 @@
     remote_holders: list[GatewayRecord] = []
     update: bytes = b""
     plan: Plan | None = None
+    evacuations: Evacuations | None = None
 
 
 @message("HeldRequest")
--- a/src/rowanrail/gateway/discovery/control_plane_client.py
+++ b/src/rowanrail/gateway/discovery/control_plane_client.py
@@ -21,6 +21,7 @@
 from rowanrail.directory.messages import (
     DirectoryReply,
     DirectoryRequest,
+    Evacuations,
     GatewayReport,
     LoggedDirectoryReply,
     LoggedDirectoryRequest,
@@ -75,9 +76,12 @@
     def set_plan(self, plan: Plan) -> None:
         """Apply the newest plan of the holders of connections."""
 
+    def set_evacuations(self, evacuations: Evacuations) -> None:
+        """Apply the newest evacuations of zones."""
+
 
 class ControlPlaneClient:
-    """Keeps a gateway's configuration, directory and plan up to date.
+    """Keeps a gateway's configuration, directory, evacuations and plan up to date.
 
     Parameters
     ----------
@@ -118,6 +122,7 @@
         self._decisions = decisions
         self._version = 0
         self._plan = 0 if uses_plans else None
+        self._evacuations = 0
         self._is_lost = False
         self._started_at = 0.0
         self._nearer_check_due = 0.0
@@ -226,6 +231,8 @@
             return
         self._provisional.set_applied(directory)
         self._gateway.apply(parsed.unwrap())
+        if directory.evacuations is not None:
+            self._gateway.set_evacuations(directory.evacuations)
         self._gateway.set_directory(members)
         self._decisions.note(
             PROVISIONAL_APPLIED,
@@ -277,6 +284,7 @@
             wants_full=self._copy.is_inconsistent,
             known_controls_checksum=self._controls.known_checksum,
             known_plan=self._plan,
+            known_evacuations=self._evacuations,
         )
         reply = await self._network.call(address, request, wait_seconds + ROUND_TRIP_SECONDS)
         if not isinstance(reply, DirectoryReply):
@@ -308,6 +316,9 @@
                 replaces_provisional = self._provisional.is_superseded_by(reply)
                 self._gateway.apply(parsed.unwrap(), replaces_provisional=replaces_provisional)
                 self._provisional.clear()
+        if reply.evacuations is not None:
+            self._evacuations = reply.evacuations.revision
+            self._gateway.set_evacuations(reply.evacuations)
         self._apply_directory(address, reply)
         if reply.plan is not None:
             self._plan = reply.plan.number
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -7,6 +7,7 @@
 import functools
 from collections.abc import Callable
 
+from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations
 from rowanrail.gateway.discovery.current_directory import CurrentDirectory
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.events import (
@@ -84,6 +85,7 @@
         self._timer: Timer | None = None
         self._ticks = 0
         self._waiting_starts: list[PendingSessionStart] = []
+        self._evacuations = NO_EVACUATIONS
         self._session_count = 0
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
@@ -197,6 +199,7 @@
         note = functools.partial(log_weight_change, self._decisions, service)
         service.estimates.weights.on_change = note
         service.set_fleet_size(self._directory.population)
+        service.set_evacuated(frozenset(self._evacuations.zones))
         service.set_members(self._directory.members(name))
         return service
 
@@ -227,6 +230,12 @@
             neighbours=len(directory.neighbours),
         )
 
+    def set_evacuations(self, evacuations: Evacuations) -> None:
+        """Apply the control nodes' newest evacuations of zones."""
+        self._evacuations = evacuations
+        for service in self.services.values():
+            service.set_evacuated(frozenset(evacuations.zones))
+
     def set_plan(self, plan: Plan) -> None:
         """Apply the control nodes' newest plan of the holders of connections."""
         self.holdings.adopt_plan(plan)
--- a/src/rowanrail/gateway/relay/message_mapping.py
+++ b/src/rowanrail/gateway/relay/message_mapping.py
@@ -100,6 +100,7 @@
         database=route.database,
         version=outgoing.version,
         is_retry=session.is_retrying,
+        regions=None if route.regions is None else sorted(route.regions),
     )
 
 
@@ -114,6 +115,7 @@
         objective_seconds=run.objective / 1000,
         staleness_seconds=run.staleness / 1000,
         priority=run.priority,
+        regions=None if run.regions is None else frozenset(run.regions),
     )
 
 
--- a/src/rowanrail/gateway/relay/messages.py
+++ b/src/rowanrail/gateway/relay/messages.py
@@ -67,6 +67,8 @@
         Version of the configuration by which the sender accepted the key.
     is_retry : bool
         Whether it goes before new arrivals, since its client was rejected more than once.
+    regions : list of str or None
+        Regions in which it may run; None for any.
     """
 
     call: int
@@ -95,6 +97,7 @@
     database: str = ""
     version: int = 0
     is_retry: bool = False
+    regions: list[str] | None = None
 
 
 class Rollback(msgspec.Struct, tag=2, array_like=True, frozen=True, gc=False):
--- a/src/rowanrail/gateway/services/member_estimates.py
+++ b/src/rowanrail/gateway/services/member_estimates.py
@@ -39,11 +39,14 @@
         Its queue entry: urgency, tenant and deadline.
     floor : Position or None
         Position that the member's log must hold; None for any.
+    regions : frozenset of str or None
+        Regions in which it may run; None for any.
     """
 
     kind: str = ""
     entry: QueueEntry = _DEFAULT_ENTRY
     floor: Position | None = None
+    regions: frozenset[str] | None = None
 
 
 class MemberEstimates:
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -19,6 +19,7 @@
 from rowanrail.gateway.services.service_share import ServiceShare
 from rowanrail.kernel.clock import Clock, Scheduler
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.eligibility import Eligibility, Exclusion
 from rowanrail.members.monitor_interval import monitor_seconds
 from rowanrail.members.primary import PrimaryTracker
 from rowanrail.model.members import MemberRecord
@@ -74,6 +75,7 @@
         self.retry_times = RetryTimes(clock)
         # Seeded by zone, so that zones choose differently and simulations are reproducible.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
+        self._eligibility = Eligibility(locality.regions)
         self._locality = locality
         self._driver = driver
         self._clock = clock
@@ -108,6 +110,31 @@
         self.share = replace(self.share, connections=spec.connections)
         self._apply_limit()
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Set the zones whose members get no statements."""
+        self._eligibility = replace(self._eligibility, evacuated=zones)
+
+    def exclusion(
+        self, record: MemberRecord, regions: frozenset[str] | None = None
+    ) -> Exclusion | None:
+        """Return why a member may not be sent a statement, None if it may.
+
+        Parameters
+        ----------
+        regions : frozenset of str or None
+            Regions in which the statement may run; None for any.
+        """
+        return self._eligibility.exclusion(record, regions)
+
+    def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
+        """Return why no member may be sent a statement; None if one may, or if none is known."""
+        exclusion = None
+        for pool in self.pools.values():
+            exclusion = self.exclusion(pool.record, regions)
+            if exclusion is None:
+                return None
+        return exclusion
+
     def set_fleet_size(self, fleet_size: FleetSize) -> None:
         """Set how many gateways share the members' connections."""
         self.share = replace(self.share, fleet_size=fleet_size)
@@ -172,7 +199,9 @@
         pools = {
             instance: pool
             for instance, pool in self.pools.items()
-            if instance not in excluded and not pool.record.leaving
+            if instance not in excluded
+            and not pool.record.leaving
+            and self.exclusion(pool.record, requirements.regions) is None
         }
         best = choose_member(self.estimates.candidates(pools, requirements), self._randomness)
         return None if best is None else pools[best]
--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -37,11 +37,18 @@
         self.begin_statement(respond)
         self._failures = 0
         self._earliest_sample_time = earliest_sample_time(self.route, self.arrived_at)
+        exclusion = self.service.exclusion_of_all(self.route.regions)
+        if exclusion is not None:
+            self.reject_excluded(exclusion)
+            return
         if self.route.consistency is Consistency.PRIMARY and self._forward_to_primary_holder():
             return  # replication lag exceeds the round trip to the primary's region
         self._request_floor()
 
     def _forward_to_primary_holder(self) -> bool:
+        primary = self.service.primary_pool()
+        if primary is not None and self.service.exclusion(primary.record, self.route.regions):
+            return False
         return self.forward_to_holder(self.statement, writes=False)
 
     def _forward_to_member_holder(self, instance: str) -> bool:
@@ -183,7 +190,11 @@
         if self._forward_to_primary_holder():
             return
         primary = self.service.primary_pool()
-        if primary is not None and primary.record.instance not in self.excluded:
+        if (
+            primary is not None
+            and primary.record.instance not in self.excluded
+            and self.service.exclusion(primary.record, self.route.regions) is None
+        ):
             self.attempts += 1
             if self.can_wait_at(primary):
                 self.acquire(primary, self._on_connection)
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -19,7 +19,7 @@
 from rowanrail.kernel.clock import Scheduler, Timer
 from rowanrail.members.channel import AnswerCallback, Channel
 from rowanrail.model.routing import Route
-from rowanrail.model.statements import Answer, Command, CommandKind
+from rowanrail.model.statements import Answer, Command, CommandKind, Refusal
 from rowanrail.scheduling.entry import QueueEntry
 
 __all__ = ["ConnectedStatement", "Stage"]
@@ -123,6 +123,13 @@
             if channel is not None and self.respond is None:
                 pool.release(channel)
                 return
+            if channel is not None:
+                # Evacuations and configurations may have changed while it waited.
+                exclusion = self.service.exclusion(pool.record, self.route.regions)
+                if exclusion is not None:
+                    pool.release(channel)
+                    reason = f"{pool.record.instance} is excluded: {exclusion.value}"
+                    channel, answer = None, Answer(refusal=Refusal.BUSY, message=reason)
             self.channel = channel
             on_connection(channel, answer)
 
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -168,6 +168,8 @@
         """
         self.stage = Stage.WAITS_FOR_PRIMARY
         tracker, pool = self.service.primary, self.service.primary_pool()
+        if self.reject_if_excluded(pool):
+            return
         if self.forward_to(self.other_gateways.find_remote_holder(self.tenant, "")):
             return
         if tracker.failing_since and self.forward_to(self.other_gateways.find_detour()):
@@ -182,6 +184,15 @@
         else:
             self.acquire(pool, on_connection)
 
+    def reject_if_excluded(self, primary: MemberPool | None) -> bool:
+        """Reject a statement that needs a primary to which it may not be sent."""
+        if primary is None:
+            return False
+        exclusion = self.service.exclusion(primary.record, self.route.regions)
+        if exclusion is not None:
+            self.reject_excluded(exclusion, primary.record.instance)
+        return exclusion is not None
+
     def forward_to(self, executor: StatementExecutor | None) -> bool:
         """Forward to another gateway if an executor is given; return whether it was forwarded."""
         raise NotImplementedError
@@ -240,7 +251,9 @@
 
     def read_requirements(self) -> ReadRequirements:
         """Return the requirements of the read for the selection of a member."""
-        return ReadRequirements(self.latency_class, self.queue_entry(), self.floor)
+        return ReadRequirements(
+            self.latency_class, self.queue_entry(), self.floor, self.route.regions
+        )
 
     def note_answer(self, answer: Answer) -> None:
         """Update the estimates of the member from its answer to the last request."""
--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -5,6 +5,7 @@
 """
 
 from rowanrail.gateway.work.attempts import RETRY_INTERVAL_SECONDS
+from rowanrail.members.eligibility import Exclusion
 from rowanrail.model.statements import Answer, Refusal
 from rowanrail.model.trace import Rejection
 from rowanrail.scheduling.admission import Forecast, Reject, RejectionCause
@@ -19,6 +20,7 @@
     "MIN_REMAINING_SECONDS",
     "busy_answer",
     "deferral_seconds",
+    "rejection_of_excluded",
     "rejection_of_deferred",
     "remaining_seconds",
     "quota_retry_after_ms",
@@ -45,6 +47,15 @@
 
 _NO_PRIMARY = Reject(RejectionCause.NO_PRIMARY, PRIMARY_RETRY_AFTER_MS)
 _NO_PLACE = Reject(RejectionCause.NO_PLACE, 0.0)
+# Retry-After where no member may run a statement until an operator or the configuration changes
+# that; clients that have less time left give up at once.
+EXCLUDED_RETRY_AFTER_MS = 2000.0
+_REJECTIONS = {
+    Exclusion.LEAVING: _NO_PRIMARY,
+    Exclusion.EVACUATED: Reject(RejectionCause.EVACUATED, PRIMARY_RETRY_AFTER_MS),
+    Exclusion.OUTSIDE_REGIONS: Reject(RejectionCause.OUTSIDE_REGIONS, EXCLUDED_RETRY_AFTER_MS),
+    Exclusion.WARMING_UP: Reject(RejectionCause.WARMING_UP, PRIMARY_RETRY_AFTER_MS),
+}
 
 
 def deferral_seconds(objective_seconds: float) -> float:
@@ -102,6 +113,17 @@
     return _NO_PLACE if has_primary else _NO_PRIMARY
 
 
+def rejection_of_excluded(exclusion: Exclusion) -> Reject:
+    """Return the rejection of a statement that no member may be sent.
+
+    Examples
+    --------
+    >>> rejection_of_excluded(Exclusion.EVACUATED)
+    Reject(cause=<RejectionCause.EVACUATED: 'evacuated'>, retry_after_ms=1000.0)
+    """
+    return _REJECTIONS[exclusion]
+
+
 def base_retry_after_ms(base_ms: float) -> float:
     """Return the base of a rejection's Retry-After, raised to the shortest allowed value."""
     return max(base_ms, SHORTEST_RETRY_AFTER_MS)
--- a/src/rowanrail/gateway/work/statement.py
+++ b/src/rowanrail/gateway/work/statement.py
@@ -16,11 +16,13 @@
     deferral_seconds,
     has_time_to_retry,
     rejection_of_deferred,
+    rejection_of_excluded,
     rejection_record,
     remaining_seconds,
 )
 from rowanrail.kernel.clock import Scheduler, Timer
 from rowanrail.members.channel import AnswerCallback
+from rowanrail.members.eligibility import Exclusion
 from rowanrail.model.routing import Route
 from rowanrail.model.statements import Answer
 from rowanrail.model.trace import Rejection
@@ -127,6 +129,14 @@
         else:
             self.reject(verdict.cause, answer.message, verdict.retry_after_ms)
 
+    def reject_excluded(self, exclusion: Exclusion, instance: str = "") -> None:
+        """Reject a statement that no member, or not its primary, may be sent."""
+        verdict = rejection_of_excluded(exclusion)
+        subject = f"its primary {instance}" if instance else f"each member of {self.route.service}"
+        self.reject(
+            verdict.cause, f"{subject} is excluded: {exclusion.value}", verdict.retry_after_ms
+        )
+
     def reject(
         self,
         cause: RejectionCause,
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -111,6 +111,11 @@
         if not self.read_only:
             self.acquire_primary(self._begin, self._on_connection)
             return
+        exclusion = self.service.exclusion_of_all(self.route.regions)
+        if exclusion is not None:
+            self.failed = True
+            self.reject_excluded(exclusion)
+            return
         if self.route.consistency is Consistency.PRIMARY and self.forward_to(
             self.other_gateways.find_remote_holder(self.tenant, "")
         ):
--- /dev/null
+++ b/src/rowanrail/members/eligibility.py
@@ -0,0 +1,59 @@
+"""Which members may be sent a statement: the one rule that all who choose a member ask.
+
+A member is excluded while it leaves, while its zone is evacuated, if it is outside the regions of
+the statement's route and tenant, and while its warm-up limit is used up. No I/O.
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from rowanrail.model.members import MemberRecord
+
+__all__ = ["Eligibility", "Exclusion"]
+
+
+class Exclusion(enum.Enum):
+    """Why a member may not be sent a statement; the values are used in logs."""
+
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    OUTSIDE_REGIONS = "outside-regions"
+    WARMING_UP = "warming-up"
+
+
+@dataclass(frozen=True, slots=True)
+class Eligibility:
+    """The rule for members by their zone.
+
+    Parameters
+    ----------
+    regions : mapping of str to str
+        The region of each zone; a missing zone is a region of its own.
+    evacuated : frozenset of str
+        Zones whose members are sent no statements.
+
+    Examples
+    --------
+    >>> rule = Eligibility({"a1": "a", "b1": "b"}, frozenset({"b1"}))
+    >>> member = MemberRecord("m1", "db", "m1:1", "a1", False, False, 3, 1)
+    >>> rule.exclusion(member, None), rule.exclusion(member, frozenset({"b"})).value
+    (None, 'outside-regions')
+    """
+
+    regions: Mapping[str, str] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
+
+    def exclusion(self, record: MemberRecord, regions: frozenset[str] | None) -> Exclusion | None:
+        """Return why a member may not be sent a statement, None if it may.
+
+        Parameters
+        ----------
+        regions : frozenset of str or None
+            Regions in which the statement may run; None for any.
+        """
+        if record.zone in self.evacuated:
+            return Exclusion.EVACUATED
+        if regions is not None and self.regions.get(record.zone, record.zone) not in regions:
+            return Exclusion.OUTSIDE_REGIONS
+        return None
--- a/src/rowanrail/model/members.py
+++ b/src/rowanrail/model/members.py
@@ -4,6 +4,7 @@
 """
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
@@ -12,7 +13,7 @@
     Parameters
     ----------
     instance : str
-        Unique identity of one run of the member, new after each start.
+        Identity of the member; a member may start again under the same one.
     service : str
         Service whose data the member has.
     address : str
@@ -25,6 +26,8 @@
         Increases with each announcement; a lower one is outdated.
     cold_ms : int
         Remaining milliseconds of slowness after its start, at the announcement.
+    start_ms : int or UnsetType
+        Unix milliseconds of its start; not encoded if the member doesn't tell it.
     """
 
     instance: str
@@ -36,6 +39,12 @@
     slots: int
     sequence: int
     cold_ms: int = 0
+    start_ms: int | UnsetType = UNSET
+
+    @property
+    def started_ms(self) -> int:
+        """Unix milliseconds of its start, 0 if the member doesn't tell it."""
+        return 0 if self.start_ms is UNSET else self.start_ms
 
 
 class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
--- a/src/rowanrail/model/routing.py
+++ b/src/rowanrail/model/routing.py
@@ -39,6 +39,8 @@
         0 is the most urgent.
     takes_anybody : bool
         Whether clients without a key are accepted.
+    regions : frozenset of str or None
+        Regions whose members may run its statements; None for any.
     """
 
     name: str
@@ -50,6 +52,7 @@
     staleness_seconds: float = 0.0
     priority: int = 1
     takes_anybody: bool = False
+    regions: frozenset[str] | None = None
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
@@ -61,11 +64,23 @@
         Maximum number of connections to a member from all gateways together.
     acknowledging_replicas : int
         Number of replicas that must have a commit before it is acknowledged.
+    warm_up_seconds : float
+        Time after a member's start, or its zone's return, in which it is warming up.
+    warm_up_rate : float
+        Maximum number of statements per second to a warming member, from all gateways together; 0
+        for no limit.
     """
 
     name: str
     connections: int
     acknowledging_replicas: int = 0
+    warm_up_seconds: float = 0.0
+    warm_up_rate: float = 0.0
+
+    @property
+    def limits_warm_up(self) -> bool:
+        """Whether the statements to a warming member are limited."""
+        return self.warm_up_seconds > 0 and self.warm_up_rate > 0
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True):
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -51,6 +51,9 @@
     NO_PRIMARY = "no-primary"
     NO_PLACE = "no-place"
     TENANT_LIMIT = "tenant-limit"
+    EVACUATED = "evacuated"
+    OUTSIDE_REGIONS = "outside-regions"
+    WARMING_UP = "warming-up"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/tenants/model.py
+++ b/src/rowanrail/tenants/model.py
@@ -39,12 +39,15 @@
         Operations per second over all gateways; None for no limit.
     burst : float
         Operations beyond the rate in any window.
+    regions : frozenset of str or None
+        Regions whose members may run its statements; None for any.
     """
 
     name: str
     priority: int = 1
     rate: float | None = None
     burst: float = 0.0
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
