--- a/src/rowanrail/gateway/relay/link.py
+++ b/src/rowanrail/gateway/relay/link.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from rowanrail.gateway.relay.liveness import LivenessAction, assess_liveness
+from rowanrail.gateway.relay.liveness import LivenessAction, SuspicionLimit, assess_liveness
 from rowanrail.gateway.relay.messages import (
     Cancel,
     DemandReport,
@@ -131,6 +131,8 @@
         Time and timers.
     on_down : callable
         Called once at the end of the link, with the reason.
+    limit : SuspicionLimit or None
+        Limit of suspicion, shared with other links; None for one of its own.
     """
 
     __slots__ = (
@@ -138,6 +140,7 @@
         "_clock",
         "_last_heard",
         "_last_call_id",
+        "_limit",
         "_on_down",
         "_peer",
         "_pinged_at",
@@ -148,8 +151,15 @@
         "_last_transaction_id",
     )
 
-    def __init__(self, peer: str, clock: Clock, on_down: Callable[["Link", str], None]) -> None:
+    def __init__(
+        self,
+        peer: str,
+        clock: Clock,
+        on_down: Callable[["Link", str], None],
+        limit: SuspicionLimit | None = None,
+    ) -> None:
         self._peer = peer
+        self._limit = limit or SuspicionLimit()
         self._clock = clock
         self._on_down = on_down
         self._port: LinkPort | None = None
@@ -251,7 +261,10 @@
 
     def receive(self, message: FromHolder) -> None:
         """Handle a message of the neighbour."""
-        self._last_heard = self._clock.now
+        now = self._clock.now
+        if self._pinged_at is not None:
+            self._limit.note_delay(now - self._pinged_at, now)
+        self._last_heard = now
         self._pinged_at = None
         self._is_suspect = False
         match message:
@@ -288,7 +301,7 @@
         now = self._clock.now
         since_heard_ms = now - self._last_heard
         since_ping_ms = None if self._pinged_at is None else now - self._pinged_at
-        match assess_liveness(since_heard_ms, since_ping_ms):
+        match assess_liveness(since_heard_ms, since_ping_ms, self._limit.ms(now)):
             case LivenessAction.PING:
                 self._pinged_at = now
                 self.notify(Ping())
--- a/src/rowanrail/gateway/relay/neighbours.py
+++ b/src/rowanrail/gateway/relay/neighbours.py
@@ -19,7 +19,7 @@
     location_via,
 )
 from rowanrail.gateway.relay.link import Link
-from rowanrail.gateway.relay.liveness import Backoff
+from rowanrail.gateway.relay.liveness import Backoff, SuspicionLimit
 from rowanrail.kernel.clock import Clock
 from rowanrail.placement.hashed import Shard, rank
 from rowanrail.placement.planned import PlannedHolders
@@ -75,6 +75,7 @@
         self._clock = clock
         self._opener = opener
         self._peers: dict[str, _Peer] = {}
+        self._limit = SuspicionLimit()
         self.on_link: Callable[[str, bool, str], None] = lambda peer, is_up, reason: None
 
     @property
@@ -107,7 +108,7 @@
         if peer.link is None:
             if not peer.backoff.is_over(self._clock.now):
                 return None
-            peer.link = Link(peer.neighbour.name, self._clock, self._on_down)
+            peer.link = Link(peer.neighbour.name, self._clock, self._on_down, self._limit)
             self._opener.open(peer.neighbour.address, peer.link)
         return None if peer.link is None else location_via(peer.link)
 
--- a/tests/relay/test_liveness.py
+++ b/tests/relay/test_liveness.py
@@ -6,10 +6,12 @@
     INITIAL_BACKOFF_MS,
     LOST_AFTER_MS,
     MAX_BACKOFF_MS,
+    MAX_SUSPECT_AFTER_MS,
     PING_AFTER_MS,
     SUSPECT_AFTER_MS,
     Backoff,
     LivenessAction,
+    SuspicionLimit,
     assess_liveness,
 )
 
@@ -36,6 +38,38 @@
         self.assertEqual(assess_liveness(300.0, round_trip + stopped - 1), LivenessAction.WAIT)
 
 
+def times_suspected(delays: list[float]) -> int:
+    """Return how many of the answers, one a second, came after the gateway was suspected."""
+    limit, suspected = SuspicionLimit(), 0
+    for second, delay in enumerate(delays):
+        now = second * 1000.0
+        action = assess_liveness(delay + PING_AFTER_MS, delay, limit.ms(now))
+        suspected += action is LivenessAction.SUSPECT
+        limit.note_delay(delay, now)
+    return suspected
+
+
+class SuspicionLimitTest(unittest.TestCase):
+    def test_a_healthy_gateway_behind_a_lossy_path_is_suspected_once(self):
+        """A lost packet is sent again after 200 to 300 ms; here each seventh answer."""
+        delays = [40.0 if second % 7 else 240.0 + second for second in range(60)]
+        self.assertEqual(times_suspected(delays), 1)
+
+    def test_jitter_raises_no_suspicion(self):
+        self.assertEqual(times_suspected([40.0 * (1 + 0.3 * (n % 3)) for n in range(60)]), 0)
+
+    def test_a_path_without_delays_keeps_the_usual_limit(self):
+        limit = SuspicionLimit()
+        limit.note_delay(45.0, 0.0)
+        self.assertEqual(limit.ms(0.0), SUSPECT_AFTER_MS)
+
+    def test_the_limit_stays_below_the_loss_of_the_link(self):
+        limit = SuspicionLimit()
+        limit.note_delay(LOST_AFTER_MS, 0.0)
+        self.assertEqual(limit.ms(0.0), MAX_SUSPECT_AFTER_MS)
+        self.assertLess(MAX_SUSPECT_AFTER_MS, LOST_AFTER_MS)
+
+
 class BackoffTest(unittest.TestCase):
     def test_a_link_may_be_opened_at_first(self):
         self.assertTrue(Backoff().is_over(0.0))
