--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,12 @@
 from tests.soak.members import SlottedMember
 from tests.soak.oracle import TENANTS, Execution, Oracle, RequestedWrite, Verdict
 from tests.support.line_member import Group, Member
-from tests.support.platform_fleet import LineClient, PlatformFleet, configuration
+from tests.support.platform_fleet import (
+    DEFAULT_NETWORK,
+    LineClient,
+    PlatformFleet,
+    configuration,
+)
 
 CONTROL_NODES = 3
 PROXIES = 6
@@ -230,7 +235,7 @@
         self,
         seconds: float,
         seed: int,
-        network: int = 0,
+        network: int = DEFAULT_NETWORK,
         holders: str = "hashed",
         beside: Path | None = None,
     ) -> None:
