Control nodes tell the lives of a member apart by its start

Cause: a member that started again under its instance id counted its announcements from 1, so that they were taken for late ones; after its removal it never returned.

Change: the order of starts tells a new life, which replaces the known one; heartbeats are judged by life. A lower start replaces the known life once it has been heard for a while and that one has not. A removal that may be an earlier life's is obeyed at once, and the known life returns once it is heard twice. The state keeps the start of the life that ended last and of the one before the present; they are encoded only once used. Below the feature level no start is logged.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -1,15 +1,25 @@
-"""Handles members' announcements at the leader: changes, removals, readmission.
+"""Handles members' announcements at the leader: changes, removals, new lives, readmission.
 
-A member is displaced when another instance announces itself at its address. Tracks the displaced
-members that still announce themselves. Relies on the state for what the log holds, on
+A member is displaced when another instance announces itself at its address, or when a removal may
+be that of its earlier life. Tracks the displaced members that still announce themselves, and lives
+of which :mod:`lives` wants proof. Relies on the state for what the log holds, on
 :mod:`liveness` for heartbeats, and on the log to make a change durable.
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
-from rowanrail.coordination.commands import Announce, Command, Readmit, Remove
+from msgspec import UNSET
+
+from rowanrail.coordination.commands import Announce, Command, Readmit, Remove, ReplaceLife
+from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.lives import (
+    LifeClaims,
+    LifeOrder,
+    is_replacement_proven,
+    is_return_proven,
+    recordable,
+)
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.model.members import MemberRecord
 
@@ -18,14 +28,6 @@
 MEMBER_SILENCE_SECONDS = 3.0  # more than two heartbeat intervals of 1.2 s
 
 
-@dataclass(slots=True)
-class _ReturningMember:
-    """When a displaced member announced itself again, first and last; in seconds."""
-
-    since: float
-    heard_at: float
-
-
 class AnnouncementHandler:
     """Proposes commands for announcements that change the state.
 
@@ -51,56 +53,96 @@
         self._state = state
         self._liveness = liveness
         self._propose = propose
-        self._now = now
-        self._returning: dict[str, _ReturningMember] = {}
+        self._claims = LifeClaims(now)
 
     async def handle(self, record: MemberRecord) -> None:
         """Handle a member's announcement, which also counts as a heartbeat.
 
         The log holds only the sequence of a member's last change; whether an announcement is late
-        is judged by the newest sequence heard. A late one counts only if the member is leaving.
+        is judged by the newest sequence heard of its life. A late one counts only if the member is
+        leaving.
         """
-        is_late = self._liveness.is_late(record.instance, record.sequence) and not record.leaving
-        self._liveness.record_heartbeat(record.instance, record.sequence)
-        if record.instance in self._state.displaced:
+        record = recordable(record, self._state.feature_level)
+        start = record.started_ms
+        is_late = not record.leaving and self._liveness.is_late(
+            record.instance, record.sequence, start
+        )
+        match self._state.order_of(record):
+            case LifeOrder.FOREIGN:
+                return
+            case LifeOrder.UNPROVEN:
+                await self._handle_unproven(record)
+                return
+        self._liveness.record_heartbeat(record.instance, record.sequence, start)
+        if self._state.needs_announcement(record):
+            if not is_late:
+                await self._propose(Announce(record))
+        elif record.instance in self._state.displaced:
             await self._handle_displaced(record, is_late)
-        elif not is_late and self._state.needs_announcement(record):
-            await self._propose(Announce(record))
 
-    async def handle_removal(self, instance: str) -> None:
-        """Handle a member's announcement that it has ended."""
-        self._liveness.forget_member(instance)
-        self._returning.pop(instance, None)
-        if not self._state.has_ended(instance):
-            await self._propose(Remove(instance))
+    async def handle_removal(self, instance: str, start: int = 0) -> None:
+        """Handle a member's announcement that it has ended.
+
+        Parameters
+        ----------
+        start : int
+            Start of the life that ended, in Unix milliseconds; 0 if it is not told.
+        """
+        if self._state.feature_level < LIVES_LEVEL:
+            start = 0
+        self._claims.forget(instance)
+        if self._state.is_earlier_start(instance, start):
+            return
+        if not self._state.has_ended(instance, start):
+            await self._propose(Remove(instance, start or UNSET))
+        if instance not in self._state.displaced:  # else late announcements must be told apart
+            self._liveness.forget_member(instance)
+
+    async def _handle_unproven(self, record: MemberRecord) -> None:
+        """Handle an announcement of a life that may be an earlier one than the known one."""
+        instance, start = record.instance, record.started_ms
+        if self._state.is_over(record):
+            return
+        if record.leaving:
+            # The known life may have ended, and this one have been sent its statements.
+            is_earlier = self._state.is_earlier_start(instance, start)
+            if instance in self._state.members and not is_earlier:
+                await self._propose(Remove(instance, start))
+            return
+        announcements, seconds = self._claims.note(record)
+        if is_replacement_proven(announcements, seconds, self._known_silent(instance)):
+            self._claims.forget(instance)
+            self._liveness.record_heartbeat(instance, record.sequence, start)
+            await self._propose(ReplaceLife(record))
+
+    def _known_silent(self, instance: str) -> float:
+        """Return for how many seconds the known life of a member has not been heard."""
+        known = self._state.members.get(instance) or self._state.displaced.get(instance)
+        if known is None:
+            return float("inf")
+        return self._liveness.heartbeat_ago(instance, known.started_ms)
 
     async def _handle_displaced(self, record: MemberRecord, is_late: bool) -> None:
         if record.leaving:
             # Removed for good, so that a delayed earlier announcement can't readmit it.
-            await self._propose(Remove(record.instance))
-        elif not is_late and self._state.may_readmit(record) and self._is_address_free(record):
+            await self._propose(Remove(record.instance, record.start_ms))
+        elif not is_late and self._state.may_readmit(record) and self._is_running(record):
+            self._claims.forget(record.instance)
             await self._propose(Readmit(record))
 
-    def _is_address_free(self, record: MemberRecord) -> bool:
+    def _is_running(self, record: MemberRecord) -> bool:
         """Return whether a displaced member sends heartbeats and the one at its address doesn't.
 
         A heartbeat delayed by a network partition may arrive after its sender has ended and a new
         instance has taken the address, and seem to be new. Only a running member keeps sending.
         """
+        announcements, seconds = self._claims.note(record)
         occupant = self._state.member_at_address(record)
-        silent = self._liveness.heartbeat_ago(occupant.instance) if occupant else float("inf")
-        if min(self._returning_seconds(record.instance), silent) < MEMBER_SILENCE_SECONDS:
-            return False
-        del self._returning[record.instance]
-        return True
-
-    def _returning_seconds(self, instance: str) -> float:
-        """Return for how long a displaced member has announced itself again; update its times."""
-        now = self._now()
-        claim = self._returning.get(instance)
-        if claim is None or now - claim.heard_at > MEMBER_SILENCE_SECONDS:
-            displaced = self._state.displaced
-            self._returning = {i: kept for i, kept in self._returning.items() if i in displaced}
-            claim = self._returning[instance] = _ReturningMember(now, now)
-        claim.heard_at = now
-        return now - claim.since
+        if occupant is None and record.started_ms:
+            return is_return_proven(announcements, seconds)
+        silent = (
+            self._liveness.heartbeat_ago(occupant.instance, occupant.started_ms)
+            if occupant
+            else float("inf")
+        )
+        return min(seconds, silent) >= MEMBER_SILENCE_SECONDS
--- a/src/rowanrail/coordination/changes.py
+++ b/src/rowanrail/coordination/changes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from rowanrail.directory.messages import GatewayRecord
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 
 __all__ = ["DirectoryChange", "GatewayChange", "MemberChange"]
 
@@ -35,12 +35,17 @@
         >>> new = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 1)
         >>> MemberChange(None, new).is_urgent, MemberChange(new, None).is_urgent
         (False, True)
+        >>> again = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 1, start_ms=900)
+        >>> MemberChange(new, again).is_urgent
+        True
         """
         before, after = self.before, self.after
         if after is None:
             return True
         if before is None:
             return after.primary or after.leaving
+        if not is_same_life(before, after):
+            return True
         return _routing_fields(before) != _routing_fields(after)
 
 
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -246,7 +246,7 @@
             members.append(
                 MemberView(
                     record,
-                    liveness.heartbeat_ago(record.instance),
+                    liveness.heartbeat_ago(record.instance, record.started_ms),
                     status.leads if status else None,
                     status.term if status else 0,
                     status.received if status else None,
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -1,10 +1,11 @@
-"""Heartbeats of members and reports of gateways, with the times at which they arrived.
+"""Heartbeats of members' lives and reports of gateways, with the times at which they arrived.
 
 Kept in memory only: they are not in the log, and a new leader collects them anew. Relies on
 :mod:`reports` for the index of reports by service.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from rowanrail.coordination.failover import ReportView
 from rowanrail.coordination.reports import ReportIndex
@@ -13,6 +14,16 @@
 GATEWAY_EXPIRY_SECONDS = 12.0  # longer than a gateway takes to restart
 DIRECT_REPORT_SECONDS = 1.3  # gateways report every second
 NEVER_SECONDS = 1e9  # age of a heartbeat that never came; above all limits
+MAX_INSTANCES = 4000
+MAX_LIVES = 4  # of an instance; bounds what announcements with made-up starts add
+
+
+@dataclass(frozen=True, slots=True)
+class _Heartbeat:
+    """The newest heartbeat of a life, and when it arrived in seconds."""
+
+    sequence: int
+    at: float
 
 
 class Liveness:
@@ -26,30 +37,42 @@
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
-        self._heartbeats: dict[str, float] = {}
-        self._sequences: dict[str, int] = {}
+        self._heartbeats: dict[str, dict[int, _Heartbeat]] = {}  # by instance and start
         self._reports = ReportIndex()
 
-    def record_heartbeat(self, instance: str, sequence: int) -> None:
-        """Record a member's heartbeat, unless a later one was recorded."""
-        if self.is_late(instance, sequence):
+    def record_heartbeat(self, instance: str, sequence: int, start: int = 0) -> None:
+        """Record a heartbeat of a member's life, unless a later one was recorded."""
+        if self.is_late(instance, sequence, start):
             return
-        self._sequences[instance] = sequence
-        self._heartbeats[instance] = self._now()
-
-    def is_late(self, instance: str, sequence: int) -> bool:
-        """Return whether a later announcement of the member has already arrived."""
-        return sequence < self._sequences.get(instance, -1)
+        lives = self._heartbeats.pop(instance, {})
+        lives.pop(start, None)
+        lives[start] = _Heartbeat(sequence, self._now())
+        if len(lives) > MAX_LIVES:
+            del lives[next(iter(lives))]
+        self._heartbeats[instance] = lives  # the one heard last is the last to be dropped
+        if len(self._heartbeats) > MAX_INSTANCES:
+            del self._heartbeats[next(iter(self._heartbeats))]
+
+    def is_late(self, instance: str, sequence: int, start: int = 0) -> bool:
+        """Return whether a later announcement of the member's life has already arrived."""
+        heard = self._heartbeats.get(instance, {}).get(start)
+        return heard is not None and sequence < heard.sequence
 
     def forget_member(self, instance: str) -> None:
         """Discard the heartbeats of a member that has ended."""
         self._heartbeats.pop(instance, None)
-        self._sequences.pop(instance, None)
 
-    def heartbeat_ago(self, instance: str) -> float:
-        """Return the age of a member's last heartbeat in seconds; ``NEVER_SECONDS`` if none."""
-        heard = self._heartbeats.get(instance)
-        return NEVER_SECONDS if heard is None else self._now() - heard
+    def heartbeat_ago(self, instance: str, start: int | None = None) -> float:
+        """Return the age of a member's last heartbeat in seconds; ``NEVER_SECONDS`` if none.
+
+        Parameters
+        ----------
+        start : int or None
+            Start of the life, 0 if it tells none; None for any life.
+        """
+        lives = self._heartbeats.get(instance, {})
+        times = [heard.at for known, heard in lives.items() if start is None or known == start]
+        return self._now() - max(times) if times else NEVER_SECONDS
 
     def record_report(self, report: GatewayReport) -> None:
         """Record a gateway's report."""
--- a/src/rowanrail/coordination/policies.py
+++ b/src/rowanrail/coordination/policies.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rowanrail.coordination.lives import LifeOrder, compare_starts, life_order
 from rowanrail.kernel.registry import register
 from rowanrail.model.members import MemberRecord
 
@@ -20,18 +21,21 @@
 
 @register("coordination-guard", "incarnation")
 class IncarnationCheck:
-    """Accepts announcements of an instance in order, and none after its removal."""
+    """Accepts announcements of a life in order, and none after its removal."""
 
-    def is_update(self, record: MemberRecord, known: MemberRecord | None, removed: bool) -> bool:
+    def is_update(
+        self, record: MemberRecord, known: MemberRecord | None, ended: int | None
+    ) -> bool:
         """Return whether an announcement is newer than the known record and differs from it.
 
         :param known: the last announcement of the same instance, if any.
-        :param removed: whether that instance was removed.
+        :param ended: start of the life that was removed, 0 if it told none; None without removal.
         """
-        if removed:
-            return False
         if known is None:
-            return True
+            return ended is None or compare_starts(record.started_ms, ended) is LifeOrder.LATER
+        order = life_order(record, known)
+        if order is not LifeOrder.SAME:
+            return order is LifeOrder.LATER
         if record.sequence <= known.sequence:
             return False
         # These fields change with each heartbeat, which must not add an entry to the log.
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.cluster.membership import MembershipManager
 from rowanrail.cluster.messages import BarrierReply, BarrierRequest, JoinRequest
@@ -21,6 +22,7 @@
 from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.gateway_loads import GatewayLoads
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.lives import LifeOrder, recordable
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     DocumentReply,
@@ -92,7 +94,7 @@
         if isinstance(request, DirectoryRequest):
             return await self._watch(request)
         if isinstance(request, HeartbeatNotice):
-            self.liveness.record_heartbeat(request.instance, request.sequence)
+            self.liveness.record_heartbeat(request.instance, request.sequence, request.started_ms)
             return None
         if isinstance(request, GatewayReport):
             self._record_report(request)
@@ -184,7 +186,7 @@
 
     async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, RemoveRequest)
-        await self._announcements.handle_removal(request.instance)
+        await self._announcements.handle_removal(request.instance, request.start_ms or 0)
         return Done()
 
     async def _barrier(self, request: msgspec.Struct) -> msgspec.Struct:
@@ -222,21 +224,27 @@
 
         :raises RowanrailError: if it changes the record and was not committed.
         """
-        if self.state.needs_announcement(record) or record.instance in self.state.displaced:
+        record = recordable(record, self.state.feature_level)
+        instance, sequence, start = record.instance, record.sequence, record.started_ms
+        if (
+            self.state.needs_announcement(record)
+            or instance in self.state.displaced
+            or self.state.order_of(record) is LifeOrder.UNPROVEN
+        ):
             await self.request(AnnounceRequest(record))
         elif self.node.raft.is_leader:
-            self.liveness.record_heartbeat(record.instance, record.sequence)
+            self.liveness.record_heartbeat(instance, sequence, start)
         else:
-            self.notify_leader(HeartbeatNotice(record.instance, record.sequence))
+            self.notify_leader(HeartbeatNotice(instance, sequence, start))
         return "" if self.node.raft.is_leader else self.node.leader_address()
 
-    async def remove(self, instance: str) -> None:
-        """Handle a member's announcement that it has ended.
+    async def remove(self, instance: str, start_ms: int | UnsetType = UNSET) -> None:
+        """Handle a member's announcement that it, or one of its lives, has ended.
 
         :raises RowanrailError: if it was not committed.
         """
-        if not self.state.has_ended(instance):
-            await self.request(RemoveRequest(instance))
+        if not self.state.has_ended(instance, start_ms or 0):
+            await self.request(RemoveRequest(instance, start_ms))
 
     # Watches
 
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -28,14 +28,17 @@
 from rowanrail.coordination.evacuations import changed_evacuations
 from rowanrail.coordination.history import DirectoryHistory
 from rowanrail.coordination.holders import RankedHolders
+from rowanrail.coordination.lives import LifeOrder, compare_starts, life_order
 from rowanrail.coordination.messages import PutOutcome, PutReply
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations, GatewayRecord
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.scheduling.plan import NO_PLAN, Plan
 
 MAX_REMOVED = 2000  # instances kept to reject late announcements, which are only seconds old
 
+MAX_EARLIER_STARTS = 2000  # members kept whose earlier life is known
+
 MAX_DISPLACED = 200  # records kept for readmission; a running member announces within seconds
 
 
@@ -44,6 +47,13 @@
 
     Fields of a feature level above 0 are not encoded until they are used, so that a node of the
     version before reads the snapshot.
+
+    Parameters
+    ----------
+    ended_starts : dict of str to int, or UnsetType
+        Start of the life that ended last, for those in ``removed`` that told one.
+    earlier_starts : dict of str to int, or UnsetType
+        Start of the life before the present one, for members that started again; 0 if not told.
     """
 
     version: int
@@ -57,6 +67,8 @@
     plan: Plan = NO_PLAN
     feature_level: int | UnsetType = UNSET
     evacuations: Evacuations | UnsetType = UNSET
+    ended_starts: dict[str, int] | UnsetType = UNSET
+    earlier_starts: dict[str, int] | UnsetType = UNSET
 
 
 EMPTY_STATE = StateSnapshot(0, b"", 0, {}, [], {}, {})
@@ -86,7 +98,9 @@
         self.urgent_revision = saved.revision
         self._change = DirectoryChange(saved.revision)
         self.members = dict(saved.members)
-        self.removed = dict.fromkeys(saved.removed)
+        ended = saved.ended_starts or {}
+        self.removed = {instance: ended.get(instance, 0) for instance in saved.removed}
+        self.earlier_starts = dict(saved.earlier_starts or {})
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
         self.displaced = dict(saved.displaced)
@@ -121,6 +135,8 @@
             self.plan,
             self.feature_level or UNSET,
             self.evacuations if self.evacuations.revision else UNSET,
+            {instance: start for instance, start in self.removed.items() if start} or UNSET,
+            self.earlier_starts or UNSET,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -180,15 +196,12 @@
                 return self._set_gateways(command)
             case Readmit(record=record):
                 return self._readmit(record)
-            case Remove(instance=instance):
-                self._remember_removed(instance)
-                self.displaced.pop(instance, None)
-                return self._drop_member(instance)
+            case Remove():
+                return self._remove(command.instance, command.start_ms or 0)
             case Announce(record=record):
                 return self._announce(record)
             case ReplaceLife(record=record):
-                self._assign_address(record)
-                return True
+                return self._replace_life(record)
 
     def _set_gateways(self, command: SetGateways) -> bool:
         names = dict.fromkeys([*command.absent, *(gateway.name for gateway in command.present)])
@@ -215,23 +228,69 @@
     def _readmit(self, record: MemberRecord) -> bool:
         if not self.may_readmit(record):
             return False
-        del self.displaced[record.instance]
-        self.removed.pop(record.instance, None)
         self._assign_address(record)
         return True
 
+    def _replace_life(self, record: MemberRecord) -> bool:
+        if self.order_of(record) is not LifeOrder.UNPROVEN or self.is_over(record):
+            return False  # what is known changed after the command was proposed
+        self._assign_address(record)
+        return True
+
+    def _remove(self, instance: str, start: int) -> bool:
+        """Remove a member, unless the life that ended is known to be an earlier one.
+
+        In doubt which life ended, the known one may be readmitted once it is heard again.
+        """
+        known = self.members.get(instance) or self.displaced.get(instance)
+        if known is None:
+            self._remember_removed(instance, max(start, self.removed.get(instance, 0)))
+            return False
+        if self.is_earlier_start(instance, start):
+            return False
+        if self._is_end_doubtful(known, start):
+            self._remember_displaced(known)
+        else:
+            self.displaced.pop(instance, None)
+        self._remember_removed(instance, start or known.started_ms)
+        return self._drop_member(instance)
+
+    def _is_end_doubtful(self, known: MemberRecord, start: int) -> bool:
+        if not known.started_ms or known.leaving:
+            return False
+        if start:
+            return start < known.started_ms
+        return known.instance in self.earlier_starts
+
     def _assign_address(self, record: MemberRecord) -> None:
         """Add or update a member; displace another one at its address."""
+        self._note_start(record)
         occupant = self.member_at_address(record)
         if occupant is not None:
             self._drop_member(occupant.instance)
-            self._remember_removed(occupant.instance)
+            self._remember_removed(occupant.instance, occupant.started_ms)
             if not occupant.leaving:
                 self._remember_displaced(occupant)
         if record.primary:
             self._demote_others(record)
         self._set_member(record)
 
+    def _note_start(self, record: MemberRecord) -> None:
+        """Remember the start of the life that a record replaces."""
+        instance = record.instance
+        known = self.members.get(instance) or self.displaced.pop(instance, None)
+        ended = self.removed.pop(instance, None)
+        if known is not None and not is_same_life(known, record):
+            self._remember_earlier(instance, known.started_ms)
+        elif known is None and ended is not None:
+            self._remember_earlier(instance, ended)
+
+    def _remember_earlier(self, instance: str, start: int) -> None:
+        self.earlier_starts.pop(instance, None)
+        self.earlier_starts[instance] = start
+        if len(self.earlier_starts) > MAX_EARLIER_STARTS:
+            del self.earlier_starts[next(iter(self.earlier_starts))]
+
     def _set_member(self, record: MemberRecord) -> None:
         step = MemberChange(self.members.get(record.instance), record)
         self.members[record.instance] = record
@@ -250,9 +309,34 @@
                 return known
         return None
 
-    def has_ended(self, instance: str) -> bool:
-        """Return whether a member was removed for good; a displaced one may be readmitted."""
-        return instance in self.removed and instance not in self.displaced
+    def order_of(self, record: MemberRecord) -> LifeOrder:
+        """Return how the life of an announcement relates to the known one of its instance."""
+        instance, start = record.instance, record.started_ms
+        if self.is_earlier_start(instance, start):
+            return LifeOrder.UNPROVEN
+        known = self.members.get(instance) or self.displaced.get(instance)
+        if known is not None:
+            return life_order(record, known)
+        return compare_starts(start, self.removed.get(instance, start))
+
+    def is_earlier_start(self, instance: str, start: int) -> bool:
+        """Return whether a start is that of the life before the present one."""
+        return start > 0 and start == self.earlier_starts.get(instance)
+
+    def is_over(self, record: MemberRecord) -> bool:
+        """Return whether the life of an announcement was removed without any doubt."""
+        known = self.displaced.get(record.instance)
+        if known is not None and known.started_ms == record.started_ms:
+            return False
+        return self.removed.get(record.instance) == record.started_ms
+
+    def has_ended(self, instance: str, start: int = 0) -> bool:
+        """Return whether a member's life, or any of its lives, was removed for good.
+
+        A displaced member may be readmitted.
+        """
+        ended = self.removed.get(instance)
+        return ended is not None and instance not in self.displaced and start <= ended
 
     def may_readmit(self, record: MemberRecord) -> bool:
         """Return whether a record is a later announcement of a displaced member.
@@ -260,7 +344,9 @@
         A member that leaves, or announced its end, is not readmitted.
         """
         known = self.displaced.get(record.instance)
-        return known is not None and record.sequence > known.sequence and not record.leaving
+        if known is None or record.leaving or life_order(record, known) is not LifeOrder.SAME:
+            return False
+        return record.sequence > known.sequence
 
     def _demote_others(self, record: MemberRecord) -> None:
         # A service has one primary. The former one may be cut off and unable to announce that it
@@ -271,8 +357,8 @@
             if known.service == record.service and known.primary:
                 self._set_member(msgspec.structs.replace(known, primary=False))
 
-    def _remember_removed(self, instance: str) -> None:
-        self.removed[instance] = None
+    def _remember_removed(self, instance: str, start: int) -> None:
+        self.removed[instance] = start
         if len(self.removed) > MAX_REMOVED:
             del self.removed[next(iter(self.removed))]
 
@@ -282,6 +368,12 @@
             del self.displaced[next(iter(self.displaced))]
 
     def needs_announcement(self, record: MemberRecord) -> bool:
-        """Return whether a record is newer than the known one and differs from it."""
-        known = self.members.get(record.instance)
-        return self._incarnation.is_update(record, known, record.instance in self.removed)
+        """Return whether a record is newer than the known one and differs from it, or is new."""
+        instance = record.instance
+        if self.is_earlier_start(instance, record.started_ms):
+            return False
+        if instance in self.displaced:
+            return life_order(record, self.displaced[instance]) is LifeOrder.LATER
+        return self._incarnation.is_update(
+            record, self.members.get(instance), self.removed.get(instance)
+        )
--- a/src/rowanrail/model/members.py
+++ b/src/rowanrail/model/members.py
@@ -1,6 +1,7 @@
 """Records of announced members and of a primary's health as observed by a gateway.
 
-``MemberRecord`` is sent and stored with its field names, ``PrimaryHealth`` as an array.
+``MemberRecord`` is sent and stored with its field names, ``PrimaryHealth`` as an array. Each start
+of a member is a *life*, identified by the instance and the time of the start.
 """
 
 import msgspec
@@ -47,6 +48,27 @@
         return 0 if self.start_ms is UNSET else self.start_ms
 
 
+def is_same_life(before: MemberRecord, after: MemberRecord) -> bool:
+    """Return whether two records of one instance, the second being newer, are of the same life.
+
+    A member is taken to tell the start of the running life if its sequence goes on: control nodes
+    of an earlier version don't record starts.
+
+    Examples
+    --------
+    >>> first = MemberRecord("m1", "db", "m1:1", "a", False, False, 3, 40, start_ms=500)
+    >>> again = msgspec.structs.replace(first, sequence=1, start_ms=900)
+    >>> is_same_life(first, again)
+    False
+    >>> unknown = msgspec.structs.replace(first, start_ms=UNSET, sequence=39)
+    >>> is_same_life(unknown, first), is_same_life(unknown, again)
+    (True, False)
+    """
+    if before.started_ms == after.started_ms:
+        return True
+    return not before.started_ms and after.sequence > before.sequence
+
+
 class PrimaryHealth(msgspec.Struct, frozen=True, array_like=True):
     """Health of a service's primary as observed by a gateway; ages in whole milliseconds.
 
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -6,7 +6,9 @@
 
 MODULES = (
     "rowanrail.cluster.membership",
+    "rowanrail.coordination.changes",
     "rowanrail.coordination.gateway_reconciler",
+    "rowanrail.coordination.lives",
     "rowanrail.directory.digests",
     "rowanrail.directory.health_filter",
     "rowanrail.cli.load_view",
@@ -33,6 +35,7 @@
     "rowanrail.gateway.planned_stop",
     "rowanrail.gateway.work.attempts",
     "rowanrail.gateway.work.refusals",
+    "rowanrail.model.members",
     "rowanrail.placement.hashed",
     "rowanrail.scheduling.admission",
     "rowanrail.scheduling.concurrency",
