Gateways and trackers forget a member's earlier life

Cause: a member that started again at its address kept its pool, weight, latencies, lag, warm-up and proof of leadership, and statements waited on connections that may go silent without a reset.

Change: if a record is of another life, the member's connections are closed, leased ones too, and all estimates about it start anew; a primary has to prove itself again. Samples stay as floors of reads: what was acknowledged before them must be in the log of whoever serves a read. A closed pool reports no failures any more, as they would count for the member's next one.

--- a/src/rowanrail/gateway/pools/connections.py
+++ b/src/rowanrail/gateway/pools/connections.py
@@ -184,3 +184,8 @@
         for channel in self.idle.take_all():
             channel.close()
         self.openings.close()
+
+    def close_leased(self) -> None:
+        """Close all leased connections; their outstanding commands are answered as lost."""
+        for channel in list(self.leases):
+            channel.close()
--- a/src/rowanrail/gateway/pools/leases.py
+++ b/src/rowanrail/gateway/pools/leases.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from collections.abc import Iterator
 
 from rowanrail.kernel.clock import Clock
 from rowanrail.members.channel import Channel
@@ -21,10 +22,13 @@
         self.average = INITIAL_LATENCY_MS  # duration in ms
         self._clock = clock
         self._by_tenant: Counter[str] = Counter()
-        self._count = 0
+        self._channels: set[Channel] = set()
 
     def __len__(self) -> int:
-        return self._count
+        return len(self._channels)
+
+    def __iter__(self) -> Iterator[Channel]:
+        return iter(self._channels)
 
     @property
     def has_tenant_leases(self) -> bool:
@@ -37,13 +41,13 @@
 
     def begin(self, channel: Channel) -> None:
         """Record the start of a lease."""
-        self._count += 1
+        self._channels.add(channel)
         self._by_tenant[channel.tenant] += 1
         channel.leased_at = self._clock.now
 
     def end(self, channel: Channel) -> None:
         """Record the end of a lease."""
-        self._count -= 1
+        self._channels.discard(channel)
         self._by_tenant[channel.tenant] -= 1
         self.note(self._clock.now - channel.leased_at)
 
--- a/src/rowanrail/gateway/pools/pool.py
+++ b/src/rowanrail/gateway/pools/pool.py
@@ -277,7 +277,16 @@
         self._serve_queue()
 
     def close(self) -> None:
-        """Close all connections that are not leased and refuse all queued requests."""
+        """Close all connections that are not leased and refuse all queued requests.
+
+        Later failures on leased connections do not count for the member's next pool.
+        """
         self._closed = True
+        self.on_failure = lambda kind: None
         self.connections.close()
         self.queue.refuse(Answer(refusal=Refusal.BUSY, message="the member is leaving"))
+
+    def end(self) -> None:
+        """Close all connections, also leased ones: the member's process has ended."""
+        self.close()
+        self.connections.close_leased()
--- a/src/rowanrail/gateway/services/member_estimates.py
+++ b/src/rowanrail/gateway/services/member_estimates.py
@@ -13,7 +13,7 @@
 from rowanrail.gateway.services.member_weights import MemberWeights
 from rowanrail.kernel.clock import Clock
 from rowanrail.members.primary import PrimaryTracker
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.model.position import Position
 from rowanrail.model.statements import Answer, Refusal
 from rowanrail.scheduling.choice import Candidate, effective_wait, expected_run_time
@@ -69,20 +69,29 @@
         self._times = RunTimes()
         self._lags: dict[str, LagEstimate] = {}
         self._warm_ups: dict[str, WarmUp] = {}
+        self._records: dict[str, MemberRecord] = {}
         self._sent_remote: Counter[str] = Counter()  # in flight at gateways of other regions
         self.weights = MemberWeights(clock)
 
     def set_members(self, records: list[MemberRecord]) -> None:
-        """Replace the members; discard the estimates of those that are gone."""
+        """Replace the members; discard the estimates of those that are gone, or started again."""
         now = self._clock.now
-        warm_ups, self._warm_ups = self._warm_ups, {}
-        lags, self._lags = self._lags, {}
+        before, self._records = self._records, {record.instance: record for record in records}
+        kept = {
+            name
+            for name, record in self._records.items()
+            if name in before and is_same_life(before[name], record)
+        }
+        self._times.retain_only(kept)
+        self.weights.set_members(kept)
+        warm_ups = {name: known for name, known in self._warm_ups.items() if name in kept}
+        lags = {name: known for name, known in self._lags.items() if name in kept}
+        self._warm_ups, self._lags = {}, {}
         for record in records:
             name = record.instance
             self._warm_ups[name] = warm_ups.get(name) or WarmUp(record.cold_ms, now)
             self._lags[name] = lags.get(name) or LagEstimate()
         instances = set(self._lags)
-        self._times.retain_only(instances)
         self.weights.set_members(instances)
         for gone in self._sent_remote.keys() - instances:
             del self._sent_remote[gone]
--- a/src/rowanrail/gateway/services/member_weights.py
+++ b/src/rowanrail/gateway/services/member_weights.py
@@ -43,6 +43,8 @@
         """Replace the members; discard the weights of those that are gone."""
         self._weights = {name: self._weights.get(name) or MemberWeight() for name in instances}
         self._reported.retain_only(instances)
+        for gone in self._busy.keys() - instances:
+            del self._busy[gone]
 
     def local_weight(self, instance: str) -> WeightStatus:
         """Return a member's weight according to this gateway alone."""
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -22,7 +22,7 @@
 from rowanrail.members.eligibility import Eligibility, Exclusion
 from rowanrail.members.monitor_interval import monitor_seconds
 from rowanrail.members.primary import PrimaryTracker
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.model.routing import ServiceSpec
 from rowanrail.placement.hashed import FleetSize, Shard
 from rowanrail.placement.planned import Allowance
@@ -83,11 +83,17 @@
         self._tenants = Tenants()
 
     def set_members(self, records: list[MemberRecord]) -> None:
-        """Replace the members; close the pools of those that left or changed their address."""
+        """Replace the members; close the pools of those that left or changed their address.
+
+        Everything known of a member's earlier life is discarded.
+        """
         by_instance = {record.instance: record for record in records}
+        ended = []
         for instance in list(self.pools):
-            known = by_instance.get(instance)
-            if known is None or known.address != self.pools[instance].record.address:
+            before, known = self.pools[instance].record, by_instance.get(instance)
+            if known is not None and not is_same_life(before, known):
+                ended.append(self.pools.pop(instance))
+            elif known is None or known.address != before.address:
                 self.pools.pop(instance).close()
         for record in records:
             pool = self.pools.get(record.instance)
@@ -103,6 +109,8 @@
                 pool.concurrency.set_sharing(record.slots, holders)
         self.estimates.set_members(records)
         self.primary.set_members(records)
+        for pool in ended:  # last, as its statements continue at other members at once
+            pool.end()
 
     def set_spec(self, spec: ServiceSpec) -> None:
         """Apply a changed configuration of the service."""
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -26,7 +26,7 @@
 )
 from rowanrail.members.sampling_connection import LeaseProvider
 from rowanrail.members.sampling_rules import is_sample_due
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.model.position import Position
 from rowanrail.model.statements import Answer, Refusal
 
@@ -124,7 +124,16 @@
         self._sampler.lease_provider = lease_provider
 
     def set_members(self, records: list[MemberRecord]) -> None:
-        """Replace the members; one that claims to be primary may become the presumed one."""
+        """Replace the members; one that claims to be primary may become the presumed one.
+
+        A member that started again has to prove anew that it is primary. Its earlier samples stay:
+        what was acknowledged before them has to be in the log of whoever serves a read.
+        """
+        before = self._sampler.records
+        for record in records:
+            known = before.get(record.instance)
+            if known is not None and not is_same_life(known, record):
+                self.state.forget_life(record.instance)
         self._sampler.set_members(records)
         claims = [record.instance for record in records if record.primary]
         if self.state.note_members(self._sampler.records, claims):
--- a/src/rowanrail/members/primary_state.py
+++ b/src/rowanrail/members/primary_state.py
@@ -88,6 +88,12 @@
         self.presumed_primary = claims[0]
         return True
 
+    def forget_life(self, instance: str) -> None:
+        """Forget what a member proved in an earlier life; it may no longer be primary."""
+        if self.presumed_primary == instance:
+            self.presumed_primary = ""
+            self.proved_at = NO_PROOF
+
     def note_not_primary(self, instance: str, now: float) -> bool:
         """Record that a member refused a BEGIN as not primary; return whether it was presumed."""
         if self.presumed_primary != instance:
--- a/src/rowanrail/members/sampler.py
+++ b/src/rowanrail/members/sampler.py
@@ -18,7 +18,7 @@
     sample_timeout_action,
     should_use_pool,
 )
-from rowanrail.model.members import MemberRecord
+from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.model.statements import Answer, Command, CommandKind, Refusal
 
 __all__ = ["MemberSampler", "SampleListener"]
@@ -87,10 +87,14 @@
         return connection is not None and connection.is_at_connection_limit
 
     def set_members(self, records: list[MemberRecord]) -> None:
-        """Replace the members of the service; stop sampling those that are gone."""
-        self.records = {record.instance: record for record in records}
+        """Replace the members of the service; stop sampling those that are gone.
+
+        Samples of an earlier life of a member are answered as lost.
+        """
+        before, self.records = self.records, {record.instance: record for record in records}
         for instance in list(self._connections):
-            if instance not in self.records:
+            known = self.records.get(instance)
+            if known is None or not is_same_life(before.get(instance, known), known):
                 self._remove(instance)
 
     def is_sampling(self, instance: str) -> bool:
