A member without its earlier log is not promoted over one that received more

Cause: a member that starts again has an empty log, answers a status query and may know of the newest term. It counted as a replica that has what it acknowledged before, and could be promoted over one with more, or while that one was silent for a moment. A primary that started again without its log was taken for the primary.

Change: the leader keeps the position that the log had when a member joined; until the member has reached it, its log is incomplete. Such a log covers no commit, and is promoted only if no complete one answers and the silent members have been so for 20 s. A position below one that was known before it was requested, in the same term, is no proof of leadership.

Fails before: 4 tests of tests.coordination.test_failover, and tests.gateway.test_lives.NewLifeTest.test_a_primary_that_starts_without_its_log_proves_nothing.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -25,6 +25,9 @@
 NEW_LEADER_SECONDS = 1.0
 # After taking over, a leader waits this long for the reports that other nodes forward.
 NEW_LEADER_REPORTS_SECONDS = 0.6
+# A silent member may return with a longer log than an incomplete one that answers. Longer than a
+# process takes to start again, and than most partitions last.
+GONE_FOR_GOOD_SECONDS = 20.0
 
 
 class MemberView(msgspec.Struct, frozen=True):
@@ -34,6 +37,8 @@
     :param leads: whether its last status says that it is primary; None without a status.
     :param term: the newest term that it knows, from that status.
     :param received: the last position of its log, from that status.
+    :param is_incomplete: whether its log ends before the position at which it joined, see
+        :mod:`lost_logs`.
     """
 
     record: MemberRecord
@@ -41,6 +46,7 @@
     leads: bool | None = None
     term: int = 0
     received: Position | None = None
+    is_incomplete: bool = False
 
 
 class ReportView(msgspec.Struct, frozen=True):
@@ -121,14 +127,21 @@
         return Decision(Action.WAIT, "the primary serves")
     if not view.statuses_fresh:
         return Decision(Action.ASK_STATUSES, reason)
-    if any(member.leads and not member.record.leaving for member in view.members):
+    if any(
+        member.leads and not member.record.leaving and not member.is_incomplete
+        for member in view.members
+    ):
         return Decision(Action.WAIT, "a member says that it leads")
     if not _covers_acknowledged_commits(view):
         return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
     candidate = _best_candidate(view)
     if candidate is None:
         return Decision(Action.WAIT, "no candidate answers")
-    return Decision(Action.PROMOTE, reason, candidate)
+    if candidate.is_incomplete and any(_may_return(view, member) for member in view.members):
+        return Decision(
+            Action.WAIT, "a silent member may have received more than those that answer"
+        )
+    return Decision(Action.PROMOTE, reason, candidate.record.instance)
 
 
 def _is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
@@ -187,23 +200,36 @@
     if not view.acknowledging_replicas:
         return True
     replicas = [member for member in view.members if not member.record.primary]
-    silent = sum(member.received is None for member in replicas)
+    silent = sum(member.received is None or member.is_incomplete for member in replicas)
     return silent < view.acknowledging_replicas
 
 
-def _best_candidate(view: ServiceView) -> str | None:
+def _may_return(view: ServiceView, member: MemberView) -> bool:
+    """Return whether a member is silent, but not for so long that it is gone for good."""
+    silent_for = min(member.heartbeat_ago, view.holding_for)
+    is_silent = member.received is None and not member.record.leaving
+    return is_silent and silent_for < GONE_FOR_GOOD_SECONDS
+
+
+def _best_candidate(view: ServiceView) -> MemberView | None:
     """Return the member with the longest log among those in the newest reported term.
 
-    A member in an older term may hold commits that a later promotion discarded.
+    A member in an older term may hold commits that a later promotion discarded. A member whose log
+    is incomplete is a candidate only if no other answers, as it may know of the newest term without
+    having received the log before it.
     """
     answered = [member for member in view.members if member.received is not None]
+    complete = [member for member in answered if not member.is_incomplete]
+    return _longest_log(complete) or _longest_log(answered)
+
+
+def _longest_log(answered: list[MemberView]) -> MemberView | None:
     newest = max((member.term for member in answered), default=0)
     candidates = [
         member
         for member in answered
         if member.term == newest and not member.record.leaving and not member.leads
     ]
-    if not candidates:
-        return None
-    best = max(candidates, key=lambda member: (member.received, member.record.instance))
-    return best.record.instance
+    return max(
+        candidates, key=lambda member: (member.received, member.record.instance), default=None
+    )
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -23,6 +23,7 @@
     report_view,
 )
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
+from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
 from rowanrail.kernel.decisions import DecisionLog
@@ -104,6 +105,7 @@
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
         self._trackers: dict[str, PrimaryTracker] = {}
+        self._joined: dict[str, JoinPositions] = {}
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
         self._in_progress: set[str] = set()
@@ -141,6 +143,7 @@
             self._update_trackers()
             for name, tracker in self._trackers.items():
                 tracker.tick(in_use=True)
+                self._update_join_positions(name, tracker)
                 self._check_service(name)
             self._reconciler.tick()
 
@@ -155,6 +158,7 @@
         for tracker in self._trackers.values():
             tracker.close()
         self._trackers.clear()
+        self._joined.clear()
 
     def _members(self, service: str) -> list[MemberRecord]:
         state = self._service.state
@@ -174,12 +178,18 @@
         for name in list(self._trackers):
             if name not in services:
                 self._trackers.pop(name).close()
+                self._joined.pop(name, None)
         for name in services:
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
                 self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
             self._trackers[name].set_members(self._members(name))
 
+    def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
+        newest = tracker.sample.position if tracker.sample is not None else None
+        joined = self._joined.setdefault(service, JoinPositions())
+        joined.update(self._members(service), self._service.state.earlier_starts, newest)
+
     # Deciding
 
     def _check_service(self, service: str) -> None:
@@ -250,6 +260,7 @@
                     status.leads if status else None,
                     status.term if status else 0,
                     status.received if status else None,
+                    bool(status and self._joined[service].is_incomplete(record, status.received)),
                 )
             )
         health = primary_health_report(self._trackers[service], now)
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -27,7 +27,7 @@
 from rowanrail.members.sampling_connection import LeaseProvider
 from rowanrail.members.sampling_rules import is_sample_due
 from rowanrail.model.members import MemberRecord, is_same_life
-from rowanrail.model.position import Position
+from rowanrail.model.position import ORIGIN, Position
 from rowanrail.model.statements import Answer, Refusal
 
 __all__ = ["PrimaryTracker"]
@@ -74,6 +74,8 @@
         self._scheduler = scheduler
         self._sampler = MemberSampler(self.state, self, driver, scheduler)
         self._waiting = PositionWaiters()
+        self._longest = ORIGIN  # the highest known position of the log, and since when
+        self._longest_since = 0.0
 
     @property
     def presumed_primary(self) -> str:
@@ -157,7 +159,10 @@
         """
         if position is None:
             return
-        if not self.history.add(asked_at, position, instance):
+        if self._has_lost_log(asked_at, position):
+            self.note_not_primary(instance)
+            return
+        if not self._add_sample(asked_at, position, instance):
             return  # it has been replaced since
         self.state.note_proof(self._scheduler.time())
         self._sampler.note_connection_available(instance)
@@ -176,9 +181,22 @@
         It serves waiting reads but is no proof for this gateway, which may still not reach the
         primary.
         """
-        if self.history.add(asked_at, position, instance):
+        if self._add_sample(asked_at, position, instance):
             self._waiting.notify(self.sample)
 
+    def _add_sample(self, asked_at: float, position: Position, instance: str) -> bool:
+        if position > self._longest:
+            self._longest, self._longest_since = position, self._scheduler.time()
+        return self.history.add(asked_at, position, instance)
+
+    def _has_lost_log(self, asked_at: float, position: Position) -> bool:
+        """Return whether a position is lower than one that was known before it was requested.
+
+        Within a term, only a member that started again without its log gives such an answer.
+        """
+        is_shorter = position.term == self._longest.term and position < self._longest
+        return is_shorter and asked_at > self._longest_since
+
     def note_begin_answer(self, instance: str, asked_at: float, answer: Answer) -> None:
         """Process a member's answer to a plain BEGIN."""
         if self._verifier.is_proof(answer):
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -165,6 +165,53 @@
         view = msgspec.structs.replace(view, members=silent)
         self.assertIs(decide(view).action, Action.WAIT)
 
+    def test_an_empty_log_of_a_member_that_started_again_covers_no_commit(self):
+        # It may have acknowledged commits in its earlier life that no other replica has.
+        empty = member("m3", leads=False, term=1, received=Position(1, 0), is_incomplete=True)
+        view = ServiceView(
+            "db",
+            [self.members[0], self.members[1], empty],
+            [failing("g1"), failing("leader")],
+            None,
+            60.0,
+            4,
+            acknowledging_replicas=1,
+            statuses_fresh=True,
+        )
+        self.assertIs(decide(view).action, Action.WAIT)
+
+    def test_a_member_that_started_again_is_not_promoted_over_one_that_received_more(self):
+        # It may know of the newest term without having received the log before it.
+        members = [
+            member("m1", primary=True),
+            member("m2", leads=False, term=2, received=Position(0, 0), is_incomplete=True),
+            member("m3", leads=False, term=1, received=Position(1, 95)),
+        ]
+        decision = self.decide([failing("g1"), failing("leader")], members=members)
+        self.assertEqual(decision.instance, "m3")
+
+    def test_a_silent_member_that_may_have_received_more_is_waited_for_until_it_is_gone(self):
+        reports = [failing("g1"), failing("leader")]
+        empty = member("m2", leads=False, term=1, received=Position(1, 0), is_incomplete=True)
+        for ago, holding, action in (
+            (19.0, 60.0, Action.WAIT),
+            (21.0, 60.0, Action.PROMOTE),
+            (1e9, 19.0, Action.WAIT),  # a new leader has not heard the others yet
+        ):
+            members = [member("m1", primary=True, ago=ago), empty, member("m3", ago=ago)]
+            decision = self.decide(reports, holding=holding, members=members)
+            self.assertIs(decision.action, action, (ago, holding))
+
+    def test_a_primary_that_started_again_without_its_log_is_replaced(self):
+        members = [
+            member(
+                "m1", primary=True, leads=True, term=1, received=Position(1, 2), is_incomplete=True
+            ),
+            member("m2", leads=False, term=1, received=Position(1, 90)),
+        ]
+        decision = self.decide([failing("g1"), failing("leader")], members=members)
+        self.assertEqual((decision.action, decision.instance), (Action.PROMOTE, "m2"))
+
     def test_no_candidate_answers(self):
         self.members = [member("m1", primary=True), member("m2"), member("m3")]
         self.assertIs(self.decide([failing("g1"), failing("leader")]).action, Action.WAIT)
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -142,6 +142,20 @@
         ]
         self.assertTrue(all(floor == Position(1, 10) for floor in floors), floors)
 
+    def test_a_primary_that_starts_without_its_log_proves_nothing(self):
+        # What it acknowledges conflicts with the replicas' logs; the control nodes replace it.
+        self.client.run("READ a", seconds=0.1)
+        self.wait()
+        self.harness.primary.position = Position(1, 3)
+        self.restart("m1")
+        tracker = self.service.primary
+        self.wait()
+        self.assertLess(tracker.proved_at, 0)
+        self.assertGreater(tracker.failing_since, 0)
+        self.harness.near.primary, self.harness.near.position = True, Position(2, 10)
+        self.wait()
+        self.assertEqual((tracker.presumed_primary, tracker.failing_since), ("m2", 0.0))
+
     def test_a_primary_that_starts_empty_lowers_no_floor(self):
         self.client.run("READ a", seconds=0.1)
         self.harness.primary.position = Position(1, 0)
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -9,6 +9,7 @@
     "rowanrail.coordination.changes",
     "rowanrail.coordination.gateway_reconciler",
     "rowanrail.coordination.lives",
+    "rowanrail.coordination.lost_logs",
     "rowanrail.directory.digests",
     "rowanrail.directory.health_filter",
     "rowanrail.cli.load_view",
