Announcements of other writers change no known member and are bounded

Cause: any state but ready counted as leaving; addresses, zones, slots and ids were not checked, deep JSON and large numbers ended in an internal error, made-up members were added without limit, and the failover served their services too.

Change: a module of the platform decodes bodies strictly (types, ranges, names, addresses, the zones of the settings if any, 4 KiB) and answers 400, 409 or 413. Services that are not configured can't take over a member or its address; 200 of their members are kept, since the next configuration may name them, and 5,000 in all. Rejections are a metric and logged once a second at most. Only configured services get primaries. New events 470 to 474, also for lives and doubtful removals. The test of heartbeats imports the body from its new module.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -11,6 +11,11 @@
 from msgspec import UNSET
 
 from rowanrail.coordination.commands import Announce, Command, Readmit, Remove, ReplaceLife
+from rowanrail.coordination.events import (
+    MEMBER_READMITTED,
+    MEMBER_STARTED_AGAIN,
+    REMOVAL_DOUBTED,
+)
 from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.lives import (
@@ -41,6 +46,10 @@
         Appends a command to the log and waits until it is applied.
     now : callable
         Returns the monotonic time in seconds.
+    check : callable
+        Returns why an announcement is rejected, None if it isn't.
+    log : callable
+        Logs an event with its fields.
     """
 
     def __init__(
@@ -49,10 +58,14 @@
         liveness: Liveness,
         propose: Callable[[Command], Awaitable[object]],
         now: Callable[[], float],
+        check: Callable[[MemberRecord], Exception | None],
+        log: Callable[..., None],
     ) -> None:
         self._state = state
         self._liveness = liveness
         self._propose = propose
+        self._check = check
+        self._log = log
         self._claims = LifeClaims(now)
 
     async def handle(self, record: MemberRecord) -> None:
@@ -63,20 +76,22 @@
         leaving.
         """
         record = recordable(record, self._state.feature_level)
+        if self._check(record) is not None:
+            return  # the node that got it may not have known the newest state
         start = record.started_ms
         is_late = not record.leaving and self._liveness.is_late(
             record.instance, record.sequence, start
         )
-        match self._state.order_of(record):
-            case LifeOrder.FOREIGN:
-                return
-            case LifeOrder.UNPROVEN:
-                await self._handle_unproven(record)
-                return
+        if self._state.order_of(record) is LifeOrder.UNPROVEN:
+            await self._handle_unproven(record)
+            return
         self._liveness.record_heartbeat(record.instance, record.sequence, start)
         if self._state.needs_announcement(record):
             if not is_late:
+                is_later = self._state.order_of(record) is LifeOrder.LATER
                 await self._propose(Announce(record))
+                if is_later:
+                    self._log_start(record)
         elif record.instance in self._state.displaced:
             await self._handle_displaced(record, is_late)
 
@@ -94,7 +109,7 @@
         if self._state.is_earlier_start(instance, start):
             return
         if not self._state.has_ended(instance, start):
-            await self._propose(Remove(instance, start or UNSET))
+            await self._remove(instance, start)
         if instance not in self._state.displaced:  # else late announcements must be told apart
             self._liveness.forget_member(instance)
 
@@ -107,13 +122,29 @@
             # The known life may have ended, and this one have been sent its statements.
             is_earlier = self._state.is_earlier_start(instance, start)
             if instance in self._state.members and not is_earlier:
-                await self._propose(Remove(instance, start))
+                await self._remove(instance, start)
             return
         announcements, seconds = self._claims.note(record)
         if is_replacement_proven(announcements, seconds, self._known_silent(instance)):
             self._claims.forget(instance)
             self._liveness.record_heartbeat(instance, record.sequence, start)
             await self._propose(ReplaceLife(record))
+            self._log_start(record)
+
+    async def _remove(self, instance: str, start: int) -> None:
+        known = self._state.members.get(instance)
+        await self._propose(Remove(instance, start or UNSET))
+        if known is not None and instance in self._state.displaced:
+            self._log(REMOVAL_DOUBTED, instance=instance, service=known.service)
+
+    def _log_start(self, record: MemberRecord) -> None:
+        self._log(
+            MEMBER_STARTED_AGAIN,
+            instance=record.instance,
+            service=record.service,
+            start_ms=record.started_ms,
+            earlier_ms=self._state.earlier_starts.get(record.instance, 0),
+        )
 
     def _known_silent(self, instance: str) -> float:
         """Return for how many seconds the known life of a member has not been heard."""
@@ -129,6 +160,7 @@
         elif not is_late and self._state.may_readmit(record) and self._is_running(record):
             self._claims.forget(record.instance)
             await self._propose(Readmit(record))
+            self._log(MEMBER_READMITTED, instance=record.instance, service=record.service)
 
     def _is_running(self, record: MemberRecord) -> bool:
         """Return whether a displaced member sends heartbeats and the one at its address doesn't.
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -118,3 +118,35 @@
     "the data folder is writable again, the node is active in term {term}",
     "It continues from what is durable, as after a restart.",
 )
+ANNOUNCEMENT_REJECTED = define(
+    470,
+    Level.WARNING,
+    "{count} announcements were rejected, the last of {instance}: {problem}",
+    "They are invalid or contradict a known member, and changed nothing: another program writes "
+    "announcements, or a member has a bug. At most one line a second.",
+)
+MEMBER_LIMIT_REACHED = define(
+    471,
+    Level.ERROR,
+    "{count} new members were not added, the last {instance}: {problem}",
+    "Known members are not affected. Look for a program that announces made-up members.",
+)
+MEMBER_STARTED_AGAIN = define(
+    472,
+    Level.WARNING,
+    "{instance} of {service} started again at {start_ms}, before that at {earlier_ms}",
+    "Gateways forget what they knew of its earlier life. If the later start has the lower time, "
+    "the clock was stepped back, and the member was heard for a while before it was used.",
+)
+REMOVAL_DOUBTED = define(
+    473,
+    Level.WARNING,
+    "{instance} of {service} was removed, but the removal may be that of an earlier life",
+    "It is added again once it has announced itself twice.",
+)
+MEMBER_READMITTED = define(
+    474,
+    Level.WARNING,
+    "{instance} of {service} is a member again: it goes on announcing itself",
+    "Its removal was that of an earlier life, or another member at its address is silent.",
+)
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -37,6 +37,7 @@
 
 CHECK_INTERVAL_SECONDS = 0.1  # delays a failover by half of it on average
 LOCAL_SOURCE = "failover-duty"
+_NO_DIRECTORY = (-1, -1)  # revision and configuration version
 
 
 class PromotionOutcome(enum.Enum):
@@ -111,7 +112,7 @@
         self._in_progress: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_since: float | None = None
-        self._known_revision = -1
+        self._known_directory = _NO_DIRECTORY
         self._indexed_revision = -1
         self._members_by_service: dict[str, list[MemberRecord]] = {}
         self._reconciler = GatewayReconciler(
@@ -153,7 +154,7 @@
 
     def _reset(self) -> None:
         self._leading_since = None
-        self._known_revision = -1
+        self._known_directory = _NO_DIRECTORY
         self._attempts.clear()
         for tracker in self._trackers.values():
             tracker.close()
@@ -171,10 +172,11 @@
 
     def _update_trackers(self) -> None:
         state = self._service.state
-        if state.revision == self._known_revision:
+        if (state.revision, state.version) == self._known_directory:
             return
-        self._known_revision = state.revision
+        self._known_directory = state.revision, state.version
         services = {member.service for member in state.members.values()}
+        services = {name for name in services if self._service.is_configured(name)}
         for name in list(self._trackers):
             if name not in services:
                 self._trackers.pop(name).close()
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -23,6 +23,8 @@
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
     readings += _plan_gauges(node)
+    for reason, count in node.service.rejected.counts.items():
+        readings.append(("announcements_rejected", {"reason": reason.value}, count))
     for kind, counts in node.service.directory_counts.items():
         readings.append(("directory_answers", {"kind": kind}, counts.answers))
         readings.append(("directory_bytes", {"kind": kind}, counts.bytes))
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import zlib
+from collections.abc import Collection
 
 from returns.result import Success
 
@@ -101,6 +102,8 @@
         self.state = CoordinationState(monotonic, incarnation, fence)
         self.consensus = self._create_consensus(identity)
         self.service = CoordinationService(self.consensus, self.state, self._network, settings.zone)
+        self.service.decisions = self._decisions
+        self.service.configured_services = self._configured_services
         self.service.membership = VoterManager(
             self.consensus, CLUSTER, settings.voters, self.service.now
         )
@@ -142,12 +145,21 @@
 
     def _spec(self, service: str) -> ServiceSpec | None:
         """Return a service's entry in the newest configuration, None if there is none."""
+        configuration = self._newest_configuration()
+        return configuration.services.get(service) if configuration else None
+
+    def _configured_services(self) -> Collection[str] | None:
+        """Return the services of the newest configuration, None if there is none."""
+        configuration = self._newest_configuration()
+        return configuration.services if configuration else None
+
+    def _newest_configuration(self) -> RoutingConfiguration | None:
         if self._parsed_version != self.state.version:
             self._parsed_version = self.state.version
             parsed = self._format.parse(zlib.decompress(self.state.document))
             if isinstance(parsed, Success):
                 self._configuration = parsed.unwrap()
-        return self._configuration.services.get(service) if self._configuration else None
+        return self._configuration
 
     def _create_consensus(self, identity: Identity) -> ConsensusNode:
         settings = self._settings
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 from msgspec import UNSET, UnsetType
@@ -23,6 +24,11 @@
 from rowanrail.coordination.gateway_loads import GatewayLoads
 from rowanrail.coordination.liveness import Liveness
 from rowanrail.coordination.lives import LifeOrder, recordable
+from rowanrail.coordination.member_limits import (
+    ConfiguredServices,
+    check_new_member,
+    check_unconfigured,
+)
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     DocumentReply,
@@ -34,6 +40,11 @@
     PutRequest,
     RemoveRequest,
 )
+from rowanrail.coordination.rejected_announcements import (
+    AnnouncementRejectedError,
+    RejectedAnnouncements,
+    RejectionReason,
+)
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.watches import Watches
 from rowanrail.directory.messages import (
@@ -42,6 +53,8 @@
     GatewayReport,
     LoggedDirectoryRequest,
 )
+from rowanrail.kernel.catalogue import Event
+from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError, TransportError
 from rowanrail.model.members import MemberRecord
 from rowanrail.rpc.network import Network
@@ -62,7 +75,12 @@
         self.membership = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
         self.loads = GatewayLoads(lambda: self.now() * 1000)
-        self._announcements = AnnouncementHandler(state, self.liveness, self.propose, self.now)
+        self.decisions: DecisionLog | None = None
+        self.rejected = RejectedAnnouncements(self.now, self._log)
+        self.configured_services: ConfiguredServices = lambda: None
+        self._announcements = AnnouncementHandler(
+            state, self.liveness, self.propose, self.now, self.check_announcement, self._log
+        )
         self._network = network
         self._forwarding = ReportForwarding(self.now)
         self._watches = Watches(node, state, zone, self.now)
@@ -83,6 +101,10 @@
         """Return the monotonic time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def _log(self, event: Event, **fields: Any) -> None:
+        if self.decisions is not None:
+            self.decisions.note(event, **fields)
+
     # Messages
 
     async def handle(self, request: msgspec.Struct) -> msgspec.Struct | None:
@@ -219,12 +241,42 @@
         assert isinstance(reply, DocumentReply)
         return reply
 
+    def is_configured(self, service: str) -> bool:
+        """Return whether a service is in the configuration, or there is none yet."""
+        services = self.configured_services()
+        return services is None or service in services
+
+    def check_announcement(self, record: MemberRecord) -> AnnouncementRejectedError | None:
+        """Return why an announcement is rejected, None if it isn't; count and log rejections."""
+        problem = self._rejection_of(record)
+        if problem is not None:
+            self.rejected.note(problem.reason, record.instance, problem.message)
+        return problem
+
+    def _rejection_of(self, record: MemberRecord) -> AnnouncementRejectedError | None:
+        state, services = self.state, self.configured_services()
+        instance = record.instance
+        if state.order_of(record) is LifeOrder.FOREIGN:
+            message = f"the member {instance} tells its start"
+            return AnnouncementRejectedError(RejectionReason.NO_START, message)
+        problem = None
+        if services is not None and record.service not in services:
+            known = state.members.get(instance) or state.displaced.get(instance)
+            problem = check_unconfigured(record, [known, state.member_at_address(record)], services)
+        if problem is None and instance not in state.members:
+            problem = check_new_member(record, state.members.values(), services)
+        return problem
+
     async def announce(self, record: MemberRecord) -> str:
         """Handle a member's announcement; return the leader's address if this node isn't it.
 
+        :raises AnnouncementRejectedError: if it is no announcement of a member.
         :raises RowanrailError: if it changes the record and was not committed.
         """
         record = recordable(record, self.state.feature_level)
+        problem = self.check_announcement(record)
+        if problem is not None:
+            raise problem
         instance, sequence, start = record.instance, record.sequence, record.started_ms
         if (
             self.state.needs_announcement(record)
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -1,5 +1,6 @@
 """Members that start again under their instance id, and late news of their earlier lives."""
 
+import json
 import unittest
 
 import msgspec
@@ -14,6 +15,7 @@
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.model.members import MemberRecord
+from tests.support.gateway import RecordingLog
 
 FIRST, SECOND, THIRD = 1000, 2000, 3000  # start times in Unix milliseconds
 HEARTBEAT_SECONDS = 1.2
@@ -305,6 +307,27 @@
         self.assertIsNone(self.start_of())
 
 
+class LoggedTest(LivesTestCase):
+    """Operators see why a member was removed, added again or replaced."""
+
+    def events(self):
+        log = self.service.decisions
+        log.flush()
+        return [json.loads(line) for line in log.written.splitlines()]
+
+    async def test_lives_and_doubtful_removals_are_logged(self):
+        self.service.decisions = RecordingLog("control", wall_clock=lambda: self.time)
+        await self.announce(50, FIRST)
+        await self.announce(51, FIRST, leaving=True)
+        await self.announce(1, SECOND)
+        await self.remove()
+        await self.heartbeats([2, 3], SECOND)
+        lines = [(line["event"], line["instance"], line["service"]) for line in self.events()]
+        self.assertEqual(lines, [(number, "m1", "db") for number in (472, 473, 474)])
+        started = self.events()[0]
+        self.assertEqual((started["earlier_ms"], started["start_ms"]), (FIRST, SECOND))
+
+
 class LevelTest(LivesTestCase):
     """Not all control nodes know of lives yet."""
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rowanrail_platform.control_api import Heartbeat
+from rowanrail_platform.announcements import Heartbeat
 
 HEARTBEAT = {
     "service": "db",
