--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -26,6 +26,7 @@
     recordable,
 )
 from rowanrail.coordination.state import CoordinationState
+from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.model.members import MemberRecord
 
 __all__ = ["AnnouncementHandler"]
@@ -48,8 +49,8 @@
         Returns the monotonic time in seconds.
     check : callable
         Returns why an announcement is rejected, None if it isn't.
-    log : callable
-        Logs an event with its fields.
+    decisions : DecisionLog
+        Writes the log lines.
     """
 
     def __init__(
@@ -59,13 +60,13 @@
         propose: Callable[[Command], Awaitable[object]],
         now: Callable[[], float],
         check: Callable[[MemberRecord], Exception | None],
-        log: Callable[..., None],
+        decisions: DecisionLog,
     ) -> None:
         self._state = state
         self._liveness = liveness
         self._propose = propose
         self._check = check
-        self._log = log
+        self._decisions = decisions
         self._claims = LifeClaims(now)
 
     async def handle(self, record: MemberRecord) -> None:
@@ -135,10 +136,10 @@
         known = self._state.members.get(instance)
         await self._propose(Remove(instance, start or UNSET))
         if known is not None and instance in self._state.displaced:
-            self._log(REMOVAL_DOUBTED, instance=instance, service=known.service)
+            self._decisions.note(REMOVAL_DOUBTED, instance=instance, service=known.service)
 
     def _log_start(self, record: MemberRecord) -> None:
-        self._log(
+        self._decisions.note(
             MEMBER_STARTED_AGAIN,
             instance=record.instance,
             service=record.service,
@@ -160,7 +161,9 @@
         elif not is_late and self._state.may_readmit(record) and self._is_running(record):
             self._claims.forget(record.instance)
             await self._propose(Readmit(record))
-            self._log(MEMBER_READMITTED, instance=record.instance, service=record.service)
+            self._decisions.note(
+                MEMBER_READMITTED, instance=record.instance, service=record.service
+            )
 
     def _is_running(self, record: MemberRecord) -> bool:
         """Return whether a displaced member sends heartbeats and the one at its address doesn't.
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -101,8 +101,9 @@
         incarnation = self._registry.create("coordination-guard", "incarnation")
         self.state = CoordinationState(monotonic, incarnation, fence)
         self.consensus = self._create_consensus(identity)
-        self.service = CoordinationService(self.consensus, self.state, self._network, settings.zone)
-        self.service.decisions = self._decisions
+        self.service = CoordinationService(
+            self.consensus, self.state, self._network, settings.zone, self._decisions
+        )
         self.service.configured_services = self._configured_services
         self.service.membership = VoterManager(
             self.consensus, CLUSTER, settings.voters, self.service.now
--- a/src/rowanrail/coordination/rejected_announcements.py
+++ b/src/rowanrail/coordination/rejected_announcements.py
@@ -6,6 +6,7 @@
 
 from rowanrail.coordination.events import ANNOUNCEMENT_REJECTED, MEMBER_LIMIT_REACHED
 from rowanrail.kernel.catalogue import Event
+from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 
 __all__ = ["AnnouncementRejectedError", "RejectedAnnouncements", "RejectionReason"]
@@ -39,32 +40,45 @@
     ----------
     now : callable
         Returns the monotonic time in seconds.
-    log : callable
-        Logs an event with its fields.
+    decisions : DecisionLog
+        Where to log them.
     """
 
-    def __init__(self, now: Callable[[], float], log: Callable[..., None]) -> None:
+    def __init__(self, now: Callable[[], float], decisions: DecisionLog) -> None:
         self.counts = dict.fromkeys(RejectionReason, 0)
         self._now = now
-        self._log = log
+        self._decisions = decisions
         self._logged_at: dict[Event, float] = {}
         self._unlogged: Counter[Event] = Counter()
 
     def note(self, reason: RejectionReason, instance: str, problem: str) -> None:
         """Count a rejected announcement, and log it unless another was logged just before."""
         self.counts[reason] += 1
-        event = MEMBER_LIMIT_REACHED if reason is RejectionReason.LIMIT else ANNOUNCEMENT_REJECTED
+        shown = instance[:MAX_LOGGED_CHARS]
+        problem = problem[:MAX_LOGGED_CHARS]
+        if reason is RejectionReason.LIMIT:
+            count = self._unlogged_if_due(MEMBER_LIMIT_REACHED)
+            if count:
+                self._decisions.note(
+                    MEMBER_LIMIT_REACHED, instance=shown, problem=problem, count=count
+                )
+            return
+        count = self._unlogged_if_due(ANNOUNCEMENT_REJECTED)
+        if count:
+            self._decisions.note(
+                ANNOUNCEMENT_REJECTED,
+                instance=shown,
+                reason=reason.value,
+                problem=problem,
+                count=count,
+            )
+
+    def _unlogged_if_due(self, event: Event) -> int:
+        """Return how many rejections a line now stands for; 0 if the last line is too recent."""
         self._unlogged[event] += 1
         now = self._now()
         logged_at = self._logged_at.get(event)
         if logged_at is not None and now - logged_at < LOG_INTERVAL_SECONDS:
-            return
+            return 0
         self._logged_at[event] = now
-        count = self._unlogged.pop(event)
-        self._log(
-            event,
-            instance=instance[:MAX_LOGGED_CHARS],
-            reason=reason.value,
-            problem=problem[:MAX_LOGGED_CHARS],
-            count=count,
-        )
+        return self._unlogged.pop(event)
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import msgspec
 from msgspec import UNSET, UnsetType
@@ -53,7 +52,6 @@
     GatewayReport,
     LoggedDirectoryRequest,
 )
-from rowanrail.kernel.catalogue import Event
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError, TransportError
 from rowanrail.model.members import MemberRecord
@@ -68,18 +66,23 @@
     """Handles messages of gateways and control nodes, and calls of the external API."""
 
     def __init__(
-        self, node: ConsensusNode, state: CoordinationState, network: Network, zone: str = ""
+        self,
+        node: ConsensusNode,
+        state: CoordinationState,
+        network: Network,
+        zone: str = "",
+        decisions: DecisionLog | None = None,
     ) -> None:
         self.node = node
         self.state = state
         self.membership = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
         self.loads = GatewayLoads(lambda: self.now() * 1000)
-        self.decisions: DecisionLog | None = None
-        self.rejected = RejectedAnnouncements(self.now, self._log)
+        decisions = decisions or DecisionLog("control")
+        self.rejected = RejectedAnnouncements(self.now, decisions)
         self.configured_services: ConfiguredServices = lambda: None
         self._announcements = AnnouncementHandler(
-            state, self.liveness, self.propose, self.now, self.check_announcement, self._log
+            state, self.liveness, self.propose, self.now, self.check_announcement, decisions
         )
         self._network = network
         self._forwarding = ReportForwarding(self.now)
@@ -101,10 +104,6 @@
         """Return the monotonic time in seconds."""
         return asyncio.get_running_loop().time()
 
-    def _log(self, event: Event, **fields: Any) -> None:
-        if self.decisions is not None:
-            self.decisions.note(event, **fields)
-
     # Messages
 
     async def handle(self, request: msgspec.Struct) -> msgspec.Struct | None:
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -65,7 +65,8 @@
             def now(self):
                 return test.time
 
-        self.service = TimedService(self.node, self.state, None)
+        self.log = RecordingLog("control", wall_clock=lambda: self.time)
+        self.service = TimedService(self.node, self.state, None, decisions=self.log)
 
     def change_leader(self):
         """Continue with a node that has a snapshot of the state and no memory of heartbeats."""
@@ -311,12 +312,10 @@
     """Operators see why a member was removed, added again or replaced."""
 
     def events(self):
-        log = self.service.decisions
-        log.flush()
-        return [json.loads(line) for line in log.written.splitlines()]
+        self.log.flush()
+        return [json.loads(line) for line in self.log.written.splitlines()]
 
     async def test_lives_and_doubtful_removals_are_logged(self):
-        self.service.decisions = RecordingLog("control", wall_clock=lambda: self.time)
         await self.announce(50, FIRST)
         await self.announce(51, FIRST, leaving=True)
         await self.announce(1, SECOND)
--- a/tests/forms/names.py
+++ b/tests/forms/names.py
@@ -38,8 +38,8 @@
 
 # isort: split
 import rowanrail_platform
+from rowanrail_platform.announcements import Heartbeat
 from rowanrail_platform.configuration import _Document
-from rowanrail_platform.control_api import Heartbeat
 
 __all__ = ["gather_names"]
 
--- a/tests/forms/schema.py
+++ b/tests/forms/schema.py
@@ -60,6 +60,8 @@
             return schema
         case inspect.EnumType(cls=cls):
             return {"enum": sorted((to_json_value(member) for member in cls), key=str)}
+        case inspect.LiteralType(values=values):
+            return {"enum": sorted(values, key=str)}
         case inspect.ListType() | inspect.SetType() | inspect.FrozenSetType():
             return {"list": schema_of(kind.item_type)}
         case inspect.VarTupleType():
--- a/tests/forms/test_names.py
+++ b/tests/forms/test_names.py
@@ -4,7 +4,8 @@
 version. It holds the keys of settings and documents with their defaults, log events with level and
 fields, the values of enumerations that appear in logs, metrics, HTTP paths, the command line,
 plug-ins, and digests of the deployed files. New names may be added to the file; removing one breaks
-a tool or a file of a user.
+a tool or a file of a user. The heartbeat's required fields and values were changed since: one that
+lacks them comes from another writer and must be rejected.
 """
 
 import unittest
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -88,9 +88,9 @@
             def now(self):
                 return node.time
 
-        self.service = TimedService(LeadingNode(self.state), self.state, None)
+        self.log = RecordingLog("control", wall_clock=lambda: self.time)
+        self.service = TimedService(LeadingNode(self.state), self.state, None, decisions=self.log)
         self.service.configured_services = lambda: services
-        self.log = self.service.decisions = RecordingLog("control", wall_clock=lambda: self.time)
         listen = SimpleNamespace(listen="10.0.0.1:80", regions={"a1": "a", "b1": "b"})
         self.api = ControlApi(self.service, listen, self.log)
 
