--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -23,6 +23,7 @@
     report_view,
 )
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
+from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
 from rowanrail.kernel.decisions import DecisionLog
@@ -36,6 +37,7 @@
 
 CHECK_INTERVAL_SECONDS = 0.1  # delays a failover by half of it on average
 LOCAL_SOURCE = "failover-duty"
+_NO_DIRECTORY = (-1, -1)  # revision and configuration version
 
 
 class PromotionOutcome(enum.Enum):
@@ -104,12 +106,13 @@
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
         self._trackers: dict[str, PrimaryTracker] = {}
+        self._joined: dict[str, JoinPositions] = {}
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
         self._in_progress: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_since: float | None = None
-        self._known_revision = -1
+        self._known_directory = _NO_DIRECTORY
         self._indexed_revision = -1
         self._members_by_service: dict[str, list[MemberRecord]] = {}
         self._reconciler = GatewayReconciler(
@@ -141,6 +144,7 @@
             self._update_trackers()
             for name, tracker in self._trackers.items():
                 tracker.tick(in_use=True)
+                self._update_join_positions(name, tracker)
                 self._check_service(name)
             self._reconciler.tick()
 
@@ -150,11 +154,12 @@
 
     def _reset(self) -> None:
         self._leading_since = None
-        self._known_revision = -1
+        self._known_directory = _NO_DIRECTORY
         self._attempts.clear()
         for tracker in self._trackers.values():
             tracker.close()
         self._trackers.clear()
+        self._joined.clear()
 
     def _members(self, service: str) -> list[MemberRecord]:
         state = self._service.state
@@ -167,19 +172,26 @@
 
     def _update_trackers(self) -> None:
         state = self._service.state
-        if state.revision == self._known_revision:
+        if (state.revision, state.version) == self._known_directory:
             return
-        self._known_revision = state.revision
+        self._known_directory = state.revision, state.version
         services = {member.service for member in state.members.values()}
+        services = {name for name in services if self._service.is_configured(name)}
         for name in list(self._trackers):
             if name not in services:
                 self._trackers.pop(name).close()
+                self._joined.pop(name, None)
         for name in services:
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
                 self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
             self._trackers[name].set_members(self._members(name))
 
+    def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
+        newest = tracker.sample.position if tracker.sample is not None else None
+        joined = self._joined.setdefault(service, JoinPositions())
+        joined.update(self._members(service), self._service.state.earlier_starts, newest)
+
     # Deciding
 
     def _check_service(self, service: str) -> None:
@@ -246,10 +258,11 @@
             members.append(
                 MemberView(
                     record,
-                    liveness.heartbeat_ago(record.instance),
+                    liveness.heartbeat_ago(record.instance, record.started_ms),
                     status.leads if status else None,
                     status.term if status else 0,
                     status.received if status else None,
+                    bool(status and self._joined[service].is_incomplete(record, status.received)),
                 )
             )
         health = primary_health_report(self._trackers[service], now)
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.cluster.membership import MembershipManager
 from rowanrail.cluster.messages import BarrierReply, BarrierRequest, JoinRequest
@@ -21,6 +22,12 @@
 from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.gateway_loads import GatewayLoads
 from rowanrail.coordination.liveness import Liveness
+from rowanrail.coordination.lives import LifeOrder, recordable
+from rowanrail.coordination.member_limits import (
+    ConfiguredServices,
+    check_new_member,
+    check_unconfigured,
+)
 from rowanrail.coordination.messages import (
     AnnounceRequest,
     DocumentReply,
@@ -32,6 +39,11 @@
     PutRequest,
     RemoveRequest,
 )
+from rowanrail.coordination.rejected_announcements import (
+    AnnouncementRejectedError,
+    RejectedAnnouncements,
+    RejectionReason,
+)
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.watches import Watches
 from rowanrail.directory.messages import (
@@ -40,6 +52,7 @@
     GatewayReport,
     LoggedDirectoryRequest,
 )
+from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError, TransportError
 from rowanrail.model.members import MemberRecord
 from rowanrail.rpc.network import Network
@@ -53,14 +66,24 @@
     """Handles messages of gateways and control nodes, and calls of the external API."""
 
     def __init__(
-        self, node: ConsensusNode, state: CoordinationState, network: Network, zone: str = ""
+        self,
+        node: ConsensusNode,
+        state: CoordinationState,
+        network: Network,
+        zone: str = "",
+        decisions: DecisionLog | None = None,
     ) -> None:
         self.node = node
         self.state = state
         self.membership = MembershipManager(node, "")
         self.liveness = Liveness(self.now)
         self.loads = GatewayLoads(lambda: self.now() * 1000)
-        self._announcements = AnnouncementHandler(state, self.liveness, self.propose, self.now)
+        decisions = decisions or DecisionLog("control")
+        self.rejected = RejectedAnnouncements(self.now, decisions)
+        self.configured_services: ConfiguredServices = lambda: None
+        self._announcements = AnnouncementHandler(
+            state, self.liveness, self.propose, self.now, self.check_announcement, decisions
+        )
         self._network = network
         self._forwarding = ReportForwarding(self.now)
         self._watches = Watches(node, state, zone, self.now)
@@ -92,7 +115,7 @@
         if isinstance(request, DirectoryRequest):
             return await self._watch(request)
         if isinstance(request, HeartbeatNotice):
-            self.liveness.record_heartbeat(request.instance, request.sequence)
+            self.liveness.record_heartbeat(request.instance, request.sequence, request.started_ms)
             return None
         if isinstance(request, GatewayReport):
             self._record_report(request)
@@ -184,7 +207,7 @@
 
     async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, RemoveRequest)
-        await self._announcements.handle_removal(request.instance)
+        await self._announcements.handle_removal(request.instance, request.start_ms or 0)
         return Done()
 
     async def _barrier(self, request: msgspec.Struct) -> msgspec.Struct:
@@ -217,26 +240,62 @@
         assert isinstance(reply, DocumentReply)
         return reply
 
+    def is_configured(self, service: str) -> bool:
+        """Return whether a service is in the configuration, or there is none yet."""
+        services = self.configured_services()
+        return services is None or service in services
+
+    def check_announcement(self, record: MemberRecord) -> AnnouncementRejectedError | None:
+        """Return why an announcement is rejected, None if it isn't; count and log rejections."""
+        problem = self._rejection_of(record)
+        if problem is not None:
+            self.rejected.note(problem.reason, record.instance, problem.message)
+        return problem
+
+    def _rejection_of(self, record: MemberRecord) -> AnnouncementRejectedError | None:
+        state, services = self.state, self.configured_services()
+        instance = record.instance
+        if state.order_of(record) is LifeOrder.FOREIGN:
+            message = f"the member {instance} tells its start"
+            return AnnouncementRejectedError(RejectionReason.NO_START, message)
+        problem = None
+        if services is not None and record.service not in services:
+            known = state.members.get(instance) or state.displaced.get(instance)
+            problem = check_unconfigured(record, [known, state.member_at_address(record)], services)
+        if problem is None and instance not in state.members:
+            problem = check_new_member(record, state.members.values(), services)
+        return problem
+
     async def announce(self, record: MemberRecord) -> str:
         """Handle a member's announcement; return the leader's address if this node isn't it.
 
+        :raises AnnouncementRejectedError: if it is no announcement of a member.
         :raises RowanrailError: if it changes the record and was not committed.
         """
-        if self.state.needs_announcement(record) or record.instance in self.state.displaced:
+        record = recordable(record, self.state.feature_level)
+        problem = self.check_announcement(record)
+        if problem is not None:
+            raise problem
+        instance, sequence, start = record.instance, record.sequence, record.started_ms
+        if (
+            self.state.needs_announcement(record)
+            or instance in self.state.displaced
+            or self.state.order_of(record) is LifeOrder.UNPROVEN
+        ):
             await self.request(AnnounceRequest(record))
         elif self.node.raft.is_leader:
-            self.liveness.record_heartbeat(record.instance, record.sequence)
+            self.liveness.record_heartbeat(instance, sequence, start)
         else:
-            self.notify_leader(HeartbeatNotice(record.instance, record.sequence))
+            self.notify_leader(HeartbeatNotice(instance, sequence, start))
         return "" if self.node.raft.is_leader else self.node.leader_address()
 
-    async def remove(self, instance: str) -> None:
-        """Handle a member's announcement that it has ended.
+    async def remove(self, instance: str, start_ms: int | UnsetType = UNSET) -> None:
+        """Handle a member's announcement that it, or one of its lives, has ended.
 
         :raises RowanrailError: if it was not committed.
         """
-        if not self.state.has_ended(instance):
-            await self.request(RemoveRequest(instance))
+        if not self.state.has_ended(instance, start_ms or 0):
+            await self.request(RemoveRequest(instance, start_ms))
 
     # Watches
 
