Regions of data bind members and gateways

`allowed-regions` of routes was decoded and excluded members, but the tenant's list was not applied, a change of configuration did not reach statements and transactions that had begun, and no choice of another gateway knew the regions: a gateway outside forwarded a statement's text to the holder of its own group, detours went to whichever gateway answered first, and a read-only transaction followed the primary to its region.

- `DataRegions` intersects the lists of route and tenant once for each configuration.
Statements ask their service for the regions in force, which also apply to what began before, unless a sender's configuration is newer.
- Transactions check their member before each statement, queued writes are refused at once if the primary is now outside.
- `PeerRegions` decides which gateways may be sent a text: whole groups, zones or regions, are inside or outside.
One check precedes all sending.
A gateway outside goes straight to the holder at the member, or uses its own connections.
- Detours are remembered by group as well, so that a bound statement finds one inside.
- The reason of a refusal is that of the members inside, if there are any.
- Events 344 to 346, metrics `bound_to_regions` and `received_outside_regions`.

Without regions in the configuration, a statement's path gains comparisons with None.

--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -186,7 +186,8 @@
     "GatewaySettings.rpc_port": "Port of the control nodes for RPC between the system's processes.",
     "GatewaySettings.protocol": "Name of the protocol plug-ins for clients and members.",
     "GatewaySettings.stop_seconds": "Maximum duration of a planned stop.",
-    "GatewaySettings.regions": "Region of each zone; members in the same region are preferred.",
+    "GatewaySettings.regions": "Region of each zone; members in the same region are preferred. "
+    "The regions of routes and tenants refer to these names.",
     "GatewaySettings.features": "Enabled features. `tenants`: each connection to a member belongs "
     "to a tenant, and the gateways of a region share them. Unknown features are ignored.",
     "GatewaySettings.quota_window_seconds": "Length of the window in which a tenant's operations "
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -138,6 +138,27 @@
     "much. A tenant's urgent operations are admitted first: `urgency` is the priority of the "
     "route.",
 )
+REGIONS_APPLIED = define(
+    344,
+    Level.INFO,
+    "version {version} binds {routes} routes and {tenants} tenants to regions",
+    "Their statements run at members in these regions only, and their text is sent to gateways "
+    "there only.",
+)
+REGIONS_UNKNOWN = define(
+    345,
+    Level.WARNING,
+    "version {version} names regions without a zone in the settings: {regions}",
+    "A route or tenant that is bound to these alone is refused at once, with cause "
+    "`outside-regions`. Check the names in `allowed-regions`, and the regions in the settings.",
+)
+RECEIVED_OUTSIDE = define(
+    346,
+    Level.WARNING,
+    "a gateway sent a statement of {database} to region {region}, which its regions exclude",
+    "The sender has an earlier version of the program or of the configuration. The statement still "
+    "runs at members in its regions only.",
+)
 MEMBER_FELL = define(
     350,
     Level.WARNING,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -16,6 +16,7 @@
     DIRECTORY_APPLIED,
     LINK_LOST,
     LINK_RESTORED,
+    RECEIVED_OUTSIDE,
 )
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.relay.holdings import Holdings
@@ -25,6 +26,7 @@
 from rowanrail.gateway.services.load_measurement import measure_load
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.primary_log import log_primary_state
+from rowanrail.gateway.services.restriction_log import log_restrictions
 from rowanrail.gateway.services.service import Service
 from rowanrail.gateway.services.weight_log import log_weight_change
 from rowanrail.gateway.session_context import PreparedStatementNames
@@ -40,6 +42,7 @@
 from rowanrail.members.channel import MemberDriver
 from rowanrail.members.primary_health import primary_health_report
 from rowanrail.members.samples import PositionSample
+from rowanrail.model.data_regions import DataRegions
 from rowanrail.model.members import PrimaryHealth
 from rowanrail.model.routing import Route, RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, Refusal
@@ -86,6 +89,8 @@
         self._ticks = 0
         self._waiting_starts: list[PendingSessionStart] = []
         self._evacuations = NO_EVACUATIONS
+        self._data_regions: DataRegions | None = None
+        self._received_outside = 0
         self._session_count = 0
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
@@ -168,8 +173,10 @@
             return False
         self.configuration = configuration
         self._set_services(configuration)
+        self._data_regions = DataRegions.of(configuration)
         for service in self.services.values():
             service.set_tenants(configuration.tenants or Tenants())
+            service.set_data_regions(self._data_regions)
         self.holdings.apply_limits()
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
@@ -179,6 +186,10 @@
         self._decisions.note(
             CONFIGURATION_APPLIED, version=configuration.version, routes=len(configuration.routes)
         )
+        if self._data_regions is not None:
+            log_restrictions(
+                self._decisions, self._data_regions, self._locality, self.access.version
+            )
         return True
 
     def _set_services(self, configuration: RoutingConfiguration) -> None:
@@ -287,17 +298,54 @@
         """Return a database's route and the executor for a tenant, or the refusal."""
         if self.configuration is None:
             return self.access.refuse_unknown_database(database)
-        route = self.configuration.routes.get(database)
+        if self._data_regions is None:
+            route = self.configuration.routes.get(database)
+        else:
+            route = self._data_regions.route(database, tenant)
         local = self.local_work(route.service) if route is not None else None
         if route is None or local is None:
             return self.access.refuse_unknown_database(database)
-        return route, self._router.work_for(self.services[route.service], tenant, local)
+        service = self.services[route.service]
+        return route, self._router.work_for(service, tenant, local, route.regions)
 
     def local_work(self, service: str, is_detour: bool = False) -> LocalExecutor | None:
         """Return the executor for own connections, None if the service is not served here."""
         target = self.services.get(service)
         return None if target is None else self._router.local_work(target, is_detour)
 
+    @property
+    def data_regions(self) -> DataRegions | None:
+        """The configuration's restrictions to regions, None if it has none."""
+        return self._data_regions
+
+    @property
+    def received_outside(self) -> int:
+        """Number of statements that other gateways sent here though their regions exclude it."""
+        return self._received_outside
+
+    def note_forwarded(self, route: Route, tenant: str, version: int) -> None:
+        """Log a neighbour's statement if its regions exclude this gateway.
+
+        See :meth:`rowanrail.gateway.relay.serving.LinkServerHost.note_forwarded`.
+        """
+        if route.regions is None and self._data_regions is None:
+            return
+        regions = route.regions
+        if self._data_regions is not None:
+            regions = self._data_regions.effective(route, tenant)
+        if regions is None or self._locality.region in regions:
+            return
+        self._received_outside += 1
+        self._decisions.note(
+            RECEIVED_OUTSIDE,
+            database=route.database,
+            tenant=tenant,
+            region=self._locality.region,
+            regions=sorted(regions),
+            sender_version=version,
+            version=self.access.version,
+        )
+
     def _on_detour_found(self, service: str, peer: str) -> None:
         self._decisions.note(DETOUR_FOUND, service=service, peer=peer)
 
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -28,6 +28,7 @@
         ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
     ]
     readings += _plan_gauges(gateway)
+    readings += _region_gauges(gateway)
     now = gateway.clock.time()
     for name, service in gateway.services.items():
         readings += _primary_gauges(name, service.primary, now)
@@ -72,6 +73,17 @@
     ]
 
 
+def _region_gauges(gateway: Gateway) -> list[GaugeSample]:
+    """Return the numbers of routes and tenants that are bound to regions, if there are any."""
+    restrictions = gateway.data_regions
+    readings: list[GaugeSample] = []
+    if restrictions is not None:
+        readings.append(("bound_to_regions", {"kind": "route"}, len(restrictions.routes)))
+        readings.append(("bound_to_regions", {"kind": "tenant"}, len(restrictions.tenants)))
+    readings.append(("received_outside_regions", {}, gateway.received_outside))
+    return readings
+
+
 def _plan_gauges(gateway: Gateway) -> list[GaugeSample]:
     """Return the gauges of the plan's number and of the shards that this gateway holds."""
     planned = gateway.holdings.planned
--- a/src/rowanrail/gateway/relay/detours.py
+++ b/src/rowanrail/gateway/relay/detours.py
@@ -9,7 +9,7 @@
 gateways to ask and which answer to use, and on the plan for the holders there.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from rowanrail.gateway.relay.detour_rules import ReachabilityCache, gateways_to_query
 from rowanrail.gateway.relay.holder_choice import (
@@ -26,7 +26,9 @@
 from rowanrail.placement.hashed import Shard, rank
 from rowanrail.placement.planned import PlannedHolders
 
-__all__ = ["Detours", "OnSample"]
+__all__ = ["OWN_GROUP", "Detours", "OnSample"]
+
+OWN_GROUP = ""  # in place of the name of the group that shares connections with this gateway
 
 OnSample = Callable[[float, str, Position], None]
 
@@ -50,10 +52,13 @@
         self._link_manager = LinkManager(clock, opener)
         self._own_zone: list[str] = []
         self._zones: dict[str, list[str]] = {}
+        self._group_of: dict[str, str] = {}
         self._directory_gateways: list[Neighbour] = []
         self._planned_addresses: dict[str, str] = {}
         self.planned: PlannedHolders | None = None
         self._reachability = ReachabilityCache()
+        # For statements that may only be sent to the gateways of some groups.
+        self._reachability_by_group: dict[str, ReachabilityCache] = {}
         self.on_detour_found: Callable[[str, str], None] = lambda service, peer: None
         self.on_link_lost: Callable[[str], None] = lambda peer: None
         self._link_manager.on_link = self._note_link
@@ -70,6 +75,7 @@
         own = [neighbour for neighbour in own_zone if neighbour.name != self._name]
         self._own_zone = [neighbour.name for neighbour in own]
         self._zones = {zone: [n.name for n in listed] for zone, listed in others.items()}
+        self._group_of = {n.name: zone for zone, listed in others.items() for n in listed}
         self._directory_gateways = [*own, *(n for listed in others.values() for n in listed)]
         self._update_links()
 
@@ -94,6 +100,13 @@
         """Names of the other zones or regions, whichever share connections."""
         return list(self._zones)
 
+    def groups_of(self, name: str) -> frozenset[str]:
+        """Return the groups of another group's gateway, by the directory, else by the plan."""
+        group = self._group_of.get(name)
+        if group is not None:
+            return frozenset({group})
+        return frozenset() if self.planned is None else self.planned.groups_of(name)
+
     def hashed_holder_in(self, group: str, key: str) -> HolderLocation:
         """Return the first available gateway of another group for a key, by rendezvous hashing."""
         return self._first_available(rank(key, self._zones.get(group, [])))
@@ -141,12 +154,22 @@
                     self._link_manager.note_answer(link)
                     if self._reachability.note_reachable(service, name, self._clock.now):
                         self.on_detour_found(service, name)
+                    for cache in self._group_caches(name):
+                        cache.note_reachable(service, name, self._clock.now)
                     on_sample(asked_at, instance, position)
                 case NotRun() | Lost() | Replied() | TotalsReceived():
                     self._reachability.note_unreachable(service, name)
+                    for cache in self._group_caches(name):
+                        cache.note_unreachable(service, name)
 
         link.request(SampleRequest(link.next_call_id(), service), on_outcome)
 
+    def _group_caches(self, name: str) -> list[ReachabilityCache]:
+        """Return the reachability caches of a gateway's groups."""
+        groups = {OWN_GROUP} if name in self._own_zone else self.groups_of(name)
+        caches = self._reachability_by_group
+        return [caches.setdefault(group, ReachabilityCache()) for group in groups]
+
     def knows_detour(self, service: str) -> bool:
         """Return whether a gateway that reaches the service's primary is known and connected."""
         return isinstance(self._locate_reachable(service), HeldRemotely)
@@ -162,6 +185,24 @@
             return NoHolder()
         return self._link_manager.reach(name) or NoHolder()
 
+    def locate_in(self, groups: Collection[str], service: str) -> HolderLocation:
+        """Return a gateway of some groups that reaches the service's primary, if one is known.
+
+        Parameters
+        ----------
+        groups : collection of str
+            Names of groups, ``OWN_GROUP`` for the own one.
+        service : str
+            Name of the service.
+        """
+        for group in groups:
+            cache = self._reachability_by_group.get(group)
+            name = None if cache is None else cache.gateway(service, self._clock.now)
+            found = None if name is None else self._link_manager.reach(name)
+            if isinstance(found, HeldRemotely):
+                return found
+        return NoHolder()
+
     @property
     def note_answer(self) -> Callable[..., None]:
         """The callback that records an answer of the gateway behind a link."""
--- a/src/rowanrail/gateway/relay/forwarded_call.py
+++ b/src/rowanrail/gateway/relay/forwarded_call.py
@@ -65,6 +65,10 @@
         """The callback that records an answer of the gateway behind a link."""
 
 
+def _allows_no_peer(peer: str, regions: frozenset[str]) -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
     """What forwarded statements of one service need.
@@ -86,6 +90,9 @@
         forward them.
     version : int
         Version of the configuration by which clients' keys were accepted.
+    allows_peer : callable
+        Called with a gateway's name and the regions of a statement. Returns whether the gateway may
+        be sent the statement's text.
     """
 
     placement: HolderLocator
@@ -95,6 +102,7 @@
     remote_admission: RemoteAdmission
     is_detour: bool = False
     version: int = 0
+    allows_peer: Callable[[str, frozenset[str]], bool] = _allows_no_peer
 
 
 class ForwardedCall:
@@ -154,6 +162,23 @@
         """Kind of the statement, for the rules."""
         raise NotImplementedError
 
+    @property
+    def _regions(self) -> frozenset[str] | None:
+        """Regions in which the statement may run by the configuration in force; None for any."""
+        return self._context.local.regions_of(self._route, self._session.identity.tenant)
+
+    def _may_send(self, link: Link) -> bool:
+        """Return whether the statement's text may go to the gateway behind a link."""
+        regions = self._regions
+        return regions is None or self._context.allows_peer(link.peer, regions)
+
+    def _route_in_force(self) -> Route:
+        """Return the route with the regions in which the statement may run now."""
+        regions = self._regions
+        if regions is self._route.regions:
+            return self._route
+        return msgspec.structs.replace(self._route, regions=regions)
+
     def _send(self, link: Link, transaction: int = 0, read_only: bool = False) -> None:
         assert self._statement is not None
         self._attempts += 1
@@ -163,7 +188,7 @@
         self._call_id = link.next_call_id()
         outgoing = OutgoingStatement(
             self._statement,
-            self._route,
+            self._route_in_force(),
             self._session,
             self._time_left,
             transaction,
@@ -219,8 +244,10 @@
         match self._context.placement.locate_holder(shard):
             case HeldLocally():
                 self._run_locally()
-            case HeldRemotely(link=link):
+            case HeldRemotely(link=link) if self._may_send(link):
                 self._run_remotely(link)
+            case HeldRemotely():
+                self._run_locally()
             case NoHolder():
                 self._wait_for_holder("no gateway of the zone holds connections")
 
--- a/src/rowanrail/gateway/relay/forwarding.py
+++ b/src/rowanrail/gateway/relay/forwarding.py
@@ -30,8 +30,9 @@
 from rowanrail.gateway.work.ports import AutocommitExecution, TransactionExecution
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE
 from rowanrail.members.channel import AnswerCallback
+from rowanrail.model.data_regions import intersect_regions
 from rowanrail.model.routing import Route
-from rowanrail.model.statements import Answer, StatementKind, TypedStatement
+from rowanrail.model.statements import Answer, Refusal, StatementKind, TypedStatement
 from rowanrail.model.trace import Trace
 
 __all__ = ["ForwardedStatement", "ForwardedTransaction", "ForwardedWork", "HolderLocator"]
@@ -138,10 +139,21 @@
         self._begin(statement, respond)
         if is_write(statement, self._session):
             self._wrote = True
-        if self._number and self._link is not None:
+        if not self._number or self._link is None:
+            self._dispatch()
+        elif self._may_send(self._link):
             self._send(self._link, self._number, self._read_only)
         else:
-            self._dispatch()
+            self._end_at_holder()
+            reason = f"gateway {self._link.peer} is outside the regions of the statement"
+            self._finish(Answer(refusal=Refusal.ABORTED, message=reason))
+
+    def restrict(self, regions: frozenset[str]) -> None:
+        """Restrict the further statements to regions."""
+        allowed = intersect_regions(self._route.regions, regions)
+        self._route = msgspec.structs.replace(self._route, regions=allowed)
+        if self._local is not None:
+            self._local.restrict(regions)
 
     def trace(self) -> Trace:
         """Return how the last statement ran, here or at its holder."""
--- a/src/rowanrail/gateway/relay/message_mapping.py
+++ b/src/rowanrail/gateway/relay/message_mapping.py
@@ -116,6 +116,7 @@
         staleness_seconds=run.staleness / 1000,
         priority=run.priority,
         regions=None if run.regions is None else frozenset(run.regions),
+        regions_version=0 if run.regions is None else run.version,
     )
 
 
--- a/src/rowanrail/gateway/relay/messages.py
+++ b/src/rowanrail/gateway/relay/messages.py
@@ -68,7 +68,8 @@
     is_retry : bool
         Whether it goes before new arrivals, since its client was rejected more than once.
     regions : list of str or None
-        Regions in which it may run; None for any.
+        Regions in which it may run, by the configuration of ``version``; None for any. The receiver
+        also applies its own configuration if that is newer, or if there are none.
     """
 
     call: int
--- a/src/rowanrail/gateway/relay/neighbours.py
+++ b/src/rowanrail/gateway/relay/neighbours.py
@@ -87,6 +87,10 @@
         """Names of the known gateways."""
         return list(self._peers)
 
+    def knows(self, name: str) -> bool:
+        """Return whether a gateway is known by this name."""
+        return name in self._peers
+
     def set_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
         """Replace the known gateways; close links to those that are gone or have moved."""
         known = {neighbour.name: neighbour for neighbour in neighbours}
--- a/src/rowanrail/gateway/relay/serving.py
+++ b/src/rowanrail/gateway/relay/serving.py
@@ -40,6 +40,7 @@
 from rowanrail.gateway.work.ports import AutocommitExecution, TransactionExecution
 from rowanrail.kernel.clock import Clock
 from rowanrail.members.samples import PositionSample
+from rowanrail.model.routing import Route
 from rowanrail.model.statements import Answer, Refusal
 from rowanrail.model.trace import Trace
 from rowanrail.placement.hashed import Shard
@@ -96,6 +97,19 @@
     def load(self, service: str, tenant: str) -> ServiceLoad | None:
         """Return a service's load for a tenant's statements, None if they need not wait."""
 
+    def note_forwarded(self, route: Route, tenant: str, version: int) -> None:
+        """Record a neighbour's statement if its regions exclude this gateway.
+
+        Parameters
+        ----------
+        route : Route
+            The statement's route.
+        tenant : str
+            The client's tenant.
+        version : int
+            Version of the neighbour's configuration.
+        """
+
     def idle_transaction_seconds(self) -> float:
         """Return how many seconds a transaction may be idle."""
 
@@ -287,26 +301,28 @@
 
     def _begin(self, run: RunStatement) -> None:
         """Start a single statement or a transaction, if its service is served here."""
+        route = route_from(run)
+        self._link_server.host.note_forwarded(route, run.tenant, run.version)
         work = self._link_server.host.local_work(run.service, run.is_detour)
         if work is None:
             self.send(NotServed(run.call, f"it does not serve {run.service} now"))
         elif run.transaction:
             session = SessionContext()
-            opened = work.transaction(route_from(run), session, run.read_only)
+            opened = work.transaction(route, session, run.read_only)
             transaction = self._transactions[run.transaction] = _Transaction(work, opened, session)
             self._run_in_transaction(transaction, run)
         else:
-            self._run_single(work, run)
+            self._run_single(work, run, route)
 
     def _refuse(self, run: RunStatement, refusal: Refusal, reason: str) -> None:
         """Refuse a statement that must not run, here or at another gateway."""
         trace = Trace(run.service, Stage.ACCEPTED.value)
         self.send(build_reply(run, Answer(refusal=refusal, message=reason), None, trace))
 
-    def _run_single(self, work: LocalExecutor, run: RunStatement) -> None:
+    def _run_single(self, work: LocalExecutor, run: RunStatement, route: Route) -> None:
         session = SessionContext()
         apply_session_values(session, run)
-        single = work.autocommit(route_from(run), session, run.writes)
+        single = work.autocommit(route, session, run.writes)
         self._singles[run.call] = _SingleStatement(work, single, session)
         single.start(statement_from(run), lambda answer: self._answer_single(run, answer))
 
@@ -320,6 +336,8 @@
 
     def _run_in_transaction(self, transaction: _Transaction, run: RunStatement) -> None:
         apply_session_values(transaction.session, run)
+        if run.regions is not None:
+            transaction.work.restrict(frozenset(run.regions))
         transaction.call = run.call
         transaction.work.run(
             statement_from(run), lambda answer: self._answer_in_transaction(run, answer)
--- a/src/rowanrail/gateway/relay/work_routing.py
+++ b/src/rowanrail/gateway/relay/work_routing.py
@@ -11,6 +11,10 @@
 4. While this gateway can't reach a primary, statements for it run at a gateway that reaches it, if
    one is known.
 
+A statement that is bound to regions is only sent to gateways in one of them
+(:class:`PeerRegions`). If the own group is outside, rule 1 does not apply to it, and rule 3 applies
+also where the gateways of a zone share connections.
+
 Rules 1 and 2 are applied when a statement arrives. Rules 3 and 4 are passed as callbacks to the
 work on own connections, which calls them when it has chosen a member, or found none.
 
@@ -22,8 +26,10 @@
 from collections.abc import Callable
 
 from rowanrail.gateway.policies import LinkOutcome
+from rowanrail.gateway.relay.detours import OWN_GROUP
 from rowanrail.gateway.relay.forwarding import ForwardedWork, HolderLocator
 from rowanrail.gateway.relay.holder_choice import HeldLocally, HeldRemotely
+from rowanrail.gateway.relay.peer_regions import GroupDetours, PeerRegions
 from rowanrail.gateway.relay.peers import Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
 from rowanrail.gateway.relay.remote_holder_locator import RemoteHolderLocator
@@ -99,12 +105,27 @@
         self._remote_admission = remote_admission
         self._neighbours = peers.neighbours
         self._detours = peers.detours
+        self._peer_regions = PeerRegions(locality, peers.neighbours, peers.detours)
         self._version = version
 
-    def work_for(self, service: Service, tenant: str, local: LocalExecutor) -> StatementExecutor:
-        """Return the work for a tenant's statements: on own connections, or at a holder."""
+    def work_for(
+        self,
+        service: Service,
+        tenant: str,
+        local: LocalExecutor,
+        regions: frozenset[str] | None = None,
+    ) -> StatementExecutor:
+        """Return the work for a tenant's statements: on own connections, or at a holder.
+
+        Parameters
+        ----------
+        regions : frozenset of str or None
+            Regions in which the statements may run; None for any.
+        """
         if self._neighbours is None or not service.share.is_shared:
             return local
+        if not self._peer_regions.includes_own_group(regions):
+            return local
         shard = Shard.of(service.spec.name, tenant)
         if isinstance(self._neighbours.locate_holder(shard), HeldLocally):
             return local
@@ -131,7 +152,7 @@
         )
 
     def _find_remote_holder(
-        self, service: Service, tenant: str, instance: str
+        self, service: Service, tenant: str, instance: str, regions: frozenset[str] | None
     ) -> ForwardedWork | None:
         """Return work at the holder in a member's region.
 
@@ -139,20 +160,35 @@
         holder there is reachable.
         """
         pool = service.pools.get(instance) if instance else service.primary_pool()
-        if self._detours is None or pool is None or not service.is_remote(pool):
+        if self._detours is None or pool is None:
+            return None
+        if service.is_remote(pool):
+            group = self._locality.region_of(pool.record.zone)
+        elif service.share.is_shared and not self._peer_regions.includes_own_group(regions):
+            group = pool.record.zone
+        else:
             return None
-        region = self._locality.region_of(pool.record.zone)
         shard = Shard.of(service.spec.name, tenant)
-        if not isinstance(self._detours.holder_in(region, shard), HeldRemotely):
+        if not isinstance(self._detours.holder_in(group, shard), HeldRemotely):
             return None
-        return self._forwarded(RemoteHolderLocator(self._detours, region), service, is_detour=True)
+        return self._forwarded(RemoteHolderLocator(self._detours, group), service, is_detour=True)
 
-    def _find_detour(self, service: Service) -> ForwardedWork | None:
+    def _find_detour(
+        self, service: Service, regions: frozenset[str] | None
+    ) -> ForwardedWork | None:
         """Return work at a gateway that reaches a service's primary, None if none is known."""
-        detours = self._detours
-        if detours is None or not detours.knows_detour(service.spec.name):
+        detours, name = self._detours, service.spec.name
+        if detours is None:
+            return None
+        if regions is None:
+            is_known = detours.knows_detour(name)
+            return self._forwarded(detours, service, is_detour=True) if is_known else None
+        groups = self._peer_regions.other_groups(regions)
+        if self._peer_regions.includes_own_group(regions):
+            groups.append(OWN_GROUP)
+        if not isinstance(detours.locate_in(groups, name), HeldRemotely):
             return None
-        return self._forwarded(detours, service, is_detour=True)
+        return self._forwarded(GroupDetours(detours, groups), service, is_detour=True)
 
     def _forwarded(
         self,
@@ -171,6 +207,7 @@
             self._remote_admission,
             is_detour,
             self._version(),
+            self._peer_regions.allows,
         )
 
     def ask_for_samples(self, service: Service) -> None:
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -22,8 +22,9 @@
 from rowanrail.members.eligibility import Eligibility, Exclusion
 from rowanrail.members.monitor_interval import monitor_seconds
 from rowanrail.members.primary import PrimaryTracker
+from rowanrail.model.data_regions import DataRegions
 from rowanrail.model.members import MemberRecord
-from rowanrail.model.routing import ServiceSpec
+from rowanrail.model.routing import Route, ServiceSpec
 from rowanrail.placement.hashed import FleetSize, Shard
 from rowanrail.placement.planned import Allowance
 from rowanrail.scheduling.choice import choose_member
@@ -81,6 +82,7 @@
         self._clock = clock
         self._scheduler = scheduler
         self._tenants = Tenants()
+        self._data_regions: DataRegions | None = None
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; close the pools of those that left or changed their address."""
@@ -114,6 +116,16 @@
         """Set the zones whose members get no statements."""
         self._eligibility = replace(self._eligibility, evacuated=zones)
 
+    def set_data_regions(self, data_regions: DataRegions | None) -> None:
+        """Set the configuration's restrictions to regions, None if it has none."""
+        self._data_regions = data_regions
+
+    def regions_of(self, route: Route, tenant: str) -> frozenset[str] | None:
+        """Return the regions in which a tenant's statement may run now, None for any."""
+        if self._data_regions is None:
+            return route.regions
+        return self._data_regions.effective(route, tenant)
+
     def exclusion(
         self, record: MemberRecord, regions: frozenset[str] | None = None
     ) -> Exclusion | None:
@@ -127,13 +139,18 @@
         return self._eligibility.exclusion(record, regions)
 
     def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
-        """Return why no member may be sent a statement; None if one may, or if none is known."""
-        exclusion = None
+        """Return why no member may be sent a statement; None if one may, or if none is known.
+
+        Members outside the regions give the reason only if there is none inside.
+        """
+        found = None
         for pool in self.pools.values():
             exclusion = self.exclusion(pool.record, regions)
             if exclusion is None:
                 return None
-        return exclusion
+            if found is None or found is Exclusion.OUTSIDE_REGIONS:
+                found = exclusion
+        return found
 
     def set_fleet_size(self, fleet_size: FleetSize) -> None:
         """Set how many gateways share the members' connections."""
--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -37,19 +37,18 @@
         self.begin_statement(respond)
         self._failures = 0
         self._earliest_sample_time = earliest_sample_time(self.route, self.arrived_at)
-        exclusion = self.service.exclusion_of_all(self.route.regions)
-        if exclusion is not None:
-            self.reject_excluded(exclusion)
+        if self.reject_if_all_excluded():
             return
         if self.route.consistency is Consistency.PRIMARY and self._forward_to_primary_holder():
             return  # replication lag exceeds the round trip to the primary's region
         self._request_floor()
 
     def _forward_to_primary_holder(self) -> bool:
-        primary = self.service.primary_pool()
-        if primary is not None and self.service.exclusion(primary.record, self.route.regions):
-            return False
-        return self.forward_to_holder(self.statement, writes=False)
+        return self._forward(self.find_primary_holder(), self.statement, writes=False)
+
+    def _may_be_held_elsewhere(self, pool: MemberPool) -> bool:
+        # A restricted statement may have to skip the holder in its own group.
+        return self.service.is_remote(pool) or self.regions is not None
 
     def _forward_to_member_holder(self, instance: str) -> bool:
         """Forward the read to the gateway that holds the connections to a remote member."""
@@ -99,6 +98,8 @@
                 self.statement, writes=False
             ):
                 return
+            if self.reject_if_all_excluded():
+                return
             self.excluded.clear()
             self.attempts = 0
             self.retry_later(self._request_floor, busy_answer("no member can serve the read"))
@@ -107,7 +108,9 @@
         if available is None:
             return
         pool = available
-        if self.service.is_remote(pool) and self._forward_to_member_holder(pool.record.instance):
+        if self._may_be_held_elsewhere(pool) and self._forward_to_member_holder(
+            pool.record.instance
+        ):
             return
         self.acquire(pool, self._on_connection)
         self.limit_connection_wait()
@@ -142,7 +145,7 @@
         if available is None:
             return False
         if not (
-            self.service.is_remote(available)
+            self._may_be_held_elsewhere(available)
             and self._forward_to_member_holder(available.record.instance)
         ):
             self.acquire(available, self._on_connection)
@@ -193,7 +196,7 @@
         if (
             primary is not None
             and primary.record.instance not in self.excluded
-            and self.service.exclusion(primary.record, self.route.regions) is None
+            and self.service.exclusion(primary.record, self.regions) is None
         ):
             self.attempts += 1
             if self.can_wait_at(primary):
--- a/src/rowanrail/gateway/work/autocommit_write.py
+++ b/src/rowanrail/gateway/work/autocommit_write.py
@@ -37,6 +37,8 @@
 
     def _on_connection(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
+            if self.reject_if_excluded(self.pool):
+                return
             self.service.primary.note_refused_connection(answer)
             self.retry_later(self._acquire_primary, busy_answer(answer.message))
             return
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -125,7 +125,7 @@
                 return
             if channel is not None:
                 # Evacuations and configurations may have changed while it waited.
-                exclusion = self.service.exclusion(pool.record, self.route.regions)
+                exclusion = self.service.exclusion(pool.record, self.regions)
                 if exclusion is not None:
                     pool.release(channel)
                     reason = f"{pool.record.instance} is excluded: {exclusion.value}"
--- a/src/rowanrail/gateway/work/local.py
+++ b/src/rowanrail/gateway/work/local.py
@@ -57,6 +57,10 @@
             self._service, route, session, self._names, self._clock, self._others, read_only
         )
 
+    def regions_of(self, route: Route, tenant: str) -> frozenset[str] | None:
+        """Return the regions in which a tenant's statement may run now, None for any."""
+        return self._service.regions_of(route, tenant)
+
     def reduced_weights(self) -> dict[str, int]:
         """Return the members with reduced weight at this gateway, in hundredths of the full one."""
         return self._service.estimates.weights.reduced_weights()
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -117,7 +117,7 @@
         bool
             False if no such gateway is known.
         """
-        return self._forward(self.other_gateways.find_detour(), statement, writes)
+        return self._forward(self.find_detour(), statement, writes)
 
     def forward_to_holder(
         self, statement: TypedStatement, writes: bool, instance: str = ""
@@ -138,8 +138,25 @@
         bool
             False if the member is in this region, or the gateway is not known.
         """
-        holder = self.other_gateways.find_remote_holder(self.tenant, instance)
-        return self._forward(holder, statement, writes)
+        return self._forward(self.find_remote_holder(instance), statement, writes)
+
+    def find_remote_holder(self, instance: str) -> StatementExecutor | None:
+        """Return the executor at the gateway that holds the connections to a remote member.
+
+        None if the member is in this region, or the gateway is not known.
+        """
+        return self.other_gateways.find_remote_holder(self.tenant, instance, self.regions)
+
+    def find_primary_holder(self) -> StatementExecutor | None:
+        """Return the executor at the holder in the primary's region; None if it is excluded."""
+        primary = self.service.primary_pool()
+        if primary is not None and self.service.exclusion(primary.record, self.regions):
+            return None
+        return self.find_remote_holder("")
+
+    def find_detour(self) -> StatementExecutor | None:
+        """Return the executor at a gateway that reaches the primary, None if none is known."""
+        return self.other_gateways.find_detour(self.regions)
 
     def _forward(
         self, executor: StatementExecutor | None, statement: TypedStatement, writes: bool
@@ -170,9 +187,9 @@
         tracker, pool = self.service.primary, self.service.primary_pool()
         if self.reject_if_excluded(pool):
             return
-        if self.forward_to(self.other_gateways.find_remote_holder(self.tenant, "")):
+        if self.forward_to(self.find_remote_holder("")):
             return
-        if tracker.failing_since and self.forward_to(self.other_gateways.find_detour()):
+        if tracker.failing_since and self.forward_to(self.find_detour()):
             return
         if self.refuse_if_primary_long_lost():
             return
@@ -187,12 +204,19 @@
     def reject_if_excluded(self, primary: MemberPool | None) -> bool:
         """Reject a statement that needs a primary to which it may not be sent."""
         if primary is None:
-            return False
-        exclusion = self.service.exclusion(primary.record, self.route.regions)
+            return self.reject_if_all_excluded()
+        exclusion = self.service.exclusion(primary.record, self.regions)
         if exclusion is not None:
             self.reject_excluded(exclusion, primary.record.instance)
         return exclusion is not None
 
+    def reject_if_all_excluded(self) -> bool:
+        """Reject a statement that no member may be sent; return whether it was rejected."""
+        exclusion = self.service.exclusion_of_all(self.regions)
+        if exclusion is not None:
+            self.reject_excluded(exclusion)
+        return exclusion is not None
+
     def forward_to(self, executor: StatementExecutor | None) -> bool:
         """Forward to another gateway if an executor is given; return whether it was forwarded."""
         raise NotImplementedError
@@ -251,9 +275,7 @@
 
     def read_requirements(self) -> ReadRequirements:
         """Return the requirements of the read for the selection of a member."""
-        return ReadRequirements(
-            self.latency_class, self.queue_entry(), self.floor, self.route.regions
-        )
+        return ReadRequirements(self.latency_class, self.queue_entry(), self.floor, self.regions)
 
     def note_answer(self, answer: Answer) -> None:
         """Update the estimates of the member from its answer to the last request."""
--- a/src/rowanrail/gateway/work/ports.py
+++ b/src/rowanrail/gateway/work/ports.py
@@ -47,6 +47,9 @@
     def run(self, statement: TypedStatement, respond: AnswerCallback) -> None:
         """Run a read, a write or the commit."""
 
+    def restrict(self, regions: frozenset[str]) -> None:
+        """Restrict its further statements to regions."""
+
     def end(self) -> None:
         """Roll the transaction back if it is open."""
 
@@ -65,11 +68,11 @@
         """Return the execution of a transaction; it starts with its first statement."""
 
 
-def _no_detour() -> None:
+def _no_detour(regions: frozenset[str] | None) -> None:
     return None
 
 
-def _no_remote_holder(tenant: str, instance: str) -> None:
+def _no_remote_holder(tenant: str, instance: str, regions: frozenset[str] | None) -> None:
     return None
 
 
@@ -80,15 +83,18 @@
     Parameters
     ----------
     find_detour : callable
-        Returns an executor at a gateway that reaches the primary, None if none is known.
+        Called with the statement's regions. Returns an executor at a gateway in one of them that
+        reaches the primary, None if none is known.
     find_remote_holder : callable
-        Called with a tenant and a member's instance, empty for the primary. Returns an executor at
-        the gateway that holds the tenant's connections to that member, None if the member is in
-        this region.
+        Called with a tenant, a member's instance, empty for the primary, and the statement's
+        regions. Returns an executor at the gateway that holds the tenant's connections to that
+        member, None if the member is in this region.
     """
 
-    find_detour: Callable[[], StatementExecutor | None] = _no_detour
-    find_remote_holder: Callable[[str, str], StatementExecutor | None] = _no_remote_holder
+    find_detour: Callable[[frozenset[str] | None], StatementExecutor | None] = _no_detour
+    find_remote_holder: Callable[[str, str, frozenset[str] | None], StatementExecutor | None] = (
+        _no_remote_holder
+    )
 
 
 NO_OTHER_GATEWAYS = OtherGateways()
--- a/src/rowanrail/gateway/work/statement.py
+++ b/src/rowanrail/gateway/work/statement.py
@@ -66,6 +66,11 @@
         """Tenant on whose connections the statement runs."""
         return self.session.identity.tenant
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Regions in which it may run by the configuration in force; None for any."""
+        return self.service.regions_of(self.route, self.tenant)
+
     @property
     def deferral_deadline(self) -> float:
         """Time, in seconds, until which a statement that no member could run is deferred."""
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.service import Service
 from rowanrail.gateway.session_context import (
@@ -28,6 +30,7 @@
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, busy_answer
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import AnswerCallback, Channel
+from rowanrail.model.data_regions import intersect_regions
 from rowanrail.model.position import ORIGIN, Position
 from rowanrail.model.routing import Consistency, Route
 from rowanrail.model.statements import (
@@ -111,13 +114,11 @@
         if not self.read_only:
             self.acquire_primary(self._begin, self._on_connection)
             return
-        exclusion = self.service.exclusion_of_all(self.route.regions)
-        if exclusion is not None:
+        if self.reject_if_all_excluded():
             self.failed = True
-            self.reject_excluded(exclusion)
             return
         if self.route.consistency is Consistency.PRIMARY and self.forward_to(
-            self.other_gateways.find_remote_holder(self.tenant, "")
+            self.find_primary_holder()
         ):
             return
         self.stage = Stage.WAITS_FOR_SAMPLE
@@ -140,9 +141,7 @@
         if available is None:
             return
         pool = available
-        if self.forward_to(
-            self.other_gateways.find_remote_holder(self.tenant, pool.record.instance)
-        ):
+        if self.forward_to(self.find_remote_holder(pool.record.instance)):
             return
         self.attempts += 1
         self.acquire(pool, self._on_connection)
@@ -170,6 +169,8 @@
         if channel is None:
             if self.read_only:
                 self._exclude_member()
+            elif self.reject_if_excluded(self.pool):
+                return
             else:
                 self.service.primary.note_refused_connection(answer)
             self.retry_later(self._begin, busy_answer(answer.message))
@@ -234,7 +235,29 @@
 
     # Statements
 
+    def _exclusion_reason(self) -> str:
+        """Return why the member may not be sent the next statement, empty if it may."""
+        if self.pool is None:
+            return ""
+        exclusion = self.service.exclusion(self.pool.record, self.regions)
+        if exclusion is None:
+            return ""
+        return f"{self.pool.record.instance} is excluded: {exclusion.value}"
+
+    def restrict(self, regions: frozenset[str]) -> None:
+        """Restrict the further statements to regions, also where they are forwarded."""
+        allowed = intersect_regions(self.route.regions, regions)
+        self.route = msgspec.structs.replace(self.route, regions=allowed)
+        if self._forwarded is not None:
+            self._forwarded.restrict(regions)
+
     def _run_statement(self) -> None:
+        reason = self._exclusion_reason()
+        if reason:
+            self.failed = True
+            self.end()
+            self.finish(Answer(refusal=Refusal.ABORTED, message=reason))
+            return
         if self.statement.kind is StatementKind.COMMIT:
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
--- a/src/rowanrail/members/eligibility.py
+++ b/src/rowanrail/members/eligibility.py
@@ -52,8 +52,8 @@
         regions : frozenset of str or None
             Regions in which the statement may run; None for any.
         """
-        if record.zone in self.evacuated:
-            return Exclusion.EVACUATED
         if regions is not None and self.regions.get(record.zone, record.zone) not in regions:
             return Exclusion.OUTSIDE_REGIONS
+        if record.zone in self.evacuated:
+            return Exclusion.EVACUATED
         return None
--- a/src/rowanrail/model/routing.py
+++ b/src/rowanrail/model/routing.py
@@ -41,6 +41,8 @@
         Whether clients without a key are accepted.
     regions : frozenset of str or None
         Regions whose members may run its statements; None for any.
+    regions_version : int
+        Version of the configuration that restricts it to these regions; 0 without a restriction.
     """
 
     name: str
@@ -53,6 +55,7 @@
     priority: int = 1
     takes_anybody: bool = False
     regions: frozenset[str] | None = None
+    regions_version: int = 0
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
--- a/src/rowanrail/placement/planned.py
+++ b/src/rowanrail/placement/planned.py
@@ -154,6 +154,14 @@
             return self._name
         return f"{shard.tenant} {self._name}" if planned.is_split else shard.tenant
 
+    def groups_of(self, gateway: str) -> frozenset[str]:
+        """Return the groups in which the plan names a gateway as a holder."""
+        return frozenset(
+            group
+            for group, shards in self._plan.groups.items()
+            if any(gateway in shard.gateways for shard in shards.values())
+        )
+
     def allowance(self, service: str, is_regional: bool) -> Allowance | None:
         """Return this gateway's part of a service's connections, None if the plan has none."""
         shards = shards_of(service) if is_regional else [Shard(service)]
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -39,6 +39,14 @@
     return JsonDocumentFormat().parse(msgspec.json.encode(document))
 
 
+def bound_to_regions(route, tenant):
+    """Return the document with regions for its route and its tenant."""
+    return DOCUMENT | {
+        "routes": [DOCUMENT["routes"][0] | {"allowed-regions": route}],
+        "tenants": [DOCUMENT["tenants"][0] | {"allowed-regions": tenant}],
+    }
+
+
 class DocumentFieldsTest(unittest.TestCase):
     def test_every_field_is_decoded(self):
         parsed = parse(DOCUMENT).unwrap()
@@ -50,6 +58,21 @@
         self.assertEqual(parsed.tenants.by_name, {"anna": Tenant("anna", 2, 12.5, 4)})
         self.assertEqual(parsed.tenants.owners, {key_digest("k1"): "anna"})
 
+    def test_regions_of_routes_and_tenants_are_decoded(self):
+        parsed = parse(bound_to_regions(["a", "b"], ["b"])).unwrap()
+        self.assertEqual(parsed.routes["orders"].regions, {"a", "b"})
+        self.assertEqual(parsed.tenants.by_name["anna"].regions, {"b"})
+
+    def test_an_empty_list_of_regions_means_any(self):
+        parsed = parse(bound_to_regions([], [])).unwrap()
+        self.assertIsNone(parsed.routes["orders"].regions)
+        self.assertIsNone(parsed.tenants.by_name["anna"].regions)
+
+    def test_regions_that_are_no_list_of_names_are_refused(self):
+        for regions in ("a", [1], None):
+            self.assertIsInstance(parse(bound_to_regions(regions, ["a"])), Failure)
+            self.assertIsInstance(parse(bound_to_regions(["a"], regions)), Failure)
+
     def test_omitted_fields_have_defaults(self):
         route = {"name": "r1", "host": "orders", "service": "db", "kind": "primary"}
         document = {
--- a/tests/relay/test_regions.py
+++ b/tests/relay/test_regions.py
@@ -52,16 +52,16 @@
         neighbours, detours = Neighbours(name, clock, opener), Detours(name, clock, opener)
         self.log = RecordingLog(name, wall_clock=world.clock.time)
         self.gateway = Gateway(
-            Locality(zone, REGIONS),
+            Locality(zone, world.regions),
             self.driver,
             world.clock,
             self.log,
             Registry(),
-            Peers(neighbours, detours, PlannedHolders(name, REGIONS[zone], clock)),
+            Peers(neighbours, detours, PlannedHolders(name, world.group(zone), clock)),
         )
         self.demand_exchange = DemandExchange(
             name,
-            REGIONS[zone],
+            world.group(zone),
             clock,
             neighbours,
             detours,
@@ -82,23 +82,47 @@
 class Regions:
     """Two regions with two gateways each; the primary is in the second region."""
 
+    regions = REGIONS
+    zones = GATEWAYS
+    fleet_size = FLEET_SIZE
+
     def __init__(self):
         self.clock = ManualClock()
         self.network = RelayNetwork(Clock(self.clock), lambda: 5.0)
+        self.create_members()
+        self.make_gateways()
+        self.configure(1, {"key-of-a": "a", "key-of-b": "b"})
+        self.announce()
+        self.select_gateways()
+
+    def make_gateways(self):
+        self.gateways = {n: RegionGateway(self, n, zone) for n, zone in self.zones.items()}
+
+    def create_members(self):
         self.primary = FakeMember("m1", True, "b1")
         self.near = FakeMember("m2", False, "a1")
         self.members = [self.primary, self.near]
-        self.gateways = {n: RegionGateway(self, n, zone) for n, zone in GATEWAYS.items()}
-        self.configure(1, {"key-of-a": "a", "key-of-b": "b"})
+
+    def group(self, zone):
+        """Return the group of a zone's gateways."""
+        return self.regions[zone] if self.fleet_size.is_regional else zone
+
+    def address(self, name):
+        """Return the address at which a gateway accepts links."""
+        return name
+
+    def announce(self):
         records = [member.record() for member in self.members]
-        in_region = {
-            region: [Neighbour(n, n) for n, zone in GATEWAYS.items() if REGIONS[zone] == region]
-            for region in ("a", "b")
-        }
+        groups = {}
+        for name, zone in self.zones.items():
+            neighbour = Neighbour(name, self.address(name))
+            groups.setdefault(self.group(zone), []).append(neighbour)
         for name, one in self.gateways.items():
-            region = REGIONS[GATEWAYS[name]]
-            others = {r: listed for r, listed in in_region.items() if r != region}
-            one.gateway.set_directory(Directory(1, records, FLEET_SIZE, in_region[region], others))
+            own = self.group(self.zones[name])
+            others = {group: listed for group, listed in groups.items() if group != own}
+            one.gateway.set_directory(Directory(1, records, self.fleet_size, groups[own], others))
+
+    def select_gateways(self):
         self.holder = self.gateways[rank(SHARD_OF_A.key, ["gb1", "gb2"])[0]]
         self.sender = self.gateways[rank(SHARD_OF_A.key, ["ga1", "ga2"])[0]]
         self.clock.advance(0.5)
--- a/tests/support/relay_network.py
+++ b/tests/support/relay_network.py
@@ -41,6 +41,7 @@
         self.frozen: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.links: list[SimulatedLink] = []
+        self.sent: list[tuple[str, str, bytes]] = []  # owner, address and bytes of each message
 
     def opener(self, owner: str) -> "RelayOpener":
         """Return the link opener of one gateway."""
@@ -108,7 +109,9 @@
 
     def send(self, message: FromGateway) -> None:
         """Send a message to the holder."""
-        copy = _gateway_decoder.decode(_encoder.encode(message))
+        encoded = _encoder.encode(message)
+        self._network.sent.append((self._owner, self._address, encoded))
+        copy = _gateway_decoder.decode(encoded)
         self._deliver(lambda: self._to_holder(copy))
 
     def close(self) -> None:
