A primary moves while it runs, without losing an acknowledged commit

Cause: a leaving primary was replaced by a promotion at once, and what its replicas had not received was lost; primaries in evacuated zones, or outside the regions of their routes, stayed.

Change: the leader chooses a replica that receives the primary's commits, logs the intent, demotes the primary, waits until the replica has the last position, and orders its promotion. If no replica has it within a second, the former primary leads again, and the move is tried later. The intent names the former primary, so that a leader that takes over halfway asks it for its last position. After a demotion the member of the last intent is preferred among those that have everything: an order without an answer may be carried out late. Status queries of moves ask busy members again. A leaving primary is replaced as a lost one only if it hasn't answered statuses for a second. Failovers prefer, among equal logs, a member that may serve.

Tests: test_a_leaving_primary_is_replaced_at_once stated the behaviour that loses commits; it is replaced by two, of which one says that a leaving primary that answers is never replaced by a failover. The stand-in members deliver each commit after its delay, with the log as it was then (before, a delivery brought all later commits too, and one of a former primary overwrote the log after a promotion), know DEMOTE and their own terms. Two golden types have one appended field, which is not encoded unless it is set.

--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -141,6 +141,7 @@
     heartbeat_seconds: float = 0.12
     election_timeout_seconds: float = 0.6
     snapshot_entries: int = 200
+    regions: dict[str, str] = {}
 
     @property
     def rpc_listen(self) -> str:
@@ -204,6 +205,7 @@
     "`error`.",
     "CoordinatorSettings.metrics": "`PORT/PATH` for metrics, on the IP of `host`; empty for none.",
     "CoordinatorSettings.log_lines_per_second": "Rate limit of the decision log.",
+    "CoordinatorSettings.regions": "Region of each zone; a missing zone is a region of its own.",
     "CoordinatorSettings.name": "Name of the control node, as reported to the platform.",
     "CoordinatorSettings.zone": "Zone that the node is in.",
     "CoordinatorSettings.data_folder": "Folder for the node's durable state.",
--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -51,11 +51,17 @@
     """Record that the leader is about to promote a member.
 
     The entry's log index is the fencing token of the promotion: it increases across leaders.
+
+    Parameters
+    ----------
+    former : str or UnsetType
+        The primary that is about to be demoted for it; not encoded in a failover.
     """
 
     service: str
     instance: str
     reason: str
+    former: str | UnsetType = UNSET
 
 
 class SetPlan(msgspec.Struct, frozen=True, tag="plan"):
@@ -110,7 +116,14 @@
 
 
 class Promotion(msgspec.Struct, frozen=True):
-    """The last promotion of a service in the log, with its fencing token."""
+    """The last promotion of a service in the log, with its fencing token.
+
+    Parameters
+    ----------
+    former : str or UnsetType
+        The primary that was about to be demoted for it; not encoded in a failover.
+    """
 
     instance: str
     token: int
+    former: str | UnsetType = UNSET
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -118,3 +118,33 @@
     "the data folder is writable again, the node is active in term {term}",
     "It continues from what is durable, as after a restart.",
 )
+MOVE_BEGAN = define(
+    480,
+    Level.INFO,
+    "moving the primary of {service} from {former} to {instance} with token {token}: {reason}",
+    "The leader demotes a primary that still serves. Writes wait until the new one leads.",
+)
+MOVE_DEMOTED = define(
+    481,
+    Level.INFO,
+    "{former} of {service} no longer leads; {instance} must receive {position}",
+    "The position is the last one that may have been acknowledged.",
+)
+MOVE_CAUGHT_UP = define(
+    482,
+    Level.INFO,
+    "{instance} of {service} has received {position} of {former}, after {seconds} s",
+    "No acknowledged commit is lost: it is promoted now (RR0420).",
+)
+MOVE_RETURNED = define(
+    483,
+    Level.WARNING,
+    "the primary of {service} returns to {former}",
+    "No other member received all commits in time. The leader tries to move it again later.",
+)
+MOVE_WAITS = define(
+    484,
+    Level.WARNING,
+    "the primary of {service} must move ({cause}), but the move waits: {reason}",
+    "The leader retries shortly. Start a member that may succeed if there is none.",
+)
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -25,6 +25,8 @@
 NEW_LEADER_SECONDS = 1.0
 # After taking over, a leader waits this long for the reports that other nodes forward.
 NEW_LEADER_REPORTS_SECONDS = 0.6
+# A leaving primary serves for a few seconds; a single answer may be lost, or refused as busy.
+LEAVING_SILENCE_SECONDS = 1.0
 
 
 class MemberView(msgspec.Struct, frozen=True):
@@ -34,6 +36,8 @@
     :param leads: whether its last status says that it is primary; None without a status.
     :param term: the newest term that it knows, from that status.
     :param received: the last position of its log, from that status.
+    :param may_serve: whether it may run the statements that need the primary, by its zone.
+    :param is_warming: whether it, or its zone's use, began a short time ago.
     """
 
     record: MemberRecord
@@ -41,6 +45,8 @@
     leads: bool | None = None
     term: int = 0
     received: Position | None = None
+    may_serve: bool = True
+    is_warming: bool = False
 
 
 class ReportView(msgspec.Struct, frozen=True):
@@ -84,6 +90,8 @@
     :param acknowledging_replicas: number of replicas that must hold a commit before it is
         acknowledged.
     :param statuses_fresh: whether the members were just asked for their statuses.
+    :param unanswered_for: for how many seconds the primary has not answered the leader's status
+        queries; 0 if it answered the last one, or was not asked.
     """
 
     service: str
@@ -94,6 +102,7 @@
     vantage_points: int = 1
     acknowledging_replicas: int = 0
     statuses_fresh: bool = False
+    unanswered_for: float = 0.0
 
 
 class Action(enum.Enum):
@@ -114,14 +123,14 @@
 
 def decide(view: ServiceView) -> Decision:
     """Return whether to wait, to ask members for their statuses, or to promote a member."""
-    if view.attempt is not None and _is_promotion_pending(view, view.attempt):
+    if view.attempt is not None and is_promotion_pending(view, view.attempt):
         return Decision(Action.WAIT, "a promotion is under way")
     reason = _reason_to_replace(view)
     if not reason:
         return Decision(Action.WAIT, "the primary serves")
     if not view.statuses_fresh:
         return Decision(Action.ASK_STATUSES, reason)
-    if any(member.leads and not member.record.leaving for member in view.members):
+    if any(member.leads for member in view.members):
         return Decision(Action.WAIT, "a member says that it leads")
     if not _covers_acknowledged_commits(view):
         return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
@@ -131,7 +140,8 @@
     return Decision(Action.PROMOTE, reason, candidate)
 
 
-def _is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
+def is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
+    """Return whether an ordered promotion may still take effect."""
     if any(m.record.instance == attempt.instance and m.record.primary for m in view.members):
         return False
     if attempt.accepted is False:
@@ -147,8 +157,10 @@
         return ""
     if not primaries:
         return "no member leads" if view.holding_for > NEW_LEADER_SECONDS else ""
-    if all(member.record.leaving for member in primaries):
-        return "the primary is leaving"
+    if all(member.record.leaving for member in primaries) and (
+        view.unanswered_for >= LEAVING_SILENCE_SECONDS
+    ):
+        return "the primary is leaving and does not answer"
     if view.holding_for < NEW_LEADER_REPORTS_SECONDS:
         return ""
     if min(member.heartbeat_ago for member in primaries) < HEARTBEAT_SILENCE_SECONDS:
@@ -194,7 +206,8 @@
 def _best_candidate(view: ServiceView) -> str | None:
     """Return the member with the longest log among those in the newest reported term.
 
-    A member in an older term may hold commits that a later promotion discarded.
+    A member in an older term may hold commits that a later promotion discarded. Of logs of the same
+    length, one of a member that may serve is preferred.
     """
     answered = [member for member in view.members if member.received is not None]
     newest = max((member.term for member in answered), default=0)
@@ -205,5 +218,5 @@
     ]
     if not candidates:
         return None
-    best = max(candidates, key=lambda member: (member.received, member.record.instance))
+    best = max(candidates, key=lambda m: (m.received, m.may_serve, m.record.instance))
     return best.record.instance
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -1,4 +1,7 @@
-"""Automatic failover by the leader; the rules are in :mod:`rowanrail.coordination.failover`.
+"""Replacement of primaries by the leader.
+
+The rules of a failover are in :mod:`rowanrail.coordination.failover`, those of a planned move in
+:mod:`rowanrail.coordination.moves`.
 
 Only an established leader replaces primaries. It samples each primary itself, in addition to the
 gateways' reports, and asks members for their statuses when a primary seems lost. It logs its
@@ -7,8 +10,11 @@
 
 import asyncio
 import enum
+import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+
+import msgspec
 
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.commands import IntendPromotion, Promotion
@@ -20,9 +26,12 @@
     MemberView,
     ServiceView,
     decide,
+    is_promotion_pending,
     report_view,
 )
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
+from rowanrail.coordination.moves import Demotion, Placement, decide_after_demotion
+from rowanrail.coordination.primary_mover import PrimaryMover
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
 from rowanrail.kernel.decisions import DecisionLog
@@ -82,6 +91,8 @@
         Rule by which a sample proves that a member leads.
     acknowledging_replicas : callable
         Returns how many replicas of a service must hold a commit before it is acknowledged.
+    placement : callable
+        Returns where primaries may be.
     """
 
     def __init__(
@@ -94,6 +105,7 @@
         decisions: DecisionLog,
         verifier: LeadershipVerifier,
         acknowledging_replicas: Callable[[str], int] = lambda service: 0,
+        placement: Callable[[], Placement] = Placement,
     ) -> None:
         self._node = node
         self._service = service
@@ -103,6 +115,18 @@
         self._decisions = decisions
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
+        self._placement = placement
+        self.mover = PrimaryMover(
+            service,
+            self._queries,
+            decisions,
+            self._members,
+            self._view,
+            self._order,
+            lambda: node.raft.is_established_leader,
+            placement,
+            self._now,
+        )
         self._trackers: dict[str, PrimaryTracker] = {}
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
@@ -152,6 +176,7 @@
         self._leading_since = None
         self._known_revision = -1
         self._attempts.clear()
+        self.mover.reset()
         for tracker in self._trackers.values():
             tracker.close()
         self._trackers.clear()
@@ -185,17 +210,40 @@
     def _check_service(self, service: str) -> None:
         if service in self._in_progress:
             return
-        if self._is_healthy(service):
+        demotion = self.mover.demotion(service)
+        if demotion is None and self._is_healthy(service):
             self._waiting_reasons.pop(service, None)
+            self._move_if_due(service)
             return
-        decision = decide(self._view(service, {}))
-        if decision.action is Action.WAIT:
-            self._waiting_reasons.pop(service, None)
+        decision = self._decide(self._view(service, {}), demotion)
+        if decision.action is not Action.WAIT:
+            self._begin(service, self._replace_primary(service, decision, demotion))
             return
+        self._waiting_reasons.pop(service, None)
+        if demotion is None:
+            self._move_if_due(service)
+
+    @staticmethod
+    def _decide(view: ServiceView, demotion: Demotion | None) -> Decision:
+        return decide(view) if demotion is None else decide_after_demotion(view, demotion)
+
+    def _move_if_due(self, service: str) -> None:
+        reason = self.mover.due_reason(service)
+        attempt = self._attempt_view(service, self._now())
+        if reason and not (attempt and is_promotion_pending(self._view(service, {}), attempt)):
+            self._begin(service, self.mover.move(service, reason))
+
+    def _begin(self, service: str, work: Coroutine[None, None, None]) -> None:
+        """Run a move or a failover; there is one of them for each service at a time."""
         self._in_progress.add(service)
-        task = asyncio.ensure_future(self._replace_primary(service, decision))
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+
+        def end(done: asyncio.Task[None]) -> None:
+            self._in_progress.discard(service)
+            self._tasks.discard(done)
+
+        task.add_done_callback(end)
 
     def _is_healthy(self, service: str) -> bool:
         """Return whether there is no sign of a lost primary.
@@ -208,24 +256,29 @@
             return False
         return any(member.primary and not member.leaving for member in self._members(service))
 
-    async def _replace_primary(self, service: str, first: Decision) -> None:
+    async def _replace_primary(
+        self, service: str, first: Decision, demotion: Demotion | None
+    ) -> None:
         try:
-            decision = await self._decide_with_statuses(service)
+            decision = await self._decide_with_statuses(service, demotion)
             if decision.action is Action.PROMOTE:
-                await self._promote(service, decision)
+                await self._promote(service, decision, demotion)
             else:
                 self._log_waiting(service, first.reason, decision.reason)
         except RowanrailError as error:
             self._log_waiting(service, first.reason, str(error))
-        finally:
-            self._in_progress.discard(service)
 
-    async def _decide_with_statuses(self, service: str) -> Decision:
-        statuses = await self._queries.query(self._members(service), Command(CommandKind.STATUS))
-        must_pause = self._acknowledging_replicas(service) > 0
+    async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
+        members = self._members(service)
+        retries_busy = demotion is not None or any(m.primary and m.leaving for m in members)
+        statuses = await self._queries.query(members, Command(CommandKind.STATUS), retries_busy)
+        self.mover.note_statuses(service, statuses)
+        # A demoted primary that answers acknowledges nothing, and replicas must still receive.
+        is_demoted = demotion is not None and demotion.former in statuses
+        must_pause = self._acknowledging_replicas(service) > 0 and not is_demoted
         if must_pause:
             statuses = await self._pause_replicas(service, statuses)
-        decision = decide(self._view(service, statuses, statuses_fresh=True))
+        decision = self._decide(self._view(service, statuses, statuses_fresh=True), demotion)
         if must_pause and decision.action is not Action.PROMOTE:
             await self._queries.query(self._replicas(service), Command(CommandKind.RESUME))
         return decision
@@ -240,6 +293,7 @@
     ) -> ServiceView:
         now = self._now()
         liveness = self._service.liveness
+        placement = self._placement()
         members = []
         for record in self._members(service):
             status = statuses.get(record.instance)
@@ -250,6 +304,8 @@
                     status.leads if status else None,
                     status.term if status else 0,
                     status.received if status else None,
+                    placement.may_serve(record),
+                    placement.is_warming(record, time.time() * 1000),
                 )
             )
         health = primary_health_report(self._trackers[service], now)
@@ -264,6 +320,7 @@
             1 + liveness.gateway_count,
             self._acknowledging_replicas(service),
             statuses_fresh,
+            self.mover.unanswered_for(service),
         )
 
     def _attempt_view(self, service: str, now: float) -> AttemptView | None:
@@ -295,29 +352,36 @@
 
     # Acting
 
-    async def _promote(self, service: str, decision: Decision) -> None:
+    async def _promote(self, service: str, decision: Decision, demotion: Demotion | None) -> None:
         intent = IntendPromotion(service, decision.instance, decision.reason)
+        if demotion is not None:
+            intent = msgspec.structs.replace(intent, former=demotion.former)
+            if decision.instance == demotion.former:
+                self.mover.note_return(service, demotion.former)
         promotion = await self._service.propose(intent)
         assert isinstance(promotion, Promotion)
-        if not self._node.raft.is_established_leader:
-            return
-        attempt = _PromotionAttempt(decision.instance, self._now())
+        if self._node.raft.is_established_leader:
+            await self._order(service, promotion, decision.reason)
+
+    async def _order(self, service: str, promotion: Promotion, reason: str) -> None:
+        """Order a promotion that is in the log."""
+        attempt = _PromotionAttempt(promotion.instance, self._now())
         self._attempts[service] = attempt
         self._decisions.note(
             PROMOTION_DECIDED,
             service=service,
-            instance=decision.instance,
+            instance=promotion.instance,
             token=promotion.token,
             term=self._node.raft.term,
-            reason=decision.reason,
+            reason=reason,
         )
-        outcome = await self._promoter.promote(service, decision.instance, promotion.token)
+        outcome = await self._promoter.promote(service, promotion.instance, promotion.token)
         if outcome is not PromotionOutcome.UNKNOWN:
             attempt.accepted = outcome is PromotionOutcome.ACCEPTED
         self._decisions.note(
             PROMOTION_ANSWERED,
             service=service,
-            instance=decision.instance,
+            instance=promotion.instance,
             token=promotion.token,
             outcome=outcome.value,
             seconds=round(self._now() - attempt.started_at, 3),
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -1,6 +1,7 @@
 """Metrics of a control node, read when they are scraped."""
 
 from rowanrail.coordination.node import Coordinator
+from rowanrail.coordination.primary_mover import MOVE_OUTCOMES
 from rowanrail.kernel.metrics import GaugeSample
 
 
@@ -23,6 +24,10 @@
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
     readings += _plan_gauges(node)
+    mover = node.failover.mover
+    readings.append(("primaries_to_move", {}, len(mover.reasons)))
+    for outcome in MOVE_OUTCOMES:
+        readings.append(("primary_moves", {"outcome": outcome}, mover.counts[outcome]))
     for kind, counts in node.service.directory_counts.items():
         readings.append(("directory_answers", {"kind": kind}, counts.answers))
         readings.append(("directory_bytes", {"kind": kind}, counts.bytes))
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -19,6 +19,7 @@
 from rowanrail.consensus.storage import Identity, Storage
 from rowanrail.coordination.change_logger import ChangeLogger
 from rowanrail.coordination.failover_controller import FailoverController, Promoter
+from rowanrail.coordination.moves import Placement, required_regions
 from rowanrail.coordination.planner import PlanController
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
@@ -29,6 +30,7 @@
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.eligibility import Eligibility
 from rowanrail.model.routing import ConfigurationFormat, RoutingConfiguration, ServiceSpec
 from rowanrail.rpc.network import Listener, Network
 
@@ -64,6 +66,8 @@
         self._joining: asyncio.Task[None] | None = None
         self._parsed_version = 0
         self._configuration: RoutingConfiguration | None = None
+        self._placement_of = (-1, -1)
+        self._placement = Placement()
 
     async def start(self, driver: MemberDriver, reader: StatusReader, promoter: Promoter) -> None:
         """Open the data folder and start to serve.
@@ -122,6 +126,7 @@
             self._decisions,
             self._registry.create("gateway-guard", "leadership-proof"),
             self._acknowledging_replicas,
+            self._placement_of_primaries,
         )
         self.failover.start()
         is_planned = self._settings.holders is HolderSelection.PLANNED
@@ -135,6 +140,23 @@
         spec = self._spec(service)
         return spec.acknowledging_replicas if spec else 0
 
+    def _placement_of_primaries(self) -> Placement:
+        """Return where primaries may be, by the configuration and the evacuations."""
+        state = self.state
+        key = (state.version, state.evacuations.revision)
+        if key != self._placement_of:
+            self._placement_of = key
+            parsed = self._parsed_configuration()
+            names = parsed.services if parsed else {}
+            needed = {name: required_regions(parsed, name) for name in names} if parsed else {}
+            self._placement = Placement(
+                Eligibility(self._settings.regions, frozenset(state.evacuations.zones)),
+                {name: regions for name, regions in needed.items() if regions is not None},
+                {name: spec.warm_up_seconds for name, spec in names.items()},
+                state.evacuations.ended,
+            )
+        return self._placement
+
     def _connections(self, service: str) -> int:
         """Return how many connections a member of a service accepts, 0 if unknown."""
         spec = self._spec(service)
@@ -142,12 +164,17 @@
 
     def _spec(self, service: str) -> ServiceSpec | None:
         """Return a service's entry in the newest configuration, None if there is none."""
+        configuration = self._parsed_configuration()
+        return configuration.services.get(service) if configuration else None
+
+    def _parsed_configuration(self) -> RoutingConfiguration | None:
+        """Return the newest configuration, None before the first one."""
         if self._parsed_version != self.state.version:
             self._parsed_version = self.state.version
             parsed = self._format.parse(zlib.decompress(self.state.document))
             if isinstance(parsed, Success):
                 self._configuration = parsed.unwrap()
-        return self._configuration.services.get(service) if self._configuration else None
+        return self._configuration
 
     def _create_consensus(self, identity: Identity) -> ConsensusNode:
         settings = self._settings
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -139,7 +139,8 @@
         if isinstance(command, PutDocument):
             return self._put(command)
         if isinstance(command, IntendPromotion):
-            promotion = Promotion(command.instance, self._fence.token(entry.index))
+            token = self._fence.token(entry.index)
+            promotion = Promotion(command.instance, token, command.former)
             self.promotions[command.service] = promotion
             return promotion
         if isinstance(command, SetPlan):
--- a/src/rowanrail/model/statements.py
+++ b/src/rowanrail/model/statements.py
@@ -63,6 +63,7 @@
     STATUS = "status"
     PAUSE = "pause"
     RESUME = "resume"
+    DEMOTE = "demote"
 
 
 class Command(msgspec.Struct, gc=False):
--- a/tests/coordination/test_status_queries.py
+++ b/tests/coordination/test_status_queries.py
@@ -7,7 +7,7 @@
 from rowanrail.members.channel import ChannelTransport, MemberDriver
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.position import Position
-from rowanrail.model.statements import Answer, Command, CommandKind
+from rowanrail.model.statements import Answer, Command, CommandKind, Refusal
 
 
 class PlainReader(StatusReader):
@@ -65,3 +65,46 @@
     async def test_a_slow_replica_is_waited_for(self):
         answered, _ = await self.query(m1=None, m2=0.01, m3=0.2)
         self.assertEqual(answered, {"m2", "m3"})
+
+
+class BusyWire(ChannelTransport):
+    """Refuses the first two commands as busy."""
+
+    def __init__(self, channel):
+        self.channel, self.commands = channel, 0
+
+    def send(self, commands):
+        self.commands += 1
+        refusal = Refusal.BUSY if self.commands <= 2 else None
+        asyncio.get_running_loop().call_soon(self.channel.answered, Answer(refusal=refusal))
+
+    def close(self):
+        pass
+
+
+class BusyDriver(MemberDriver):
+    def open(self, address, service, instance, channel):
+        channel.opened(BusyWire(channel), None)
+
+
+class BusyMemberTest(unittest.IsolatedAsyncioTestCase):
+    """A member without a free slot refuses a status query; it isn't silent."""
+
+    def setUp(self):
+        self.queries = StatusQueries(BusyDriver(), PlainReader())
+
+    async def test_a_round_asks_again_if_told_to(self):
+        command = Command(CommandKind.STATUS)
+        self.assertEqual(await self.queries.query(members(), command), {})
+        self.assertEqual(len(await self.queries.query(members(), command, retries_busy=True)), 3)
+
+    async def test_a_line_asks_again_on_the_same_connection(self):
+        line = self.queries.connect(members()[0])
+        status = await line.ask(Command(CommandKind.DEMOTE, "2"))
+        self.assertEqual(status, StatusReply(False, 1, Position(1, 4)))
+        line.close()
+
+    async def test_a_line_that_can_not_be_opened_has_no_answer(self):
+        line = StatusQueries(PartlySilentDriver(m1=None), PlainReader()).connect(members()[0])
+        self.assertIsNone(await line.ask(Command(CommandKind.STATUS), timeout=0.05))
+        line.close()
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -169,6 +169,8 @@
             f"bootstrap: {'true' if bootstrap else 'false'}",
             f"metrics: {METRICS}",
         ]
+        if len(self.checkouts) == 1:  # earlier versions refuse the setting
+            lines.append(f"regions: {self.regions}")
         number = self.control_hosts.index(host)
         self._start("control", host, lines, self._checkout(host, number, len(self.control_zones)))
 
