--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -28,6 +28,8 @@
 # A silent member may return with a longer log than an incomplete one that answers. Longer than a
 # process takes to start again, and than most partitions last.
 GONE_FOR_GOOD_SECONDS = 20.0
+# A leaving primary serves for a few seconds; a single answer may be lost, or refused as busy.
+LEAVING_SILENCE_SECONDS = 1.0
 
 
 class MemberView(msgspec.Struct, frozen=True):
@@ -39,6 +41,8 @@
     :param received: the last position of its log, from that status.
     :param is_incomplete: whether its log ends before the position at which it joined, see
         :mod:`lost_logs`.
+    :param may_serve: whether it may run the statements that need the primary, by its zone.
+    :param is_warming: whether it, or its zone's use, began a short time ago.
     """
 
     record: MemberRecord
@@ -47,6 +51,8 @@
     term: int = 0
     received: Position | None = None
     is_incomplete: bool = False
+    may_serve: bool = True
+    is_warming: bool = False
 
 
 class ReportView(msgspec.Struct, frozen=True):
@@ -90,6 +96,8 @@
     :param acknowledging_replicas: number of replicas that must hold a commit before it is
         acknowledged.
     :param statuses_fresh: whether the members were just asked for their statuses.
+    :param unanswered_for: for how many seconds the primary has not answered the leader's status
+        queries; 0 if it answered the last one, or was not asked.
     """
 
     service: str
@@ -100,6 +108,7 @@
     vantage_points: int = 1
     acknowledging_replicas: int = 0
     statuses_fresh: bool = False
+    unanswered_for: float = 0.0
 
 
 class Action(enum.Enum):
@@ -120,17 +129,14 @@
 
 def decide(view: ServiceView) -> Decision:
     """Return whether to wait, to ask members for their statuses, or to promote a member."""
-    if view.attempt is not None and _is_promotion_pending(view, view.attempt):
+    if view.attempt is not None and is_promotion_pending(view, view.attempt):
         return Decision(Action.WAIT, "a promotion is under way")
     reason = _reason_to_replace(view)
     if not reason:
         return Decision(Action.WAIT, "the primary serves")
     if not view.statuses_fresh:
         return Decision(Action.ASK_STATUSES, reason)
-    if any(
-        member.leads and not member.record.leaving and not member.is_incomplete
-        for member in view.members
-    ):
+    if any(member.leads and not member.is_incomplete for member in view.members):
         return Decision(Action.WAIT, "a member says that it leads")
     if not _covers_acknowledged_commits(view):
         return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
@@ -144,7 +150,8 @@
     return Decision(Action.PROMOTE, reason, candidate.record.instance)
 
 
-def _is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
+def is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
+    """Return whether an ordered promotion may still take effect."""
     if any(m.record.instance == attempt.instance and m.record.primary for m in view.members):
         return False
     if attempt.accepted is False:
@@ -160,8 +167,10 @@
         return ""
     if not primaries:
         return "no member leads" if view.holding_for > NEW_LEADER_SECONDS else ""
-    if all(member.record.leaving for member in primaries):
-        return "the primary is leaving"
+    if all(member.record.leaving for member in primaries) and (
+        view.unanswered_for >= LEAVING_SILENCE_SECONDS
+    ):
+        return "the primary is leaving and does not answer"
     if view.holding_for < NEW_LEADER_REPORTS_SECONDS:
         return ""
     if min(member.heartbeat_ago for member in primaries) < HEARTBEAT_SILENCE_SECONDS:
@@ -216,7 +225,8 @@
 
     A member in an older term may hold commits that a later promotion discarded. A member whose log
     is incomplete is a candidate only if no other answers, as it may know of the newest term without
-    having received the log before it.
+    having received the log before it. Of logs of the same length, one of a member that may serve is
+    preferred.
     """
     answered = [member for member in view.members if member.received is not None]
     complete = [member for member in answered if not member.is_incomplete]
@@ -230,6 +240,4 @@
         for member in answered
         if member.term == newest and not member.record.leaving and not member.leads
     ]
-    return max(
-        candidates, key=lambda member: (member.received, member.record.instance), default=None
-    )
+    return max(candidates, key=lambda m: (m.received, m.may_serve, m.record.instance), default=None)
