--- a/tests/gateway/test_data_regions.py
+++ b/tests/gateway/test_data_regions.py
@@ -109,6 +109,7 @@
             self.assertIsNone(answer.refusal, answer)
         self.assertEqual(len(self.world.far.texts()), 8)
         self.assertFalse(self.world.received_outside("READ"))
+        self.assertFalse(self.world.near.transports, "a connection was opened in vain")
 
     def test_a_read_of_the_primarys_state_runs_inside_at_its_position(self):
         self.world.bind("r2")
