--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -30,6 +30,7 @@
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, busy_answer
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import AnswerCallback, Channel
+from rowanrail.members.eligibility import Exclusion
 from rowanrail.model.data_regions import intersect_regions
 from rowanrail.model.position import ORIGIN, Position
 from rowanrail.model.routing import Consistency, Route
@@ -235,15 +236,6 @@
 
     # Statements
 
-    def _exclusion_reason(self) -> str:
-        """Return why the member may not be sent the next statement, empty if it may."""
-        if self.pool is None:
-            return ""
-        exclusion = self.service.exclusion(self.pool.record, self.regions)
-        if exclusion is None:
-            return ""
-        return f"{self.pool.record.instance} is excluded: {exclusion.value}"
-
     def restrict(self, regions: frozenset[str]) -> None:
         """Restrict the further statements to regions, also where they are forwarded."""
         allowed = intersect_regions(self.route.regions, regions)
@@ -252,11 +244,7 @@
             self._forwarded.restrict(regions)
 
     def _run_statement(self) -> None:
-        reason = self._exclusion_reason()
-        if reason:
-            self.failed = True
-            self.end()
-            self.finish(Answer(refusal=Refusal.ABORTED, message=reason))
+        if self._abort_if_excluded():
             return
         if self.statement.kind is StatementKind.COMMIT:
             commands = [
@@ -273,6 +261,19 @@
             self.limit_answer_time()
         self.send(commands, self._on_statement_answer)
 
+    def _abort_if_excluded(self) -> bool:
+        """Abort the transaction if its member may not be sent the statement; return whether."""
+        assert self.pool is not None
+        record = self.pool.record
+        exclusion = self.service.exclusion(record, self.regions)
+        if exclusion is None or exclusion is Exclusion.WARMING_UP:
+            return False  # a member that warms up gets the statement later
+        self.failed = True
+        self.end()
+        message = f"{record.instance} is excluded: {exclusion.value}"
+        self.finish(Answer(refusal=Refusal.ABORTED, message=message))
+        return True
+
     def _on_statement_answer(self, answer: Answer) -> None:
         self.stop_attempt_timer()
         self.note_answer(answer)
