Late announcements that tell a start first; failover with members that start again, in simulated time

Cause: a start that is recorded for the first time has no memory of heartbeats, so that a late announcement could undo a logged change. A node parsed the configuration for each announcement's service, and a damaged document would have failed announcements.

Change: the heartbeats heard without a start count for the same life. The configuration is read only for new members and those that change their service or address.

Fails before: tests.coordination.test_lives.MembersWithoutStartTest. test_a_late_announcement_that_tells_the_start_first_changes_nothing; of the three new tests of tests.coordination.test_failover_controller two fail if no log counts as incomplete.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -79,23 +79,29 @@
         record = recordable(record, self._state.feature_level)
         if self._check(record) is not None:
             return  # the node that got it may not have known the newest state
-        start = record.started_ms
-        is_late = not record.leaving and self._liveness.is_late(
-            record.instance, record.sequence, start
-        )
-        if self._state.order_of(record) is LifeOrder.UNPROVEN:
+        order = self._state.order_of(record)
+        if order is LifeOrder.UNPROVEN:
             await self._handle_unproven(record)
             return
-        self._liveness.record_heartbeat(record.instance, record.sequence, start)
+        is_late = not record.leaving and self._is_late(record, order)
+        self._liveness.record_heartbeat(record.instance, record.sequence, record.started_ms)
         if self._state.needs_announcement(record):
             if not is_late:
-                is_later = self._state.order_of(record) is LifeOrder.LATER
                 await self._propose(Announce(record))
-                if is_later:
+                if order is LifeOrder.LATER:
                     self._log_start(record)
         elif record.instance in self._state.displaced:
             await self._handle_displaced(record, is_late)
 
+    def _is_late(self, record: MemberRecord, order: LifeOrder) -> bool:
+        """Return whether a later announcement of the same life was heard."""
+        starts = {record.started_ms}
+        known = self._state.members.get(record.instance)
+        if order is LifeOrder.SAME and known is not None:
+            starts.add(known.started_ms)  # 0 until its start is recorded
+        instance, sequence = record.instance, record.sequence
+        return any(self._liveness.is_late(instance, sequence, start) for start in starts)
+
     async def handle_removal(self, instance: str, start: int = 0) -> None:
         """Handle a member's announcement that it has ended.
 
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -157,7 +157,11 @@
     def _newest_configuration(self) -> RoutingConfiguration | None:
         if self._parsed_version != self.state.version:
             self._parsed_version = self.state.version
-            parsed = self._format.parse(zlib.decompress(self.state.document))
+            try:
+                document = zlib.decompress(self.state.document)
+            except zlib.error:
+                return self._configuration  # announcements must not fail by a damaged document
+            parsed = self._format.parse(document)
             if isinstance(parsed, Success):
                 self._configuration = parsed.unwrap()
         return self._configuration
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -253,16 +253,23 @@
         return problem
 
     def _rejection_of(self, record: MemberRecord) -> AnnouncementRejectedError | None:
-        state, services = self.state, self.configured_services()
-        instance = record.instance
+        state, instance = self.state, record.instance
         if state.order_of(record) is LifeOrder.FOREIGN:
             message = f"the member {instance} tells its start"
             return AnnouncementRejectedError(RejectionReason.NO_START, message)
+        member = state.members.get(instance)
+        if member is not None and (member.service, member.address) == (
+            record.service,
+            record.address,
+        ):
+            return None
+        services = self.configured_services()
         problem = None
         if services is not None and record.service not in services:
-            known = state.members.get(instance) or state.displaced.get(instance)
-            problem = check_unconfigured(record, [known, state.member_at_address(record)], services)
-        if problem is None and instance not in state.members:
+            known = member or state.displaced.get(instance)
+            others = [known, state.member_at_address(record)]
+            problem = check_unconfigured(record, others, services)
+        if problem is None and member is None:
             problem = check_new_member(record, state.members.values(), services)
         return problem
 
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -8,7 +8,10 @@
 import msgspec
 
 from rowanlab.simulator.world import World
+from rowanrail.coordination.commands import RaiseFeatureLevel
+from rowanrail.coordination.failover import GONE_FOR_GOOD_SECONDS
 from rowanrail.coordination.failover_controller import Promoter, PromotionOutcome
+from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -30,10 +33,18 @@
     leads: bool
     silent: bool = False
     sequence: int = 0
+    position: Position = Position(1, 9)
+    start_ms: int = 1000
 
     def record(self):
         address = f"{self.instance}:1"
-        return MemberRecord(self.instance, "db", address, "z1", self.leads, False, 4, self.sequence)
+        fields = self.instance, "db", address, "z1", self.leads, False, 4, self.sequence
+        return MemberRecord(*fields, start_ms=self.start_ms)
+
+    def start_again(self):
+        """Lose the log, and announce a later start with the first sequence."""
+        self.sequence, self.position = 0, Position(1, 0)
+        self.start_ms += 1000
 
 
 class FakeWire(ChannelTransport):
@@ -48,7 +59,7 @@
                 answer = Answer(
                     rows=rows if command.kind is CommandKind.STATUS else [],
                     refusal=Refusal.NOT_PRIMARY if refused else None,
-                    position=Position(1, 9),
+                    position=self.member.position,
                 )
                 asyncio.get_running_loop().call_soon(self.channel.answered, answer)
 
@@ -67,12 +78,12 @@
     def open(self, address, service, instance, channel):
         member = next(member for member in self.members if member.instance == instance)
         if not member.silent:
-            channel.opened(FakeWire(member, channel), Position(1, 9))
+            channel.opened(FakeWire(member, channel), member.position)
 
     def read(self, answer):
         if answer.refusal is not None or not answer.rows:
             return None
-        return StatusReply(answer.rows[0] == b"leads", 1, Position(1, 9))
+        return StatusReply(answer.rows[0] == b"leads", 1, answer.position)
 
     def promote_member(self, node, token, instance):
         self.orders.append((node, token, instance))
@@ -134,6 +145,12 @@
         except RowanrailError:
             pass  # repeated by the next heartbeat
 
+    async def raise_feature_level(self):
+        leader = next(c for c in self.controls.nodes if c.node.consensus.raft.is_leader)
+        call = leader.node.service.propose(RaiseFeatureLevel(LIVES_LEVEL))
+        await self.controls.world.run_in(self.controls.world.process(leader.name), call)
+        await asyncio.sleep(2.0)
+
     async def wait_until(self, condition):
         async with asyncio.timeout(FAILOVER_TIMEOUT_SECONDS):
             while not condition():
@@ -179,6 +196,44 @@
 
         self.run_scenario(scenario, [PromotionOutcome.UNKNOWN])
 
+    def test_a_member_that_started_again_waits_for_one_that_received_more(self):
+        async def scenario():
+            primary, empty, other = self.platform.members
+            await self.raise_feature_level()
+            empty.start_again()
+            await asyncio.sleep(2.0)
+            primary.silent = other.silent = True
+            await asyncio.sleep(6.0)
+            self.assertEqual(self.platform.orders, [])
+            other.silent = False
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertEqual(self.platform.orders[0][2], other.instance)
+
+        self.run_scenario(scenario)
+
+    def test_a_member_that_started_again_is_promoted_once_the_others_are_gone_for_good(self):
+        async def scenario():
+            primary, empty, other = self.platform.members
+            await self.raise_feature_level()
+            empty.start_again()
+            await asyncio.sleep(2.0)
+            primary.silent = other.silent = True
+            await asyncio.sleep(GONE_FOR_GOOD_SECONDS)
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertEqual(self.platform.orders[0][2], empty.instance)
+
+        self.run_scenario(scenario)
+
+    def test_a_primary_that_started_again_without_its_log_is_replaced(self):
+        async def scenario():
+            primary = self.primary()
+            await self.raise_feature_level()
+            primary.start_again()
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertNotEqual(self.primary(), primary)
+
+        self.run_scenario(scenario)
+
     def test_nobody_is_promoted_while_no_member_answers(self):
         async def scenario():
             for member in self.platform.members:
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -290,6 +290,15 @@
         self.assertEqual(self.start_of(), FIRST)
         self.assertEqual(self.state.earlier_starts, {})
 
+    async def test_a_late_announcement_that_tells_the_start_first_changes_nothing(self):
+        await self.announce(50, primary=True)
+        await self.service.handle(HeartbeatNotice("m1", 58))  # not logged
+        await self.announce(1, FIRST, "m2", primary=True, address="10.0.0.2:1")
+        await self.announce(55, FIRST, primary=True)
+        self.assertEqual((self.state.members["m1"].primary, self.start_of()), (False, 0))
+        await self.announce(59, FIRST)
+        self.assertEqual(self.start_of(), FIRST)
+
     async def test_a_life_with_a_start_after_one_without_has_to_be_heard_for_a_while(self):
         await self.announce(50)
         await self.announce(60, leaving=True)
