A proof of a life starts anew with the known life's heartbeats; an ended life is never proven

Cause: found by a test with random crashes, late and lost messages. One late heartbeat of the known life kept a running one with a lower start from ever being proven. A life whose end was acknowledged could be proven by late heartbeats once a later life was silent, and its late removal end that one.

Change: announcements before the known life was heard don't count. The life that ended last stays remembered while a later one runs.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -131,8 +131,7 @@
             if instance in self._state.members and not is_earlier:
                 await self._remove(instance, start)
             return
-        announcements, seconds = self._claims.note(record)
-        if is_replacement_proven(announcements, seconds, self._known_silent(instance)):
+        if is_replacement_proven(*self._claims.note(record, self._known_silent(instance))):
             self._claims.forget(instance)
             self._liveness.record_heartbeat(instance, record.sequence, start)
             await self._propose(ReplaceLife(record))
--- a/src/rowanrail/coordination/lives.py
+++ b/src/rowanrail/coordination/lives.py
@@ -32,6 +32,7 @@
 RETURN_SECONDS = 0.8  # longer than delayed announcements take that arrive together
 REPLACEMENT_ANNOUNCEMENTS = 3
 REPLACEMENT_SECONDS = 2.0  # less than two heartbeat intervals, more than one
+_NEVER = float("inf")
 
 
 class LifeOrder(enum.Enum):
@@ -104,27 +105,22 @@
     return announcements >= RETURN_ANNOUNCEMENTS and seconds >= RETURN_SECONDS
 
 
-def is_replacement_proven(announcements: int, seconds: float, known_silent: float) -> bool:
+def is_replacement_proven(announcements: int, seconds: float) -> bool:
     """Return whether a life with a lower start runs in place of the known one.
 
     Parameters
     ----------
     announcements : int
-        Number of its announcements, with rising sequences.
+        Number of its announcements, with rising sequences, since the known life was heard.
     seconds : float
         Time from the first to the last.
-    known_silent : float
-        Seconds since the known life was heard.
 
     Examples
     --------
-    >>> is_replacement_proven(3, 2.4, 5.0), is_replacement_proven(3, 2.4, 0.7)
-    (True, False)
-    >>> is_replacement_proven(2, 2.4, 5.0), is_replacement_proven(9, 0.3, 5.0)
-    (False, False)
+    >>> is_replacement_proven(3, 2.4), is_replacement_proven(2, 2.4), is_replacement_proven(9, 0.3)
+    (True, False, False)
     """
-    is_running = announcements >= REPLACEMENT_ANNOUNCEMENTS and seconds >= REPLACEMENT_SECONDS
-    return is_running and known_silent > seconds
+    return announcements >= REPLACEMENT_ANNOUNCEMENTS and seconds >= REPLACEMENT_SECONDS
 
 
 class LifeClaims:
@@ -144,9 +140,15 @@
         """Return the number of lives with a claim."""
         return len(self._claims)
 
-    def note(self, record: MemberRecord) -> tuple[int, float]:
+    def note(self, record: MemberRecord, known_silent: float = _NEVER) -> tuple[int, float]:
         """Add an announcement, unless a later one was added.
 
+        Parameters
+        ----------
+        known_silent : float
+            Seconds since the known life, in place of which this one would run, was heard.
+            Announcements before that don't count.
+
         Returns
         -------
         tuple of int and float
@@ -155,7 +157,11 @@
         """
         now, key = self._now(), (record.instance, record.started_ms)
         claim = self._claims.pop(key, None)
-        if claim is None or now - claim.heard_at > CLAIM_EXPIRY_SECONDS:
+        if (
+            claim is None
+            or now - claim.heard_at > CLAIM_EXPIRY_SECONDS
+            or now - claim.since >= known_silent
+        ):
             claim = _Claim(now, now, record.sequence)
         elif record.sequence > claim.sequence:
             claim.heard_at, claim.sequence = now, record.sequence
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -246,7 +246,7 @@
         if known is None:
             self._remember_removed(instance, max(start, self.removed.get(instance, 0)))
             return False
-        if self.is_earlier_start(instance, start):
+        if self.is_earlier_start(instance, start) or self._is_other_ended(known, start):
             return False
         if self._is_end_doubtful(known, start):
             self._remember_displaced(known)
@@ -255,6 +255,10 @@
         self._remember_removed(instance, start or known.started_ms)
         return self._drop_member(instance)
 
+    def _is_other_ended(self, known: MemberRecord, start: int) -> bool:
+        is_ended = start > 0 and start == self.removed.get(known.instance)
+        return is_ended and start != known.started_ms and known.instance in self.members
+
     def _is_end_doubtful(self, known: MemberRecord, start: int) -> bool:
         if not known.started_ms or known.leaving:
             return False
@@ -279,11 +283,15 @@
         """Remember the start of the life that a record replaces."""
         instance = record.instance
         known = self.members.get(instance) or self.displaced.pop(instance, None)
-        ended = self.removed.pop(instance, None)
+        ended = self.removed.get(instance)
         if known is not None and not is_same_life(known, record):
             self._remember_earlier(instance, known.started_ms)
+            if known.leaving and known.started_ms:
+                self._remember_removed(instance, known.started_ms)
         elif known is None and ended is not None:
             self._remember_earlier(instance, ended)
+        if self.removed.get(instance) in (0, record.started_ms):
+            del self.removed[instance]
 
     def _remember_earlier(self, instance: str, start: int) -> None:
         self.earlier_starts.pop(instance, None)
@@ -336,7 +344,9 @@
         A displaced member may be readmitted.
         """
         ended = self.removed.get(instance)
-        return ended is not None and instance not in self.displaced and start <= ended
+        if ended is None or instance in self.displaced or instance in self.members:
+            return False
+        return start <= ended
 
     def may_readmit(self, record: MemberRecord) -> bool:
         """Return whether a record is a later announcement of a displaced member.
