--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from rowanlab.simulator.world import World
-from rowanrail.coordination.commands import SetEvacuation
+from rowanrail.coordination.commands import RaiseFeatureLevel, SetEvacuation
+from rowanrail.coordination.failover import GONE_FOR_GOOD_SECONDS
 from rowanrail.coordination.failover_controller import Promoter, PromotionOutcome
+from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -41,15 +43,20 @@
     zone: str = "z1"
     term: int = 1
     received: Position = Position(1, 9)
+    start_ms: int = 1000
     deaf: set = field(default_factory=set)
     mute: set = field(default_factory=set)
     on_demotion: Callable = lambda: None
 
     def record(self):
         address = f"{self.instance}:1"
-        return MemberRecord(
-            self.instance, "db", address, self.zone, self.leads, self.leaving, 4, self.sequence
-        )
+        fields = self.zone, self.leads, self.leaving, 4, self.sequence
+        return MemberRecord(self.instance, "db", address, *fields, start_ms=self.start_ms)
+
+    def start_again(self):
+        """Lose the log, and announce a later start with the first sequence."""
+        self.sequence, self.received = 0, Position(1, 0)
+        self.start_ms += 1000
 
     def demote(self, term):
         if self.leads and term > self.term:
@@ -96,7 +103,7 @@
     def open(self, address, service, instance, channel):
         member = next(member for member in self.members if member.instance == instance)
         if not member.silent:
-            channel.opened(FakeWire(member, channel), Position(1, 9))
+            channel.opened(FakeWire(member, channel), member.received)
 
     def read(self, answer):
         if answer.refusal is not None or not answer.rows:
@@ -174,6 +181,12 @@
         except RowanrailError:
             pass  # repeated by the next heartbeat
 
+    async def raise_feature_level(self):
+        leader = next(c for c in self.controls.nodes if c.node.consensus.raft.is_leader)
+        call = leader.node.service.propose(RaiseFeatureLevel(LIVES_LEVEL))
+        await self.controls.world.run_in(self.controls.world.process(leader.name), call)
+        await asyncio.sleep(2.0)
+
     async def wait_until(self, condition):
         async with asyncio.timeout(FAILOVER_TIMEOUT_SECONDS):
             while not condition():
@@ -223,6 +236,44 @@
 
         self.run_scenario(scenario, [PromotionOutcome.UNKNOWN])
 
+    def test_a_member_that_started_again_waits_for_one_that_received_more(self):
+        async def scenario():
+            primary, empty, other = self.platform.members
+            await self.raise_feature_level()
+            empty.start_again()
+            await asyncio.sleep(2.0)
+            primary.silent = other.silent = True
+            await asyncio.sleep(6.0)
+            self.assertEqual(self.platform.orders, [])
+            other.silent = False
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertEqual(self.platform.orders[0][2], other.instance)
+
+        self.run_scenario(scenario)
+
+    def test_a_member_that_started_again_is_promoted_once_the_others_are_gone_for_good(self):
+        async def scenario():
+            primary, empty, other = self.platform.members
+            await self.raise_feature_level()
+            empty.start_again()
+            await asyncio.sleep(2.0)
+            primary.silent = other.silent = True
+            await asyncio.sleep(GONE_FOR_GOOD_SECONDS)
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertEqual(self.platform.orders[0][2], empty.instance)
+
+        self.run_scenario(scenario)
+
+    def test_a_primary_that_started_again_without_its_log_is_replaced(self):
+        async def scenario():
+            primary = self.primary()
+            await self.raise_feature_level()
+            primary.start_again()
+            await self.wait_until(lambda: bool(self.platform.orders))
+            self.assertNotEqual(self.primary(), primary)
+
+        self.run_scenario(scenario)
+
     def test_nobody_is_promoted_while_no_member_answers(self):
         async def scenario():
             for member in self.platform.members:
