The leader raises the feature level once every control node knows it

Cause: the commands for evacuations and for starts of members may be logged only above a feature level, and nothing raised it. Old control nodes can't decode these commands.

Change: while the log's level is below its own, the leader asks all control nodes of the membership, voters and learners, once a second, and proposes the level that all have answered. A node that does not answer, or whose version doesn't know the question, holds the raise back; so does a node that joined while the others were asked.

Tests: tests.coordination.test_feature_level; before, a new system stayed at level 0 for ever.

--- a/src/rowanrail/coordination/change_logger.py
+++ b/src/rowanrail/coordination/change_logger.py
@@ -9,6 +9,7 @@
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.events import (
     DIRECTORY_COMMITTED,
+    FEATURE_LEVEL_RAISED,
     LEADER_KNOWN,
     LEADER_LOST,
     MEMBERSHIP_CHANGED,
@@ -53,6 +54,7 @@
         self._version = 0
         self._revision = 0
         self._membership_index = 0
+        self._feature_level = 0
 
     def log_changes(self) -> None:
         """Log all changes since the last call."""
@@ -61,6 +63,7 @@
         self._log_version()
         self._log_directory()
         self._log_membership()
+        self._log_feature_level()
 
     def _log_storage(self) -> None:
         failure = self._consensus.failure
@@ -126,3 +129,9 @@
             voters=sorted(raft.membership.voters),
             learners=sorted(raft.membership.learners),
         )
+
+    def _log_feature_level(self) -> None:
+        level = self._state.feature_level
+        if level != self._feature_level:
+            self._feature_level = level
+            self._decisions.note(FEATURE_LEVEL_RAISED, level=level)
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -79,6 +79,20 @@
     "{service} needs a primary ({cause}), but failover waits: {reason}",
     "The leader retries shortly.",
 )
+FEATURE_LEVEL_RAISED = define(
+    475,
+    Level.INFO,
+    "feature level {level} is committed",
+    "Every control node knows the commands of this level. Control nodes of earlier versions must "
+    "not join from now on.",
+)
+FEATURE_LEVEL_HELD_BACK = define(
+    476,
+    Level.WARNING,
+    "feature level {newest} waits for {nodes}",
+    "These control nodes don't answer, or are of an earlier version. Evacuations are refused "
+    "meanwhile, and starts of members are not recorded. Upgrade or remove the nodes.",
+)
 HOLDERS_CHANGED = define(
     445,
     Level.INFO,
--- a/src/rowanrail/coordination/feature_level.py
+++ b/src/rowanrail/coordination/feature_level.py
@@ -5,8 +5,30 @@
 then features above the level are refused or have no effect. The level never falls.
 """
 
-__all__ = ["EVACUATION_LEVEL", "LIVES_LEVEL", "NEWEST_LEVEL"]
+from collections.abc import Collection, Mapping
+
+__all__ = ["EVACUATION_LEVEL", "LIVES_LEVEL", "NEWEST_LEVEL", "level_known_to_all"]
 
 LIVES_LEVEL = 1  # members that return under their instance id, with a start time
 EVACUATION_LEVEL = 1  # evacuation of zones
 NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL)  # known to this version
+
+
+def level_known_to_all(nodes: Collection[str], answers: Mapping[str, int]) -> int:
+    """Return the highest level that all control nodes know.
+
+    Parameters
+    ----------
+    nodes : collection of str
+        All control nodes, also learners.
+    answers : mapping of str to int
+        The level that each node answered; a missing node may be of an earlier version.
+
+    Examples
+    --------
+    >>> level_known_to_all({"n1", "n2"}, {"n1": 1, "n2": 2, "n3": 0})
+    1
+    >>> level_known_to_all({"n1", "n2"}, {"n1": 1})
+    0
+    """
+    return min((answers.get(node, 0) for node in nodes), default=0)
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -20,6 +20,7 @@
         ("members_leaving", {}, sum(member.leaving for member in state.members.values())),
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
+        ("feature_level", {}, state.feature_level),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
     readings += _plan_gauges(node)
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -19,6 +19,7 @@
 from rowanrail.consensus.storage import Identity, Storage
 from rowanrail.coordination.change_logger import ChangeLogger
 from rowanrail.coordination.failover_controller import FailoverController, Promoter
+from rowanrail.coordination.feature_controller import FeatureLevelController
 from rowanrail.coordination.planner import PlanController
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
@@ -112,7 +113,7 @@
     def _start_controllers(
         self, driver: MemberDriver, reader: StatusReader, promoter: Promoter
     ) -> None:
-        """Start failover and the planning of holders, which act while this node leads."""
+        """Start failover, planning of holders and raising of features, which the leader does."""
         self.failover = FailoverController(
             self.consensus,
             self.service,
@@ -129,6 +130,10 @@
             self.consensus, self.service, self._decisions, is_planned, self._connections
         )
         self.planning.start()
+        self.features = FeatureLevelController(
+            self.consensus, self.service, self._network, self._decisions
+        )
+        self.features.start()
 
     def _acknowledging_replicas(self, service: str) -> int:
         """Return how many replicas must hold a commit before it is acknowledged."""
@@ -205,6 +210,7 @@
             self._joining.cancel()
         self.failover.stop()
         self.planning.stop()
+        self.features.stop()
         if self._listener is not None:
             await self._listener.close()
         await self.service.membership.stop()
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -18,6 +18,7 @@
 from rowanrail.coordination.announcements import AnnouncementHandler
 from rowanrail.coordination.commands import Command, PutDocument
 from rowanrail.coordination.directory_updates import UpdateCounts
+from rowanrail.coordination.feature_level import NEWEST_LEVEL
 from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.gateway_loads import GatewayLoads
 from rowanrail.coordination.liveness import Liveness
@@ -26,6 +27,8 @@
     DocumentReply,
     DocumentRequest,
     Done,
+    FeatureLevelReply,
+    FeatureLevelRequest,
     HeartbeatNotice,
     PutOutcome,
     PutReply,
@@ -73,6 +76,7 @@
             RemoveRequest: self._remove,
             BarrierRequest: self._barrier,
             JoinRequest: self._join,
+            FeatureLevelRequest: self._report_feature_level,
             LoggedDirectoryRequest: self._watches.answer_logged_directory,
         }
 
@@ -195,6 +199,10 @@
         assert isinstance(request, JoinRequest)
         return await self.membership.join(request)
 
+    @staticmethod
+    async def _report_feature_level(request: msgspec.Struct) -> msgspec.Struct:
+        return FeatureLevelReply(NEWEST_LEVEL)
+
     # Calls of the external API, at any node
 
     async def put(self, version: int, document: bytes) -> PutReply:
