Operators evacuate zones: POST and DELETE /evacuate/ZONE

Cause: the command and its state were there, but no call of the operator led to them.

Change: any control node accepts the order, has the leader log it, and answers 200 after the commit. A repeated order is logged again, because only its commit tells what is in force; it changes nothing. Below the feature level and without a majority the answer is 503 within 0.9 s, for a zone that neither the settings nor a member names 422. The settings of control nodes get the zones with their regions, those of gateways the time that is allowed; both have defaults. RR0477 to RR0479 and the gauge evacuated_zones.

Tests: tests.coordination.test_evacuations and tests.platform.test_evacuation_api; before, the calls were answered with 404. The digests of deploy/control.json and deploy/proxy.json in tests/forms are replaced: the templates pass "regions" and "evacuation_ms".

--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -110,6 +110,7 @@
     metrics: str = ""
     log_lines_per_second: int = 400
     log_level: Level = Level.INFO
+    evacuation_ms: float = 5000.0
 
     @property
     def sharing_group(self) -> str:
@@ -141,6 +142,7 @@
     heartbeat_seconds: float = 0.12
     election_timeout_seconds: float = 0.6
     snapshot_entries: int = 200
+    regions: dict[str, str] = {}
 
     @property
     def rpc_listen(self) -> str:
@@ -196,6 +198,8 @@
     "GatewaySettings.holders": "Selection of the gateways that hold a service's connections: "
     "`hashed`, or `planned` by the control nodes according to demand. Gateways set to `hashed` "
     "ignore plans, so set the same value on all gateways and control nodes.",
+    "GatewaySettings.evacuation_ms": "Milliseconds after the acknowledgement of a zone's "
+    "evacuation until nothing more may be sent to its members.",
     "GatewaySettings.metrics": "`PORT/PATH` for metrics, on the IP of `listen`; empty for none.",
     "GatewaySettings.log_lines_per_second": "Rate limit of the decision log; successes may use a "
     "tenth of it.",
@@ -220,6 +224,8 @@
     "promotions; empty for none.",
     "CoordinatorSettings.holders": "Selection of the gateways that hold a service's connections: "
     "`planned` according to demand, or `hashed`, which ends a plan that is in force.",
+    "CoordinatorSettings.regions": "Region of each zone. Evacuations of zones that are neither "
+    "named here nor by a member are rejected; if empty, those of any zone are accepted.",
     "CoordinatorSettings.heartbeat_seconds": "Interval of the leader's heartbeats.",
     "CoordinatorSettings.election_timeout_seconds": "Time without a heartbeat after which an "
     "election starts.",
--- a/src/rowanrail/coordination/change_logger.py
+++ b/src/rowanrail/coordination/change_logger.py
@@ -1,4 +1,4 @@
-"""Logs changes of a control node: leader, configuration, directory, voters, storage.
+"""Logs changes of a control node: leader, configuration, directory, voters, storage, evacuations.
 
 Keeps what it logged last, so that each change is logged once. Relies on the consensus node and the
 state for the present values.
@@ -9,6 +9,7 @@
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.events import (
     DIRECTORY_COMMITTED,
+    EVACUATIONS_COMMITTED,
     FEATURE_LEVEL_RAISED,
     LEADER_KNOWN,
     LEADER_LOST,
@@ -55,6 +56,7 @@
         self._revision = 0
         self._membership_index = 0
         self._feature_level = 0
+        self._evacuations = 0
 
     def log_changes(self) -> None:
         """Log all changes since the last call."""
@@ -64,6 +66,7 @@
         self._log_directory()
         self._log_membership()
         self._log_feature_level()
+        self._log_evacuations()
 
     def _log_storage(self) -> None:
         failure = self._consensus.failure
@@ -135,3 +138,14 @@
         if level != self._feature_level:
             self._feature_level = level
             self._decisions.note(FEATURE_LEVEL_RAISED, level=level)
+
+    def _log_evacuations(self) -> None:
+        evacuations = self._state.evacuations
+        if evacuations.revision != self._evacuations:
+            self._evacuations = evacuations.revision
+            self._decisions.note(
+                EVACUATIONS_COMMITTED,
+                revision=evacuations.revision,
+                zones=sorted(evacuations.zones),
+                ended=sorted(evacuations.ended),
+            )
--- a/src/rowanrail/coordination/evacuations.py
+++ b/src/rowanrail/coordination/evacuations.py
@@ -1,9 +1,11 @@
 """Which zones are evacuated, by the order of the log's commands. No I/O."""
 
+from collections.abc import Collection
+
 from rowanrail.coordination.commands import SetEvacuation
 from rowanrail.directory.messages import Evacuations
 
-__all__ = ["changed_evacuations"]
+__all__ = ["changed_evacuations", "is_known_zone"]
 
 
 def changed_evacuations(known: Evacuations, command: SetEvacuation, index: int) -> Evacuations:
@@ -35,3 +37,27 @@
         del zones[command.zone]
         ended[command.zone] = command.at_ms
     return Evacuations(index, zones, ended)
+
+
+def is_known_zone(
+    zone: str, configured: Collection[str], occupied: Collection[str], evacuated: Collection[str]
+) -> bool:
+    """Return whether an order for a zone can be meant as it is written.
+
+    Parameters
+    ----------
+    configured : collection of str
+        Zones in the settings; if empty, every zone is known.
+    occupied : collection of str
+        Zones of known members, which may be newer than the settings.
+    evacuated : collection of str
+        Zones whose evacuation can be ended.
+
+    Examples
+    --------
+    >>> is_known_zone("a", ["a", "b"], [], []), is_known_zone("c", ["a", "b"], [], [])
+    (True, False)
+    >>> is_known_zone("c", ["a", "b"], ["c"], []), is_known_zone("c", [], [], [])
+    (True, True)
+    """
+    return not configured or any(zone in zones for zones in (configured, occupied, evacuated))
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -93,6 +93,26 @@
     "These control nodes don't answer, or are of an earlier version. Evacuations are refused "
     "meanwhile, and starts of members are not recorded. Upgrade or remove the nodes.",
 )
+EVACUATIONS_COMMITTED = define(
+    477,
+    Level.WARNING,
+    "evacuated zones are {zones} (revision {revision})",
+    "An operator's order is durable on a majority. Gateways send no statements to members in these "
+    "zones.",
+)
+EVACUATION_REFUSED = define(
+    478,
+    Level.WARNING,
+    "an order for zone {zone} was rejected: {reason}",
+    "Neither the settings nor a member name this zone.",
+)
+EVACUATION_UNANSWERED = define(
+    479,
+    Level.WARNING,
+    "the outcome of an order for zone {zone} is unknown: {reason}",
+    "No majority answered in time, or a control node is of an earlier version. Sending the same "
+    "order again is safe.",
+)
 HOLDERS_CHANGED = define(
     445,
     Level.INFO,
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -21,6 +21,7 @@
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
         ("feature_level", {}, state.feature_level),
+        ("evacuated_zones", {}, len(state.evacuations.zones)),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
     readings += _plan_gauges(node)
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -16,9 +17,9 @@
 from rowanrail.consensus.messages import ConsensusMessage
 from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.coordination.announcements import AnnouncementHandler
-from rowanrail.coordination.commands import Command, PutDocument
+from rowanrail.coordination.commands import Command, PutDocument, SetEvacuation
 from rowanrail.coordination.directory_updates import UpdateCounts
-from rowanrail.coordination.feature_level import NEWEST_LEVEL
+from rowanrail.coordination.feature_level import EVACUATION_LEVEL, NEWEST_LEVEL
 from rowanrail.coordination.forwarding import ReportForwarding
 from rowanrail.coordination.gateway_loads import GatewayLoads
 from rowanrail.coordination.liveness import Liveness
@@ -27,6 +28,7 @@
     DocumentReply,
     DocumentRequest,
     Done,
+    EvacuationRequest,
     FeatureLevelReply,
     FeatureLevelRequest,
     HeartbeatNotice,
@@ -50,6 +52,9 @@
 LEADER_TIMEOUT_SECONDS = 0.8  # below REQUEST_TIMEOUT_SECONDS, so that another leader can be tried
 REQUEST_TIMEOUT_SECONDS = 0.9  # callers try the next node after 1 s
 LEADER_CHECK_INTERVAL_SECONDS = 0.05  # short against an election of 0.1 to 0.5 s
+EVACUATIONS_NOT_KNOWN = (
+    "evacuations are not possible yet: not every control node is known to support them"
+)
 
 
 class CoordinationService:
@@ -77,6 +82,7 @@
             BarrierRequest: self._barrier,
             JoinRequest: self._join,
             FeatureLevelRequest: self._report_feature_level,
+            EvacuationRequest: self._set_evacuation,
             LoggedDirectoryRequest: self._watches.answer_logged_directory,
         }
 
@@ -115,15 +121,18 @@
             raise TransportError(f"unexpected {type(request).__name__}", step="handle")
         return await handler(request)
 
-    async def request(self, request: msgspec.Struct) -> msgspec.Struct:
+    async def request(
+        self, request: msgspec.Struct, deadline: float | None = None
+    ) -> msgspec.Struct:
         """Have the leader serve a request, retrying while there is none.
 
         All requests are idempotent: a version that is not newer, or a known record, has no effect.
 
+        :param deadline: of the loop's clock; by default ``REQUEST_TIMEOUT_SECONDS`` from now.
         :raises RowanrailError: if no leader served it in time; it may still take effect.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + REQUEST_TIMEOUT_SECONDS
+        deadline = deadline or loop.time() + REQUEST_TIMEOUT_SECONDS
         while True:
             try:
                 async with asyncio.timeout_at(deadline):
@@ -199,6 +208,15 @@
         assert isinstance(request, JoinRequest)
         return await self.membership.join(request)
 
+    async def _set_evacuation(self, request: msgspec.Struct) -> msgspec.Struct:
+        """Log an order; also a repeated one, since only its commit confirms what is in force."""
+        assert isinstance(request, EvacuationRequest)
+        if self.state.feature_level < EVACUATION_LEVEL:
+            raise TransportError(EVACUATIONS_NOT_KNOWN, step="evacuate")
+        at_ms = round(time.time() * 1000)
+        await self.propose(SetEvacuation(request.zone, request.is_evacuated, at_ms))
+        return Done()
+
     @staticmethod
     async def _report_feature_level(request: msgspec.Struct) -> msgspec.Struct:
         return FeatureLevelReply(NEWEST_LEVEL)
@@ -246,6 +264,22 @@
         if not self.state.has_ended(instance):
             await self.request(RemoveRequest(instance))
 
+    async def set_evacuation(self, zone: str, is_evacuated: bool) -> None:
+        """Evacuate a zone, or end its evacuation; return once the order is committed.
+
+        :raises RowanrailError: if it was not, or may not have been, committed; sending it again is
+            safe.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + REQUEST_TIMEOUT_SECONDS
+        # After a restart the level is known once a leader has committed an entry. A leader of an
+        # earlier version can't decode the request.
+        while self.state.feature_level < EVACUATION_LEVEL:
+            if loop.time() + LEADER_CHECK_INTERVAL_SECONDS >= deadline:
+                raise TransportError(EVACUATIONS_NOT_KNOWN, step="evacuate")
+            await asyncio.sleep(LEADER_CHECK_INTERVAL_SECONDS)
+        await self.request(EvacuationRequest(zone, is_evacuated), deadline)
+
     # Watches
 
     def notice_change(self) -> None:
