--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -21,6 +21,8 @@
         ("members_leaving", {}, sum(member.leaving for member in state.members.values())),
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
+        ("feature_level", {}, state.feature_level),
+        ("evacuated_zones", {}, len(state.evacuations.zones)),
         ("failed", {}, float(node.consensus.failure is not None)),
     ]
     readings += _plan_gauges(node)
