Gateways leave evacuated zones: at once what can move, the rest within the allowed time

Cause: gateways knew evacuations but sent samples and open transactions to evacuated zones for ever, refused all that needs a primary there before it could be moved, and kept queued reads at members there.

Change: reads and new transactions leave replicas at once, also those that wait in a queue. Then idle transactions are rolled back by closing their connections and their clients told so, a commit that was sent keeps its answer, nothing is sampled or probed there, and idle connections are closed. Not sampling a primary is no failure: reporting one would have the control nodes promote a replica that lacks its last commits. While it is closed, another member that announces itself as primary is followed. Members are checked again before each statement of a transaction; statements of other gateways are held to the same rule at the holder. Of several replies of control nodes the newest evacuations count, a provisional directory's until a node is up to date. RR0340, RR0341, the gauges evacuated_zones and closed_zones, and messages of explain for the causes evacuated, outside-regions and warming-up.

--- a/src/rowanrail/explain/rejections.py
+++ b/src/rowanrail/explain/rejections.py
@@ -1,4 +1,4 @@
-"""Messages for statements that admission control rejected, by cause.
+"""Messages for statements that admission control or the rule of members rejected, by cause.
 
 Uses the fields of :class:`rowanrail.model.trace.Rejection` as they are logged.
 """
@@ -30,6 +30,7 @@
 
 
 _ADMISSION = "rowanrail.scheduling.admission"
+_ELIGIBILITY = "rowanrail.members.eligibility.Eligibility.exclusion"
 REJECTIONS: dict[str, RejectionRule] = {
     RejectionCause.OVERLOADED.value: RejectionRule(
         f"{_ADMISSION}.decide_on_arrival",
@@ -58,6 +59,24 @@
             f"{run} ms"
         ),
     ),
+    RejectionCause.EVACUATED.value: RejectionRule(
+        _ELIGIBILITY,
+        lambda wait, run, left, peer: (
+            "an operator has evacuated the zone of every member that could run it"
+        ),
+    ),
+    RejectionCause.OUTSIDE_REGIONS.value: RejectionRule(
+        _ELIGIBILITY,
+        lambda wait, run, left, peer: (
+            "the members that could run it are outside the regions of its route and tenant"
+        ),
+    ),
+    RejectionCause.WARMING_UP.value: RejectionRule(
+        _ELIGIBILITY,
+        lambda wait, run, left, peer: (
+            "the members that could run it are warming up and take no more statements for now"
+        ),
+    ),
 }
 
 
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -144,7 +144,9 @@
     terms = QuotaParameters(
         settings.quota_window_seconds * 1000, settings.quota_excess, settings.quota_slack
     )
-    gateway = Gateway(locality, driver, loop, decisions, registry, peers, terms)
+    gateway = Gateway(
+        locality, driver, loop, decisions, registry, peers, terms, settings.evacuation_ms
+    )
     holder = LinkServer(gateway, clock)
     holder_server = TcpLinkServer(holder)
     meter = LoadMeter(clock, lambda: holder_server.unsent_bytes)
--- a/src/rowanrail/gateway/discovery/control_plane_client.py
+++ b/src/rowanrail/gateway/discovery/control_plane_client.py
@@ -19,6 +19,7 @@
 from returns.result import Success
 
 from rowanrail.directory.messages import (
+    NO_REVISION,
     DirectoryReply,
     DirectoryRequest,
     Evacuations,
@@ -122,7 +123,8 @@
         self._decisions = decisions
         self._version = 0
         self._plan = 0 if uses_plans else None
-        self._evacuations = 0
+        self._evacuations = NO_REVISION
+        self._provisional_evacuations = NO_REVISION
         self._is_lost = False
         self._started_at = 0.0
         self._nearer_check_due = 0.0
@@ -232,6 +234,7 @@
         self._provisional.set_applied(directory)
         self._gateway.apply(parsed.unwrap())
         if directory.evacuations is not None:
+            self._provisional_evacuations = directory.evacuations.revision
             self._gateway.set_evacuations(directory.evacuations)
         self._gateway.set_directory(members)
         self._decisions.note(
@@ -316,15 +319,26 @@
                 replaces_provisional = self._provisional.is_superseded_by(reply)
                 self._gateway.apply(parsed.unwrap(), replaces_provisional=replaces_provisional)
                 self._provisional.clear()
-        if reply.evacuations is not None:
-            self._evacuations = reply.evacuations.revision
-            self._gateway.set_evacuations(reply.evacuations)
+        self._apply_evacuations(reply)
         self._apply_directory(address, reply)
         if reply.plan is not None:
             self._plan = reply.plan.number
             self._gateway.set_plan(reply.plan)
         self._controls.set_reported(reply.controls)
 
+    def _apply_evacuations(self, reply: DirectoryReply) -> None:
+        """Apply evacuations that are newer than the last ones.
+
+        A node that is not up to date may lack, after a restart, what the logs of a majority hold.
+        """
+        evacuations = reply.evacuations
+        if evacuations is None or evacuations.revision <= self._evacuations:
+            return
+        if not reply.current and evacuations.revision <= self._provisional_evacuations:
+            return
+        self._evacuations = evacuations.revision
+        self._gateway.set_evacuations(evacuations)
+
     def _apply_directory(self, address: str, reply: DirectoryReply) -> None:
         was_inconsistent = self._copy.is_inconsistent
         directory = self._copy.apply(reply)
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -138,6 +138,20 @@
     "much. A tenant's urgent operations are admitted first: `urgency` is the priority of the "
     "route.",
 )
+EVACUATIONS_APPLIED = define(
+    340,
+    Level.INFO,
+    "evacuated zones are {zones} (revision {revision})",
+    "From now on no statement that another member can run is sent to members in these zones. A "
+    "primary there is used until RR0341.",
+)
+ZONE_CLOSED = define(
+    341,
+    Level.INFO,
+    "zone {zone} is closed",
+    "Nothing is sent to members in this zone: transactions that were open there have been aborted, "
+    "its primaries are not sampled, and idle connections are closed.",
+)
 MEMBER_FELL = define(
     350,
     Level.WARNING,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -14,14 +14,17 @@
     CONFIGURATION_APPLIED,
     DETOUR_FOUND,
     DIRECTORY_APPLIED,
+    EVACUATIONS_APPLIED,
     LINK_LOST,
     LINK_RESTORED,
+    ZONE_CLOSED,
 )
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.relay.holdings import Holdings
 from rowanrail.gateway.relay.peers import NO_PEERS, Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
 from rowanrail.gateway.relay.work_routing import WorkRouter
+from rowanrail.gateway.services.evacuated_zones import EvacuatedZones, grace_seconds
 from rowanrail.gateway.services.load_measurement import measure_load
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.primary_log import log_primary_state
@@ -54,6 +57,7 @@
 IDLE_SERVICE_TICKS = 10
 DEFAULT_IDLE_TRANSACTION_SECONDS = 60.0  # limit for idle transactions without a configuration
 SAMPLE_REQUEST_SECONDS = 0.3  # time limit for a sample that another gateway requests
+DEFAULT_EVACUATION_MS = 5000.0  # from the acknowledgement until nothing is sent to a zone
 START_WAIT_SECONDS = 1.2  # for a configuration; clients time out after 2 s
 
 
@@ -69,6 +73,7 @@
         registry: Registry,
         peers: Peers = NO_PEERS,
         quota_parameters: QuotaParameters = QuotaParameters(),  # noqa: B008 - it is frozen
+        evacuation_ms: float = DEFAULT_EVACUATION_MS,
     ) -> None:
         self.clock = clock
         self.names = PreparedStatementNames()
@@ -86,6 +91,9 @@
         self._ticks = 0
         self._waiting_starts: list[PendingSessionStart] = []
         self._evacuations = NO_EVACUATIONS
+        self._evacuated = EvacuatedZones()
+        self._closed_zones: frozenset[str] = frozenset()
+        self._grace_seconds = grace_seconds(evacuation_ms)
         self._session_count = 0
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
@@ -131,6 +139,7 @@
         self._ticks += 1
         services = self._due_services()
         self.holdings.tick(services)
+        self._log_closed_zones()
         for service in services:
             service.tick()
         self._decisions.flush()
@@ -150,7 +159,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the gateway accepts new clients."""
-        return self.configuration is not None and self._directory.has_members and not self.stopping
+        return self._is_initialized and not self.stopping
+
+    @property
+    def _is_initialized(self) -> bool:
+        return self.configuration is not None and self._directory.has_members
 
     # Configuration and members
 
@@ -199,7 +212,7 @@
         note = functools.partial(log_weight_change, self._decisions, service)
         service.estimates.weights.on_change = note
         service.set_fleet_size(self._directory.population)
-        service.set_evacuated(frozenset(self._evacuations.zones))
+        service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
         service.set_members(self._directory.members(name))
         return service
 
@@ -231,10 +244,42 @@
         )
 
     def set_evacuations(self, evacuations: Evacuations) -> None:
-        """Apply the control nodes' newest evacuations of zones."""
+        """Apply the control nodes' newest evacuations of zones.
+
+        At a gateway that has just started, zones are closed at once: it doesn't know how much of
+        the allowed time has passed.
+        """
+        if evacuations == self._evacuations:
+            return
         self._evacuations = evacuations
+        grace = self._grace_seconds if self._is_initialized else 0.0
+        now = self.clock.time()
+        self._evacuated = self._evacuated.updated(evacuations.zones, now, grace)
+        self._decisions.note(
+            EVACUATIONS_APPLIED,
+            revision=evacuations.revision,
+            zones=sorted(evacuations.zones),
+            ended=sorted(evacuations.ended),
+        )
         for service in self.services.values():
-            service.set_evacuated(frozenset(evacuations.zones))
+            service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """The zones whose members get no new statements."""
+        return self._evacuated.zones
+
+    @property
+    def closed_zones(self) -> frozenset[str]:
+        """The evacuated zones to which nothing at all is sent."""
+        return self._evacuated.closed(self.clock.time())
+
+    def _log_closed_zones(self) -> None:
+        closed = self.closed_zones
+        if closed != self._closed_zones:
+            for zone in sorted(closed - self._closed_zones):
+                self._decisions.note(ZONE_CLOSED, zone=zone)
+            self._closed_zones = closed
 
     def set_plan(self, plan: Plan) -> None:
         """Apply the control nodes' newest plan of the holders of connections."""
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -26,6 +26,8 @@
         ("configuration_version", {}, version),
         ("ready", {}, float(gateway.is_ready)),
         ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
+        ("evacuated_zones", {}, len(gateway.evacuated_zones)),
+        ("closed_zones", {}, len(gateway.closed_zones)),
     ]
     readings += _plan_gauges(gateway)
     now = gateway.clock.time()
--- a/src/rowanrail/gateway/pools/connections.py
+++ b/src/rowanrail/gateway/pools/connections.py
@@ -178,9 +178,13 @@
         while self.idle and self.count > limit:
             self._close_idle(lambda tenant: False)
 
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for channel in self.idle.take_all():
+            channel.close()
+
     def close(self) -> None:
         """Close all connections that are not leased, and keep none from now on."""
         self.limit = 0
-        for channel in self.idle.take_all():
-            channel.close()
+        self.close_idle()
         self.openings.close()
--- a/src/rowanrail/gateway/pools/idle_transactions.py
+++ b/src/rowanrail/gateway/pools/idle_transactions.py
@@ -82,6 +82,11 @@
         if since is not None and transaction.channel is not None:
             transaction.channel.leased_at += self._clock.now - since
 
+    def end_all(self, reason: str) -> None:
+        """Abort all idle transactions."""
+        for transaction in list(self._since):
+            transaction.reclaim(reason)
+
     def reclaim(self, waiting_since: Iterable[float]) -> None:
         """Abort idle transactions for statements that have waited too long.
 
--- a/src/rowanrail/gateway/pools/pool.py
+++ b/src/rowanrail/gateway/pools/pool.py
@@ -276,6 +276,16 @@
         self.connections.set_limit(limit)
         self._serve_queue()
 
+    def refuse_queued(self, reason: str) -> None:
+        """Refuse all queued requests, which may then use other members."""
+        self.queue.refuse(Answer(refusal=Refusal.BUSY, message=reason))
+
+    def evacuate(self, reason: str) -> None:
+        """End idle transactions, refuse queued requests and close idle connections."""
+        self.connections.idle_transactions.end_all(reason)
+        self.refuse_queued(reason)
+        self.connections.close_idle()
+
     def close(self) -> None:
         """Close all connections that are not leased and refuse all queued requests."""
         self._closed = True
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -7,8 +7,10 @@
 """
 
 import random
+from collections.abc import Mapping
 from dataclasses import replace
 from functools import partial
+from types import MappingProxyType
 
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pools.pool import MemberPool
@@ -65,6 +67,7 @@
         self.policies = policies
         self.primary = PrimaryTracker(spec.name, driver, scheduler, policies.leadership_proof)
         self.primary.on_proof = self._note_proof
+        self.primary.is_closed = self.is_closed
         self.primary.set_lease_provider(self)
         self.pools: dict[str, MemberPool] = {}
         clock = Clock(scheduler)
@@ -110,12 +113,30 @@
         self.share = replace(self.share, connections=spec.connections)
         self._apply_limit()
 
-    def set_evacuated(self, zones: frozenset[str]) -> None:
-        """Set the zones whose members get no statements."""
-        self._eligibility = replace(self._eligibility, evacuated=zones)
+    def set_evacuated(
+        self, zones: frozenset[str], closing_at: Mapping[str, float] = MappingProxyType({})
+    ) -> None:
+        """Set the zones whose members get no statements.
+
+        Parameters
+        ----------
+        closing_at : mapping of str to float
+            Monotonic seconds until which the primary and open transactions continue in a zone; a
+            missing zone is closed at once.
+        """
+        self._eligibility = replace(self._eligibility, evacuated=zones, closing_at=closing_at)
+        self._leave_evacuated()
+
+    def is_closed(self, record: MemberRecord) -> bool:
+        """Return whether nothing at all may be sent to a member, as its zone is evacuated."""
+        return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
     def exclusion(
-        self, record: MemberRecord, regions: frozenset[str] | None = None
+        self,
+        record: MemberRecord,
+        regions: frozenset[str] | None = None,
+        *,
+        in_transaction: bool = False,
     ) -> Exclusion | None:
         """Return why a member may not be sent a statement, None if it may.
 
@@ -123,8 +144,24 @@
         ----------
         regions : frozenset of str or None
             Regions in which the statement may run; None for any.
+        in_transaction : bool
+            Whether the statement belongs to a transaction that is open at the member. Like the
+            primary, the member is then used until its zone is closed.
         """
-        return self._eligibility.exclusion(record, regions)
+        is_needed = in_transaction or record.instance == self.primary.presumed_primary
+        needed_at = self._scheduler.time() if is_needed else None
+        return self._eligibility.exclusion(record, regions, needed_at=needed_at)
+
+    def _leave_evacuated(self) -> None:
+        """Let queued statements leave evacuated zones, and close what is left in closed ones."""
+        if not self._eligibility.evacuated:
+            return
+        for pool in self.pools.values():
+            reason = f"zone {pool.record.zone} is evacuated"
+            if self.is_closed(pool.record):
+                pool.evacuate(reason)
+            elif self.exclusion(pool.record) is Exclusion.EVACUATED:
+                pool.refuse_queued(reason)
 
     def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
         """Return why no member may be sent a statement; None if one may, or if none is known."""
@@ -236,14 +273,28 @@
             self.share = replace(self.share, allowance=allowance)
             self._apply_limit()
 
+    def _open_pools(self) -> Mapping[str, MemberPool]:
+        """Return the pools of members outside evacuated zones."""
+        evacuated = self._eligibility.evacuated
+        if not evacuated:
+            return self.pools
+        return {
+            instance: pool
+            for instance, pool in self.pools.items()
+            if pool.record.zone not in evacuated
+        }
+
     def _is_routed_here(self, tenant: str) -> bool:
         return self.share.keeps_idle(self.spec.name, tenant)
 
     def tick(self) -> None:
         """Run the periodic work: monitoring, probes and pool maintenance."""
         self.primary.tick(self.in_use)
+        self._leave_evacuated()
         if self.in_use:
-            self._probes.tick(self.pools, self.primary.presumed_primary, self.share.samplers)
+            self._probes.tick(
+                self._open_pools(), self.primary.presumed_primary, self.share.samplers
+            )
         for pool in self.pools.values():
             pool.trim(self._is_routed_here)
         self._had_connections = self.has_connections
--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -69,6 +69,8 @@
 
     def _request_floor(self) -> None:
         self.stage = Stage.WAITS_FOR_SAMPLE
+        if self.reject_without_sample(self._earliest_sample_time):
+            return
         prefetch_sample(self.service, self.route, self.clock.time())
         tracker = self.service.primary
         if not tracker.has_sample_since(self._earliest_sample_time) and tracker.is_failover_overdue:
@@ -81,6 +83,8 @@
         if self.respond is None:
             return
         if position is None:
+            if self.reject_without_sample(self._earliest_sample_time):
+                return
             self.reject(
                 RejectionCause.NO_PRIMARY,
                 "no primary confirms its position",
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -26,6 +26,7 @@
 )
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import AnswerCallback, Channel
+from rowanrail.members.eligibility import Exclusion
 from rowanrail.model.position import Position
 from rowanrail.model.routing import Route
 from rowanrail.model.statements import Answer, TypedStatement
@@ -193,6 +194,27 @@
             self.reject_excluded(exclusion, primary.record.instance)
         return exclusion is not None
 
+    def reject_without_sample(self, since: float) -> bool:
+        """Reject a read that needs a sample of a primary in a closed zone.
+
+        Parameters
+        ----------
+        since : float
+            The earliest time, in seconds, at which the sample may have been requested.
+
+        Returns
+        -------
+        bool
+            Whether it was rejected.
+        """
+        pool = self.service.primary_pool()
+        if pool is None or not self.service.is_closed(pool.record):
+            return False
+        if self.service.primary.has_sample_since(since):
+            return False
+        self.reject_excluded(Exclusion.EVACUATED, pool.record.instance)
+        return True
+
     def forward_to(self, executor: StatementExecutor | None) -> bool:
         """Forward to another gateway if an executor is given; return whether it was forwarded."""
         raise NotImplementedError
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -122,6 +122,9 @@
             return
         self.stage = Stage.WAITS_FOR_SAMPLE
         since = earliest_sample_time(self.route, self._freshness_reference)
+        if self.reject_without_sample(since):
+            self.failed = True
+            return
         prefetch_sample(self.service, self.route, self.clock.time())
         if self.service.primary.has_sample_since(since) or not self.refuse_if_primary_long_lost():
             self.service.primary.wait_for_position(since, self._on_floor)
@@ -235,6 +238,8 @@
     # Statements
 
     def _run_statement(self) -> None:
+        if self._abort_if_excluded():
+            return
         if self.statement.kind is StatementKind.COMMIT:
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
@@ -250,6 +255,19 @@
             self.limit_answer_time()
         self.send(commands, self._on_statement_answer)
 
+    def _abort_if_excluded(self) -> bool:
+        """Abort the transaction if its member may not be sent the statement; return whether."""
+        assert self.pool is not None
+        record = self.pool.record
+        exclusion = self.service.exclusion(record, self.route.regions, in_transaction=True)
+        if exclusion is None:
+            return False
+        self.failed = True
+        self.end()
+        message = f"{record.instance} is excluded: {exclusion.value}"
+        self.finish(Answer(refusal=Refusal.ABORTED, message=message))
+        return True
+
     def _on_statement_answer(self, answer: Answer) -> None:
         self.stop_attempt_timer()
         self.note_answer(answer)
@@ -331,10 +349,10 @@
         if channel.closed:
             self.release()
             return
-        if channel.busy:
-            self.discard()
-            return
         pool = self.pool
+        if channel.busy or (pool is not None and self.service.is_closed(pool.record)):
+            self.discard()  # the member rolls back
+            return
         self.channel = None
         assert pool is not None
 
--- a/src/rowanrail/members/eligibility.py
+++ b/src/rowanrail/members/eligibility.py
@@ -31,7 +31,10 @@
     regions : mapping of str to str
         The region of each zone; a missing zone is a region of its own.
     evacuated : frozenset of str
-        Zones whose members are sent no statements.
+        Zones whose members are sent no statements that another member can run.
+    closing_at : mapping of str to float
+        Monotonic seconds from which the members of an evacuated zone are sent nothing at all; a
+        missing zone is closed already.
 
     Examples
     --------
@@ -43,16 +46,41 @@
 
     regions: Mapping[str, str] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
+    closing_at: Mapping[str, float] = field(default_factory=dict)
 
-    def exclusion(self, record: MemberRecord, regions: frozenset[str] | None) -> Exclusion | None:
+    def is_closed(self, zone: str, now: float) -> bool:
+        """Return whether nothing at all may be sent to a zone at ``now``, in monotonic seconds."""
+        return zone in self.evacuated and now >= self.closing_at.get(zone, now)
+
+    def exclusion(
+        self,
+        record: MemberRecord,
+        regions: frozenset[str] | None,
+        *,
+        needed_at: float | None = None,
+    ) -> Exclusion | None:
         """Return why a member may not be sent a statement, None if it may.
 
         Parameters
         ----------
         regions : frozenset of str or None
             Regions in which the statement may run; None for any.
+        needed_at : float or None
+            The present time in monotonic seconds if no other member can run the statement, so that
+            it may be sent until the zone is closed; None if another one can.
+
+        Examples
+        --------
+        >>> rule = Eligibility({}, frozenset({"b1"}), {"b1": 12.0})
+        >>> member = MemberRecord("m1", "db", "m1:1", "b1", True, False, 3, 1)
+        >>> rule.exclusion(member, None), rule.exclusion(member, None, needed_at=11.0)
+        (<Exclusion.EVACUATED: 'evacuated'>, None)
+        >>> rule.exclusion(member, None, needed_at=12.0)
+        <Exclusion.EVACUATED: 'evacuated'>
         """
-        if record.zone in self.evacuated:
+        if record.zone in self.evacuated and (
+            needed_at is None or self.is_closed(record.zone, needed_at)
+        ):
             return Exclusion.EVACUATED
         if regions is not None and self.regions.get(record.zone, record.zone) not in regions:
             return Exclusion.OUTSIDE_REGIONS
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -57,6 +57,9 @@
         Called with the instance of each member that proved to be primary.
     on_unavailable : callable
         Called at each tick while the service is in use and the primary cannot be sampled.
+    is_closed : callable
+        Returns whether nothing may be sent to a member, so that it is not sampled. Not sampling a
+        primary is no sign that it fails.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self.on_alarm: Callable[[], None] = lambda: None
         self.on_proof: Callable[[str], None] = lambda instance: None
         self.on_unavailable: Callable[[], None] = lambda: None
+        self.is_closed: Callable[[MemberRecord], bool] = lambda record: False
         self.monitor_seconds = MONITOR_SECONDS
         self.history = SampleHistory()  # of the newest term
         self._verifier = verifier
@@ -126,12 +130,29 @@
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; one that claims to be primary may become the presumed one."""
         self._sampler.set_members(records)
-        claims = [record.instance for record in records if record.primary]
-        if self.state.note_members(self._sampler.records, claims):
+        self._follow_claims()
+
+    def _follow_claims(self) -> None:
+        records = self._sampler.records
+        claims = [record.instance for record in records.values() if record.primary]
+        if self.state.note_members(records, claims, is_closed=self._is_primary_closed):
             self.on_primary()
             if self.failing_since:
                 self.request_sample()
 
+    @property
+    def _is_primary_closed(self) -> bool:
+        record = self._sampler.records.get(self.presumed_primary)
+        return record is not None and self.is_closed(record)
+
+    def _leave_closed(self) -> None:
+        """Stop sampling closed members, and end the waits for a sample of a closed primary."""
+        self._sampler.remove_where(self.is_closed)
+        if self._is_primary_closed:
+            self._follow_claims()
+        if self._is_primary_closed:
+            self._waiting.close()
+
     # Proofs
 
     def note_proof(self, instance: str, asked_at: float, position: Position | None) -> None:
@@ -201,12 +222,15 @@
     def wait_for_position(self, asked_since: float, callback: PositionCallback) -> None:
         """Call ``callback`` with a position sampled at ``asked_since`` or later, maybe at once.
 
-        The callback gets None if the tracker is closed first.
+        The callback gets None if the tracker or the primary is closed first.
         """
         sample = self.history.oldest_since(asked_since)
         if sample is not None:
             callback(sample.position)
             return
+        if self._is_primary_closed:
+            callback(None)
+            return
         self._waiting.add(asked_since, callback)
         self.request_sample()
 
@@ -220,6 +244,7 @@
         """Apply timeouts and request the samples and searches that are due."""
         now = self._scheduler.time()
         self._sampler.expire()
+        self._leave_closed()
         if self.state.raise_alarm(now):
             self.on_alarm()
         if in_use and (self.failing_since or self.is_at_connection_limit):
@@ -231,6 +256,8 @@
 
     def request_sample(self) -> None:
         """Request a sample of the primary, or search for it if none is known."""
+        if self._is_primary_closed:
+            return
         if self._sampler.is_sampling(self.presumed_primary):
             return  # the next sample is requested when this one is answered
         if self.presumed_primary:
@@ -241,7 +268,8 @@
     def _search(self) -> None:
         if self.state.try_begin_search(self._scheduler.time()):
             for record in self._sampler.records.values():
-                self._sampler.request(record)
+                if not self.is_closed(record):
+                    self._sampler.request(record)
 
     def close(self) -> None:
         """Close the sampling connections and end all waits without a position."""
--- a/src/rowanrail/members/primary_state.py
+++ b/src/rowanrail/members/primary_state.py
@@ -70,7 +70,9 @@
 
     # Reports about members
 
-    def note_members(self, instances: Collection[str], claims: Sequence[str]) -> bool:
+    def note_members(
+        self, instances: Collection[str], claims: Sequence[str], *, is_closed: bool = False
+    ) -> bool:
         """Update the list of members; return whether the presumed primary changed to a claimant.
 
         Parameters
@@ -78,12 +80,14 @@
         claims : sequence of str
             Members that announce themselves as primary. A claim is accepted only while no primary
             is known or the presumed one fails: one that answers is proved by its samples.
+        is_closed : bool
+            Whether the presumed primary may not be sampled, so that another's claim is accepted.
         """
         if self.presumed_primary not in instances:
             self.presumed_primary = ""
         if not claims or self.presumed_primary in claims:
             return False
-        if self.presumed_primary and not self.failing_since:
+        if self.presumed_primary and not (self.failing_since or is_closed):
             return False
         self.presumed_primary = claims[0]
         return True
--- a/src/rowanrail/members/sampler.py
+++ b/src/rowanrail/members/sampler.py
@@ -5,6 +5,7 @@
 :mod:`rowanrail.members.sampling_rules`.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 from rowanrail.kernel.clock import Scheduler
@@ -255,6 +256,12 @@
             pool_available=self._should_use_pool(connection),
         )
 
+    def remove_where(self, is_closed: Callable[[MemberRecord], bool]) -> None:
+        """Close the connections to members for which ``is_closed`` is true."""
+        for instance, connection in list(self._connections.items()):
+            if is_closed(connection.record):
+                self._remove(instance)
+
     def close_idle(self, primary: str) -> None:
         """Close the connections to other members that have no sample in flight."""
         for instance, connection in list(self._connections.items()):
--- a/tests/coordination/test_evacuations.py
+++ b/tests/coordination/test_evacuations.py
@@ -13,9 +13,15 @@
 from rowanrail.coordination.feature_level import EVACUATION_LEVEL
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.replay import LogReplay
+from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
-from rowanrail.directory.messages import LoggedDirectoryRequest
+from rowanrail.directory.messages import (
+    DirectoryRequest,
+    GatewayReport,
+    LoggedDirectoryRequest,
+)
 from rowanrail.kernel.errors import RowanrailError
+from tests.coordination.test_directory import FakeNode
 from tests.support.simulated_controls import SimulatedControls
 
 
@@ -53,6 +59,25 @@
         self.assertEqual(self.state.evacuations.zones, {})
 
 
+class PollTest(unittest.IsolatedAsyncioTestCase):
+    def request(self, known_evacuations):
+        return DirectoryRequest(
+            GatewayReport("g1", "a", []), 0, 0, 3.0, known_evacuations=known_evacuations
+        )
+
+    async def test_a_waiting_gateway_is_told_at_once(self):
+        state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        service = CoordinationService(FakeNode(), state, None)
+        polls = [asyncio.ensure_future(service.handle(self.request(known))) for known in (0, None)]
+        await asyncio.sleep(0.05)
+        state.apply(entry(4, SetEvacuation("a", True, 500)))
+        service.notice_change()
+        done, pending = await asyncio.wait(polls, timeout=0.2)
+        self.assertEqual([poll.result().evacuations.zones for poll in done], [{"a": 500}])
+        for poll in pending:  # of a gateway of an earlier version
+            poll.cancel()
+
+
 class OrdersTest(unittest.TestCase):
     """Three simulated control nodes."""
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -8,6 +8,7 @@
 
 from rowanrail.cli.main import main
 from rowanrail.coordination.events import PROMOTION_DECIDED
+from rowanrail.directory.messages import Evacuations
 from rowanrail.explain.diagnosis import diagnose
 from rowanrail.explain.lines import read_lines
 from rowanrail.gateway.events import KEY_WITHDRAWN, LINK_LOST
@@ -96,6 +97,14 @@
         self.assertEqual(diagnosis.promise, "it did not run; retrying will not help")
         self.assertIn(KEY_WITHDRAWN.number, [line.event for line in diagnosis.around])
 
+    def test_refused_in_evacuated_zones(self):
+        self.harness.gateway.set_evacuations(Evacuations(1, {"a": 1, "b": 1, "c": 1}))
+        self.harness.clock.advance(3.0)
+        self.harness.client("orders").run("WRITE a 1")
+        diagnosis = self.diagnose("q1")
+        self.assertIn("an operator has evacuated the zone", diagnosis.cause)
+        self.assertEqual(diagnosis.promise, "it had no effect and may be retried")
+
     def test_refused_by_replicas_that_lag_behind(self):
         client = self.harness.client("carts")
         client.run("BEGIN READ")
--- a/tests/gateway/test_control_plane_client.py
+++ b/tests/gateway/test_control_plane_client.py
@@ -8,6 +8,7 @@
 
 from rowanrail.directory.messages import (
     DirectoryReply,
+    Evacuations,
     GatewayReport,
     LoggedDirectoryReply,
     LoggedDirectoryRequest,
@@ -47,9 +48,20 @@
 VOTERS = ["v1", "v2", "v3"]
 
 
-def logged_reply(node, term, index, version, document=b"document"):
+def logged_reply(node, term, index, version, document=b"document", evacuations=None):
     """Return a control node's reply with the directory in its log."""
-    directory = DirectoryReply(False, version, zlib.compress(document), index, [], 1, 1, [], [])
+    directory = DirectoryReply(
+        False,
+        version,
+        zlib.compress(document),
+        index,
+        [],
+        1,
+        1,
+        [],
+        [],
+        evacuations=evacuations,
+    )
     return LoggedDirectoryReply(node, term, index, VOTERS, directory)
 
 
@@ -86,6 +98,7 @@
         self.versions = []
         self.replaced = []
         self.revisions = []
+        self.evacuations = []
 
     def apply(self, configuration, replaces_provisional=False):
         if replaces_provisional:
@@ -96,6 +109,9 @@
     def set_directory(self, directory):
         self.revisions.append(directory.revision)
 
+    def set_evacuations(self, evacuations):
+        self.evacuations.append(evacuations.revision)
+
     def note_control_up_to_date(self, peer):
         self.up_to_date.append(peer)
 
@@ -251,6 +267,52 @@
         self.assertEqual((self.gateway.versions, self.gateway.replaced), ([7], []))
 
 
+class EvacuationsTest(unittest.IsolatedAsyncioTestCase):
+    """Replies of several control nodes, some of which have not applied the newest order."""
+
+    def setUp(self):
+        self.gateway = RecordingGateway()
+        self.client = ControlPlaneClient(
+            self.gateway,
+            SimulatedControls(),
+            ["n1"],
+            FakeFormat(),
+            lambda: GatewayReport("g1", "a1", []),
+            NullLog(),
+            LOCALITY,
+        )
+
+    def reply(self, revision, current=True):
+        evacuations = Evacuations(revision, {"a1": 1} if revision else {})
+        self.client._apply(
+            "n1", DirectoryReply(current, 7, b"", 3, None, 1, 1, [], [], evacuations=evacuations)
+        )
+
+    def start_provisionally(self, revision):
+        for name in ("v1", "v2"):
+            evacuations = Evacuations(revision, {"a1": 1})
+            self.client._apply_logged(logged_reply(name, 2, 9, 7, evacuations=evacuations))
+
+    async def test_an_older_reply_that_arrives_later_is_ignored(self):
+        self.reply(9)
+        self.reply(5)
+        self.assertEqual(self.gateway.evacuations, [9])
+
+    async def test_the_provisional_directory_has_them(self):
+        self.start_provisionally(9)
+        self.assertEqual(self.gateway.evacuations[-1], 9)
+
+    async def test_an_up_to_date_node_replaces_what_was_logged_but_not_committed(self):
+        self.start_provisionally(9)
+        self.reply(0)
+        self.assertEqual(self.gateway.evacuations[-1], 0)
+
+    async def test_a_node_that_has_not_caught_up_after_a_restart_opens_no_zone(self):
+        self.start_provisionally(9)
+        self.reply(0, current=False)
+        self.assertEqual(self.gateway.evacuations[-1], 9)
+
+
 class LatestLogOfMajorityTest(unittest.TestCase):
     def test_the_latest_log_by_term_then_index_is_returned(self):
         replies = [
--- a/tests/support/control_cost.py
+++ b/tests/support/control_cost.py
@@ -78,6 +78,9 @@
     def set_directory(self, directory):
         self.directory = directory
 
+    def set_evacuations(self, evacuations):
+        pass
+
     def note_control_up_to_date(self, peer):
         pass
 
