--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -124,6 +124,9 @@
             return
         self.stage = Stage.WAITS_FOR_SAMPLE
         since = earliest_sample_time(self.route, self._freshness_reference)
+        if self.reject_without_sample(since):
+            self.failed = True
+            return
         prefetch_sample(self.service, self.route, self.clock.time())
         if self.service.primary.has_sample_since(since) or not self.refuse_if_primary_long_lost():
             self.service.primary.wait_for_position(since, self._on_floor)
@@ -265,7 +268,7 @@
         """Abort the transaction if its member may not be sent the statement; return whether."""
         assert self.pool is not None
         record = self.pool.record
-        exclusion = self.service.exclusion(record, self.regions)
+        exclusion = self.service.exclusion(record, self.regions, in_transaction=True)
         if exclusion is None or exclusion is Exclusion.WARMING_UP:
             return False  # a member that warms up gets the statement later
         self.failed = True
@@ -355,10 +358,10 @@
         if channel.closed:
             self.release()
             return
-        if channel.busy:
-            self.discard()
-            return
         pool = self.pool
+        if channel.busy or (pool is not None and self.service.is_closed(pool.record)):
+            self.discard()  # the member rolls back
+            return
         self.channel = None
         assert pool is not None
 
