Announcements without a start where others of the service tell theirs are rejected, not acknowledged

A rejection at the leader was answered as done: a node that lags behind a raised feature level leaves the start out, and would have acknowledged a leaving announcement that was not recorded.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -75,10 +75,15 @@
         The log holds only the sequence of a member's last change; whether an announcement is late
         is judged by the newest sequence heard of its life. A late one counts only if the member is
         leaving.
+
+        :raises RowanrailError: if it is rejected or was not committed.
         """
         record = recordable(record, self._state.feature_level)
-        if self._check(record) is not None:
-            return  # the node that got it may not have known the newest state
+        rejection = self._check(record)
+        if rejection is not None:
+            # Not ignored: the node that got it may have known an older state or a lower feature
+            # level, and would acknowledge what is not recorded.
+            raise rejection
         order = self._state.order_of(record)
         if order is LifeOrder.UNPROVEN:
             await self._handle_unproven(record)
--- a/src/rowanrail/coordination/member_limits.py
+++ b/src/rowanrail/coordination/member_limits.py
@@ -1,4 +1,6 @@
-"""Which announced members are added to the directory. No I/O.
+"""Which announcements are accepted, by what is known of other members. No I/O.
+
+The members of a service tell their start, or are of an earlier version and don't.
 
 A service that the configuration doesn't have may be in the next one, so that its members are kept,
 but not without limit, and they change nothing about members of configured services.
@@ -6,6 +8,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
+from rowanrail.coordination.lives import LifeOrder
 from rowanrail.coordination.rejected_announcements import AnnouncementRejectedError, RejectionReason
 from rowanrail.model.members import MemberRecord
 
@@ -14,6 +17,7 @@
     "MAX_UNCONFIGURED_MEMBERS",
     "ConfiguredServices",
     "check_new_member",
+    "check_start",
     "check_unconfigured",
 ]
 
@@ -44,6 +48,37 @@
     return None
 
 
+def check_start(
+    record: MemberRecord,
+    order: LifeOrder,
+    known: MemberRecord | None,
+    members: Iterable[MemberRecord],
+) -> AnnouncementRejectedError | None:
+    """Return why an announcement without a start is rejected, if it is.
+
+    Parameters
+    ----------
+    order : LifeOrder
+        How its life relates to the known one.
+    known : MemberRecord or None
+        The known member of the same instance.
+    members : iterable of MemberRecord
+        All members.
+    """
+    if order is LifeOrder.FOREIGN:
+        return _start_error(f"the member {record.instance}")
+    if known is not None or record.started_ms:
+        return None
+    for member in members:
+        if member.service == record.service and member.started_ms:
+            return _start_error(f"the member {member.instance} of {member.service}")
+    return None
+
+
+def _start_error(who: str) -> AnnouncementRejectedError:
+    return AnnouncementRejectedError(RejectionReason.NO_START, f"no start, but {who} tells one")
+
+
 def check_unconfigured(
     record: MemberRecord, others: Iterable[MemberRecord | None], services: Collection[str]
 ) -> AnnouncementRejectedError | None:
--- a/src/rowanrail/coordination/rejected_announcements.py
+++ b/src/rowanrail/coordination/rejected_announcements.py
@@ -20,7 +20,7 @@
 
     INVALID = "invalid"  # the body, or the id, is no announcement
     TOO_LARGE = "too-large"
-    NO_START = "no-start"  # the member of this id tells its start
+    NO_START = "no-start"  # the member of this id tells one, or others of its service
     OTHER_SERVICE = "other-service"  # contradicts a member of a configured service
     LIMIT = "limit"  # of members
 
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -26,6 +26,7 @@
 from rowanrail.coordination.member_limits import (
     ConfiguredServices,
     check_new_member,
+    check_start,
     check_unconfigured,
 )
 from rowanrail.coordination.messages import (
@@ -42,7 +43,6 @@
 from rowanrail.coordination.rejected_announcements import (
     AnnouncementRejectedError,
     RejectedAnnouncements,
-    RejectionReason,
 )
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.watches import Watches
@@ -254,17 +254,16 @@
 
     def _rejection_of(self, record: MemberRecord) -> AnnouncementRejectedError | None:
         state, instance = self.state, record.instance
-        if state.order_of(record) is LifeOrder.FOREIGN:
-            message = f"the member {instance} tells its start"
-            return AnnouncementRejectedError(RejectionReason.NO_START, message)
         member = state.members.get(instance)
+        problem = check_start(record, state.order_of(record), member, state.members.values())
+        if problem is not None:
+            return problem
         if member is not None and (member.service, member.address) == (
             record.service,
             record.address,
         ):
             return None
         services = self.configured_services()
-        problem = None
         if services is not None and record.service not in services:
             known = member or state.displaced.get(instance)
             others = [known, state.member_at_address(record)]
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -12,6 +12,7 @@
 from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.messages import AnnounceRequest, HeartbeatNotice, RemoveRequest
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.rejected_announcements import AnnouncementRejectedError
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.model.members import MemberRecord
@@ -304,8 +305,13 @@
     async def test_an_announcement_without_a_start_is_of_another_writer(self):
         await self.announce(50, FIRST)
         before = self.state.snapshot()
-        await self.service.handle(AnnounceRequest(record(sequence=51, leaving=True)))
-        await self.service.handle(AnnounceRequest(record(sequence=1, address="10.0.0.9:1")))
+        for other in (
+            record(sequence=51, leaving=True),
+            record(sequence=1, address="10.0.0.9:1"),
+        ):
+            # An acknowledgement would be wrong if a node that lags left the start out.
+            with self.assertRaises(AnnouncementRejectedError):
+                await self.service.handle(AnnounceRequest(other))
         self.assertEqual(self.state.snapshot(), before)
 
     async def test_a_member_that_goes_on_and_tells_its_start_is_of_the_same_life(self):
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -155,6 +155,18 @@
         for changes in ({"call-seq": 9}, {"state": "draining"}, {"addr": "10.0.0.7:1"}):
             self.check_rejected(self.node.put(body=body | changes), changes)
 
+    def test_no_start_where_the_other_members_of_the_service_tell_theirs(self):
+        body = {key: value for key, value in HEARTBEAT.items() if key != "born"}
+        self.check_rejected(self.node.put("m2", body | {"addr": "10.0.0.7:1"}), "m2")
+        other = body | {"service": "other", "addr": "10.0.0.7:1"}
+        self.assertEqual(self.node.put("m3", other), 200, "an earlier version of members")
+        self.assertEqual(self.node.put("m3", other | {"call-seq": 5}), 200)
+
+    def test_a_field_is_missing_that_all_members_with_a_start_have(self):
+        for name in ("version", "cold-ms"):
+            body = {key: value for key, value in HEARTBEAT.items() if key != name}
+            self.check_rejected(self.node.put("m2", body | {"addr": "10.0.0.7:1"}), name)
+
     def test_a_service_that_is_not_configured_for_a_known_member_or_its_address(self):
         made_up = {"service": "made-up", "call-seq": 9}
         self.check_rejected(self.node.put(**made_up), "known member")
