--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -66,6 +66,7 @@
         self.slots = 5
         self.log: list[tuple[int, list[tuple[str, str]]]] = []
         self.sequence = 0
+        self.born: int | None = None  # Unix milliseconds, if it tells them
         self.executed: list[str] = []
         self.connections: set[MemberConnection] = set()
         self._server: asyncio.Server | None = None
@@ -105,9 +106,18 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    async def start_again(self, born: int) -> None:
+        """Start with an empty log and the first sequence, after :meth:`stop`."""
+        self.log.clear()
+        self.executed.clear()
+        self.is_primary = False
+        self.born, self.sequence = born, 0
+        await self.start()
+
     def heartbeat(self, state: str = "ready") -> dict[str, Any]:
         self.sequence += 1
-        return {
+        start = {} if self.born is None else {"born": self.born}
+        return start | {
             "service": self.group.name,
             "addr": self.address,
             "zone": "a",
