Late announcements of a life that ended before it was recorded prove nothing

Cause: a life with a lower start that left or ended while it was still to be proven was acknowledged, and its late announcements could prove it.

Change: the leader remembers for a minute that such a life is over.

Fails before: tests.coordination.test_lives.SteppedClockTest. test_it_gets_nothing_once_it_leaves_or_ends_after_the_known_life_was_removed.

--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -118,6 +118,8 @@
         if self._state.feature_level < LIVES_LEVEL:
             start = 0
         self._claims.forget(instance)
+        if start:
+            self._claims.note_end(instance, start)
         if self._state.is_earlier_start(instance, start):
             return
         if not self._state.has_ended(instance, start):
@@ -131,6 +133,7 @@
         if self._state.is_over(record):
             return
         if record.leaving:
+            self._claims.note_end(instance, start)
             # The known life may have ended, and this one have been sent its statements.
             is_earlier = self._state.is_earlier_start(instance, start)
             if instance in self._state.members and not is_earlier:
--- a/src/rowanrail/coordination/lives.py
+++ b/src/rowanrail/coordination/lives.py
@@ -28,6 +28,7 @@
 
 CLAIM_EXPIRY_SECONDS = 3.0  # more than two heartbeat intervals of 1.2 s
 MAX_CLAIMS = 200
+MAX_LATE_SECONDS = 60.0  # announcements are seconds late after a partition
 RETURN_ANNOUNCEMENTS = 2
 RETURN_SECONDS = 0.8  # longer than delayed announcements take that arrive together
 REPLACEMENT_ANNOUNCEMENTS = 3
@@ -85,6 +86,13 @@
     heard_at: float
     sequence: int
     announcements: int = 1
+    is_over: bool = False  # it announced that it leaves, or its end
+
+
+def _is_stale(claim: _Claim, now: float, known_silent: float) -> bool:
+    if claim.is_over:
+        return now - claim.heard_at > MAX_LATE_SECONDS
+    return now - claim.heard_at > CLAIM_EXPIRY_SECONDS or now - claim.since >= known_silent
 
 
 def is_return_proven(announcements: int, seconds: float) -> bool:
@@ -157,19 +165,24 @@
         """
         now, key = self._now(), (record.instance, record.started_ms)
         claim = self._claims.pop(key, None)
-        if (
-            claim is None
-            or now - claim.heard_at > CLAIM_EXPIRY_SECONDS
-            or now - claim.since >= known_silent
-        ):
+        if claim is None or _is_stale(claim, now, known_silent):
             claim = _Claim(now, now, record.sequence)
-        elif record.sequence > claim.sequence:
+        elif not claim.is_over and record.sequence > claim.sequence:
             claim.heard_at, claim.sequence = now, record.sequence
             claim.announcements += 1
+        self._put(key, claim)
+        return claim.announcements, claim.heard_at - claim.since
+
+    def note_end(self, instance: str, start: int) -> None:
+        """Record that a life leaves or has ended; its late announcements prove nothing."""
+        now = self._now()
+        self._claims.pop((instance, start), None)
+        self._put((instance, start), _Claim(now, now, 0, announcements=0, is_over=True))
+
+    def _put(self, key: tuple[str, int], claim: _Claim) -> None:
         self._claims[key] = claim  # the one heard last is the last to be dropped
         if len(self._claims) > MAX_CLAIMS:
             del self._claims[next(iter(self._claims))]
-        return claim.announcements, claim.heard_at - claim.since
 
     def forget(self, instance: str) -> None:
         """Discard all claims of an instance."""
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -261,6 +261,20 @@
                 await self.heartbeats(range(3, 9), SECOND, leaving=end == "draining")
                 self.assertIsNone(self.start_of())
 
+    async def test_it_gets_nothing_once_it_leaves_or_ends_after_the_known_life_was_removed(self):
+        for end in ("draining", "removal"):
+            with self.subTest(end):
+                self.setUp()
+                await self.announce(50, THIRD)
+                await self.remove(THIRD)
+                await self.heartbeats([1, 2], SECOND)
+                if end == "draining":
+                    await self.announce(20, SECOND, leaving=True)
+                else:
+                    await self.remove(SECOND)
+                await self.heartbeats(range(3, 9), SECOND)  # late
+                self.assertIsNone(self.start_of())
+
     async def test_the_known_life_returns_if_the_one_that_left_was_an_earlier_one(self):
         await self.announce(50, THIRD)
         await self.remove(SECOND)
