--- a/tests/coordination/test_lives_at_random.py
+++ b/tests/coordination/test_lives_at_random.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from msgspec import UNSET
+
 from rowanrail.coordination.messages import AnnounceRequest, RemoveRequest
 from rowanrail.model.members import MemberRecord
 from tests.coordination.test_lives import HEARTBEAT_SECONDS, LivesTestCase
@@ -39,6 +41,8 @@
 
 
 class RandomLivesTest(LivesTestCase):
+    removals_tell_start = True
+
     def begin(self, seed):
         self.setUp()
         self.random = random.Random(seed)
@@ -61,7 +65,8 @@
     async def deliver(self, message):
         await self.service.handle(message)
         if isinstance(message, RemoveRequest):
-            self.over.add(message.start_ms)
+            if message.start_ms is not UNSET:
+                self.over.add(message.start_ms)
         elif message.record.leaving:
             self.over.add(message.record.start_ms)
 
@@ -91,7 +96,9 @@
             self.life.leaving = True
             self.prompt = 0
         elif action < 0.11 or (self.life.leaving and action < 0.5):
-            await self.send(RemoveRequest("m1", self.life.start))
+            await self.send(
+                RemoveRequest("m1", self.life.start if self.removals_tell_start else UNSET)
+            )
             self.start_life()
         elif action < 0.14:
             self.change_leader()
@@ -107,6 +114,8 @@
     def check_running(self):
         if self.prompt < PROMPT_HEARTBEATS:
             return
+        if not self.removals_tell_start and not self.state.earlier_starts:
+            return  # a removal holds if no earlier life is known
         known = self.state.members.get("m1")
         self.assertIsNotNone(known, "a running member is missing")
         self.assertEqual(known.started_ms, self.life.start)
@@ -120,5 +129,11 @@
                     self.check_running()
 
 
+class RemovalsWithoutStartTest(RandomLivesTest):
+    """A removal may be that of an earlier life; which one it ends isn't known."""
+
+    removals_tell_start = False
+
+
 if __name__ == "__main__":
     unittest.main()
