--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -75,10 +75,15 @@
         The log holds only the sequence of a member's last change; whether an announcement is late
         is judged by the newest sequence heard of its life. A late one counts only if the member is
         leaving.
+
+        :raises RowanrailError: if it is rejected or was not committed.
         """
         record = recordable(record, self._state.feature_level)
-        if self._check(record) is not None:
-            return  # the node that got it may not have known the newest state
+        rejection = self._check(record)
+        if rejection is not None:
+            # Not ignored: the node that got it may have known an older state or a lower feature
+            # level, and would acknowledge what is not recorded.
+            raise rejection
         order = self._state.order_of(record)
         if order is LifeOrder.UNPROVEN:
             await self._handle_unproven(record)
@@ -113,6 +118,8 @@
         if self._state.feature_level < LIVES_LEVEL:
             start = 0
         self._claims.forget(instance)
+        if start:
+            self._claims.note_end(instance, start)
         if self._state.is_earlier_start(instance, start):
             return
         if not self._state.has_ended(instance, start):
@@ -126,6 +133,7 @@
         if self._state.is_over(record):
             return
         if record.leaving:
+            self._claims.note_end(instance, start)
             # The known life may have ended, and this one have been sent its statements.
             is_earlier = self._state.is_earlier_start(instance, start)
             if instance in self._state.members and not is_earlier:
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -12,6 +12,7 @@
 from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.messages import AnnounceRequest, HeartbeatNotice, RemoveRequest
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.rejected_announcements import AnnouncementRejectedError
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.model.members import MemberRecord
@@ -260,6 +261,20 @@
                 await self.heartbeats(range(3, 9), SECOND, leaving=end == "draining")
                 self.assertIsNone(self.start_of())
 
+    async def test_it_gets_nothing_once_it_leaves_or_ends_after_the_known_life_was_removed(self):
+        for end in ("draining", "removal"):
+            with self.subTest(end):
+                self.setUp()
+                await self.announce(50, THIRD)
+                await self.remove(THIRD)
+                await self.heartbeats([1, 2], SECOND)
+                if end == "draining":
+                    await self.announce(20, SECOND, leaving=True)
+                else:
+                    await self.remove(SECOND)
+                await self.heartbeats(range(3, 9), SECOND)  # late
+                self.assertIsNone(self.start_of())
+
     async def test_the_known_life_returns_if_the_one_that_left_was_an_earlier_one(self):
         await self.announce(50, THIRD)
         await self.remove(SECOND)
@@ -304,8 +319,13 @@
     async def test_an_announcement_without_a_start_is_of_another_writer(self):
         await self.announce(50, FIRST)
         before = self.state.snapshot()
-        await self.service.handle(AnnounceRequest(record(sequence=51, leaving=True)))
-        await self.service.handle(AnnounceRequest(record(sequence=1, address="10.0.0.9:1")))
+        for other in (
+            record(sequence=51, leaving=True),
+            record(sequence=1, address="10.0.0.9:1"),
+        ):
+            # An acknowledgement would be wrong if a node that lags left the start out.
+            with self.assertRaises(AnnouncementRejectedError):
+                await self.service.handle(AnnounceRequest(other))
         self.assertEqual(self.state.snapshot(), before)
 
     async def test_a_member_that_goes_on_and_tells_its_start_is_of_the_same_life(self):
