The soak binds a tenant to a region, with a member in the other one

Its statements must never arrive at that member, also while it is primary, and no gateway may report a text from outside its region.

--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -13,6 +13,7 @@
 CONNECT_SECONDS = 0.012  # slot time of a new connection
 QUEUE_CAPACITY = 32  # queued statements; further ones fail with BUSY
 SLOT_COMMANDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
+ZONES = {"i-2": "b"}  # zone of each member; "a" if missing
 _connection_ids = itertools.count()  # unlike id(), never reused
 
 
@@ -30,6 +31,13 @@
         self._running_count = 0
         self._queue: deque[tuple[float, Callable[[], None]]] = deque()
 
+    @property
+    def zone(self) -> str:
+        return ZONES.get(self.instance, "a")
+
+    def heartbeat(self, state: str = "ready") -> dict[str, Any]:
+        return super().heartbeat(state) | {"zone": self.zone}
+
     def enqueue(self, seconds: float, done: Callable[[], None]) -> bool:
         """Queue work that takes ``seconds`` and then calls ``done``; return False if full."""
         if len(self._queue) >= QUEUE_CAPACITY:
@@ -128,12 +136,14 @@
         return super().run_begin(words)
 
     def run_read(self, words: list[str]) -> list[str]:
+        self._report_zone()
         self._count_operation()
         if self.state == "T" and not self.read_write:
             self.member.group.on_transaction_read(Execution(self._connection_id, self.values))
         return super().run_read(words)
 
     def run_write(self, words: list[str]) -> list[str]:
+        self._report_zone()
         lines = super().run_write(words)
         if not lines[0].startswith("ERROR"):
             self._count_operation()
@@ -149,6 +159,10 @@
         finally:
             self._shape = ""
 
+    def _report_zone(self) -> None:
+        assert isinstance(self.member, SlottedMember)
+        self.member.group.on_zone(self.tenant, self.member.zone)
+
     def _count_operation(self) -> None:
         if self.state != "T" or not self._transaction_counted:
             self.member.group.on_operation(self.tenant)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,8 @@
 RECOVERY_SECONDS = 6.0
 DATABASES = ("orders", "carts")
 REGIONS = {"a": "r1", "b": "r2"}
+# A tenant whose statements may only run in this region.
+BOUND_TENANT, BOUND_REGION = 3, "r1"
 CONFIG_PROPAGATION_SECONDS = 3.0  # after an acknowledgement, with two concurrent faults
 DISK_RECOVERY_SECONDS = 1.0  # for a retry, every 0.5 s, and the catch-up with the leader
 # Limit of each tenant: its three clients stay below it, OVERLOAD_CLIENTS more exceed it.
@@ -39,10 +41,15 @@
     """A group that reports statements, commits and the rollbacks of a promotion to an oracle."""
 
     oracle: Oracle
+    is_bound = False  # whether the statements of one tenant are bound to a region
 
     def on_statement(self, tenant: str, key: str) -> None:
         self.oracle.check_tenant(tenant, key)
 
+    def on_zone(self, tenant: str, zone: str) -> None:
+        if self.is_bound and tenant == f"t{BOUND_TENANT}" and REGIONS[zone] != BOUND_REGION:
+            self.oracle.add_problem(f"HOME: a statement of {tenant} arrived in zone {zone}")
+
     def on_write(self, value: str, execution: Execution) -> None:
         self.oracle.check_write(value, execution)
 
@@ -268,6 +275,7 @@
         )
         assert isinstance(fleet.group, ObservedGroup)
         fleet.group.oracle = self.oracle
+        fleet.group.is_bound = self.is_bound
         self.fleet = fleet
         async with fleet:
             await fleet.until(lambda: fleet.put(self._build_config()), 200)
@@ -299,16 +307,26 @@
 
     def _build_config(self) -> dict[str, object]:
         services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
-        tenants = [
+        tenants: list[dict[str, object]] = [
             {"name": f"t{number}", "api-keys": [key], "rate-per-s": RATE_PER_SECOND, "burst": BURST}
             for number, key in enumerate(self.api_keys)
         ]
+        if self.is_bound:
+            tenants[BOUND_TENANT]["allowed-regions"] = [BOUND_REGION]
         document = configuration(self.config_version, services=services, tenants=tenants)
         first = document["routes"][0]
         document["routes"] += [{**first, "name": f"r-{d}", "host": d} for d in self.added_databases]
         return document
 
+    @property
+    def is_bound(self) -> bool:
+        """Whether a tenant is bound to a region; earlier versions ignore that."""
+        return self.beside is None
+
     def _check_logs(self) -> None:
+        for host in self.fleet.proxy_hosts:
+            if '"event":346' in self.fleet.log(host):
+                self.oracle.add_problem(f"HOME: {host} was sent a text from outside its region")
         for host in [*self.fleet.proxy_hosts, *self.fleet.control_hosts]:
             if "secret-" in self.fleet.log(host):
                 self.oracle.add_problem(f"SECRET: a key stands in the log of {host}")
