A crowded primary is not taken for a silent one, and a new leader finds a demoted one sooner

Cause: a leaving primary whose connections or slots were all in use answered no status query, and after a second it was replaced as a lost one, without its last commits. A leader that took over after a demotion waited for the former primary's announcement.

Change: queries of planned moves ask again a member that refuses for lack of a connection or a slot, and don't count it as silent; the intent is logged only once both connections are open. A former primary that the log names, and whose status says that it doesn't lead, counts as demoted.

Tests: test_a_leaving_primary_without_a_free_connection_is_not_taken_for_a_lost_one failed before (the primary was replaced).

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -270,8 +270,9 @@
 
     async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
         members = self._members(service)
-        retries_busy = demotion is not None or any(m.primary and m.leaving for m in members)
-        statuses = await self._queries.query(members, Command(CommandKind.STATUS), retries_busy)
+        is_planned = demotion is not None or any(m.primary and m.leaving for m in members)
+        on_refused = self.mover.note_refused if is_planned else None
+        statuses = await self._queries.query(members, Command(CommandKind.STATUS), on_refused)
         self.mover.note_statuses(service, statuses)
         # A demoted primary that answers acknowledges nothing, and replicas must still receive.
         is_demoted = demotion is not None and demotion.former in statuses
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -29,7 +29,12 @@
     retry_delay_seconds,
 )
 from rowanrail.coordination.service import CoordinationService
-from rowanrail.coordination.status_queries import MemberLine, StatusQueries, StatusReply
+from rowanrail.coordination.status_queries import (
+    QUERY_TIMEOUT_SECONDS,
+    MemberLine,
+    StatusQueries,
+    StatusReply,
+)
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.model.members import MemberRecord
@@ -111,6 +116,7 @@
         self._demoted: dict[str, _Demoted] = {}
         self._leaderless_since: dict[str, float] = {}
         self._silent_since: dict[str, float] = {}
+        self._refused_at: dict[str, float] = {}  # of members
         self._retry_at: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
         self._waiting: dict[str, str] = {}
@@ -178,6 +184,17 @@
         if any(m.primary and m.instance in statuses for m in self._members(service)):
             self._silent_since.pop(service, None)
 
+    def note_refused(self, instance: str) -> None:
+        """Record that a member refused a status query for lack of room, so that it is alive."""
+        self._refused_at[instance] = self._now()
+        record = self._service.state.members.get(instance)
+        if record is not None and record.primary:
+            self._silent_since.pop(record.service, None)
+
+    def _refused_within(self, instance: str) -> bool:
+        """Return whether a member refused a query during the last round."""
+        return self._now() - self._refused_at.get(instance, -1e9) < QUERY_TIMEOUT_SECONDS
+
     def _note_leader(self, service: str, instance: str) -> None:
         """End a demotion, as a member leads again."""
         self._leaderless_since.pop(service, None)
@@ -220,6 +237,9 @@
         former, successor, term = found
         lines = [self._queries.connect(member.record) for member in (former, successor)]
         try:
+            if not all([await line.opens() for line in lines]):
+                self._wait(service, reason, "no connection to the primary or its successor")
+                return
             await self._replace(service, reason, former, successor, term, *lines)
         except RowanrailError as error:
             self._wait(service, reason, str(error))
@@ -238,15 +258,20 @@
         position: Position | None = None
         while True:
             statuses = await self._queries.query(
-                self._members(service), Command(CommandKind.STATUS), retries_busy=True
+                self._members(service), Command(CommandKind.STATUS), self.note_refused
             )
             self.note_statuses(service, statuses)
             members = self._view(service, statuses).members
             former = next((m for m in members if m.record.primary), None)
             if former is None or former.received is None:
-                self._silent_since.setdefault(service, self._now())
+                if former is None or not self._refused_within(former.record.instance):
+                    self._silent_since.setdefault(service, self._now())
                 self._wait(service, reason, "the primary does not answer")
                 return None
+            if self._is_demoted(service, former, members):
+                position = former.received
+                self._demoted[service] = _Demoted(former.record.instance, position, self._now())
+                return None
             if not former.leads or sum(m.leads is True for m in members) > 1:
                 self._wait(service, reason, "the members do not agree on the primary")
                 return None
@@ -259,6 +284,12 @@
                 return None
             await asyncio.sleep(LAG_CHECK_SECONDS)
 
+    def _is_demoted(self, service: str, former: MemberView, members: list[MemberView]) -> bool:
+        """Return whether the primary was demoted by a move, and has not announced it yet."""
+        promotion = self._service.state.promotions.get(service)
+        was_intended = promotion is not None and promotion.former == former.record.instance
+        return was_intended and not any(member.leads for member in members)
+
     async def _replace(
         self,
         service: str,
@@ -311,7 +342,7 @@
         reply = await line.ask(Command(CommandKind.DEMOTE, str(term)), DEMOTION_SECONDS)
         if reply is None or reply.leads:
             statuses = await self._queries.query(
-                [record], Command(CommandKind.STATUS), retries_busy=True
+                [record], Command(CommandKind.STATUS), self.note_refused
             )
             reply = statuses.get(record.instance)
         return None if reply is None or reply.leads else reply.received
--- a/src/rowanrail/coordination/status_queries.py
+++ b/src/rowanrail/coordination/status_queries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,7 +16,8 @@
 from rowanrail.model.statements import Answer, Command, Refusal
 
 QUERY_TIMEOUT_SECONDS = 0.3  # six round trips between regions
-BUSY_RETRY_SECONDS = 0.02  # until a command that a member refused as busy is sent again
+NO_ROOM = frozenset({Refusal.BUSY, Refusal.TOO_MANY_CONNECTIONS})
+BUSY_RETRY_SECONDS = 0.02  # until a member that refused for lack of room is asked again
 PRIMARY_GRACE_SECONDS = 0.15  # three round trips between regions: connect, start, status
 
 
@@ -43,39 +45,60 @@
     """
 
     def __init__(
-        self, reader: StatusReader, records: list[MemberRecord], retries_busy: bool
+        self,
+        driver: MemberDriver,
+        reader: StatusReader,
+        records: list[MemberRecord],
+        command: Command,
+        on_refused: Callable[[str], None] | None,
     ) -> None:
         self.statuses: dict[str, StatusReply] = {}
         self.done = asyncio.get_running_loop().create_future()
+        self.channels: dict[str, Channel] = {}
+        self._driver = driver
         self._reader = reader
-        self._retries_busy = retries_busy
+        self._command = command
+        self._on_refused = on_refused
         self._outstanding = {record.instance: record for record in records}
         if not records:
             self.done.set_result(None)
 
-    def channel(self, record: MemberRecord, command: Command) -> Channel:
-        """Return the channel that sends the command to one member."""
-
-        def send() -> None:
-            channel.send([command], [on_answer])
+    def open(self, record: MemberRecord) -> None:
+        """Open a connection to a member, and send it the command."""
 
         def on_answer(answer: Answer) -> None:
-            if self._retries_busy and answer.refusal is Refusal.BUSY and not self.done.done():
-                asyncio.get_running_loop().call_later(BUSY_RETRY_SECONDS, send)
+            if self._retry(record, answer, send):
                 return
             status = self._reader.read(answer)
             if status is not None:
                 self.statuses[record.instance] = status
             self._finish_one(record)
 
+        def send() -> None:
+            channel.send([self._command], [on_answer])
+
         def on_open(channel: Channel, answer: Answer) -> None:
-            if answer.refusal is not None:
-                self._finish_one(record)
-            else:
+            if answer.refusal is None:
                 send()
+            elif not self._retry(record, answer, lambda: self.open(record)):
+                self._finish_one(record)
 
         channel = Channel(record.address, record.instance, on_open)
-        return channel
+        self.channels[record.instance] = channel
+        self._driver.open(record.address, record.service, record.instance, channel)
+
+    def _retry(self, record: MemberRecord, answer: Answer, again: Callable[[], None]) -> bool:
+        """Try again later if a member refused for lack of room; return whether to."""
+        if self._on_refused is None or answer.refusal not in NO_ROOM or self.done.done():
+            return False
+        self._on_refused(record.instance)
+
+        def unless_done() -> None:
+            if not self.done.done():
+                again()
+
+        asyncio.get_running_loop().call_later(BUSY_RETRY_SECONDS, unless_done)
+        return True
 
     def _finish_one(self, record: MemberRecord) -> None:
         self._outstanding.pop(record.instance, None)
@@ -97,27 +120,28 @@
         self._reader = reader
 
     async def query(
-        self, records: list[MemberRecord], command: Command, retries_busy: bool = False
+        self,
+        records: list[MemberRecord],
+        command: Command,
+        on_refused: Callable[[str], None] | None = None,
     ) -> dict[str, StatusReply]:
         """Return the statuses of the members that answered the command.
 
         Parameters
         ----------
-        retries_busy : bool
-            Whether to send the command again to members that refuse it as busy.
+        on_refused : callable, optional
+            Called with each member that refuses the connection or the command for lack of room. It
+            is then asked again until the round ends.
         """
-        query_round = _QueryRound(self._reader, records, retries_busy)
-        channels = []
+        query_round = _QueryRound(self._driver, self._reader, records, command, on_refused)
         for record in records:
-            channel = query_round.channel(record, command)
-            channels.append(channel)
-            self._driver.open(record.address, record.service, record.instance, channel)
+            query_round.open(record)
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_SECONDS):
                 await query_round.done
         except TimeoutError:
             pass  # members that did not answer are missing in the result
-        for channel in channels:
+        for channel in query_round.channels.values():
             channel.close()
         return dict(query_round.statuses)
 
@@ -127,30 +151,48 @@
 
 
 class MemberLine:
-    """A connection to one member, on which a command costs one round trip."""
+    """A connection to one member, on which a command costs one round trip.
+
+    What a member refuses for lack of room is asked again: it had no effect.
+    """
 
     def __init__(self, driver: MemberDriver, reader: StatusReader, record: MemberRecord) -> None:
+        self._driver = driver
         self._reader = reader
+        self._record = record
+        self._is_closed = False
         self._opened: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._channel = Channel(record.address, record.instance, self._on_open)
-        driver.open(record.address, record.service, record.instance, self._channel)
+        self._open()
+
+    def _open(self) -> None:
+        record = self._record
+        if not self._is_closed:
+            self._channel = Channel(record.address, record.instance, self._on_open)
+            self._driver.open(record.address, record.service, record.instance, self._channel)
 
     def _on_open(self, channel: Channel, answer: Answer) -> None:
-        if not self._opened.done():
+        if answer.refusal in NO_ROOM:
+            asyncio.get_running_loop().call_later(BUSY_RETRY_SECONDS, self._open)
+        elif not self._opened.done():
             self._opened.set_result(answer.refusal is None)
 
+    async def opens(self) -> bool:
+        """Wait for the connection; return whether it was opened in time."""
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_SECONDS):
+                return await asyncio.shield(self._opened)
+        except TimeoutError:
+            return False
+
     async def ask(
         self, command: Command, timeout: float = QUERY_TIMEOUT_SECONDS
     ) -> StatusReply | None:
-        """Return the member's status after a command, None without an answer in time.
-
-        A command that is refused as busy had no effect and is sent again.
-        """
+        """Return the member's status after a command, None without an answer in time."""
         try:
             async with asyncio.timeout(timeout):
-                if not await self._opened:
+                if not await asyncio.shield(self._opened):
                     return None
-                while (answer := await self._send(command)).refusal is Refusal.BUSY:
+                while (answer := await self._send(command)).refusal in NO_ROOM:
                     await asyncio.sleep(BUSY_RETRY_SECONDS)
                 return self._reader.read(answer)
         except TimeoutError:
@@ -168,4 +210,5 @@
 
     def close(self) -> None:
         """Close the connection; a command without an answer may still be carried out."""
+        self._is_closed = True
         self._channel.close()
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -36,6 +36,7 @@
     instance: str
     leads: bool
     silent: bool = False
+    is_crowded: bool = False
     sequence: int = 0
     leaving: bool = False
     zone: str = "z1"
@@ -95,7 +96,11 @@
 
     def open(self, address, service, instance, channel):
         member = next(member for member in self.members if member.instance == instance)
-        if not member.silent:
+        if member.is_crowded:
+            message = "no connection is free"
+            loop = asyncio.get_running_loop()
+            loop.call_soon(channel.refused, Refusal.TOO_MANY_CONNECTIONS, message)
+        elif not member.silent:
             channel.opened(FakeWire(member, channel), Position(1, 9))
 
     def read(self, answer):
@@ -401,6 +406,18 @@
 
         self.run_scenario(scenario, [PromotionOutcome.REFUSED])
 
+    def test_a_leaving_primary_without_a_free_connection_is_not_taken_for_a_lost_one(self):
+        async def scenario():
+            self.first.is_crowded = True
+            self.leave()
+            await asyncio.sleep(4.0)
+            self.assertTrue(self.first.leads)
+            self.assertEqual(self.orders(), [])
+            self.first.is_crowded = False
+            await self.wait_until(lambda: self.third.leads)
+
+        self.run_scenario(scenario)
+
     def test_a_leaving_primary_that_answers_nothing_is_replaced_as_a_lost_one(self):
         async def scenario():
             self.first.leaving = True
--- a/tests/coordination/test_status_queries.py
+++ b/tests/coordination/test_status_queries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -82,29 +83,49 @@
         pass
 
 
-class BusyDriver(MemberDriver):
+class CrowdedDriver(MemberDriver):
+    """Refuses the first connections to each member."""
+
+    def __init__(self, refused_connections):
+        self.refused_connections = refused_connections
+        self.attempts = Counter()
+
     def open(self, address, service, instance, channel):
-        channel.opened(BusyWire(channel), None)
+        self.attempts[instance] += 1
+        if self.attempts[instance] <= self.refused_connections:
+            refuse = channel.refused
+            loop = asyncio.get_running_loop()
+            loop.call_soon(refuse, Refusal.TOO_MANY_CONNECTIONS, "no connection is free")
+        else:
+            channel.opened(BusyWire(channel), None)
 
 
-class BusyMemberTest(unittest.IsolatedAsyncioTestCase):
-    """A member without a free slot refuses a status query; it isn't silent."""
+class CrowdedMemberTest(unittest.IsolatedAsyncioTestCase):
+    """A member without a free slot or connection refuses a query; it isn't silent."""
 
     def setUp(self):
-        self.queries = StatusQueries(BusyDriver(), PlainReader())
+        self.queries = StatusQueries(CrowdedDriver(2), PlainReader())
 
     async def test_a_round_asks_again_if_told_to(self):
         command = Command(CommandKind.STATUS)
-        self.assertEqual(await self.queries.query(members(), command), {})
-        self.assertEqual(len(await self.queries.query(members(), command, retries_busy=True)), 3)
+        refused = []
+        statuses = await self.queries.query(members(), command, refused.append)
+        self.assertEqual(len(statuses), 3)
+        self.assertEqual(Counter(refused), {"m1": 4, "m2": 4, "m3": 4})
+
+    async def test_a_round_of_a_failover_does_not_wait_for_crowded_members(self):
+        self.assertEqual(await self.queries.query(members(), Command(CommandKind.STATUS)), {})
 
     async def test_a_line_asks_again_on_the_same_connection(self):
         line = self.queries.connect(members()[0])
+        self.assertTrue(await line.opens())
         status = await line.ask(Command(CommandKind.DEMOTE, "2"))
         self.assertEqual(status, StatusReply(False, 1, Position(1, 4)))
         line.close()
 
     async def test_a_line_that_can_not_be_opened_has_no_answer(self):
-        line = StatusQueries(PartlySilentDriver(m1=None), PlainReader()).connect(members()[0])
-        self.assertIsNone(await line.ask(Command(CommandKind.STATUS), timeout=0.05))
-        line.close()
+        for driver in (PartlySilentDriver(m1=None), CrowdedDriver(1000)):
+            line = StatusQueries(driver, PlainReader()).connect(members()[0])
+            self.assertIsNone(await line.ask(Command(CommandKind.STATUS), timeout=0.05))
+            self.assertFalse(await line.opens())
+            line.close()
