A primary without a possible successor is not asked for its status again and again

Cause: the leader asked all members of a service for their statuses every second while its primary had to move, also if no member could succeed by its place, as when all are in an evacuated zone.

Change: the records are checked first. The test of a primary all of whose members are in the evacuated zone failed before. A further test shows that replicas which acknowledge commits are not paused while they receive the last ones of a demoted primary.

--- a/src/rowanrail/coordination/moves.py
+++ b/src/rowanrail/coordination/moves.py
@@ -30,6 +30,7 @@
     "Placement",
     "choose_successor",
     "decide_after_demotion",
+    "is_possible_successor",
     "required_regions",
     "retry_delay_seconds",
 ]
@@ -114,6 +115,15 @@
     return frozenset.intersection(*limits) if limits else None
 
 
+def is_possible_successor(member: MemberView, former: MemberView) -> bool:
+    """Return whether a primary may move to a member by what is known of their places."""
+    return (
+        member.record.instance != former.record.instance
+        and not member.record.leaving
+        and (member.may_serve or former.record.leaving)
+    )
+
+
 def choose_successor(
     members: list[MemberView], former: MemberView, position: Position
 ) -> MemberView | None:
@@ -133,9 +143,7 @@
         for member in members
         if member.received is not None
         and member.received >= position
-        and member.record.instance != former.record.instance
-        and not member.record.leaving
-        and (member.may_serve or former.record.leaving)
+        and is_possible_successor(member, former)
     ]
     return max(candidates, key=_suitability, default=None)
 
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -26,6 +26,7 @@
     Demotion,
     Placement,
     choose_successor,
+    is_possible_successor,
     retry_delay_seconds,
 )
 from rowanrail.coordination.service import CoordinationService
@@ -254,6 +255,11 @@
 
         That member is receiving, so that it has the rest shortly after the demotion.
         """
+        known = self._view(service, {}).members
+        former = next((m for m in known if m.record.primary), None)
+        if former is None or not any(is_possible_successor(m, former) for m in known):
+            self._wait(service, reason, "no member may succeed")
+            return None
         deadline = self._now() + MAX_LAG_SECONDS
         position: Position | None = None
         while True:
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -21,7 +21,12 @@
 
 SEEDS = (1, 2, 3)
 HEARTBEAT_SECONDS = 0.4
-STATUS_COMMANDS = (CommandKind.STATUS, CommandKind.DEMOTE)
+STATUS_COMMANDS = (
+    CommandKind.STATUS,
+    CommandKind.DEMOTE,
+    CommandKind.PAUSE,
+    CommandKind.RESUME,
+)
 FAILOVER_TIMEOUT_SECONDS = 20.0
 
 
@@ -44,6 +49,7 @@
     received: Position = Position(1, 9)
     deaf: set = field(default_factory=set)
     mute: set = field(default_factory=set)
+    asked: set = field(default_factory=set)
     on_demotion: Callable = lambda: None
 
     def record(self):
@@ -66,6 +72,7 @@
         for command in commands:
             member = self.member
             if not member.silent and command.kind not in member.deaf:
+                member.asked.add(command.kind)
                 if command.kind is CommandKind.DEMOTE:
                     member.demote(int(command.text))
                 refused = command.kind is CommandKind.BEGIN and not member.leads
@@ -288,18 +295,31 @@
 
         self.run_scenario(scenario)
 
+    async def evacuate(self, zone):
+        process = self.controls.world.process(self.leader().name)
+        order = self.leader().node.service.propose(SetEvacuation(zone, True, 0))
+        await self.controls.world.run_in(process, order)
+
     def test_a_primary_in_an_evacuated_zone_moves_to_another_zone(self):
         async def scenario():
             self.second.zone = "z2"
             await asyncio.sleep(1.0)
-            process = self.controls.world.process(self.leader().name)
-            order = self.leader().node.service.propose(SetEvacuation("z1", True, 0))
-            await self.controls.world.run_in(process, order)
+            await self.evacuate("z1")
             await self.wait_until(lambda: self.second.leads)
             self.assertEqual(self.orders(), ["m2"])
 
         self.run_scenario(scenario)
 
+    def test_a_primary_stays_without_queries_if_all_members_are_in_the_evacuated_zone(self):
+        async def scenario():
+            await self.evacuate("z1")
+            await asyncio.sleep(3.0)
+            self.assertEqual(self.orders(), [])
+            for member in self.platform.members:
+                self.assertNotIn(CommandKind.STATUS, member.asked)
+
+        self.run_scenario(scenario)
+
     def test_no_replica_that_receives_means_no_demotion(self):
         async def scenario():
             self.first.received = Position(1, 20)
@@ -373,6 +393,20 @@
 
         self.run_scenario(scenario)
 
+    def test_replicas_that_acknowledge_commits_receive_on_during_a_move(self):
+        # A paused replica would not receive the last commits of the demoted primary.
+        async def scenario():
+            for control in self.controls.nodes:
+                control.node.failover._acknowledging_replicas = lambda service: 1
+            self.leave(lag_seconds=0.8)
+            await self.wait_until(lambda: not self.first.leads)
+            self.third.mute = {CommandKind.STATUS}
+            await self.wait_until(lambda: self.second.leads)
+            for member in self.platform.members:
+                self.assertNotIn(CommandKind.PAUSE, member.asked)
+
+        self.run_scenario(scenario)
+
     def test_the_next_leader_completes_the_move(self):
         async def scenario():
             self.leave(lag_seconds=0.8)
