--- a/src/rowanrail/gateway/discovery/control_plane_client.py
+++ b/src/rowanrail/gateway/discovery/control_plane_client.py
@@ -79,6 +79,9 @@
     def set_evacuations(self, evacuations: Evacuations) -> None:
         """Apply the newest evacuations of zones."""
 
+    def note_confirmed(self, asked_at_ms: float) -> None:
+        """Record that an up-to-date control node confirmed the directory and the plan."""
+
 
 class ControlPlaneClient:
     """Keeps a gateway's configuration, directory, evacuations and plan up to date.
@@ -257,6 +260,7 @@
 
     async def _poll(self, address: str, wait_seconds: float) -> bool:
         """Poll one control node and apply its reply; return whether it is up to date."""
+        asked_at = asyncio.get_running_loop().time()
         try:
             reply = await self._call(address, wait_seconds)
             self._controls.set_zone(address, reply.zone)
@@ -269,6 +273,8 @@
             self._note_lost(address, "it does not hold what the leader has committed")
             return False
         self._gateway.access.note_control_up_to_date(address)
+        if not self._copy.is_inconsistent:
+            self._gateway.note_confirmed(1000 * asked_at)
         if self._is_lost:
             self._is_lost = False
             self._decisions.note(CONTROL_RESTORED, peer=address)
--- a/src/rowanrail/gateway/discovery/current_directory.py
+++ b/src/rowanrail/gateway/discovery/current_directory.py
@@ -37,6 +37,16 @@
         """Whether the directory has any members."""
         return bool(self._members)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the directory, -1 before the first one."""
+        return self._directory.revision
+
+    @property
+    def group(self) -> list[str]:
+        """Names of the gateways of the own group, with this one if the directory lists it."""
+        return [neighbour.name for neighbour in self._directory.neighbours]
+
     @property
     def population(self) -> FleetSize:
         """Numbers of gateways and zones that share the members' connections."""
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -138,6 +138,29 @@
     "much. A tenant's urgent operations are admitted first: `urgency` is the priority of the "
     "route.",
 )
+MEMBER_WARMS_UP = define(
+    347,
+    Level.WARNING,
+    "{instance} of {service} warms up for {seconds} s: {cause}",
+    "All gateways together send it at most `rate` statements a second; `part` is how many of them "
+    "this gateway may send now, 0 if others do.",
+)
+WARM_UP_PART = define(
+    348,
+    Level.WARNING,
+    "this gateway may send {part} of the {rate} statements a second to warming members of "
+    "{service}",
+    "The senders have changed, the time of a handover is over, or the lease on the directory has "
+    "ended or begun. `senders` lists the gateways of this group that may send.",
+)
+MEMBER_WARM = define(
+    349,
+    Level.WARNING,
+    "{instance} of {service} is warm",
+    "Its limit no longer applies. `sent` and `turned_away` count the commands that this gateway "
+    "sent to it while it warmed up, and the statements that it rejected, since the gateway's "
+    "start.",
+)
 MEMBER_FELL = define(
     350,
     Level.WARNING,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -26,6 +26,8 @@
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.primary_log import log_primary_state
 from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import WarmUpContext, current_unix_ms
+from rowanrail.gateway.services.warm_up_log import log_warm_up, log_warm_up_part
 from rowanrail.gateway.services.weight_log import log_weight_change
 from rowanrail.gateway.session_context import PreparedStatementNames
 from rowanrail.gateway.sessions.access import AccessControl
@@ -43,6 +45,7 @@
 from rowanrail.model.members import PrimaryHealth
 from rowanrail.model.routing import Route, RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, Refusal
+from rowanrail.placement.senders import warm_up_senders
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.scheduling.plan import Plan
 from rowanrail.tenants.demand import DemandAggregator
@@ -69,6 +72,7 @@
         registry: Registry,
         peers: Peers = NO_PEERS,
         quota_parameters: QuotaParameters = QuotaParameters(),  # noqa: B008 - it is frozen
+        unix_ms: Callable[[], float] = current_unix_ms,
     ) -> None:
         self.clock = clock
         self.names = PreparedStatementNames()
@@ -94,6 +98,9 @@
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
         self._directory = CurrentDirectory(peers)
+        self._warm_up_context = WarmUpContext(
+            "" if peers.neighbours is None else peers.neighbours.name, unix_ms=unix_ms
+        )
         self._remote_admission = RemoteAdmission(Clock(clock))
         self._router = self._make_router()
         self._connect_peer_callbacks()
@@ -171,6 +178,7 @@
         for service in self.services.values():
             service.set_tenants(configuration.tenants or Tenants())
         self.holdings.apply_limits()
+        self._update_senders()
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._waiting_starts = self._waiting_starts, []
@@ -193,13 +201,23 @@
                 self.services[name] = self._new_service(name, spec)
 
     def _new_service(self, name: str, spec: ServiceSpec) -> Service:
-        service = Service(spec, self._locality, self._driver, self.clock, self._policies)
+        service = Service(
+            spec,
+            self._locality,
+            self._driver,
+            self.clock,
+            self._policies,
+            self._warm_up_context,
+        )
         service.primary.on_alarm = functools.partial(self._on_primary_change, service)
         service.primary.on_unavailable = functools.partial(self._router.ask_for_samples, service)
         note = functools.partial(log_weight_change, self._decisions, service)
         service.estimates.weights.on_change = note
+        service.warm_up.on_change = functools.partial(log_warm_up, self._decisions, service)
+        service.warm_up.on_part = functools.partial(log_warm_up_part, self._decisions, service)
         service.set_fleet_size(self._directory.population)
         service.set_evacuated(frozenset(self._evacuations.zones))
+        service.set_ended_evacuations(self._evacuations.ended)
         service.set_members(self._directory.members(name))
         return service
 
@@ -218,6 +236,7 @@
             return
         self.access.quota.set_population(directory.population.gateways)
         self.holdings.set_fleet_size(directory.population)
+        self._update_senders()
         records = directory.members
         self._decisions.note(
             DIRECTORY_APPLIED,
@@ -235,10 +254,40 @@
         self._evacuations = evacuations
         for service in self.services.values():
             service.set_evacuated(frozenset(evacuations.zones))
+            service.set_ended_evacuations(evacuations.ended)
 
     def set_plan(self, plan: Plan) -> None:
         """Apply the control nodes' newest plan of the holders of connections."""
         self.holdings.adopt_plan(plan)
+        self._update_senders()
+
+    def note_confirmed(self, asked_at_ms: float) -> None:
+        """Record that an up-to-date control node confirmed the directory and the plan.
+
+        Parameters
+        ----------
+        asked_at_ms : float
+            Monotonic time at which the confirmation was requested.
+        """
+        planned = self.holdings.planned
+        state = (self._directory.revision, 0 if planned is None else planned.plan.number)
+        self._warm_up_context.lease.confirm(asked_at_ms, Clock(self.clock).now, state)
+        for service in self.services.values():
+            service.warm_up.note_confirmed()
+
+    def _update_senders(self) -> None:
+        """Update which gateways of the own group may send to members that warm up."""
+        if not self._directory.has_members:
+            return
+        planned, gateways = self.holdings.planned, self._directory.group
+        if not gateways and self._directory.population.gateways <= 1:
+            gateways = [self._warm_up_context.name]
+        for name, service in self.services.items():
+            if service.spec.limits_warm_up:
+                named = () if planned is None else (planned.named_holders,)
+                is_regional = service.share.is_regional
+                senders = warm_up_senders(name, is_regional, gateways, *named)
+                service.warm_up.set_senders(senders)
 
     def _on_link(self, peer: str, is_up: bool, reason: str) -> None:
         if not is_up:
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -11,6 +11,7 @@
 from rowanrail.gateway.relay.neighbours import Neighbours
 from rowanrail.gateway.relay.serving import LinkServer
 from rowanrail.gateway.services.member_estimates import MemberEstimates
+from rowanrail.gateway.services.service import Service
 from rowanrail.kernel.metrics import GaugeSample
 from rowanrail.members.primary import PrimaryTracker
 
@@ -35,6 +36,8 @@
             labels = {"service": name, "member": instance}
             readings += _pool_gauges(labels, pool, now)
             readings += _estimate_gauges(labels, instance, service.estimates)
+        if service.spec.limits_warm_up:
+            readings += _warm_up_gauges(name, service)
     return readings
 
 
@@ -72,6 +75,21 @@
     ]
 
 
+def _warm_up_gauges(name: str, service: Service) -> list[GaugeSample]:
+    """Return the gauges of members that warm up, and of what was sent to them and rejected."""
+    warm_up = service.warm_up
+    records = [pool.record for pool in service.pools.values()]
+    readings: list[GaugeSample] = [
+        ("warming_members", {"service": name}, sum(map(warm_up.is_warming, records))),
+        ("warm_up_part", {"service": name}, warm_up.part.statements),
+    ]
+    for record in records:
+        labels = {"service": name, "member": record.instance}
+        readings.append(("warm_up_sent", labels, warm_up.sent[record.instance]))
+        readings.append(("warm_up_turned_away", labels, warm_up.turned_away[record.instance]))
+    return readings
+
+
 def _plan_gauges(gateway: Gateway) -> list[GaugeSample]:
     """Return the gauges of the plan's number and of the shards that this gateway holds."""
     planned = gateway.holdings.planned
--- a/src/rowanrail/gateway/relay/detours.py
+++ b/src/rowanrail/gateway/relay/detours.py
@@ -18,7 +18,15 @@
     NoHolder,
     choose_holder,
 )
-from rowanrail.gateway.relay.link import Lost, NotRun, Outcome, Replied, Sampled, TotalsReceived
+from rowanrail.gateway.relay.link import (
+    Link,
+    Lost,
+    NotRun,
+    Outcome,
+    Replied,
+    Sampled,
+    TotalsReceived,
+)
 from rowanrail.gateway.relay.messages import SampleRequest
 from rowanrail.gateway.relay.neighbours import LinkManager, LinkOpener, Neighbour
 from rowanrail.kernel.clock import Clock
@@ -132,18 +140,29 @@
         found = self._link_manager.reach(name)
         if not isinstance(found, HeldRemotely):
             return  # a link that is being opened is used by the next query
-        link = found.link
+        self._query_link(name, found.link, service, on_sample)
+
+    def query_holder(self, service: str, link: Link, on_sample: OnSample) -> None:
+        """Ask the gateway behind a link for a sample of a service's primary, at a limited rate.
+
+        It doesn't become a detour, as the primary may be reachable from here.
+        """
+        if self._reachability.try_begin_query(service, self._clock.now):
+            self._query_link("", link, service, on_sample)
+
+    def _query_link(self, name: str, link: Link, service: str, on_sample: OnSample) -> None:
         asked_at = self._clock.now
 
         def on_outcome(outcome: Outcome) -> None:
             match outcome:
                 case Sampled(instance=instance, position=position):
                     self._link_manager.note_answer(link)
-                    if self._reachability.note_reachable(service, name, self._clock.now):
+                    if name and self._reachability.note_reachable(service, name, self._clock.now):
                         self.on_detour_found(service, name)
                     on_sample(asked_at, instance, position)
                 case NotRun() | Lost() | Replied() | TotalsReceived():
-                    self._reachability.note_unreachable(service, name)
+                    if name:
+                        self._reachability.note_unreachable(service, name)
 
         link.request(SampleRequest(link.next_call_id(), service), on_outcome)
 
--- a/src/rowanrail/gateway/relay/neighbours.py
+++ b/src/rowanrail/gateway/relay/neighbours.py
@@ -171,6 +171,10 @@
             chain(planned, (name for name in order if name not in planned))
         )
 
+    def first_of(self, names: Iterable[str], shard: Shard) -> HolderLocation:
+        """Return the first available one of some gateways, which are spread over the shards."""
+        return choose_holder(rank(shard.key, names), self._reach_or_self)
+
     def hashed_holder(self, key: str) -> HolderLocation:
         """Return the first available gateway of the group for a key, by rendezvous hashing."""
         return self._first_available(self._ranking(key))
--- a/src/rowanrail/gateway/relay/work_routing.py
+++ b/src/rowanrail/gateway/relay/work_routing.py
@@ -1,6 +1,6 @@
 """Routing of statements: to own connections, to a holder, or on a detour.
 
-Four rules, in this order:
+Five rules, in this order:
 
 1. If the gateways of a zone or region share a service's connections, a client's statement runs at
    the holder of its shard (:meth:`WorkRouter.work_for`), which applies the other rules.
@@ -10,9 +10,10 @@
 3. A statement for a member of another region runs at the holder there, if that is reachable.
 4. While this gateway can't reach a primary, statements for it run at a gateway that reaches it, if
    one is known.
+5. A statement for a member that warms up runs at a gateway that may send to it.
 
-Rules 1 and 2 are applied when a statement arrives. Rules 3 and 4 are passed as callbacks to the
-work on own connections, which calls them when it has chosen a member, or found none.
+Rules 1 and 2 are applied when a statement arrives. The others are passed as callbacks to the work
+on own connections, which calls them when it has chosen a member, or found none.
 
 Owns no state. Relies on :mod:`neighbours` and :mod:`detours` for reachable gateways, on ``work``
 for statements on own connections and on :mod:`forwarding` for those at other gateways.
@@ -23,10 +24,16 @@
 
 from rowanrail.gateway.policies import LinkOutcome
 from rowanrail.gateway.relay.forwarding import ForwardedWork, HolderLocator
-from rowanrail.gateway.relay.holder_choice import HeldLocally, HeldRemotely
+from rowanrail.gateway.relay.holder_choice import (
+    HeldLocally,
+    HeldRemotely,
+    HolderLocation,
+    NoHolder,
+)
 from rowanrail.gateway.relay.peers import Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
 from rowanrail.gateway.relay.remote_holder_locator import RemoteHolderLocator
+from rowanrail.gateway.relay.sender_locator import SenderLocator
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.service import Service
 from rowanrail.gateway.session_context import PreparedStatementNames
@@ -34,7 +41,7 @@
 from rowanrail.gateway.work.ports import OtherGateways, StatementExecutor
 from rowanrail.kernel.clock import Clock, Scheduler
 from rowanrail.model.position import Position
-from rowanrail.placement.hashed import Shard
+from rowanrail.placement.hashed import Shard, shards_of
 
 __all__ = ["WorkRouter", "detour_may_run"]
 
@@ -127,6 +134,7 @@
             OtherGateways(
                 functools.partial(self._find_detour, service),
                 functools.partial(self._find_remote_holder, service),
+                functools.partial(self._find_sender, service),
             ),
         )
 
@@ -147,6 +155,40 @@
             return None
         return self._forwarded(RemoteHolderLocator(self._detours, region), service, is_detour=True)
 
+    def _find_sender(self, service: Service, tenant: str, instance: str) -> ForwardedWork | None:
+        """Return work at a gateway that may send to a warming member.
+
+        None if this gateway is one, or if none is reachable.
+        """
+        pool = service.pools.get(instance)
+        if pool is None or self._detours is None or self._neighbours is None:
+            return None
+        find: Callable[[Shard], HolderLocation]
+        if not service.is_own_group(pool.record):
+            find = functools.partial(self._locate_sender_in, service, pool.record.zone)
+            note_answer = self._detours.note_answer
+        elif self._neighbours.name not in service.warm_up.senders:
+            find = functools.partial(self._neighbours.first_of, service.warm_up.senders)
+            note_answer = self._neighbours.note_answer
+        else:
+            return None
+        if not isinstance(find(Shard.of(service.spec.name, tenant)), HeldRemotely):
+            return None
+        return self._forwarded(SenderLocator(find, note_answer), service, is_detour=True)
+
+    def _locate_sender_in(self, service: Service, zone: str, shard: Shard) -> HolderLocation:
+        """Return a holder in another zone or region, which may send to the members there."""
+        assert self._detours is not None
+        is_regional = service.share.fleet_size.is_regional
+        group = self._locality.region_of(zone) if is_regional else zone
+        shards = [shard] if shard.number is not None else []
+        shards += shards_of(service.spec.name) if is_regional else [Shard(service.spec.name)]
+        for candidate in shards:
+            found = self._detours.holder_in(group, candidate)
+            if isinstance(found, HeldRemotely):
+                return found
+        return NoHolder()
+
     def _find_detour(self, service: Service) -> ForwardedWork | None:
         """Return work at a gateway that reaches a service's primary, None if none is known."""
         detours = self._detours
@@ -182,5 +224,22 @@
         def on_sample(asked_at_ms: float, instance: str, position: Position) -> None:
             tracker.note_reported_position(asked_at_ms / 1000, instance, position)
 
+        if tracker.needs_reported_samples:
+            self._ask_sender(service, on_sample)
+            return
         # Gateways of the own zone have no connections yet; they can't help if the primary is full.
         self._detours.query_samples(service.spec.name, bool(tracker.failing_since), on_sample)
+
+    def _ask_sender(
+        self, service: Service, on_sample: Callable[[float, str, Position], None]
+    ) -> None:
+        """Ask a gateway that may sample a warming primary."""
+        pool = service.primary_pool()
+        if self._detours is None or self._neighbours is None or pool is None:
+            return
+        if service.is_own_group(pool.record):
+            found = self._neighbours.first_of(service.warm_up.senders, Shard(service.spec.name))
+        else:
+            found = self._locate_sender_in(service, pool.record.zone, Shard(service.spec.name))
+        if isinstance(found, HeldRemotely):
+            self._detours.query_holder(service.spec.name, found.link, on_sample)
--- a/src/rowanrail/gateway/services/member_probes.py
+++ b/src/rowanrail/gateway/services/member_probes.py
@@ -6,13 +6,14 @@
 is not probed, as its samples prove the same.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.pools.pool_lease import PoolLease
 from rowanrail.gateway.services.member_weights import MemberWeights
 from rowanrail.kernel.clock import Clock, Timer
 from rowanrail.members.channel import Channel, MemberDriver
+from rowanrail.model.members import MemberRecord
 from rowanrail.model.statements import Answer, Command, CommandKind, Refusal
 from rowanrail.scheduling.member_weight import FailureKind
 
@@ -32,12 +33,21 @@
         Opens connections.
     clock : Clock
         Monotonic clock and timers in milliseconds.
+    take_place : callable
+        Counts a probe that is about to be sent, or returns False if it may not be.
     """
 
-    def __init__(self, weights: MemberWeights, driver: MemberDriver, clock: Clock) -> None:
+    def __init__(
+        self,
+        weights: MemberWeights,
+        driver: MemberDriver,
+        clock: Clock,
+        take_place: Callable[[MemberRecord], bool] = lambda record: True,
+    ) -> None:
         self.weights = weights
         self.driver = driver
         self.clock = clock
+        self.take_place = take_place
 
     def tick(self, pools: Mapping[str, MemberPool], primary: str, gateways: int) -> None:
         """Probe the members that are due.
@@ -97,6 +107,9 @@
             self._fail()
 
     def _send(self, channel: Channel) -> None:
+        if not self._probes.take_place(self._pool.record):
+            self._finish()  # the member warms up, and nothing was sent
+            return
         channel.send([Command(CommandKind.STATUS)], [self._on_answer])
 
     def _on_answer(self, answer: Answer) -> None:
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections.abc import Mapping
 from dataclasses import replace
 from functools import partial
 
@@ -17,6 +18,7 @@
 from rowanrail.gateway.services.member_estimates import MemberEstimates, ReadRequirements
 from rowanrail.gateway.services.member_probes import MemberProbes
 from rowanrail.gateway.services.service_share import ServiceShare
+from rowanrail.gateway.services.warm_up_limits import WarmUpContext, WarmUpLimits
 from rowanrail.kernel.clock import Clock, Scheduler
 from rowanrail.members.channel import MemberDriver
 from rowanrail.members.eligibility import Eligibility, Exclusion
@@ -27,6 +29,7 @@
 from rowanrail.placement.hashed import FleetSize, Shard
 from rowanrail.placement.planned import Allowance
 from rowanrail.scheduling.choice import choose_member
+from rowanrail.scheduling.member_weight import FailureKind
 from rowanrail.scheduling.queue import tenant_weight
 from rowanrail.scheduling.retrying import RetryTimes
 from rowanrail.tenants.model import Tenant, Tenants
@@ -50,6 +53,8 @@
         Monotonic clock and timers in seconds.
     policies : GatewayPolicies
         Provides the check that a member is primary.
+    warm_up_context : WarmUpContext or None
+        What the limits on statements to warming members need of the gateway.
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         driver: MemberDriver,
         scheduler: Scheduler,
         policies: GatewayPolicies,
+        warm_up_context: WarmUpContext | None = None,
     ) -> None:
         self.spec = spec
         self.share = ServiceShare(spec.connections)
@@ -69,13 +75,18 @@
         self.pools: dict[str, MemberPool] = {}
         clock = Clock(scheduler)
         self.estimates = MemberEstimates(locality, self.primary, clock)
-        self._probes = MemberProbes(self.estimates.weights, driver, clock)
+        self._probes = MemberProbes(
+            self.estimates.weights, driver, clock, partial(self.take_places, commands=1)
+        )
         self.used_at = -IN_USE_SECONDS
         self._had_connections = False
         self.retry_times = RetryTimes(clock)
         # Seeded by zone, so that zones choose differently and simulations are reproducible.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
         self._eligibility = Eligibility(locality.regions)
+        context = warm_up_context or WarmUpContext()
+        self.warm_up = WarmUpLimits(spec, clock, context, self.is_own_group)
+        self.primary.set_sample_limit(self)
         self._locality = locality
         self._driver = driver
         self._clock = clock
@@ -95,18 +106,29 @@
                 limit = self.share.limit(self._is_near(record))
                 holders = self.share.holders(self._is_near(record))
                 pool = MemberPool(record, limit, self._driver, self._clock, holders)
-                pool.on_failure = partial(self.estimates.weights.note_failure, record.instance)
+                pool.on_failure = partial(self._note_failure, record.instance)
                 self.pools[record.instance] = pool
             else:
                 pool.record = record
                 holders = self.share.holders(self._is_near(record))
                 pool.concurrency.set_sharing(record.slots, holders)
         self.estimates.set_members(records)
+        if self.spec.limits_warm_up:
+            self.warm_up.set_members(records)
         self.primary.set_members(records)
 
+    def _note_failure(self, instance: str, kind: FailureKind) -> None:
+        self.estimates.weights.note_failure(instance, kind)
+        if kind is FailureKind.REFUSED:
+            self.warm_up.note_unreachable(instance)
+
     def set_spec(self, spec: ServiceSpec) -> None:
         """Apply a changed configuration of the service."""
+        is_new_limit = spec.limits_warm_up and not self.spec.limits_warm_up
         self.spec = spec
+        self.warm_up.set_spec(spec)
+        if is_new_limit:
+            self.warm_up.set_members([pool.record for pool in self.pools.values()])
         self.share = replace(self.share, connections=spec.connections)
         self._apply_limit()
 
@@ -114,6 +136,10 @@
         """Set the zones whose members get no statements."""
         self._eligibility = replace(self._eligibility, evacuated=zones)
 
+    def set_ended_evacuations(self, ended: Mapping[str, int]) -> None:
+        """Set the zones whose members warm up after an evacuation, by the Unix time of its end."""
+        self.warm_up.set_ended_evacuations(ended)
+
     def exclusion(
         self, record: MemberRecord, regions: frozenset[str] | None = None
     ) -> Exclusion | None:
@@ -124,17 +150,64 @@
         regions : frozenset of str or None
             Regions in which the statement may run; None for any.
         """
-        return self._eligibility.exclusion(record, regions)
+        exclusion = self._eligibility.exclusion(record, regions)
+        if exclusion is None and self.spec.limits_warm_up and not self.warm_up.has_place(record):
+            return Exclusion.WARMING_UP
+        return exclusion
 
     def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
-        """Return why no member may be sent a statement; None if one may, or if none is known."""
+        """Return why no member may be sent a statement; None if one may, or if none is known.
+
+        A member that warms up counts before others, since it is the first that can be used.
+        """
         exclusion = None
         for pool in self.pools.values():
-            exclusion = self.exclusion(pool.record, regions)
-            if exclusion is None:
+            found = self.exclusion(pool.record, regions)
+            if found is None:
                 return None
+            if exclusion is not Exclusion.WARMING_UP:
+                exclusion = found
         return exclusion
 
+    # Members that warm up
+
+    def warming_pool(self, regions: frozenset[str] | None = None) -> MemberPool | None:
+        """Return the pool of the member that can be sent a statement first after its warm-up limit.
+
+        None if no member is excluded only by that.
+        """
+        limited = [
+            pool
+            for pool in self.pools.values()
+            if self.exclusion(pool.record, regions) is Exclusion.WARMING_UP
+        ]
+        return min(limited, key=lambda p: self.warm_up.delay_ms(p.record), default=None)
+
+    def take_places(self, record: MemberRecord, commands: int) -> bool:
+        """Count commands that are about to be sent to a member, or return False if they may not be.
+
+        Only a member that warms up has a limit.
+        """
+        return not self.spec.limits_warm_up or self.warm_up.take(record, commands)
+
+    def may_sample(self, record: MemberRecord) -> bool:
+        """Return whether a member may be sampled now."""
+        return not self.spec.limits_warm_up or self.warm_up.may_sample(record)
+
+    def take_sample(self, record: MemberRecord) -> bool:
+        """Count a sample that is about to be sent, or return False if it may not be."""
+        return not self.spec.limits_warm_up or self.warm_up.take_sample(record)
+
+    def needs_reported_samples(self, record: MemberRecord) -> bool:
+        """Return whether only other gateways may sample a member."""
+        return self.spec.limits_warm_up and self.warm_up.needs_reported_samples(record)
+
+    def is_own_group(self, record: MemberRecord) -> bool:
+        """Return whether gateways of the own group may send to a member while it warms up."""
+        if self.share.fleet_size.is_regional:
+            return self._is_near(record)
+        return record.zone == self._locality.zone
+
     def set_fleet_size(self, fleet_size: FleetSize) -> None:
         """Set how many gateways share the members' connections."""
         self.share = replace(self.share, fleet_size=fleet_size)
@@ -243,11 +316,20 @@
         """Run the periodic work: monitoring, probes and pool maintenance."""
         self.primary.tick(self.in_use)
         if self.in_use:
-            self._probes.tick(self.pools, self.primary.presumed_primary, self.share.samplers)
+            self._probes.tick(
+                self._pools_to_probe(), self.primary.presumed_primary, self.share.samplers
+            )
+        if self.spec.limits_warm_up:
+            self.warm_up.tick([pool.record for pool in self.pools.values()])
         for pool in self.pools.values():
             pool.trim(self._is_routed_here)
         self._had_connections = self.has_connections
 
+    def _pools_to_probe(self) -> dict[str, MemberPool]:
+        if not self.spec.limits_warm_up:
+            return self.pools
+        return {n: pool for n, pool in self.pools.items() if self.warm_up.has_place(pool.record)}
+
     def close(self) -> None:
         """Close all connections that are not leased."""
         self.primary.close()
--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -18,6 +18,7 @@
 from rowanrail.gateway.work.connected import Stage
 from rowanrail.gateway.work.freshness import earliest_sample_time, prefetch_sample
 from rowanrail.gateway.work.operation import Operation
+from rowanrail.gateway.work.ports import StatementExecutor
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, PRIMARY_RETRY_AFTER_MS, busy_answer
 from rowanrail.members.channel import AnswerCallback, Channel
 from rowanrail.model.position import ORIGIN, Position
@@ -37,6 +38,11 @@
         self.begin_statement(respond)
         self._failures = 0
         self._earliest_sample_time = earliest_sample_time(self.route, self.arrived_at)
+        self._begin_read()
+
+    def _begin_read(self) -> None:
+        if self.wait_for_any_warm_up(self._begin_read):
+            return
         exclusion = self.service.exclusion_of_all(self.route.regions)
         if exclusion is not None:
             self.reject_excluded(exclusion)
@@ -45,6 +51,10 @@
             return  # replication lag exceeds the round trip to the primary's region
         self._request_floor()
 
+    def forward_to(self, executor: StatementExecutor | None) -> bool:
+        """Forward the read if an executor is given; return whether it was forwarded."""
+        return self._forward(executor, self.statement, writes=False)
+
     def _forward_to_primary_holder(self) -> bool:
         primary = self.service.primary_pool()
         if primary is not None and self.service.exclusion(primary.record, self.route.regions):
@@ -101,6 +111,8 @@
                 return
             self.excluded.clear()
             self.attempts = 0
+            if self.wait_for_any_warm_up(self._begin_read):
+                return
             self.retry_later(self._request_floor, busy_answer("no member can serve the read"))
             return
         available = self.pool_with_capacity(pool, self.excluded)
@@ -123,7 +135,10 @@
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands += commands_for(self.statement, self.floor, channel, self.session, self.names)
         self.limit_answer_time()
-        self.send(commands, self._on_answer)
+        if not self.send(commands, self._on_answer):
+            self.stop_attempt_timer()
+            self.release()
+            self.try_next_member()
 
     def try_next_member(self) -> None:
         """Exclude the current member and continue at another one."""
--- a/src/rowanrail/gateway/work/autocommit_write.py
+++ b/src/rowanrail/gateway/work/autocommit_write.py
@@ -42,7 +42,14 @@
             return
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands += commands_for(self.statement, None, channel, self.session, self.names)
-        self.send(commands, self._on_answer)
+        if not self.send(commands, self._on_answer):
+            self._wait_for_place()
+
+    def _wait_for_place(self) -> None:
+        pool = self.pool
+        assert pool is not None
+        self.release()
+        self.wait_for_warm_up(pool, self._acquire_primary)
 
     @property
     def latency_class(self) -> str:
--- a/src/rowanrail/gateway/work/commands.py
+++ b/src/rowanrail/gateway/work/commands.py
@@ -9,7 +9,7 @@
 from rowanrail.model.position import Position
 from rowanrail.model.statements import Command, CommandKind, StatementKind, TypedStatement
 
-__all__ = ["commands_for"]
+__all__ = ["commands_for", "forget_unsent"]
 
 
 def commands_for(
@@ -49,3 +49,20 @@
     text = f"{name} {statement.value}" if statement.value else name
     commands.append(Command(CommandKind.EXECUTE, text, statement.request_id, floor))
     return commands
+
+
+def forget_unsent(channel: Channel, commands: list[Command]) -> None:
+    """Take back what the preparation of commands that were not sent recorded for a connection.
+
+    The session's values on the connection then count as unknown, so that they are reset before its
+    next use.
+    """
+    for command in commands:
+        match command.kind:
+            case CommandKind.SET:
+                channel.session_values.pop(command.text.partition(" ")[0], None)
+                channel.session_state_unknown = True
+            case CommandKind.RESET:
+                channel.session_state_unknown = True
+            case CommandKind.PREPARE:
+                channel.prepared.discard(command.text.partition(" ")[0])
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -15,6 +15,7 @@
     FIRST_CONNECTION_TIMEOUT_SECONDS,
     read_attempt_timeout_seconds,
 )
+from rowanrail.gateway.work.commands import forget_unsent
 from rowanrail.gateway.work.statement import Statement
 from rowanrail.kernel.clock import Scheduler, Timer
 from rowanrail.members.channel import AnswerCallback, Channel
@@ -52,6 +53,7 @@
         self.pool: MemberPool | None = None  # pool of that member
         self.channel: Channel | None = None
         self.sent_at = 0.0
+        self.unsent_commands = 1  # of the last attempt that a warming member's limit prevented
         self._queued: QueuedRequest | None = None
         self._attempt_timer: Timer | None = None
 
@@ -158,13 +160,22 @@
 
     # Connection
 
-    def send(self, commands: list[Command], respond: AnswerCallback) -> None:
+    def send(self, commands: list[Command], respond: AnswerCallback) -> bool:
         """Send commands; ``respond`` gets the answer to the last one.
 
         The connection is closed if an earlier one is refused.
+
+        Returns
+        -------
+        bool
+            False if nothing was sent, since the member warms up and gets no more statements now.
         """
         assert self.channel is not None
         channel = self.channel
+        if self.pool is not None and not self.service.take_places(self.pool.record, len(commands)):
+            forget_unsent(channel, commands)
+            self.unsent_commands = len(commands)
+            return False
 
         def close_on_refusal(answer: Answer) -> None:
             if answer.refusal is not None and not channel.closed:
@@ -182,6 +193,7 @@
         self.stage = Stage.SENT
         earlier: list[AnswerCallback] = [close_on_refusal] * (len(commands) - 1)
         channel.send(commands, [*earlier, record_and_respond])
+        return True
 
     def release(self, latency: float | None = None) -> None:
         """Return the connection to its pool, with the latency of an answer in milliseconds."""
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -4,6 +4,7 @@
 :mod:`rowanrail.gateway.work.refusals` and :mod:`rowanrail.scheduling.admission`.
 """
 
+import math
 from collections.abc import Callable
 
 from rowanrail.gateway.pools.pool import MemberPool
@@ -26,14 +27,17 @@
 )
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import AnswerCallback, Channel
+from rowanrail.members.eligibility import Exclusion
 from rowanrail.model.position import Position
 from rowanrail.model.routing import Route
 from rowanrail.model.statements import Answer, TypedStatement
 from rowanrail.model.trace import Trace
-from rowanrail.scheduling.admission import Admit, RejectionCause, decide_on_arrival
+from rowanrail.scheduling.admission import Admit, Forecast, RejectionCause, decide_on_arrival
 from rowanrail.scheduling.entry import QueueEntry
 from rowanrail.scheduling.retrying import retry_after_base
 
+MIN_WARM_UP_WAIT_MS = 5.0  # so that a statement that finds no place again doesn't loop
+
 
 class Operation(ConnectedStatement):
     """Common base of reads, writes and transactions.
@@ -86,6 +90,7 @@
     def begin_statement(self, respond: AnswerCallback) -> None:
         """Accept a statement, reset its attempts and start its timers."""
         self.attempts = 0
+        self.unsent_commands = 1
         super().begin_statement(respond)
 
     def on_deferral_end(self) -> None:
@@ -172,6 +177,8 @@
             return
         if self.forward_to(self.other_gateways.find_remote_holder(self.tenant, "")):
             return
+        if self.wait_if_warming_up(pool, retry):
+            return
         if tracker.failing_since and self.forward_to(self.other_gateways.find_detour()):
             return
         if self.refuse_if_primary_long_lost():
@@ -185,13 +192,82 @@
             self.acquire(pool, on_connection)
 
     def reject_if_excluded(self, primary: MemberPool | None) -> bool:
-        """Reject a statement that needs a primary to which it may not be sent."""
+        """Reject a statement that needs a primary to which it may not be sent.
+
+        One that warms up may be sent it later, or by another gateway.
+        """
         if primary is None:
             return False
         exclusion = self.service.exclusion(primary.record, self.route.regions)
-        if exclusion is not None:
-            self.reject_excluded(exclusion, primary.record.instance)
-        return exclusion is not None
+        if exclusion is None or exclusion is Exclusion.WARMING_UP:
+            return False
+        self.reject_excluded(exclusion, primary.record.instance)
+        return True
+
+    # Members that warm up
+
+    def wait_if_warming_up(self, pool: MemberPool | None, retry: Callable[[], None]) -> bool:
+        """Defer, forward or reject a statement if its member warms up and gets no more now."""
+        if pool is None or not self.service.spec.limits_warm_up:
+            return False
+        if self.service.exclusion(pool.record, self.route.regions) is not Exclusion.WARMING_UP:
+            return False
+        self.wait_for_warm_up(pool, retry)
+        return True
+
+    def wait_for_any_warm_up(self, retry: Callable[[], None]) -> bool:
+        """Defer, forward or reject a statement if all its members warm up and get no more now."""
+        if not self.service.spec.limits_warm_up:
+            return False
+        if self.service.exclusion_of_all(self.route.regions) is not Exclusion.WARMING_UP:
+            return False
+        pool = self.service.warming_pool(self.route.regions)
+        if pool is None:
+            return False
+        self.wait_for_warm_up(pool, retry)
+        return True
+
+    def wait_for_warm_up(self, pool: MemberPool, retry: Callable[[], None]) -> None:
+        """Forward a statement to a gateway that may send it, else defer it, or reject it.
+
+        Parameters
+        ----------
+        retry : callable
+            Called when the member may be sent the statement, if that is within the deferral.
+        """
+        record = pool.record
+        if self.forward_to(self.other_gateways.find_sender(self.tenant, record.instance)):
+            return
+        if not self.defer_for_warm_up(pool, retry):
+            self.reject_warming_up(pool)
+
+    def defer_for_warm_up(self, pool: MemberPool, retry: Callable[[], None]) -> bool:
+        """Retry when the member may be sent the statement; return False if that is too late."""
+        record, warm_up = pool.record, self.service.warm_up
+        delay = max(MIN_WARM_UP_WAIT_MS, warm_up.delay_ms(record, self.unsent_commands)) / 1000
+        if self.clock.time() + delay > self.deferral_deadline:
+            return False
+        self.member, self.stage = record.instance, Stage.WAITS_FOR_CONNECTION
+        warm_up.begin_wait(record)
+
+        def resume() -> None:
+            warm_up.end_wait(record)
+            if self.respond is not None:
+                retry()
+
+        self.clock.call_later(delay, resume)
+        return True
+
+    def reject_warming_up(self, pool: MemberPool) -> None:
+        """Reject a statement that a warming member gets too late, with the time of the next one."""
+        record, warm_up = pool.record, self.service.warm_up
+        self.member = record.instance
+        warm_up.note_turned_away(record)
+        delay = warm_up.delay_ms(record, self.unsent_commands)
+        interval = warm_up.part_for(record).interval_ms
+        forecast = Forecast(delay, 0.0, drain_interval=interval if interval < math.inf else 0.0)
+        reason = f"{record.instance} warms up and gets no more statements for {delay:.0f} ms"
+        self.reject(RejectionCause.WARMING_UP, reason, delay, forecast)
 
     def forward_to(self, executor: StatementExecutor | None) -> bool:
         """Forward to another gateway if an executor is given; return whether it was forwarded."""
--- a/src/rowanrail/gateway/work/ports.py
+++ b/src/rowanrail/gateway/work/ports.py
@@ -73,6 +73,10 @@
     return None
 
 
+def _no_sender(tenant: str, instance: str) -> None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class OtherGateways:
     """Finds executors at other gateways for statements of one service.
@@ -85,10 +89,14 @@
         Called with a tenant and a member's instance, empty for the primary. Returns an executor at
         the gateway that holds the tenant's connections to that member, None if the member is in
         this region.
+    find_sender : callable
+        Called with a tenant and the instance of a member that warms up. Returns an executor at a
+        gateway that may send to it, None if none is reachable.
     """
 
     find_detour: Callable[[], StatementExecutor | None] = _no_detour
     find_remote_holder: Callable[[str, str], StatementExecutor | None] = _no_remote_holder
+    find_sender: Callable[[str, str], StatementExecutor | None] = _no_sender
 
 
 NO_OTHER_GATEWAYS = OtherGateways()
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -111,6 +111,8 @@
         if not self.read_only:
             self.acquire_primary(self._begin, self._on_connection)
             return
+        if self.wait_for_any_warm_up(self._begin):
+            return
         exclusion = self.service.exclusion_of_all(self.route.regions)
         if exclusion is not None:
             self.failed = True
@@ -134,6 +136,8 @@
         pool = self.service.choose_member(self._excluded, self.read_requirements())
         if position is None or pool is None:
             self._excluded.clear()
+            if self.wait_for_any_warm_up(self._begin):
+                return
             self.retry_later(self._begin, busy_answer("no member can serve the transaction"))
             return
         available = self.pool_with_capacity(pool, self._excluded)
@@ -180,7 +184,20 @@
         channel.in_transaction = True
         if self.read_only:
             self.limit_answer_time()
-        self.send(commands, self._on_begin_answer)
+        if not self.send(commands, self._on_begin_answer):
+            self._wait_to_begin()
+
+    def _wait_to_begin(self) -> None:
+        """Begin at another member, or later: the member warms up and gets no more now."""
+        pool, channel = self.pool, self.channel
+        assert pool is not None and channel is not None
+        self.stop_attempt_timer()
+        channel.in_transaction = False
+        self.release()
+        if self.read_only:
+            self.try_next_member()
+        else:
+            self.wait_for_warm_up(pool, self._begin)
 
     def _exclude_member(self) -> None:
         if self.pool is not None:
@@ -239,7 +256,8 @@
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
             ]
-            self.send(commands, self._on_commit_answer)
+            if not self.send(commands, self._on_commit_answer):
+                self._wait_to_run()
             return
         assert self.channel is not None
         if is_write(self.statement, self.session):
@@ -248,7 +266,19 @@
         commands += commands_for(self.statement, None, self.channel, self.session, self.names)
         if self.read_only:
             self.limit_answer_time()
-        self.send(commands, self._on_statement_answer)
+        if not self.send(commands, self._on_statement_answer):
+            self._wait_to_run()
+
+    def _wait_to_run(self) -> None:
+        """Run the statement later, or abort: the member warms up and gets no more now."""
+        pool = self.pool
+        assert pool is not None
+        self.stop_attempt_timer()
+        if self.defer_for_warm_up(pool, self._retry_statement):
+            return
+        self.failed = True
+        self.end()
+        self.reject_warming_up(pool)
 
     def _on_statement_answer(self, answer: Answer) -> None:
         self.stop_attempt_timer()
@@ -328,15 +358,15 @@
         channel = self.channel
         if channel is None:
             return
+        assert self.pool is not None
         if channel.closed:
             self.release()
             return
-        if channel.busy:
-            self.discard()
+        if channel.busy or not self.service.take_places(self.pool.record, 1):
+            self.discard()  # the member rolls back what a closed connection had open
             return
         pool = self.pool
         self.channel = None
-        assert pool is not None
 
         def rolled_back(answer: Answer) -> None:
             channel.in_transaction = False
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -24,7 +24,7 @@
     PositionWaiters,
     SampleHistory,
 )
-from rowanrail.members.sampling_connection import LeaseProvider
+from rowanrail.members.sampling_connection import LeaseProvider, SampleLimit
 from rowanrail.members.sampling_rules import is_sample_due
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.position import Position
@@ -56,7 +56,8 @@
     on_proof : callable
         Called with the instance of each member that proved to be primary.
     on_unavailable : callable
-        Called at each tick while the service is in use and the primary cannot be sampled.
+        Called at each tick while the service is in use and the primary cannot, or may not, be
+        sampled by this gateway.
     """
 
     def __init__(
@@ -123,6 +124,15 @@
         """Set where to lease pooled connections for samples of the primary."""
         self._sampler.lease_provider = lease_provider
 
+    def set_sample_limit(self, sample_limit: SampleLimit) -> None:
+        """Set the limit on samples of members that warm up."""
+        self._sampler.sample_limit = sample_limit
+
+    @property
+    def needs_reported_samples(self) -> bool:
+        """Whether only other gateways may sample the primary, as it warms up."""
+        return self._sampler.needs_reported_samples
+
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; one that claims to be primary may become the presumed one."""
         self._sampler.set_members(records)
@@ -222,7 +232,9 @@
         self._sampler.expire()
         if self.state.raise_alarm(now):
             self.on_alarm()
-        if in_use and (self.failing_since or self.is_at_connection_limit):
+        if in_use and (
+            self.failing_since or self.is_at_connection_limit or self.needs_reported_samples
+        ):
             self.on_unavailable()
         if in_use and self.state.is_search_due(now):
             self._search()
--- a/src/rowanrail/members/sampler.py
+++ b/src/rowanrail/members/sampler.py
@@ -10,7 +10,7 @@
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import Channel, MemberDriver
 from rowanrail.members.primary_state import PrimaryState
-from rowanrail.members.sampling_connection import LeaseProvider, SamplingConnection
+from rowanrail.members.sampling_connection import LeaseProvider, SampleLimit, SamplingConnection
 from rowanrail.members.sampling_rules import (
     SampleTimeoutAction,
     may_close_dedicated,
@@ -70,6 +70,7 @@
     ) -> None:
         self.records: dict[str, MemberRecord] = {}
         self.lease_provider: LeaseProvider | None = None
+        self.sample_limit: SampleLimit | None = None
         self._state = state
         self._listener = listener
         self._driver = driver
@@ -86,6 +87,13 @@
         connection = self._connections.get(self._state.presumed_primary)
         return connection is not None and connection.is_at_connection_limit
 
+    @property
+    def needs_reported_samples(self) -> bool:
+        """Whether only other gateways may sample the primary."""
+        record = self.records.get(self._state.presumed_primary)
+        limit = self.sample_limit
+        return record is not None and limit is not None and limit.needs_reported_samples(record)
+
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members of the service; stop sampling those that are gone."""
         self.records = {record.instance: record for record in records}
@@ -107,7 +115,12 @@
     # Sending samples
 
     def request(self, record: MemberRecord) -> None:
-        """Sample a member unless a sample is in flight or its retry delay has not passed."""
+        """Sample a member unless a sample is in flight or its retry delay has not passed.
+
+        A member that warms up is sampled less often.
+        """
+        if self.sample_limit is not None and not self.sample_limit.may_sample(record):
+            return
         now = self._scheduler.time()
         connection = self._connections.get(record.instance)
         if connection is None:
@@ -190,6 +203,9 @@
 
     def _send(self, connection: SamplingConnection) -> None:
         assert connection.channel is not None
+        if self.sample_limit is not None and not self.sample_limit.take_sample(connection.record):
+            self._cancel(connection)
+            return
         asked_at = connection.asked_at
         begin_answer = Answer(refusal=Refusal.LOST)
 
@@ -202,6 +218,12 @@
 
         connection.channel.send(_SAMPLE_COMMANDS, [on_begin, on_end])
 
+    def _cancel(self, connection: SamplingConnection) -> None:
+        """Give up a sample that may not be sent now; a dedicated connection stays open."""
+        connection.release()
+        connection.in_flight = False
+        connection.retry_at = retry_at(self._scheduler.time(), is_at_connection_limit=True)
+
     def _on_answered(
         self, connection: SamplingConnection, asked_at: float, begin_answer: Answer
     ) -> None:
--- a/src/rowanrail/members/sampling_connection.py
+++ b/src/rowanrail/members/sampling_connection.py
@@ -10,7 +10,7 @@
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.statements import Answer
 
-__all__ = ["ConnectionLease", "LeaseProvider", "SamplingConnection"]
+__all__ = ["ConnectionLease", "LeaseProvider", "SampleLimit", "SamplingConnection"]
 
 
 class ConnectionLease(Protocol):
@@ -36,6 +36,19 @@
         """Return a lease for a member, None if it is unknown."""
 
 
+class SampleLimit(Protocol):
+    """Limits the samples of members that warm up."""
+
+    def may_sample(self, record: MemberRecord) -> bool:
+        """Return whether a member may be sampled now."""
+
+    def take_sample(self, record: MemberRecord) -> bool:
+        """Count a sample that is about to be sent, or return False if it may not be."""
+
+    def needs_reported_samples(self, record: MemberRecord) -> bool:
+        """Return whether only other gateways may sample a member."""
+
+
 class SamplingConnection:
     """Sampling state of one member, and the connection in use for it."""
 
--- a/src/rowanrail/placement/planned.py
+++ b/src/rowanrail/placement/planned.py
@@ -131,6 +131,11 @@
         """Return the share during a handover, while others still hold what was added."""
         return min(share, before) if before else share * HANDOVER_SHARE_FACTOR
 
+    def named_holders(self, shard: Shard) -> list[str]:
+        """Return all holders that the plan names for a shard in the gateway's own group."""
+        planned = self._plan.shard(self._group, shard.key)
+        return [] if planned is None else planned.gateways
+
     def local_holders(self, shard: Shard) -> list[str]:
         """Return the holders of a shard in the gateway's own group, in the order of preference."""
         return self.holders(self._group, shard)
--- a/tests/gateway/test_control_plane_client.py
+++ b/tests/gateway/test_control_plane_client.py
@@ -96,6 +96,9 @@
     def set_directory(self, directory):
         self.revisions.append(directory.revision)
 
+    def note_confirmed(self, asked_at_ms):
+        pass
+
     def note_control_up_to_date(self, peer):
         self.up_to_date.append(peer)
 
--- /dev/null
+++ b/tests/relay/test_warm_up.py
@@ -0,0 +1,263 @@
+"""Gateways that share a cold member: what it gets from all of them, what becomes of the rest."""
+
+import unittest
+from collections import Counter
+
+import msgspec
+
+from rowanrail.directory.messages import Evacuations
+from rowanrail.gateway.discovery.directory import Directory
+from rowanrail.gateway.relay.neighbours import Neighbour
+from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
+from rowanrail.model.statements import CommandKind, Refusal
+from rowanrail.placement.hashed import FleetSize
+from rowanrail.tenants.model import Tenant, Tenants, key_digest
+from tests.relay.test_regions import FLEET_SIZE, GATEWAYS, REGIONS, Regions
+from tests.support.gateway import routes
+
+RATE = 12.0
+WARM_UP_SECONDS = 60.0
+LONG_AGO_MS = 1
+HANDOVER_SECONDS = 8.0
+TENANTS = {f"key-of-{name}": name for name in "abcdef"}
+
+
+class TimedCommands(list):
+    """The commands that a member received, with their times."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.times = []
+
+    def append(self, command):
+        super().append(command)
+        self.times.append(self.clock.now)
+
+    def busiest_second(self, since=0.0):
+        times = [at for at in self.times if at >= since]
+        return max((sum(at - 0.999999 < other <= at for other in times) for at in times), default=0)
+
+
+class WarmingRegions(Regions):
+    """Two regions; the members' service has a warm-up limit."""
+
+    def __init__(self, rate=RATE, warm=("m2",)):
+        self.rate = rate
+        self.warm = set(warm)
+        self.confirmed = set(GATEWAYS)
+        super().__init__()
+        for member in self.members:
+            member.ran = TimedCommands(self.clock)
+        self.announce(2)
+        self.clock.call_later(0.0, self.confirm)
+
+    def configure(self, version, keys, only=None, **limits):
+        by_name = {name: Tenant(name) for name in TENANTS.values()}
+        tenants = Tenants(by_name, {key_digest(key): name for key, name in TENANTS.items()})
+        spec = ServiceSpec("db", 30, 0, WARM_UP_SECONDS, self.rate)
+        configuration = RoutingConfiguration(version, routes(), {"db": spec}, 3.0, tenants=tenants)
+        for one in self.gateways.values():
+            one.gateway.apply(configuration)
+
+    def records(self):
+        return [
+            msgspec.structs.replace(member.record(), start_ms=LONG_AGO_MS)
+            if member.instance in self.warm
+            else member.record()
+            for member in self.members
+        ]
+
+    def announce(self, revision, fleet_size=FLEET_SIZE):
+        in_group = {}
+        for name, zone in GATEWAYS.items():
+            group = REGIONS[zone] if fleet_size.is_regional else zone
+            in_group.setdefault(group, []).append(Neighbour(name, name))
+        for name, one in self.gateways.items():
+            zone = GATEWAYS[name]
+            group = REGIONS[zone] if fleet_size.is_regional else zone
+            others = {g: listed for g, listed in in_group.items() if g != group}
+            one.gateway.set_directory(
+                Directory(revision, self.records(), fleet_size, in_group[group], others)
+            )
+
+    def confirm(self):
+        """Confirm the directory of each gateway that is in touch, once a second."""
+        for name in self.confirmed:
+            self.gateways[name].gateway.note_confirmed(1000 * self.clock.now)
+        self.clock.call_later(1.0, self.confirm)
+
+    def load(self, seconds, text="WRITE a 1", database="orders", interval=0.02):
+        """Run statements of all tenants at all gateways; return the answers by refusal."""
+        clients = [one.client(database, key) for one in self.gateways.values() for key in TENANTS]
+        for turn in range(round(seconds / interval)):
+            client = clients[turn % len(clients)]
+            if client.asked == len(client.answers):
+                client.ask(text)
+            self.clock.advance(interval)
+        self.clock.advance(1.0)
+        return Counter(answer.refusal for client in clients for answer in client.answers)
+
+    def logs(self):
+        for one in self.gateways.values():
+            one.log.flush()
+        return b"".join(one.log.written for one in self.gateways.values()).decode()
+
+
+class ColdPrimaryTest(unittest.TestCase):
+    def setUp(self):
+        self.world = WarmingRegions()
+        self.sent = self.world.primary.ran
+
+    def assert_limit_kept(self, rate=RATE):
+        self.assertLessEqual(self.sent.busiest_second(), rate)
+
+    def test_no_gateway_sends_before_former_senders_have_stopped(self):
+        answers = self.world.load(3.0)
+        self.assertEqual((len(self.sent), set(answers)), (0, {Refusal.BUSY}))
+        self.assertIn('"cause":"warming-up"', self.world.logs())
+
+    def test_writes_of_all_gateways_keep_the_limit_and_use_it(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        answers = self.world.load(10.0)
+        self.assert_limit_kept()
+        self.assertEqual(set(answers), {None, Refusal.BUSY})
+        self.assertGreater(answers[None], 0.6 * 10 * RATE)
+
+    def test_a_rejected_write_is_told_when_to_come_back(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        clients = [self.world.client("orders") for _ in range(20)]
+        for client in clients:
+            client.ask("WRITE a 1")
+        self.world.clock.advance(1.0)
+        rejected = [client.answers[0] for client in clients if client.answers[0].refusal]
+        self.assertTrue(rejected)
+        for answer in rejected:
+            self.assertRegex(answer.message, r"warms up.*; retry in \d")
+
+    def test_statements_of_transactions_count_each(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        committed = 0
+        for key in list(TENANTS) * 3:
+            client = self.world.client("orders", key)
+            client.run("BEGIN")
+            for text in ("READ a", "WRITE a 1", "READ b", "COMMIT"):
+                answer = client.run(text, seconds=0.6)
+                if answer.refusal is not None:
+                    self.assertIs(answer.refusal, Refusal.BUSY, answer)
+                    break
+            else:
+                committed += 1
+        self.world.clock.advance(1.0)
+        self.assert_limit_kept()
+        self.assertGreater(committed, 5)
+        texts = self.world.primary.texts()
+        self.assertEqual(texts.count("COMMIT"), committed)
+
+    def test_samples_use_a_part_of_the_limit(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        answers = self.world.load(10.0, "READ a", "carts")
+        samples = sum(command.kind is CommandKind.BEGIN for _, command in self.sent)
+        self.assertLessEqual(2 * samples, 0.25 * RATE * 10 + 8)
+        self.assertGreater(answers[None], 0.9 * sum(answers.values()), answers)
+
+    def test_session_values_that_were_not_sent_are_not_taken_for_set(self):
+        self.world = WarmingRegions(rate=10.0)  # 5 each, and a write takes 2 places
+        self.sent = self.world.primary.ran
+        self.world.clock.advance(HANDOVER_SECONDS)
+        clients = [self.world.client("orders") for _ in range(40)]
+        for number, client in enumerate(clients):
+            client.run(f"SET owner {number}")
+            client.ask(f"WRITE a {number}")
+            self.world.clock.advance(0.15)
+        self.world.clock.advance(1.0)
+        self.assert_limit_kept(10.0)
+        self.assertTrue(any(client.answers[1].refusal for client in clients))
+        values = {}  # by connection
+        for connection, command in self.sent:
+            if command.kind in (CommandKind.RESET, CommandKind.SET):
+                values[connection] = command.text.removeprefix("owner ")
+            elif command.text.startswith("WRITE"):
+                self.assertEqual(command.text, f"WRITE a {values[connection]}")
+
+    def test_reads_run_at_a_warm_replica(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        answers = self.world.load(5.0, "READ a", "reports")
+        self.assert_limit_kept()
+        self.assertGreater(answers[None], 0.9 * sum(answers.values()), answers)
+
+    def test_gateways_without_control_nodes_send_nothing(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        self.world.load(1.0)
+        self.world.confirmed.clear()
+        self.world.clock.advance(5.0)
+        before = len(self.sent)
+        self.world.load(3.0)
+        self.assertEqual(len(self.sent), before)
+
+    def test_the_limit_ends_with_the_warm_up(self):
+        self.world.clock.advance(WARM_UP_SECONDS + 1)
+        answers = self.world.load(5.0, interval=0.01)
+        self.assertEqual(set(answers), {None})
+        self.assertIn('"event":349', self.world.logs())
+
+    def test_members_of_a_returned_zone_warm_up_again(self):
+        self.world.clock.advance(WARM_UP_SECONDS + 1)
+        for one in self.world.gateways.values():
+            one.gateway.set_evacuations(Evacuations(1, {"b1": 5}))
+        self.world.load(1.0)
+        for one in self.world.gateways.values():
+            one.gateway.set_evacuations(Evacuations(2, {}, {"b1": 6}))
+        since = self.world.clock.now
+        answers = self.world.load(5.0)
+        self.assertLessEqual(self.sent.busiest_second(since), RATE)
+        self.assertGreater(answers[None], 0.5 * 5 * RATE)
+
+    def test_a_holder_is_lost(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        self.world.load(2.0)
+        lost = self.world.holder
+        del self.world.network.holders[lost.name]
+        for link in self.world.network.links:
+            if lost.name in link.ends:
+                link.disconnect("reset")
+        self.world.load(5.0)
+        self.assert_limit_kept()
+
+
+class OnlyMemberTest(unittest.TestCase):
+    def test_reads_of_the_only_member_keep_its_limit(self):
+        world = WarmingRegions()
+        world.members.remove(world.near)
+        world.announce(3)
+        world.clock.advance(HANDOVER_SECONDS)
+        answers = world.load(6.0, "READ a", "reports")
+        self.assertLessEqual(world.primary.ran.busiest_second(), RATE)
+        self.assertEqual(set(answers), {None, Refusal.BUSY})
+        self.assertGreater(answers[None], 0.5 * 6 * RATE)
+
+
+class OwnConnectionsTest(unittest.TestCase):
+    """Gateways that share no connections: those of the member's zone send, the others forward."""
+
+    def test_writes_reach_the_member_through_the_gateways_of_its_zone(self):
+        world = WarmingRegions()
+        world.announce(3, FleetSize(4, 4))
+        world.clock.advance(HANDOVER_SECONDS)
+        answers = world.load(8.0)
+        self.assertLessEqual(world.primary.ran.busiest_second(), RATE)
+        self.assertGreater(answers[None], 0.5 * 8 * RATE)
+        holders = {
+            name
+            for name, one in world.gateways.items()
+            if one.gateway.services["db"].warm_up.sent["m1"]
+        }
+        self.assertEqual(holders, {"gb1"})
+
+
+class NoLimitTest(unittest.TestCase):
+    def test_a_rate_of_zero_sets_no_limit(self):
+        world = WarmingRegions(rate=0.0)
+        answers = world.load(3.0, interval=0.01)
+        self.assertEqual(set(answers), {None})
+        self.assertGreater(world.primary.ran.busiest_second(), RATE)
--- a/tests/support/control_cost.py
+++ b/tests/support/control_cost.py
@@ -78,6 +78,9 @@
     def set_directory(self, directory):
         self.directory = directory
 
+    def note_confirmed(self, asked_at_ms):
+        pass
+
     def note_control_up_to_date(self, peer):
         pass
 
