A primary that is lost is not taken for one that warms up, and a sender's sample ends a failure

Cause: a member that refuses connections may start again and counts as cold until the directory is confirmed. Gateways without a part then rejected writes to a crashed primary at once as warming-up instead of waiting for its successor. Since they may not sample a cold primary, its failure also never ended for them: 4 s after its return two of four gateways still reported it as lost, for 6.9 s.

Change: while the primary fails, a statement is forwarded to a sender, or goes on as for any lost primary. At a gateway that may not sample the primary, a sender's sample that was requested after the failure began clears it.

--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -212,6 +212,9 @@
             return False
         if self.service.exclusion(pool.record, self.route.regions) is not Exclusion.WARMING_UP:
             return False
+        if self.service.primary.failing_since or pool.is_failing:
+            # It may be lost, and gets a successor sooner than it is warm.
+            return self._forward_to_sender(pool)
         self.wait_for_warm_up(pool, retry)
         return True
 
@@ -235,12 +238,13 @@
         retry : callable
             Called when the member may be sent the statement, if that is within the deferral.
         """
-        record = pool.record
-        if self.forward_to(self.other_gateways.find_sender(self.tenant, record.instance)):
-            return
-        if not self.defer_for_warm_up(pool, retry):
+        if not self._forward_to_sender(pool) and not self.defer_for_warm_up(pool, retry):
             self.reject_warming_up(pool)
 
+    def _forward_to_sender(self, pool: MemberPool) -> bool:
+        sender = self.other_gateways.find_sender(self.tenant, pool.record.instance)
+        return self.forward_to(sender)
+
     def defer_for_warm_up(self, pool: MemberPool, retry: Callable[[], None]) -> bool:
         """Retry when the member may be sent the statement; return False if that is too late."""
         record, warm_up = pool.record, self.service.warm_up
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -175,10 +175,21 @@
         """Add a position that another gateway sampled at ``asked_at`` or later.
 
         It serves waiting reads but is no proof for this gateway, which may still not reach the
-        primary.
+        primary. A gateway that may not sample the primary itself takes it as the end of a failure.
         """
-        if self.history.add(asked_at, position, instance):
-            self._waiting.notify(self.sample)
+        if not self.history.add(asked_at, position, instance):
+            return
+        if self.needs_reported_samples and self.presumed_primary == instance:
+            self._end_failure(asked_at)
+        self._waiting.notify(self.sample)
+
+    def _end_failure(self, asked_at: float) -> None:
+        """Clear a failure that began before a sample was requested."""
+        if asked_at < self.failing_since:
+            return
+        self.state.clear_failure()
+        if self.state.clear_alarm():
+            self.on_alarm()
 
     def note_begin_answer(self, instance: str, asked_at: float, answer: Answer) -> None:
         """Process a member's answer to a plain BEGIN."""
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -45,6 +45,7 @@
     def __init__(self, rate=RATE, warm=("m2",)):
         self.rate = rate
         self.warm = set(warm)
+        self.start_ms = {}
         self.confirmed = set(GATEWAYS)
         super().__init__()
         for member in self.members:
@@ -62,8 +63,10 @@
 
     def records(self):
         return [
-            msgspec.structs.replace(member.record(), start_ms=LONG_AGO_MS)
-            if member.instance in self.warm
+            msgspec.structs.replace(
+                member.record(), start_ms=self.start_ms.get(member.instance, LONG_AGO_MS)
+            )
+            if member.instance in self.warm | self.start_ms.keys()
             else member.record()
             for member in self.members
         ]
@@ -225,6 +228,73 @@
         self.assert_limit_kept()
 
 
+class RestartTest(unittest.TestCase):
+    """The primary starts again under its identity; its announcement takes a while."""
+
+    def setUp(self):
+        self.world = WarmingRegions(warm=("m1", "m2"))
+        self.primary, self.sent = self.world.primary, self.world.primary.ran
+        self.world.clock.advance(HANDOVER_SECONDS)
+        self.world.load(2.0)
+
+    def stop_primary(self):
+        self.primary.reachable = False
+        for transport in list(self.primary.transports):
+            transport.channel.lost("reset")
+        self.answers_while_down = self.world.load(1.0, interval=0.01)
+
+    def start_primary(self):
+        self.primary.reachable = True
+        self.since = self.world.clock.now
+
+    def test_it_is_taken_for_cold_until_its_life_is_known(self):
+        self.stop_primary()
+        self.start_primary()
+        answers = self.world.load(1.0, interval=0.01)
+        self.assertLessEqual(self.sent.busiest_second(self.since), RATE)
+        self.world.warm.discard("m1")
+        self.world.start_ms["m1"] = 2
+        self.world.announce(3)
+        answers = self.world.load(6.0)
+        self.assertLessEqual(self.sent.busiest_second(self.since), RATE)
+        self.assertGreater(answers[None], 0.5 * 6 * RATE)
+
+    def test_it_is_taken_for_warm_when_the_directory_confirms_the_same_life(self):
+        self.stop_primary()
+        self.start_primary()
+        self.world.clock.advance(5.0)
+        self.assertEqual(set(self.world.load(3.0, interval=0.01)), {None})
+
+    def test_gateways_without_control_nodes_send_nothing_to_it(self):
+        self.world.confirmed.clear()
+        self.world.clock.advance(5.0)
+        self.assertEqual(set(self.world.load(1.0)), {None}, "a known life has no limit")
+        self.stop_primary()
+        self.start_primary()
+        before = len(self.sent)
+        self.world.load(10.0)
+        self.assertEqual(len(self.sent), before)
+
+    def test_a_lost_primary_is_not_reported_as_warming_up(self):
+        before = self.world.logs().count('"cause":"warming-up"')
+        self.stop_primary()
+        self.assertEqual(self.world.logs().count('"cause":"warming-up"'), before)
+        self.assertEqual(set(self.answers_while_down), {Refusal.BUSY})
+
+    def test_no_gateway_goes_on_to_report_the_primary_as_lost(self):
+        self.stop_primary()
+        self.start_primary()
+        self.world.warm.discard("m1")
+        self.world.start_ms["m1"] = 2
+        self.world.announce(3)
+        self.world.load(4.0, "READ a", "reports")
+        failing = {
+            name: [health.failing_for_ms for health in one.gateway.health()]
+            for name, one in self.world.gateways.items()
+        }
+        self.assertEqual(failing, {name: [0] for name in GATEWAYS})
+
+
 class OnlyMemberTest(unittest.TestCase):
     def test_reads_of_the_only_member_keep_its_limit(self):
         world = WarmingRegions()
