The leader of the control nodes hardly adds to a warming member's limit

Cause: the leader samples each primary every 0.3 s with two commands, and asks for statuses up to ten times a second while a loss is suspected. Both came on top of what gateways send to a warming member.

Change: a warming primary is sampled only while its samples fail, every 2 s, and statuses of a service with a warming member are asked at most twice a second. Services without a limit are as before.

Tests: tests.coordination.test_warm_up_sampling; without the rule each request was sent.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -25,6 +26,8 @@
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
+from rowanrail.coordination.warm_up_sampling import WarmUpSampling
+from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import MemberDriver
@@ -82,6 +85,8 @@
         Rule by which a sample proves that a member leads.
     acknowledging_replicas : callable
         Returns how many replicas of a service must hold a commit before it is acknowledged.
+    warm_up_seconds : callable
+        Returns for how long the commands to a service's members are limited; 0 without a limit.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         decisions: DecisionLog,
         verifier: LeadershipVerifier,
         acknowledging_replicas: Callable[[str], int] = lambda service: 0,
+        warm_up_seconds: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._node = node
         self._service = service
@@ -104,12 +110,14 @@
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
         self._trackers: dict[str, PrimaryTracker] = {}
+        self._warm_up_seconds = warm_up_seconds
+        self._sampling: WarmUpSampling | None = None
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
         self._in_progress: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_since: float | None = None
-        self._known_revision = -1
+        self._known_revision = (-1, -1)
         self._indexed_revision = -1
         self._members_by_service: dict[str, list[MemberRecord]] = {}
         self._reconciler = GatewayReconciler(
@@ -150,7 +158,7 @@
 
     def _reset(self) -> None:
         self._leading_since = None
-        self._known_revision = -1
+        self._known_revision = (-1, -1)
         self._attempts.clear()
         for tracker in self._trackers.values():
             tracker.close()
@@ -167,9 +175,11 @@
 
     def _update_trackers(self) -> None:
         state = self._service.state
-        if state.revision == self._known_revision:
+        revision = (state.revision, state.evacuations.revision)
+        if revision == self._known_revision:
             return
-        self._known_revision = state.revision
+        self._known_revision = revision
+        self._warm_up_sampling().update()
         services = {member.service for member in state.members.values()}
         for name in list(self._trackers):
             if name not in services:
@@ -178,8 +188,24 @@
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
                 self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
+                self._trackers[name].set_sample_limit(self._warm_up_sampling())
             self._trackers[name].set_members(self._members(name))
 
+    def _warm_up_sampling(self) -> WarmUpSampling:
+        """Return the limits on commands to warming members; made in the running event loop."""
+        if self._sampling is None:
+            self._sampling = WarmUpSampling(
+                self._service.state,
+                self._warm_up_seconds,
+                self._is_own_sample_failing,
+                Clock(asyncio.get_running_loop()),
+                lambda: time.time() * 1000,
+            )
+        return self._sampling
+
+    def _is_own_sample_failing(self, service: str) -> bool:
+        return bool(self._trackers[service].failing_since)
+
     # Deciding
 
     def _check_service(self, service: str) -> None:
@@ -192,6 +218,8 @@
         if decision.action is Action.WAIT:
             self._waiting_reasons.pop(service, None)
             return
+        if not self._warm_up_sampling().may_ask_statuses(service, self._members(service)):
+            return
         self._in_progress.add(service)
         task = asyncio.ensure_future(self._replace_primary(service, decision))
         self._tasks.add(task)
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -122,6 +122,7 @@
             self._decisions,
             self._registry.create("gateway-guard", "leadership-proof"),
             self._acknowledging_replicas,
+            self._warm_up_seconds,
         )
         self.failover.start()
         is_planned = self._settings.holders is HolderSelection.PLANNED
@@ -135,6 +136,11 @@
         spec = self._spec(service)
         return spec.acknowledging_replicas if spec else 0
 
+    def _warm_up_seconds(self, service: str) -> float:
+        """Return for how long the commands to a service's members are limited, 0 if never."""
+        spec = self._spec(service)
+        return spec.warm_up_seconds if spec and spec.limits_warm_up else 0.0
+
     def _connections(self, service: str) -> int:
         """Return how many connections a member of a service accepts, 0 if unknown."""
         spec = self._spec(service)
