Transactions at a warming member reach their end

Cause: each place went to whichever statement came first. In a trial with 24 clients that run transactions of five commands at a limit of 12 a second, 2 transactions were committed in 30 s; nearly all were begun, got a few statements and were aborted.

Change: a transaction is begun only if few are open and its first commands have places; new work leaves a place for each open transaction; statements of open ones go first and wait for up to 0.9 of their time-out.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -183,12 +183,17 @@
         ]
         return min(limited, key=lambda p: self.warm_up.delay_ms(p.record), default=None)
 
-    def take_places(self, record: MemberRecord, commands: int) -> bool:
+    def take_places(self, record: MemberRecord, commands: int, continues: bool = False) -> bool:
         """Count commands that are about to be sent to a member, or return False if they may not be.
 
         Only a member that warms up has a limit.
+
+        Parameters
+        ----------
+        continues : bool
+            Whether they belong to an open transaction.
         """
-        return not self.spec.limits_warm_up or self.warm_up.take(record, commands)
+        return not self.spec.limits_warm_up or self.warm_up.take(record, commands, continues)
 
     def may_sample(self, record: MemberRecord) -> bool:
         """Return whether a member may be sampled now."""
--- a/src/rowanrail/gateway/services/warm_up_limits.py
+++ b/src/rowanrail/gateway/services/warm_up_limits.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from rowanrail.kernel.clock import Clock
+from rowanrail.members.channel import Channel
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.routing import ServiceSpec
 from rowanrail.scheduling.cold_members import ColdCause, ColdMembers, MemberStart
@@ -22,9 +23,17 @@
     WarmUpPart,
 )
 
-__all__ = ["SAMPLE_COMMANDS", "WarmUpContext", "WarmUpLimits", "current_unix_ms"]
+__all__ = [
+    "SAMPLE_COMMANDS",
+    "TRANSACTION_COMMANDS",
+    "WarmUpContext",
+    "WarmUpLimits",
+    "current_unix_ms",
+]
 
 SAMPLE_COMMANDS = 2  # BEGIN and ROLLBACK
+FIRST_COMMANDS = 3  # of a transaction: BEGIN, a statement and its end
+TRANSACTION_COMMANDS = 4  # a second that an open transaction should get
 # Interval between samples of a warming primary: a quarter of this gateway's part is used for them.
 SAMPLE_INTERVAL_FACTOR = 4 * SAMPLE_COMMANDS
 MIN_SAMPLE_INTERVAL_MS = 250.0
@@ -97,7 +106,8 @@
         self._starts: dict[str, MemberStart] = {}
         self._windows: defaultdict[str, SendWindow] = defaultdict(SendWindow)
         self._sampled_at: dict[str, float] = {}
-        self._waiting: Counter[str] = Counter()
+        self._waiting: Counter[tuple[str, bool]] = Counter()  # the latter in open transactions
+        self._begun: defaultdict[str, set[Channel]] = defaultdict(set)
         self._noted_part = 0
         self._noted: dict[str, MemberRecord] = {}  # members that were last seen to warm up
         self.sent: Counter[str] = Counter()
@@ -128,6 +138,7 @@
         self._cold.set_members(self._starts.values(), self._context.unix_ms())
         for instance in self._windows.keys() - self._starts.keys():
             del self._windows[instance]
+            self._begun.pop(instance, None)
 
     def set_ended_evacuations(self, ended: Mapping[str, int]) -> None:
         """Replace the zones whose evacuation has ended, with the Unix milliseconds of the end."""
@@ -178,6 +189,30 @@
         start = self._starts.get(record.instance)
         return start or MemberStart(record.instance, record.zone, record.started_ms)
 
+    # Transactions
+
+    def note_begun(self, record: MemberRecord, channel: Channel) -> None:
+        """Record the connection of a transaction that was begun at a member."""
+        self._begun[record.instance].add(channel)
+
+    def may_begin(self, record: MemberRecord) -> bool:
+        """Return whether a transaction may be begun at a member.
+
+        With too many open ones each gets a few statements and is aborted at the next, so that the
+        places are spent for nothing.
+        """
+        if not self.is_warming(record):
+            return True
+        statements = self.part_for(record).statements
+        most = max(1, statements // TRANSACTION_COMMANDS)
+        first = max(1, min(FIRST_COMMANDS, statements))
+        return self._count_open(record) < most and self.has_place(record, first)
+
+    def _count_open(self, record: MemberRecord) -> int:
+        begun = self._begun[record.instance]
+        begun -= {channel for channel in begun if channel.closed or not channel.in_transaction}
+        return len(begun)
+
     # Sending
 
     def part_for(self, record: MemberRecord) -> WarmUpPart:
@@ -185,46 +220,67 @@
         return self.part if self._is_own_group(record) else WarmUpPart(0)
 
     def has_place(self, record: MemberRecord, count: int = 1) -> bool:
-        """Return whether commands may be sent to a member now."""
+        """Return whether commands of new work may be sent to a member now.
+
+        A place is left for each open transaction.
+        """
         if not self.is_warming(record):
             return True
-        return self._windows[record.instance].free(self.part_for(record), self._clock.now) >= count
+        free = self._windows[record.instance].free(self.part_for(record), self._clock.now)
+        return free - self._count_open(record) >= count
+
+    def take(self, record: MemberRecord, count: int, continues: bool = False) -> bool:
+        """Record commands as sent now, or return False if they must not be sent.
 
-    def take(self, record: MemberRecord, count: int) -> bool:
-        """Record commands as sent now, or return False if they must not be sent."""
+        Parameters
+        ----------
+        continues : bool
+            Whether they belong to an open transaction.
+        """
         if not self.is_warming(record):
             return True
+        if not continues and not self.has_place(record, count):
+            return False
         window = self._windows[record.instance]
         if not window.take(self.part_for(record), self._clock.now, count):
             return False
         self.sent[record.instance] += count
         return True
 
-    def delay_ms(self, record: MemberRecord, count: int = 1) -> float:
+    def delay_ms(self, record: MemberRecord, count: int = 1, continues: bool = False) -> float:
         """Return the milliseconds after which commands of a statement may be sent.
 
-        Statements that wait already go first. One with more commands than this gateway's part has
-        to wait until the member is warm.
+        Open transactions go first, then statements that wait already. A statement with more
+        commands than this gateway's part has to wait until the member is warm.
+
+        Parameters
+        ----------
+        continues : bool
+            Whether the statement belongs to an open transaction.
         """
         now, remaining = self._clock.now, self.remaining_ms(record)
         part = self.part_for(record)
         if 0 < part.statements < count:
             return remaining
         if part.statements:
-            window, ahead = self._windows[record.instance], self._waiting[record.instance]
+            ahead = self._waiting[record.instance, True]
+            if not continues:
+                ahead = max(ahead, self._count_open(record))
+                ahead += self._waiting[record.instance, False]
+            window = self._windows[record.instance]
             return min(remaining, window.delay(part, now, ahead + count - 1))
         begins = math.inf
         if self._is_own_group(record):
             begins = self._history.waits_until(self._spec.warm_up_rate, now) - now
         return min(remaining, max(0.0, begins) if begins < math.inf else UNKNOWN_DELAY_MS)
 
-    def begin_wait(self, record: MemberRecord) -> None:
+    def begin_wait(self, record: MemberRecord, continues: bool) -> None:
         """Record that a statement waits until it may be sent."""
-        self._waiting[record.instance] += 1
+        self._waiting[record.instance, continues] += 1
 
-    def end_wait(self, record: MemberRecord) -> None:
+    def end_wait(self, record: MemberRecord, continues: bool) -> None:
         """Record that a statement no longer waits."""
-        self._waiting[record.instance] -= 1
+        self._waiting[record.instance, continues] -= 1
 
     def note_turned_away(self, record: MemberRecord) -> None:
         """Count a statement that was rejected because of the limit."""
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -57,6 +57,11 @@
         self._queued: QueuedRequest | None = None
         self._attempt_timer: Timer | None = None
 
+    @property
+    def continues(self) -> bool:
+        """Whether the statement belongs to a transaction that has begun at the member."""
+        return False
+
     # Hooks of subclasses
 
     def queue_entry(self) -> QueueEntry:
@@ -172,7 +177,9 @@
         """
         assert self.channel is not None
         channel = self.channel
-        if self.pool is not None and not self.service.take_places(self.pool.record, len(commands)):
+        if self.pool is not None and not self.service.take_places(
+            self.pool.record, len(commands), self.continues
+        ):
             forget_unsent(channel, commands)
             self.unsent_commands = len(commands)
             return False
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -28,6 +28,7 @@
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import AnswerCallback, Channel
 from rowanrail.members.eligibility import Exclusion
+from rowanrail.model.members import MemberRecord
 from rowanrail.model.position import Position
 from rowanrail.model.routing import Route
 from rowanrail.model.statements import Answer, TypedStatement
@@ -36,6 +37,9 @@
 from rowanrail.scheduling.entry import QueueEntry
 from rowanrail.scheduling.retrying import retry_after_base
 
+# Fraction of the time-out for which a statement of an open transaction waits for a warming member;
+# the rest is left for its execution.
+OPEN_TRANSACTION_FRACTION = 0.9
 MIN_WARM_UP_WAIT_MS = 5.0  # so that a statement that finds no place again doesn't loop
 
 
@@ -247,27 +251,37 @@
 
     def defer_for_warm_up(self, pool: MemberPool, retry: Callable[[], None]) -> bool:
         """Retry when the member may be sent the statement; return False if that is too late."""
-        record, warm_up = pool.record, self.service.warm_up
-        delay = max(MIN_WARM_UP_WAIT_MS, warm_up.delay_ms(record, self.unsent_commands)) / 1000
-        if self.clock.time() + delay > self.deferral_deadline:
+        record, warm_up, continues = pool.record, self.service.warm_up, self.continues
+        delay = max(MIN_WARM_UP_WAIT_MS, self._warm_up_delay_ms(record)) / 1000
+        if self.clock.time() + delay > self._warm_up_deadline:
             return False
         self.member, self.stage = record.instance, Stage.WAITS_FOR_CONNECTION
-        warm_up.begin_wait(record)
+        warm_up.begin_wait(record, continues)
 
         def resume() -> None:
-            warm_up.end_wait(record)
+            warm_up.end_wait(record, continues)
             if self.respond is not None:
                 retry()
 
         self.clock.call_later(delay, resume)
         return True
 
+    def _warm_up_delay_ms(self, record: MemberRecord) -> float:
+        return self.service.warm_up.delay_ms(record, self.unsent_commands, self.continues)
+
+    @property
+    def _warm_up_deadline(self) -> float:
+        """Time, in seconds, until which the statement waits; an open transaction has cost more."""
+        if self.continues:
+            return self.arrived_at + OPEN_TRANSACTION_FRACTION * self.route.timeout_seconds
+        return self.deferral_deadline
+
     def reject_warming_up(self, pool: MemberPool) -> None:
         """Reject a statement that a warming member gets too late, with the time of the next one."""
         record, warm_up = pool.record, self.service.warm_up
         self.member = record.instance
         warm_up.note_turned_away(record)
-        delay = warm_up.delay_ms(record, self.unsent_commands)
+        delay = self._warm_up_delay_ms(record)
         interval = warm_up.part_for(record).interval_ms
         forecast = Forecast(delay, 0.0, drain_interval=interval if interval < math.inf else 0.0)
         reason = f"{record.instance} warms up and gets no more statements for {delay:.0f} ms"
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -7,6 +7,7 @@
 
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import TRANSACTION_COMMANDS
 from rowanrail.gateway.session_context import (
     PreparedStatementNames,
     SessionContext,
@@ -90,6 +91,11 @@
         else:
             self._begin()
 
+    @property
+    def continues(self) -> bool:
+        """Whether the transaction has begun at the member."""
+        return self._has_begun
+
     @property
     def latency_class(self) -> str:
         """Name of the class of statements with about the same execution time."""
@@ -178,6 +184,12 @@
                 self.service.primary.note_refused_connection(answer)
             self.retry_later(self._begin, busy_answer(answer.message))
             return
+        pool = self.pool
+        assert pool is not None
+        if not self._may_begin():
+            self.unsent_commands = TRANSACTION_COMMANDS
+            self._wait_to_begin()
+            return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands.append(Command(kind, floor=self.floor))
@@ -186,6 +198,15 @@
             self.limit_answer_time()
         if not self.send(commands, self._on_begin_answer):
             self._wait_to_begin()
+        elif self.service.spec.limits_warm_up:
+            self.service.warm_up.note_begun(pool.record, channel)
+
+    def _may_begin(self) -> bool:
+        """Return whether the member may be sent another transaction while it warms up."""
+        if not self.service.spec.limits_warm_up:
+            return True
+        assert self.pool is not None
+        return self.service.warm_up.may_begin(self.pool.record)
 
     def _wait_to_begin(self) -> None:
         """Begin at another member, or later: the member warms up and gets no more now."""
@@ -362,7 +383,7 @@
         if channel.closed:
             self.release()
             return
-        if channel.busy or not self.service.take_places(self.pool.record, 1):
+        if channel.busy or not self.service.take_places(self.pool.record, 1, continues=True):
             self.discard()  # the member rolls back what a closed connection had open
             return
         pool = self.pool
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -157,6 +157,37 @@
         texts = self.world.primary.texts()
         self.assertEqual(texts.count("COMMIT"), committed)
 
+    def run_transactions(self, seconds):
+        """Run transactions of all tenants at all gateways; return how many were committed."""
+        gateways = self.world.gateways.values()
+        clients = [one.client("orders", key) for one in gateways for key in TENANTS]
+        texts = ("BEGIN", "READ a", "WRITE a 1", "READ b", "COMMIT")
+        steps, ready_at, committed = Counter(), Counter(), 0
+        end = self.world.clock.now + seconds
+        while self.world.clock.now < end:
+            for client in clients:
+                is_idle = client.asked == len(client.answers)
+                if not is_idle or ready_at[client] > self.world.clock.now:
+                    continue
+                if client.answers and client.answers[-1].refusal is not None:
+                    steps[client] = 0
+                    ready_at[client] = self.world.clock.now + 0.5
+                    client.ask("ROLLBACK")
+                    continue
+                committed += steps[client] == len(texts)
+                steps[client] %= len(texts)
+                client.ask(texts[steps[client]])
+                steps[client] += 1
+            self.world.clock.advance(0.02)
+        return committed
+
+    def test_transactions_beyond_the_limit_are_not_begun(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        committed = self.run_transactions(20.0)
+        self.assert_limit_kept()
+        commands_of_committed = 5 * committed
+        self.assertGreater(commands_of_committed, 0.5 * 20 * RATE)
+
     def test_samples_use_a_part_of_the_limit(self):
         self.world.clock.advance(HANDOVER_SECONDS)
         answers = self.world.load(10.0, "READ a", "carts")
