Statements for a warming member reach another sender when a holder is down

Cause: other regions forwarded them to the next gateway in the order of rendezvous hashing, which may not send. Statements without a tenant went to the first gateway for the whole service, which holds no part of a divided one. While the link to a sender was being opened, they were rejected at once.

Change: only holders of the service's shards are tried; a statement waits for a link for up to a fifth of its objective.

Tests: SenderLocationTest found a gateway that holds nothing before; a first write without open links was rejected.

--- a/src/rowanrail/gateway/relay/detours.py
+++ b/src/rowanrail/gateway/relay/detours.py
@@ -9,7 +9,7 @@
 gateways to ask and which answer to use, and on the plan for the holders there.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from rowanrail.gateway.relay.detour_rules import ReachabilityCache, gateways_to_query
 from rowanrail.gateway.relay.holder_choice import (
@@ -110,6 +110,18 @@
         """Return the holder of a shard in another group: by the plan, then by hashing."""
         return self._first_available(self._holder_order(group, shard))
 
+    def first_sender_in(self, group: str, shards: Iterable[Shard]) -> HolderLocation:
+        """Return the first available holder of some shards in another group.
+
+        Unlike :meth:`holder_in` it returns no other gateway in place of a holder that is down,
+        since only holders may send to members that warm up.
+        """
+        names: dict[str, None] = {}
+        for shard in shards:
+            planned = self.planned.holders(group, shard) if self.planned is not None else []
+            names.update(dict.fromkeys(planned or rank(shard.key, self._zones.get(group, []))[:1]))
+        return self._first_available(list(names))
+
     def _holder_order(self, group: str, shard: Shard) -> list[str]:
         planned = self.planned.holders(group, shard) if self.planned is not None else []
         return [*planned, *rank(shard.key, self._zones.get(group, []))]
--- a/src/rowanrail/gateway/relay/work_routing.py
+++ b/src/rowanrail/gateway/relay/work_routing.py
@@ -28,7 +28,6 @@
     HeldLocally,
     HeldRemotely,
     HolderLocation,
-    NoHolder,
 )
 from rowanrail.gateway.relay.peers import Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
@@ -149,6 +148,8 @@
         pool = service.pools.get(instance) if instance else service.primary_pool()
         if self._detours is None or pool is None or not service.is_remote(pool):
             return None
+        if service.is_warming(pool.record):
+            return self._find_sender(service, tenant, pool.record.instance)
         region = self._locality.region_of(pool.record.zone)
         shard = Shard.of(service.spec.name, tenant)
         if not isinstance(self._detours.holder_in(region, shard), HeldRemotely):
@@ -183,11 +184,7 @@
         group = self._locality.region_of(zone) if is_regional else zone
         shards = [shard] if shard.number is not None else []
         shards += shards_of(service.spec.name) if is_regional else [Shard(service.spec.name)]
-        for candidate in shards:
-            found = self._detours.holder_in(group, candidate)
-            if isinstance(found, HeldRemotely):
-                return found
-        return NoHolder()
+        return self._detours.first_sender_in(group, shards)
 
     def _find_detour(self, service: Service) -> ForwardedWork | None:
         """Return work at a gateway that reaches a service's primary, None if none is known."""
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -183,6 +183,10 @@
         ]
         return min(limited, key=lambda p: self.warm_up.delay_ms(p.record), default=None)
 
+    def is_warming(self, record: MemberRecord) -> bool:
+        """Return whether a member has a limit because it warms up."""
+        return self.spec.limits_warm_up and self.warm_up.is_warming(record)
+
     def take_places(self, record: MemberRecord, commands: int, continues: bool = False) -> bool:
         """Count commands that are about to be sent to a member, or return False if they may not be.
 
--- a/src/rowanrail/gateway/services/warm_up_limits.py
+++ b/src/rowanrail/gateway/services/warm_up_limits.py
@@ -219,6 +219,10 @@
         """Return this gateway's part of the limit of a member, as it may be used now."""
         return self.part if self._is_own_group(record) else WarmUpPart(0)
 
+    def is_sender(self, record: MemberRecord) -> bool:
+        """Return whether this gateway may send to a member, now or after a handover."""
+        return self._is_own_group(record) and self._history.is_sender
+
     def has_place(self, record: MemberRecord, count: int = 1) -> bool:
         """Return whether commands of new work may be sent to a member now.
 
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -40,6 +40,8 @@
 # Fraction of the time-out for which a statement of an open transaction waits for a warming member;
 # the rest is left for its execution.
 OPEN_TRANSACTION_FRACTION = 0.9
+# Fraction of the objective for which a statement waits for a link to a gateway that may send it.
+SENDER_LOOKUP_FRACTION = 0.2
 MIN_WARM_UP_WAIT_MS = 5.0  # so that a statement that finds no place again doesn't loop
 
 
@@ -242,9 +244,20 @@
         retry : callable
             Called when the member may be sent the statement, if that is within the deferral.
         """
-        if not self._forward_to_sender(pool) and not self.defer_for_warm_up(pool, retry):
+        if self._forward_to_sender(pool):
+            return
+        if self._may_find_sender(pool):
+            self.retry_later(retry, busy_answer("no gateway that may send is reachable"))
+        elif not self.defer_for_warm_up(pool, retry):
             self.reject_warming_up(pool)
 
+    def _may_find_sender(self, pool: MemberPool) -> bool:
+        """Return whether the link to a sender may still be opened in time."""
+        if self.other_gateways is NO_OTHER_GATEWAYS or self.service.warm_up.is_sender(pool.record):
+            return False
+        waited = self.clock.time() - self.arrived_at
+        return waited < SENDER_LOOKUP_FRACTION * self.route.objective_seconds
+
     def _forward_to_sender(self, pool: MemberPool) -> bool:
         sender = self.other_gateways.find_sender(self.tenant, pool.record.instance)
         return self.forward_to(sender)
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -2,18 +2,23 @@
 
 import unittest
 from collections import Counter
+from types import SimpleNamespace
 
 import msgspec
 
 from rowanrail.directory.messages import Evacuations
 from rowanrail.gateway.discovery.directory import Directory
+from rowanrail.gateway.relay.detours import Detours
 from rowanrail.gateway.relay.neighbours import Neighbour
+from rowanrail.gateway.relay.serving import LinkServer
+from rowanrail.kernel.clock import Clock
 from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import CommandKind, Refusal
-from rowanrail.placement.hashed import FleetSize
+from rowanrail.placement.hashed import FleetSize, rank, shards_of
 from rowanrail.tenants.model import Tenant, Tenants, key_digest
 from tests.relay.test_regions import FLEET_SIZE, GATEWAYS, REGIONS, Regions
-from tests.support.gateway import routes
+from tests.support.gateway import ManualClock, routes
+from tests.support.relay_network import RelayNetwork
 
 RATE = 12.0
 WARM_UP_SECONDS = 60.0
@@ -255,8 +260,51 @@
         for link in self.world.network.links:
             if lost.name in link.ends:
                 link.disconnect("reset")
-        self.world.load(5.0)
+        answers = self.world.load(5.0)
         self.assert_limit_kept()
+        self.assertGreater(answers[None], 0.3 * 5 * RATE, "the other holder has half of the limit")
+
+    def test_statements_without_a_tenant_reach_a_sender(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        configuration = self.world.sender.gateway.configuration
+        for one in self.world.gateways.values():
+            one.gateway.apply(msgspec.structs.replace(configuration, version=2, tenants=None))
+        clients = [one.client("orders", "") for one in self.world.gateways.values()]
+        for client in clients:
+            client.ask("WRITE a 1")
+        self.world.clock.advance(1.0)
+        self.assertEqual([client.answers[0].refusal for client in clients], [None] * 4)
+
+
+class SenderLocationTest(unittest.TestCase):
+    """A region most of whose gateways hold nothing of a service."""
+
+    def setUp(self):
+        self.time = ManualClock()
+        clock = Clock(self.time)
+        network = RelayNetwork(clock)
+        self.detours = Detours("ga1", clock, network.opener("ga1"))
+        names = [f"gb{number}" for number in range(9)]
+        self.holders = [rank(shard.key, names)[0] for shard in shards_of("db")]
+        for name in names:
+            host = SimpleNamespace(stopping=False, load=None)
+            network.holders[name] = LinkServer(host, clock)
+        self.network = network
+        self.detours.set_gateways([], {"b": [Neighbour(name, name) for name in names]})
+
+    def located(self, shard):
+        for _ in range(3):
+            found = self.detours.first_sender_in("b", [shard, *shards_of("db")])
+            self.time.advance(0.1)
+        return found.link.peer
+
+    def test_it_is_the_holder_of_the_shard_or_of_another_one(self):
+        shard = shards_of("db")[1]
+        self.assertEqual(self.located(shard), self.holders[1])
+        del self.network.holders[self.holders[1]]
+        for link in self.network.links:
+            link.disconnect("reset")
+        self.assertIn(self.located(shard), {self.holders[0], self.holders[2]})
 
 
 class RestartTest(unittest.TestCase):
