Senders are ranked only when gateways, plan or limits change

Cause: each change of one member ranked the gateways of the group for all services with a limit.

Change: the inputs of the last ranking are compared first. Services without a limit don't hear of confirmations.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -91,6 +91,7 @@
         self._waiting_starts: list[PendingSessionStart] = []
         self._evacuations = NO_EVACUATIONS
         self._session_count = 0
+        self._sender_inputs: object = None
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
         )
@@ -273,7 +274,8 @@
         state = (self._directory.revision, 0 if planned is None else planned.plan.number)
         self._warm_up_context.lease.confirm(asked_at_ms, Clock(self.clock).now, state)
         for service in self.services.values():
-            service.warm_up.note_confirmed()
+            if service.spec.limits_warm_up:
+                service.warm_up.note_confirmed()
 
     def _update_senders(self) -> None:
         """Update which gateways of the own group may send to members that warm up."""
@@ -282,12 +284,19 @@
         planned, gateways = self.holdings.planned, self._directory.group
         if not gateways and self._directory.population.gateways <= 1:
             gateways = [self._warm_up_context.name]
-        for name, service in self.services.items():
-            if service.spec.limits_warm_up:
-                named = () if planned is None else (planned.named_holders,)
-                is_regional = service.share.is_regional
-                senders = warm_up_senders(name, is_regional, gateways, *named)
-                service.warm_up.set_senders(senders)
+        limited = [
+            (service, service.share.is_regional)
+            for service in self.services.values()
+            if service.spec.limits_warm_up
+        ]
+        inputs = (gateways, 0 if planned is None else planned.plan.number, limited)
+        if inputs == self._sender_inputs:
+            return  # ranking gateways for each service costs more than all other work
+        self._sender_inputs = inputs
+        for service, is_regional in limited:
+            named = () if planned is None else (planned.named_holders,)
+            senders = warm_up_senders(service.spec.name, is_regional, gateways, *named)
+            service.warm_up.set_senders(senders)
 
     def _on_link(self, peer: str, is_up: bool, reason: str) -> None:
         if not is_up:
