--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -35,6 +35,8 @@
 from rowanrail.coordination.primary_mover import PrimaryMover
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
+from rowanrail.coordination.warm_up_sampling import WarmUpSampling
+from rowanrail.kernel.clock import Clock
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import MemberDriver
@@ -46,7 +48,7 @@
 
 CHECK_INTERVAL_SECONDS = 0.1  # delays a failover by half of it on average
 LOCAL_SOURCE = "failover-duty"
-_NO_DIRECTORY = (-1, -1)  # revision and configuration version
+_NO_DIRECTORY = (-1, -1, -1)  # revision, configuration version, revision of evacuations
 
 
 class PromotionOutcome(enum.Enum):
@@ -95,6 +97,8 @@
         Returns how many replicas of a service must hold a commit before it is acknowledged.
     placement : callable
         Returns where primaries may be.
+    warm_up_seconds : callable
+        Returns for how long the commands to a service's members are limited; 0 without a limit.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         verifier: LeadershipVerifier,
         acknowledging_replicas: Callable[[str], int] = lambda service: 0,
         placement: Callable[[], Placement] = Placement,
+        warm_up_seconds: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._node = node
         self._service = service
@@ -131,6 +136,8 @@
         )
         self._trackers: dict[str, PrimaryTracker] = {}
         self._joined: dict[str, JoinPositions] = {}
+        self._warm_up_seconds = warm_up_seconds
+        self._sampling: WarmUpSampling | None = None
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
         self._in_progress: set[str] = set()
@@ -197,9 +204,11 @@
 
     def _update_trackers(self) -> None:
         state = self._service.state
-        if (state.revision, state.version) == self._known_directory:
+        known = state.revision, state.version, state.evacuations.revision
+        if known == self._known_directory:
             return
-        self._known_directory = state.revision, state.version
+        self._known_directory = known
+        self._warm_up_sampling().update()
         services = {member.service for member in state.members.values()}
         services = {name for name in services if self._service.is_configured(name)}
         for name in list(self._trackers):
@@ -210,6 +219,7 @@
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
                 self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
+                self._trackers[name].set_sample_limit(self._warm_up_sampling())
             self._trackers[name].set_members(self._members(name))
 
     def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
@@ -217,6 +227,21 @@
         joined = self._joined.setdefault(service, JoinPositions())
         joined.update(self._members(service), self._service.state.earlier_starts, newest)
 
+    def _warm_up_sampling(self) -> WarmUpSampling:
+        """Return the limits on commands to warming members; made in the running event loop."""
+        if self._sampling is None:
+            self._sampling = WarmUpSampling(
+                self._service.state,
+                self._warm_up_seconds,
+                self._is_own_sample_failing,
+                Clock(asyncio.get_running_loop()),
+                lambda: time.time() * 1000,
+            )
+        return self._sampling
+
+    def _is_own_sample_failing(self, service: str) -> bool:
+        return bool(self._trackers[service].failing_since)
+
     # Deciding
 
     def _check_service(self, service: str) -> None:
@@ -229,7 +254,8 @@
             return
         decision = self._decide(self._view(service, {}), demotion)
         if decision.action is not Action.WAIT:
-            self._begin(service, self._replace_primary(service, decision, demotion))
+            if self._warm_up_sampling().may_ask_statuses(service, self._members(service)):
+                self._begin(service, self._replace_primary(service, decision, demotion))
             return
         self._waiting_reasons.pop(service, None)
         if demotion is None:
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -132,6 +132,7 @@
             self._registry.create("gateway-guard", "leadership-proof"),
             self._acknowledging_replicas,
             self._placement_of_primaries,
+            self._warm_up_seconds,
         )
         self.failover.start()
         is_planned = self._settings.holders is HolderSelection.PLANNED
@@ -166,6 +167,11 @@
             )
         return self._placement
 
+    def _warm_up_seconds(self, service: str) -> float:
+        """Return for how long the commands to a service's members are limited, 0 if never."""
+        spec = self._spec(service)
+        return spec.warm_up_seconds if spec and spec.limits_warm_up else 0.0
+
     def _connections(self, service: str) -> int:
         """Return how many connections a member of a service accepts, 0 if unknown."""
         spec = self._spec(service)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -31,6 +31,8 @@
 from rowanrail.gateway.services.primary_log import log_primary_state
 from rowanrail.gateway.services.restriction_log import log_restrictions
 from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import WarmUpContext, current_unix_ms
+from rowanrail.gateway.services.warm_up_log import log_warm_up, log_warm_up_part
 from rowanrail.gateway.services.weight_log import log_weight_change
 from rowanrail.gateway.session_context import PreparedStatementNames
 from rowanrail.gateway.sessions.access import AccessControl
@@ -49,6 +51,7 @@
 from rowanrail.model.members import PrimaryHealth
 from rowanrail.model.routing import Route, RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, Refusal
+from rowanrail.placement.senders import warm_up_senders
 from rowanrail.scheduling.load import ServiceLoad
 from rowanrail.scheduling.plan import Plan
 from rowanrail.tenants.demand import DemandAggregator
@@ -77,6 +80,7 @@
         peers: Peers = NO_PEERS,
         quota_parameters: QuotaParameters = QuotaParameters(),  # noqa: B008 - it is frozen
         evacuation_ms: float = DEFAULT_EVACUATION_MS,
+        unix_ms: Callable[[], float] = current_unix_ms,
     ) -> None:
         self.clock = clock
         self.names = PreparedStatementNames()
@@ -100,6 +104,7 @@
         self._closed_zones: frozenset[str] = frozenset()
         self._grace_seconds = grace_seconds(evacuation_ms)
         self._session_count = 0
+        self._sender_inputs: object = None
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
         )
@@ -107,6 +112,9 @@
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
         self._directory = CurrentDirectory(peers)
+        self._warm_up_context = WarmUpContext(
+            "" if peers.neighbours is None else peers.neighbours.name, unix_ms=unix_ms
+        )
         self._remote_admission = RemoteAdmission(Clock(clock))
         self._router = self._make_router()
         self._connect_peer_callbacks()
@@ -191,6 +199,7 @@
             service.set_tenants(configuration.tenants or Tenants())
             service.set_data_regions(self._data_regions)
         self.holdings.apply_limits()
+        self._update_senders()
         self.access.set_configuration(configuration)
         self.access.deny_withdrawn(list(self.sessions))
         waiting, self._waiting_starts = self._waiting_starts, []
@@ -217,13 +226,23 @@
                 self.services[name] = self._new_service(name, spec)
 
     def _new_service(self, name: str, spec: ServiceSpec) -> Service:
-        service = Service(spec, self._locality, self._driver, self.clock, self._policies)
+        service = Service(
+            spec,
+            self._locality,
+            self._driver,
+            self.clock,
+            self._policies,
+            self._warm_up_context,
+        )
         service.primary.on_alarm = functools.partial(self._on_primary_change, service)
         service.primary.on_unavailable = functools.partial(self._router.ask_for_samples, service)
         note = functools.partial(log_weight_change, self._decisions, service)
         service.estimates.weights.on_change = note
+        service.warm_up.on_change = functools.partial(log_warm_up, self._decisions, service)
+        service.warm_up.on_part = functools.partial(log_warm_up_part, self._decisions, service)
         service.set_fleet_size(self._directory.population)
         service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
+        service.set_ended_evacuations(self._evacuations.ended)
         service.set_members(self._directory.members(name))
         return service
 
@@ -242,6 +261,7 @@
             return
         self.access.quota.set_population(directory.population.gateways)
         self.holdings.set_fleet_size(directory.population)
+        self._update_senders()
         records = directory.members
         self._decisions.note(
             DIRECTORY_APPLIED,
@@ -274,6 +294,7 @@
         )
         for service in self.services.values():
             service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
+            service.set_ended_evacuations(evacuations.ended)
 
     @property
     def evacuated_zones(self) -> frozenset[str]:
@@ -295,6 +316,43 @@
     def set_plan(self, plan: Plan) -> None:
         """Apply the control nodes' newest plan of the holders of connections."""
         self.holdings.adopt_plan(plan)
+        self._update_senders()
+
+    def note_confirmed(self, asked_at_ms: float) -> None:
+        """Record that an up-to-date control node confirmed the directory and the plan.
+
+        Parameters
+        ----------
+        asked_at_ms : float
+            Monotonic time at which the confirmation was requested.
+        """
+        planned = self.holdings.planned
+        state = (self._directory.revision, 0 if planned is None else planned.plan.number)
+        self._warm_up_context.lease.confirm(asked_at_ms, Clock(self.clock).now, state)
+        for service in self.services.values():
+            if service.spec.limits_warm_up:
+                service.warm_up.note_confirmed()
+
+    def _update_senders(self) -> None:
+        """Update which gateways of the own group may send to members that warm up."""
+        if not self._directory.has_members:
+            return
+        planned, gateways = self.holdings.planned, self._directory.group
+        if not gateways and self._directory.population.gateways <= 1:
+            gateways = [self._warm_up_context.name]
+        limited = [
+            (service, service.share.is_regional)
+            for service in self.services.values()
+            if service.spec.limits_warm_up
+        ]
+        inputs = (gateways, 0 if planned is None else planned.plan.number, limited)
+        if inputs == self._sender_inputs:
+            return  # ranking gateways for each service costs more than all other work
+        self._sender_inputs = inputs
+        for service, is_regional in limited:
+            named = () if planned is None else (planned.named_holders,)
+            senders = warm_up_senders(service.spec.name, is_regional, gateways, *named)
+            service.warm_up.set_senders(senders)
 
     def _on_link(self, peer: str, is_up: bool, reason: str) -> None:
         if not is_up:
--- a/src/rowanrail/gateway/relay/detours.py
+++ b/src/rowanrail/gateway/relay/detours.py
@@ -9,7 +9,7 @@
 gateways to ask and which answer to use, and on the plan for the holders there.
 """
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from rowanrail.gateway.relay.detour_rules import ReachabilityCache, gateways_to_query
 from rowanrail.gateway.relay.holder_choice import (
@@ -18,7 +18,15 @@
     NoHolder,
     choose_holder,
 )
-from rowanrail.gateway.relay.link import Lost, NotRun, Outcome, Replied, Sampled, TotalsReceived
+from rowanrail.gateway.relay.link import (
+    Link,
+    Lost,
+    NotRun,
+    Outcome,
+    Replied,
+    Sampled,
+    TotalsReceived,
+)
 from rowanrail.gateway.relay.messages import SampleRequest
 from rowanrail.gateway.relay.neighbours import LinkManager, LinkOpener, Neighbour
 from rowanrail.kernel.clock import Clock
@@ -115,6 +123,18 @@
         """Return the holder of a shard in another group: by the plan, then by hashing."""
         return self._first_available(self._holder_order(group, shard))
 
+    def first_sender_in(self, group: str, shards: Iterable[Shard]) -> HolderLocation:
+        """Return the first available holder of some shards in another group.
+
+        Unlike :meth:`holder_in` it returns no other gateway in place of a holder that is down,
+        since only holders may send to members that warm up.
+        """
+        names: dict[str, None] = {}
+        for shard in shards:
+            planned = self.planned.holders(group, shard) if self.planned is not None else []
+            names.update(dict.fromkeys(planned or rank(shard.key, self._zones.get(group, []))[:1]))
+        return self._first_available(list(names))
+
     def _holder_order(self, group: str, shard: Shard) -> list[str]:
         planned = self.planned.holders(group, shard) if self.planned is not None else []
         return [*planned, *rank(shard.key, self._zones.get(group, []))]
@@ -145,22 +165,34 @@
         found = self._link_manager.reach(name)
         if not isinstance(found, HeldRemotely):
             return  # a link that is being opened is used by the next query
-        link = found.link
+        self._query_link(name, found.link, service, on_sample)
+
+    def query_holder(self, service: str, link: Link, on_sample: OnSample) -> None:
+        """Ask the gateway behind a link for a sample of a service's primary, at a limited rate.
+
+        It doesn't become a detour, as the primary may be reachable from here.
+        """
+        if self._reachability.try_begin_query(service, self._clock.now):
+            self._query_link("", link, service, on_sample)
+
+    def _query_link(self, name: str, link: Link, service: str, on_sample: OnSample) -> None:
         asked_at = self._clock.now
 
         def on_outcome(outcome: Outcome) -> None:
             match outcome:
                 case Sampled(instance=instance, position=position):
                     self._link_manager.note_answer(link)
-                    if self._reachability.note_reachable(service, name, self._clock.now):
+                    if name and self._reachability.note_reachable(service, name, self._clock.now):
                         self.on_detour_found(service, name)
-                    for cache in self._group_caches(name):
-                        cache.note_reachable(service, name, self._clock.now)
+                    if name:
+                        for cache in self._group_caches(name):
+                            cache.note_reachable(service, name, self._clock.now)
                     on_sample(asked_at, instance, position)
                 case NotRun() | Lost() | Replied() | TotalsReceived():
-                    self._reachability.note_unreachable(service, name)
-                    for cache in self._group_caches(name):
-                        cache.note_unreachable(service, name)
+                    if name:
+                        self._reachability.note_unreachable(service, name)
+                        for cache in self._group_caches(name):
+                            cache.note_unreachable(service, name)
 
         link.request(SampleRequest(link.next_call_id(), service), on_outcome)
 
--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -18,6 +18,7 @@
 from rowanrail.gateway.work.connected import Stage
 from rowanrail.gateway.work.freshness import earliest_sample_time, prefetch_sample
 from rowanrail.gateway.work.operation import Operation
+from rowanrail.gateway.work.ports import StatementExecutor
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, PRIMARY_RETRY_AFTER_MS, busy_answer
 from rowanrail.members.channel import AnswerCallback, Channel
 from rowanrail.model.position import ORIGIN, Position
@@ -37,12 +38,19 @@
         self.begin_statement(respond)
         self._failures = 0
         self._earliest_sample_time = earliest_sample_time(self.route, self.arrived_at)
-        if self.reject_if_all_excluded():
+        self._begin_read()
+
+    def _begin_read(self) -> None:
+        if self.wait_for_any_warm_up(self._begin_read) or self.reject_if_all_excluded():
             return
         if self.route.consistency is Consistency.PRIMARY and self._forward_to_primary_holder():
             return  # replication lag exceeds the round trip to the primary's region
         self._request_floor()
 
+    def forward_to(self, executor: StatementExecutor | None) -> bool:
+        """Forward the read if an executor is given; return whether it was forwarded."""
+        return self._forward(executor, self.statement, writes=False)
+
     def _forward_to_primary_holder(self) -> bool:
         return self._forward(self.find_primary_holder(), self.statement, writes=False)
 
@@ -106,6 +114,8 @@
                 return
             self.excluded.clear()
             self.attempts = 0
+            if self.wait_for_any_warm_up(self._begin_read):
+                return
             self.retry_later(self._request_floor, busy_answer("no member can serve the read"))
             return
         available = self.pool_with_capacity(pool, self.excluded)
@@ -130,7 +140,10 @@
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands += commands_for(self.statement, self.floor, channel, self.session, self.names)
         self.limit_answer_time()
-        self.send(commands, self._on_answer)
+        if not self.send(commands, self._on_answer):
+            self.stop_attempt_timer()
+            self.release()
+            self.try_next_member()
 
     def try_next_member(self) -> None:
         """Exclude the current member and continue at another one."""
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -9,6 +9,7 @@
 
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import TRANSACTION_COMMANDS
 from rowanrail.gateway.session_context import (
     PreparedStatementNames,
     SessionContext,
@@ -94,6 +95,11 @@
         else:
             self._begin()
 
+    @property
+    def continues(self) -> bool:
+        """Whether the transaction has begun at the member."""
+        return self._has_begun
+
     @property
     def latency_class(self) -> str:
         """Name of the class of statements with about the same execution time."""
@@ -115,6 +121,8 @@
         if not self.read_only:
             self.acquire_primary(self._begin, self._on_connection)
             return
+        if self.wait_for_any_warm_up(self._begin):
+            return
         if self.reject_if_all_excluded():
             self.failed = True
             return
@@ -139,6 +147,8 @@
         pool = self.service.choose_member(self._excluded, self.read_requirements())
         if position is None or pool is None:
             self._excluded.clear()
+            if self.wait_for_any_warm_up(self._begin):
+                return
             self.retry_later(self._begin, busy_answer("no member can serve the transaction"))
             return
         available = self.pool_with_capacity(pool, self._excluded)
@@ -179,13 +189,41 @@
                 self.service.primary.note_refused_connection(answer)
             self.retry_later(self._begin, busy_answer(answer.message))
             return
+        pool = self.pool
+        assert pool is not None
+        if not self._may_begin():
+            self.unsent_commands = TRANSACTION_COMMANDS
+            self._wait_to_begin()
+            return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands.append(Command(kind, floor=self.floor))
         channel.in_transaction = True
         if self.read_only:
             self.limit_answer_time()
-        self.send(commands, self._on_begin_answer)
+        if not self.send(commands, self._on_begin_answer):
+            self._wait_to_begin()
+        elif self.service.spec.limits_warm_up:
+            self.service.warm_up.note_begun(pool.record, channel)
+
+    def _may_begin(self) -> bool:
+        """Return whether the member may be sent another transaction while it warms up."""
+        if not self.service.spec.limits_warm_up:
+            return True
+        assert self.pool is not None
+        return self.service.warm_up.may_begin(self.pool.record)
+
+    def _wait_to_begin(self) -> None:
+        """Begin at another member, or later: the member warms up and gets no more now."""
+        pool, channel = self.pool, self.channel
+        assert pool is not None and channel is not None
+        self.stop_attempt_timer()
+        channel.in_transaction = False
+        self.release()
+        if self.read_only:
+            self.try_next_member()
+        else:
+            self.wait_for_warm_up(pool, self._begin)
 
     def _exclude_member(self) -> None:
         if self.pool is not None:
@@ -253,7 +291,8 @@
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
             ]
-            self.send(commands, self._on_commit_answer)
+            if not self.send(commands, self._on_commit_answer):
+                self._wait_to_run()
             return
         assert self.channel is not None
         if is_write(self.statement, self.session):
@@ -262,7 +301,19 @@
         commands += commands_for(self.statement, None, self.channel, self.session, self.names)
         if self.read_only:
             self.limit_answer_time()
-        self.send(commands, self._on_statement_answer)
+        if not self.send(commands, self._on_statement_answer):
+            self._wait_to_run()
+
+    def _wait_to_run(self) -> None:
+        """Run the statement later, or abort: the member warms up and gets no more now."""
+        pool = self.pool
+        assert pool is not None
+        self.stop_attempt_timer()
+        if self.defer_for_warm_up(pool, self._retry_statement):
+            return
+        self.failed = True
+        self.end()
+        self.reject_warming_up(pool)
 
     def _abort_if_excluded(self) -> bool:
         """Abort the transaction if its member may not be sent the statement; return whether."""
@@ -355,15 +406,19 @@
         channel = self.channel
         if channel is None:
             return
+        assert self.pool is not None
         if channel.closed:
             self.release()
             return
-        pool = self.pool
-        if channel.busy or (pool is not None and self.service.is_closed(pool.record)):
-            self.discard()  # the member rolls back
+        pool, service = self.pool, self.service
+        if (
+            channel.busy
+            or service.is_closed(pool.record)
+            or not service.take_places(pool.record, 1, continues=True)
+        ):
+            self.discard()  # the member rolls back what a closed connection had open
             return
         self.channel = None
-        assert pool is not None
 
         def rolled_back(answer: Answer) -> None:
             channel.in_transaction = False
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -24,7 +24,7 @@
     PositionWaiters,
     SampleHistory,
 )
-from rowanrail.members.sampling_connection import LeaseProvider
+from rowanrail.members.sampling_connection import LeaseProvider, SampleLimit
 from rowanrail.members.sampling_rules import is_sample_due
 from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.model.position import ORIGIN, Position
@@ -56,7 +56,8 @@
     on_proof : callable
         Called with the instance of each member that proved to be primary.
     on_unavailable : callable
-        Called at each tick while the service is in use and the primary cannot be sampled.
+        Called at each tick while the service is in use and the primary cannot, or may not, be
+        sampled by this gateway.
     is_closed : callable
         Returns whether nothing may be sent to a member, so that it is not sampled. Not sampling a
         primary is no sign that it fails.
@@ -129,6 +130,15 @@
         """Set where to lease pooled connections for samples of the primary."""
         self._sampler.lease_provider = lease_provider
 
+    def set_sample_limit(self, sample_limit: SampleLimit) -> None:
+        """Set the limit on samples of members that warm up."""
+        self._sampler.sample_limit = sample_limit
+
+    @property
+    def needs_reported_samples(self) -> bool:
+        """Whether only other gateways may sample the primary, as it warms up."""
+        return self._sampler.needs_reported_samples
+
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; one that claims to be primary may become the presumed one.
 
@@ -200,10 +210,21 @@
         """Add a position that another gateway sampled at ``asked_at`` or later.
 
         It serves waiting reads but is no proof for this gateway, which may still not reach the
-        primary.
+        primary. A gateway that may not sample the primary itself takes it as the end of a failure.
         """
-        if self._add_sample(asked_at, position, instance):
-            self._waiting.notify(self.sample)
+        if not self._add_sample(asked_at, position, instance):
+            return
+        if self.needs_reported_samples and self.presumed_primary == instance:
+            self._end_failure(asked_at)
+        self._waiting.notify(self.sample)
+
+    def _end_failure(self, asked_at: float) -> None:
+        """Clear a failure that began before a sample was requested."""
+        if asked_at < self.failing_since:
+            return
+        self.state.clear_failure()
+        if self.state.clear_alarm():
+            self.on_alarm()
 
     def _add_sample(self, asked_at: float, position: Position, instance: str) -> bool:
         if position > self._longest:
@@ -274,7 +295,9 @@
         self._leave_closed()
         if self.state.raise_alarm(now):
             self.on_alarm()
-        if in_use and (self.failing_since or self.is_at_connection_limit):
+        if in_use and (
+            self.failing_since or self.is_at_connection_limit or self.needs_reported_samples
+        ):
             self.on_unavailable()
         if in_use and self.state.is_search_due(now):
             self._search()
--- a/tests/gateway/test_control_plane_client.py
+++ b/tests/gateway/test_control_plane_client.py
@@ -112,6 +112,9 @@
     def set_evacuations(self, evacuations):
         self.evacuations.append(evacuations.revision)
 
+    def note_confirmed(self, asked_at_ms):
+        pass
+
     def note_control_up_to_date(self, peer):
         self.up_to_date.append(peer)
 
--- a/tests/support/control_cost.py
+++ b/tests/support/control_cost.py
@@ -81,6 +81,9 @@
     def set_evacuations(self, evacuations):
         pass
 
+    def note_confirmed(self, asked_at_ms):
+        pass
+
     def note_control_up_to_date(self, peer):
         pass
 
