--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -143,6 +143,7 @@
     election_timeout_seconds: float = 0.6
     snapshot_entries: int = 200
     regions: dict[str, str] = {}
+    evacuation_ms: float = 5000.0
 
     @property
     def rpc_listen(self) -> str:
@@ -226,6 +227,8 @@
     "`planned` according to demand, or `hashed`, which ends a plan that is in force.",
     "CoordinatorSettings.regions": "Region of each zone. Evacuations of zones that are neither "
     "named here nor by a member are rejected; if empty, those of any zone are accepted.",
+    "CoordinatorSettings.evacuation_ms": "Milliseconds after the acknowledgement of a zone's "
+    "evacuation until nothing more may be sent to its members.",
     "CoordinatorSettings.heartbeat_seconds": "Interval of the leader's heartbeats.",
     "CoordinatorSettings.election_timeout_seconds": "Time without a heartbeat after which an "
     "election starts.",
--- a/src/rowanrail/coordination/change_logger.py
+++ b/src/rowanrail/coordination/change_logger.py
@@ -137,7 +137,7 @@
         level = self._state.feature_level
         if level != self._feature_level:
             self._feature_level = level
-            self._decisions.note(FEATURE_LEVEL_RAISED, level=level)
+            self._decisions.note(FEATURE_LEVEL_RAISED, feature_level=level)
 
     def _log_evacuations(self) -> None:
         evacuations = self._state.evacuations
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -82,7 +82,7 @@
 FEATURE_LEVEL_RAISED = define(
     475,
     Level.INFO,
-    "feature level {level} is committed",
+    "feature level {feature_level} is committed",
     "Every control node knows the commands of this level. Control nodes of earlier versions must "
     "not join from now on.",
 )
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -82,6 +82,8 @@
         Rule by which a sample proves that a member leads.
     acknowledging_replicas : callable
         Returns how many replicas of a service must hold a commit before it is acknowledged.
+    is_closed : callable
+        Returns whether nothing may be sent to a member, as its zone is evacuated.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         decisions: DecisionLog,
         verifier: LeadershipVerifier,
         acknowledging_replicas: Callable[[str], int] = lambda service: 0,
+        is_closed: Callable[[MemberRecord], bool] = lambda record: False,
     ) -> None:
         self._node = node
         self._service = service
@@ -103,6 +106,7 @@
         self._decisions = decisions
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
+        self._is_closed = is_closed
         self._trackers: dict[str, PrimaryTracker] = {}
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
@@ -177,7 +181,9 @@
         for name in services:
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
-                self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
+                tracker = PrimaryTracker(name, self._driver, loop, self._verifier)
+                tracker.is_closed = self._is_closed
+                self._trackers[name] = tracker
             self._trackers[name].set_members(self._members(name))
 
     # Deciding
@@ -221,7 +227,7 @@
             self._in_progress.discard(service)
 
     async def _decide_with_statuses(self, service: str) -> Decision:
-        statuses = await self._queries.query(self._members(service), Command(CommandKind.STATUS))
+        statuses = await self._queries.query(self._open(service), Command(CommandKind.STATUS))
         must_pause = self._acknowledging_replicas(service) > 0
         if must_pause:
             statuses = await self._pause_replicas(service, statuses)
@@ -273,7 +279,11 @@
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
     def _replicas(self, service: str) -> list[MemberRecord]:
-        return [record for record in self._members(service) if not record.primary]
+        return [record for record in self._open(service) if not record.primary]
+
+    def _open(self, service: str) -> list[MemberRecord]:
+        """Return the members to which something may be sent."""
+        return [record for record in self._members(service) if not self._is_closed(record)]
 
     async def _pause_replicas(
         self, service: str, statuses: dict[str, StatusReply]
--- a/src/rowanrail/coordination/feature_controller.py
+++ b/src/rowanrail/coordination/feature_controller.py
@@ -107,7 +107,7 @@
             self._logged_missing = missing
             self._decisions.note(
                 FEATURE_LEVEL_HELD_BACK,
-                level=self._service.state.feature_level,
+                feature_level=self._service.state.feature_level,
                 newest=NEWEST_LEVEL,
                 nodes=missing,
             )
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -30,6 +30,12 @@
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.evacuated_zones import (
+    LEADER_GRACE_SHARE,
+    EvacuatedZones,
+    grace_seconds,
+)
+from rowanrail.model.members import MemberRecord
 from rowanrail.model.routing import ConfigurationFormat, RoutingConfiguration, ServiceSpec
 from rowanrail.rpc.network import Listener, Network
 
@@ -65,6 +71,8 @@
         self._joining: asyncio.Task[None] | None = None
         self._parsed_version = 0
         self._configuration: RoutingConfiguration | None = None
+        self._evacuated = EvacuatedZones()
+        self._grace_seconds = grace_seconds(settings.evacuation_ms, LEADER_GRACE_SHARE)
 
     async def start(self, driver: MemberDriver, reader: StatusReader, promoter: Promoter) -> None:
         """Open the data folder and start to serve.
@@ -123,6 +131,7 @@
             self._decisions,
             self._registry.create("gateway-guard", "leadership-proof"),
             self._acknowledging_replicas,
+            self._is_closed,
         )
         self.failover.start()
         is_planned = self._settings.holders is HolderSelection.PLANNED
@@ -135,6 +144,10 @@
         )
         self.features.start()
 
+    def _is_closed(self, record: MemberRecord) -> bool:
+        """Return whether nothing may be sent to a member, as its zone is evacuated."""
+        return record.zone in self._evacuated.closed(self.service.now())
+
     def _acknowledging_replicas(self, service: str) -> int:
         """Return how many replicas must hold a commit before it is acknowledged."""
         spec = self._spec(service)
@@ -202,6 +215,11 @@
 
     def _on_change(self) -> None:
         self.service.notice_change()
+        evacuations = self.state.evacuations
+        if evacuations.zones != self._evacuated.ordered_ms:
+            self._evacuated = self._evacuated.updated(
+                evacuations.zones, self.service.now(), self._grace_seconds
+            )
         self._change_logger.log_changes()
 
     async def stop(self) -> None:
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -24,7 +24,6 @@
 from rowanrail.gateway.relay.peers import NO_PEERS, Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
 from rowanrail.gateway.relay.work_routing import WorkRouter
-from rowanrail.gateway.services.evacuated_zones import EvacuatedZones, grace_seconds
 from rowanrail.gateway.services.load_measurement import measure_load
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.primary_log import log_primary_state
@@ -41,6 +40,11 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.evacuated_zones import (
+    GATEWAY_GRACE_SHARE,
+    EvacuatedZones,
+    grace_seconds,
+)
 from rowanrail.members.primary_health import primary_health_report
 from rowanrail.members.samples import PositionSample
 from rowanrail.model.members import PrimaryHealth
@@ -93,7 +97,7 @@
         self._evacuations = NO_EVACUATIONS
         self._evacuated = EvacuatedZones()
         self._closed_zones: frozenset[str] = frozenset()
-        self._grace_seconds = grace_seconds(evacuation_ms)
+        self._grace_seconds = grace_seconds(evacuation_ms, GATEWAY_GRACE_SHARE)
         self._session_count = 0
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
--- a/src/rowanrail/gateway/services/evacuated_zones.py
+++ b/src/rowanrail/members/evacuated_zones.py
@@ -1,33 +1,38 @@
-"""Until when a gateway uses the members of evacuated zones. No I/O.
+"""Until when a process uses the members of evacuated zones. No I/O.
 
 Statements that another member can run leave an evacuated zone at once. What only one member can
 run, because it is the primary or has the statement's open transaction, may go on for a part of the
-time that is allowed, in which the control nodes move the primary; then the zone is closed.
+time that is allowed, in which the control nodes move the primary; then the zone is closed. The
+leader of the control nodes knows of an evacuation before it is acknowledged, and has more time.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["GRACE_SHARE", "EvacuatedZones", "grace_seconds"]
+__all__ = ["GATEWAY_GRACE_SHARE", "LEADER_GRACE_SHARE", "EvacuatedZones", "grace_seconds"]
 
-# Of the time that is allowed; the rest covers the time until a gateway knows of the evacuation.
-GRACE_SHARE = 0.4
+# Shares of the time that is allowed. At a gateway, the rest covers the time until it knows of the
+# evacuation.
+GATEWAY_GRACE_SHARE = 0.4
+LEADER_GRACE_SHARE = 0.7
 
 
-def grace_seconds(evacuation_ms: float) -> float:
+def grace_seconds(evacuation_ms: float, share: float) -> float:
     """Return for how long a zone stays open for what only its members can run.
 
     Parameters
     ----------
     evacuation_ms : float
         Time from the acknowledgement of an evacuation until nothing may be sent to the zone.
+    share : float
+        Share of this time in which the process still uses the zone.
 
     Examples
     --------
-    >>> grace_seconds(5000)
-    2.0
+    >>> grace_seconds(5000, GATEWAY_GRACE_SHARE), grace_seconds(5000, LEADER_GRACE_SHARE)
+    (2.0, 3.5)
     """
-    return GRACE_SHARE * evacuation_ms / 1000
+    return share * evacuation_ms / 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/test_feature_level.py
+++ b/tests/coordination/test_feature_level.py
@@ -59,6 +59,7 @@
         self.assertEqual(self.proposed, [])
         self.log.flush()
         self.assertEqual(self.log.written.count(b'"event":476'), 1)
+        self.assertIn(b'"level":"warning"', self.log.written)  # no field hides the line's own
 
     async def test_a_node_that_joined_while_the_others_were_asked_holds_it_back(self):
         joined = Membership(self.raft.membership.voters, {"n3": "n3:1", "n4": "n4:1"})
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -6,11 +6,10 @@
 from rowanrail.directory.messages import Evacuations
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.gateway import Gateway
-from rowanrail.gateway.services import evacuated_zones
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.sessions.session import Session
 from rowanrail.kernel.registry import Registry
-from rowanrail.members import eligibility
+from rowanrail.members import eligibility, evacuated_zones
 from rowanrail.model.position import Position
 from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, CommandKind, Refusal
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -285,6 +285,15 @@
         except (aiohttp.ClientError, TimeoutError):
             return 0, None
 
+    async def evacuate(self, zone: str, host: str = "") -> int:
+        return await self._call("POST", self._evacuation_url(zone, host))
+
+    async def end_evacuation(self, zone: str, host: str = "") -> int:
+        return await self._call("DELETE", self._evacuation_url(zone, host))
+
+    def _evacuation_url(self, zone: str, host: str) -> str:
+        return f"http://{host or self.control_hosts[0]}:{CONTROL_PORT}/evacuate/{zone}"
+
     async def ready(self, host: str) -> int:
         return await self._call("GET", f"http://{host}:{READY_PORT}/ready")
 
