--- a/src/rowanrail/kernel/http.py
+++ b/src/rowanrail/kernel/http.py
@@ -17,11 +17,15 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
-    """A request as passed to a handler; ``path`` excludes the query string."""
+    """A request as passed to a handler; ``path`` excludes the query string.
+
+    ``is_connected`` returns whether the caller still waits for the answer.
+    """
 
     method: str
     path: str
     body: bytes
+    is_connected: Callable[[], bool] = lambda: True
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -91,6 +95,7 @@
             self._request.method.decode("ascii"),
             self._request.target.decode("ascii").partition("?")[0],
             bytes(self._body),
+            lambda: not self.transport.is_closing(),
         )
         try:
             response = await self._handler(request)
--- a/tests/platform/test_evacuation_api.py
+++ b/tests/platform/test_evacuation_api.py
@@ -1,12 +1,14 @@
 """The operator's orders to evacuate zones, as requests to one control node."""
 
+import asyncio
+import socket
 import unittest
 from types import SimpleNamespace
 
 from rowanrail.config.settings import CoordinatorSettings
 from rowanrail.directory.messages import Evacuations
 from rowanrail.kernel.errors import TransportError
-from rowanrail.kernel.http import HttpRequest
+from rowanrail.kernel.http import HttpRequest, serve
 from rowanrail_platform.control_api import ControlApi
 from tests.support.gateway import RecordingLog
 
@@ -70,3 +72,15 @@
     async def test_other_requests_are_refused(self):
         for method, path in (("GET", "/evacuate/cairo-a"), ("POST", "/evacuate/")):
             self.assertEqual(await self.status(method, path), 404)
+
+    async def test_an_order_whose_caller_has_gone_is_not_carried_out(self):
+        # A node that was frozen reads it late, when later orders may have been acknowledged.
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        server = await serve(f"127.0.0.1:{port}", self.api.handle)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"DELETE /evacuate/cairo-a HTTP/1.1\r\nHost: n1\r\n\r\n")
+        writer.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.service.orders, [])
+        server.close()
