A control node that was frozen passes no late request to the leader

Cause: a time-out that is due when it is set takes effect only after the first await, so that a node which ran again after a freeze still sent its old requests to the leader. An order of long ago, to end an evacuation, could undo a later one that was acknowledged.

Change: the deadline is checked before each attempt.

Tests: tests.coordination.test_evacuations.LateOrderTest; before, the order was logged. Also tests.coordination.test_failover_controller, in virtual time: members in a closed zone are asked nothing and not taken for lost, and failover works again once the zone is opened.

--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -134,6 +134,8 @@
         loop = asyncio.get_running_loop()
         deadline = deadline or loop.time() + REQUEST_TIMEOUT_SECONDS
         while True:
+            if loop.time() >= deadline:  # a timeout would take effect after the request is sent
+                raise TransportError("the process did not run in time", step="find leader")
             try:
                 async with asyncio.timeout_at(deadline):
                     return await self._on_leader(request)
--- a/tests/coordination/test_evacuations.py
+++ b/tests/coordination/test_evacuations.py
@@ -11,6 +11,7 @@
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.coordination.commands import RaiseFeatureLevel, SetEvacuation
 from rowanrail.coordination.feature_level import EVACUATION_LEVEL
+from rowanrail.coordination.messages import EvacuationRequest
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.replay import LogReplay
 from rowanrail.coordination.service import CoordinationService
@@ -78,6 +79,25 @@
             poll.cancel()
 
 
+class LateOrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_node_that_was_frozen_passes_no_late_order_to_the_leader(self):
+        # Later orders may have been acknowledged by other nodes.
+        class Leading(FakeNode):
+            proposed = 0
+
+            async def propose(self, data):
+                self.proposed += 1
+
+        node = Leading()
+        state = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        state.apply(entry(1, RaiseFeatureLevel(EVACUATION_LEVEL)))
+        service = CoordinationService(node, state, None)
+        late = asyncio.get_running_loop().time() - 1.0
+        with self.assertRaises(RowanrailError):
+            await service.request(EvacuationRequest("a", False), late)
+        self.assertEqual(node.proposed, 0)
+
+
 class OrdersTest(unittest.TestCase):
     """Three simulated control nodes."""
 
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -30,6 +30,7 @@
     leads: bool
     silent: bool = False
     sequence: int = 0
+    asked: int = 0
 
     def record(self):
         address = f"{self.instance}:1"
@@ -41,6 +42,7 @@
         self.member, self.channel = member, channel
 
     def send(self, commands):
+        self.member.asked += len(commands)
         for command in commands:
             if not self.member.silent:
                 refused = command.kind is CommandKind.BEGIN and not self.member.leads
@@ -190,3 +192,21 @@
             await self.wait_until(lambda: not self.primary().silent)
 
         self.run_scenario(scenario)
+
+    def test_members_in_a_closed_zone_are_asked_nothing_and_not_taken_for_lost(self):
+        async def scenario():
+            control = self.controls.nodes[0]
+            process = self.controls.world.process(control.name)
+            order = control.node.service.set_evacuation("z1", True)
+            await self.controls.world.run_in(process, order)
+            await asyncio.sleep(5.0)
+            asked = [member.asked for member in self.platform.members]
+            await asyncio.sleep(5.0)
+            self.assertEqual([member.asked for member in self.platform.members], asked)
+            self.assertEqual(self.platform.orders, [])
+            order = control.node.service.set_evacuation("z1", False)
+            await self.controls.world.run_in(process, order)
+            self.lose_primary()
+            await self.wait_until(lambda: not self.primary().silent)
+
+        self.run_scenario(scenario)
