--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -99,6 +99,8 @@
         Returns where primaries may be.
     warm_up_seconds : callable
         Returns for how long the commands to a service's members are limited; 0 without a limit.
+    is_closed : callable
+        Returns whether nothing may be sent to a member, as its zone is evacuated.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         acknowledging_replicas: Callable[[str], int] = lambda service: 0,
         placement: Callable[[], Placement] = Placement,
         warm_up_seconds: Callable[[str], float] = lambda service: 0.0,
+        is_closed: Callable[[MemberRecord], bool] = lambda record: False,
     ) -> None:
         self._node = node
         self._service = service
@@ -134,6 +137,7 @@
             placement,
             self._now,
         )
+        self._is_closed = is_closed
         self._trackers: dict[str, PrimaryTracker] = {}
         self._joined: dict[str, JoinPositions] = {}
         self._warm_up_seconds = warm_up_seconds
@@ -218,8 +222,10 @@
         for name in services:
             if name not in self._trackers:
                 loop = asyncio.get_running_loop()
-                self._trackers[name] = PrimaryTracker(name, self._driver, loop, self._verifier)
-                self._trackers[name].set_sample_limit(self._warm_up_sampling())
+                tracker = PrimaryTracker(name, self._driver, loop, self._verifier)
+                tracker.set_sample_limit(self._warm_up_sampling())
+                tracker.is_closed = self._is_closed
+                self._trackers[name] = tracker
             self._trackers[name].set_members(self._members(name))
 
     def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
@@ -307,7 +313,8 @@
             self._log_waiting(service, first.reason, str(error))
 
     async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
-        members = self._members(service)
+        # A move was begun before the zone of the former primary was closed.
+        members = self._open(service) if demotion is None else self._members(service)
         is_planned = demotion is not None or any(m.primary and m.leaving for m in members)
         on_refused = self.mover.note_refused if is_planned else None
         statuses = await self._queries.query(members, Command(CommandKind.STATUS), on_refused)
@@ -370,7 +377,11 @@
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
     def _replicas(self, service: str) -> list[MemberRecord]:
-        return [record for record in self._members(service) if not record.primary]
+        return [record for record in self._open(service) if not record.primary]
+
+    def _open(self, service: str) -> list[MemberRecord]:
+        """Return the members to which something may be sent."""
+        return [record for record in self._members(service) if not self._is_closed(record)]
 
     async def _pause_replicas(
         self, service: str, statuses: dict[str, StatusReply]
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -14,7 +14,7 @@
 GATEWAY_EXPIRY_SECONDS = 12.0  # longer than a gateway takes to restart
 DIRECT_REPORT_SECONDS = 1.3  # gateways report every second
 NEVER_SECONDS = 1e9  # age of a heartbeat that never came; above all limits
-MAX_INSTANCES = 4000
+MAX_INSTANCES = 25_000  # above the maximum number of members
 MAX_LIVES = 4  # of an instance; bounds what announcements with made-up starts add
 
 
--- a/src/rowanrail/coordination/member_limits.py
+++ b/src/rowanrail/coordination/member_limits.py
@@ -21,7 +21,7 @@
     "check_unconfigured",
 ]
 
-MAX_MEMBERS = 5000
+MAX_MEMBERS = 20_000
 MAX_UNCONFIGURED_MEMBERS = 200  # of services that are not in the configuration
 
 ConfiguredServices = Callable[[], Collection[str] | None]
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -33,6 +33,12 @@
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
 from rowanrail.members.eligibility import Eligibility
+from rowanrail.members.evacuated_zones import (
+    LEADER_GRACE_SHARE,
+    EvacuatedZones,
+    grace_seconds,
+)
+from rowanrail.model.members import MemberRecord
 from rowanrail.model.routing import ConfigurationFormat, RoutingConfiguration, ServiceSpec
 from rowanrail.rpc.network import Listener, Network
 
@@ -70,6 +76,8 @@
         self._configuration: RoutingConfiguration | None = None
         self._placement_of = (-1, -1)
         self._placement = Placement()
+        self._evacuated = EvacuatedZones()
+        self._grace_seconds = grace_seconds(settings.evacuation_ms, LEADER_GRACE_SHARE)
 
     async def start(self, driver: MemberDriver, reader: StatusReader, promoter: Promoter) -> None:
         """Open the data folder and start to serve.
@@ -133,6 +141,7 @@
             self._acknowledging_replicas,
             self._placement_of_primaries,
             self._warm_up_seconds,
+            self._is_closed,
         )
         self.failover.start()
         is_planned = self._settings.holders is HolderSelection.PLANNED
@@ -145,6 +154,10 @@
         )
         self.features.start()
 
+    def _is_closed(self, record: MemberRecord) -> bool:
+        """Return whether nothing may be sent to a member, as its zone is evacuated."""
+        return record.zone in self._evacuated.closed(self.service.now())
+
     def _acknowledging_replicas(self, service: str) -> int:
         """Return how many replicas must hold a commit before it is acknowledged."""
         spec = self._spec(service)
@@ -248,6 +261,11 @@
 
     def _on_change(self) -> None:
         self.service.notice_change()
+        evacuations = self.state.evacuations
+        if evacuations.zones != self._evacuated.ordered_ms:
+            self._evacuated = self._evacuated.updated(
+                evacuations.zones, self.service.now(), self._grace_seconds
+            )
         self._change_logger.log_changes()
 
     async def stop(self) -> None:
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -52,6 +52,7 @@
     start_ms: int = 1000
     deaf: set = field(default_factory=set)
     mute: set = field(default_factory=set)
+    command_count: int = 0
     asked: set = field(default_factory=set)
     on_demotion: Callable = lambda: None
 
@@ -76,6 +77,7 @@
         self.member, self.channel = member, channel
 
     def send(self, commands):
+        self.member.command_count += len(commands)
         for command in commands:
             member = self.member
             if not member.silent and command.kind not in member.deaf:
@@ -298,6 +300,22 @@
 
         self.run_scenario(scenario)
 
+    def test_members_in_a_closed_zone_are_asked_nothing_and_not_taken_for_lost(self):
+        async def scenario():
+            control = self.controls.nodes[0]
+            process = self.controls.world.process(control.name)
+            order = control.node.service.set_evacuation("z1", True)
+            await self.controls.world.run_in(process, order)
+            await asyncio.sleep(5.0)
+            asked = [member.command_count for member in self.platform.members]
+            await asyncio.sleep(5.0)
+            self.assertEqual([member.command_count for member in self.platform.members], asked)
+            self.assertEqual(self.platform.orders, [])
+            order = control.node.service.set_evacuation("z1", False)
+            await self.controls.world.run_in(process, order)
+            self.lose_primary()
+            await self.wait_until(lambda: not self.primary().silent)
+
 
 class PlannedMoveTest(ControllerTestCase):
     """Moves of a primary that still serves; no promotion may lose a commit that it received."""
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -68,6 +68,7 @@
 class Member:
     """One member, which listens on its own address."""
 
+    zone = "a"
     connection_type: "type[MemberConnection]"
 
     def __init__(self, group: Group, instance: str, host: str, port: int, is_primary: bool) -> None:
@@ -76,7 +77,6 @@
         self.term = 1  # the newest that it knows
         self.replication_paused = False
         self.slots = 5
-        self.zone = "a"
         self.log: list[tuple[int, list[tuple[str, str]]]] = []
         self.sequence = 0
         self.born: int | None = None  # Unix milliseconds, if it tells them
