An ended life with a higher start than the running one does not return

Change: an announcement of the life that ended last is never later.

Fails before: tests.coordination.test_lives.SteppedClockTest. test_an_ended_life_with_a_higher_start_does_not_return.

--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -320,7 +320,7 @@
     def order_of(self, record: MemberRecord) -> LifeOrder:
         """Return how the life of an announcement relates to the known one of its instance."""
         instance, start = record.instance, record.started_ms
-        if self.is_earlier_start(instance, start):
+        if self.is_earlier_start(instance, start) or self.is_over(record):
             return LifeOrder.UNPROVEN
         known = self.members.get(instance) or self.displaced.get(instance)
         if known is not None:
@@ -332,9 +332,12 @@
         return start > 0 and start == self.earlier_starts.get(instance)
 
     def is_over(self, record: MemberRecord) -> bool:
-        """Return whether the life of an announcement was removed without any doubt."""
+        """Return whether an announcement is of a life, known by its start, that was removed.
+
+        A displaced life may be readmitted.
+        """
         known = self.displaced.get(record.instance)
-        if known is not None and known.started_ms == record.started_ms:
+        if not record.started_ms or (known and known.started_ms == record.started_ms):
             return False
         return self.removed.get(record.instance) == record.started_ms
 
@@ -380,7 +383,7 @@
     def needs_announcement(self, record: MemberRecord) -> bool:
         """Return whether a record is newer than the known one and differs from it, or is new."""
         instance = record.instance
-        if self.is_earlier_start(instance, record.started_ms):
+        if self.is_earlier_start(instance, record.started_ms) or self.is_over(record):
             return False
         if instance in self.displaced:
             return life_order(record, self.displaced[instance]) is LifeOrder.LATER
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -275,6 +275,15 @@
                 await self.heartbeats(range(3, 9), SECOND)  # late
                 self.assertIsNone(self.start_of())
 
+    async def test_an_ended_life_with_a_higher_start_does_not_return(self):
+        await self.announce(50, THIRD)
+        await self.remove(SECOND)  # it was never heard
+        await self.heartbeats([1, 2, 3], FIRST)
+        self.assertEqual(self.start_of(), FIRST)
+        self.change_leader()
+        await self.heartbeats([1, 2, 3, 4, 5], SECOND)  # late
+        self.assertEqual(self.start_of(), FIRST)
+
     async def test_the_known_life_returns_if_the_one_that_left_was_an_earlier_one(self):
         await self.announce(50, THIRD)
         await self.remove(SECOND)
