explain shows the members of the service that started again

Cause: all lines of control nodes are shown around a request, so that rejected announcements and other services' members would fill the screen.

Change: lives and readmissions of the statement's service are shown, rejected announcements aren't.

Fails before: tests.explain.test_explain.ExplainTest. test_members_of_the_service_that_started_again_are_shown.

--- a/src/rowanrail/explain/diagnosis.py
+++ b/src/rowanrail/explain/diagnosis.py
@@ -18,12 +18,20 @@
 MAXIMUM_CONTEXT_LINES = 40  # about one screen
 
 STATEMENT_EVENTS = {gateway_events.ANSWERED.number, gateway_events.REFUSED.number}
-_PRIMARY_EVENTS = {
+_SERVICE_EVENTS = {
     gateway_events.PRIMARY_LOST.number,
     gateway_events.PRIMARY_PROVED.number,
     control_events.PROMOTION_DECIDED.number,
     control_events.PROMOTION_ANSWERED.number,
     control_events.PROMOTION_WAITS.number,
+    control_events.MEMBER_STARTED_AGAIN.number,
+    control_events.REMOVAL_DOUBTED.number,
+    control_events.MEMBER_READMITTED.number,
+}
+_UNRELATED_EVENTS = {
+    control_events.DOCUMENT_REFUSED.number,
+    control_events.ANNOUNCEMENT_REJECTED.number,
+    control_events.MEMBER_LIMIT_REACHED.number,
 }
 
 
@@ -104,13 +112,13 @@
     """Return whether a line may explain the statement's answer."""
     if line.event in STATEMENT_EVENTS:
         return False
-    if line.event in _PRIMARY_EVENTS:
+    if line.event in _SERVICE_EVENTS:
         return line.fields.get("service") == statement.fields.get("service")
     if line.event in _TENANT_EVENTS:
         is_same_session = line.fields.get("session") == statement.fields.get("session")
         return is_same_session and line.process == statement.process
     if line.event >= control_events.NODE_STARTED.number:
-        return line.event != control_events.DOCUMENT_REFUSED.number
+        return line.event not in _UNRELATED_EVENTS
     if line.event == gateway_events.LINK_LOST.number:
         return line.process == statement.process
     return line.process in (statement.process, statement.fields.get("via"))
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -7,7 +7,11 @@
 from click.testing import CliRunner
 
 from rowanrail.cli.main import main
-from rowanrail.coordination.events import PROMOTION_DECIDED
+from rowanrail.coordination.events import (
+    ANNOUNCEMENT_REJECTED,
+    MEMBER_STARTED_AGAIN,
+    PROMOTION_DECIDED,
+)
 from rowanrail.explain.diagnosis import diagnose
 from rowanrail.explain.lines import read_lines
 from rowanrail.gateway.events import KEY_WITHDRAWN, LINK_LOST
@@ -54,6 +58,23 @@
         self.assertIn("m3 was promoted with token 41", diagnosis.cause)
         self.assertEqual(diagnosis.promise, "none: it may or may not have run")
 
+    def test_members_of_the_service_that_started_again_are_shown(self):
+        client = self.harness.client("orders")
+        client.run("WRITE a 1")
+        with tempfile.TemporaryFile() as file:
+            log = DecisionLog("control", file.fileno(), wall_clock=self.harness.clock.time)
+            for service in ("db", "other"):
+                fields = {"instance": f"{service}-1", "service": service}
+                log.note(MEMBER_STARTED_AGAIN, **fields, start_ms=2000, earlier_ms=1000)
+            log.note(ANNOUNCEMENT_REJECTED, instance="x", reason="invalid", problem="y", count=1)
+            log.flush()
+            file.seek(0)
+            lines = file.read().decode().splitlines()
+        shown = [line for line in self.diagnose("q1", lines).around if line.event >= 470]
+        self.assertEqual(
+            [line.text for line in shown], ["db-1 of db started again at 2000, before that at 1000"]
+        )
+
     def test_refused_for_a_route_that_the_newest_known_version_lacks(self):
         client = self.harness.client("orders")
         self.harness.configure(2, without=("orders",))
