--- a/src/rowanrail/gateway/relay/messages.py
+++ b/src/rowanrail/gateway/relay/messages.py
@@ -69,7 +69,7 @@
         Whether it goes before new arrivals, since its client was rejected more than once.
     regions : list of str or None
         Regions in which it may run, by the configuration of ``version``; None for any. The receiver
-        also applies its own configuration if that is newer, or if there are none.
+        also applies its own configuration if that is not older, or if there are none.
     """
 
     call: int
--- a/src/rowanrail/gateway/relay/remote_holder_locator.py
+++ b/src/rowanrail/gateway/relay/remote_holder_locator.py
@@ -29,20 +29,21 @@
     ----------
     detours : Detours
         Knows the gateways of other regions.
-    region : str
-        The member's region.
+    group : str
+        The group that holds the connections to the member: its region or, where the gateways of a
+        zone share connections, its zone.
     """
 
-    __slots__ = ("_detours", "_region", "_was_tried")
+    __slots__ = ("_detours", "_group", "_was_tried")
 
-    def __init__(self, detours: Detours, region: str) -> None:
+    def __init__(self, detours: Detours, group: str) -> None:
         self._detours = detours
-        self._region = region
+        self._group = group
         self._was_tried = False
 
     def locate_holder(self, shard: Shard) -> HolderLocation:
         """Return the remote holder on the first call, this gateway on later ones or without it."""
-        found = self._detours.holder_in(self._region, shard)
+        found = self._detours.holder_in(self._group, shard)
         if self._was_tried or not isinstance(found, HeldRemotely):
             return HeldLocally()
         self._was_tried = True
