Statements that find no place at a warming member retry less often

Cause: a transaction that may not begin, though places are free, looked again every 5 ms, as did statements that lost their place to others. With many clients that takes processor time from the rest.

Change: the shortest wait is 20 ms, and a transaction waits for the places that an open one needs.

--- a/src/rowanrail/gateway/services/warm_up_limits.py
+++ b/src/rowanrail/gateway/services/warm_up_limits.py
@@ -25,7 +25,6 @@
 
 __all__ = [
     "SAMPLE_COMMANDS",
-    "TRANSACTION_COMMANDS",
     "WarmUpContext",
     "WarmUpLimits",
     "current_unix_ms",
@@ -203,10 +202,25 @@
         """
         if not self.is_warming(record):
             return True
+        has_room = self._count_open(record) < self._most_open(record)
+        return has_room and self.has_place(record, self._first_commands(record))
+
+    def commands_to_begin(self, record: MemberRecord) -> int:
+        """Return for how many places another transaction waits.
+
+        While too many are open, it is the number that one of them is expected to use until its end.
+        """
         statements = self.part_for(record).statements
-        most = max(1, statements // TRANSACTION_COMMANDS)
-        first = max(1, min(FIRST_COMMANDS, statements))
-        return self._count_open(record) < most and self.has_place(record, first)
+        has_room = self._count_open(record) < self._most_open(record)
+        free = self._windows[record.instance].free(self.part_for(record), self._clock.now)
+        first = self._first_commands(record)
+        return first if has_room else max(1, min(free + TRANSACTION_COMMANDS, statements))
+
+    def _most_open(self, record: MemberRecord) -> int:
+        return max(1, self.part_for(record).statements // TRANSACTION_COMMANDS)
+
+    def _first_commands(self, record: MemberRecord) -> int:
+        return max(1, min(FIRST_COMMANDS, self.part_for(record).statements))
 
     def _count_open(self, record: MemberRecord) -> int:
         begun = self._begun[record.instance]
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -42,7 +42,7 @@
 OPEN_TRANSACTION_FRACTION = 0.9
 # Fraction of the objective for which a statement waits for a link to a gateway that may send it.
 SENDER_LOOKUP_FRACTION = 0.2
-MIN_WARM_UP_WAIT_MS = 5.0  # so that a statement that finds no place again doesn't loop
+MIN_WARM_UP_WAIT_MS = 20.0  # bounds the work of statements that find no place again and again
 
 
 class Operation(ConnectedStatement):
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -7,7 +7,6 @@
 
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.service import Service
-from rowanrail.gateway.services.warm_up_limits import TRANSACTION_COMMANDS
 from rowanrail.gateway.session_context import (
     PreparedStatementNames,
     SessionContext,
@@ -187,7 +186,7 @@
         pool = self.pool
         assert pool is not None
         if not self._may_begin():
-            self.unsent_commands = TRANSACTION_COMMANDS
+            self.unsent_commands = self.service.warm_up.commands_to_begin(pool.record)
             self._wait_to_begin()
             return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
