A read-only transaction leaves each late member at most once

Cause: the first statement of a read-only transaction that is late at two members, each of which has room but no connection in time, went from one to the other without end, and the gateway did nothing else. Single reads had a guard against that, transactions had none. The fault is older than the warm-up limits; with them statements wait longer and come late more often.

Change: the members that a statement left late are kept until the next statement.

--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -64,6 +64,7 @@
         self._freshness_reference = clock.time()
         self._has_begun = False
         self._excluded: set[str] = set()
+        self._late_members: set[str] = set()  # left because the transaction would be late there
         self._busy_retries = 0
         self._reclaim_reason = ""
         self._forwarded: TransactionExecution | None = None
@@ -74,6 +75,7 @@
             self._forwarded.run(statement, respond)
             return
         self.statement = statement
+        self._late_members.clear()
         self._busy_retries = 0
         self.begin_statement(respond)
         if self.pool is not None:
@@ -229,9 +231,13 @@
         self._begin()
 
     def try_less_loaded_member(self, pool: MemberPool) -> bool:
-        """Move a read-only transaction to a less loaded member; return whether there is one."""
+        """Move a read-only transaction to a less loaded member, but leave each at most once.
+
+        See :meth:`rowanrail.gateway.work.autocommit_read.AutocommitRead.try_less_loaded_member`.
+        """
+        self._late_members.add(pool.record.instance)
         available = (
-            self.find_pool_with_capacity(self._excluded | {pool.record.instance})
+            self.find_pool_with_capacity(self._excluded | self._late_members)
             if self.read_only
             else None
         )
--- a/tests/gateway/test_frozen_process.py
+++ b/tests/gateway/test_frozen_process.py
@@ -31,7 +31,7 @@
 
 
 class FrozenProcessTest(unittest.TestCase):
-    def play(self, seed):
+    def play(self, seed, in_transactions=False):
         """Run reads at silent members while time jumps as in a suspended process."""
         rng = random.Random(seed)
         harness = GatewayHarness(slots=rng.choice([1, 2, 3, 5]))
@@ -47,6 +47,9 @@
             for client in clients:
                 is_free = len(client.answers) == client.asked
                 if rng.random() < 0.7 and is_free:
+                    if in_transactions:
+                        client.run("ROLLBACK")
+                        client.run("BEGIN READ")
                     client.ask("READ a")
             if rng.random() < 0.5:
                 harness.clock.advance(rng.choice([0.0, 0.005, 0.02, 0.1, 0.3]))
@@ -70,3 +73,9 @@
         for seed in range(100, 160):
             with self.subTest(seed):
                 self.play(seed)
+
+    def test_read_only_transactions_end_as_well(self):
+        for seed in range(100, 200):
+            with self.subTest(seed):
+                for client in self.play(seed, in_transactions=True):
+                    self.assertEqual(len(client.answers), client.asked)
