--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -15,6 +15,7 @@
 from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import CommandKind, Refusal
 from rowanrail.placement.hashed import FleetSize, rank, shards_of
+from rowanrail.scheduling.plan import Holding, Plan, ShardPlan
 from rowanrail.tenants.model import Tenant, Tenants, key_digest
 from tests.relay.test_regions import FLEET_SIZE, GATEWAYS, REGIONS, Regions
 from tests.support.gateway import ManualClock, routes
@@ -264,6 +265,23 @@
         self.assert_limit_kept()
         self.assertGreater(answers[None], 0.3 * 5 * RATE, "the other holder has half of the limit")
 
+    def test_the_plan_moves_all_shards_to_one_holder_and_to_another(self):
+        self.world.clock.advance(HANDOVER_SECONDS)
+        gateways = self.world.gateways
+        for number, holder in enumerate(("gb1", "gb2"), start=1):
+            shards = {f"db/{n}": ShardPlan([Holding(holder, 1 / 3)]) for n in range(3)}
+            for one in gateways.values():
+                one.gateway.set_plan(Plan(number, {"b": shards}, {holder: holder}))
+            self.world.load(HANDOVER_SECONDS)
+            before = self.sent_by(holder)
+            answers = self.world.load(4.0)
+            self.assertGreater(answers[None], 0.5 * 4 * RATE)
+            self.assertGreater(self.sent_by(holder), before)
+        self.assert_limit_kept()
+
+    def sent_by(self, name):
+        return self.world.gateways[name].gateway.services["db"].warm_up.sent["m1"]
+
     def test_statements_without_a_tenant_reach_a_sender(self):
         self.world.clock.advance(HANDOVER_SECONDS)
         configuration = self.world.sender.gateway.configuration
