--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -9,7 +9,6 @@
 
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.service import Service
-from rowanrail.gateway.services.warm_up_limits import TRANSACTION_COMMANDS
 from rowanrail.gateway.session_context import (
     PreparedStatementNames,
     SessionContext,
@@ -69,6 +68,7 @@
         self._freshness_reference = clock.time()
         self._has_begun = False
         self._excluded: set[str] = set()
+        self._late_members: set[str] = set()  # left because the transaction would be late there
         self._busy_retries = 0
         self._reclaim_reason = ""
         self._forwarded: TransactionExecution | None = None
@@ -79,6 +79,7 @@
             self._forwarded.run(statement, respond)
             return
         self.statement = statement
+        self._late_members.clear()
         self._busy_retries = 0
         self.begin_statement(respond)
         if self.pool is not None:
@@ -192,7 +193,7 @@
         pool = self.pool
         assert pool is not None
         if not self._may_begin():
-            self.unsent_commands = TRANSACTION_COMMANDS
+            self.unsent_commands = self.service.warm_up.commands_to_begin(pool.record)
             self._wait_to_begin()
             return
         kind = CommandKind.BEGIN_READ if self.read_only else CommandKind.BEGIN
@@ -235,9 +236,13 @@
         self._begin()
 
     def try_less_loaded_member(self, pool: MemberPool) -> bool:
-        """Move a read-only transaction to a less loaded member; return whether there is one."""
+        """Move a read-only transaction to a less loaded member, but leave each at most once.
+
+        See :meth:`rowanrail.gateway.work.autocommit_read.AutocommitRead.try_less_loaded_member`.
+        """
+        self._late_members.add(pool.record.instance)
         available = (
-            self.find_pool_with_capacity(self._excluded | {pool.record.instance})
+            self.find_pool_with_capacity(self._excluded | self._late_members)
             if self.read_only
             else None
         )
