--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -129,6 +129,8 @@
 
     def is_closed(self, record: MemberRecord) -> bool:
         """Return whether nothing at all may be sent to a member, as its zone is evacuated."""
+        if not self._eligibility.evacuated:
+            return False
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
     def exclusion(
@@ -148,8 +150,10 @@
             Whether the statement belongs to a transaction that is open at the member. Like the
             primary, the member is then used until its zone is closed.
         """
-        is_needed = in_transaction or record.instance == self.primary.presumed_primary
-        needed_at = self._scheduler.time() if is_needed else None
+        needed_at = None
+        if self._eligibility.evacuated:
+            is_needed = in_transaction or record.instance == self.primary.presumed_primary
+            needed_at = self._scheduler.time() if is_needed else None
         return self._eligibility.exclusion(record, regions, needed_at=needed_at)
 
     def _leave_evacuated(self) -> None:
