A node that is behind tells the leader's reason for rejecting an announcement

Cause: a node that had not applied the configuration yet forwarded an announcement of another writer; the leader rejected it, and the node answered 503, as if it could be sent again (seen once in the test of processes, with both nodes' logs). Change: the leader answers with the reason, and the node with the same 4xx.

--- a/src/rowanrail/coordination/messages.py
+++ b/src/rowanrail/coordination/messages.py
@@ -59,6 +59,20 @@
     record: MemberRecord
 
 
+@message("AnnouncementRejected")
+class AnnouncementRejected(msgspec.Struct, frozen=True):
+    """Answer to an :class:`AnnounceRequest` that changed nothing.
+
+    Parameters
+    ----------
+    reason : str
+        A :class:`rowanrail.coordination.rejected_announcements.RejectionReason`.
+    """
+
+    reason: str
+    problem: str
+
+
 @message("RemoveRequest")
 class RemoveRequest(msgspec.Struct, frozen=True):
     """Record in the log that a member has ended.
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -32,6 +32,7 @@
     check_unconfigured,
 )
 from rowanrail.coordination.messages import (
+    AnnouncementRejected,
     AnnounceRequest,
     DocumentReply,
     DocumentRequest,
@@ -48,6 +49,7 @@
 from rowanrail.coordination.rejected_announcements import (
     AnnouncementRejectedError,
     RejectedAnnouncements,
+    RejectionReason,
 )
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.coordination.watches import Watches
@@ -217,7 +219,10 @@
 
     async def _announce(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, AnnounceRequest)
-        await self._announcements.handle(request.record)
+        try:
+            await self._announcements.handle(request.record)
+        except AnnouncementRejectedError as error:
+            return AnnouncementRejected(error.reason.value, error.message)
         return Done()
 
     async def _remove(self, request: msgspec.Struct) -> msgspec.Struct:
@@ -316,7 +321,9 @@
             or instance in self.state.displaced
             or self.state.order_of(record) is LifeOrder.UNPROVEN
         ):
-            await self.request(AnnounceRequest(record))
+            reply = await self.request(AnnounceRequest(record))
+            if isinstance(reply, AnnouncementRejected):  # this node did not know the newest state
+                raise AnnouncementRejectedError(RejectionReason(reply.reason), reply.problem)
         elif self.node.raft.is_leader:
             self.liveness.record_heartbeat(instance, sequence, start)
         else:
--- a/tests/coordination/test_service.py
+++ b/tests/coordination/test_service.py
@@ -8,6 +8,10 @@
 from rowanrail.consensus.messages import Entry, EntryKind
 from rowanrail.coordination.messages import AnnounceRequest, HeartbeatNotice
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.rejected_announcements import (
+    AnnouncementRejectedError,
+    RejectionReason,
+)
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.directory.messages import GatewayReport
@@ -72,6 +76,27 @@
     return msgspec.structs.replace(base, **changes)
 
 
+class RejectedByTheLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """A follower forwards an announcement of another writer, as it is behind the leader."""
+
+    async def test_its_caller_gets_the_leaders_reason(self):
+        leading = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        leader = CoordinationService(LeadingNode(leading), leading, None)
+        leader.configured_services = lambda: {"db"}
+        await leader.handle(AnnounceRequest(record("m1", 1)))
+
+        class Network:
+            async def call(self, address, request, seconds):
+                return await leader.handle(request)
+
+        behind = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
+        follower = CoordinationService(FollowingNode(), behind, Network())
+        with self.assertRaises(AnnouncementRejectedError) as caught:
+            await follower.announce(record("m1", 9, service="made-up"))
+        self.assertIs(caught.exception.reason, RejectionReason.OTHER_SERVICE)
+        self.assertEqual(leading.members["m1"].service, "db")
+
+
 class ReadmissionTest(unittest.IsolatedAsyncioTestCase):
     """A heartbeat delayed by a partition arrives after its sender's successor has registered.
 
