Members in evacuated zones are not probed

The pools to probe left out members without a place while they warm up, but no longer those in evacuated zones, so that a member with a reduced weight got a probe each second, also after its zone was closed. Both conditions apply now.

tests.gateway.test_evacuation .EvacuationTest.test_members_in_evacuated_zones_are_not_probed failed first.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -376,17 +376,6 @@
             self.share = replace(self.share, allowance=allowance)
             self._apply_limit()
 
-    def _open_pools(self) -> Mapping[str, MemberPool]:
-        """Return the pools of members outside evacuated zones."""
-        evacuated = self._eligibility.evacuated
-        if not evacuated:
-            return self.pools
-        return {
-            instance: pool
-            for instance, pool in self.pools.items()
-            if pool.record.zone not in evacuated
-        }
-
     def _is_routed_here(self, tenant: str) -> bool:
         return self.share.keeps_idle(self.spec.name, tenant)
 
@@ -404,10 +393,17 @@
             pool.trim(self._is_routed_here)
         self._had_connections = self.has_connections
 
-    def _pools_to_probe(self) -> dict[str, MemberPool]:
-        if not self.spec.limits_warm_up:
+    def _pools_to_probe(self) -> Mapping[str, MemberPool]:
+        """Return the pools of members that may be sent a probe now."""
+        evacuated, limits_warm_up = self._eligibility.evacuated, self.spec.limits_warm_up
+        if not evacuated and not limits_warm_up:
             return self.pools
-        return {n: pool for n, pool in self.pools.items() if self.warm_up.has_place(pool.record)}
+        return {
+            instance: pool
+            for instance, pool in self.pools.items()
+            if pool.record.zone not in evacuated
+            and (not limits_warm_up or self.warm_up.has_place(pool.record))
+        }
 
     def close(self) -> None:
         """Close all connections that are not leased."""
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -110,6 +110,18 @@
         self.assertIs(client.run("READ c").refusal, Refusal.ABORTED)
         self.assertEqual(self.near.texts(), ["READ a", "READ b"])
 
+    def test_members_in_evacuated_zones_are_not_probed(self):
+        self.warm_up()
+        self.harness.gateway.services["db"].pools["m2"].note_error()
+        self.evacuate(NEAR_ZONE)
+        self.near.ran.clear()
+        opened = len(self.near.transports)
+        client = self.harness.client("reports")
+        for _ in range(20):
+            self.clock.advance(0.1)
+            client.run("READ a", 0.1)
+        self.assertEqual((self.near.ran, len(self.near.transports)), ([], opened))
+
     # Primaries
 
     def test_the_primary_serves_on_until_its_zone_is_closed(self):
