Work queued at a primary follows it out of an evacuated zone

A write whose request for a connection was refused was rejected if the member at which it had queued was excluded. After the primary has moved, that member is a replica of an evacuated zone, while the new primary can run the write. The present primary decides now.

tests.gateway.test_evacuation .EvacuationTest.test_queued_work_follows_the_primary_out_of_the_zone failed first.

--- a/src/rowanrail/gateway/work/autocommit_write.py
+++ b/src/rowanrail/gateway/work/autocommit_write.py
@@ -37,7 +37,7 @@
 
     def _on_connection(self, channel: Channel | None, answer: Answer) -> None:
         if channel is None:
-            if self.reject_if_excluded(self.pool):
+            if self.reject_if_primary_excluded():
                 return
             self.service.primary.note_refused_connection(answer)
             self.retry_later(self._acquire_primary, busy_answer(answer.message))
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -196,7 +196,7 @@
         """
         self.stage = Stage.WAITS_FOR_PRIMARY
         tracker, pool = self.service.primary, self.service.primary_pool()
-        if self.reject_if_excluded(pool):
+        if self.reject_if_primary_excluded():
             return
         if self.forward_to(self.find_remote_holder("")):
             return
@@ -214,11 +214,12 @@
         else:
             self.acquire(pool, on_connection)
 
-    def reject_if_excluded(self, primary: MemberPool | None) -> bool:
-        """Reject a statement that needs a primary to which it may not be sent.
+    def reject_if_primary_excluded(self) -> bool:
+        """Reject a statement that needs the primary if it may not be sent there; return whether.
 
         One that warms up may be sent it later, or by another gateway.
         """
+        primary = self.service.primary_pool()
         if primary is None:
             return self.reject_if_all_excluded()
         exclusion = self.service.exclusion(primary.record, self.regions)
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -184,7 +184,7 @@
         if channel is None:
             if self.read_only:
                 self._exclude_member()
-            elif self.reject_if_excluded(self.pool):
+            elif self.reject_if_primary_excluded():
                 return
             else:
                 self.service.primary.note_refused_connection(answer)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -193,6 +193,28 @@
         for answer in answers:
             self.assert_rejected(answer)
 
+    def test_queued_work_follows_the_primary_out_of_the_zone(self):
+        for texts in (("WRITE b 2",), ("BEGIN", "WRITE b 2")):
+            with self.subTest(texts):
+                self.harness = harness = GatewayHarness(slots=1)
+                self.clock, primary, near = harness.clock, harness.primary, harness.near
+                harness.client("orders").run("WRITE a 1", 0.1)
+                self.evacuate(PRIMARY_ZONE)
+                primary.script = [None]
+                clients = [harness.client("orders") for _ in range(3)]
+                clients[0].ask("WRITE b 2")
+                for client in clients[1:]:
+                    for text in texts:
+                        client.ask(text)
+                primary.primary, near.primary = False, True
+                near.position = Position(2, 30)
+                [busy] = [t for t in primary.open_transports() if t.channel.busy]
+                busy.channel.answered(Answer(refusal=Refusal.NOT_PRIMARY))
+                self.clock.advance(0.4)
+                last = [client.answers[-1].refusal for client in clients]
+                self.assertEqual(last, [None] * 3)
+                self.assertEqual(near.texts().count("WRITE b 2"), 3)
+
     def test_another_member_that_announces_itself_as_primary_is_followed(self):
         self.warm_up()
         self.close(PRIMARY_ZONE)
