A read that finds no place after its sample waits for one

The check for members that are all excluded came first, so that such a read was rejected with a fixed time to retry, while a place was free within its deferral or another gateway could send it. The order is that of the beginning of a read.

tests.relay.test_warm_up.OnlyMemberTest .test_reads_that_waited_for_a_sample_are_told_when_to_come_back failed first.

--- a/src/rowanrail/gateway/work/autocommit_read.py
+++ b/src/rowanrail/gateway/work/autocommit_read.py
@@ -110,11 +110,9 @@
                 self.statement, writes=False
             ):
                 return
-            if self.reject_if_all_excluded():
-                return
             self.excluded.clear()
             self.attempts = 0
-            if self.wait_for_any_warm_up(self._begin_read):
+            if self.wait_for_any_warm_up(self._begin_read) or self.reject_if_all_excluded():
                 return
             self.retry_later(self._request_floor, busy_answer("no member can serve the read"))
             return
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -404,6 +404,22 @@
         self.assertGreater(answers[None], 0.5 * 6 * RATE)
 
 
+    def test_reads_that_waited_for_a_sample_are_told_when_to_come_back(self):
+        world = WarmingRegions()
+        world.members.remove(world.near)
+        world.announce_revision(3)
+        world.clock.advance(HANDOVER_SECONDS)
+        clients = [world.gateways["gb1"].client("orders") for _ in range(10)]
+        for client in clients:
+            client.ask("READ a")
+        world.clock.advance(1.0)
+        answers = [answer for client in clients for answer in client.answers]
+        self.assertEqual({answer.refusal for answer in answers}, {None, Refusal.BUSY})
+        for answer in answers:
+            if answer.refusal:
+                self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+
 class OwnConnectionsTest(unittest.TestCase):
     """Gateways that share no connections: those of the member's zone send, the others forward."""
 
