A read that needs several places waits for all of them, or is rejected

A read for which a warming member had a place, but not for all its commands, was retried every few milliseconds until the end of its deferral, although it could not be sent before. The number of its commands now counts in the check whether all members are excluded by their limit, so that it is deferred until that many places are free, or rejected at once with that time.

tests.relay.test_warm_up.OnlyMemberTest .test_a_read_with_more_commands_than_a_part_is_rejected_at_once failed first.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -182,6 +182,7 @@
         regions: frozenset[str] | None = None,
         *,
         in_transaction: bool = False,
+        commands: int = 1,
     ) -> Exclusion | None:
         """Return why a member may not be sent a statement, None if it may.
 
@@ -192,13 +193,15 @@
         in_transaction : bool
             Whether the statement belongs to a transaction that is open at the member. Like the
             primary, the member is then used until its zone is closed.
+        commands : int
+            Number of commands that are sent for it.
         """
         is_needed = in_transaction or record.instance == self.primary.presumed_primary
         needed_at = self._scheduler.time() if is_needed else None
         exclusion = self._eligibility.exclusion(record, regions, needed_at=needed_at)
-        if exclusion is None and self.spec.limits_warm_up and not self.warm_up.has_place(record):
-            return Exclusion.WARMING_UP
-        return exclusion
+        if exclusion is not None or not self.spec.limits_warm_up:
+            return exclusion
+        return None if self.warm_up.has_place(record, commands) else Exclusion.WARMING_UP
 
     def _leave_evacuated(self) -> None:
         """Let queued statements leave evacuated zones, and close what is left in closed ones."""
@@ -211,7 +214,9 @@
             elif self.exclusion(pool.record) is Exclusion.EVACUATED:
                 pool.refuse_queued(reason)
 
-    def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
+    def exclusion_of_all(
+        self, regions: frozenset[str] | None = None, commands: int = 1
+    ) -> Exclusion | None:
         """Return why no member may be sent a statement; None if one may, or if none is known.
 
         Members outside the regions give the reason only if there is none inside. One that warms up
@@ -219,7 +224,7 @@
         """
         exclusion = None
         for pool in self.pools.values():
-            found = self.exclusion(pool.record, regions)
+            found = self.exclusion(pool.record, regions, commands=commands)
             if found is None:
                 return None
             is_preferred = exclusion in (None, Exclusion.OUTSIDE_REGIONS)
@@ -229,17 +234,19 @@
 
     # Members that warm up
 
-    def warming_pool(self, regions: frozenset[str] | None = None) -> MemberPool | None:
-        """Return the pool of the member that can be sent a statement first after its warm-up limit.
+    def warming_pool(
+        self, regions: frozenset[str] | None = None, commands: int = 1
+    ) -> MemberPool | None:
+        """Return the pool of the member whose warm-up limit first lets a statement be sent.
 
         None if no member is excluded only by that.
         """
         limited = [
             pool
             for pool in self.pools.values()
-            if self.exclusion(pool.record, regions) is Exclusion.WARMING_UP
+            if self.exclusion(pool.record, regions, commands=commands) is Exclusion.WARMING_UP
         ]
-        return min(limited, key=lambda p: self.warm_up.delay_ms(p.record), default=None)
+        return min(limited, key=lambda p: self.warm_up.delay_ms(p.record, commands), default=None)
 
     def is_warming(self, record: MemberRecord) -> bool:
         """Return whether a member has a limit because it warms up."""
--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -246,9 +246,10 @@
         """Defer, forward or reject a statement if all its members warm up and get no more now."""
         if not self.service.spec.limits_warm_up:
             return False
-        if self.service.exclusion_of_all(self.regions) is not Exclusion.WARMING_UP:
+        commands = self.unsent_commands
+        if self.service.exclusion_of_all(self.regions, commands) is not Exclusion.WARMING_UP:
             return False
-        pool = self.service.warming_pool(self.regions)
+        pool = self.service.warming_pool(self.regions, commands)
         if pool is None:
             return False
         self.wait_for_warm_up(pool, retry)
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -420,6 +420,18 @@
                 self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
 
 
+    def test_a_read_with_more_commands_than_a_part_is_rejected_at_once(self):
+        world = WarmingRegions(rate=8.0)
+        world.members.remove(world.near)
+        world.announce_revision(3)
+        world.clock.advance(HANDOVER_SECONDS - 0.4)  # shortly after the first sample
+        client = world.gateways["gb1"].client("reports")
+        for text in ("SET one 1", "SET two 2", "SET three 3", "PREPARE s READ q"):
+            client.run(text)
+        answer = client.run("EXECUTE s a", 0.1)
+        self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+
 class OwnConnectionsTest(unittest.TestCase):
     """Gateways that share no connections: those of the member's zone send, the others forward."""
 
