Reads that wait for a sample of a warming primary are rejected after their objective

A primary that warms up is sampled only while it has places for it. Not sampling it is no failure, so that a read that needs a sample waited until its time-out, up to many seconds, where it was neither run nor refused. It is rejected at the end of its objective now, with the time at which a sample has its places.

tests.relay.test_warm_up.RareSamplesTest .test_reads_are_rejected_at_the_end_of_their_objective failed first.

--- a/src/rowanrail/gateway/work/operation.py
+++ b/src/rowanrail/gateway/work/operation.py
@@ -10,6 +10,7 @@
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.services.member_estimates import ReadRequirements
 from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import SAMPLE_COMMANDS
 from rowanrail.gateway.session_context import PreparedStatementNames, SessionContext
 from rowanrail.gateway.work.attempts import can_meet_objective
 from rowanrail.gateway.work.connected import ConnectedStatement, Stage
@@ -100,13 +101,33 @@
         super().begin_statement(respond)
 
     def on_deferral_end(self) -> None:
-        """Reject the statement if the primary is lost or has no connection left."""
+        """Reject the statement if the primary is lost or has no connection left.
+
+        One that waits for a sample of a warming primary still gets the rest of its objective.
+        """
+        if self.channel is not None:
+            return
         tracker = self.service.primary
         reason = primary_unavailable_reason(tracker.failing_since, tracker.is_at_connection_limit)
-        if self.channel is not None or not reason:
+        if reason:
+            tracker.cancel_wait(self.sample_callback())
+            self.reject(RejectionCause.NO_PRIMARY, reason, PRIMARY_RETRY_AFTER_MS)
+        elif self.stage is Stage.WAITS_FOR_SAMPLE and self.service.spec.limits_warm_up:
+            rest = self.arrived_at + self.route.objective_seconds - self.clock.time()
+            self.deferral_timer = self.clock.call_later(rest, self._reject_without_sample_in_time)
+
+    def _reject_without_sample_in_time(self) -> None:
+        """Reject a read for which a primary that warms up was not sampled within the objective.
+
+        Not sampling it is no failure, so nothing else would end the wait before the time-out.
+        """
+        pool = self.service.primary_pool()
+        is_waiting = self.stage is Stage.WAITS_FOR_SAMPLE
+        if pool is None or not is_waiting or not self.service.is_warming(pool.record):
             return
-        tracker.cancel_wait(self.sample_callback())
-        self.reject(RejectionCause.NO_PRIMARY, reason, PRIMARY_RETRY_AFTER_MS)
+        self.service.primary.cancel_wait(self.sample_callback())
+        self.unsent_commands = SAMPLE_COMMANDS
+        self.reject_warming_up(pool)
 
     def sample_callback(self) -> Callable[[Position | None], None] | None:
         """Return the callback that may be waiting for a sample of the primary, if any."""
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -25,6 +25,7 @@
 WARM_UP_SECONDS = 60.0
 LONG_AGO_MS = 1
 HANDOVER_SECONDS = 8.0
+OBJECTIVE_SECONDS = 0.5  # of each route
 TENANTS = {f"key-of-{name}": name for name in "abcdef"}
 
 
@@ -432,6 +433,28 @@
         self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
 
 
+class RareSamplesTest(unittest.TestCase):
+    """Each sender's part of the limit is smaller than a sample."""
+
+    def setUp(self):
+        self.world = WarmingRegions(rate=2.0)
+        self.world.clock.advance(HANDOVER_SECONDS)
+
+    def assert_rejected(self, name, database, seconds):
+        client = self.world.gateways[name].client(database)
+        transaction = self.world.gateways[name].client(database)
+        transaction.run("BEGIN READ")
+        for one in (client, transaction):
+            answer = one.run("READ a", seconds)
+            self.assertIs(answer.refusal, Refusal.BUSY)
+            self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+    def test_reads_are_rejected_at_the_end_of_their_objective(self):
+        for name in GATEWAYS:
+            self.assert_rejected(name, "orders", OBJECTIVE_SECONDS + 0.05)
+            self.assert_rejected(name, "reports", OBJECTIVE_SECONDS + 0.05)
+
+
 class OwnConnectionsTest(unittest.TestCase):
     """Gateways that share no connections: those of the member's zone send, the others forward."""
 
