Members are not checked for exclusion where nothing can exclude one

A flag of the service skips the checks, and the tenant's name is looked up only if the configuration has regions.

tests.gateway.test_evacuation.NoExclusionsTest.test_statements_are_not_checked failed first.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -87,6 +87,7 @@
         # Seeded by zone, so that zones choose differently and simulations are reproducible.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
         self._eligibility = Eligibility(locality.regions)
+        self._has_exclusions = spec.limits_warm_up  # apart from those by regions
         context = warm_up_context or WarmUpContext()
         self.warm_up = WarmUpLimits(spec, clock, context, self.is_own_group)
         self.primary.set_sample_limit(self)
@@ -95,7 +96,7 @@
         self._clock = clock
         self._scheduler = scheduler
         self._tenants = Tenants()
-        self._data_regions: DataRegions | None = None
+        self.data_regions: DataRegions | None = None
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; close the pools of those that left or changed their address.
@@ -138,6 +139,7 @@
         """Apply a changed configuration of the service."""
         is_new_limit = spec.limits_warm_up and not self.spec.limits_warm_up
         self.spec = spec
+        self._update_has_exclusions()
         self.warm_up.set_spec(spec)
         if is_new_limit:
             self.warm_up.set_members([pool.record for pool in self.pools.values()])
@@ -156,21 +158,25 @@
             missing zone is closed at once.
         """
         self._eligibility = replace(self._eligibility, evacuated=zones, closing_at=closing_at)
+        self._update_has_exclusions()
         self._leave_evacuated()
 
+    def _update_has_exclusions(self) -> None:
+        self._has_exclusions = bool(self._eligibility.evacuated) or self.spec.limits_warm_up
+
     def is_closed(self, record: MemberRecord) -> bool:
         """Return whether nothing at all may be sent to a member, as its zone is evacuated."""
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
     def set_data_regions(self, data_regions: DataRegions | None) -> None:
         """Set the configuration's restrictions to regions, None if it has none."""
-        self._data_regions = data_regions
+        self.data_regions = data_regions
 
     def regions_of(self, route: Route, tenant: str) -> frozenset[str] | None:
         """Return the regions in which a tenant's statement may run now, None for any."""
-        if self._data_regions is None:
+        if self.data_regions is None:
             return route.regions
-        return self._data_regions.effective(route, tenant)
+        return self.data_regions.effective(route, tenant)
 
     def set_ended_evacuations(self, ended: Mapping[str, int]) -> None:
         """Set the zones whose members warm up after an evacuation, by the Unix time of its end."""
@@ -196,6 +202,8 @@
         commands : int
             Number of commands that are sent for it.
         """
+        if regions is None and not self._has_exclusions:
+            return None  # most deployments, for each statement and member
         is_needed = in_transaction or record.instance == self.primary.presumed_primary
         needed_at = self._scheduler.time() if is_needed else None
         exclusion = self._eligibility.exclusion(record, regions, needed_at=needed_at)
@@ -222,6 +230,8 @@
         Members outside the regions give the reason only if there is none inside. One that warms up
         counts before others, since it is the first that can be used.
         """
+        if regions is None and not self._has_exclusions:
+            return None
         exclusion = None
         for pool in self.pools.values():
             found = self.exclusion(pool.record, regions, commands=commands)
@@ -343,12 +353,14 @@
         self, excluded: set[str], requirements: ReadRequirements = _NO_REQUIREMENTS
     ) -> MemberPool | None:
         """Return the pool of the best member for a read, None if there is no candidate."""
+        regions = requirements.regions
+        is_restricted = regions is not None or self._has_exclusions
         pools = {
             instance: pool
             for instance, pool in self.pools.items()
             if instance not in excluded
             and not pool.record.leaving
-            and self.exclusion(pool.record, requirements.regions) is None
+            and not (is_restricted and self.exclusion(pool.record, regions))
         }
         best = choose_member(self.estimates.candidates(pools, requirements), self._randomness)
         return None if best is None else pools[best]
--- a/src/rowanrail/gateway/work/statement.py
+++ b/src/rowanrail/gateway/work/statement.py
@@ -69,6 +69,8 @@
     @property
     def regions(self) -> frozenset[str] | None:
         """Regions in which it may run by the configuration in force; None for any."""
+        if self.service.data_regions is None:
+            return self.route.regions  # without the cost of the tenant's name
         return self.service.regions_of(self.route, self.tenant)
 
     @property
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -2,11 +2,14 @@
 
 import doctest
 import unittest
+from unittest.mock import patch
 
 from rowanrail.directory.messages import Evacuations
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.services.locality import Locality
+from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import WarmUpLimits
 from rowanrail.gateway.sessions.session import Session
 from rowanrail.kernel.registry import Registry
 from rowanrail.members import eligibility, evacuated_zones
@@ -337,6 +340,24 @@
         self.assertEqual(sum('"event":341' in line for line in lines), 1)
 
 
+class NoExclusionsTest(unittest.TestCase):
+    """Deployments without evacuations, regions and warm-up limits pay nothing for them."""
+
+    def test_statements_are_not_checked(self):
+        harness = GatewayHarness()
+        harness.client("reports").run("READ a", 0.1)
+        with (
+            patch.object(eligibility.Eligibility, "exclusion") as check,
+            patch.object(WarmUpLimits, "has_place") as has_place,
+            patch.object(Service, "regions_of") as regions_of,
+        ):
+            for database in ("orders", "reports", "carts"):
+                client = harness.client(database)
+                for text in ("READ a", "WRITE a 1", "BEGIN", "WRITE a 1", "COMMIT"):
+                    self.assertIsNone(client.run(text, 0.1).refusal)
+        self.assertFalse(check.called or has_place.called or regions_of.called)
+
+
 class HolderTest(unittest.TestCase):
     """The holder knows of an evacuation, the gateway that forwards to it does not."""
 
