Members of a returned zone are cold before other zones are left

If one update ended the evacuation of a zone and began that of another, the statements queued in the latter moved to members of the former before these counted as warming up, so that they were sent beyond the limit.

tests.gateway.test_evacuation.WarmUpAfterEvacuationTest .test_work_that_leaves_a_zone_is_not_sent_to_one_that_just_returned failed first.

--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -297,8 +297,9 @@
             ended=sorted(evacuations.ended),
         )
         for service in self.services.values():
-            service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
+            # First, as statements that leave a zone may be sent to one that has returned.
             service.set_ended_evacuations(evacuations.ended)
+            service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
 
     @property
     def evacuated_zones(self) -> frozenset[str]:
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -340,6 +340,29 @@
         self.assertEqual(sum('"event":341' in line for line in lines), 1)
 
 
+class WarmUpAfterEvacuationTest(unittest.TestCase):
+    def test_work_that_leaves_a_zone_is_not_sent_to_one_that_just_returned(self):
+        harness = GatewayHarness(slots=1)
+        spec = ServiceSpec("db", 30, warm_up_seconds=10.0, warm_up_rate=3.0)
+        harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        service = harness.gateway.services["db"]
+        harness.clock.advance(20)  # all members are warm
+        for _ in range(4):
+            harness.client("reports").run("READ a", 0.1)
+        harness.gateway.set_evacuations(Evacuations(1, {NEAR_ZONE: 1}, {}))
+        harness.primary.script, harness.far.script = [None] * 9, [None] * 9
+        clients = [harness.client("reports") for _ in range(6)]
+        for client in clients:
+            client.ask("READ b")
+        self.assertTrue(service.pools["m3"].queue or service.pools["m1"].queue)
+        sent = len(harness.near.ran)
+        harness.gateway.set_evacuations(
+            Evacuations(3, {FAR_ZONE: 2, PRIMARY_ZONE: 2}, {NEAR_ZONE: 3})
+        )
+        self.assertTrue(service.is_warming(harness.near.record()))
+        self.assertEqual(harness.near.ran[sent:], [])
+
+
 class NoExclusionsTest(unittest.TestCase):
     """Deployments without evacuations, regions and warm-up limits pay nothing for them."""
 
