--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -51,7 +51,6 @@
 # that; clients that have less time left give up at once.
 EXCLUDED_RETRY_AFTER_MS = 2000.0
 _REJECTIONS = {
-    Exclusion.LEAVING: _NO_PRIMARY,
     Exclusion.EVACUATED: Reject(RejectionCause.EVACUATED, PRIMARY_RETRY_AFTER_MS),
     Exclusion.OUTSIDE_REGIONS: Reject(RejectionCause.OUTSIDE_REGIONS, EXCLUDED_RETRY_AFTER_MS),
     Exclusion.WARMING_UP: Reject(RejectionCause.WARMING_UP, PRIMARY_RETRY_AFTER_MS),
--- a/src/rowanrail/members/eligibility.py
+++ b/src/rowanrail/members/eligibility.py
@@ -1,7 +1,8 @@
 """Which members may be sent a statement: the one rule that all who choose a member ask.
 
-A member is excluded while it leaves, while its zone is evacuated, if it is outside the regions of
-the statement's route and tenant, and while its warm-up limit is used up. No I/O.
+A member is excluded while its zone is evacuated, if it is outside the regions of the statement's
+route and tenant, and while its warm-up limit is used up. One that leaves still runs what needs it,
+so that it is only not chosen for reads. No I/O.
 """
 
 import enum
@@ -16,7 +17,6 @@
 class Exclusion(enum.Enum):
     """Why a member may not be sent a statement; the values are used in logs."""
 
-    LEAVING = "leaving"
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside-regions"
     WARMING_UP = "warming-up"
