Refused connections are remembered only where a limit exists

A member that refused connections, perhaps hours ago, counted as possibly restarted when a configuration first limited the statements to warming members, until the next confirmation of the directory, and names of members that had left were kept. (The formatter also removed two blank lines of a test.)

tests.gateway.test_lives.NewLifeTest .test_a_limit_takes_no_member_for_restarted_that_was_unreachable_before failed first.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -132,7 +132,7 @@
 
     def _note_failure(self, instance: str, kind: FailureKind) -> None:
         self.estimates.weights.note_failure(instance, kind)
-        if kind is FailureKind.REFUSED:
+        if kind is FailureKind.REFUSED and self.spec.limits_warm_up:
             self.warm_up.note_unreachable(instance)
 
     def set_spec(self, spec: ServiceSpec) -> None:
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -6,10 +6,11 @@
 
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.model.position import Position
+from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, CommandKind, Refusal, SessionState
 from rowanrail.placement.hashed import FleetSize
 from rowanrail.scheduling.member_weight import FailureKind
-from tests.support.gateway import GatewayHarness
+from tests.support.gateway import GatewayHarness, routes
 
 FIRST, SECOND = 1000, 2000  # start times in Unix milliseconds
 BEHIND = Answer(refusal=Refusal.BEHIND, state=SessionState.IDLE)
@@ -109,6 +110,15 @@
         self.announce()
         self.assertIs(self.service.pools["m2"], pool)
 
+    def test_a_limit_takes_no_member_for_restarted_that_was_unreachable_before(self):
+        self.harness.near.reachable = False
+        self.client.run("READ a", 0.1)
+        self.harness.near.reachable = True
+        spec = ServiceSpec("db", 30, warm_up_seconds=5.0, warm_up_rate=9.0)
+        self.harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        self.wait(20.0)
+        self.assertFalse(self.service.is_warming(self.harness.near.record()))
+
     def test_a_primary_that_started_again_has_to_prove_its_leadership(self):
         tracker = self.service.primary
         self.client.run("READ a", seconds=0.1)
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -404,7 +404,6 @@
         self.assertEqual(set(answers), {None, Refusal.BUSY})
         self.assertGreater(answers[None], 0.5 * 6 * RATE)
 
-
     def test_reads_that_waited_for_a_sample_are_told_when_to_come_back(self):
         world = WarmingRegions()
         world.members.remove(world.near)
@@ -420,7 +419,6 @@
             if answer.refusal:
                 self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
 
-
     def test_a_read_with_more_commands_than_a_part_is_rejected_at_once(self):
         world = WarmingRegions(rate=8.0)
         world.members.remove(world.near)
