Closed connections of transactions are forgotten where a limit exists

The connections of begun transactions were remembered for the warm-up limit and forgotten only while the member was warming up, so that a process kept an object for each connection that it had ever opened for a transaction.

tests.gateway.test_lives.NewLifeTest .test_closed_connections_of_transactions_are_not_kept failed first.

--- a/src/rowanrail/gateway/services/warm_up_limits.py
+++ b/src/rowanrail/gateway/services/warm_up_limits.py
@@ -135,8 +135,8 @@
             for record in records
         }
         self._cold.set_members(self._starts.values(), self._context.unix_ms())
-        for instance in self._windows.keys() - self._starts.keys():
-            del self._windows[instance]
+        for instance in (self._windows.keys() | self._begun.keys()) - self._starts.keys():
+            self._windows.pop(instance, None)
             self._begun.pop(instance, None)
 
     def set_ended_evacuations(self, ended: Mapping[str, int]) -> None:
@@ -192,6 +192,7 @@
 
     def note_begun(self, record: MemberRecord, channel: Channel) -> None:
         """Record the connection of a transaction that was begun at a member."""
+        self._forget_ended(record)
         self._begun[record.instance].add(channel)
 
     def may_begin(self, record: MemberRecord) -> bool:
@@ -223,9 +224,12 @@
         return max(1, min(FIRST_COMMANDS, self.part_for(record).statements))
 
     def _count_open(self, record: MemberRecord) -> int:
+        self._forget_ended(record)
+        return len(self._begun[record.instance])
+
+    def _forget_ended(self, record: MemberRecord) -> None:
         begun = self._begun[record.instance]
         begun -= {channel for channel in begun if channel.closed or not channel.in_transaction}
-        return len(begun)
 
     # Sending
 
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -1,10 +1,12 @@
 """A member starts again under its instance id, with an empty log."""
 
+import gc
 import unittest
 
 import msgspec
 
 from rowanrail.gateway.discovery.directory import Directory
+from rowanrail.members.channel import Channel
 from rowanrail.model.position import Position
 from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, CommandKind, Refusal, SessionState
@@ -119,6 +121,21 @@
         self.wait(20.0)
         self.assertFalse(self.service.is_warming(self.harness.near.record()))
 
+    def test_closed_connections_of_transactions_are_not_kept(self):
+        spec = ServiceSpec("db", 30, warm_up_seconds=5.0, warm_up_rate=9.0)
+        self.harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        self.wait(20.0)
+        for _ in range(30):
+            client = self.harness.client("orders")
+            for text in ("BEGIN", "WRITE a 1", "COMMIT"):
+                self.assertIsNone(client.run(text, 0.1).refusal)
+            for transport in self.harness.primary.open_transports():
+                transport.channel.lost("closed by the member")
+            self.harness.primary.transports.clear()
+        gc.collect()
+        channels = [known for known in gc.get_objects() if type(known) is Channel]
+        self.assertLess(sum(channel.address == "m1:1" for channel in channels), 10)
+
     def test_a_primary_that_started_again_has_to_prove_its_leadership(self):
         tracker = self.service.primary
         self.client.run("READ a", seconds=0.1)
