A commit on a connection that is closed already aborts its transaction

The connections of a member's earlier life are closed, also those of idle transactions. A COMMIT that came next was not sent, but its outcome was told as unknown. It is aborted now, as other statements of such a transaction are, so that the client may run it again.

tests.gateway.test_lives.NewLifeTest .test_a_commit_after_the_end_of_a_life_is_not_sent_and_told_so failed first.

--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -290,6 +290,9 @@
             self._forwarded.restrict(regions)
 
     def _run_statement(self) -> None:
+        if self.channel is None or self.channel.closed:
+            self._fail(Answer(refusal=Refusal.LOST, message="the connection was lost"))
+            return
         if self._abort_if_excluded():
             return
         if self.statement.kind is StatementKind.COMMIT:
@@ -299,7 +302,6 @@
             if not self.send(commands, self._on_commit_answer):
                 self._wait_to_run()
             return
-        assert self.channel is not None
         if is_write(self.statement, self.session):
             self.wrote = True
         commands = replay_new_values(self.channel, self.session)
@@ -358,12 +360,8 @@
         return True
 
     def _retry_statement(self) -> None:
-        if self.respond is None:
-            return
-        if self.channel is None or self.channel.closed:
-            self._fail(Answer(refusal=Refusal.LOST, message="the connection was lost"))
-            return
-        self._run_statement()
+        if self.respond is not None:
+            self._run_statement()
 
     def _fail(self, answer: Answer) -> None:
         """Abort the transaction after a failed statement."""
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -76,6 +76,14 @@
         self.restart("m3")
         self.assertIsNotNone(self.client.run("READ b", seconds=0.1).refusal)
 
+    def test_a_commit_after_the_end_of_a_life_is_not_sent_and_told_so(self):
+        client = self.harness.client("orders")
+        client.run("BEGIN")
+        self.assertIsNone(client.run("WRITE a 1", 0.1).refusal)
+        self.restart("m1")
+        self.assertIs(client.run("COMMIT", 0.1).refusal, Refusal.ABORTED)
+        self.assertNotIn("COMMIT", self.harness.primary.texts())
+
     def test_weights_latencies_and_lag_are_forgotten(self):
         estimates = self.service.estimates
         now = self.harness.clock.now
