--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -87,6 +87,7 @@
         # Seeded by zone, so that zones choose differently and simulations are reproducible.
         self._randomness = random.Random(f"{locality.zone}/{spec.name}")  # noqa: S311 - no secret
         self._eligibility = Eligibility(locality.regions)
+        self._has_exclusions = spec.limits_warm_up  # apart from those by regions
         context = warm_up_context or WarmUpContext()
         self.warm_up = WarmUpLimits(spec, clock, context, self.is_own_group)
         self.primary.set_sample_limit(self)
@@ -95,7 +96,7 @@
         self._clock = clock
         self._scheduler = scheduler
         self._tenants = Tenants()
-        self._data_regions: DataRegions | None = None
+        self.data_regions: DataRegions | None = None
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; close the pools of those that left or changed their address.
@@ -138,6 +139,7 @@
         """Apply a changed configuration of the service."""
         is_new_limit = spec.limits_warm_up and not self.spec.limits_warm_up
         self.spec = spec
+        self._update_has_exclusions()
         self.warm_up.set_spec(spec)
         if is_new_limit:
             self.warm_up.set_members([pool.record for pool in self.pools.values()])
@@ -156,8 +158,12 @@
             missing zone is closed at once.
         """
         self._eligibility = replace(self._eligibility, evacuated=zones, closing_at=closing_at)
+        self._update_has_exclusions()
         self._leave_evacuated()
 
+    def _update_has_exclusions(self) -> None:
+        self._has_exclusions = bool(self._eligibility.evacuated) or self.spec.limits_warm_up
+
     def is_closed(self, record: MemberRecord) -> bool:
         """Return whether nothing at all may be sent to a member, as its zone is evacuated."""
         if not self._eligibility.evacuated:
@@ -166,13 +172,13 @@
 
     def set_data_regions(self, data_regions: DataRegions | None) -> None:
         """Set the configuration's restrictions to regions, None if it has none."""
-        self._data_regions = data_regions
+        self.data_regions = data_regions
 
     def regions_of(self, route: Route, tenant: str) -> frozenset[str] | None:
         """Return the regions in which a tenant's statement may run now, None for any."""
-        if self._data_regions is None:
+        if self.data_regions is None:
             return route.regions
-        return self._data_regions.effective(route, tenant)
+        return self.data_regions.effective(route, tenant)
 
     def set_ended_evacuations(self, ended: Mapping[str, int]) -> None:
         """Set the zones whose members warm up after an evacuation, by the Unix time of its end."""
@@ -184,6 +190,7 @@
         regions: frozenset[str] | None = None,
         *,
         in_transaction: bool = False,
+        commands: int = 1,
     ) -> Exclusion | None:
         """Return why a member may not be sent a statement, None if it may.
 
@@ -194,15 +201,17 @@
         in_transaction : bool
             Whether the statement belongs to a transaction that is open at the member. Like the
             primary, the member is then used until its zone is closed.
+        commands : int
+            Number of commands that are sent for it.
         """
-        needed_at = None
-        if self._eligibility.evacuated:
-            is_needed = in_transaction or record.instance == self.primary.presumed_primary
-            needed_at = self._scheduler.time() if is_needed else None
+        if regions is None and not self._has_exclusions:
+            return None  # most deployments, for each statement and member
+        is_needed = in_transaction or record.instance == self.primary.presumed_primary
+        needed_at = self._scheduler.time() if is_needed else None
         exclusion = self._eligibility.exclusion(record, regions, needed_at=needed_at)
-        if exclusion is None and self.spec.limits_warm_up and not self.warm_up.has_place(record):
-            return Exclusion.WARMING_UP
-        return exclusion
+        if exclusion is not None or not self.spec.limits_warm_up:
+            return exclusion
+        return None if self.warm_up.has_place(record, commands) else Exclusion.WARMING_UP
 
     def _leave_evacuated(self) -> None:
         """Let queued statements leave evacuated zones, and close what is left in closed ones."""
@@ -215,15 +224,19 @@
             elif self.exclusion(pool.record) is Exclusion.EVACUATED:
                 pool.refuse_queued(reason)
 
-    def exclusion_of_all(self, regions: frozenset[str] | None = None) -> Exclusion | None:
+    def exclusion_of_all(
+        self, regions: frozenset[str] | None = None, commands: int = 1
+    ) -> Exclusion | None:
         """Return why no member may be sent a statement; None if one may, or if none is known.
 
         Members outside the regions give the reason only if there is none inside. One that warms up
         counts before others, since it is the first that can be used.
         """
+        if regions is None and not self._has_exclusions:
+            return None
         exclusion = None
         for pool in self.pools.values():
-            found = self.exclusion(pool.record, regions)
+            found = self.exclusion(pool.record, regions, commands=commands)
             if found is None:
                 return None
             is_preferred = exclusion in (None, Exclusion.OUTSIDE_REGIONS)
@@ -233,17 +246,19 @@
 
     # Members that warm up
 
-    def warming_pool(self, regions: frozenset[str] | None = None) -> MemberPool | None:
-        """Return the pool of the member that can be sent a statement first after its warm-up limit.
+    def warming_pool(
+        self, regions: frozenset[str] | None = None, commands: int = 1
+    ) -> MemberPool | None:
+        """Return the pool of the member whose warm-up limit first lets a statement be sent.
 
         None if no member is excluded only by that.
         """
         limited = [
             pool
             for pool in self.pools.values()
-            if self.exclusion(pool.record, regions) is Exclusion.WARMING_UP
+            if self.exclusion(pool.record, regions, commands=commands) is Exclusion.WARMING_UP
         ]
-        return min(limited, key=lambda p: self.warm_up.delay_ms(p.record), default=None)
+        return min(limited, key=lambda p: self.warm_up.delay_ms(p.record, commands), default=None)
 
     def is_warming(self, record: MemberRecord) -> bool:
         """Return whether a member has a limit because it warms up."""
@@ -340,12 +355,14 @@
         self, excluded: set[str], requirements: ReadRequirements = _NO_REQUIREMENTS
     ) -> MemberPool | None:
         """Return the pool of the best member for a read, None if there is no candidate."""
+        regions = requirements.regions
+        is_restricted = regions is not None or self._has_exclusions
         pools = {
             instance: pool
             for instance, pool in self.pools.items()
             if instance not in excluded
             and not pool.record.leaving
-            and self.exclusion(pool.record, requirements.regions) is None
+            and not (is_restricted and self.exclusion(pool.record, regions))
         }
         best = choose_member(self.estimates.candidates(pools, requirements), self._randomness)
         return None if best is None else pools[best]
@@ -380,17 +397,6 @@
             self.share = replace(self.share, allowance=allowance)
             self._apply_limit()
 
-    def _open_pools(self) -> Mapping[str, MemberPool]:
-        """Return the pools of members outside evacuated zones."""
-        evacuated = self._eligibility.evacuated
-        if not evacuated:
-            return self.pools
-        return {
-            instance: pool
-            for instance, pool in self.pools.items()
-            if pool.record.zone not in evacuated
-        }
-
     def _is_routed_here(self, tenant: str) -> bool:
         return self.share.keeps_idle(self.spec.name, tenant)
 
@@ -408,10 +414,17 @@
             pool.trim(self._is_routed_here)
         self._had_connections = self.has_connections
 
-    def _pools_to_probe(self) -> dict[str, MemberPool]:
-        if not self.spec.limits_warm_up:
+    def _pools_to_probe(self) -> Mapping[str, MemberPool]:
+        """Return the pools of members that may be sent a probe now."""
+        evacuated, limits_warm_up = self._eligibility.evacuated, self.spec.limits_warm_up
+        if not evacuated and not limits_warm_up:
             return self.pools
-        return {n: pool for n, pool in self.pools.items() if self.warm_up.has_place(pool.record)}
+        return {
+            instance: pool
+            for instance, pool in self.pools.items()
+            if pool.record.zone not in evacuated
+            and (not limits_warm_up or self.warm_up.has_place(pool.record))
+        }
 
     def close(self) -> None:
         """Close all connections that are not leased."""
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -2,11 +2,14 @@
 
 import doctest
 import unittest
+from unittest.mock import patch
 
 from rowanrail.directory.messages import Evacuations
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.gateway import Gateway
 from rowanrail.gateway.services.locality import Locality
+from rowanrail.gateway.services.service import Service
+from rowanrail.gateway.services.warm_up_limits import WarmUpLimits
 from rowanrail.gateway.sessions.session import Session
 from rowanrail.kernel.registry import Registry
 from rowanrail.members import eligibility, evacuated_zones
@@ -110,6 +113,18 @@
         self.assertIs(client.run("READ c").refusal, Refusal.ABORTED)
         self.assertEqual(self.near.texts(), ["READ a", "READ b"])
 
+    def test_members_in_evacuated_zones_are_not_probed(self):
+        self.warm_up()
+        self.harness.gateway.services["db"].pools["m2"].note_error()
+        self.evacuate(NEAR_ZONE)
+        self.near.ran.clear()
+        opened = len(self.near.transports)
+        client = self.harness.client("reports")
+        for _ in range(20):
+            self.clock.advance(0.1)
+            client.run("READ a", 0.1)
+        self.assertEqual((self.near.ran, len(self.near.transports)), ([], opened))
+
     # Primaries
 
     def test_the_primary_serves_on_until_its_zone_is_closed(self):
@@ -181,6 +196,28 @@
         for answer in answers:
             self.assert_rejected(answer)
 
+    def test_queued_work_follows_the_primary_out_of_the_zone(self):
+        for texts in (("WRITE b 2",), ("BEGIN", "WRITE b 2")):
+            with self.subTest(texts):
+                self.harness = harness = GatewayHarness(slots=1)
+                self.clock, primary, near = harness.clock, harness.primary, harness.near
+                harness.client("orders").run("WRITE a 1", 0.1)
+                self.evacuate(PRIMARY_ZONE)
+                primary.script = [None]
+                clients = [harness.client("orders") for _ in range(3)]
+                clients[0].ask("WRITE b 2")
+                for client in clients[1:]:
+                    for text in texts:
+                        client.ask(text)
+                primary.primary, near.primary = False, True
+                near.position = Position(2, 30)
+                [busy] = [t for t in primary.open_transports() if t.channel.busy]
+                busy.channel.answered(Answer(refusal=Refusal.NOT_PRIMARY))
+                self.clock.advance(0.4)
+                last = [client.answers[-1].refusal for client in clients]
+                self.assertEqual(last, [None] * 3)
+                self.assertEqual(near.texts().count("WRITE b 2"), 3)
+
     def test_another_member_that_announces_itself_as_primary_is_followed(self):
         self.warm_up()
         self.close(PRIMARY_ZONE)
@@ -303,6 +340,47 @@
         self.assertEqual(sum('"event":341' in line for line in lines), 1)
 
 
+class WarmUpAfterEvacuationTest(unittest.TestCase):
+    def test_work_that_leaves_a_zone_is_not_sent_to_one_that_just_returned(self):
+        harness = GatewayHarness(slots=1)
+        spec = ServiceSpec("db", 30, warm_up_seconds=10.0, warm_up_rate=3.0)
+        harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        service = harness.gateway.services["db"]
+        harness.clock.advance(20)  # all members are warm
+        for _ in range(4):
+            harness.client("reports").run("READ a", 0.1)
+        harness.gateway.set_evacuations(Evacuations(1, {NEAR_ZONE: 1}, {}))
+        harness.primary.script, harness.far.script = [None] * 9, [None] * 9
+        clients = [harness.client("reports") for _ in range(6)]
+        for client in clients:
+            client.ask("READ b")
+        self.assertTrue(service.pools["m3"].queue or service.pools["m1"].queue)
+        sent = len(harness.near.ran)
+        harness.gateway.set_evacuations(
+            Evacuations(3, {FAR_ZONE: 2, PRIMARY_ZONE: 2}, {NEAR_ZONE: 3})
+        )
+        self.assertTrue(service.is_warming(harness.near.record()))
+        self.assertEqual(harness.near.ran[sent:], [])
+
+
+class NoExclusionsTest(unittest.TestCase):
+    """Deployments without evacuations, regions and warm-up limits pay nothing for them."""
+
+    def test_statements_are_not_checked(self):
+        harness = GatewayHarness()
+        harness.client("reports").run("READ a", 0.1)
+        with (
+            patch.object(eligibility.Eligibility, "exclusion") as check,
+            patch.object(WarmUpLimits, "has_place") as has_place,
+            patch.object(Service, "regions_of") as regions_of,
+        ):
+            for database in ("orders", "reports", "carts"):
+                client = harness.client(database)
+                for text in ("READ a", "WRITE a 1", "BEGIN", "WRITE a 1", "COMMIT"):
+                    self.assertIsNone(client.run(text, 0.1).refusal)
+        self.assertFalse(check.called or has_place.called or regions_of.called)
+
+
 class HolderTest(unittest.TestCase):
     """The holder knows of an evacuation, the gateway that forwards to it does not."""
 
--- a/tests/gateway/test_lives.py
+++ b/tests/gateway/test_lives.py
@@ -1,15 +1,18 @@
 """A member starts again under its instance id, with an empty log."""
 
+import gc
 import unittest
 
 import msgspec
 
 from rowanrail.gateway.discovery.directory import Directory
+from rowanrail.members.channel import Channel
 from rowanrail.model.position import Position
+from rowanrail.model.routing import RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, CommandKind, Refusal, SessionState
 from rowanrail.placement.hashed import FleetSize
 from rowanrail.scheduling.member_weight import FailureKind
-from tests.support.gateway import GatewayHarness
+from tests.support.gateway import GatewayHarness, routes
 
 FIRST, SECOND = 1000, 2000  # start times in Unix milliseconds
 BEHIND = Answer(refusal=Refusal.BEHIND, state=SessionState.IDLE)
@@ -73,6 +76,14 @@
         self.restart("m3")
         self.assertIsNotNone(self.client.run("READ b", seconds=0.1).refusal)
 
+    def test_a_commit_after_the_end_of_a_life_is_not_sent_and_told_so(self):
+        client = self.harness.client("orders")
+        client.run("BEGIN")
+        self.assertIsNone(client.run("WRITE a 1", 0.1).refusal)
+        self.restart("m1")
+        self.assertIs(client.run("COMMIT", 0.1).refusal, Refusal.ABORTED)
+        self.assertNotIn("COMMIT", self.harness.primary.texts())
+
     def test_weights_latencies_and_lag_are_forgotten(self):
         estimates = self.service.estimates
         now = self.harness.clock.now
@@ -109,6 +120,30 @@
         self.announce()
         self.assertIs(self.service.pools["m2"], pool)
 
+    def test_a_limit_takes_no_member_for_restarted_that_was_unreachable_before(self):
+        self.harness.near.reachable = False
+        self.client.run("READ a", 0.1)
+        self.harness.near.reachable = True
+        spec = ServiceSpec("db", 30, warm_up_seconds=5.0, warm_up_rate=9.0)
+        self.harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        self.wait(20.0)
+        self.assertFalse(self.service.is_warming(self.harness.near.record()))
+
+    def test_closed_connections_of_transactions_are_not_kept(self):
+        spec = ServiceSpec("db", 30, warm_up_seconds=5.0, warm_up_rate=9.0)
+        self.harness.gateway.apply(RoutingConfiguration(2, routes(), {"db": spec}, 3.0))
+        self.wait(20.0)
+        for _ in range(30):
+            client = self.harness.client("orders")
+            for text in ("BEGIN", "WRITE a 1", "COMMIT"):
+                self.assertIsNone(client.run(text, 0.1).refusal)
+            for transport in self.harness.primary.open_transports():
+                transport.channel.lost("closed by the member")
+            self.harness.primary.transports.clear()
+        gc.collect()
+        channels = [known for known in gc.get_objects() if type(known) is Channel]
+        self.assertLess(sum(channel.address == "m1:1" for channel in channels), 10)
+
     def test_a_primary_that_started_again_has_to_prove_its_leadership(self):
         tracker = self.service.primary
         self.client.run("READ a", seconds=0.1)
--- a/tests/relay/test_warm_up.py
+++ b/tests/relay/test_warm_up.py
@@ -25,6 +25,7 @@
 WARM_UP_SECONDS = 60.0
 LONG_AGO_MS = 1
 HANDOVER_SECONDS = 8.0
+OBJECTIVE_SECONDS = 0.5  # of each route
 TENANTS = {f"key-of-{name}": name for name in "abcdef"}
 
 
@@ -403,6 +404,54 @@
         self.assertEqual(set(answers), {None, Refusal.BUSY})
         self.assertGreater(answers[None], 0.5 * 6 * RATE)
 
+    def test_reads_that_waited_for_a_sample_are_told_when_to_come_back(self):
+        world = WarmingRegions()
+        world.members.remove(world.near)
+        world.announce_revision(3)
+        world.clock.advance(HANDOVER_SECONDS)
+        clients = [world.gateways["gb1"].client("orders") for _ in range(10)]
+        for client in clients:
+            client.ask("READ a")
+        world.clock.advance(1.0)
+        answers = [answer for client in clients for answer in client.answers]
+        self.assertEqual({answer.refusal for answer in answers}, {None, Refusal.BUSY})
+        for answer in answers:
+            if answer.refusal:
+                self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+    def test_a_read_with_more_commands_than_a_part_is_rejected_at_once(self):
+        world = WarmingRegions(rate=8.0)
+        world.members.remove(world.near)
+        world.announce_revision(3)
+        world.clock.advance(HANDOVER_SECONDS - 0.4)  # shortly after the first sample
+        client = world.gateways["gb1"].client("reports")
+        for text in ("SET one 1", "SET two 2", "SET three 3", "PREPARE s READ q"):
+            client.run(text)
+        answer = client.run("EXECUTE s a", 0.1)
+        self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+
+class RareSamplesTest(unittest.TestCase):
+    """Each sender's part of the limit is smaller than a sample."""
+
+    def setUp(self):
+        self.world = WarmingRegions(rate=2.0)
+        self.world.clock.advance(HANDOVER_SECONDS)
+
+    def assert_rejected(self, name, database, seconds):
+        client = self.world.gateways[name].client(database)
+        transaction = self.world.gateways[name].client(database)
+        transaction.run("BEGIN READ")
+        for one in (client, transaction):
+            answer = one.run("READ a", seconds)
+            self.assertIs(answer.refusal, Refusal.BUSY)
+            self.assertRegex(answer.message, r"m1 warms up.*; retry in \d")
+
+    def test_reads_are_rejected_at_the_end_of_their_objective(self):
+        for name in GATEWAYS:
+            self.assert_rejected(name, "orders", OBJECTIVE_SECONDS + 0.05)
+            self.assert_rejected(name, "reports", OBJECTIVE_SECONDS + 0.05)
+
 
 class OwnConnectionsTest(unittest.TestCase):
     """Gateways that share no connections: those of the member's zone send, the others forward."""
