A demoted primary that lost its log is neither a measure nor promoted again

Cause: after a demotion the position of the former primary's answer counted, also when it had started again with an empty log. Any replica then seemed to have everything; if none had the known last position, the empty former primary itself was promoted after a second, and the others rolled back.

Change: such a former primary is one that does not answer: a member with the last known position is promoted, else the failover's rule decides after the same wait.

Test: tests.coordination.test_moves, a demoted primary that started again without its log; with and without a known last position it failed before.

--- a/src/rowanrail/coordination/moves.py
+++ b/src/rowanrail/coordination/moves.py
@@ -185,7 +185,7 @@
     A member that has everything that the former primary acknowledged is promoted; if there is none
     in time, the former primary itself, even one that may not serve: its replicas then catch up, and
     a later move succeeds. The longest log is promoted without that only if the former primary
-    doesn't answer.
+    doesn't answer, or has started again without its log.
     """
     former = _member(view, demotion.former)
     if former is None and demotion.position is None:
@@ -197,13 +197,14 @@
     if any(member.leads for member in view.members):
         return Decision(Action.WAIT, "a member says that it leads")
     position = demotion.position
-    if former is not None and former.received is not None:
+    answers = former is not None and _has_its_log(former, demotion)
+    if former is not None and answers:
         position = former.received
     if position is not None:
         candidate = _complete_member(view, demotion, position)
         if candidate is not None:
             return Decision(Action.PROMOTE, "it has all commits of the demoted primary", candidate)
-    if former is None or former.received is None:
+    if not answers:
         if demotion.ago < FORMER_ANSWER_SECONDS:
             return Decision(Action.WAIT, "the demoted primary does not answer")
         return decide(view)
@@ -212,6 +213,13 @@
     return Decision(Action.PROMOTE, "no other member received all commits in time", demotion.former)
 
 
+def _has_its_log(former: MemberView, demotion: Demotion) -> bool:
+    """Return whether the demoted primary answers, and has not started again without its log."""
+    if former.received is None or former.is_incomplete:
+        return False
+    return demotion.position is None or former.received >= demotion.position
+
+
 def _order(view: ServiceView, demotion: Demotion) -> AttemptView | None:
     """Return the order that followed the demotion, None if there is none yet."""
     attempt = view.attempt
--- a/tests/coordination/test_moves.py
+++ b/tests/coordination/test_moves.py
@@ -167,6 +167,13 @@
                 self.check_waits(ago=1.9, position=position)
                 self.check_promoted("m3", ago=2.1, position=position)
 
+    def test_a_demoted_primary_that_started_again_without_its_log_is_one_that_does_not_answer(self):
+        self.members[0] = member("m1", Position(1, 0), is_incomplete=True)
+        for position in (LAST, None):
+            with self.subTest(position=position):
+                self.check_waits(ago=1.5, position=position)
+                self.check_promoted("m3", ago=2.1, position=position)
+
     def test_a_known_last_position_needs_no_answer_of_the_demoted_primary(self):
         self.members = [silent("m1"), member("m2"), member("m3", EARLIER)]
         self.check_promoted("m2")
