The silence of an earlier primary does not count for the next one

Cause: the time since which a leaving primary answers no status queries was kept by service, and ended only when a primary answered. After a failover nobody asks the next primary; once that one left, a single lost answer made it seem silent for long, and another member was promoted while it served.

Change: the time is kept by instance, and ends as well when there is no reason to move the primary.

Test: tests.coordination.test_failover_controller, the silence of an earlier primary; it failed before.

--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -116,7 +116,7 @@
         """Forget the moves under way, as the node no longer leads."""
         self._demoted: dict[str, _Demoted] = {}
         self._leaderless_since: dict[str, float] = {}
-        self._silent_since: dict[str, float] = {}
+        self._silent_since: dict[str, float] = {}  # of primaries
         self._refused_at: dict[str, float] = {}  # of members
         self._retry_at: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
@@ -144,14 +144,20 @@
         reason = self.reasons.get(service, "")
         if not reason:
             self._waiting.pop(service, None)
+            if self._silent_since:
+                self._silent_since.pop(self._primary(service), None)
             return ""
         return reason if self._now() >= self._retry_at.get(service, 0.0) else ""
 
     def unanswered_for(self, service: str) -> float:
         """Return for how many seconds the primary has not answered status queries."""
-        since = self._silent_since.get(service)
+        since = self._silent_since.get(self._primary(service))
         return 0.0 if since is None else self._now() - since
 
+    def _primary(self, service: str) -> str:
+        """Return the instance that announces itself as primary, empty if none does."""
+        return next((m.instance for m in self._members(service) if m.primary), "")
+
     def demotion(self, service: str) -> Demotion | None:
         """Return the demotion that is not yet followed by a new primary, None without one.
 
@@ -182,15 +188,12 @@
         for instance, status in statuses.items():
             if status.leads:
                 self._note_leader(service, instance)
-        if any(m.primary and m.instance in statuses for m in self._members(service)):
-            self._silent_since.pop(service, None)
+            self._silent_since.pop(instance, None)
 
     def note_refused(self, instance: str) -> None:
         """Record that a member refused a status query for lack of room, so that it is alive."""
         self._refused_at[instance] = self._now()
-        record = self._service.state.members.get(instance)
-        if record is not None and record.primary:
-            self._silent_since.pop(record.service, None)
+        self._silent_since.pop(instance, None)
 
     def _refused_within(self, instance: str) -> bool:
         """Return whether a member refused a query during the last round."""
@@ -270,8 +273,8 @@
             members = self._view(service, statuses).members
             former = next((m for m in members if m.record.primary), None)
             if former is None or former.received is None:
-                if former is None or not self._refused_within(former.record.instance):
-                    self._silent_since.setdefault(service, self._now())
+                if former is not None and not self._refused_within(former.record.instance):
+                    self._silent_since.setdefault(former.record.instance, self._now())
                 self._wait(service, reason, "the primary does not answer")
                 return None
             if self._is_demoted(service, former, members):
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -521,6 +521,16 @@
 
         self.run_scenario(scenario)
 
+    def test_the_silence_of_an_earlier_primary_does_not_count_for_the_next_one(self):
+        async def scenario():
+            self.first.leaving = self.first.silent = True
+            await self.announce(self.leader(), self.first.record())
+            await self.wait_until(lambda: self.third.leads)
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.leader().node.failover.mover.unanswered_for("db"), 0.0)
+
+        self.run_scenario(scenario)
+
     def test_a_leaving_primary_that_answers_nothing_is_replaced_as_a_lost_one(self):
         async def scenario():
             self.first.leaving = True
