A planned move asks nothing of members in closed zones

Cause: the status queries before a move went to all members of the service, also to replicas in another zone that was closed long ago, and to a primary in a closed zone at each attempt, every half second. After a demotion, the queries went to all members as well.

Change: a move asks members in open zones, and does not begin once the zone of the primary is closed. After a demotion the former primary and its intended successor are still asked.

Test: tests.coordination.test_failover_controller, a move asks nothing of members in closed zones; it failed before.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -131,6 +131,7 @@
             self._queries,
             decisions,
             self._members,
+            is_closed,
             self._view,
             self._order,
             lambda: node.raft.is_established_leader,
@@ -313,8 +314,7 @@
             self._log_waiting(service, first.reason, str(error))
 
     async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
-        # A move was begun before the zone of the former primary was closed.
-        members = self._open(service) if demotion is None else self._members(service)
+        members = self.mover.askable(service, demotion)
         is_planned = demotion is not None or any(m.primary and m.leaving for m in members)
         on_refused = self.mover.note_refused if is_planned else None
         statuses = await self._queries.query(members, Command(CommandKind.STATUS), on_refused)
@@ -377,11 +377,7 @@
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
     def _replicas(self, service: str) -> list[MemberRecord]:
-        return [record for record in self._open(service) if not record.primary]
-
-    def _open(self, service: str) -> list[MemberRecord]:
-        """Return the members to which something may be sent."""
-        return [record for record in self._members(service) if not self._is_closed(record)]
+        return [record for record in self.mover.askable(service) if not record.primary]
 
     async def _pause_replicas(
         self, service: str, statuses: dict[str, StatusReply]
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -74,6 +74,8 @@
         Writes the log lines.
     members : callable
         Returns the records of a service's members.
+    is_closed : callable
+        Returns whether nothing may be sent to a member, as its zone is evacuated.
     view : callable
         Returns the view of a service for the given statuses.
     order : callable
@@ -92,6 +94,7 @@
         queries: StatusQueries,
         decisions: DecisionLog,
         members: Callable[[str], list[MemberRecord]],
+        is_closed: Callable[[MemberRecord], bool],
         view: Callable[[str, dict[str, StatusReply]], ServiceView],
         order: Callable[[str, Promotion, str], Awaitable[None]],
         is_leading: Callable[[], bool],
@@ -102,6 +105,7 @@
         self._queries = queries
         self._decisions = decisions
         self._members = members
+        self._is_closed = is_closed
         self._view = view
         self._order = order
         self._is_leading = is_leading
@@ -183,6 +187,18 @@
         since = self._leaderless_since.setdefault(service, self._now())
         return Demotion(promotion.former, promotion.instance, self._now() - since)
 
+    def askable(self, service: str, demotion: Demotion | None = None) -> list[MemberRecord]:
+        """Return the members to which something may be sent.
+
+        After a demotion also the former primary and its successor: their zone was open before it.
+        """
+        needed = (demotion.former, demotion.intended) if demotion is not None else ()
+        return [
+            record
+            for record in self._members(service)
+            if record.instance in needed or not self._is_closed(record)
+        ]
+
     def note_statuses(self, service: str, statuses: dict[str, StatusReply]) -> None:
         """Learn from a round of statuses which member leads and whether the primary answers."""
         for instance, status in statuses.items():
@@ -195,9 +211,10 @@
         self._refused_at[instance] = self._now()
         self._silent_since.pop(instance, None)
 
-    def _refused_within(self, instance: str) -> bool:
-        """Return whether a member refused a query during the last round."""
-        return self._now() - self._refused_at.get(instance, -1e9) < QUERY_TIMEOUT_SECONDS
+    def _is_silent(self, record: MemberRecord) -> bool:
+        """Return whether a member was asked in the last round and neither answered nor refused."""
+        refused_ago = self._now() - self._refused_at.get(record.instance, -1e9)
+        return refused_ago >= QUERY_TIMEOUT_SECONDS and not self._is_closed(record)
 
     def _note_leader(self, service: str, instance: str) -> None:
         """End a demotion, as a member leads again."""
@@ -263,17 +280,20 @@
         if former is None or not any(is_possible_successor(m, former) for m in known):
             self._wait(service, reason, "no member may succeed")
             return None
+        if self._is_closed(former.record):
+            self._wait(service, reason, "the zone of the primary is closed")
+            return None
         deadline = self._now() + MAX_LAG_SECONDS
         position: Position | None = None
         while True:
             statuses = await self._queries.query(
-                self._members(service), Command(CommandKind.STATUS), self.note_refused
+                self.askable(service), Command(CommandKind.STATUS), self.note_refused
             )
             self.note_statuses(service, statuses)
             members = self._view(service, statuses).members
             former = next((m for m in members if m.record.primary), None)
             if former is None or former.received is None:
-                if former is not None and not self._refused_within(former.record.instance):
+                if former is not None and self._is_silent(former.record):
                     self._silent_since.setdefault(former.record.instance, self._now())
                 self._wait(service, reason, "the primary does not answer")
                 return None
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -389,6 +389,26 @@
 
         self.run_scenario(scenario)
 
+    def test_a_move_asks_nothing_of_members_in_closed_zones(self):
+        async def scenario():
+            self.first.zone, self.second.zone, self.third.zone = "z1", "z2", "z3"
+            await asyncio.sleep(1.0)
+            self.first.received = Position(1, 20)  # so that no member can succeed
+            await self.evacuate("z3")
+            await asyncio.sleep(4.0)
+            asked = self.third.command_count
+            await self.evacuate("z1")
+            await asyncio.sleep(1.0)
+            self.assertIn(CommandKind.STATUS, self.second.asked)
+            self.assertEqual(self.third.command_count, asked)
+            await asyncio.sleep(3.0)
+            asked = self.first.command_count
+            await asyncio.sleep(3.0)
+            self.assertEqual(self.first.command_count, asked)
+            self.assertEqual(self.orders(), [])
+
+        self.run_scenario(scenario)
+
     def test_no_replica_that_receives_means_no_demotion(self):
         async def scenario():
             self.first.received = Position(1, 20)
