A repeated withdrawal of an evacuation is not refused

Cause: a zone that the settings don't name was known by its members or its evacuation only. When its withdrawal had been taken, its acknowledgement lost, and no member was left there, the repeated order was refused with 422, although one that was taken is never refused.

Change: zones whose evacuation has ended are known as well.

Test: tests.platform.test_evacuation_api, a withdrawal that was taken; it failed before.

--- a/src/rowanrail/coordination/evacuations.py
+++ b/src/rowanrail/coordination/evacuations.py
@@ -40,7 +40,7 @@
 
 
 def is_known_zone(
-    zone: str, configured: Collection[str], occupied: Collection[str], evacuated: Collection[str]
+    zone: str, configured: Collection[str], occupied: Collection[str], ordered: Collection[str]
 ) -> bool:
     """Return whether an order for a zone can be meant as it is written.
 
@@ -50,8 +50,8 @@
         Zones in the settings; if empty, every zone is known.
     occupied : collection of str
         Zones of known members, which may be newer than the settings.
-    evacuated : collection of str
-        Zones whose evacuation can be ended.
+    ordered : collection of str
+        Zones that are or were evacuated, so that an order may be a repeated one.
 
     Examples
     --------
@@ -60,4 +60,4 @@
     >>> is_known_zone("c", ["a", "b"], ["c"], []), is_known_zone("c", [], [], [])
     (True, True)
     """
-    return not configured or any(zone in zones for zones in (configured, occupied, evacuated))
+    return not configured or any(zone in zones for zones in (configured, occupied, ordered))
--- a/tests/platform/test_evacuation_api.py
+++ b/tests/platform/test_evacuation_api.py
@@ -62,6 +62,10 @@
         self.service.state.evacuations = Evacuations(3, {"gone": 1})
         self.assertEqual(await self.status("DELETE", "/evacuate/gone"), 200)
 
+    async def test_a_withdrawal_that_was_taken_is_acknowledged_again(self):
+        self.service.state.evacuations = Evacuations(4, {}, {"gone": 2})
+        self.assertEqual(await self.status("DELETE", "/evacuate/gone"), 200)
+
     async def test_every_zone_is_known_without_settings(self):
         self.assertEqual(await self.status("POST", "/evacuate/any", self.make_api({})), 200)
 
