Join positions are updated when members change, not at each check

Cause: ten times a second the leader rebuilt the table of join positions of every service, which walks all members of all services.

Change: a service's positions are updated after a change of the directory, and while one is not known for lack of a sample.

Test: tests.coordination.test_failover_controller, checks without a change; it failed before.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -177,10 +177,11 @@
                 continue
             if self._leading_since is None:
                 self._leading_since = self._now()
-            self._update_trackers()
+            has_changed = self._update_trackers()
             for name, tracker in self._trackers.items():
                 tracker.tick(in_use=True)
-                self._update_join_positions(name, tracker)
+                if has_changed or self._joined[name].awaits_sample:
+                    self._update_join_positions(name, tracker)
                 self._check_service(name)
             self._reconciler.tick()
 
@@ -207,11 +208,12 @@
                 self._members_by_service.setdefault(member.service, []).append(member)
         return self._members_by_service.get(service, [])
 
-    def _update_trackers(self) -> None:
+    def _update_trackers(self) -> bool:
+        """Apply the members, configuration and evacuations; return whether any has changed."""
         state = self._service.state
         known = state.revision, state.version, state.evacuations.revision
         if known == self._known_directory:
-            return
+            return False
         self._known_directory = known
         self._warm_up_sampling().update()
         services = {member.service for member in state.members.values()}
@@ -228,6 +230,7 @@
                 tracker.is_closed = self._is_closed
                 self._trackers[name] = tracker
             self._trackers[name].set_members(self._members(name))
+        return True
 
     def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
         newest = tracker.sample.position if tracker.sample is not None else None
--- a/src/rowanrail/coordination/lost_logs.py
+++ b/src/rowanrail/coordination/lost_logs.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self._positions: dict[tuple[str, int], Position | None] = {}
         self._is_first = True
+        self.awaits_sample = False  # whether a member's position is not known for lack of one
 
     def update(
         self,
@@ -57,6 +58,7 @@
             has_joined = not self._is_first or record.instance in earlier_starts
             known = before.get(life, None if has_joined else ORIGIN)
             self._positions[life] = newest if known is None else known
+        self.awaits_sample = None in self._positions.values()
         self._is_first = False
 
     def is_incomplete(self, record: MemberRecord, received: Position) -> bool:
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from unittest.mock import patch
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from rowanrail.coordination.failover import GONE_FOR_GOOD_SECONDS
 from rowanrail.coordination.failover_controller import Promoter, PromotionOutcome
 from rowanrail.coordination.feature_level import LIVES_LEVEL
+from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -250,6 +252,15 @@
 
         self.run_scenario(scenario, [PromotionOutcome.UNKNOWN])
 
+    def test_checks_without_a_change_do_not_walk_all_members(self):
+        async def scenario():
+            await asyncio.sleep(2.0)
+            with patch.object(JoinPositions, "update") as update:
+                await asyncio.sleep(3.0)
+            update.assert_not_called()
+
+        self.run_scenario(scenario)
+
     def test_a_member_that_started_again_waits_for_one_that_received_more(self):
         async def scenario():
             primary, empty, other = self.platform.members
