--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -131,6 +131,7 @@
             self._queries,
             decisions,
             self._members,
+            is_closed,
             self._view,
             self._order,
             lambda: node.raft.is_established_leader,
@@ -176,10 +177,11 @@
                 continue
             if self._leading_since is None:
                 self._leading_since = self._now()
-            self._update_trackers()
+            has_changed = self._update_trackers()
             for name, tracker in self._trackers.items():
                 tracker.tick(in_use=True)
-                self._update_join_positions(name, tracker)
+                if has_changed or self._joined[name].awaits_sample:
+                    self._update_join_positions(name, tracker)
                 self._check_service(name)
             self._reconciler.tick()
 
@@ -206,11 +208,12 @@
                 self._members_by_service.setdefault(member.service, []).append(member)
         return self._members_by_service.get(service, [])
 
-    def _update_trackers(self) -> None:
+    def _update_trackers(self) -> bool:
+        """Apply the members, configuration and evacuations; return whether any has changed."""
         state = self._service.state
         known = state.revision, state.version, state.evacuations.revision
         if known == self._known_directory:
-            return
+            return False
         self._known_directory = known
         self._warm_up_sampling().update()
         services = {member.service for member in state.members.values()}
@@ -227,6 +230,7 @@
                 tracker.is_closed = self._is_closed
                 self._trackers[name] = tracker
             self._trackers[name].set_members(self._members(name))
+        return True
 
     def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
         newest = tracker.sample.position if tracker.sample is not None else None
@@ -313,8 +317,7 @@
             self._log_waiting(service, first.reason, str(error))
 
     async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
-        # A move was begun before the zone of the former primary was closed.
-        members = self._open(service) if demotion is None else self._members(service)
+        members = self.mover.askable(service, demotion)
         is_planned = demotion is not None or any(m.primary and m.leaving for m in members)
         on_refused = self.mover.note_refused if is_planned else None
         statuses = await self._queries.query(members, Command(CommandKind.STATUS), on_refused)
@@ -377,11 +380,7 @@
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
     def _replicas(self, service: str) -> list[MemberRecord]:
-        return [record for record in self._open(service) if not record.primary]
-
-    def _open(self, service: str) -> list[MemberRecord]:
-        """Return the members to which something may be sent."""
-        return [record for record in self._members(service) if not self._is_closed(record)]
+        return [record for record in self.mover.askable(service) if not record.primary]
 
     async def _pause_replicas(
         self, service: str, statuses: dict[str, StatusReply]
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from unittest.mock import patch
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from rowanrail.coordination.failover import GONE_FOR_GOOD_SECONDS
 from rowanrail.coordination.failover_controller import Promoter, PromotionOutcome
 from rowanrail.coordination.feature_level import LIVES_LEVEL
+from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -250,6 +252,15 @@
 
         self.run_scenario(scenario, [PromotionOutcome.UNKNOWN])
 
+    def test_checks_without_a_change_do_not_walk_all_members(self):
+        async def scenario():
+            await asyncio.sleep(2.0)
+            with patch.object(JoinPositions, "update") as update:
+                await asyncio.sleep(3.0)
+            update.assert_not_called()
+
+        self.run_scenario(scenario)
+
     def test_a_member_that_started_again_waits_for_one_that_received_more(self):
         async def scenario():
             primary, empty, other = self.platform.members
@@ -389,6 +400,26 @@
 
         self.run_scenario(scenario)
 
+    def test_a_move_asks_nothing_of_members_in_closed_zones(self):
+        async def scenario():
+            self.first.zone, self.second.zone, self.third.zone = "z1", "z2", "z3"
+            await asyncio.sleep(1.0)
+            self.first.received = Position(1, 20)  # so that no member can succeed
+            await self.evacuate("z3")
+            await asyncio.sleep(4.0)
+            asked = self.third.command_count
+            await self.evacuate("z1")
+            await asyncio.sleep(1.0)
+            self.assertIn(CommandKind.STATUS, self.second.asked)
+            self.assertEqual(self.third.command_count, asked)
+            await asyncio.sleep(3.0)
+            asked = self.first.command_count
+            await asyncio.sleep(3.0)
+            self.assertEqual(self.first.command_count, asked)
+            self.assertEqual(self.orders(), [])
+
+        self.run_scenario(scenario)
+
     def test_no_replica_that_receives_means_no_demotion(self):
         async def scenario():
             self.first.received = Position(1, 20)
@@ -521,6 +552,16 @@
 
         self.run_scenario(scenario)
 
+    def test_the_silence_of_an_earlier_primary_does_not_count_for_the_next_one(self):
+        async def scenario():
+            self.first.leaving = self.first.silent = True
+            await self.announce(self.leader(), self.first.record())
+            await self.wait_until(lambda: self.third.leads)
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.leader().node.failover.mover.unanswered_for("db"), 0.0)
+
+        self.run_scenario(scenario)
+
     def test_a_leaving_primary_that_answers_nothing_is_replaced_as_a_lost_one(self):
         async def scenario():
             self.first.leaving = True
