The soak plays lives, evacuations, changed regions, warm-up and other writers

Checks of what arrives at members: EVAC and DRAIN (gateways without a fault in the last 6 s; senders.py finds the process of a connection), FAILBACK over all gateways, HOME by the versions of the configuration that may be in force, LOST for evacuations after all processes were killed and for commits that a replaced primary without a fault had. Logs with event 346 are judged by the versions in force at their time, as a sender may have an older one for 5 s. The group of the soak moves to group.py. With an older checkout in the fleet all this is off.

--- /dev/null
+++ b/tests/soak/group.py
@@ -0,0 +1,86 @@
+"""The service of a soak, which reports what its members run and lose."""
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from tests.soak.oracle import Execution, Oracle
+from tests.soak.zone_faults import ZoneFaults
+from tests.support.line_member import Group, Member
+
+if TYPE_CHECKING:
+    from tests.soak.run import Soak
+
+__all__ = ["BOUND_TENANT", "REGIONS", "ObservedGroup"]
+
+REGIONS = {"a": "r1", "b": "r2"}
+BOUND_TENANT = 3  # whose statements may only run in some regions
+# A primary without a fault for as long is replaced only by a planned move.
+CALM_PRIMARY_SECONDS, CALM_SUCCESSOR_SECONDS = 10.0, 2.0
+
+
+class ObservedGroup(Group):
+    """A group that reports statements, commits and the rollbacks of a promotion to an oracle."""
+
+    oracle: Oracle
+    soak: "Soak"
+    faults: ZoneFaults | None = None
+    last_primary = ""
+    # The log of a primary that started again without it, until another member is promoted.
+    lost_log: tuple[Any, ...] = ()
+
+    def on_statement(self, tenant: str, key: str) -> None:
+        self.oracle.check_tenant(tenant, key)
+
+    def on_arrival(self, member: Member, peer: tuple[str, int], line: str) -> None:
+        if self.faults is not None:
+            self.faults.on_arrival(member, peer, line)
+
+    def on_zone(self, tenant: str, zone: str, arrived_at: float, peer: tuple[str, int]) -> None:
+        if self.faults is not None and tenant == f"t{BOUND_TENANT}":
+            self.faults.check_region(tenant, REGIONS[zone], arrived_at, peer)
+
+    def on_write(self, value: str, execution: Execution) -> None:
+        self.oracle.check_write(value, execution)
+
+    def on_transaction_read(self, execution: Execution) -> None:
+        self.oracle.check_transaction_read(execution)
+
+    def on_operation(self, tenant: str) -> None:
+        self.oracle.record_operation(tenant, asyncio.get_running_loop().time())
+
+    def commit(self, writes: list[tuple[str, str]]) -> None:
+        self.oracle.record_commit(writes)
+        super().commit(writes)
+
+    @property
+    def newest_log(self) -> list[Any]:
+        newest = super().newest_log
+        if any(member.is_primary for member in self.members.values()):
+            return newest
+        return max(newest, list(self.lost_log), key=len)
+
+    def lose_log(self, member: Member) -> None:
+        """Keep the log of a primary that starts again, as its commits may be nowhere else."""
+        if not any(m.is_primary for m in self.members.values() if m is not member):
+            self.lost_log = tuple(self.newest_log)
+
+    def promote(self, instance: str) -> None:
+        member = self.members[instance]
+        if not member.is_primary:
+            lost = self.newest_log[len(member.log) :]
+            for _, writes in lost:
+                self.oracle.record_rollback(writes)
+            if lost and self.last_primary != instance:
+                self._check_move(instance, len(lost))
+            self.lost_log, self.last_primary = (), instance
+        super().promote(instance)
+
+    def _check_move(self, instance: str, lost_count: int) -> None:
+        """Check that a primary without a fault lost no commits when it was replaced."""
+        is_calm = self.soak.is_calm_member
+        if is_calm(self.last_primary, CALM_PRIMARY_SECONDS) and is_calm(
+            instance, CALM_SUCCESSOR_SECONDS
+        ):
+            text = f"{lost_count} commits of {self.last_primary} were not at {instance}"
+            self.oracle.add_problem(f"LOST: {text} in a planned move ({time.time():.3f})")
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -82,7 +82,8 @@
 
     def __init__(self, member: Member) -> None:
         super().__init__(member)
-        self._unprocessed: deque[str] = deque()
+        self._unprocessed: deque[tuple[float, str]] = deque()
+        self._arrived_at = 0.0  # of the line that is processed
         self._is_busy = False
         self.aborted = False
         self._transaction_counted = False  # whether the open transaction has been reported
@@ -90,13 +91,14 @@
         self._shape = ""
 
     def handle_line(self, line: str) -> None:
-        self._unprocessed.append(line)
+        self._unprocessed.append((asyncio.get_running_loop().time(), line))
+        self.member.group.on_arrival(self.member, self.transport.get_extra_info("peername"), line)
         self.member.pending_connections.add(self)
         self.process_lines()
 
     def process_lines(self) -> None:
         while self._unprocessed and not self._is_busy and not self.member.paused:
-            line = self._unprocessed.popleft()
+            self._arrived_at, line = self._unprocessed.popleft()
             seconds = self._service_seconds(line)
             if not seconds:
                 self._execute(line)
@@ -161,7 +163,8 @@
 
     def _report_zone(self) -> None:
         assert isinstance(self.member, SlottedMember)
-        self.member.group.on_zone(self.tenant, self.member.zone)
+        peer = self.transport.get_extra_info("peername")
+        self.member.group.on_zone(self.tenant, self.member.zone, self._arrived_at, peer)
 
     def _count_operation(self) -> None:
         if self.state != "T" or not self._transaction_counted:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,14 +1,21 @@
 """Client workload and fault injection of one soak run."""
 
 import asyncio
+import contextlib
+import json
 import random
 import signal
-from collections.abc import Callable
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from tests.soak.group import BOUND_TENANT, REGIONS, ObservedGroup
 from tests.soak.members import SlottedMember
-from tests.soak.oracle import TENANTS, Execution, Oracle, RequestedWrite, Verdict
-from tests.support.line_member import Group, Member
+from tests.soak.oracle import TENANTS, Oracle, RequestedWrite, Verdict
+from tests.soak.zone_faults import FIRST_BORN_AGE_MS, WARM_UP, ZoneFaults
+from tests.soak.zone_rules import HomeRegions
+from tests.support.line_member import Member
 from tests.support.platform_fleet import (
     DEFAULT_NETWORK,
     LineClient,
@@ -26,9 +33,8 @@
 PAUSE_INTERVAL_SECONDS = (2.0, 6.0)
 RECOVERY_SECONDS = 6.0
 DATABASES = ("orders", "carts")
-REGIONS = {"a": "r1", "b": "r2"}
-# A tenant whose statements may only run in this region.
-BOUND_TENANT, BOUND_REGION = 3, "r1"
+FIRST_BOUND_REGIONS = ["r1"]
+CONFIG_APPLY_SECONDS = 5.0  # config-apply-ms
 CONFIG_PROPAGATION_SECONDS = 3.0  # after an acknowledgement, with two concurrent faults
 DISK_RECOVERY_SECONDS = 1.0  # for a retry, every 0.5 s, and the catch-up with the leader
 # Limit of each tenant: its three clients stay below it, OVERLOAD_CLIENTS more exceed it.
@@ -42,40 +48,6 @@
 KEY_REVOCATION_SECONDS = 5.0  # after which a revoked key must not open a session
 
 
-class ObservedGroup(Group):
-    """A group that reports statements, commits and the rollbacks of a promotion to an oracle."""
-
-    oracle: Oracle
-    is_bound = False  # whether the statements of one tenant are bound to a region
-
-    def on_statement(self, tenant: str, key: str) -> None:
-        self.oracle.check_tenant(tenant, key)
-
-    def on_zone(self, tenant: str, zone: str) -> None:
-        if self.is_bound and tenant == f"t{BOUND_TENANT}" and REGIONS[zone] != BOUND_REGION:
-            self.oracle.add_problem(f"HOME: a statement of {tenant} arrived in zone {zone}")
-
-    def on_write(self, value: str, execution: Execution) -> None:
-        self.oracle.check_write(value, execution)
-
-    def on_transaction_read(self, execution: Execution) -> None:
-        self.oracle.check_transaction_read(execution)
-
-    def on_operation(self, tenant: str) -> None:
-        self.oracle.record_operation(tenant, asyncio.get_running_loop().time())
-
-    def commit(self, writes: list[tuple[str, str]]) -> None:
-        self.oracle.record_commit(writes)
-        super().commit(writes)
-
-    def promote(self, instance: str) -> None:
-        member = self.members[instance]
-        if not member.is_primary:
-            for _, writes in self.newest_log[len(member.log) :]:
-                self.oracle.record_rollback(writes)
-        super().promote(instance)
-
-
 class SoakClient:
     """A client with its own key that runs consecutive sessions on random proxies."""
 
@@ -264,6 +236,10 @@
         self.stopping: set[str] = set()
         # Per host, the event loop's time at which the last fault on its process ended.
         self.disturbed_at: dict[str, float] = {}
+        self.member_disturbed_at: dict[str, float] = {}
+        self._member_faults: Counter[str] = Counter()
+        self.bound_regions = FIRST_BOUND_REGIONS
+        self.homes = HomeRegions(CONFIG_APPLY_SECONDS)
 
     async def run(self) -> Verdict:
         fleet = PlatformFleet(
@@ -279,15 +255,22 @@
             other_checkout=self.beside,
         )
         assert isinstance(fleet.group, ObservedGroup)
-        fleet.group.oracle = self.oracle
-        fleet.group.is_bound = self.is_bound
-        self.fleet = fleet
+        fleet.group.oracle, fleet.group.soak = self.oracle, self
+        fleet.group.last_primary = fleet.group.primary.instance
+        self.fleet, self.group = fleet, fleet.group
+        if self.has_zone_faults:
+            fleet.group.faults = ZoneFaults(self)
+            for member in fleet.members:
+                member.born = int(time.time() * 1000) - FIRST_BORN_AGE_MS
         async with fleet:
-            await fleet.until(lambda: fleet.put(self._build_config()), 200)
+            await fleet.until(lambda: fleet.put(self.build_config()), 200)
+            self.homes.accept(self.config_version, asyncio.get_running_loop().time())
             await asyncio.sleep(1.0)  # until all gateways have the configuration
             clients = [asyncio.ensure_future(SoakClient(self, n).run()) for n in range(CLIENTS)]
             faults = [asyncio.ensure_future(self._inject_faults()) for _ in range(2)]
             faults.append(asyncio.ensure_future(self._pause_members()))
+            if fleet.group.faults is not None:
+                faults += fleet.group.faults.start()
             await asyncio.sleep(self.seconds)
             for task in faults:
                 task.cancel()
@@ -310,28 +293,35 @@
             self.oracle.check_final_state(primary_values)
         return self.oracle.verdict
 
-    def _build_config(self) -> dict[str, object]:
-        services = [{"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}]
+    def build_config(self) -> dict[str, object]:
+        service = {"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}
+        services = [service | WARM_UP if self.has_zone_faults else service]
         tenants: list[dict[str, object]] = [
             {"name": f"t{number}", "api-keys": [key], "rate-per-s": RATE_PER_SECOND, "burst": BURST}
             for number, key in enumerate(self.api_keys)
         ]
-        if self.is_bound:
-            tenants[BOUND_TENANT]["allowed-regions"] = [BOUND_REGION]
+        if self.has_zone_faults:
+            tenants[BOUND_TENANT]["allowed-regions"] = self.bound_regions
+            self.homes.send(self.config_version, self.bound_regions)
         document = configuration(self.config_version, services=services, tenants=tenants)
         first = document["routes"][0]
         document["routes"] += [{**first, "name": f"r-{d}", "host": d} for d in self.added_databases]
         return document
 
     @property
-    def is_bound(self) -> bool:
-        """Whether a tenant is bound to a region; earlier versions ignore that."""
+    def has_zone_faults(self) -> bool:
+        """Whether lives, evacuations and regions are tested; earlier versions ignore them."""
         return self.beside is None
 
     def _check_logs(self) -> None:
-        for host in self.fleet.proxy_hosts:
-            if '"event":346' in self.fleet.log(host):
-                self.oracle.add_problem(f"HOME: {host} was sent a text from outside its region")
+        offset = time.time() - asyncio.get_running_loop().time()
+        for number, host in enumerate(self.fleet.proxy_hosts):
+            region = REGIONS[self.fleet.zones[number % len(self.fleet.zones)]]
+            for line in self.fleet.log(host).splitlines():
+                if '"event":346' not in line:
+                    continue
+                if not self.homes.allows(region, json.loads(line)["time"] - offset):
+                    self.oracle.add_problem(f"HOME: {host} was sent a text of other regions {line}")
         for host in [*self.fleet.proxy_hosts, *self.fleet.control_hosts]:
             if "secret-" in self.fleet.log(host):
                 self.oracle.add_problem(f"SECRET: a key stands in the log of {host}")
@@ -399,17 +389,19 @@
         """Multiply the service times of a member for a while."""
         member = self.random.choice(self.fleet.members)
         assert isinstance(member, SlottedMember)
-        member.slowdown = SLOWDOWN_FACTOR
-        await asyncio.sleep(self.random.uniform(*LOAD_FAULT_SECONDS))
-        member.slowdown = 1.0
+        with self.disturb_member(member):
+            member.slowdown = SLOWDOWN_FACTOR
+            await asyncio.sleep(self.random.uniform(*LOAD_FAULT_SECONDS))
+            member.slowdown = 1.0
 
     async def _small_member(self) -> None:
         """Limit a member to one statement at a time, below the slots that it announced."""
         member = self.random.choice(self.fleet.members)
         assert isinstance(member, SlottedMember)
-        member.active_slots = 1
-        await asyncio.sleep(self.random.uniform(*LOAD_FAULT_SECONDS))
-        member.active_slots = member.slots
+        with self.disturb_member(member):
+            member.active_slots = 1
+            await asyncio.sleep(self.random.uniform(*LOAD_FAULT_SECONDS))
+            member.active_slots = member.slots
 
     async def _pause_members(self) -> None:
         """Pause members one at a time: they accept connections and lines, but process nothing.
@@ -424,22 +416,39 @@
             member.paused = True
             self.oracle.verdict.faults += 1
             self.fault_log.append(f"silence of {member.instance}")
-            try:
-                await asyncio.sleep(rng.uniform(*MEMBER_PAUSE_SECONDS))
-            finally:
-                member.resume()
+            with self.disturb_member(member):
+                try:
+                    await asyncio.sleep(rng.uniform(*MEMBER_PAUSE_SECONDS))
+                finally:
+                    member.resume()
 
     def is_undisturbed(self, host: str, since: float) -> bool:
         """Return whether no fault has affected the process of ``host`` after ``since``."""
         return host not in self.fleet.busy and self.disturbed_at.get(host, 0.0) < since
 
+    @contextlib.contextmanager
+    def disturb_member(self, member: Member) -> Iterator[None]:
+        """Mark a member as the target of a fault that makes it slow, silent or absent."""
+        self._member_faults[member.instance] += 1
+        try:
+            yield
+        finally:
+            self._member_faults[member.instance] -= 1
+            self.member_disturbed_at[member.instance] = asyncio.get_running_loop().time()
+
+    def is_calm_member(self, instance: str, seconds: float) -> bool:
+        """Return whether no fault has affected a member for some time."""
+        since = asyncio.get_running_loop().time() - seconds
+        disturbed_at = self.member_disturbed_at.get(instance, 0.0)
+        return not self._member_faults[instance] and disturbed_at < since
+
     async def _rotate_key(self) -> None:
         """Replace a tenant's key and check that the revoked one no longer opens a session."""
         number = self.random.randrange(TENANTS)
         old = self.api_keys[number]
         self.config_version += 1
         self.api_keys[number] = f"secret-{number}-{self.config_version}"
-        if not await self._put_config(self._build_config()):
+        if not await self.put_config(self.build_config()):
             return  # no clear answer: the change may or may not be in force
         await asyncio.sleep(KEY_REVOCATION_SECONDS)
         host = self._choose_available(self.fleet.proxy_hosts)
@@ -459,9 +468,9 @@
         self.config_version += 1
         database = f"added-{self.config_version}"
         self.added_databases.append(database)
-        document = self._build_config()
+        document = self.build_config()
         began = asyncio.get_running_loop().time()
-        if not await self._put_config(document):
+        if not await self.put_config(document):
             return  # no clear answer: the change may or may not be in force
         await asyncio.sleep(CONFIG_PROPAGATION_SECONDS)
         for host in self.fleet.proxy_hosts:
@@ -480,11 +489,13 @@
                     f"CONFIG: {host} does not know {database} of {self.config_version}"
                 )
 
-    async def _put_config(self, document: dict[str, object]) -> bool:
+    async def put_config(self, document: dict[str, object]) -> bool:
         hosts = self.fleet.control_hosts
         for host in [*hosts, *hosts, *hosts]:
             if await self.fleet.put(document, host) == 200:
-                self.accepted_version = max(self.accepted_version, int(str(document["version"])))
+                version = int(str(document["version"]))
+                self.accepted_version = max(self.accepted_version, version)
+                self.homes.accept(version, asyncio.get_running_loop().time())
                 return True
             await asyncio.sleep(0.5)
         return False
@@ -539,7 +550,7 @@
             self.fleet.restart(host)
             self.stopping.discard(host)
             await asyncio.sleep(1.0)
-            self._record_disturbance(host)
+            self.record_disturbance(host)
 
     async def _wait_for_exit(self, host: str) -> None:
         while self.fleet.processes[host].poll() is None:
@@ -563,19 +574,20 @@
                 await asyncio.sleep(self.random.uniform(*OUTAGE_SECONDS))
             finally:
                 process.send_signal(signal.SIGCONT)
-                self._record_disturbance(host)
+                self.record_disturbance(host)
 
-    def _record_disturbance(self, host: str) -> None:
+    def record_disturbance(self, host: str) -> None:
         self.disturbed_at[host] = asyncio.get_running_loop().time()
 
     async def _crash_primary(self) -> None:
-        primary = self.fleet.group.primary
+        primaries = [member for member in self.fleet.members if member.is_primary]
         if any(member.instance in self.fleet.busy for member in self.fleet.members):
             return  # at most one member may be down at a time
-        await self._crash(primary)
+        for primary in primaries:  # none during a planned move
+            await self._crash(primary)
 
     async def _crash(self, member: Member) -> None:
-        with self.fleet.mark_busy(member.instance):
+        with self.fleet.mark_busy(member.instance), self.disturb_member(member):
             self.fleet.states[member.instance] = "gone"
             member.stop()
             await asyncio.sleep(3.0)
@@ -604,3 +616,5 @@
             member.replication_paused = False
             if self.fleet.states.pop(member.instance, "") == "gone":
                 await member.start()
+        if self.group.faults is not None:
+            await self.group.faults.clear()
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -58,6 +58,7 @@
     "rowanrail.tenants.quota",
     "rowanrail.tenants.quota_parameters",
     "rowanrail.tenants.sliding_window",
+    "tests.soak.zone_rules",
 )
 
 
