The soak's checks tell clients' statements, and look at the choice of a successor

The trace (logs of the gateway and the leader) shows a sample: the primary was in an evacuated zone and all statements were refused, so that the gateway asked the leaving member whether it leads. The rule is on statements of clients. A line of a process that had just been killed was taken for one of a gateway in touch.

Change: EVAC and DRAIN count lines with an id; FAILBACK still counts a gateway's own commands, too. A sender without a process isn't in touch. New: a promoted member must not lack commits that a member without a fault has had for 2 s; the control nodes know exactly the members at the end; an evacuation lasts until gateways that started after a kill of all processes are in touch.

--- a/tests/soak/group.py
+++ b/tests/soak/group.py
@@ -26,6 +26,7 @@
     soak: "Soak"
     faults: ZoneFaults | None = None
     last_primary = ""
+    commit_times: list[float]  # of the entries of the log
     # The log of a primary that started again without it, until another member is promoted.
     lost_log: tuple[Any, ...] = ()
 
@@ -52,6 +53,8 @@
     def commit(self, writes: list[tuple[str, str]]) -> None:
         self.oracle.record_commit(writes)
         super().commit(writes)
+        del self.commit_times[len(self.primary.log) - 1 :]
+        self.commit_times.append(asyncio.get_running_loop().time())
 
     @property
     def newest_log(self) -> list[Any]:
@@ -73,9 +76,23 @@
                 self.oracle.record_rollback(writes)
             if lost and self.last_primary != instance:
                 self._check_move(instance, len(lost))
+            self._check_choice(member)
             self.lost_log, self.last_primary = (), instance
         super().promote(instance)
 
+    def _check_choice(self, chosen: Member) -> None:
+        """Check that no other member without a fault has had more of the log for some time."""
+        now = asyncio.get_running_loop().time()
+        for member in self.members.values():
+            if not self.soak.is_calm_member(member.instance, CALM_SUCCESSOR_SECONDS):
+                continue
+            if self.faults is not None and self.faults.is_evacuated(member.zone):
+                continue  # it may be closed, so that its status isn't asked
+            missing = self.commit_times[len(chosen.log) : len(member.log)]
+            if missing and now - missing[0] > CALM_SUCCESSOR_SECONDS:
+                text = f"{len(missing)} commits of {member.instance} were not at {chosen.instance}"
+                self.oracle.add_problem(f"LOST: {text} at its promotion ({time.time():.3f})")
+
     def _check_move(self, instance: str, lost_count: int) -> None:
         """Check that a primary without a fault lost no commits when it was replaced."""
         is_calm = self.soak.is_calm_member
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -256,6 +256,7 @@
         )
         assert isinstance(fleet.group, ObservedGroup)
         fleet.group.oracle, fleet.group.soak = self.oracle, self
+        fleet.group.commit_times = []
         fleet.group.last_primary = fleet.group.primary.instance
         self.fleet, self.group = fleet, fleet.group
         if self.has_zone_faults:
@@ -287,6 +288,8 @@
             self.oracle.check_limits(RATE_PER_SECOND, BURST)
             self.linked_proxies = await self._count_linked_proxies()
             self._check_logs()
+            if fleet.group.faults is not None:
+                await fleet.group.faults.check_members()
             await self._check_config_versions()
             self.oracle.check_promotions(fleet.platform.calls)
             primary_values = {value for _, writes in fleet.group.primary.log for _, value in writes}
--- a/tests/soak/zone_faults.py
+++ b/tests/soak/zone_faults.py
@@ -32,7 +32,9 @@
 STRANGER_INTERVAL_SECONDS = (0.5, 2.0)
 KILL_INTERVAL_SECONDS = (10.0, 30.0)
 EVACUATED_SECONDS = (6.0, 16.0)
-LEAVING_SECONDS = (7.5, 9.0)
+# Gateways that started again are in touch for some seconds, so that a lost evacuation is noticed.
+EVACUATED_AFTER_KILL_SECONDS = 13.0
+LEAVING_SECONDS = (8.0, 12.0)
 OUTAGE_SECONDS = (0.3, 2.0)
 RETRY_SECONDS = 0.3
 LEAVING_SHARE = 0.35
@@ -50,7 +52,7 @@
         self._leaving = Deadlines(DRAIN_SECONDS)
         self._cold = ColdMembers(WARM_UP_SECONDS, COLD_EXCESS * WARM_UP_RATE + COLD_SLACK)
         self._reported: set[tuple[str, str, float]] = set()
-        self._ordered: set[str] = set()
+        self._ordered: dict[str, bool] = {}  # whether a zone's last order is an evacuation
         self._killed_at = float("-inf")
         first, _, _ = self._fleet.members[0].host.rpartition(".")
         self._stranger_address = f"{first}.99", MEMBER_PORT
@@ -80,22 +82,34 @@
         if self._stranger is not None:
             self._stranger.close()
 
+    def is_evacuated(self, zone: str) -> bool:
+        return self._ordered.get(zone, False)
+
+    async def check_members(self) -> None:
+        """Check that the control nodes know the members, and no others."""
+        expected = f"rowanrail_control_members {float(len(self._fleet.members))}"
+        for host in self._fleet.control_hosts:
+            if expected not in await self._fleet.metrics(host):
+                self._report("ANNOUNCED", host, 0.0, "it does not know exactly the members")
+
     # What arrives at the members
 
     def on_arrival(self, member: Member, peer: tuple[str, int], line: str) -> None:
         """Check a line that a member received."""
-        words = line.split(" ")[2:]
-        if words[:1] == ["AFTER"]:
-            words = words[2:]
-        if not line.startswith("QUERY") or not words or words[0] not in CLIENT_WORDS:
+        words = line.split(" ")
+        if words[0] != "QUERY":
+            return
+        is_client = words[1] != "-"  # a gateway's own commands, such as samples, have no id
+        words = words[4:] if words[2] == "AFTER" else words[2:]
+        if words[0] not in CLIENT_WORDS:
             return
         now = self._now()
         zone, instance = member.zone, member.instance
-        if self._evacuated.is_overdue(zone, now):
+        if is_client and self._evacuated.is_overdue(zone, now):
             began = self._evacuated.began(zone)
             rule = "LOST" if self._killed_at > began else "EVAC"
             self._report_sender(rule, zone, began, peer, f"{line} at {instance}")
-        if self._leaving.is_overdue(instance, now):
+        if is_client and self._leaving.is_overdue(instance, now):
             self._report_sender("DRAIN", instance, self._leaving.began(instance), peer, line)
         count = self._cold.count(instance, now)
         if count and self._cold.is_exceeded(instance):
@@ -121,7 +135,8 @@
             return
         host = find_sender(peer[1], self._fleet.processes)
         now = self._now()
-        if self._soak.is_undisturbed(host, now - CONTACT_SECONDS):
+        # Without a host, the process has been killed since.
+        if host and self._soak.is_undisturbed(host, now - CONTACT_SECONDS):
             self._report(rule, name, began, f"{host} sent {text}, {now - began:.1f} s later")
 
     def _report(self, rule: str, name: str, key: float, text: str) -> None:
@@ -139,12 +154,14 @@
             zone, seconds = rng.choice(ZONES), rng.uniform(*EVACUATED_SECONDS)
             repeats = rng.random() < 0.5
             self._log(f"evacuation of {zone}")
-            self._ordered.add(zone)
+            self._ordered[zone] = True
             await self._evacuate(zone)
             await asyncio.sleep(seconds / 2)
             if repeats:
                 await self._evacuate(zone)
             await asyncio.sleep(seconds / 2)
+            while self._now() - self._killed_at < EVACUATED_AFTER_KILL_SECONDS:
+                await asyncio.sleep(RETRY_SECONDS)
             self._log(f"end of the evacuation of {zone}")
             await self._end_evacuation(zone)
 
@@ -161,6 +178,7 @@
                 if member.zone == zone:
                     self._cold.begin(member.instance, now)
         await self._order(self._fleet.end_evacuation, zone, lambda: None)
+        self._ordered[zone] = False
 
     async def _order(
         self, call: Callable[..., Any], zone: str, on_acknowledged: Callable[[], None]
