A primary that falls silent in a closed zone is replaced

Cause: nothing is sent to members of a closed zone, so that no observer reports a primary that crashes there, and statements that need it were refused until the evacuation ended. An operator evacuates a zone because it is failing.

Change: its heartbeats decide. Once they have been missing for 3 s, a member that may serve is promoted; while they arrive it stays, since it may have acknowledged commits that no replica has received.

Tests: the rule, and a controller in simulated time; both failed first (no order within 20 s).

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -28,6 +28,7 @@
 # A silent member may return with a longer log than an incomplete one that answers. Longer than a
 # process takes to start again, and than most partitions last.
 GONE_FOR_GOOD_SECONDS = 20.0
+CLOSED_SILENCE_SECONDS = 3.0  # more than two heartbeat intervals of 1.2 s
 # A leaving primary serves for a few seconds; a single answer may be lost, or refused as busy.
 LEAVING_SILENCE_SECONDS = 1.0
 
@@ -43,6 +44,7 @@
         :mod:`lost_logs`.
     :param may_serve: whether it may run the statements that need the primary, by its zone.
     :param is_warming: whether it, or its zone's use, began a short time ago.
+    :param is_closed: whether nothing is sent to it, as its zone was evacuated a while ago.
     """
 
     record: MemberRecord
@@ -53,6 +55,7 @@
     is_incomplete: bool = False
     may_serve: bool = True
     is_warming: bool = False
+    is_closed: bool = False
 
 
 class ReportView(msgspec.Struct, frozen=True):
@@ -143,6 +146,8 @@
     candidate = _best_candidate(view)
     if candidate is None:
         return Decision(Action.WAIT, "no candidate answers")
+    if not candidate.may_serve and any(member.is_closed for member in view.members):
+        return Decision(Action.WAIT, "no candidate may serve outside the closed zones")
     if candidate.is_incomplete and any(_may_return(view, member) for member in view.members):
         return Decision(
             Action.WAIT, "a silent member may have received more than those that answer"
@@ -167,6 +172,8 @@
         return ""
     if not primaries:
         return "no member leads" if view.holding_for > NEW_LEADER_SECONDS else ""
+    if all(member.is_closed for member in primaries):
+        return _loss_in_closed_zone(view, primaries)
     if all(member.record.leaving for member in primaries) and (
         view.unanswered_for >= LEAVING_SILENCE_SECONDS
     ):
@@ -178,6 +185,19 @@
     return _reported_loss(view, {member.record.instance for member in primaries})
 
 
+def _loss_in_closed_zone(view: ServiceView, primaries: list[MemberView]) -> str:
+    """Return why a primary must be replaced to which nothing is sent; empty if it need not be.
+
+    Its heartbeats are the only sign of life. While they arrive, it may have acknowledged commits
+    that no replica has received, so that it isn't replaced.
+    """
+    silent_for = min(member.heartbeat_ago for member in primaries)
+    is_silent = min(silent_for, view.holding_for) >= CLOSED_SILENCE_SECONDS
+    if is_silent and any(member.may_serve for member in view.members):
+        return "the primary is silent, and its zone is closed"
+    return ""
+
+
 def _reported_loss(view: ServiceView, primaries: set[str]) -> str:
     live = [report for report in view.reports if report.age < MAX_REPORT_AGE_SECONDS]
     failing = [
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -302,7 +302,10 @@
             service
         ):
             return False
-        return any(member.primary and not member.leaving for member in self._members(service))
+        return any(
+            member.primary and not member.leaving and not self._is_closed(member)
+            for member in self._members(service)
+        )
 
     async def _replace_primary(
         self, service: str, first: Decision, demotion: Demotion | None
@@ -356,6 +359,7 @@
                     bool(status and self._joined[service].is_incomplete(record, status.received)),
                     placement.may_serve(record),
                     placement.is_warming(record, time.time() * 1000),
+                    self._is_closed(record),
                 )
             )
         health = primary_health_report(self._trackers[service], now)
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -149,6 +149,24 @@
         )
         self.assertEqual(self.decide(reports).instance, "m3")
 
+    def test_a_silent_primary_in_a_closed_zone_is_replaced_by_a_member_that_may_serve(self):
+        # Nothing is sent to it, so that no gateway can tell whether it has crashed.
+        closed = {"primary": True, "may_serve": False, "is_closed": True}
+        self.members[0] = member("m1", ago=3.1, **closed)
+        decision = self.decide([])
+        self.assertIs(decision.action, Action.PROMOTE)
+        self.assertEqual(decision.instance, "m2")
+        self.assertIs(self.decide([], holding=2.0).action, Action.WAIT)
+        self.members[0] = member("m1", ago=1.3, **closed)
+        self.assertIs(self.decide([]).action, Action.WAIT)
+
+    def test_a_primary_in_a_closed_zone_stays_if_no_member_may_serve(self):
+        self.members = [
+            member(name, primary=name == "m1", may_serve=False, is_closed=name == "m1", ago=9.0)
+            for name in ("m1", "m2")
+        ]
+        self.assertIs(self.decide([], fresh=False).action, Action.WAIT)
+
     def test_a_leaving_replica_is_no_candidate(self):
         self.members[1] = member("m2", leaving=True, leads=False, term=1, received=Position(1, 9))
         decision = self.decide([failing("g1"), failing("leader")])
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -327,6 +327,28 @@
             self.lose_primary()
             await self.wait_until(lambda: not self.primary().silent)
 
+    def test_a_primary_that_falls_silent_in_a_closed_zone_is_replaced(self):
+        async def scenario():
+            primary, *others = self.platform.members
+            for member in others:
+                member.zone = "z2"
+            await asyncio.sleep(1.0)
+            for member in others:
+                member.deaf = set(CommandKind)  # so that the primary does not move
+            control = self.controls.nodes[0]
+            order = control.node.service.set_evacuation("z1", True)
+            await self.controls.world.run_in(self.controls.world.process(control.name), order)
+            await asyncio.sleep(5.0)
+            for member in others:
+                member.deaf = set()
+            await asyncio.sleep(5.0)
+            self.assertEqual(self.platform.orders, [])
+            primary.silent = True
+            await self.wait_until(lambda: not primary.leads)
+            self.assertEqual(len(self.platform.orders), 1)
+
+        self.run_scenario(scenario)
+
 
 class PlannedMoveTest(ControllerTestCase):
     """Moves of a primary that still serves; no promotion may lose a commit that it received."""
