A move or failover ends when its node no longer leads

Cause: a move that asked for statuses while its node lost the lead, or whose service left the configuration, read a tracker that was discarded; its task ended with a KeyError that nobody handled.

Change: the view of such a service raises NotLeaderError, which ends a move as it does a failover.

Test: tests.coordination.test_failover_controller, a move ends when its leader no longer leads; it failed before.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from rowanrail.consensus.errors import NotLeaderError
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.commands import IntendPromotion, Promotion
 from rowanrail.coordination.events import PROMOTION_ANSWERED, PROMOTION_DECIDED, PROMOTION_WAITS
@@ -340,6 +341,13 @@
     def _view(
         self, service: str, statuses: dict[str, StatusReply], statuses_fresh: bool = False
     ) -> ServiceView:
+        """Return the input to the rules.
+
+        :raises NotLeaderError: if this node stopped leading, or the service left the configuration.
+        """
+        tracker = self._trackers.get(service)
+        if tracker is None:
+            raise NotLeaderError(self._node.leader_address(), f"replace the primary of {service}")
         now = self._now()
         liveness = self._service.liveness
         placement = self._placement()
@@ -358,7 +366,7 @@
                     placement.is_warming(record, time.time() * 1000),
                 )
             )
-        health = primary_health_report(self._trackers[service], now)
+        health = primary_health_report(tracker, now)
         own = report_view(LOCAL_SOURCE, health, age=0.0)
         holding_since = now if self._leading_since is None else self._leading_since
         return ServiceView(
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -252,12 +252,13 @@
         What is left undone is decided by
         :func:`~rowanrail.coordination.moves.decide_after_demotion`.
         """
-        found = await self._find_successor(service, reason)
-        if found is None:
-            return
-        former, successor, term = found
-        lines = [self._queries.connect(member.record) for member in (former, successor)]
+        lines: list[MemberLine] = []
         try:
+            found = await self._find_successor(service, reason)
+            if found is None:
+                return
+            former, successor, term = found
+            lines = [self._queries.connect(member.record) for member in (former, successor)]
             if not all([await line.opens() for line in lines]):
                 self._wait(service, reason, "no connection to the primary or its successor")
                 return
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -1,6 +1,7 @@
 """The failover controller, from a lost primary to the promotion orders, in virtual time."""
 
 import asyncio
+import gc
 import random
 import unittest
 from collections.abc import Callable
@@ -517,6 +518,24 @@
 
         self.run_scenario(scenario)
 
+    def test_a_move_ends_when_its_leader_no_longer_leads(self):
+        async def scenario():
+            self.first.received = Position(1, 20)  # so that successors are looked for
+            self.first.leaving = True
+            await self.wait_until(lambda: CommandKind.STATUS in self.first.asked)
+            raft = self.leader().node.consensus.raft
+            with (
+                patch.object(type(raft), "is_established_leader", False),
+                patch.object(self.controls.world, "note") as note,
+            ):
+                await asyncio.sleep(1.5)
+                gc.collect()  # reports errors of tasks that nobody awaited
+            errors = [call.args[0] for call in note.mock_calls if "KeyError" in call.args[0]]
+            self.assertEqual(errors, [])
+            self.assertEqual(self.orders(), [])
+
+        self.run_scenario(scenario)
+
     def test_an_order_without_an_answer_is_repeated_for_the_same_member(self):
         # The first order is carried out while the second one is under way; another member would
         # be as good, but for what the first one acknowledges meanwhile.
