A completed move does not decide who follows a later primary

Cause: the log keeps the former primary of the last planned move. Once the member that followed it was removed, the former one, by then a replica, was taken for demoted a moment ago: after a second it was promoted again with the log that it had, also where acknowledging replicas that did not answer had more.

Change: a leader that saw another primary after a planned promotion takes that move for completed.

Test: tests.coordination.test_failover_controller, a completed move; it failed before.

--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -120,6 +120,9 @@
         """Forget the moves under way, as the node no longer leads."""
         self._demoted: dict[str, _Demoted] = {}
         self._leaderless_since: dict[str, float] = {}
+        self._completed: dict[
+            str, int
+        ] = {}  # fencing tokens of moves
         self._silent_since: dict[str, float] = {}  # of primaries
         self._refused_at: dict[str, float] = {}  # of members
         self._retry_at: dict[str, float] = {}
@@ -166,7 +169,7 @@
         """Return the demotion that is not yet followed by a new primary, None without one.
 
         A leader that took over learns it from the log: a planned promotion, and no member that
-        announces itself as primary.
+        announces itself as primary, nor one that did so after it.
         """
         promotion = self._service.state.promotions.get(service)
         demoted = self._demoted.get(service)
@@ -183,6 +186,10 @@
         assert promotion is not None and isinstance(promotion.former, str)
         if primary is not None:
             self._leaderless_since.pop(service, None)
+            if primary.instance != promotion.former:
+                self._completed[service] = promotion.token
+            return None
+        if self._completed.get(service) == promotion.token:
             return None
         since = self._leaderless_since.setdefault(service, self._now())
         return Demotion(promotion.former, promotion.instance, self._now() - since)
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -518,6 +518,20 @@
 
         self.run_scenario(scenario)
 
+    def test_a_completed_move_does_not_decide_who_follows_a_later_primary(self):
+        # The former primary is a replica now: others may have acknowledged what it lacks.
+        async def scenario():
+            self.leave()
+            await self.wait_until(lambda: self.third.leads)
+            await asyncio.sleep(2.0)
+            self.first.leaving, self.third.silent = False, True
+            leader = self.leader()
+            process = self.controls.world.process(leader.name)
+            await self.controls.world.run_in(process, leader.node.service.remove("m3"))
+            self.assertIsNone(leader.node.failover.mover.demotion("db"))
+
+        self.run_scenario(scenario)
+
     def test_a_move_ends_when_its_leader_no_longer_leads(self):
         async def scenario():
             self.first.received = Position(1, 20)  # so that successors are looked for
