--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -1,6 +1,7 @@
 """The failover controller, from a lost primary to the promotion orders, in virtual time."""
 
 import asyncio
+import gc
 import random
 import unittest
 from collections.abc import Callable
@@ -539,6 +540,38 @@
 
         self.run_scenario(scenario)
 
+    def test_a_completed_move_does_not_decide_who_follows_a_later_primary(self):
+        # The former primary is a replica now: others may have acknowledged what it lacks.
+        async def scenario():
+            self.leave()
+            await self.wait_until(lambda: self.third.leads)
+            await asyncio.sleep(2.0)
+            self.first.leaving, self.third.silent = False, True
+            leader = self.leader()
+            process = self.controls.world.process(leader.name)
+            await self.controls.world.run_in(process, leader.node.service.remove("m3"))
+            self.assertIsNone(leader.node.failover.mover.demotion("db"))
+
+        self.run_scenario(scenario)
+
+    def test_a_move_ends_when_its_leader_no_longer_leads(self):
+        async def scenario():
+            self.first.received = Position(1, 20)  # so that successors are looked for
+            self.first.leaving = True
+            await self.wait_until(lambda: CommandKind.STATUS in self.first.asked)
+            raft = self.leader().node.consensus.raft
+            with (
+                patch.object(type(raft), "is_established_leader", False),
+                patch.object(self.controls.world, "note") as note,
+            ):
+                await asyncio.sleep(1.5)
+                gc.collect()  # reports errors of tasks that nobody awaited
+            errors = [call.args[0] for call in note.mock_calls if "KeyError" in call.args[0]]
+            self.assertEqual(errors, [])
+            self.assertEqual(self.orders(), [])
+
+        self.run_scenario(scenario)
+
     def test_an_order_without_an_answer_is_repeated_for_the_same_member(self):
         # The first order is carried out while the second one is under way; another member would
         # be as good, but for what the first one acknowledges meanwhile.
