Announcements are applied without a walk over all members

Cause: the member at an address and the other primaries of a service were looked for among all members at each announcement.

Change: the state has an index by address, and a member that is its service's primary already demotes no other.

Test: tests.coordination.test_state, starts are recorded without a walk; it failed before. A member that changed its address is tested as well.

--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -120,9 +120,7 @@
         """Forget the moves under way, as the node no longer leads."""
         self._demoted: dict[str, _Demoted] = {}
         self._leaderless_since: dict[str, float] = {}
-        self._completed: dict[
-            str, int
-        ] = {}  # fencing tokens of moves
+        self._completed: dict[str, int] = {}  # fencing tokens of moves
         self._silent_since: dict[str, float] = {}  # of primaries
         self._refused_at: dict[str, float] = {}  # of members
         self._retry_at: dict[str, float] = {}
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -98,6 +98,7 @@
         self.urgent_revision = saved.revision
         self._change = DirectoryChange(saved.revision)
         self.members = dict(saved.members)
+        self._at_address = {known.address: known.instance for known in self.members.values()}
         ended = saved.ended_starts or {}
         self.removed = {instance: ended.get(instance, 0) for instance in saved.removed}
         self.earlier_starts = dict(saved.earlier_starts or {})
@@ -302,21 +303,27 @@
 
     def _set_member(self, record: MemberRecord) -> None:
         step = MemberChange(self.members.get(record.instance), record)
+        if step.before is not None:
+            self._leave_address(step.before)
         self.members[record.instance] = record
+        self._at_address[record.address] = record.instance
         self._change.members.append(step)
 
     def _drop_member(self, instance: str) -> bool:
         record = self.members.pop(instance, None)
         if record is not None:
+            self._leave_address(record)
             self._change.members.append(MemberChange(record, None))
         return record is not None
 
+    def _leave_address(self, record: MemberRecord) -> None:
+        if self._at_address.get(record.address) == record.instance:
+            del self._at_address[record.address]
+
     def member_at_address(self, record: MemberRecord) -> MemberRecord | None:
         """Return the other member at a member's address, None if there is none."""
-        for known in self.members.values():
-            if known.address == record.address and known.instance != record.instance:
-                return known
-        return None
+        instance = self._at_address.get(record.address, record.instance)
+        return None if instance == record.instance else self.members.get(instance)
 
     def order_of(self, record: MemberRecord) -> LifeOrder:
         """Return how the life of an announcement relates to the known one of its instance."""
@@ -365,6 +372,9 @@
     def _demote_others(self, record: MemberRecord) -> None:
         # A service has one primary. The former one may be cut off and unable to announce that it
         # no longer leads.
+        before = self.members.get(record.instance)
+        if before is not None and before.primary and before.service == record.service:
+            return
         for known in list(self.members.values()):
             if known.instance == record.instance:
                 continue
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -55,6 +55,28 @@
         self.assertFalse(self.state.needs_announcement(record(sequence=2)))
         self.assertTrue(self.state.needs_announcement(record(sequence=2, leaving=True)))
 
+    def test_starts_are_recorded_without_a_walk_over_all_members(self):
+        # All members announce theirs within a heartbeat once the feature level is raised.
+        class Members(dict):
+            def values(self):
+                raise AssertionError("walked")
+
+        for number in range(3):
+            self.apply(Announce(record(f"m{number}", 1, f"10.0.0.{number}:1", primary=number == 0)))
+        self.state.members = Members(self.state.members)
+        for number in range(3):
+            started = record(f"m{number}", 2, f"10.0.0.{number}:1", primary=number == 0)
+            self.apply(Announce(msgspec.structs.replace(started, start_ms=500)))
+        self.assertEqual([known.sequence for known in dict.values(self.state.members)], [2] * 3)
+
+    def test_a_member_that_moved_to_another_address_is_not_displaced_at_the_old_one(self):
+        self.apply(Announce(record("m1", 1, "10.0.0.1:1")))
+        self.apply(Announce(record("m1", 2, "10.0.0.2:1")))
+        self.apply(Announce(record("m2", 1, "10.0.0.1:1")))
+        self.assertEqual(sorted(self.state.members), ["m1", "m2"])
+        self.apply(Announce(record("m3", 1, "10.0.0.2:1")))
+        self.assertEqual(sorted(self.state.members), ["m2", "m3"])
+
     def test_a_member_that_warms_up_needs_no_entry_for_each_heartbeat(self):
         self.apply(Announce(record(sequence=1, cold_ms=4000)))
         self.assertFalse(self.state.needs_announcement(record(sequence=2, cold_ms=2800)))
