A leaving primary whose replicas receive nothing is replaced in time

Cause: a leaving primary was kept as long as no replica had received all of its log, so that statements reached it after the time in which it may get none (found by reading).

Change: 5 s after the leader learned that it leaves, the longest log is promoted. Tests: the rule, and a controller in simulated time, which failed first (the primary still led after 7 s).

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -28,6 +28,8 @@
 # A silent member may return with a longer log than an incomplete one that answers. Longer than a
 # process takes to start again, and than most partitions last.
 GONE_FOR_GOOD_SECONDS = 20.0
+# A leaving primary must get nothing after a few seconds, and then ends with what no replica has.
+MAX_LEAVING_SECONDS = 5.0
 CLOSED_SILENCE_SECONDS = 3.0  # more than two heartbeat intervals of 1.2 s
 # A leaving primary serves for a few seconds; a single answer may be lost, or refused as busy.
 LEAVING_SILENCE_SECONDS = 1.0
@@ -99,6 +101,8 @@
     :param acknowledging_replicas: number of replicas that must hold a commit before it is
         acknowledged.
     :param statuses_fresh: whether the members were just asked for their statuses.
+    :param leaving_for: for how many seconds the leader has known that the primary is leaving; 0 if
+        it isn't.
     :param unanswered_for: for how many seconds the primary has not answered the leader's status
         queries; 0 if it answered the last one, or was not asked.
     """
@@ -112,6 +116,12 @@
     acknowledging_replicas: int = 0
     statuses_fresh: bool = False
     unanswered_for: float = 0.0
+    leaving_for: float = 0.0
+
+    @property
+    def is_move_overdue(self) -> bool:
+        """Whether a leaving primary must be replaced, although no replica has all of its log."""
+        return self.leaving_for >= MAX_LEAVING_SECONDS
 
 
 class Action(enum.Enum):
@@ -139,7 +149,12 @@
         return Decision(Action.WAIT, "the primary serves")
     if not view.statuses_fresh:
         return Decision(Action.ASK_STATUSES, reason)
-    if any(member.leads and not member.is_incomplete for member in view.members):
+    if any(
+        member.leads
+        and not member.is_incomplete
+        and not (member.record.leaving and view.is_move_overdue)
+        for member in view.members
+    ):
         return Decision(Action.WAIT, "a member says that it leads")
     if not _covers_acknowledged_commits(view):
         return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
@@ -178,6 +193,8 @@
         view.unanswered_for >= LEAVING_SILENCE_SECONDS
     ):
         return "the primary is leaving and does not answer"
+    if view.is_move_overdue:
+        return "the primary is leaving, and no replica has received all of its log"
     if view.holding_for < NEW_LEADER_REPORTS_SECONDS:
         return ""
     if min(member.heartbeat_ago for member in primaries) < HEARTBEAT_SILENCE_SECONDS:
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -383,6 +383,7 @@
             self._acknowledging_replicas(service),
             statuses_fresh,
             self.mover.unanswered_for(service),
+            self.mover.leaving_for(service),
         )
 
     def _attempt_view(self, service: str, now: float) -> AttemptView | None:
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -51,6 +51,7 @@
         points=4,
         members=None,
         unanswered=0.0,
+        leaving=0.0,
     ):
         return decide(
             ServiceView(
@@ -62,6 +63,7 @@
                 points,
                 statuses_fresh=fresh,
                 unanswered_for=unanswered,
+                leaving_for=leaving,
             )
         )
 
@@ -138,6 +140,16 @@
         self.assertIs(decision.action, Action.PROMOTE)
         self.assertEqual(decision.instance, "m2")
 
+    def test_a_leaving_primary_is_replaced_in_time_even_if_no_replica_has_its_log(self):
+        # Members must get nothing some seconds after they said that they leave.
+        self.members[0] = member(
+            "m1", primary=True, leaving=True, ago=0.1, leads=True, term=1, received=Position(1, 99)
+        )
+        self.assertIs(self.decide([serving("g1")], leaving=4.9).action, Action.WAIT)
+        decision = self.decide([serving("g1")], leaving=5.0)
+        self.assertIs(decision.action, Action.PROMOTE)
+        self.assertEqual(decision.instance, "m2")
+
     def test_of_equal_logs_that_of_a_member_that_may_serve_is_preferred(self):
         reports = [failing("g1"), failing("leader")]
         longest = {"leads": False, "term": 1, "received": Position(1, 9)}
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -328,6 +328,16 @@
             self.lose_primary()
             await self.wait_until(lambda: not self.primary().silent)
 
+    def test_a_leaving_primary_whose_replicas_receive_nothing_is_replaced_in_time(self):
+        async def scenario():
+            primary = self.primary()
+            primary.received = Position(1, 20)
+            primary.leaving = True
+            await asyncio.sleep(7.0)
+            self.assertFalse(primary.leads)
+
+        self.run_scenario(scenario)
+
     def test_a_primary_that_falls_silent_in_a_closed_zone_is_replaced(self):
         async def scenario():
             primary, *others = self.platform.members
