--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -18,9 +18,11 @@
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.state import CoordinationState
 from rowanrail.kernel.http import HttpRequest
-from rowanrail_platform.control_api import ControlApi
+from tests.support import platform_path  # noqa: F401 - it is imported for its effect
 from tests.support.gateway import RecordingLog
 
+from rowanrail_platform.control_api import ControlApi  # isort: skip
+
 BORN = 1_700_000_000_000
 HEARTBEAT = {
     "service": "db",
--- a/tests/platform/test_evacuation_api.py
+++ b/tests/platform/test_evacuation_api.py
@@ -9,9 +9,11 @@
 from rowanrail.directory.messages import Evacuations
 from rowanrail.kernel.errors import TransportError
 from rowanrail.kernel.http import HttpRequest, serve
-from rowanrail_platform.control_api import ControlApi
+from tests.support import platform_path  # noqa: F401 - it is imported for its effect
 from tests.support.gateway import RecordingLog
 
+from rowanrail_platform.control_api import ControlApi  # isort: skip
+
 
 class FakeService:
     def __init__(self):
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from rowanrail_platform.announcements import Heartbeat
+from tests.support import platform_path  # noqa: F401 - it is imported for its effect
+
+from rowanrail_platform.announcements import Heartbeat  # isort: skip
 
 HEARTBEAT = {
     "service": "db",
