--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -7,18 +7,16 @@
 import functools
 from collections.abc import Callable
 
-from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations
+from rowanrail.directory.messages import Evacuations
 from rowanrail.gateway.discovery.current_directory import CurrentDirectory
 from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.events import (
     CONFIGURATION_APPLIED,
     DETOUR_FOUND,
     DIRECTORY_APPLIED,
-    EVACUATIONS_APPLIED,
     LINK_LOST,
     LINK_RESTORED,
     RECEIVED_OUTSIDE,
-    ZONE_CLOSED,
 )
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.relay.holdings import Holdings
@@ -33,6 +31,7 @@
 from rowanrail.gateway.services.warm_up_limits import WarmUpContext, current_unix_ms
 from rowanrail.gateway.services.warm_up_log import log_warm_up, log_warm_up_part
 from rowanrail.gateway.services.weight_log import log_weight_change
+from rowanrail.gateway.services.zone_evacuations import ZoneEvacuations
 from rowanrail.gateway.session_context import PreparedStatementNames
 from rowanrail.gateway.sessions.access import AccessControl
 from rowanrail.gateway.sessions.outcomes import OutcomeRecorder
@@ -44,11 +43,6 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
-from rowanrail.members.evacuated_zones import (
-    GATEWAY_GRACE_SHARE,
-    EvacuatedZones,
-    grace_seconds,
-)
 from rowanrail.members.primary_health import primary_health_report
 from rowanrail.members.samples import PositionSample
 from rowanrail.model.data_regions import DataRegions
@@ -101,18 +95,15 @@
         self._timer: Timer | None = None
         self._ticks = 0
         self._waiting_starts: list[PendingSessionStart] = []
-        self._evacuations = NO_EVACUATIONS
         self._data_regions: DataRegions | None = None
         self._received_outside = 0
-        self._evacuated = EvacuatedZones()
-        self._closed_zones: frozenset[str] = frozenset()
-        self._grace_seconds = grace_seconds(evacuation_ms, GATEWAY_GRACE_SHARE)
         self._session_count = 0
         self._sender_inputs: object = None
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
         )
         self.outcomes = OutcomeRecorder(decisions, self.access)
+        self.evacuations = ZoneEvacuations(clock, decisions, evacuation_ms)
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
         self._directory = CurrentDirectory(peers)
@@ -156,7 +147,7 @@
         self._ticks += 1
         services = self._due_services()
         self.holdings.tick(services)
-        self._log_closed_zones()
+        self.evacuations.tick()
         for service in services:
             service.tick()
         self._decisions.flush()
@@ -245,8 +236,7 @@
         service.warm_up.on_change = functools.partial(log_warm_up, self._decisions, service)
         service.warm_up.on_part = functools.partial(log_warm_up_part, self._decisions, service)
         service.set_fleet_size(self._directory.population)
-        service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
-        service.set_ended_evacuations(self._evacuations.ended)
+        self.evacuations.apply_to(service)
         service.set_members(self._directory.members(name))
         return service
 
@@ -279,44 +269,10 @@
         )
 
     def set_evacuations(self, evacuations: Evacuations) -> None:
-        """Apply the control nodes' newest evacuations of zones.
-
-        At a gateway that has just started, zones are closed at once: it doesn't know how much of
-        the allowed time has passed.
-        """
-        if evacuations == self._evacuations:
-            return
-        self._evacuations = evacuations
-        grace = self._grace_seconds if self._is_initialized else 0.0
-        now = self.clock.time()
-        self._evacuated = self._evacuated.updated(evacuations.zones, now, grace)
-        self._decisions.note(
-            EVACUATIONS_APPLIED,
-            revision=evacuations.revision,
-            zones=sorted(evacuations.zones),
-            ended=sorted(evacuations.ended),
-        )
-        for service in self.services.values():
-            # First, as statements that leave a zone may be sent to one that has returned.
-            service.set_ended_evacuations(evacuations.ended)
-            service.set_evacuated(self._evacuated.zones, self._evacuated.closing_at)
-
-    @property
-    def evacuated_zones(self) -> frozenset[str]:
-        """The zones whose members get no new statements."""
-        return self._evacuated.zones
-
-    @property
-    def closed_zones(self) -> frozenset[str]:
-        """The evacuated zones to which nothing at all is sent."""
-        return self._evacuated.closed(self.clock.time())
-
-    def _log_closed_zones(self) -> None:
-        closed = self.closed_zones
-        if closed != self._closed_zones:
-            for zone in sorted(closed - self._closed_zones):
-                self._decisions.note(ZONE_CLOSED, zone=zone)
-            self._closed_zones = closed
+        """Apply the control nodes' newest evacuations of zones."""
+        if self.evacuations.update(evacuations, has_started=self._is_initialized):
+            for service in self.services.values():
+                self.evacuations.apply_to(service)
 
     def set_plan(self, plan: Plan) -> None:
         """Apply the control nodes' newest plan of the holders of connections."""
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -27,8 +27,8 @@
         ("configuration_version", {}, version),
         ("ready", {}, float(gateway.is_ready)),
         ("control_age_seconds", {}, _seconds(gateway.access.control_age)),
-        ("evacuated_zones", {}, len(gateway.evacuated_zones)),
-        ("closed_zones", {}, len(gateway.closed_zones)),
+        ("evacuated_zones", {}, len(gateway.evacuations.evacuated)),
+        ("closed_zones", {}, len(gateway.evacuations.closed)),
     ]
     readings += _plan_gauges(gateway)
     readings += _region_gauges(gateway)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -334,7 +334,7 @@
         self.harness.gateway.set_evacuations(known)
         self.harness.gateway.set_evacuations(Evacuations(9, {PRIMARY_ZONE: 1, FAR_ZONE: 2}))
         self.clock.advance(1.1)
-        self.assertEqual(self.harness.gateway.closed_zones, {PRIMARY_ZONE})
+        self.assertEqual(self.harness.gateway.evacuations.closed, {PRIMARY_ZONE})
         lines = self.harness.logs()
         self.assertEqual(sum('"event":340' in line for line in lines), 2)
         self.assertEqual(sum('"event":341' in line for line in lines), 1)
