--- a/src/rowanrail/coordination/announcements.py
+++ b/src/rowanrail/coordination/announcements.py
@@ -99,7 +99,7 @@
             await self._handle_displaced(record, is_late)
 
     def _is_late(self, record: MemberRecord, order: LifeOrder) -> bool:
-        """Return whether a later announcement of the same life was heard."""
+        """Return whether a later announcement of the same life arrived."""
         starts = {record.started_ms}
         known = self._state.members.get(record.instance)
         if order is LifeOrder.SAME and known is not None:
@@ -113,7 +113,7 @@
         Parameters
         ----------
         start : int
-            Start of the life that ended, in Unix milliseconds; 0 if it is not told.
+            Start of the life that ended, in Unix milliseconds; 0 if it is not reported.
         """
         if self._state.feature_level < LIVES_LEVEL:
             start = 0
@@ -124,7 +124,7 @@
             return
         if not self._state.has_ended(instance, start):
             await self._remove(instance, start)
-        if instance not in self._state.displaced:  # else late announcements must be told apart
+        if instance not in self._state.displaced:  # else late announcements must be distinguished
             self._liveness.forget_member(instance)
 
     async def _handle_unproven(self, record: MemberRecord) -> None:
@@ -161,7 +161,7 @@
         )
 
     def _known_silent(self, instance: str) -> float:
-        """Return for how many seconds the known life of a member has not been heard."""
+        """Return for how many seconds the known life of a member has sent no heartbeat."""
         known = self._state.members.get(instance) or self._state.displaced.get(instance)
         if known is None:
             return float("inf")
--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -96,7 +96,7 @@
 
 
 class ReplaceLife(msgspec.Struct, frozen=True, tag="life"):
-    """Replace a member's silent life by one with an earlier start time that is heard."""
+    """Replace a member's silent life by one with an earlier start time that announces itself."""
 
     record: MemberRecord
 
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -251,7 +251,7 @@
 
 
 def _may_return(view: ServiceView, member: MemberView) -> bool:
-    """Return whether a member is silent, but not for so long that it is gone for good."""
+    """Return whether a member is silent, but not for so long that it is lost permanently."""
     silent_for = min(member.heartbeat_ago, view.holding_for)
     is_silent = member.received is None and not member.record.leaving
     return is_silent and silent_for < GONE_FOR_GOOD_SECONDS
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -81,7 +81,7 @@
     Parameters
     ----------
     node : ConsensusNode
-        Tells whether this node leads.
+        Provides whether this node leads.
     service : CoordinationService
         Holds the replicated state and the gateways' reports.
     driver : MemberDriver
--- a/src/rowanrail/coordination/feature_controller.py
+++ b/src/rowanrail/coordination/feature_controller.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     node : ConsensusNode
-        Tells whether this node leads, and the control nodes.
+        Provides whether this node leads, and the control nodes.
     service : CoordinationService
         Holds the level in force and appends the command.
     network : Network
--- a/src/rowanrail/coordination/liveness.py
+++ b/src/rowanrail/coordination/liveness.py
@@ -49,7 +49,7 @@
         lives[start] = _Heartbeat(sequence, self._now())
         if len(lives) > MAX_LIVES:
             del lives[next(iter(lives))]
-        self._heartbeats[instance] = lives  # the one heard last is the last to be dropped
+        self._heartbeats[instance] = lives  # the latest is the last to be dropped
         if len(self._heartbeats) > MAX_INSTANCES:
             del self._heartbeats[next(iter(self._heartbeats))]
 
@@ -68,7 +68,7 @@
         Parameters
         ----------
         start : int or None
-            Start of the life, 0 if it tells none; None for any life.
+            Start of the life, 0 if it reports none; None for any life.
         """
         lives = self._heartbeats.get(instance, {})
         times = [heard.at for known, heard in lives.items() if start is None or known == start]
--- a/src/rowanrail/coordination/lives.py
+++ b/src/rowanrail/coordination/lives.py
@@ -3,7 +3,7 @@
 A member may start again under its instance id; each start is a life, told apart by its start time.
 A lower start time is either an announcement of an earlier life that arrived late, or that of a
 later life whose clock was stepped back. Only a running member goes on announcing itself:
-:class:`LifeClaims` keeps what was heard of lives that are not in the state.
+:class:`LifeClaims` keeps the announcements of lives that are not in the state.
 """
 
 import enum
@@ -42,11 +42,11 @@
     SAME = "same"
     LATER = "later"
     UNPROVEN = "unproven"  # an earlier life, or a later one with a clock that was stepped back
-    FOREIGN = "foreign"  # no start, although the member tells one: not the member's own
+    FOREIGN = "foreign"  # no start, although the member reports one: not the member's own
 
 
 def compare_starts(started_ms: int, known_ms: int) -> LifeOrder:
-    """Return the order of two starts in Unix milliseconds, 0 if not told.
+    """Return the order of two starts in Unix milliseconds, 0 if not reported.
 
     Examples
     --------
@@ -65,7 +65,7 @@
 def life_order(record: MemberRecord, known: MemberRecord) -> LifeOrder:
     """Return the order of an announcement's life and a known record's.
 
-    A known record without a start is of the same life if the sequence goes on: the starts of
+    A known record without a start is of the same life if the sequence continues: the starts of
     members are not recorded below ``LIVES_LEVEL``.
     """
     if record.started_ms and not known.started_ms and record.sequence > known.sequence:
@@ -96,7 +96,7 @@
 
 
 def is_return_proven(announcements: int, seconds: float) -> bool:
-    """Return whether a life that was removed in doubt runs: it is heard again, and again.
+    """Return whether a life that was removed in doubt runs: it announces itself repeatedly.
 
     Parameters
     ----------
@@ -119,7 +119,7 @@
     Parameters
     ----------
     announcements : int
-        Number of its announcements, with rising sequences, since the known life was heard.
+        Number of its announcements, with rising sequences, since the last one of the known life.
     seconds : float
         Time from the first to the last.
 
@@ -154,7 +154,7 @@
         Parameters
         ----------
         known_silent : float
-            Seconds since the known life, in place of which this one would run, was heard.
+            Seconds since the last announcement of the known life, which this one would replace.
             Announcements before that don't count.
 
         Returns
@@ -180,7 +180,7 @@
         self._put((instance, start), _Claim(now, now, 0, announcements=0, is_over=True))
 
     def _put(self, key: tuple[str, int], claim: _Claim) -> None:
-        self._claims[key] = claim  # the one heard last is the last to be dropped
+        self._claims[key] = claim  # the latest is the last to be dropped
         if len(self._claims) > MAX_CLAIMS:
             del self._claims[next(iter(self._claims))]
 
--- a/src/rowanrail/coordination/member_limits.py
+++ b/src/rowanrail/coordination/member_limits.py
@@ -1,6 +1,6 @@
 """Which announcements are accepted, by what is known of other members. No I/O.
 
-The members of a service tell their start, or are of an earlier version and don't.
+The members of a service report their start, or are of an earlier version and don't.
 
 A service that the configuration doesn't have may be in the next one, so that its members are kept,
 but not without limit, and they change nothing about members of configured services.
--- a/src/rowanrail/coordination/moves.py
+++ b/src/rowanrail/coordination/moves.py
@@ -110,7 +110,7 @@
 
 
 def _common(sets: list[frozenset[str] | None]) -> frozenset[str] | None:
-    """Return the intersection of the sets, of which None stands for everything."""
+    """Return the intersection of the sets, of which None means everything."""
     limits = [limit for limit in sets if limit is not None]
     return frozenset.intersection(*limits) if limits else None
 
--- a/src/rowanrail/coordination/rejected_announcements.py
+++ b/src/rowanrail/coordination/rejected_announcements.py
@@ -20,7 +20,7 @@
 
     INVALID = "invalid"  # the body, or the id, is no announcement
     TOO_LARGE = "too-large"
-    NO_START = "no-start"  # the member of this id tells one, or others of its service
+    NO_START = "no-start"  # the member of this id reports one, or others of its service
     OTHER_SERVICE = "other-service"  # contradicts a member of a configured service
     LIMIT = "limit"  # of members
 
@@ -74,7 +74,7 @@
             )
 
     def _unlogged_if_due(self, event: Event) -> int:
-        """Return how many rejections a line now stands for; 0 if the last line is too recent."""
+        """Return how many rejections a line now represents; 0 if the last line is too recent."""
         self._unlogged[event] += 1
         now = self._now()
         logged_at = self._logged_at.get(event)
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -53,7 +53,7 @@
     ended_starts : dict of str to int, or UnsetType
         Start of the life that ended last, for those in ``removed`` that told one.
     earlier_starts : dict of str to int, or UnsetType
-        Start of the life before the present one, for members that started again; 0 if not told.
+        Start of the life before the present one, for members that started again; 0 if not reported.
     """
 
     version: int
@@ -242,7 +242,7 @@
     def _remove(self, instance: str, start: int) -> bool:
         """Remove a member, unless the life that ended is known to be an earlier one.
 
-        In doubt which life ended, the known one may be readmitted once it is heard again.
+        In doubt which life ended, the known one may be readmitted once it announces itself again.
         """
         known = self.members.get(instance) or self.displaced.get(instance)
         if known is None:
@@ -350,7 +350,7 @@
         return self.removed.get(record.instance) == record.started_ms
 
     def has_ended(self, instance: str, start: int = 0) -> bool:
-        """Return whether a member's life, or any of its lives, was removed for good.
+        """Return whether a member's life, or any of its lives, was removed permanently.
 
         A displaced member may be readmitted.
         """
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -28,7 +28,7 @@
 
 __all__ = ["Watches"]
 
-CURRENT_MAX_AGE_SECONDS = 1.5  # since the leader was heard; more than ten heartbeats
+CURRENT_MAX_AGE_SECONDS = 1.5  # since the last contact with the leader; more than ten heartbeats
 MAX_WAIT_SECONDS = 3.0  # of a long poll, whatever the request asks for
 
 
--- a/src/rowanrail/gateway/services/warm_up_limits.py
+++ b/src/rowanrail/gateway/services/warm_up_limits.py
@@ -36,7 +36,7 @@
 # Interval between samples of a warming primary: a quarter of this gateway's part is used for them.
 SAMPLE_INTERVAL_FACTOR = 4 * SAMPLE_COMMANDS
 MIN_SAMPLE_INTERVAL_MS = 250.0
-# Retry-After where other gateways may send: they don't tell when they have a place.
+# Retry-After where other gateways may send: they don't report when they have a place.
 UNKNOWN_DELAY_MS = 1000.0
 
 
--- a/src/rowanrail/gateway/services/zone_evacuations.py
+++ b/src/rowanrail/gateway/services/zone_evacuations.py
@@ -1,6 +1,6 @@
 """The evacuated zones at a gateway, and when each is closed.
 
-Keeps what control nodes told last, and logs changes. The times are those of
+Keeps what control nodes sent last, and logs changes. The times are those of
 :mod:`rowanrail.members.evacuated_zones`.
 """
 
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -142,7 +142,7 @@
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; one that claims to be primary may become the presumed one.
 
-        A member that started again has to prove anew that it is primary. Its earlier samples stay:
+        A member that started again has to prove again that it is primary. Its earlier samples stay:
         what was acknowledged before them has to be in the log of whoever serves a read.
         """
         before = self._sampler.records
--- a/src/rowanrail/model/members.py
+++ b/src/rowanrail/model/members.py
@@ -28,7 +28,7 @@
     cold_ms : int
         Remaining milliseconds of slowness after its start, at the announcement.
     start_ms : int or UnsetType
-        Unix milliseconds of its start; not encoded if the member doesn't tell it.
+        Unix milliseconds of its start; not encoded if the member doesn't report it.
     """
 
     instance: str
@@ -44,15 +44,15 @@
 
     @property
     def started_ms(self) -> int:
-        """Unix milliseconds of its start, 0 if the member doesn't tell it."""
+        """Unix milliseconds of its start, 0 if the member doesn't report it."""
         return 0 if self.start_ms is UNSET else self.start_ms
 
 
 def is_same_life(before: MemberRecord, after: MemberRecord) -> bool:
     """Return whether two records of one instance, the second being newer, are of the same life.
 
-    A member is taken to tell the start of the running life if its sequence goes on: control nodes
-    of an earlier version don't record starts.
+    A member is taken to report the start of the running life if its sequence continues: control
+    nodes of an earlier version don't record starts.
 
     Examples
     --------
--- a/src/rowanrail/scheduling/cold_members.py
+++ b/src/rowanrail/scheduling/cold_members.py
@@ -38,7 +38,7 @@
     Parameters
     ----------
     started_ms : int
-        Unix milliseconds; 0 if the member doesn't tell it.
+        Unix milliseconds; 0 if the member doesn't report it.
     """
 
     instance: str
@@ -124,7 +124,7 @@
 
     def _new_start(self, member: MemberStart, before: _Since | None, now_unix_ms: float) -> _Since:
         now = self._clock.now
-        # Starts are not recorded until all control nodes know them; then a member tells the start
+        # Starts are not recorded until all control nodes know them; then a member reports the start
         # of a life that may be old.
         is_told_later = before is not None and not before.unix_ms
         if self._has_members and not is_told_later:
--- a/src/rowanrail/scheduling/warm_up_share.py
+++ b/src/rowanrail/scheduling/warm_up_share.py
@@ -33,7 +33,7 @@
 # gateway is removed from the directory.
 LEASE_MS = 4000.0
 # Time by which the directory of a control node that counts as up to date may be older than the
-# newest one: 1.5 s since it heard the leader and 0.25 s for which changes are batched.
+# newest one: 1.5 s since its last contact with the leader and 0.25 s for which changes are batched.
 MAX_DIRECTORY_LAG_MS = 2000.0
 # After a change, all gateways that follow the former directory have stopped, and what they sent
 # has left the window.
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -162,7 +162,7 @@
         self.assertEqual(self.decide(reports).instance, "m3")
 
     def test_a_silent_primary_in_a_closed_zone_is_replaced_by_a_member_that_may_serve(self):
-        # Nothing is sent to it, so that no gateway can tell whether it has crashed.
+        # Nothing is sent to it, so that no gateway can detect whether it has crashed.
         closed = {"primary": True, "may_serve": False, "is_closed": True}
         self.members[0] = member("m1", ago=3.1, **closed)
         decision = self.decide([])
@@ -254,7 +254,7 @@
         for ago, holding, action in (
             (19.0, 60.0, Action.WAIT),
             (21.0, 60.0, Action.PROMOTE),
-            (1e9, 19.0, Action.WAIT),  # a new leader has not heard the others yet
+            (1e9, 19.0, Action.WAIT),  # a new leader has no reports of the others yet
         ):
             members = [member("m1", primary=True, ago=ago), empty, member("m3", ago=ago)]
             decision = self.decide(reports, holding=holding, members=members)
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -575,7 +575,7 @@
                 patch.object(self.controls.world, "note") as note,
             ):
                 await asyncio.sleep(1.5)
-                gc.collect()  # reports errors of tasks that nobody awaited
+                gc.collect()  # reports errors of tasks that were not awaited
             errors = [call.args[0] for call in note.mock_calls if "KeyError" in call.args[0]]
             self.assertEqual(errors, [])
             self.assertEqual(self.orders(), [])
@@ -584,7 +584,7 @@
 
     def test_an_order_without_an_answer_is_repeated_for_the_same_member(self):
         # The first order is carried out while the second one is under way; another member would
-        # be as good, but for what the first one acknowledges meanwhile.
+        # be as good, except for what the first one acknowledges in the meantime.
         async def scenario():
             self.third.received = Position(1, 8)
             self.leave()
--- a/tests/coordination/test_lives.py
+++ b/tests/coordination/test_lives.py
@@ -204,7 +204,7 @@
         await self.announce(1, SECOND)
         await self.heartbeats([5], SECOND)
         await self.remove()
-        await self.heartbeats([3, 4], SECOND)  # sent before one that was heard
+        await self.heartbeats([3, 4], SECOND)  # sent before one that arrived
         await self.announce(6, SECOND)
         await self.announce(7, SECOND)  # both arrive at once, after a partition
         self.assertIsNone(self.start_of())
@@ -281,7 +281,7 @@
 
     async def test_an_ended_life_with_a_higher_start_does_not_return(self):
         await self.announce(50, THIRD)
-        await self.remove(SECOND)  # it was never heard
+        await self.remove(SECOND)  # it never sent a heartbeat
         await self.heartbeats([1, 2, 3], FIRST)
         self.assertEqual(self.start_of(), FIRST)
         self.change_leader()
--- a/tests/coordination/test_lives_at_random.py
+++ b/tests/coordination/test_lives_at_random.py
@@ -53,7 +53,7 @@
         self.start_life()
 
     def start_life(self):
-        # The wall clock goes on, or was stepped back.
+        # The wall clock continues, or was stepped back.
         self.clock += self.random.choice([1, 500, 3000, -4000])
         while self.clock in self.starts or self.clock < 1:
             self.clock += 7
--- a/tests/coordination/test_moves.py
+++ b/tests/coordination/test_moves.py
@@ -152,7 +152,7 @@
                 self.check_promoted("m1", ago=1.1)
 
     def test_a_new_leader_finds_the_member_that_has_everything(self):
-        # It is told the last position by the demoted member, which knows a newer term.
+        # It learns the last position from the demoted member, which knows a newer term.
         self.members[2] = member("m3")
         self.check_promoted("m3", ago=0.0, position=None, holding_for=0.1)
 
--- a/tests/forms/additions.py
+++ b/tests/forms/additions.py
@@ -52,7 +52,7 @@
 
 
 def has_only_additions(golden: Any, now: Any) -> bool:
-    """Return whether decoded MessagePack equals golden one but for defaults of added fields.
+    """Return whether decoded MessagePack equals golden one except for defaults of added fields.
 
     Structs that are encoded as arrays end with these; others don't encode them.
     """
--- a/tests/forms/golden.py
+++ b/tests/forms/golden.py
@@ -43,7 +43,7 @@
         self.check_encoded(encode(decoded), bytes.fromhex(sent))
 
     def check_encoded(self, encoded: bytes, golden: bytes) -> None:
-        """Check that bytes are the golden ones, but for defaults of fields that were added."""
+        """Check that bytes are the golden ones, except for defaults of fields that were added."""
         if encoded != golden:
             values = msgspec.msgpack.decode(golden), msgspec.msgpack.decode(encoded)
             self.assertTrue(has_only_additions(*values), f"{values[1]}, expected {values[0]}")
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -66,7 +66,7 @@
 
     @contextlib.asynccontextmanager
     async def clients(self, fleet):
-        """Run reads and writes at all gateways meanwhile."""
+        """Run reads and writes at all gateways in the meantime."""
         stopped = asyncio.Event()
         tasks = [
             asyncio.ensure_future(self.run_client(fleet, h, stopped)) for h in fleet.proxy_hosts
--- a/tests/scheduling/test_warm_up.py
+++ b/tests/scheduling/test_warm_up.py
@@ -232,7 +232,7 @@
         self.assertEqual(fleet.sent_since(5.0), 0)
         for gateway in fleet.gateways.values():
             gateway.is_cut_off = False
-        fleet.run(3.0)  # nothing was committed meanwhile, so the senders go on at once
+        fleet.run(3.0)  # nothing was committed meanwhile, so the senders continue at once
         self.assert_limit_kept(fleet)
         self.assertGreater(fleet.sent_since(1.0), 0.8 * RATE)
 
--- a/tests/soak/zone_faults.py
+++ b/tests/soak/zone_faults.py
@@ -252,7 +252,7 @@
         await self._send(method, host, member.instance, json=body)
 
     async def announce_as_others(self, rng: random.Random) -> None:
-        """Send announcements that tell nothing about a member, with an address of their own."""
+        """Send announcements that name no member, with an address of their own."""
         self._stranger = await asyncio.start_server(self._on_connected, *self._stranger_address)
         while True:
             await asyncio.sleep(rng.uniform(*STRANGER_INTERVAL_SECONDS))
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -79,7 +79,7 @@
         self.slots = 5
         self.log: list[tuple[int, list[tuple[str, str]]]] = []
         self.sequence = 0
-        self.born: int | None = None  # Unix milliseconds, if it tells them
+        self.born: int | None = None  # Unix milliseconds, if it reports them
         self.executed: list[str] = []
         self.connections: set[MemberConnection] = set()
         self._server: asyncio.Server | None = None
--- a/tests/support/relay_network.py
+++ b/tests/support/relay_network.py
@@ -79,7 +79,7 @@
     """One connection, which delivers messages in the order in which they were sent.
 
     Messages to or from a frozen or cut-off holder are delivered when it is reachable again,
-    as in TCP, unless the connection was closed meanwhile.
+    as in TCP, unless the connection was closed in the meantime.
     """
 
     def __init__(self, network: RelayNetwork, owner: str, address: str, link: Link) -> None:
