The soak cancels faults again that lost their cancellation

A time limit of a client call that expires at the same moment swallows the cancellation; which call it was isn't known. Ruled out: the processes and members, which served meanwhile.

Faults that go on are cancelled again after 10 s, until all have ended. The test of it fails if they are cancelled once (it then waits for its limit of 5 s). No check is changed.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -46,6 +46,19 @@
 ROUTE_TIMEOUT_SECONDS = 1.0  # timeout-ms of the routes
 LATE_ANSWER_SECONDS = 1.5  # tolerance beyond the timeout; the test's event loop may lag, too
 KEY_REVOCATION_SECONDS = 5.0  # after which a revoked key must not open a session
+FAULT_END_SECONDS = 10.0  # for what a cancelled fault undoes
+
+
+async def end_tasks(tasks: list[asyncio.Task[None]], seconds: float = FAULT_END_SECONDS) -> None:
+    """Cancel tasks, those that go on after ``seconds`` again, until all have ended.
+
+    A time limit that expires together with a cancellation can lose it, and the task goes on.
+    """
+    going_on = set(tasks)
+    while going_on:
+        for task in going_on:
+            task.cancel()
+        _, going_on = await asyncio.wait(going_on, timeout=seconds)
 
 
 class SoakClient:
@@ -272,8 +285,7 @@
             if fleet.group.faults is not None:
                 faults += fleet.group.faults.start()
             await asyncio.sleep(self.seconds)
-            for task in faults:
-                task.cancel()
+            await end_tasks(faults)
             for ended in await asyncio.gather(*faults, return_exceptions=True):
                 if not isinstance(ended, asyncio.CancelledError):
                     self.oracle.add_problem(f"faults ended before the run: {ended!r}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,8 +1,10 @@
 """A short soak run for CI; ``python -m tests.soak`` runs longer ones."""
 
+import asyncio
+import contextlib
 import unittest
 
-from tests.soak.run import Soak
+from tests.soak.run import Soak, end_tasks
 
 SECONDS = 60.0
 SEED = 3
@@ -17,3 +19,16 @@
         self.assertGreater(verdict.reads, 100)
         self.assertGreater(verdict.faults, 3)
         self.assertGreater(soak.linked_proxies, 0, "no gateway had a link to a neighbour")
+
+
+class EndTasksTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_task_that_loses_its_cancellation_is_cancelled_again(self):
+        async def lose_one_cancellation():
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(60.0)
+            await asyncio.sleep(60.0)
+
+        task = asyncio.ensure_future(lose_one_cancellation())
+        await asyncio.sleep(0)
+        await asyncio.wait_for(end_tasks([task], seconds=0.01), 5.0)
+        self.assertTrue(task.cancelled())
