Gateways log which members leave, and that one is used long after

Nothing told whether a gateway that sent a statement to a leaving member knew that it leaves, since when, and why it chose it. Event 342 says when a gateway learns of a departure and for how long it had not known; event 343, at most once a second for each member, that one that has been leaving for over 2 s is sent a statement, whether it announces itself as primary and how old the last proof of a primary is. Two gauges tell the same by member. No decision changes.

--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -152,6 +152,21 @@
     "Nothing is sent to members in this zone: transactions that were open there have been aborted, "
     "its primaries are not sampled, and idle connections are closed.",
 )
+MEMBER_LEAVES = define(
+    342,
+    Level.WARNING,
+    "{instance} of {service} leaves",
+    "Reads go to other members from now on. `primary` tells whether it announces itself as "
+    "primary, `unknown_for` how many seconds ago it was known not to leave.",
+)
+LEAVING_MEMBER_USED = define(
+    343,
+    Level.WARNING,
+    "{instance} of {service} has been leaving for {leaving_for} s and is sent a statement",
+    "It is presumed to be the primary, which has not been replaced, or this gateway has not "
+    "learned of its replacement. `primary` tells whether it announces itself as primary, "
+    "`proved_ago` how many seconds ago a primary last proved its leadership to this gateway.",
+)
 REGIONS_APPLIED = define(
     344,
     Level.INFO,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -23,6 +23,7 @@
 from rowanrail.gateway.relay.peers import NO_PEERS, Peers
 from rowanrail.gateway.relay.remote_admission import RemoteAdmission
 from rowanrail.gateway.relay.work_routing import WorkRouter
+from rowanrail.gateway.services.departure_log import DepartureLog
 from rowanrail.gateway.services.load_measurement import measure_load
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.primary_log import log_primary_state
@@ -43,10 +44,11 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.departures import Departures
 from rowanrail.members.primary_health import primary_health_report
 from rowanrail.members.samples import PositionSample
 from rowanrail.model.data_regions import DataRegions
-from rowanrail.model.members import PrimaryHealth
+from rowanrail.model.members import MemberRecord, PrimaryHealth
 from rowanrail.model.routing import Route, RoutingConfiguration, ServiceSpec
 from rowanrail.model.statements import Answer, Refusal
 from rowanrail.placement.senders import warm_up_senders
@@ -104,6 +106,8 @@
         )
         self.outcomes = OutcomeRecorder(decisions, self.access)
         self.evacuations = ZoneEvacuations(clock, decisions, evacuation_ms)
+        self.departures = Departures()
+        self._departure_log = DepartureLog(decisions)
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
         self._directory = CurrentDirectory(peers)
@@ -236,7 +240,9 @@
         service.warm_up.on_change = functools.partial(log_warm_up, self._decisions, service)
         service.warm_up.on_part = functools.partial(log_warm_up_part, self._decisions, service)
         service.set_fleet_size(self._directory.population)
+        service.on_departing_use = functools.partial(self._on_departing_use, service)
         self.evacuations.apply_to(service)
+        service.set_departures(self.departures)
         service.set_members(self._directory.members(name))
         return service
 
@@ -251,8 +257,10 @@
 
     def set_directory(self, directory: Directory) -> None:
         """Apply a directory of members and other gateways unless the current one is newer."""
-        if not self._directory.update(directory, self.services):
+        if directory.revision < self._directory.revision:
             return
+        self._update_departures(directory.members)
+        self._directory.update(directory, self.services)
         self.access.quota.set_population(directory.population.gateways)
         self.holdings.set_fleet_size(directory.population)
         self._update_senders()
@@ -268,6 +276,18 @@
             neighbours=len(directory.neighbours),
         )
 
+    def _update_departures(self, records: list[MemberRecord]) -> None:
+        """Learn which members leave, before services are told of their records."""
+        now = self.clock.time()
+        confirmed_at = self._warm_up_context.lease.asked_at / 1000
+        self.departures = self.departures.updated(records, now, confirmed_at)
+        self._departure_log.note_departures(self.departures, records, now)
+        for service in self.services.values():
+            service.set_departures(self.departures)
+
+    def _on_departing_use(self, service: Service, record: MemberRecord) -> None:
+        self._departure_log.note_use(service, record, self.clock.time())
+
     def set_evacuations(self, evacuations: Evacuations) -> None:
         """Apply the control nodes' newest evacuations of zones."""
         if self.evacuations.update(evacuations, has_started=self._is_initialized):
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -39,6 +39,13 @@
             labels = {"service": name, "member": instance}
             readings += _pool_gauges(labels, pool, now)
             readings += _estimate_gauges(labels, instance, service.estimates)
+            if pool.record.leaving:
+                readings.append(
+                    ("member_leaving_seconds", labels, service.departures.seconds(instance, now))
+                )
+                readings.append(
+                    ("sent_while_leaving", labels, service.sent_while_leaving[instance])
+                )
         if service.spec.limits_warm_up:
             readings += _warm_up_gauges(name, service)
     return readings
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -7,7 +7,8 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
 from types import MappingProxyType
@@ -22,6 +23,7 @@
 from rowanrail.gateway.services.warm_up_limits import WarmUpContext, WarmUpLimits
 from rowanrail.kernel.clock import Clock, Scheduler
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.departures import Departures
 from rowanrail.members.eligibility import Eligibility, Exclusion
 from rowanrail.members.monitor_interval import monitor_seconds
 from rowanrail.members.primary import PrimaryTracker
@@ -57,6 +59,13 @@
         Provides the check that a member is primary.
     warm_up_context : WarmUpContext or None
         What the limits on statements to warming members need of the gateway.
+
+    Attributes
+    ----------
+    on_departing_use : callable
+        Called with the record of a leaving member that is sent a statement.
+    sent_while_leaving : Counter
+        By instance, number of single statements and transactions sent to leaving members.
     """
 
     def __init__(
@@ -97,6 +106,9 @@
         self._scheduler = scheduler
         self._tenants = Tenants()
         self.data_regions: DataRegions | None = None
+        self.departures = Departures()
+        self.on_departing_use: Callable[[MemberRecord], None] = lambda record: None
+        self.sent_while_leaving: Counter[str] = Counter()
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; close the pools of those that left or changed their address.
@@ -170,6 +182,19 @@
             return False
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
+    def set_departures(self, departures: Departures) -> None:
+        """Set which members are leaving, and since when."""
+        self.departures = departures
+        for instance in list(self.sent_while_leaving):
+            if instance not in departures.by_instance:
+                del self.sent_while_leaving[instance]
+
+    def note_sent(self, record: MemberRecord) -> None:
+        """Record that a member is sent a single statement, or the begin of a transaction."""
+        if record.leaving:
+            self.sent_while_leaving[record.instance] += 1
+            self.on_departing_use(record)
+
     def set_data_regions(self, data_regions: DataRegions | None) -> None:
         """Set the configuration's restrictions to regions, None if it has none."""
         self.data_regions = data_regions
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -184,6 +184,9 @@
             self.unsent_commands = len(commands)
             return False
 
+        if self.pool is not None and not self.continues:
+            self.service.note_sent(self.pool.record)
+
         def close_on_refusal(answer: Answer) -> None:
             if answer.refusal is not None and not channel.closed:
                 channel.close()  # the session's values are incomplete on this connection
