A gateway that does not use a service follows a replacement of its primary

Callers saw: two statements of one gateway reached a member long after its departure had been acknowledged, were refused there, and were then run by the new primary. Cause: the presumed primary changed only by samples, and a gateway samples only services that it used within 10 s. One that did not, kept the primary of before the replacement for as long as that member was listed; the claim of the new one was ignored, since the old one was taken to answer. Evidence: with two gateways without statements, 2 of 2 first statements went to the replaced primary 7.3 s after the acknowledgement, with event 343 'primary: false, presumed: true, proved_ago: null'. Now a claim that is newer than the last proof is followed once no proof has come for 2 s; a gateway that uses the service has one every 0.3 to 0.6 s, so nothing changes for it.

--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -10,7 +10,7 @@
 :class:`rowanrail.members.sampler.MemberSampler`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from rowanrail.kernel.clock import Scheduler
 from rowanrail.members.channel import MemberDriver
@@ -32,6 +32,10 @@
 
 __all__ = ["PrimaryTracker"]
 
+# Three intervals between samples: the primary of a service that is in use is proved more often.
+UNSAMPLED_SECONDS = 2.0
+NO_CLAIM = float("-inf")  # value of ``_claimed_at`` while there is no claim to follow
+
 
 class PrimaryTracker:
     """Finds the primary of one service and keeps the samples of its position.
@@ -81,6 +85,7 @@
         self._waiting = PositionWaiters()
         self._longest = ORIGIN  # the highest known position of the log, and since when
         self._longest_since = 0.0
+        self._claimed_at = NO_CLAIM  # when a member began to claim to be primary
 
     @property
     def presumed_primary(self) -> str:
@@ -142,6 +147,8 @@
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; one that claims to be primary may become the presumed one.
 
+        While the service is not in use, samples don't tell of a replacement, but a new claim does.
+
         A member that started again has to prove again that it is primary. Its earlier samples stay:
         what was acknowledged before them has to be in the log of whoever serves a read.
         """
@@ -151,12 +158,25 @@
             if known is not None and not is_same_life(known, record):
                 self.state.forget_life(record.instance)
         self._sampler.set_members(records)
+        if _has_new_claim(before, records):
+            self._claimed_at = self._scheduler.time()
         self._follow_claims()
 
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether a claim is newer than the last proof, and no proof is to be expected."""
+        is_newer = self._claimed_at > self.proved_at
+        return is_newer and self._scheduler.time() - self.proved_at > UNSAMPLED_SECONDS
+
     def _follow_claims(self) -> None:
         records = self._sampler.records
         claims = [record.instance for record in records.values() if record.primary]
-        if self.state.note_members(records, claims, is_closed=self._is_primary_closed):
+        is_outdated = self._is_outdated
+        if is_outdated:
+            self._claimed_at = NO_CLAIM
+        if self.state.note_members(
+            records, claims, is_closed=self._is_primary_closed, is_outdated=is_outdated
+        ):
             self.on_primary()
             if self.failing_since:
                 self.request_sample()
@@ -293,6 +313,8 @@
         now = self._scheduler.time()
         self._sampler.expire()
         self._leave_closed()
+        if self._is_outdated:
+            self._follow_claims()
         if self.state.raise_alarm(now):
             self.on_alarm()
         if in_use and (
@@ -325,3 +347,9 @@
         """Close the sampling connections and end all waits without a position."""
         self._sampler.close()
         self._waiting.close()
+
+
+def _has_new_claim(before: Mapping[str, MemberRecord], records: list[MemberRecord]) -> bool:
+    """Return whether a member claims to be primary that didn't before."""
+    former = {instance for instance, record in before.items() if record.primary}
+    return any(record.primary and record.instance not in former for record in records)
--- a/src/rowanrail/members/primary_state.py
+++ b/src/rowanrail/members/primary_state.py
@@ -29,8 +29,8 @@
 class PrimaryState:
     """Presumed primary of one service and its failure state; times are monotonic seconds.
 
-    While the primary answers, another member's claim to be primary is ignored. A member's failure
-    counts only if it is the presumed primary, or if none is known.
+    While the primary answers samples, another member's claim to be primary is ignored. A member's
+    failure counts only if it is the presumed primary, or if none is known.
 
     Parameters
     ----------
@@ -71,7 +71,12 @@
     # Reports about members
 
     def note_members(
-        self, instances: Collection[str], claims: Sequence[str], *, is_closed: bool = False
+        self,
+        instances: Collection[str],
+        claims: Sequence[str],
+        *,
+        is_closed: bool = False,
+        is_outdated: bool = False,
     ) -> bool:
         """Update the list of members; return whether the presumed primary changed to a claimant.
 
@@ -82,12 +87,15 @@
             is known or the presumed one fails: one that answers is proved by its samples.
         is_closed : bool
             Whether the presumed primary may not be sampled, so that another's claim is accepted.
+        is_outdated : bool
+            Whether a claim is newer than the last proof of the presumed primary, which is not being
+            sampled, so that the claim is accepted.
         """
         if self.presumed_primary not in instances:
             self.presumed_primary = ""
         if not claims or self.presumed_primary in claims:
             return False
-        if self.presumed_primary and not (self.failing_since or is_closed):
+        if self.presumed_primary and not (self.failing_since or is_closed or is_outdated):
             return False
         self.presumed_primary = claims[0]
         return True
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -4,13 +4,19 @@
 import json
 import unittest
 
+import msgspec
+
+from rowanrail.gateway.discovery.directory import Directory
 from rowanrail.gateway.gauges import gauges
 from rowanrail.members import departures
 from rowanrail.members.departures import Departures
 from rowanrail.model.members import MemberRecord
+from rowanrail.model.position import Position
+from rowanrail.placement.hashed import FleetSize
 from tests.support.gateway import GatewayHarness
 
 LEAVES, USED = 342, 343  # numbers of events
+OTHER = MemberRecord("m4", "db", "m4:1", "c", False, False, 3, 1)
 
 
 class RulesTest(unittest.TestCase):
@@ -72,3 +78,53 @@
         }
         self.assertEqual(found["member_leaving_seconds"], 0.5)
         self.assertEqual(found["sent_while_leaving"], 1)
+
+
+class ReplacedPrimaryTest(unittest.TestCase):
+    """A primary that is replaced while the gateway runs no statements of its service."""
+
+    def setUp(self):
+        self.harness = GatewayHarness()
+        self.clock, self.client = self.harness.clock, self.harness.client("orders")
+        self.former, self.successor = self.harness.primary, self.harness.near
+
+    def replace_primary(self, leaving=("m1",)):
+        self.former.primary, self.successor.primary = False, True
+        self.successor.position = Position(2, 11)
+        self.harness.announce(2, leaving)
+
+    def assert_first_statements_go_to_the_successor(self):
+        known = self.former.texts()
+        for texts in (["WRITE b 1"], ["READ b"], ["BEGIN", "WRITE c 1", "COMMIT"]):
+            for text in texts:
+                self.assertIsNone(self.client.run(text, 0.1).refusal, text)
+        self.assertEqual(self.former.texts(), known)
+
+    def test_it_gets_nothing_if_it_was_never_used(self):
+        self.replace_primary()
+        self.clock.advance(8.0)
+        self.assert_first_statements_go_to_the_successor()
+
+    def test_it_gets_nothing_if_it_was_last_used_long_ago(self):
+        self.client.run("WRITE a 1")
+        self.clock.advance(11.0)
+        self.replace_primary()
+        self.clock.advance(8.0)
+        self.assert_first_statements_go_to_the_successor()
+
+    def test_it_gets_nothing_if_it_stays_as_a_replica(self):
+        self.replace_primary(leaving=())
+        self.clock.advance(8.0)
+        self.assert_first_statements_go_to_the_successor()
+
+    def test_a_claim_that_was_known_before_the_last_proof_is_not_followed(self):
+        self.replace_primary()
+        self.client.run("WRITE a 1", 0.1)
+        self.former.primary, self.successor.primary = True, False
+        self.former.position = Position(3, 12)
+        self.client.run("WRITE b 1", 0.2)  # a search finds it before its announcement arrives
+        records = [member.record() for member in self.harness.members]
+        records = [msgspec.structs.replace(r, primary=r.instance == "m2") for r in records]
+        self.clock.advance(11.0)
+        self.harness.gateway.set_directory(Directory(3, [*records, OTHER], FleetSize(3, 3)))
+        self.assertEqual(self.harness.gateway.services["db"].primary.presumed_primary, "m1")
--- a/tests/gateway/test_primary_rules.py
+++ b/tests/gateway/test_primary_rules.py
@@ -37,6 +37,16 @@
         self.assertTrue(self.state.note_members(["m1", "m2"], claims=["m2"]))
         self.assertEqual(self.state.presumed_primary, "m2")
 
+    def test_a_claim_counts_if_it_is_newer_than_the_last_proof(self):
+        self.assertTrue(self.state.note_members(["m1", "m2"], claims=["m2"], is_outdated=True))
+        self.assertEqual(self.state.presumed_primary, "m2")
+
+    def test_a_member_that_still_claims_is_not_outdated(self):
+        self.assertFalse(
+            self.state.note_members(["m1", "m2"], claims=["m2", "m1"], is_outdated=True)
+        )
+        self.assertEqual(self.state.presumed_primary, "m1")
+
     def test_the_presumed_primary_may_claim_beside_another_member(self):
         self.state.note_failure("m1", 11.0)
         self.assertFalse(self.state.note_members(["m1", "m2"], claims=["m2", "m1"]))
