A leaving primary is sent nothing more once its time is over

What callers and members saw: a primary that announced its departure and was not replaced, because orders were lost or late, was sent statements for as long as it led. Cause: an evacuated zone is closed at a time, a leaving member was not; the bound was left to the control nodes, which can fail to find or promote a successor. Now the one rule on members also says until when a leaving one is used, and all who choose a member, or get a connection after a wait, ask it. The time counts from the last directory that was confirmed without the announcement, not from when the gateway heard of it, less the 2 s by which such a directory may lag; a gateway that has just started knows no such time and begins nothing there.

--- a/src/rowanrail/config/settings.py
+++ b/src/rowanrail/config/settings.py
@@ -111,6 +111,7 @@
     log_lines_per_second: int = 400
     log_level: Level = Level.INFO
     evacuation_ms: float = 5000.0
+    drain_ms: float = 7000.0
 
     @property
     def sharing_group(self) -> str:
@@ -202,6 +203,8 @@
     "ignore plans, so set the same value on all gateways and control nodes.",
     "GatewaySettings.evacuation_ms": "Milliseconds after the acknowledgement of a zone's "
     "evacuation until nothing more may be sent to its members.",
+    "GatewaySettings.drain_ms": "Milliseconds after the acknowledgement that a member leaves until "
+    "no more statements or transactions may begin there.",
     "GatewaySettings.metrics": "`PORT/PATH` for metrics, on the IP of `listen`; empty for none.",
     "GatewaySettings.log_lines_per_second": "Rate limit of the decision log; successes may use a "
     "tenth of it.",
--- a/src/rowanrail/explain/rejections.py
+++ b/src/rowanrail/explain/rejections.py
@@ -77,6 +77,12 @@
             "the members that could run it are warming up and take no more statements for now"
         ),
     ),
+    RejectionCause.LEAVING.value: RejectionRule(
+        _ELIGIBILITY,
+        lambda wait, run, left, peer: (
+            "the only member that could run it announced that it leaves, and has not been replaced"
+        ),
+    ),
 }
 
 
--- a/src/rowanrail/gateway/daemon.py
+++ b/src/rowanrail/gateway/daemon.py
@@ -145,7 +145,15 @@
         settings.quota_window_seconds * 1000, settings.quota_excess, settings.quota_slack
     )
     gateway = Gateway(
-        locality, driver, loop, decisions, registry, peers, terms, settings.evacuation_ms
+        locality,
+        driver,
+        loop,
+        decisions,
+        registry,
+        peers,
+        terms,
+        settings.evacuation_ms,
+        settings.drain_ms,
     )
     holder = LinkServer(gateway, clock)
     holder_server = TcpLinkServer(holder)
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -44,7 +44,7 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.registry import Registry
 from rowanrail.members.channel import MemberDriver
-from rowanrail.members.departures import Departures
+from rowanrail.members.departures import Departures, use_seconds
 from rowanrail.members.primary_health import primary_health_report
 from rowanrail.members.samples import PositionSample
 from rowanrail.model.data_regions import DataRegions
@@ -64,6 +64,7 @@
 DEFAULT_IDLE_TRANSACTION_SECONDS = 60.0  # limit for idle transactions without a configuration
 SAMPLE_REQUEST_SECONDS = 0.3  # time limit for a sample that another gateway requests
 DEFAULT_EVACUATION_MS = 5000.0  # from the acknowledgement until nothing is sent to a zone
+DEFAULT_DRAIN_MS = 7000.0  # from the acknowledgement until a leaving member begins nothing more
 START_WAIT_SECONDS = 1.2  # for a configuration; clients time out after 2 s
 
 
@@ -80,6 +81,7 @@
         peers: Peers = NO_PEERS,
         quota_parameters: QuotaParameters = QuotaParameters(),  # noqa: B008 - it is frozen
         evacuation_ms: float = DEFAULT_EVACUATION_MS,
+        drain_ms: float = DEFAULT_DRAIN_MS,
         unix_ms: Callable[[], float] = current_unix_ms,
     ) -> None:
         self.clock = clock
@@ -107,6 +109,7 @@
         self.outcomes = OutcomeRecorder(decisions, self.access)
         self.evacuations = ZoneEvacuations(clock, decisions, evacuation_ms)
         self.departures = Departures()
+        self._use_seconds = use_seconds(drain_ms)
         self._departure_log = DepartureLog(decisions)
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
@@ -242,7 +245,7 @@
         service.set_fleet_size(self._directory.population)
         service.on_departing_use = functools.partial(self._on_departing_use, service)
         self.evacuations.apply_to(service)
-        service.set_departures(self.departures)
+        service.set_departures(self.departures, self._use_seconds)
         service.set_members(self._directory.members(name))
         return service
 
@@ -283,7 +286,7 @@
         self.departures = self.departures.updated(records, now, confirmed_at)
         self._departure_log.note_departures(self.departures, records, now)
         for service in self.services.values():
-            service.set_departures(self.departures)
+            service.set_departures(self.departures, self._use_seconds)
 
     def _on_departing_use(self, service: Service, record: MemberRecord) -> None:
         self._departure_log.note_use(service, record, self.clock.time())
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -107,6 +107,7 @@
         self._tenants = Tenants()
         self.data_regions: DataRegions | None = None
         self.departures = Departures()
+        self._use_seconds = 0.0
         self.on_departing_use: Callable[[MemberRecord], None] = lambda record: None
         self.sent_while_leaving: Counter[str] = Counter()
 
@@ -135,6 +136,7 @@
                 pool.record = record
                 holders = self.share.holders(self._is_near(record))
                 pool.concurrency.set_sharing(record.slots, holders)
+        self._update_leaving()
         self.estimates.set_members(records)
         if self.spec.limits_warm_up:
             self.warm_up.set_members(records)
@@ -171,10 +173,11 @@
         """
         self._eligibility = replace(self._eligibility, evacuated=zones, closing_at=closing_at)
         self._update_has_exclusions()
-        self._leave_evacuated()
+        self._leave_excluded()
 
     def _update_has_exclusions(self) -> None:
-        self._has_exclusions = bool(self._eligibility.evacuated) or self.spec.limits_warm_up
+        rule = self._eligibility
+        self._has_exclusions = bool(rule.evacuated or rule.used_until) or self.spec.limits_warm_up
 
     def is_closed(self, record: MemberRecord) -> bool:
         """Return whether nothing at all may be sent to a member, as its zone is evacuated."""
@@ -182,13 +185,28 @@
             return False
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
-    def set_departures(self, departures: Departures) -> None:
-        """Set which members are leaving, and since when."""
+    def set_departures(self, departures: Departures, use_seconds: float = 0.0) -> None:
+        """Set which members are leaving, and since when.
+
+        Parameters
+        ----------
+        use_seconds : float
+            Time for which a leaving member is used for what needs it, see
+            :func:`rowanrail.members.departures.use_seconds`.
+        """
         self.departures = departures
+        self._use_seconds = use_seconds
+        self._update_leaving()
         for instance in list(self.sent_while_leaving):
             if instance not in departures.by_instance:
                 del self.sent_while_leaving[instance]
 
+    def _update_leaving(self) -> None:
+        used_until = self.departures.used_until(self.pools, self._use_seconds)
+        if used_until != self._eligibility.used_until:
+            self._eligibility = replace(self._eligibility, used_until=used_until)
+            self._update_has_exclusions()
+
     def note_sent(self, record: MemberRecord) -> None:
         """Record that a member is sent a single statement, or the begin of a transaction."""
         if record.leaving:
@@ -225,7 +243,7 @@
             Regions in which the statement may run; None for any.
         in_transaction : bool
             Whether the statement belongs to a transaction that is open at the member. Like the
-            primary, the member is then used until its zone is closed.
+            primary, the member is then used until its zone is closed, and as long as it leaves.
         commands : int
             Number of commands that are sent for it.
         """
@@ -233,21 +251,30 @@
             return None  # most deployments, for each statement and member
         is_needed = in_transaction or record.instance == self.primary.presumed_primary
         needed_at = self._scheduler.time() if is_needed else None
-        exclusion = self._eligibility.exclusion(record, regions, needed_at=needed_at)
+        exclusion = self._eligibility.exclusion(
+            record, regions, needed_at=needed_at, in_transaction=in_transaction
+        )
         if exclusion is not None or not self.spec.limits_warm_up:
             return exclusion
         return None if self.warm_up.has_place(record, commands) else Exclusion.WARMING_UP
 
-    def _leave_evacuated(self) -> None:
-        """Let queued statements leave evacuated zones, and close what is left in closed ones."""
-        if not self._eligibility.evacuated:
+    def _leave_excluded(self) -> None:
+        """Let queued statements leave evacuated zones and leaving members that may not run them.
+
+        What is left in closed zones is closed.
+        """
+        if not (self._eligibility.evacuated or self._eligibility.used_until):
             return
         for pool in self.pools.values():
             reason = f"zone {pool.record.zone} is evacuated"
             if self.is_closed(pool.record):
                 pool.evacuate(reason)
-            elif self.exclusion(pool.record) is Exclusion.EVACUATED:
-                pool.refuse_queued(reason)
+                continue
+            match self.exclusion(pool.record):
+                case Exclusion.EVACUATED:
+                    pool.refuse_queued(reason)
+                case Exclusion.LEAVING:
+                    pool.refuse_queued("the member is leaving")
 
     def exclusion_of_all(
         self, regions: frozenset[str] | None = None, commands: int = 1
@@ -428,7 +455,7 @@
     def tick(self) -> None:
         """Run the periodic work: monitoring, probes and pool maintenance."""
         self.primary.tick(self.in_use)
-        self._leave_evacuated()
+        self._leave_excluded()
         if self.in_use:
             self._probes.tick(
                 self._pools_to_probe(), self.primary.presumed_primary, self.share.samplers
--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -54,6 +54,7 @@
     Exclusion.EVACUATED: Reject(RejectionCause.EVACUATED, PRIMARY_RETRY_AFTER_MS),
     Exclusion.OUTSIDE_REGIONS: Reject(RejectionCause.OUTSIDE_REGIONS, EXCLUDED_RETRY_AFTER_MS),
     Exclusion.WARMING_UP: Reject(RejectionCause.WARMING_UP, PRIMARY_RETRY_AFTER_MS),
+    Exclusion.LEAVING: Reject(RejectionCause.LEAVING, PRIMARY_RETRY_AFTER_MS),
 }
 
 
--- a/src/rowanrail/members/departures.py
+++ b/src/rowanrail/members/departures.py
@@ -10,8 +10,26 @@
 from dataclasses import dataclass, field
 
 from rowanrail.model.members import MemberRecord
+from rowanrail.scheduling.warm_up_share import MAX_DIRECTORY_LAG_MS
 
-__all__ = ["Departure", "Departures"]
+__all__ = ["Departure", "Departures", "use_seconds"]
+
+
+def use_seconds(drain_ms: float) -> float:
+    """Return for how long after a directory without its announcement a leaving member is used.
+
+    Parameters
+    ----------
+    drain_ms : float
+        Time from the acknowledgement of the announcement until nothing more may begin there. The
+        directory may have lacked the announcement though it was acknowledged.
+
+    Examples
+    --------
+    >>> use_seconds(7000)
+    5.0
+    """
+    return max(0.0, drain_ms - MAX_DIRECTORY_LAG_MS) / 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +92,31 @@
             }
         )
 
+    def used_until(self, instances: Iterable[str], seconds: float) -> dict[str, float]:
+        """Return until when leaving members may be sent what needs them, in monotonic seconds.
+
+        Counted from the last time at which a member was known not to leave, since its announcement
+        may have been acknowledged right after that.
+
+        Parameters
+        ----------
+        instances : iterable of str
+            Members, of which those that don't leave are omitted.
+        seconds : float
+            Time for which a member may be used after that, see :func:`use_seconds`.
+
+        Examples
+        --------
+        >>> departures = Departures({"m1": Departure(learned_at=10.0, begun_after=9.2)})
+        >>> departures.used_until(["m1", "m2"], 5.0)
+        {'m1': 14.2}
+        """
+        return {
+            instance: self.by_instance[instance].begun_after + seconds
+            for instance in instances
+            if instance in self.by_instance
+        }
+
     def seconds(self, instance: str, now: float) -> float:
         """Return for how long a member has been known to leave; 0 if it isn't leaving."""
         departure = self.by_instance.get(instance)
--- a/src/rowanrail/members/eligibility.py
+++ b/src/rowanrail/members/eligibility.py
@@ -1,8 +1,8 @@
 """Which members may be sent a statement: the one rule that all who choose a member ask.
 
 A member is excluded while its zone is evacuated, if it is outside the regions of the statement's
-route and tenant, and while its warm-up limit is used up. One that leaves still runs what needs it,
-so that it is only not chosen for reads. No I/O.
+route and tenant, and while its warm-up limit is used up. One that leaves is excluded unless the
+statement needs it, and after a time also then; transactions that are open there go on. No I/O.
 """
 
 import enum
@@ -20,11 +20,12 @@
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside-regions"
     WARMING_UP = "warming-up"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
 class Eligibility:
-    """The rule for members by their zone.
+    """The rule for members by their zone and by when they leave.
 
     Parameters
     ----------
@@ -35,6 +36,8 @@
     closing_at : mapping of str to float
         Monotonic seconds from which the members of an evacuated zone are sent nothing at all; a
         missing zone is closed already.
+    used_until : mapping of str to float
+        By instance, monotonic seconds until which a leaving member begins what needs it.
 
     Examples
     --------
@@ -47,6 +50,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
     closing_at: Mapping[str, float] = field(default_factory=dict)
+    used_until: Mapping[str, float] = field(default_factory=dict)
 
     def is_closed(self, zone: str, now: float) -> bool:
         """Return whether nothing at all may be sent to a zone at ``now``, in monotonic seconds."""
@@ -58,6 +62,7 @@
         regions: frozenset[str] | None,
         *,
         needed_at: float | None = None,
+        in_transaction: bool = False,
     ) -> Exclusion | None:
         """Return why a member may not be sent a statement, None if it may.
 
@@ -68,6 +73,8 @@
         needed_at : float or None
             The present time in monotonic seconds if no other member can run the statement, so that
             it may be sent until the zone is closed; None if another one can.
+        in_transaction : bool
+            Whether the statement continues a transaction that is open at the member.
 
         Examples
         --------
@@ -77,6 +84,11 @@
         (<Exclusion.EVACUATED: 'evacuated'>, None)
         >>> rule.exclusion(member, None, needed_at=12.0)
         <Exclusion.EVACUATED: 'evacuated'>
+        >>> rule = Eligibility(used_until={"m1": 15.0})
+        >>> rule.exclusion(member, None), rule.exclusion(member, None, needed_at=14.0)
+        (<Exclusion.LEAVING: 'leaving'>, None)
+        >>> rule.exclusion(member, None, needed_at=15.0)
+        <Exclusion.LEAVING: 'leaving'>
         """
         if regions is not None and self.regions.get(record.zone, record.zone) not in regions:
             return Exclusion.OUTSIDE_REGIONS
@@ -84,4 +96,7 @@
             needed_at is None or self.is_closed(record.zone, needed_at)
         ):
             return Exclusion.EVACUATED
+        until = None if in_transaction else self.used_until.get(record.instance)
+        if until is not None and (needed_at is None or needed_at >= until):
+            return Exclusion.LEAVING
         return None
--- a/src/rowanrail/scheduling/admission.py
+++ b/src/rowanrail/scheduling/admission.py
@@ -54,6 +54,7 @@
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside-regions"
     WARMING_UP = "warming-up"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rowanrail/scheduling/warm_up_share.py
+++ b/src/rowanrail/scheduling/warm_up_share.py
@@ -21,6 +21,7 @@
 __all__ = [
     "HANDOVER_MS",
     "LEASE_MS",
+    "MAX_DIRECTORY_LAG_MS",
     "DirectoryLease",
     "SendWindow",
     "SenderHistory",
