The next leader knows for how long a primary has been leaving

What callers saw: nothing is recorded; found when looking for the same cause elsewhere. A leaving primary whose replicas receive nothing is replaced after 5 s, but each leader counted these from its own start, so that a change of leader within them put the replacement off beyond the time that the member is due. Now every control node notes when the announcement entered its state, and the count goes on at the next leader; the state keeps the leaving members by themselves, so that no node walks over all members. It counts for the member, not for its service; a second test holds that the departure of an earlier primary isn't taken for that of the next one. That one passed before as well: the old count was dropped by the checks that follow each failover.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -101,8 +101,8 @@
     :param acknowledging_replicas: number of replicas that must hold a commit before it is
         acknowledged.
     :param statuses_fresh: whether the members were just asked for their statuses.
-    :param leaving_for: for how many seconds the leader has known that the primary is leaving; 0 if
-        it isn't.
+    :param leaving_for: for how many seconds the leader has known, also before it led, that the
+        primary is leaving; 0 if it isn't.
     :param unanswered_for: for how many seconds the primary has not answered the leader's status
         queries; 0 if it answered the last one, or was not asked.
     """
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -41,6 +41,7 @@
 from rowanrail.kernel.decisions import DecisionLog
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import MemberDriver
+from rowanrail.members.departures import Departures
 from rowanrail.members.leadership import LeadershipVerifier
 from rowanrail.members.primary import PrimaryTracker
 from rowanrail.members.primary_health import primary_health_report
@@ -149,6 +150,7 @@
         self._in_progress: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_since: float | None = None
+        self._departures = Departures()
         self._known_directory = _NO_DIRECTORY
         self._indexed_revision = -1
         self._members_by_service: dict[str, list[MemberRecord]] = {}
@@ -173,6 +175,10 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self._decisions.flush()
+            # Also at followers: the next leader counts from when it learned of a departure.
+            self._departures = self._departures.updated(
+                self._service.state.leaving.values(), self._now()
+            )
             if not self._node.raft.is_established_leader:
                 self._reset()
                 continue
@@ -383,9 +389,14 @@
             self._acknowledging_replicas(service),
             statuses_fresh,
             self.mover.unanswered_for(service),
-            self.mover.leaving_for(service),
+            self._leaving_for(service),
         )
 
+    def _leaving_for(self, service: str) -> float:
+        """Return for how many seconds this node has known that the primary leaves, else 0."""
+        primary = next((m for m in self._members(service) if m.primary and m.leaving), None)
+        return 0.0 if primary is None else self._departures.seconds(primary.instance, self._now())
+
     def _attempt_view(self, service: str, now: float) -> AttemptView | None:
         attempt = self._attempts.get(service)
         if attempt is None:
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -18,7 +18,7 @@
         ("configuration_version", {}, state.version),
         ("directory_revision", {}, state.revision),
         ("members", {}, len(state.members)),
-        ("members_leaving", {}, sum(member.leaving for member in state.members.values())),
+        ("members_leaving", {}, len(state.leaving)),
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
         ("feature_level", {}, state.feature_level),
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -122,7 +122,6 @@
         self._leaderless_since: dict[str, float] = {}
         self._completed: dict[str, int] = {}  # fencing tokens of moves
         self._silent_since: dict[str, float] = {}  # of primaries
-        self._leaving_since: dict[str, float] = {}  # by service
         self._refused_at: dict[str, float] = {}  # of members
         self._retry_at: dict[str, float] = {}
         self._failures: Counter[str] = Counter()
@@ -160,13 +159,6 @@
         since = self._silent_since.get(self._primary(service))
         return 0.0 if since is None else self._now() - since
 
-    def leaving_for(self, service: str) -> float:
-        """Return for how many seconds the primary has been leaving; 0 if it isn't."""
-        if not any(m.primary and m.leaving for m in self._members(service)):
-            self._leaving_since.pop(service, None)
-            return 0.0
-        return self._now() - self._leaving_since.setdefault(service, self._now())
-
     def _primary(self, service: str) -> str:
         """Return the instance that announces itself as primary, empty if none does."""
         return next((m.instance for m in self._members(service) if m.primary), "")
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -98,6 +98,7 @@
         self.urgent_revision = saved.revision
         self._change = DirectoryChange(saved.revision)
         self.members = dict(saved.members)
+        self.leaving = {name: known for name, known in self.members.items() if known.leaving}
         self._at_address = {known.address: known.instance for known in self.members.values()}
         ended = saved.ended_starts or {}
         self.removed = {instance: ended.get(instance, 0) for instance in saved.removed}
@@ -306,11 +307,16 @@
         if step.before is not None:
             self._leave_address(step.before)
         self.members[record.instance] = record
+        if record.leaving:
+            self.leaving[record.instance] = record
+        else:
+            self.leaving.pop(record.instance, None)
         self._at_address[record.address] = record.instance
         self._change.members.append(step)
 
     def _drop_member(self, instance: str) -> bool:
         record = self.members.pop(instance, None)
+        self.leaving.pop(instance, None)
         if record is not None:
             self._leave_address(record)
             self._change.members.append(MemberChange(record, None))
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -338,6 +338,40 @@
 
         self.run_scenario(scenario)
 
+    # A new leader counted the time for which the primary had been leaving from its own start.
+    def test_a_leaving_primary_is_replaced_in_time_by_the_next_leader(self):
+        async def scenario():
+            primary = self.primary()
+            primary.received = Position(1, 20)
+            primary.leaving = True
+            await asyncio.sleep(3.0)
+            self.assertTrue(primary.leads)
+            leader = next(c for c in self.controls.nodes if c.node.consensus.raft.is_leader)
+            leader.kill()
+            await asyncio.sleep(4.0)
+            self.assertFalse(primary.leads)
+
+        self.run_scenario(scenario)
+
+    def test_the_departure_of_an_earlier_primary_does_not_count_for_the_next_one(self):
+        async def scenario():
+            first = self.primary()
+            first.received = Position(1, 20)
+            first.leaving = True
+            await self.wait_until(lambda: not first.leads)
+            first.silent = True  # so that its successor is the first to announce the change
+            await asyncio.sleep(3.0)
+            first.leaving = first.silent = False
+            self.platform.losses.clear()
+            second = self.primary()
+            second.received = Position(2, 30)
+            second.leaving = True
+            await asyncio.sleep(3.0)
+            self.assertTrue(second.leads)
+            self.assertEqual(self.platform.losses, [])
+
+        self.run_scenario(scenario)
+
     def test_a_primary_that_falls_silent_in_a_closed_zone_is_replaced(self):
         async def scenario():
             primary, *others = self.platform.members
