--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -283,10 +283,13 @@
         """Learn which members leave, before services are told of their records."""
         now = self.clock.time()
         confirmed_at = self._warm_up_context.lease.asked_at / 1000
-        self.departures = self.departures.updated(records, now, confirmed_at)
-        self._departure_log.note_departures(self.departures, records, now)
+        departures = self.departures.updated(records, now, confirmed_at)
+        if departures == self.departures:
+            return
+        self.departures = departures
+        self._departure_log.note_departures(departures, records, now)
         for service in self.services.values():
-            service.set_departures(self.departures, self._use_seconds)
+            service.set_departures(departures, self._use_seconds)
 
     def _on_departing_use(self, service: Service, record: MemberRecord) -> None:
         self._departure_log.note_use(service, record, self.clock.time())
