The soak has a primary replaced before any gateway uses its service

Cause: the soak's checks knew the rule on leaving members, but its clients use all gateways all the time, so that each one samples the primary and learns of a replacement by itself. Change: with odd seeds the primary leaves before the first clients come, and they come when it should get nothing more but still runs.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -279,16 +279,20 @@
             await fleet.until(lambda: fleet.put(self.build_config()), 200)
             self.homes.accept(self.config_version, asyncio.get_running_loop().time())
             await asyncio.sleep(1.0)  # until all gateways have the configuration
+            departures = await self._replace_unused_primary()
             clients = [asyncio.ensure_future(SoakClient(self, n).run()) for n in range(CLIENTS)]
             faults = [asyncio.ensure_future(self._inject_faults()) for _ in range(2)]
             faults.append(asyncio.ensure_future(self._pause_members()))
             if fleet.group.faults is not None:
                 faults += fleet.group.faults.start()
             await asyncio.sleep(self.seconds)
-            await end_tasks(faults)
+            await end_tasks([*faults, *departures])
             for ended in await asyncio.gather(*faults, return_exceptions=True):
                 if not isinstance(ended, asyncio.CancelledError):
                     self.oracle.add_problem(f"faults ended before the run: {ended!r}")
+            for ended in await asyncio.gather(*departures, return_exceptions=True):
+                if isinstance(ended, Exception):
+                    self.oracle.add_problem(f"the departure failed: {ended!r}")
             await self._clear_faults()
             before = self.oracle.verdict.acknowledged
             await asyncio.sleep(RECOVERY_SECONDS)
@@ -322,6 +326,12 @@
         document["routes"] += [{**first, "name": f"r-{d}", "host": d} for d in self.added_databases]
         return document
 
+    async def _replace_unused_primary(self) -> list[asyncio.Task[None]]:
+        """With odd seeds, have the primary replaced before clients come; return what goes on."""
+        if self.group.faults is None or self.seed % 2 == 0:
+            return []
+        return [await self.group.faults.replace_unused_primary()]
+
     @property
     def has_zone_faults(self) -> bool:
         """Whether lives, evacuations and regions are tested; earlier versions ignore them."""
--- a/tests/soak/zone_faults.py
+++ b/tests/soak/zone_faults.py
@@ -77,6 +77,25 @@
             for task in self.tasks
         ]
 
+    async def replace_unused_primary(self) -> asyncio.Task[None]:
+        """Have the primary leave, and wait until it should get nothing more.
+
+        Before the first clients no gateway uses the service, so that samples don't tell of the
+        replacement. Returns the task in which the member goes on to run and starts again.
+        """
+        rng = random.Random(f"unused primary {self._soak.seed}")
+        member = self._soak.group.primary
+        task = asyncio.ensure_future(self._leave_and_start_again(member, rng))
+        while not self._leaving.is_overdue(member.instance, self._now()):
+            await asyncio.sleep(0.1)
+        return task
+
+    async def _leave_and_start_again(self, member: Member, rng: random.Random) -> None:
+        with self._fleet.mark_busy(member.instance):
+            self._log(f"leave and restart of {member.instance}")
+            await self._leave(member, rng)
+            await self._start_again(member, rng)
+
     async def clear(self) -> None:
         """End all evacuations, which a fault that was cancelled may have left."""
         for zone in sorted(self._ordered):
@@ -209,10 +228,11 @@
             member, leaves = rng.choice(self._fleet.members), rng.random() < LEAVING_SHARE
             if any(other.instance in self._fleet.busy for other in self._fleet.members):
                 continue  # at most one member may be down at a time
+            if leaves:
+                await self._leave_and_start_again(member, rng)
+                continue
             with self._fleet.mark_busy(member.instance):
-                self._log(f"{'leave and ' if leaves else ''}restart of {member.instance}")
-                if leaves:
-                    await self._leave(member, rng)
+                self._log(f"restart of {member.instance}")
                 await self._start_again(member, rng)
 
     async def _leave(self, member: Member, rng: random.Random) -> None:
