--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -103,14 +103,14 @@
         self._received_outside = 0
         self._session_count = 0
         self._sender_inputs: object = None
+        self._departures = Departures()
+        self._use_seconds = use_seconds(drain_ms)
+        self._departure_log = DepartureLog(decisions)
         self.access = AccessControl(
             Clock(clock), decisions, self._policies.key_check, quota_parameters
         )
         self.outcomes = OutcomeRecorder(decisions, self.access)
         self.evacuations = ZoneEvacuations(clock, decisions, evacuation_ms)
-        self.departures = Departures()
-        self._use_seconds = use_seconds(drain_ms)
-        self._departure_log = DepartureLog(decisions)
         self.holdings = Holdings(self, peers, decisions)
         self.outcomes.on_trace = self.holdings.note_client_statement
         self._directory = CurrentDirectory(peers)
@@ -245,7 +245,7 @@
         service.set_fleet_size(self._directory.population)
         service.on_departing_use = functools.partial(self._on_departing_use, service)
         self.evacuations.apply_to(service)
-        service.set_departures(self.departures, self._use_seconds)
+        service.set_departures(self._departures, self._use_seconds)
         service.set_members(self._directory.members(name))
         return service
 
@@ -283,10 +283,10 @@
         """Learn which members leave, before services are told of their records."""
         now = self.clock.time()
         confirmed_at = self._warm_up_context.lease.asked_at / 1000
-        departures = self.departures.updated(records, now, confirmed_at)
-        if departures == self.departures:
+        departures = self._departures.updated(records, now, confirmed_at)
+        if departures == self._departures:
             return
-        self.departures = departures
+        self._departures = departures
         self._departure_log.note_departures(departures, records, now)
         for service in self.services.values():
             service.set_departures(departures, self._use_seconds)
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -185,7 +185,7 @@
             return False
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
-    def set_departures(self, departures: Departures, use_seconds: float = 0.0) -> None:
+    def set_departures(self, departures: Departures, use_seconds: float) -> None:
         """Set which members are leaving, and since when.
 
         Parameters
