--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -243,7 +243,7 @@
         service.warm_up.on_change = functools.partial(log_warm_up, self._decisions, service)
         service.warm_up.on_part = functools.partial(log_warm_up_part, self._decisions, service)
         service.set_fleet_size(self._directory.population)
-        service.on_departing_use = functools.partial(self._on_departing_use, service)
+        service.leaving.on_use = functools.partial(self._on_leaving_member_used, service)
         self.evacuations.apply_to(service)
         service.set_departures(self._departures, self._use_seconds)
         service.set_members(self._directory.members(name))
@@ -291,7 +291,7 @@
         for service in self.services.values():
             service.set_departures(departures, self._use_seconds)
 
-    def _on_departing_use(self, service: Service, record: MemberRecord) -> None:
+    def _on_leaving_member_used(self, service: Service, record: MemberRecord) -> None:
         self._departure_log.note_use(service, record, self.clock.time())
 
     def set_evacuations(self, evacuations: Evacuations) -> None:
--- a/src/rowanrail/gateway/gauges.py
+++ b/src/rowanrail/gateway/gauges.py
@@ -40,12 +40,9 @@
             readings += _pool_gauges(labels, pool, now)
             readings += _estimate_gauges(labels, instance, service.estimates)
             if pool.record.leaving:
-                readings.append(
-                    ("member_leaving_seconds", labels, service.departures.seconds(instance, now))
-                )
-                readings.append(
-                    ("sent_while_leaving", labels, service.sent_while_leaving[instance])
-                )
+                leaving = service.leaving
+                readings.append(("member_leaving_seconds", labels, leaving.seconds(instance, now)))
+                readings.append(("sent_while_leaving", labels, leaving.sent[instance]))
         if service.spec.limits_warm_up:
             readings += _warm_up_gauges(name, service)
     return readings
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -7,8 +7,7 @@
 """
 
 import random
-from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 from functools import partial
 from types import MappingProxyType
@@ -16,6 +15,7 @@
 from rowanrail.gateway.policies import GatewayPolicies
 from rowanrail.gateway.pools.pool import MemberPool
 from rowanrail.gateway.pools.pool_lease import PoolLease
+from rowanrail.gateway.services.leaving_members import LeavingMembers
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.member_estimates import MemberEstimates, ReadRequirements
 from rowanrail.gateway.services.member_probes import MemberProbes
@@ -59,13 +59,6 @@
         Provides the check that a member is primary.
     warm_up_context : WarmUpContext or None
         What the limits on statements to warming members need of the gateway.
-
-    Attributes
-    ----------
-    on_departing_use : callable
-        Called with the record of a leaving member that is sent a statement.
-    sent_while_leaving : Counter
-        By instance, number of single statements and transactions sent to leaving members.
     """
 
     def __init__(
@@ -106,10 +99,7 @@
         self._scheduler = scheduler
         self._tenants = Tenants()
         self.data_regions: DataRegions | None = None
-        self.departures = Departures()
-        self._use_seconds = 0.0
-        self.on_departing_use: Callable[[MemberRecord], None] = lambda record: None
-        self.sent_while_leaving: Counter[str] = Counter()
+        self.leaving = LeavingMembers()
 
     def set_members(self, records: list[MemberRecord]) -> None:
         """Replace the members; close the pools of those that left or changed their address.
@@ -186,33 +176,17 @@
         return self._eligibility.is_closed(record.zone, self._scheduler.time())
 
     def set_departures(self, departures: Departures, use_seconds: float) -> None:
-        """Set which members are leaving, and since when.
-
-        Parameters
-        ----------
-        use_seconds : float
-            Time for which a leaving member is used for what needs it, see
-            :func:`rowanrail.members.departures.use_seconds`.
-        """
-        self.departures = departures
-        self._use_seconds = use_seconds
+        """Set which members leave, and for how long those are used that are needed."""
+        self.leaving.set_departures(departures, use_seconds)
         self._update_leaving()
-        for instance in list(self.sent_while_leaving):
-            if instance not in departures.by_instance:
-                del self.sent_while_leaving[instance]
 
     def _update_leaving(self) -> None:
-        used_until = self.departures.used_until(self.pools, self._use_seconds)
+        """Apply until when the leaving ones of the service's members are used."""
+        used_until = self.leaving.used_until(self.pools)
         if used_until != self._eligibility.used_until:
             self._eligibility = replace(self._eligibility, used_until=used_until)
             self._update_has_exclusions()
 
-    def note_sent(self, record: MemberRecord) -> None:
-        """Record that a member is sent a single statement, or the begin of a transaction."""
-        if record.leaving:
-            self.sent_while_leaving[record.instance] += 1
-            self.on_departing_use(record)
-
     def set_data_regions(self, data_regions: DataRegions | None) -> None:
         """Set the configuration's restrictions to regions, None if it has none."""
         self.data_regions = data_regions
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -185,7 +185,7 @@
             return False
 
         if self.pool is not None and not self.continues:
-            self.service.note_sent(self.pool.record)
+            self.service.leaving.note_sent(self.pool.record)
 
         def close_on_refusal(answer: Answer) -> None:
             if answer.refusal is not None and not channel.closed:
