Comments that a maintainer needs are back: figures and reasons behind constants

What stands again, in today's names: sampling rate of primaries, connections left for successors, shards of a service, deferral of statements, margins and intervals of tenants' limits, why a limit is not divided among gateways, time-outs of promotions and failures, kept changes, ranking of holders, the compression level, idle services, the log's budget and the cost of an import. The parsed code without its docstrings is the same in all 14 files.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -13,13 +13,16 @@
 from rowanrail.model.members import MemberRecord, PrimaryHealth
 from rowanrail.model.position import Position
 
-MIN_FAILING_SECONDS = 0.25  # a shorter failure at an observer doesn't count
+# A shorter failure at an observer doesn't count: a sample fails after 0.3 s, so that one has failed
+# and a second one nearly has.
+MIN_FAILING_SECONDS = 0.25
 MAX_REPORT_AGE_SECONDS = 2.5  # gateways report every second
 MAX_PROOF_AGE_SECONDS = 1.8  # exceeds the report interval (1 s) and a sampling interval (0.6 s)
 # All failing observers must fail for this long to overrule a minority that succeeds.
 OVERRULE_MINORITY_SECONDS = 0.7
 HEARTBEAT_SILENCE_SECONDS = 0.3  # a primary with a newer heartbeat is alive
-PROMOTION_TIMEOUT_SECONDS = 2.5  # until an accepted promotion without effect is ordered again
+# Until an accepted promotion without effect is ordered again; the slowest takes 1 s.
+PROMOTION_TIMEOUT_SECONDS = 2.5
 UNKNOWN_OUTCOME_SECONDS = 1.6  # exceeds the promoter's call timeout of 1.5 s
 # After taking over, a leader waits this long before it concludes that no member is primary.
 NEW_LEADER_SECONDS = 1.0
--- a/src/rowanrail/coordination/history.py
+++ b/src/rowanrail/coordination/history.py
@@ -15,6 +15,7 @@
 __all__ = ["MAX_CHANGES", "DirectoryHistory", "ChangedNames"]
 
 # A gateway that lacks more changes gets the full directory, which is then the smaller update.
+# Gateways poll every second, and a start of 300 machines makes some 100 changes a second.
 MAX_CHANGES = 500
 
 
--- a/src/rowanrail/coordination/holders.py
+++ b/src/rowanrail/coordination/holders.py
@@ -1,7 +1,7 @@
 """The gateways that hold services' connections in their groups, updated incrementally.
 
-Ranking all gateways for all services grows with both numbers; a change of one gateway affects only
-the keys for which it ranks first.
+Ranking all gateways for all services takes 7.5 ms for 300 gateways and 40 services, and grows with
+both numbers; a change of one gateway affects only the keys for which it ranks first.
 """
 
 from collections import Counter
--- a/src/rowanrail/directory/update_encoding.py
+++ b/src/rowanrail/directory/update_encoding.py
@@ -10,7 +10,9 @@
 __all__ = ["decode_update", "encode_update"]
 
 
-COMPRESSION_LEVEL = 6  # of zlib; each update is encoded once for many gateways
+# Of zlib; each update is encoded once for many gateways. A directory of 300 machines (25 KB) takes
+# 2.9 KB and 0.10 ms; 3.6 KB and 0.05 ms at level 1, 2.7 KB and 0.33 ms at level 9.
+COMPRESSION_LEVEL = 6
 
 
 def encode_update(update: DirectoryUpdate) -> bytes:
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -59,7 +59,8 @@
 from rowanrail.tenants.quota_parameters import QuotaParameters
 
 TICK_SECONDS = 0.05  # a sixth of the shortest timeout, SAMPLE_TIMEOUT_SECONDS
-# Unused services are processed once in so many ticks, to save CPU time.
+# Unused services are processed once in so many ticks: 75 of them took 0.7 % of a core when each was
+# processed in every tick.
 IDLE_SERVICE_TICKS = 10
 DEFAULT_IDLE_TRANSACTION_SECONDS = 60.0  # limit for idle transactions without a configuration
 SAMPLE_REQUEST_SECONDS = 0.3  # time limit for a sample that another gateway requests
--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -370,6 +370,8 @@
         """Whether any connection to a member is open or being opened.
 
         Lets callers skip the services without one, which are most services at most gateways.
+        Looking for the shards of all services in every tick took three times the CPU time of all
+        other work, with 25 services.
         """
         return any(pool.connections.count for pool in self.pools.values())
 
--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -31,7 +31,8 @@
 ]
 
 # Fraction of the latency objective for which a statement waits for a primary: until then a
-# successor may still serve it in time.
+# successor may still serve it in time. With 0.24, clients got less on five of eight days with a
+# lost primary and the same on three, one run each.
 DEFERRAL_FRACTION = 0.7
 # Retry-After while the primary is lost: about the rest of a failover after the deferral.
 PRIMARY_RETRY_AFTER_MS = 1000.0
--- a/src/rowanrail/kernel/decisions.py
+++ b/src/rowanrail/kernel/decisions.py
@@ -14,7 +14,7 @@
 
 from rowanrail.kernel.catalogue import Event, Level, define
 
-INFO_LINES_PER_SECOND = 40
+INFO_LINES_PER_SECOND = 40  # takes 0.12 % of a core
 LINES_PER_SECOND = 400  # all levels; leaves room for errors when the limit of INFO is used up
 MAXIMUM_PENDING_BYTES = 512 * 1024  # about 2,000 lines, five seconds at the rate limit
 
--- a/src/rowanrail/kernel/http.py
+++ b/src/rowanrail/kernel/http.py
@@ -1,6 +1,7 @@
 """A minimal HTTP/1.1 server and client on ``h11``, for requests with JSON bodies.
 
-For programs that must start quickly: ``aiohttp`` takes much longer to import.
+For programs that must start quickly: ``aiohttp`` takes 0.28 s of CPU time to import, more than a
+third of a gateway's start, and ``h11`` 0.03 s.
 """
 
 import asyncio
--- a/src/rowanrail/members/monitor_interval.py
+++ b/src/rowanrail/members/monitor_interval.py
@@ -7,7 +7,9 @@
 __all__ = ["MONITOR_SECONDS", "monitor_seconds"]
 
 MONITOR_SECONDS = 0.3  # minimum interval
-MONITOR_SAMPLES_PER_SECOND = 320.0  # target rate at one primary from all gateways together
+# Target rate at one primary from all gateways together. With 194 gateways, an interval of 1.0 s in
+# place of 0.3 s saved 6 of 24 MB between regions on a day without faults, one run.
+MONITOR_SAMPLES_PER_SECOND = 320.0
 MAX_MONITOR_SECONDS = 0.6  # bounds the time to detect a silent primary
 
 
--- a/src/rowanrail/placement/hashed.py
+++ b/src/rowanrail/placement/hashed.py
@@ -36,10 +36,13 @@
 # these are for when that holder can't be reached.
 REMOTE_CONNECTIONS = 2
 # Connections of a member that are left for gateways that take over: a lost holder's connections may
-# count for 3 s more, and other gateways serve as a detour while a primary is cut off.
+# count for 3 s more, and other gateways serve as a detour while a primary is cut off. With 2 in
+# place of 6, members of 58 gateways refused 5,265 connections in a day of such partitions; with 6,
+# 3,582.
 SUCCESSOR_CONNECTIONS = 6
 # Shards of a service, by tenant, in a region that shares connections: several links then carry the
-# statements that the primary's region gets while replicas lag.
+# statements that the primary's region gets while replicas lag. A gateway's link carries 250 KB/s
+# and a statement takes 1.7 KB each way, so that 150 statements a second would saturate one holder.
 SHARDS = 3
 ROUNDING_TOLERANCE = 0.01  # connections; compensates the rounding of shares in a plan
 # Key for which a region's gateways are ranked to choose the one that sums tenants' demand.
--- a/src/rowanrail/tenants/quota.py
+++ b/src/rowanrail/tenants/quota.py
@@ -10,6 +10,9 @@
 and the number of those that report from the totals, and assumes that the others admit as much as
 those that report. The partitions together stay at the limit, whatever each of them admits, and
 neither an aggregator nor a gateway has to remember anything.
+
+A share of the limit for each gateway by its share of the demand does not work: with 58 gateways it
+was often below one operation, and clients were refused at half of the limit.
 """
 
 import math
--- a/src/rowanrail/tenants/quota_parameters.py
+++ b/src/rowanrail/tenants/quota_parameters.py
@@ -11,12 +11,14 @@
 
 # Share of the tolerated excess that is used, so that nothing is refused below the limit though the
 # totals are late, and though a partition's share of the demand differs from its share of the
-# gateways. The rest covers what is admitted before the totals arrive.
+# gateways. The rest covers what is admitted before the totals arrive. With 0.25 in place of 0.5, 28
+# in place of 11 of 1,444 operations were refused below a limit, in a test with 12 gateways.
 USED_MARGIN = 0.5
 # The same for operations that are more urgent than others of their tenant. The count oscillates
 # about the limit; between the two margins only urgent operations are admitted.
 URGENT_MARGIN = 0.9
-# Share of a window that is empty after a restart of all gateways: 0.5 s until they start.
+# Share of a window that is empty after a restart of all gateways: 0.5 s until they start. The
+# 0.27 s from then until they listen are a margin.
 RESTART_SHARE = 0.1
 UNKNOWN_MARGIN = 0.2  # share of the tolerated excess that assumed admissions leave out
 
--- a/src/rowanrail/tenants/tenant_counters.py
+++ b/src/rowanrail/tenants/tenant_counters.py
@@ -12,7 +12,9 @@
 
 __all__ = ["RATE_WINDOW_MS", "REPORT_INTERVAL_MS", "TenantCounters", "TenantUsage"]
 
-REPORT_INTERVAL_MS = 300.0  # between reports of a gateway
+# Between reports of a gateway. With 58 gateways and 72 tenants they add up to about 35 KB/s within
+# regions and 14 KB/s between them, computed from the sizes of the messages.
+REPORT_INTERVAL_MS = 300.0
 RATE_WINDOW_MS = 1000.0  # over which rates are averaged: three reports
 # Requests since the last report, as a multiple of what that report predicts and as a minimum, that
 # make the next report immediate. Otherwise the totals show a burst 0.3 to 0.6 s late, in which four
@@ -20,7 +22,7 @@
 BURST_FACTOR = 2.0
 BURST_MINIMUM = 3
 # Over which the shares of the priority classes are counted: long enough for a gateway to see a few
-# operations of each class.
+# operations of each class, and the shares change slowly.
 CLASS_MIX_WINDOW_MS = 3000.0
 INITIAL_CREDIT = 0.5  # operations; below 1 so that gateways don't all start by admitting one
 
