--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -126,6 +126,13 @@
         self.assertIn("an operator has evacuated the zone", diagnosis.cause)
         self.assertEqual(diagnosis.promise, "it had no effect and may be retried")
 
+    def test_refused_as_the_primary_leaves(self):
+        self.harness.announce(2, leaving=("m1",))
+        self.harness.client("orders").run("WRITE a 1")
+        diagnosis = self.diagnose("q1")
+        self.assertIn("announced that it leaves, and has not been replaced", diagnosis.cause)
+        self.assertEqual(diagnosis.promise, "it had no effect and may be retried")
+
     def test_refused_by_replicas_that_lag_behind(self):
         client = self.harness.client("carts")
         client.run("BEGIN READ")
