--- a/review/lab.py
+++ b/review/lab.py
@@ -642,6 +642,7 @@
         self.members[0].is_primary = True
         self.sync_replicas = sync_replicas
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._lost_disks: dict[int, int] = {}
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._commands = {name: role["run"].split() for name, role in deploy["roles"].items()}
 
@@ -661,7 +662,7 @@
             "data_folder": str(self.data_folder(number)),
             "listen": f"{host}:{self._control_port}",
             "host": host,
-            "control_nodes": self.control_addresses,
+            "control_nodes": self.control_addresses[:3],
             "rpc_port": self._rpc_port,
             "protocol": "lines",
             "bootstrap": bootstrap,
@@ -673,7 +674,11 @@
         self._start("control", f"core-{number}", settings)
 
     def data_folder(self, number: int) -> Path:
-        return self._folder / f"core-{number}"
+        return self._folder / f"core-{number}-disk-{self._lost_disks.get(number, 0)}"
+
+    def lose_disk(self, number: int) -> None:
+        """Have a control node start with an empty folder next time."""
+        self._lost_disks[number] = self._lost_disks.get(number, 0) + 1
 
     def start_proxy(self, number: int) -> None:
         host = self.proxies[number]
@@ -682,7 +687,7 @@
             "zone": ZONE_NAMES[number % 3],
             "listen": f"{host}:{self._client_port}",
             "ready_listen": f"{host}:{self._ready_port}",
-            "control_nodes": self.control_addresses,
+            "control_nodes": self.control_addresses[:3],
             "rpc_port": self._rpc_port,
             "protocol": "lines",
             "stop_seconds": 6,
@@ -780,7 +785,7 @@
         await self.platform.start(self.promote_address)
         for member in self.members:
             await member.start()
-        for number in range(len(self.controls)):
+        for number in range(min(3, len(self.controls))):
             self.start_control(number, bootstrap=True)
         for number in range(len(self.proxies)):
             self.start_proxy(number)
