--- a/review/lab.py
+++ b/review/lab.py
@@ -168,6 +168,7 @@
         self.dark = False  # no path to or from it
         self.deaf = False  # receives no commits
         self.paused = False
+        self.answer_loss = 0.0  # share of reads, writes and commits that it runs without an answer
         self.state = "ready"
         self.term = 1
         self.held_term = 0
@@ -300,6 +301,7 @@
         self._started = False
         self._state = "I"
         self._plain = False
+        self._loses_answer = False
         self.lost_lead = False
         self._writes: list[str] = []
 
@@ -346,6 +348,10 @@
         self._run(words[1], words[2:])
 
     def _answer(self, *lines: str) -> None:
+        if self._loses_answer:
+            self._loses_answer = False
+            self.member.group.record.note(f"{self.member.instance}: this answer is lost")
+            return
         self._write([*lines, f"READY {self._state} {self.member.position}"])
 
     def _refuse(self, code: str) -> None:
@@ -383,6 +389,7 @@
             self._refuse("READONLY")
         elif command == "READ":
             self._note_run(request_id, words)
+            self._loses_answer = random.random() < member.answer_loss
             found = [w for w in [*member.log, *self._writes] if w.startswith(f"{arguments[0]}=")]
             self._answer(
                 f"ROW {found[-1].partition('=')[2] if found else 'none'}", self._signature()
@@ -391,6 +398,8 @@
             self._run_write(request_id, arguments)
         elif command == "COMMIT":
             writes, self._writes, self._state = self._writes, [], "I"
+            self._note_run(request_id, words)
+            self._loses_answer = random.random() < member.answer_loss
             self._commit(request_id, writes)
         else:
             self._refuse("MALFORMED")
@@ -403,6 +412,7 @@
             self._refuse("READONLY")
             return
         self._note_run(request_id, ["WRITE", *arguments])
+        self._loses_answer = random.random() < self.member.answer_loss
         write = f"{arguments[0]}={' '.join(arguments[1:])}"
         if self._state == "T":
             self._writes.append(write)
