Log the position of each member's log in the decision on a failover

Cause: of a failover the log had the promoted member and the reason, not what the leader had compared.

Change: RR0420 and RR0422 have a field "logs": each member with the position that it answered, or "no answer", and whether it leads, leaves or is incomplete. No decision changes.

--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -65,7 +65,7 @@
     420,
     Level.WARNING,
     "promoting {instance} of {service} with token {token}: {reason}",
-    "The leader replaces a primary.",
+    "The leader replaces a primary. In a failover, the field logs has each member's position.",
 )
 PROMOTION_ANSWERED = define(
     421,
@@ -77,7 +77,7 @@
     422,
     Level.WARNING,
     "{service} needs a primary ({cause}), but failover waits: {reason}",
-    "The leader retries shortly.",
+    "The leader retries shortly. The field logs has each member's position.",
 )
 FEATURE_LEVEL_RAISED = define(
     475,
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -143,6 +143,31 @@
     instance: str = ""
 
 
+def describe_logs(view: ServiceView) -> list[str]:
+    """Return what is known of each member's log, for the log lines of a decision.
+
+    Examples
+    --------
+    >>> m1 = MemberRecord("m1", "db", "m1:1", "a", True, False, 3, 1)
+    >>> m2 = MemberRecord("m2", "db", "m2:1", "a", False, True, 3, 1)
+    >>> members = [MemberView(m1, 2.0), MemberView(m2, 0.1, False, 4, Position(4, 129))]
+    >>> describe_logs(ServiceView("db", members, [], None, 60.0))
+    ['m1 no answer', 'm2 4.129 leaving']
+    """
+    return [_describe_log(member) for member in view.members]
+
+
+def _describe_log(member: MemberView) -> str:
+    received = member.received
+    position = "no answer" if received is None else f"{received.term}.{received.index}"
+    signs = {
+        "leads": bool(member.leads),
+        "leaving": member.record.leaving,
+        "incomplete": member.is_incomplete,
+    }
+    return " ".join([member.record.instance, position, *(sign for sign in signs if signs[sign])])
+
+
 def decide(view: ServiceView) -> Decision:
     """Return whether to wait, to ask members for their statuses, or to promote a member."""
     if view.attempt is not None and is_promotion_pending(view, view.attempt):
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -12,7 +12,7 @@
 import enum
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 
 import msgspec
 
@@ -27,6 +27,7 @@
     MemberView,
     ServiceView,
     decide,
+    describe_logs,
     is_promotion_pending,
     report_view,
 )
@@ -147,6 +148,7 @@
         self._sampling: WarmUpSampling | None = None
         self._attempts: dict[str, _PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
+        self._compared_logs: dict[str, list[str]] = {}  # in the last decision on a failover
         self._in_progress: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_since: float | None = None
@@ -200,6 +202,7 @@
         self._leading_since = None
         self._known_directory = _NO_DIRECTORY
         self._attempts.clear()
+        self._compared_logs.clear()
         self.mover.reset()
         for tracker in self._trackers.values():
             tracker.close()
@@ -337,7 +340,9 @@
         must_pause = self._acknowledging_replicas(service) > 0 and not is_demoted
         if must_pause:
             statuses = await self._pause_replicas(service, statuses)
-        decision = self._decide(self._view(service, statuses, statuses_fresh=True), demotion)
+        view = self._view(service, statuses, statuses_fresh=True)
+        self._compared_logs[service] = describe_logs(view)
+        decision = self._decide(view, demotion)
         if must_pause and decision.action is not Action.PROMOTE:
             await self._queries.query(self._replicas(service), Command(CommandKind.RESUME))
         return decision
@@ -345,7 +350,13 @@
     def _log_waiting(self, service: str, cause: str, reason: str) -> None:
         if self._waiting_reasons.get(service) != reason:
             self._waiting_reasons[service] = reason
-            self._decisions.note(PROMOTION_WAITS, service=service, cause=cause, reason=reason)
+            self._decisions.note(
+                PROMOTION_WAITS,
+                service=service,
+                cause=cause,
+                reason=reason,
+                logs=self._compared_logs.get(service, []),
+            )
 
     def _view(
         self, service: str, statuses: dict[str, StatusReply], statuses_fresh: bool = False
@@ -435,10 +446,13 @@
         promotion = await self._service.propose(intent)
         assert isinstance(promotion, Promotion)
         if self._node.raft.is_established_leader:
-            await self._order(service, promotion, decision.reason)
+            logs = self._compared_logs.get(service, [])
+            await self._order(service, promotion, decision.reason, logs)
 
-    async def _order(self, service: str, promotion: Promotion, reason: str) -> None:
-        """Order a promotion that is in the log."""
+    async def _order(
+        self, service: str, promotion: Promotion, reason: str, logs: Sequence[str] = ()
+    ) -> None:
+        """Order a promotion that is in the log; ``logs`` are those that were compared."""
         attempt = _PromotionAttempt(promotion.instance, self._now())
         self._attempts[service] = attempt
         self._decisions.note(
@@ -448,6 +462,7 @@
             token=promotion.token,
             term=self._node.raft.term,
             reason=reason,
+            logs=list(logs),
         )
         outcome = await self._promoter.promote(service, promotion.instance, promotion.token)
         if outcome is not PromotionOutcome.UNKNOWN:
