A failover with acknowledging replicas promotes the log that ends last

Cause: the choice left out every log of a member that leaves, and every log of a member that knows only an older term, and then promoted the longest of the rest, without regard to what it had left out. The check before it, that each acknowledged commit is in some log that answered, counted those logs. The two rules looked at different sets.

Change: with acknowledging replicas the candidate is the log that ends last of all complete ones that answered, whatever its member's state. Of two logs, the one that ends last has all acknowledged commits of the other, so that with the check before it the promoted log has all. Of logs that end alike, a member that stays goes first. A leaving member that was promoted is replaced by the planned move. Without acknowledging replicas nothing changes.

The one rule serves the failover, overdue moves, what follows a demotion whose primary is silent, and a new leader; each has a test.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -286,18 +286,35 @@
 
 
 def _best_candidate(view: ServiceView) -> MemberView | None:
-    """Return the member with the longest log among those in the newest reported term.
+    """Return the member to promote, None if no candidate answers.
 
-    A member in an older term may hold commits that a later promotion discarded. A member whose log
-    is incomplete is a candidate only if no other answers, as it may know of the newest term without
-    having received the log before it. Of logs of the same length, one of a member that may serve is
+    With acknowledging replicas it is the member whose log ends last. Without them it is the one
+    with the longest log among those in the newest reported term that aren't leaving. A member in an
+    older term may hold commits that a later promotion discarded. A member whose log is incomplete
+    is a candidate only if no other answers, as it may know of the newest term without having
+    received the log before it. Of logs of the same length, one of a member that may serve is
     preferred.
     """
     answered = [member for member in view.members if member.received is not None]
     complete = [member for member in answered if not member.is_incomplete]
+    if view.acknowledging_replicas:
+        return _furthest_log(complete)
     return _longest_log(complete) or _longest_log(answered)
 
 
+def _furthest_log(answered: list[MemberView]) -> MemberView | None:
+    """Return the member whose log ends last, even if it is leaving or knows only an older term.
+
+    Of two logs, the one that ends last has all acknowledged commits of the other. A member that
+    leaves and is promoted hands over to another one as soon as that has its log.
+    """
+    return max(
+        (member for member in answered if not member.leads),
+        key=lambda m: (m.received, not m.record.leaving, m.may_serve, m.record.instance),
+        default=None,
+    )
+
+
 def _longest_log(answered: list[MemberView]) -> MemberView | None:
     newest = max((member.term for member in answered), default=0)
     candidates = [
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -280,3 +280,63 @@
             for view in self.members
         ]
         self.assertIs(self.decide([], members=members).action, Action.PROMOTE)
+
+
+class AcknowledgedCommitsTest(unittest.TestCase):
+    """With acknowledging replicas, the promoted member has all commits that they acknowledged."""
+
+    def setUp(self):
+        self.members = [
+            member("m1", primary=True),
+            member("m2", leads=False, term=1, received=Position(1, 9)),
+            member("m3", leads=False, term=1, received=Position(1, 8)),
+        ]
+
+    def decide(self, **changes):
+        view = ServiceView(
+            "db",
+            self.members,
+            [failing("g1"), failing("leader")],
+            None,
+            holding_for=60.0,
+            vantage_points=4,
+            acknowledging_replicas=1,
+            statuses_fresh=True,
+        )
+        return decide(msgspec.structs.replace(view, **changes))
+
+    def check_promoted(self, instance, **changes):
+        decision = self.decide(**changes)
+        self.assertIs(decision.action, Action.PROMOTE, decision.reason)
+        self.assertEqual(decision.instance, instance)
+
+    # The commits that only the leaving replica had acknowledged were rolled back.
+    def test_a_leaving_replica_that_has_received_more_is_promoted(self):
+        self.members[1] = member("m2", leaving=True, leads=False, term=1, received=Position(1, 9))
+        self.check_promoted("m2")
+
+    def test_of_equal_logs_that_of_a_member_that_stays_is_preferred(self):
+        for number in (1, 2):
+            self.members[number] = member(
+                f"m{number + 1}", leaving=number == 2, leads=False, term=1, received=Position(1, 9)
+            )
+        self.check_promoted("m2")
+
+    # Only the returned primary had what was acknowledged before the promotion of the lost one.
+    def test_a_log_that_ends_in_an_older_term_is_promoted_if_no_other_ends_later(self):
+        self.members = [
+            member("m1", leads=False, term=1, received=Position(1, 112)),
+            member("m2", primary=True),
+            member("m3", leads=False, term=2, received=Position(1, 95)),
+        ]
+        reports = [failing("g1", instance="m2"), failing("leader", instance="")]
+        self.check_promoted("m1", reports=reports)
+        self.members[2] = member("m3", leads=False, term=2, received=Position(2, 96))
+        self.check_promoted("m3", reports=reports)
+
+    def test_a_leaving_primary_in_time_is_replaced_by_the_log_that_ends_last(self):
+        self.members[0] = member(
+            "m1", primary=True, leaving=True, ago=0.1, leads=True, term=1, received=Position(1, 99)
+        )
+        self.members[1] = member("m2", leaving=True, leads=False, term=1, received=Position(1, 9))
+        self.check_promoted("m2", leaving_for=5.0, reports=[serving("g1")])
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -395,6 +395,50 @@
         self.run_scenario(scenario)
 
 
+class AcknowledgedCommitsTest(ControllerTestCase):
+    """A service whose commits are acknowledged once one replica has received them."""
+
+    LAST = Position(1, 20)  # of what is acknowledged
+
+    def run_scenario(self, scenario, outcomes=()):
+        async def checked_scenario():
+            for control in self.controls.nodes:
+                control.node.failover._acknowledging_replicas = lambda service: 1
+            self.first, self.second, self.third = self.platform.members
+            await scenario()
+            self.assertEqual(self.platform.losses, [])
+
+        super().run_scenario(checked_scenario, outcomes)
+
+    def receive_at_leaving_replica(self):
+        """Have the second member leave, and receive commits that the third doesn't receive."""
+        self.second.leaving = True
+        self.first.received = self.second.received = self.LAST
+
+    def kill_leader(self):
+        next(c for c in self.controls.nodes if c.node.consensus.raft.is_established_leader).kill()
+
+    # The replica that was behind was promoted, and acknowledged commits were rolled back.
+    def test_a_leaving_replica_with_the_newest_log_is_promoted(self):
+        async def scenario():
+            self.receive_at_leaving_replica()
+            await asyncio.sleep(1.0)
+            self.first.silent = True
+            await self.wait_until(lambda: self.second.leads)
+
+        self.run_scenario(scenario)
+
+    def test_the_next_leader_promotes_a_leaving_replica_with_the_newest_log(self):
+        async def scenario():
+            self.receive_at_leaving_replica()
+            await asyncio.sleep(1.0)
+            self.first.silent = True
+            self.kill_leader()
+            await self.wait_until(lambda: self.second.leads)
+
+        self.run_scenario(scenario)
+
+
 class PlannedMoveTest(ControllerTestCase):
     """Moves of a primary that still serves; no promotion may lose a commit that it received."""
 
--- a/tests/coordination/test_moves.py
+++ b/tests/coordination/test_moves.py
@@ -234,3 +234,10 @@
     def test_replicas_that_may_have_acknowledged_must_answer_without_the_former_primary(self):
         self.members = [silent("m1"), member("m2", EARLIER), silent("m3")]
         self.check_waits(ago=3.0, position=None, acknowledging_replicas=1)
+
+    # The rule of the failover left out the leaving replica, whatever it had received.
+    def test_without_the_former_primary_a_leaving_replica_that_has_received_more_is_promoted(self):
+        former = silent("m1", primary=True, leaving=True)
+        self.members = [former, member("m2", leaving=True), member("m3", EARLIER)]
+        case = {"position": None, "unanswered_for": 1.5, "acknowledging_replicas": 1}
+        self.check_promoted("m2", ago=3.0, **case)
