A leaving primary is moved as planned while its forced replacement waits

With sync-replicas 1 a leaving replica that a failover promoted keeps the lead until it ends, though another replica has all of its log by then; writes are refused from the end of its time.

Cause: 5 s after the leader learned that a primary leaves, the forced replacement is due at each check and takes the place of the planned move. With acknowledging replicas it waits while one that may hold commits is silent (the crashed former primary, as a rule), so that neither took place. Each round also paused the replicas before it decided to wait, and a paused replica doesn't catch up.

Change: a forced replacement that waits is followed by an attempt of the planned move, which needs only a successor with the primary's position. Replicas are paused only when the decision by their statuses is to promote; it is then made again by what they hold while paused, as before.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -21,6 +21,7 @@
 from rowanrail.coordination.commands import IntendPromotion, Promotion
 from rowanrail.coordination.events import PROMOTION_ANSWERED, PROMOTION_DECIDED, PROMOTION_WAITS
 from rowanrail.coordination.failover import (
+    MAX_LEAVING_SECONDS,
     Action,
     AttemptView,
     Decision,
@@ -326,9 +327,19 @@
                 await self._promote(service, decision, demotion)
             else:
                 self._log_waiting(service, first.reason, decision.reason)
+                await self._move_if_overdue(service)
         except RowanrailError as error:
             self._log_waiting(service, first.reason, str(error))
 
+    async def _move_if_overdue(self, service: str) -> None:
+        """Try the planned move of a leaving primary that could not be replaced by force.
+
+        A replica may have received all of its log since then, while others are still silent.
+        """
+        reason = self.mover.due_reason(service)
+        if reason and self._leaving_for(service) >= MAX_LEAVING_SECONDS:
+            await self.mover.move(service, reason)
+
     async def _decide_with_statuses(self, service: str, demotion: Demotion | None) -> Decision:
         members = self.mover.askable(service, demotion)
         is_planned = demotion is not None or any(m.primary and m.leaving for m in members)
@@ -338,15 +349,23 @@
         # A demoted primary that answers acknowledges nothing, and replicas must still receive.
         is_demoted = demotion is not None and demotion.former in statuses
         must_pause = self._acknowledging_replicas(service) > 0 and not is_demoted
-        if must_pause:
-            statuses = await self._pause_replicas(service, statuses)
-        view = self._view(service, statuses, statuses_fresh=True)
-        self._compared_logs[service] = describe_logs(view)
-        decision = self._decide(view, demotion)
-        if must_pause and decision.action is not Action.PROMOTE:
+        decision = self._compare_logs(service, statuses, demotion)
+        # Paused replicas don't catch up, so that they are paused only for a promotion.
+        if not must_pause or decision.action is not Action.PROMOTE:
+            return decision
+        statuses = await self._pause_replicas(service, statuses)
+        decision = self._compare_logs(service, statuses, demotion)
+        if decision.action is not Action.PROMOTE:
             await self._queries.query(self._replicas(service), Command(CommandKind.RESUME))
         return decision
 
+    def _compare_logs(
+        self, service: str, statuses: dict[str, StatusReply], demotion: Demotion | None
+    ) -> Decision:
+        view = self._view(service, statuses, statuses_fresh=True)
+        self._compared_logs[service] = describe_logs(view)
+        return self._decide(view, demotion)
+
     def _log_waiting(self, service: str, cause: str, reason: str) -> None:
         if self._waiting_reasons.get(service) != reason:
             self._waiting_reasons[service] = reason
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -438,6 +438,24 @@
 
         self.run_scenario(scenario)
 
+    # The planned move was never tried again once the forced replacement was due, which waited for
+    # the silent former primary. Replicas were paused over and over meanwhile.
+    def test_a_promoted_leaving_member_hands_over_once_another_has_its_log(self):
+        async def scenario():
+            self.receive_at_leaving_replica()
+            await asyncio.sleep(1.0)
+            self.first.silent = True
+            await self.wait_until(lambda: self.second.leads)
+            await asyncio.sleep(8.0)
+            self.assertTrue(self.second.leads)
+            self.third.asked.clear()
+            await asyncio.sleep(3.0)
+            self.assertNotIn(CommandKind.PAUSE, self.third.asked)
+            self.third.received = self.second.received
+            await self.wait_until(lambda: self.third.leads)
+
+        self.run_scenario(scenario)
+
 
 class PlannedMoveTest(ControllerTestCase):
     """Moves of a primary that still serves; no promotion may lose a commit that it received."""
