Failover: count the logs that may hold a commit, not the replicas

With sync-replicas 1 a service whose primary had been demoted and then crashed stayed without a primary until that one returned, although both replicas answered.

Cause: the check that all acknowledged commits are known counted the silent ones among the members that aren't announced as primary. That a demoted primary has all commits, too, was not seen, and a primary that never announced itself was left out of the count as if it were known to be one of the members.

Change: a commit is acknowledged once it is in as many logs as replicas must acknowledge it, and in the primary's. So that many logs may be unavailable: silent, incomplete, leading and thus not to be promoted, or that of a primary nobody has heard of. For a silent primary that is listed the result is what it was. A demoted primary that started again without its log counts as incomplete.

Tests: of the 5 new tests 3 failed before (test_a_former_primary_that_is_silent_is_one_of_the_logs_not_one_of_the_replicas, test_a_silent_former_primary_does_not_keep_known_commits_waiting, and the one for a primary that never announced itself, for lack of the field); the other two hold what was right.

--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -106,6 +106,7 @@
     :param statuses_fresh: whether the members were just asked for their statuses.
     :param leaving_for: for how many seconds the leader has known, also before it led, that the
         primary is leaving; 0 if it isn't.
+    :param is_primary_known: whether the service is known to have had a primary.
     :param unanswered_for: for how many seconds the primary has not answered the leader's status
         queries; 0 if it answered the last one, or was not asked.
     """
@@ -120,6 +121,7 @@
     statuses_fresh: bool = False
     unanswered_for: float = 0.0
     leaving_for: float = 0.0
+    is_primary_known: bool = True
 
     @property
     def is_move_overdue(self) -> bool:
@@ -270,12 +272,19 @@
 
 
 def _covers_acknowledged_commits(view: ServiceView) -> bool:
-    """Return whether each set of replicas that may have acknowledged a commit has an answer."""
+    """Return whether each acknowledged commit is in the log of a member that may be promoted.
+
+    A commit is acknowledged once it is in the primary's log and in those of as many replicas as
+    must acknowledge it. One of these logs can be promoted, unless all of them are unavailable.
+    """
     if not view.acknowledging_replicas:
         return True
-    replicas = [member for member in view.members if not member.record.primary]
-    silent = sum(member.received is None or member.is_incomplete for member in replicas)
-    return silent < view.acknowledging_replicas
+    unavailable = sum(
+        member.received is None or member.is_incomplete or bool(member.leads)
+        for member in view.members
+    )
+    unavailable += not view.is_primary_known
+    return unavailable <= view.acknowledging_replicas
 
 
 def _may_return(view: ServiceView, member: MemberView) -> bool:
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -420,8 +420,15 @@
             statuses_fresh,
             self.mover.unanswered_for(service),
             self._leaving_for(service),
+            self._is_primary_known(service),
         )
 
+    def _is_primary_known(self, service: str) -> bool:
+        """Return whether the service has, or had, a primary whose log is known to this node."""
+        if service in self._service.state.promotions:
+            return True
+        return any(record.primary for record in self._members(service))
+
     def _leaving_for(self, service: str) -> float:
         """Return for how many seconds this node has known that the primary leaves, else 0."""
         primary = next((m for m in self._members(service) if m.primary and m.leaving), None)
--- a/src/rowanrail/coordination/moves.py
+++ b/src/rowanrail/coordination/moves.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 from rowanrail.coordination.failover import (
     PROMOTION_TIMEOUT_SECONDS,
     Action,
@@ -207,7 +209,7 @@
     if not answers:
         if demotion.ago < FORMER_ANSWER_SECONDS:
             return Decision(Action.WAIT, "the demoted primary does not answer")
-        return decide(view)
+        return decide(_with_incomplete(view, demotion.former))
     if demotion.ago < CATCH_UP_SECONDS:
         return Decision(Action.WAIT, "no member has received all commits yet")
     return Decision(Action.PROMOTE, "no other member received all commits in time", demotion.former)
@@ -220,6 +222,17 @@
     return demotion.position is None or former.received >= demotion.position
 
 
+def _with_incomplete(view: ServiceView, instance: str) -> ServiceView:
+    """Return a view in which a member's log counts as incomplete."""
+    members = [
+        msgspec.structs.replace(member, is_incomplete=True)
+        if member.record.instance == instance
+        else member
+        for member in view.members
+    ]
+    return msgspec.structs.replace(view, members=members)
+
+
 def _order(view: ServiceView, demotion: Demotion) -> AttemptView | None:
     """Return the order that followed the demotion, None if there is none yet."""
     attempt = view.attempt
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -334,6 +334,33 @@
         self.members[2] = member("m3", leads=False, term=2, received=Position(2, 96))
         self.check_promoted("m3", reports=reports)
 
+    def test_a_primary_that_never_announced_itself_is_one_more_log_that_is_not_known(self):
+        self.members = [
+            member(f"m{number}", leads=False, term=1, received=Position(1, number))
+            for number in (2, 3)
+        ]
+        self.check_promoted("m3", is_primary_known=False)
+        self.members.append(member("m4"))
+        self.check_promoted("m3")
+        self.assertIs(self.decide(is_primary_known=False).action, Action.WAIT)
+
+    # The service stayed without a primary until the former one returned.
+    def test_a_former_primary_that_is_silent_is_one_of_the_logs_not_one_of_the_replicas(self):
+        self.members[0] = member("m1")
+        self.check_promoted("m2")
+        self.members[2] = member("m3")
+        self.assertIs(self.decide().action, Action.WAIT)
+
+    def test_commits_that_only_the_leaving_primary_and_a_silent_member_have_are_waited_for(self):
+        self.members[0] = member(
+            "m1", primary=True, leaving=True, ago=0.1, leads=True, term=1, received=Position(1, 99)
+        )
+        self.members[1] = member("m2")
+        case = {"leaving_for": 6.0, "reports": [serving("g1")]}
+        self.assertIs(self.decide(**case).action, Action.WAIT)
+        self.members.pop(1)
+        self.check_promoted("m3", **case)
+
     def test_a_leaving_primary_in_time_is_replaced_by_the_log_that_ends_last(self):
         self.members[0] = member(
             "m1", primary=True, leaving=True, ago=0.1, leads=True, term=1, received=Position(1, 99)
--- a/tests/coordination/test_moves.py
+++ b/tests/coordination/test_moves.py
@@ -241,3 +241,11 @@
         self.members = [former, member("m2", leaving=True), member("m3", EARLIER)]
         case = {"position": None, "unanswered_for": 1.5, "acknowledging_replicas": 1}
         self.check_promoted("m2", ago=3.0, **case)
+
+    def test_a_silent_former_primary_does_not_keep_known_commits_waiting(self):
+        self.members = [silent("m1"), member("m2", EARLIER), member("m3", Position(1, 8))]
+        self.check_promoted("m3", ago=3.0, position=None, acknowledging_replicas=1)
+
+    def test_a_demoted_primary_that_lost_its_log_does_not_count_as_one_that_has_it(self):
+        self.members = [member("m1", EARLIER), member("m2", EARLIER), silent("m3")]
+        self.check_waits(ago=3.0, position=LAST, acknowledging_replicas=1)
