The log of a member that ended counts until its successor has it

Without DELETE, or when the member had been promoted before it ended, the service stayed without a primary although the successor had come with all of the log.

Cause: the failover knows logs by the members in the directory. A member that ends leaves the directory, and its log comes back with the next member at its address; in between the log was neither counted among those that may hold acknowledged commits nor waited for. When the successor came, it was taken for a member that starts empty: its log ended before a position that the primary had told, so that it was incomplete, covered nothing and could not be promoted.

Change: the replicated state has the logs that members left (LeftLogs): added when a member is removed or displaced, taken over by the next new member of the service at the address of one that ended as planned, and back with a member that is readmitted. Each counts as one unavailable log in the check of the failover. A successor is complete where replicas acknowledge commits. Feature level 2 guards field and command: below it nothing is kept, as a control node of the version before couldn't read it. Where no replica acknowledges commits no decision changes.

A log without a successor must not hold back failovers forever: LeftLogController forgets it (command ForgetLogs, RR0485) once the member has been gone for 20 s and every present member has received a position that the primary had after that.

--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -3,6 +3,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from rowanrail.coordination.left_logs import LeftLog
 from rowanrail.directory.messages import GatewayRecord
 from rowanrail.model.members import MemberRecord
 from rowanrail.scheduling.plan import ShardPlan
@@ -101,6 +102,12 @@
     record: MemberRecord
 
 
+class ForgetLogs(msgspec.Struct, frozen=True, tag="forget-logs"):
+    """Forget logs that members left, as nothing depends on them any more."""
+
+    logs: list[LeftLog]
+
+
 Command = (
     PutDocument
     | Announce
@@ -112,6 +119,7 @@
     | SetEvacuation
     | RaiseFeatureLevel
     | ReplaceLife
+    | ForgetLogs
 )
 
 
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -33,6 +33,7 @@
     report_view,
 )
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
+from rowanrail.coordination.left_log_controller import LeftLogController
 from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.moves import Demotion, Placement, decide_after_demotion
 from rowanrail.coordination.primary_mover import PrimaryMover
@@ -143,6 +144,14 @@
             self._now,
         )
         self._is_closed = is_closed
+        self._left_logs = LeftLogController(
+            service,
+            self._queries,
+            self._all_askable,
+            acknowledging_replicas,
+            decisions,
+            self._now,
+        )
         self._trackers: dict[str, PrimaryTracker] = {}
         self._joined: dict[str, JoinPositions] = {}
         self._warm_up_seconds = warm_up_seconds
@@ -193,6 +202,7 @@
                 if has_changed or self._joined[name].awaits_sample:
                     self._update_join_positions(name, tracker)
                 self._check_service(name)
+            self._left_logs.tick()
             self._reconciler.tick()
 
     @staticmethod
@@ -205,6 +215,7 @@
         self._attempts.clear()
         self._compared_logs.clear()
         self.mover.reset()
+        self._left_logs.reset()
         for tracker in self._trackers.values():
             tracker.close()
         self._trackers.clear()
@@ -246,7 +257,17 @@
     def _update_join_positions(self, service: str, tracker: PrimaryTracker) -> None:
         newest = tracker.sample.position if tracker.sample is not None else None
         joined = self._joined.setdefault(service, JoinPositions())
-        joined.update(self._members(service), self._service.state.earlier_starts, newest)
+        joined.update(
+            self._members(service),
+            self._service.state.earlier_starts,
+            newest,
+            self._has_taken_over_log,
+        )
+
+    def _has_taken_over_log(self, record: MemberRecord) -> bool:
+        """Return whether a member began with a log that may have acknowledged commits."""
+        must_keep = self._acknowledging_replicas(record.service) > 0
+        return must_keep and self._service.state.has_taken_over_log(record)
 
     def _warm_up_sampling(self) -> WarmUpSampling:
         """Return the limits on commands to warming members; made in the running event loop."""
@@ -420,6 +441,7 @@
             statuses_fresh,
             self.mover.unanswered_for(service),
             self._leaving_for(service),
+            tuple(self._service.state.left_logs.of_service(service)),
             self._is_primary_known(service),
         )
 
@@ -440,6 +462,14 @@
             return None
         return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
 
+    def _all_askable(self, service: str) -> list[MemberRecord] | None:
+        """Return the members of a service, None if one of them must not be asked now."""
+        members = self._members(service)
+        is_closed = any(self._is_closed(record) for record in members)
+        if is_closed or not self._warm_up_sampling().may_ask_statuses(service, members):
+            return None
+        return members
+
     def _replicas(self, service: str) -> list[MemberRecord]:
         return [record for record in self.mover.askable(service) if not record.primary]
 
--- a/src/rowanrail/coordination/feature_level.py
+++ b/src/rowanrail/coordination/feature_level.py
@@ -7,11 +7,18 @@
 
 from collections.abc import Collection, Mapping
 
-__all__ = ["EVACUATION_LEVEL", "LIVES_LEVEL", "NEWEST_LEVEL", "level_known_to_all"]
+__all__ = [
+    "EVACUATION_LEVEL",
+    "LEFT_LOGS_LEVEL",
+    "LIVES_LEVEL",
+    "NEWEST_LEVEL",
+    "level_known_to_all",
+]
 
 LIVES_LEVEL = 1  # members that return under their instance id, with a start time
 EVACUATION_LEVEL = 1  # evacuation of zones
-NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL)  # known to this version
+LEFT_LOGS_LEVEL = 2  # logs that members left are part of the state
+NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, LEFT_LOGS_LEVEL)  # known to this version
 
 
 def level_known_to_all(nodes: Collection[str], answers: Mapping[str, int]) -> int:
--- a/src/rowanrail/coordination/lost_logs.py
+++ b/src/rowanrail/coordination/lost_logs.py
@@ -1,14 +1,15 @@
 """Which members have not received what their service's log held when they joined. No I/O.
 
 A member that joins, or starts again under its instance id, has an empty log and receives the rest
-while the primary runs. Until its log reaches the position that the primary had when the member
-joined, it must not be promoted in place of one that has received more.
+while the primary runs. One that joins at the address of a member that ended has that one's log.
+Until its log reaches the position that the primary had when the member joined, it must not be
+promoted in place of one that has received more.
 
 Kept in the leader's memory. A new leader takes members that never started again for complete, and
 the first position that it samples for the one at which the others joined.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.position import ORIGIN, Position
@@ -42,6 +43,7 @@
         records: Iterable[MemberRecord],
         earlier_starts: Mapping[str, int],
         newest: Position | None,
+        has_taken_over_log: Callable[[MemberRecord], bool] = lambda record: False,
     ) -> None:
         """Replace the members.
 
@@ -51,12 +53,15 @@
             Has the members that started again.
         newest : Position or None
             The newest sampled position of the primary, None without a sample.
+        has_taken_over_log : callable
+            Returns whether a member's life began with another one's log, which is complete.
         """
         before, self._positions = self._positions, {}
         for record in records:
             life = record.instance, record.started_ms
             has_joined = not self._is_first or record.instance in earlier_starts
-            known = before.get(life, None if has_joined else ORIGIN)
+            is_new = has_joined and not has_taken_over_log(record)
+            known = before.get(life, None if is_new else ORIGIN)
             self._positions[life] = newest if known is None else known
         self.awaits_sample = None in self._positions.values()
         self._is_first = False
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -334,6 +334,12 @@
         self.members[2] = member("m3", leads=False, term=2, received=Position(2, 96))
         self.check_promoted("m3", reports=reports)
 
+    # The log of a member that had ended was not waited for: the one that was behind was promoted.
+    def test_a_log_that_a_member_left_may_have_acknowledged_commits(self):
+        self.members.pop()
+        self.check_promoted("m2")
+        self.assertIs(self.decide(left_logs=("m3",)).action, Action.WAIT)
+
     def test_a_primary_that_never_announced_itself_is_one_more_log_that_is_not_known(self):
         self.members = [
             member(f"m{number}", leads=False, term=1, received=Position(1, number))
@@ -360,6 +366,7 @@
         self.assertIs(self.decide(**case).action, Action.WAIT)
         self.members.pop(1)
         self.check_promoted("m3", **case)
+        self.assertIs(self.decide(**case, left_logs=("m2",)).action, Action.WAIT)
 
     def test_a_leaving_primary_in_time_is_replaced_by_the_log_that_ends_last(self):
         self.members[0] = member(
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -16,6 +16,7 @@
 from rowanrail.coordination.failover_controller import Promoter, PromotionOutcome
 from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.lost_logs import JoinPositions
+from rowanrail.coordination.node import Coordinator
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -46,6 +47,7 @@
     instance: str
     leads: bool
     silent: bool = False
+    address: str = ""
     is_crowded: bool = False
     sequence: int = 0
     leaving: bool = False
@@ -60,7 +62,7 @@
     on_demotion: Callable = lambda: None
 
     def record(self):
-        address = f"{self.instance}:1"
+        address = self.address or f"{self.instance}:1"
         fields = self.zone, self.leads, self.leaving, 4, self.sequence
         return MemberRecord(self.instance, "db", address, *fields, start_ms=self.start_ms)
 
@@ -175,11 +177,15 @@
     async def _begin(self, world, scenario):
         await self.controls.start()
         for member in self.platform.members:
-            world.run_in(world.spawn(member.instance, "z1"), self._send_heartbeats(member))
+            self.begin_heartbeats(member)
         await asyncio.sleep(3.0)
         self.assertEqual(self.platform.orders, [])
         await scenario()
 
+    def begin_heartbeats(self, member):
+        world = self.controls.world
+        world.run_in(world.spawn(member.instance, "z1"), self._send_heartbeats(member))
+
     async def _send_heartbeats(self, member):
         while True:
             if not member.silent:
@@ -212,6 +218,16 @@
     def primary(self):
         return next(member for member in self.platform.members if member.leads)
 
+    def leader(self):
+        return next(c for c in self.controls.nodes if c.node.consensus.raft.is_established_leader)
+
+    async def end(self, member):
+        """End a member as planned; it is asked nothing any more."""
+        member.silent = True
+        leader = self.leader()
+        process = self.controls.world.process(leader.name)
+        await self.controls.world.run_in(process, leader.node.service.remove(member.instance))
+
 
 class FailoverControllerTest(ControllerTestCase):
     """A service whose primary falls silent."""
@@ -372,6 +388,15 @@
 
         self.run_scenario(scenario)
 
+    def test_a_left_log_is_forgotten_where_no_replica_acknowledges_commits(self):
+        async def scenario():
+            await self.end(self.platform.members[1])
+            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+            await asyncio.sleep(25.0)
+            self.assertEqual(len(self.leader().node.state.left_logs), 0)
+
+        self.run_scenario(scenario)
+
     def test_a_primary_that_falls_silent_in_a_closed_zone_is_replaced(self):
         async def scenario():
             primary, *others = self.platform.members
@@ -402,13 +427,12 @@
 
     def run_scenario(self, scenario, outcomes=()):
         async def checked_scenario():
-            for control in self.controls.nodes:
-                control.node.failover._acknowledging_replicas = lambda service: 1
             self.first, self.second, self.third = self.platform.members
             await scenario()
             self.assertEqual(self.platform.losses, [])
 
-        super().run_scenario(checked_scenario, outcomes)
+        with patch.object(Coordinator, "_acknowledging_replicas", lambda node, service: 1):
+            super().run_scenario(checked_scenario, outcomes)
 
     def receive_at_leaving_replica(self):
         """Have the second member leave, and receive commits that the third doesn't receive."""
@@ -416,7 +440,15 @@
         self.first.received = self.second.received = self.LAST
 
     def kill_leader(self):
-        next(c for c in self.controls.nodes if c.node.consensus.raft.is_established_leader).kill()
+        self.leader().kill()
+
+    def start_successor(self, member):
+        """Start a new member with the log and the address of one that ended."""
+        successor = FakeMember("m4", leads=False, address=member.record().address)
+        successor.received = member.received
+        self.platform.members.append(successor)
+        self.begin_heartbeats(successor)
+        return successor
 
     # The replica that was behind was promoted, and acknowledged commits were rolled back.
     def test_a_leaving_replica_with_the_newest_log_is_promoted(self):
@@ -438,6 +470,64 @@
 
         self.run_scenario(scenario)
 
+    # The log of the member that had ended was nowhere in the directory, and not waited for.
+    def test_the_log_of_a_replica_that_ended_is_waited_for_until_its_successor_has_it(self):
+        for is_leader_killed in (False, True):
+
+            async def scenario(is_leader_killed=is_leader_killed):
+                self.receive_at_leaving_replica()
+                await asyncio.sleep(1.0)
+                await self.end(self.second)
+                self.first.silent = True
+                if is_leader_killed:
+                    self.kill_leader()
+                await asyncio.sleep(30.0)
+                self.assertEqual(self.platform.orders, [])
+                successor = self.start_successor(self.second)
+                await self.wait_until(lambda: successor.leads)
+
+            self.run_scenario(scenario)
+
+    # The primary may have been ahead of what the successor had to receive.
+    def test_a_successor_with_less_than_the_primary_had_is_not_taken_for_incomplete(self):
+        async def scenario():
+            self.receive_at_leaving_replica()
+            await asyncio.sleep(1.0)
+            await self.end(self.second)
+            self.first.received = Position(1, 25)  # acknowledged by nobody
+            await asyncio.sleep(2.0)
+            self.first.silent = True
+            self.first.received = self.LAST  # the rest is no loss
+            successor = self.start_successor(self.second)
+            await self.wait_until(lambda: successor.leads)
+
+        self.run_scenario(scenario)
+
+    # A member that was removed without a successor would hold back failovers forever.
+    def test_a_left_log_is_forgotten_once_all_members_have_what_it_may_hold(self):
+        async def scenario():
+            self.receive_at_leaving_replica()
+            await asyncio.sleep(1.0)
+            await self.end(self.second)
+            await asyncio.sleep(30.0)
+            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+            self.third.received = self.first.received
+            await self.wait_until(lambda: not self.leader().node.state.left_logs)
+            self.first.silent = True
+            await self.wait_until(lambda: self.third.leads)
+
+        self.run_scenario(scenario)
+
+    def test_a_left_log_is_kept_while_its_member_may_still_run(self):
+        async def scenario():
+            self.second.leaving = True
+            await asyncio.sleep(1.0)
+            await self.end(self.second)
+            await asyncio.sleep(15.0)
+            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+
+        self.run_scenario(scenario)
+
     # The planned move was never tried again once the forced replacement was due, which waited for
     # the silent former primary. Replicas were paused over and over meanwhile.
     def test_a_promoted_leaving_member_hands_over_once_another_has_its_log(self):
@@ -490,9 +580,6 @@
     def orders(self):
         return [instance for _, _, instance in self.platform.orders]
 
-    def leader(self):
-        return next(c for c in self.controls.nodes if c.node.consensus.raft.is_established_leader)
-
     def test_a_leaving_primary_moves_once_a_successor_has_its_last_commit(self):
         async def scenario():
             self.leave()
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -9,6 +9,8 @@
     "rowanrail.coordination.changes",
     "rowanrail.coordination.gateway_reconciler",
     "rowanrail.coordination.lives",
+    "rowanrail.coordination.failover",
+    "rowanrail.coordination.left_logs",
     "rowanrail.coordination.lost_logs",
     "rowanrail.directory.digests",
     "rowanrail.directory.health_filter",
