Orphaned logs: the field's name, and three gaps found in reading

A service that leaves the configuration counted as one without acknowledging replicas, so that its orphaned logs were forgotten although it may be configured again. After a demotion whose record was still that of a leaving primary, the attempt of a planned move would have begun the demotion's time anew. Of equal logs, a member that stays but may not serve went before one that leaves and may.

Change: orphaned logs of services that are not configured are kept; the planned move is tried only without a demotion; of equal logs one that may serve goes first.

--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -3,7 +3,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from rowanrail.coordination.left_logs import LeftLog
+from rowanrail.coordination.orphaned_logs import OrphanedLog
 from rowanrail.directory.messages import GatewayRecord
 from rowanrail.model.members import MemberRecord
 from rowanrail.scheduling.plan import ShardPlan
@@ -103,9 +103,9 @@
 
 
 class ForgetLogs(msgspec.Struct, frozen=True, tag="forget-logs"):
-    """Forget logs that members left, as nothing depends on them any more."""
+    """Forget logs of members that are gone, as nothing depends on them any more."""
 
-    logs: list[LeftLog]
+    logs: list[OrphanedLog]
 
 
 Command = (
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -214,10 +214,10 @@
     "the primary of {service} must move ({cause}), but the move waits: {reason}",
     "The leader retries shortly. Start a member that may succeed if there is none.",
 )
-LEFT_LOGS_FORGOTTEN = define(
+ORPHANED_LOGS_FORGOTTEN = define(
     485,
     Level.INFO,
-    "the logs that {logs} left are not waited for any more",
-    "Their members ended, and no failover depends on them: every present member has received what "
-    "they may hold, or the service has no replicas that acknowledge commits.",
+    "failovers no longer wait for the logs of {logs}",
+    "These members are gone. Every present member has received what their logs may hold, or no "
+    "replica of the service acknowledges commits.",
 )
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -106,7 +106,7 @@
     :param statuses_fresh: whether the members were just asked for their statuses.
     :param leaving_for: for how many seconds the leader has known, also before it led, that the
         primary is leaving; 0 if it isn't.
-    :param left_logs: instances that are gone, and whose logs no member has taken over.
+    :param orphaned_logs: instances that are gone, and whose logs no member has taken over.
     :param is_primary_known: whether the service is known to have had a primary.
     :param unanswered_for: for how many seconds the primary has not answered the leader's status
         queries; 0 if it answered the last one, or was not asked.
@@ -122,7 +122,7 @@
     statuses_fresh: bool = False
     unanswered_for: float = 0.0
     leaving_for: float = 0.0
-    left_logs: tuple[str, ...] = ()
+    orphaned_logs: tuple[str, ...] = ()
     is_primary_known: bool = True
 
     @property
@@ -158,8 +158,8 @@
     >>> describe_logs(ServiceView("db", members, [], None, 60.0))
     ['m1 no answer', 'm2 4.129 leaving']
     """
-    left = [f"{instance} left" for instance in view.left_logs]
-    return [_describe_log(member) for member in view.members] + left
+    gone = [f"{instance} gone" for instance in view.orphaned_logs]
+    return [_describe_log(member) for member in view.members] + gone
 
 
 def _describe_log(member: MemberView) -> str:
@@ -286,7 +286,7 @@
         member.received is None or member.is_incomplete or bool(member.leads)
         for member in view.members
     )
-    unavailable += len(view.left_logs) + (not view.is_primary_known)
+    unavailable += len(view.orphaned_logs) + (not view.is_primary_known)
     return unavailable <= view.acknowledging_replicas
 
 
@@ -322,7 +322,7 @@
     """
     return max(
         (member for member in answered if not member.leads),
-        key=lambda m: (m.received, not m.record.leaving, m.may_serve, m.record.instance),
+        key=lambda m: (m.received, m.may_serve, not m.record.leaving, m.record.instance),
         default=None,
     )
 
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -33,9 +33,9 @@
     report_view,
 )
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
-from rowanrail.coordination.left_log_controller import LeftLogController
 from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.moves import Demotion, Placement, decide_after_demotion
+from rowanrail.coordination.orphaned_log_controller import OrphanedLogController
 from rowanrail.coordination.primary_mover import PrimaryMover
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
@@ -144,7 +144,7 @@
             self._now,
         )
         self._is_closed = is_closed
-        self._left_logs = LeftLogController(
+        self._orphaned_logs = OrphanedLogController(
             service,
             self._queries,
             self._all_askable,
@@ -202,7 +202,7 @@
                 if has_changed or self._joined[name].awaits_sample:
                     self._update_join_positions(name, tracker)
                 self._check_service(name)
-            self._left_logs.tick()
+            self._orphaned_logs.tick()
             self._reconciler.tick()
 
     @staticmethod
@@ -215,7 +215,7 @@
         self._attempts.clear()
         self._compared_logs.clear()
         self.mover.reset()
-        self._left_logs.reset()
+        self._orphaned_logs.reset()
         for tracker in self._trackers.values():
             tracker.close()
         self._trackers.clear()
@@ -348,7 +348,8 @@
                 await self._promote(service, decision, demotion)
             else:
                 self._log_waiting(service, first.reason, decision.reason)
-                await self._move_if_overdue(service)
+                if demotion is None:
+                    await self._move_if_overdue(service)
         except RowanrailError as error:
             self._log_waiting(service, first.reason, str(error))
 
@@ -441,7 +442,7 @@
             statuses_fresh,
             self.mover.unanswered_for(service),
             self._leaving_for(service),
-            tuple(self._service.state.left_logs.of_service(service)),
+            tuple(self._service.state.orphaned_logs.of_service(service)),
             self._is_primary_known(service),
         )
 
--- a/src/rowanrail/coordination/feature_level.py
+++ b/src/rowanrail/coordination/feature_level.py
@@ -9,7 +9,7 @@
 
 __all__ = [
     "EVACUATION_LEVEL",
-    "LEFT_LOGS_LEVEL",
+    "ORPHANED_LOGS_LEVEL",
     "LIVES_LEVEL",
     "NEWEST_LEVEL",
     "level_known_to_all",
@@ -17,8 +17,8 @@
 
 LIVES_LEVEL = 1  # members that return under their instance id, with a start time
 EVACUATION_LEVEL = 1  # evacuation of zones
-LEFT_LOGS_LEVEL = 2  # logs that members left are part of the state
-NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, LEFT_LOGS_LEVEL)  # known to this version
+ORPHANED_LOGS_LEVEL = 2  # the state has the logs of members that are gone
+NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, ORPHANED_LOGS_LEVEL)  # known to this version
 
 
 def level_known_to_all(nodes: Collection[str], answers: Mapping[str, int]) -> int:
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -19,7 +19,7 @@
         ("directory_revision", {}, state.revision),
         ("members", {}, len(state.members)),
         ("members_leaving", {}, len(state.leaving)),
-        ("left_logs", {}, len(state.left_logs)),
+        ("orphaned_logs", {}, len(state.orphaned_logs)),
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
         ("feature_level", {}, state.feature_level),
--- a/src/rowanrail/coordination/left_log_controller.py
+++ b/src/rowanrail/coordination/orphaned_log_controller.py
@@ -1,4 +1,4 @@
-"""Forgets the logs that members left once nothing depends on them; done by the leader.
+"""Forgets the logs of members that are gone once nothing depends on them; done by the leader.
 
 A log that no member takes over must not hold back failovers forever: its member may have been
 removed without a successor. It is forgotten when every member of its service has received a
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from rowanrail.coordination.commands import ForgetLogs
-from rowanrail.coordination.events import LEFT_LOGS_FORGOTTEN
-from rowanrail.coordination.left_logs import LeftLog
+from rowanrail.coordination.events import ORPHANED_LOGS_FORGOTTEN
+from rowanrail.coordination.orphaned_logs import OrphanedLog
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReply
 from rowanrail.kernel.decisions import DecisionLog
@@ -18,7 +18,7 @@
 from rowanrail.model.members import MemberRecord
 from rowanrail.model.statements import Command, CommandKind
 
-__all__ = ["LeftLogController"]
+__all__ = ["OrphanedLogController"]
 
 CHECK_INTERVAL_SECONDS = 2.0
 # A member may serve on for a while after it announced its end, and acknowledge further commits.
@@ -26,8 +26,8 @@
 CATCH_UP_SECONDS = 0.5  # from the primary's position to those of its replicas
 
 
-class LeftLogController:
-    """Checks the left logs of all services while its node leads.
+class OrphanedLogController:
+    """Checks the orphaned logs of all services while its node leads.
 
     Parameters
     ----------
@@ -60,7 +60,7 @@
         self._acknowledging_replicas = acknowledging_replicas
         self._decisions = decisions
         self._now = now
-        self._known_since: dict[LeftLog, float] = {}
+        self._known_since: dict[OrphanedLog, float] = {}
         self._checked_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -77,7 +77,7 @@
         if now < self._checked_at + CHECK_INTERVAL_SECONDS or self._task is not None:
             return
         self._checked_at = now
-        logs = self._service.state.left_logs.logs
+        logs = self._service.state.orphaned_logs.logs
         self._known_since = {log: self._known_since.get(log, now) for log in logs}
         due = [log for log in logs if self._is_due(log)]
         if due:
@@ -88,15 +88,18 @@
         if task is self._task:
             self._task = None
 
-    def _is_due(self, log: LeftLog) -> bool:
-        """Return whether the member that had a log has certainly ended.
+    def _is_due(self, log: OrphanedLog) -> bool:
+        """Return whether a log may be forgotten if its commits are elsewhere.
 
-        One whose address another member took has ended before.
+        Its member must have ended; one whose address another member took has ended before. A
+        service that is not configured may be again, with replicas that acknowledge commits.
         """
+        if not self._service.is_configured(log.service):
+            return False
         has_ended = self._now() >= self._known_since[log] + MAX_RUNNING_AFTER_END_SECONDS
         return has_ended or not log.is_handed_over
 
-    async def _check(self, due: list[LeftLog]) -> None:
+    async def _check(self, due: list[OrphanedLog]) -> None:
         services = sorted({log.service for log in due})
         answers = await asyncio.gather(*(self._is_covered(service) for service in services))
         is_covered = dict(zip(services, answers, strict=True))
@@ -108,7 +111,7 @@
         except RowanrailError:
             return  # not committed, as far as known; the next check proposes it again
         names = [f"{log.instance} of {log.service}" for log in logs]
-        self._decisions.note(LEFT_LOGS_FORGOTTEN, logs=names)
+        self._decisions.note(ORPHANED_LOGS_FORGOTTEN, logs=names)
 
     async def _is_covered(self, service: str) -> bool:
         """Return whether every member has received what the primary has now."""
--- a/src/rowanrail/coordination/left_logs.py
+++ b/src/rowanrail/coordination/orphaned_logs.py
@@ -1,4 +1,4 @@
-"""Logs that members left when they ended or were displaced, until a member has them. No I/O.
+"""Logs of members that ended or were displaced, until a member has taken them over. No I/O.
 
 The log of a member that ends as planned goes to the next member at its address. Until that one
 announces itself, the log may hold acknowledged commits that no present member has. The same holds
@@ -11,12 +11,12 @@
 
 from rowanrail.model.members import MemberRecord
 
-__all__ = ["LeftLog", "LeftLogs"]
+__all__ = ["OrphanedLog", "OrphanedLogs"]
 
-MAX_LEFT_LOGS = 2000  # most are taken over within seconds
+MAX_ORPHANED_LOGS = 2000  # most are taken over within seconds
 
 
-class LeftLog(msgspec.Struct, frozen=True):
+class OrphanedLog(msgspec.Struct, frozen=True):
     """The log of a member that is gone; the field names are stored.
 
     Parameters
@@ -48,18 +48,18 @@
         return self.is_handed_over and place == (record.service, record.address)
 
 
-class LeftLogs:
-    """The left logs of all services.
+class OrphanedLogs:
+    """The orphaned logs of all services.
 
     Parameters
     ----------
-    logs : iterable of LeftLog
+    logs : iterable of OrphanedLog
         The logs at the beginning.
 
     Examples
     --------
     >>> old = MemberRecord("m1", "db", "10.0.0.1:1", "a", False, True, 3, 9)
-    >>> logs = LeftLogs()
+    >>> logs = OrphanedLogs()
     >>> logs.add(old, is_handed_over=True)
     >>> logs.of_service("db")
     ['m1']
@@ -69,7 +69,7 @@
     []
     """
 
-    def __init__(self, logs: Iterable[LeftLog] = ()) -> None:
+    def __init__(self, logs: Iterable[OrphanedLog] = ()) -> None:
         self._logs = {(log.instance, log.start_ms): log for log in logs}
 
     def __len__(self) -> int:
@@ -77,34 +77,34 @@
         return len(self._logs)
 
     @property
-    def logs(self) -> list[LeftLog]:
+    def logs(self) -> list[OrphanedLog]:
         """All logs, the oldest first."""
         return list(self._logs.values())
 
     def of_service(self, service: str) -> list[str]:
-        """Return the instances that left a log of a service."""
+        """Return the instances whose logs are orphaned, of a service."""
         return [log.instance for log in self._logs.values() if log.service == service]
 
     def add(self, record: MemberRecord, is_handed_over: bool) -> None:
         """Add the log of a member that is gone."""
-        log = LeftLog(
+        log = OrphanedLog(
             record.instance, record.service, record.address, record.started_ms, is_handed_over
         )
         self._logs[log.instance, log.start_ms] = log
-        if len(self._logs) > MAX_LEFT_LOGS:
+        if len(self._logs) > MAX_ORPHANED_LOGS:
             del self._logs[next(iter(self._logs))]
 
     def take_over(self, record: MemberRecord) -> bool:
         """Remove the logs that a new member has; return whether one was another member's.
 
-        A member that returns has the log that it left.
+        A member that returns has its own log.
         """
         own = [log for log in self.logs if log.is_of(record)]
         taken = own or [log for log in self.logs if log.goes_to(record)]
         self.forget(taken)
         return bool(taken) and not own
 
-    def forget(self, logs: Iterable[LeftLog]) -> None:
+    def forget(self, logs: Iterable[OrphanedLog]) -> None:
         """Remove logs, as far as they are present."""
         for log in logs:
             key = log.instance, log.start_ms
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -27,12 +27,12 @@
     SetPlan,
 )
 from rowanrail.coordination.evacuations import changed_evacuations
-from rowanrail.coordination.feature_level import LEFT_LOGS_LEVEL
+from rowanrail.coordination.feature_level import ORPHANED_LOGS_LEVEL
 from rowanrail.coordination.history import DirectoryHistory
 from rowanrail.coordination.holders import RankedHolders
-from rowanrail.coordination.left_logs import LeftLog, LeftLogs
 from rowanrail.coordination.lives import LifeOrder, compare_starts, life_order
 from rowanrail.coordination.messages import PutOutcome, PutReply
+from rowanrail.coordination.orphaned_logs import OrphanedLog, OrphanedLogs
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations, GatewayRecord
 from rowanrail.model.members import MemberRecord, is_same_life
@@ -57,7 +57,7 @@
         Start of the life that ended last, for those in ``removed`` that told one.
     earlier_starts : dict of str to int, or UnsetType
         Start of the life before the present one, for members that started again; 0 if not reported.
-    left_logs : list of LeftLog, or UnsetType
+    orphaned_logs : list of OrphanedLog, or UnsetType
         Logs of members that are gone, which no member has taken over.
     """
 
@@ -74,7 +74,7 @@
     evacuations: Evacuations | UnsetType = UNSET
     ended_starts: dict[str, int] | UnsetType = UNSET
     earlier_starts: dict[str, int] | UnsetType = UNSET
-    left_logs: list[LeftLog] | UnsetType = UNSET
+    orphaned_logs: list[OrphanedLog] | UnsetType = UNSET
 
 
 EMPTY_STATE = StateSnapshot(0, b"", 0, {}, [], {}, {})
@@ -109,7 +109,7 @@
         ended = saved.ended_starts or {}
         self.removed = {instance: ended.get(instance, 0) for instance in saved.removed}
         self.earlier_starts = dict(saved.earlier_starts or {})
-        self.left_logs = LeftLogs(saved.left_logs or ())
+        self.orphaned_logs = OrphanedLogs(saved.orphaned_logs or ())
         # Not in the snapshot: only a leader asks, for members that joined while it led.
         self._successors: dict[tuple[str, int], None] = {}
         self.gateways = dict(saved.gateways)
@@ -148,7 +148,7 @@
             self.evacuations if self.evacuations.revision else UNSET,
             {instance: start for instance, start in self.removed.items() if start} or UNSET,
             self.earlier_starts or UNSET,
-            self.left_logs.logs or UNSET,
+            self.orphaned_logs.logs or UNSET,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -180,7 +180,7 @@
             self.evacuations = changed_evacuations(self.evacuations, command, entry.index)
             return None
         if isinstance(command, ForgetLogs):
-            self.left_logs.forget(command.logs)
+            self.orphaned_logs.forget(command.logs)
             return None
         self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
@@ -269,7 +269,7 @@
         else:
             self.displaced.pop(instance, None)
         if instance in self.members:
-            self._leave_log(known, is_handed_over=True)
+            self._add_orphaned_log(known, is_handed_over=True)
         self._remember_removed(instance, start or known.started_ms)
         return self._drop_member(instance)
 
@@ -289,20 +289,20 @@
         self._note_start(record)
         occupant = self.member_at_address(record)
         if occupant is not None:
-            self._leave_log(occupant, is_handed_over=occupant.leaving)
+            self._add_orphaned_log(occupant, is_handed_over=occupant.leaving)
             self._drop_member(occupant.instance)
             self._remember_removed(occupant.instance, occupant.started_ms)
             if not occupant.leaving:
                 self._remember_displaced(occupant)
-        if record.instance not in self.members and self.left_logs.take_over(record):
+        if record.instance not in self.members and self.orphaned_logs.take_over(record):
             self._remember_successor(record)
         if record.primary:
             self._demote_others(record)
         self._set_member(record)
 
-    def _leave_log(self, record: MemberRecord, is_handed_over: bool) -> None:
-        if self.feature_level >= LEFT_LOGS_LEVEL:
-            self.left_logs.add(record, is_handed_over)
+    def _add_orphaned_log(self, record: MemberRecord, is_handed_over: bool) -> None:
+        if self.feature_level >= ORPHANED_LOGS_LEVEL:
+            self.orphaned_logs.add(record, is_handed_over)
 
     def _remember_successor(self, record: MemberRecord) -> None:
         self._successors[record.instance, record.started_ms] = None
@@ -310,7 +310,7 @@
             del self._successors[next(iter(self._successors))]
 
     def has_taken_over_log(self, record: MemberRecord) -> bool:
-        """Return whether a life of a member began with the log that another one left."""
+        """Return whether a life of a member began with the log of one that was gone."""
         return (record.instance, record.started_ms) in self._successors
 
     def _note_start(self, record: MemberRecord) -> None:
--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -338,7 +338,7 @@
     def test_a_log_that_a_member_left_may_have_acknowledged_commits(self):
         self.members.pop()
         self.check_promoted("m2")
-        self.assertIs(self.decide(left_logs=("m3",)).action, Action.WAIT)
+        self.assertIs(self.decide(orphaned_logs=("m3",)).action, Action.WAIT)
 
     def test_a_primary_that_never_announced_itself_is_one_more_log_that_is_not_known(self):
         self.members = [
@@ -366,7 +366,7 @@
         self.assertIs(self.decide(**case).action, Action.WAIT)
         self.members.pop(1)
         self.check_promoted("m3", **case)
-        self.assertIs(self.decide(**case, left_logs=("m2",)).action, Action.WAIT)
+        self.assertIs(self.decide(**case, orphaned_logs=("m2",)).action, Action.WAIT)
 
     def test_a_leaving_primary_in_time_is_replaced_by_the_log_that_ends_last(self):
         self.members[0] = member(
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -388,12 +388,12 @@
 
         self.run_scenario(scenario)
 
-    def test_a_left_log_is_forgotten_where_no_replica_acknowledges_commits(self):
+    def test_a_orphaned_log_is_forgotten_where_no_replica_acknowledges_commits(self):
         async def scenario():
             await self.end(self.platform.members[1])
-            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+            self.assertEqual(len(self.leader().node.state.orphaned_logs), 1)
             await asyncio.sleep(25.0)
-            self.assertEqual(len(self.leader().node.state.left_logs), 0)
+            self.assertEqual(len(self.leader().node.state.orphaned_logs), 0)
 
         self.run_scenario(scenario)
 
@@ -504,27 +504,27 @@
         self.run_scenario(scenario)
 
     # A member that was removed without a successor would hold back failovers forever.
-    def test_a_left_log_is_forgotten_once_all_members_have_what_it_may_hold(self):
+    def test_a_orphaned_log_is_forgotten_once_all_members_have_what_it_may_hold(self):
         async def scenario():
             self.receive_at_leaving_replica()
             await asyncio.sleep(1.0)
             await self.end(self.second)
             await asyncio.sleep(30.0)
-            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+            self.assertEqual(len(self.leader().node.state.orphaned_logs), 1)
             self.third.received = self.first.received
-            await self.wait_until(lambda: not self.leader().node.state.left_logs)
+            await self.wait_until(lambda: not self.leader().node.state.orphaned_logs)
             self.first.silent = True
             await self.wait_until(lambda: self.third.leads)
 
         self.run_scenario(scenario)
 
-    def test_a_left_log_is_kept_while_its_member_may_still_run(self):
+    def test_a_orphaned_log_is_kept_while_its_member_may_still_run(self):
         async def scenario():
             self.second.leaving = True
             await asyncio.sleep(1.0)
             await self.end(self.second)
             await asyncio.sleep(15.0)
-            self.assertEqual(len(self.leader().node.state.left_logs), 1)
+            self.assertEqual(len(self.leader().node.state.orphaned_logs), 1)
 
         self.run_scenario(scenario)
 
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -16,7 +16,7 @@
     Remove,
     SetGateways,
 )
-from rowanrail.coordination.feature_level import LEFT_LOGS_LEVEL
+from rowanrail.coordination.feature_level import ORPHANED_LOGS_LEVEL
 from rowanrail.coordination.messages import PutOutcome
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
 from rowanrail.coordination.state import CoordinationState
@@ -163,29 +163,29 @@
         self.assertEqual(self.state.revision, 1)
 
 
-class LeftLogsTest(unittest.TestCase):
+class OrphanedLogsTest(unittest.TestCase):
     """Logs of members that are gone, until a member has taken them over."""
 
     apply = StateTest.apply
 
     def setUp(self):
         StateTest.setUp(self)
-        self.apply(RaiseFeatureLevel(LEFT_LOGS_LEVEL))
+        self.apply(RaiseFeatureLevel(ORPHANED_LOGS_LEVEL))
         self.apply(Announce(record("m1", 1)))
 
-    def left(self):
-        return self.state.left_logs.of_service("db")
+    def orphaned(self):
+        return self.state.orphaned_logs.of_service("db")
 
     def test_the_next_member_at_the_address_has_the_log_of_one_that_ended(self):
         self.apply(Remove("m1"))
-        self.assertEqual(self.left(), ["m1"])
+        self.assertEqual(self.orphaned(), ["m1"])
         self.apply(Announce(record("m2", 1, "10.0.0.2:1")))
         self.apply(Announce(record("other", 1, service="other")))
         self.apply(Remove("other"))
-        self.assertEqual(self.left(), ["m1"])
+        self.assertEqual(self.orphaned(), ["m1"])
         successor = record("m3", 1)
         self.apply(Announce(successor))
-        self.assertEqual(self.left(), [])
+        self.assertEqual(self.orphaned(), [])
         self.assertTrue(self.state.has_taken_over_log(successor))
         self.assertFalse(self.state.has_taken_over_log(record("m2")))
         self.assertFalse(self.state.has_taken_over_log(record("m3", start_ms=900)))
@@ -193,40 +193,40 @@
     def test_a_member_that_displaces_a_leaving_one_has_its_log(self):
         self.apply(Announce(record("m1", 2, leaving=True)))
         self.apply(Announce(record("m2", 1)))
-        self.assertEqual(self.left(), [])
+        self.assertEqual(self.orphaned(), [])
         self.assertTrue(self.state.has_taken_over_log(record("m2")))
 
     def test_a_member_that_displaces_a_crashed_one_does_not_have_its_log(self):
         self.apply(Announce(record("m2", 1)))
-        self.assertEqual(self.left(), ["m1"])
+        self.assertEqual(self.orphaned(), ["m1"])
         self.assertFalse(self.state.has_taken_over_log(record("m2")))
         self.apply(Announce(record("m2", 2, "10.0.0.2:1")))
         self.apply(Readmit(record("m1", 2)))
-        self.assertEqual(self.left(), [])
+        self.assertEqual(self.orphaned(), [])
 
     def test_a_member_that_moves_to_the_address_keeps_its_own_log(self):
         self.apply(Announce(record("m2", 1, "10.0.0.2:1")))
         self.apply(Remove("m1"))
         self.apply(Announce(record("m2", 2)))
-        self.assertEqual(self.left(), ["m1"])
+        self.assertEqual(self.orphaned(), ["m1"])
 
     def test_a_snapshot_keeps_them(self):
         self.apply(Remove("m1"))
         restored = CoordinationState(VersionMonotonic(), IncarnationCheck(), FencingToken())
         restored.restore(self.state.snapshot())
-        self.assertEqual(restored.left_logs.logs, self.state.left_logs.logs)
+        self.assertEqual(restored.orphaned_logs.logs, self.state.orphaned_logs.logs)
         self.assertEqual(restored.snapshot(), self.state.snapshot())
 
     def test_they_are_forgotten_by_a_command(self):
         self.apply(Remove("m1"))
-        self.apply(ForgetLogs(self.state.left_logs.logs))
-        self.assertEqual(self.left(), [])
+        self.apply(ForgetLogs(self.state.orphaned_logs.logs))
+        self.assertEqual(self.orphaned(), [])
 
     def test_none_is_kept_while_a_control_node_may_be_of_an_earlier_version(self):
         StateTest.setUp(self)
         self.apply(Announce(record("m1", 1)))
         self.apply(Remove("m1"))
-        self.assertEqual(self.left(), [])
+        self.assertEqual(self.orphaned(), [])
 
 
 class VotersTest(unittest.TestCase):
--- a/tests/unit/test_doctests.py
+++ b/tests/unit/test_doctests.py
@@ -10,7 +10,7 @@
     "rowanrail.coordination.gateway_reconciler",
     "rowanrail.coordination.lives",
     "rowanrail.coordination.failover",
-    "rowanrail.coordination.left_logs",
+    "rowanrail.coordination.orphaned_logs",
     "rowanrail.coordination.lost_logs",
     "rowanrail.directory.digests",
     "rowanrail.directory.health_filter",
