Orphaned logs are known at every feature level, and stored from level 2

What callers saw: in the new test with processes, a replica that had ended 0.4 s before the control nodes raised the feature level was not waited for, and the one that was behind was promoted: ten acknowledged commits lost.

Cause: below level 2 the state kept no orphaned logs. The level is raised a second after the first leader was elected, or only once a control node that is down or of the version before has been replaced.

--- a/src/rowanrail/coordination/feature_level.py
+++ b/src/rowanrail/coordination/feature_level.py
@@ -17,7 +17,7 @@
 
 LIVES_LEVEL = 1  # members that return under their instance id, with a start time
 EVACUATION_LEVEL = 1  # evacuation of zones
-ORPHANED_LOGS_LEVEL = 2  # the state has the logs of members that are gone
+ORPHANED_LOGS_LEVEL = 2  # logs of members that are gone are stored, and forgotten
 NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, ORPHANED_LOGS_LEVEL)  # known to this version
 
 
--- a/src/rowanrail/coordination/orphaned_log_controller.py
+++ b/src/rowanrail/coordination/orphaned_log_controller.py
@@ -10,6 +10,7 @@
 
 from rowanrail.coordination.commands import ForgetLogs
 from rowanrail.coordination.events import ORPHANED_LOGS_FORGOTTEN
+from rowanrail.coordination.feature_level import ORPHANED_LOGS_LEVEL
 from rowanrail.coordination.orphaned_logs import OrphanedLog
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReply
@@ -77,6 +78,8 @@
         if now < self._checked_at + CHECK_INTERVAL_SECONDS or self._task is not None:
             return
         self._checked_at = now
+        if self._service.state.feature_level < ORPHANED_LOGS_LEVEL:
+            return
         logs = self._service.state.orphaned_logs.logs
         self._known_since = {log: self._known_since.get(log, now) for log in logs}
         due = [log for log in logs if self._is_due(log)]
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -134,6 +134,7 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state, encoded as :class:`StateSnapshot`."""
+        is_stored = self.feature_level >= ORPHANED_LOGS_LEVEL
         saved = StateSnapshot(
             self.version,
             self.document,
@@ -148,7 +149,7 @@
             self.evacuations if self.evacuations.revision else UNSET,
             {instance: start for instance, start in self.removed.items() if start} or UNSET,
             self.earlier_starts or UNSET,
-            self.orphaned_logs.logs or UNSET,
+            self.orphaned_logs.logs if is_stored and self.orphaned_logs else UNSET,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -269,7 +270,7 @@
         else:
             self.displaced.pop(instance, None)
         if instance in self.members:
-            self._add_orphaned_log(known, is_handed_over=True)
+            self.orphaned_logs.add(known, is_handed_over=True)
         self._remember_removed(instance, start or known.started_ms)
         return self._drop_member(instance)
 
@@ -289,7 +290,7 @@
         self._note_start(record)
         occupant = self.member_at_address(record)
         if occupant is not None:
-            self._add_orphaned_log(occupant, is_handed_over=occupant.leaving)
+            self.orphaned_logs.add(occupant, is_handed_over=occupant.leaving)
             self._drop_member(occupant.instance)
             self._remember_removed(occupant.instance, occupant.started_ms)
             if not occupant.leaving:
@@ -300,10 +301,6 @@
             self._demote_others(record)
         self._set_member(record)
 
-    def _add_orphaned_log(self, record: MemberRecord, is_handed_over: bool) -> None:
-        if self.feature_level >= ORPHANED_LOGS_LEVEL:
-            self.orphaned_logs.add(record, is_handed_over)
-
     def _remember_successor(self, record: MemberRecord) -> None:
         self._successors[record.instance, record.started_ms] = None
         if len(self._successors) > MAX_REMOVED:
--- a/tests/coordination/test_state.py
+++ b/tests/coordination/test_state.py
@@ -222,11 +222,14 @@
         self.apply(ForgetLogs(self.state.orphaned_logs.logs))
         self.assertEqual(self.orphaned(), [])
 
-    def test_none_is_kept_while_a_control_node_may_be_of_an_earlier_version(self):
+    # A replica that ended within seconds of the first start was not waited for.
+    def test_a_snapshot_has_none_while_a_control_node_may_be_of_an_earlier_version(self):
         StateTest.setUp(self)
         self.apply(Announce(record("m1", 1)))
         self.apply(Remove("m1"))
-        self.assertEqual(self.orphaned(), [])
+        self.assertEqual(self.orphaned(), ["m1"])
+        saved = msgspec.msgpack.decode(self.state.snapshot())
+        self.assertNotIn("orphaned_logs", saved)
 
 
 class VotersTest(unittest.TestCase):
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -275,6 +275,17 @@
         url = f"http://{host}:{CONTROL_PORT}/instances/{member.instance}"
         return await self._call("PUT", url, json=member.heartbeat(state))
 
+    async def add(self, member: Member) -> None:
+        """Start a further member and its heartbeats."""
+        self.members.append(member)
+        await member.start()
+        self._heartbeats.append(asyncio.ensure_future(self._send_heartbeats(member)))
+
+    async def remove(self, member: Member) -> int:
+        """Announce that a member has ended."""
+        url = f"http://{self.control_hosts[0]}:{CONTROL_PORT}/instances/{member.instance}"
+        return await self._call("DELETE", url)
+
     async def put(self, document: Any, host: str = "") -> int:
         url = f"http://{host or self.control_hosts[0]}:{CONTROL_PORT}/config"
         if isinstance(document, bytes):
