Soak: replicas that acknowledge commits, and members that are replaced

Change: `--sync-replicas 1` has members answer a commit once a replica has received it (the stand-ins of tests.support.acknowledging_members, which know PAUSE and RESUME), and replaces members one after the other: one announces that it leaves, ends with DELETE or without, at times runs on after it, and a new member with its log starts at its address. In most replacements of a replica the other one receives nothing meanwhile and the primary crashes. The soak reports LOST if a commit that was answered to a gateway is not in the log of the promoted. Members don't start again without their log in this mode. Without the option members and faults are what they were; end_tasks has a module of its own.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,12 +20,20 @@
     help="Another checkout: every other process is started from it, and some change sides when "
     "they are started again, as in an upgrade in steps. Both run on this Python's packages.",
 )
-def main(seconds: float, seeds: str, network: int, holders: str, beside: Path | None) -> None:
+@click.option("--sync-replicas", default=0, help="Replicas that must hold a commit; 0 or 1.")
+def main(
+    seconds: float,
+    seeds: str,
+    network: int,
+    holders: str,
+    beside: Path | None,
+    sync_replicas: int,
+) -> None:
     """Run fault soaks and print a verdict of each; exit code 1 if a rule was broken."""
     first, _, last = seeds.partition("-")
     failed_runs = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seconds, seed, network, holders, beside)
+        soak = Soak(seconds, seed, network, holders, beside, sync_replicas)
         verdict = asyncio.run(soak.run())
         failed_runs += bool(verdict.problems)
         click.echo(f"seed {seed}, faults: {', '.join(soak.fault_log)}")
--- a/tests/soak/group.py
+++ b/tests/soak/group.py
@@ -6,7 +6,8 @@
 
 from tests.soak.oracle import Execution, Oracle
 from tests.soak.zone_faults import ZoneFaults
-from tests.support.line_member import Group, Member
+from tests.support.acknowledging_members import AcknowledgingGroup, AcknowledgingMember
+from tests.support.line_member import Member
 
 if TYPE_CHECKING:
     from tests.soak.run import Soak
@@ -18,9 +19,11 @@
 CALM_SECONDS = 2.0  # a member without a fault for as long answers, and has what others have
 
 
-class ObservedGroup(Group):
+class ObservedGroup(AcknowledgingGroup):
     """A group that reports statements, commits and the rollbacks of a promotion to an oracle."""
 
+    sync_replicas = 0
+
     oracle: Oracle
     soak: "Soak"
     faults: ZoneFaults | None = None
@@ -69,8 +72,12 @@
             self.lost_log = tuple(self.newest_log)
 
     def promote(self, instance: str) -> None:
-        member = self.members[instance]
+        member = self.members.get(instance)
+        if not isinstance(member, AcknowledgingMember) or not member.is_running:
+            return  # the platform finds out that it has ended
         if not member.is_primary:
+            if self.sync_replicas:
+                self._check_acknowledged(member)
             lost = self.newest_log[len(member.log) :]
             for _, writes in lost:
                 self.oracle.record_rollback(writes)
@@ -80,6 +87,14 @@
             self.lost_log, self.demoted = (), ""
         super().promote(instance)
 
+    def _check_acknowledged(self, chosen: AcknowledgingMember) -> None:
+        """Check that all commits that were acknowledged to a gateway are in a member's log."""
+        missing = self.acknowledged.difference(chosen.values)
+        if missing:
+            text = f"{len(missing)} acknowledged commits were not at {chosen.instance}"
+            self.oracle.add_problem(f"LOST: {text} at its promotion ({time.time():.3f})")
+        self.acknowledged -= missing
+
     def _check_choice(self, chosen: Member) -> None:
         """Check that no other member without a fault has had more of the log for some time."""
         now = asyncio.get_running_loop().time()
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from tests.soak.oracle import Execution
-from tests.support.line_member import Member, MemberConnection
+from tests.support.acknowledging_members import AcknowledgingConnection, AcknowledgingMember
+from tests.support.line_member import Member
 
 STATEMENT_SECONDS = 0.004  # slot time of a read, a write or a commit
 CONNECT_SECONDS = 0.012  # slot time of a new connection
@@ -17,7 +18,7 @@
 _connection_ids = itertools.count()  # unlike id(), never reused
 
 
-class SlottedMember(Member):
+class SlottedMember(AcknowledgingMember):
     """Runs statements in order of arrival, at most one per slot at a time."""
 
     def __init__(self, *args: Any) -> None:
@@ -33,7 +34,7 @@
 
     @property
     def zone(self) -> str:
-        return ZONES.get(self.instance, "a")
+        return ZONES.get(self.instance.partition(".")[0], "a")
 
     def heartbeat(self, state: str = "ready") -> dict[str, Any]:
         return super().heartbeat(state) | {"zone": self.zone}
@@ -83,7 +84,7 @@
         self._start_queued()
 
 
-class SlottedConnection(MemberConnection):
+class SlottedConnection(AcknowledgingConnection):
     """Processes the lines of a connection in sequence, each after its service time."""
 
     def __init__(self, member: Member) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,8 @@
 from tests.soak.group import BOUND_TENANT, REGIONS, ObservedGroup
 from tests.soak.members import SlottedMember
 from tests.soak.oracle import TENANTS, Oracle, RequestedWrite, Verdict
+from tests.soak.replacements import Replacements
+from tests.soak.tasks import end_tasks
 from tests.soak.zone_faults import FIRST_BORN_AGE_MS, WARM_UP, ZoneFaults
 from tests.soak.zone_rules import HomeRegions
 from tests.support.line_member import Member
@@ -46,19 +48,6 @@
 ROUTE_TIMEOUT_SECONDS = 1.0  # timeout-ms of the routes
 LATE_ANSWER_SECONDS = 1.5  # tolerance beyond the timeout; the test's event loop may lag, too
 KEY_REVOCATION_SECONDS = 5.0  # after which a revoked key must not open a session
-FAULT_END_SECONDS = 10.0  # for what a cancelled fault undoes
-
-
-async def end_tasks(tasks: list[asyncio.Task[None]], seconds: float = FAULT_END_SECONDS) -> None:
-    """Cancel tasks, those that go on after ``seconds`` again, until all have ended.
-
-    A time limit that expires together with a cancellation can lose it, and the task goes on.
-    """
-    going_on = set(tasks)
-    while going_on:
-        for task in going_on:
-            task.cancel()
-        _, going_on = await asyncio.wait(going_on, timeout=seconds)
 
 
 class SoakClient:
@@ -230,8 +219,11 @@
         network: int = DEFAULT_NETWORK,
         holders: str = "hashed",
         beside: Path | None = None,
+        sync_replicas: int = 0,
     ) -> None:
         self.beside = beside
+        self.sync_replicas = sync_replicas
+        self.replacements: Replacements | None = None
         self.network = network
         self.holders = holders
         self.seconds = seconds
@@ -270,7 +262,10 @@
         assert isinstance(fleet.group, ObservedGroup)
         fleet.group.oracle, fleet.group.soak = self.oracle, self
         fleet.group.commit_times = []
+        fleet.group.sync_replicas = self.sync_replicas
         self.fleet, self.group = fleet, fleet.group
+        if self.sync_replicas:
+            self.replacements = Replacements(self)
         if self.has_zone_faults:
             fleet.group.faults = ZoneFaults(self)
             for member in fleet.members:
@@ -285,6 +280,8 @@
             faults.append(asyncio.ensure_future(self._pause_members()))
             if fleet.group.faults is not None:
                 faults += fleet.group.faults.start()
+            if self.replacements is not None:
+                faults.append(asyncio.ensure_future(self.replacements.run()))
             await asyncio.sleep(self.seconds)
             await end_tasks([*faults, *departures])
             for ended in await asyncio.gather(*faults, return_exceptions=True):
@@ -312,7 +309,11 @@
         return self.oracle.verdict
 
     def build_config(self) -> dict[str, object]:
-        service = {"name": "db", "max-conns": MAXIMUM_CONNECTIONS, "sync-replicas": 0}
+        service = {
+            "name": "db",
+            "max-conns": MAXIMUM_CONNECTIONS,
+            "sync-replicas": self.sync_replicas,
+        }
         services = [service | WARM_UP if self.has_zone_faults else service]
         tenants: list[dict[str, object]] = [
             {"name": f"t{number}", "api-keys": [key], "rate-per-s": RATE_PER_SECOND, "burst": BURST}
@@ -334,8 +335,11 @@
 
     @property
     def has_zone_faults(self) -> bool:
-        """Whether lives, evacuations and regions are tested; earlier versions ignore them."""
-        return self.beside is None
+        """Whether lives, evacuations and regions are tested; earlier versions ignore them.
+
+        A member that starts again without its log may have had the only acknowledged copy.
+        """
+        return self.beside is None and not self.sync_replicas
 
     def _check_logs(self) -> None:
         offset = time.time() - asyncio.get_running_loop().time()
@@ -382,7 +386,7 @@
             self._stop_proxy,
             self._kill_control,
             self._freeze_control,
-            self._crash_primary,
+            self.crash_primary,
             self._deafen_replica,
             self._rotate_key,
             self._reload,
@@ -603,12 +607,13 @@
     def record_disturbance(self, host: str) -> None:
         self.disturbed_at[host] = asyncio.get_running_loop().time()
 
-    async def _crash_primary(self) -> None:
+    async def crash_primary(self) -> None:
         primaries = [member for member in self.fleet.members if member.is_primary]
         if any(member.instance in self.fleet.busy for member in self.fleet.members):
             return  # at most one member may be down at a time
         for primary in primaries:  # none during a planned move
-            await self._crash(primary)
+            if self.replacements is None or self.replacements.leaving != primary.instance:
+                await self._crash(primary)
 
     async def _crash(self, member: Member) -> None:
         with self.fleet.mark_busy(member.instance), self.disturb_member(member):
@@ -623,9 +628,11 @@
     async def _deafen_replica(self) -> None:
         replicas = [member for member in self.fleet.members if not member.is_primary]
         member = self.random.choice(replicas)
-        member.replication_paused = True
+        assert isinstance(member, SlottedMember)
+        member.receives = False
         await asyncio.sleep(self.random.uniform(*OUTAGE_SECONDS))
-        member.replication_paused = False
+        member.receives = True
+        self.group.replicate()
 
     async def _clear_faults(self) -> None:
         for host, process in list(self.fleet.processes.items()):
@@ -637,8 +644,10 @@
                 process.send_signal(signal.SIGCONT)
                 self.fleet.fill_disk(host, False)
         for member in self.fleet.members:
-            member.replication_paused = False
+            assert isinstance(member, SlottedMember)
+            member.receives = True
             if self.fleet.states.pop(member.instance, "") == "gone":
                 await member.start()
+        self.group.replicate()
         if self.group.faults is not None:
             await self.group.faults.clear()
--- a/tests/support/acknowledging_members.py
+++ b/tests/support/acknowledging_members.py
@@ -1,23 +1,25 @@
-"""Stand-in members of a service whose commits are acknowledged once a replica has received them."""
+"""Stand-in members of a service whose commits are acknowledged once replicas have received them."""
 
 from collections.abc import Callable
 from typing import Any
 
 from tests.support.line_member import Group, Member, MemberConnection
 
-__all__ = ["AcknowledgingGroup", "AcknowledgingMember"]
-
-COMMITTED = ("DONE sig.write", "DONE sig.commit")
+__all__ = ["AcknowledgingConnection", "AcknowledgingGroup", "AcknowledgingMember"]
 
 
 class AcknowledgingGroup(Group):
-    """A group that answers a commit once ``sync_replicas`` replicas have received it."""
+    """A group that answers a commit once ``sync_replicas`` replicas have received it.
+
+    With 0 it is a :class:`~tests.support.line_member.Group` as any other.
+    """
 
     sync_replicas = 1
 
     def __init__(self, name: str) -> None:
         super().__init__(name)
         self._waiting: list[tuple[int, Callable[[], None]]] = []  # length of the log, answer
+        self.acknowledged: set[str] = set()  # values
         self.promoted: list[str] = []
 
     def when_acknowledged(self, length: int, answer: Callable[[], None]) -> None:
@@ -34,44 +36,93 @@
                 for member in self.members.values()
             )
             if holding >= self.sync_replicas:
+                _, writes = self.primary.log[length - 1]
+                self.acknowledged.update(value for _, value in writes)
                 answer()
             else:
                 self._waiting.append((length, answer))
 
+    def forget_unacknowledged(self) -> None:
+        """Leave the commits that were not acknowledged without an answer."""
+        self._waiting.clear()
+
+    def replicate(self) -> None:
+        """Send the log of the primary, if one runs, to the members that receive."""
+        if not self.sync_replicas:
+            return
+        primary = next((m for m in self.members.values() if m.is_primary), None)
+        if isinstance(primary, AcknowledgingMember) and primary.is_running:
+            log = list(primary.log)
+            for member in self.members.values():
+                member.receive(log, self.term)
+
     def promote(self, instance: str) -> None:
+        member = self.members.get(instance)
+        if not isinstance(member, AcknowledgingMember) or not member.is_running:
+            return
         self.promoted.append(instance)
-        self._waiting.clear()
+        if not member.is_primary:
+            self.forget_unacknowledged()
         super().promote(instance)
-        for member in self.members.values():
-            member.replication_paused = False
+        for other in self.members.values():
+            other.replication_paused = False
+        self.replicate()
 
 
 class AcknowledgingMember(Member):
-    """A member whose replication can be interrupted."""
+    """A member whose replication can be interrupted by a test, and paused by commands."""
 
     receives = True
+    is_running = False
 
     @property
     def values(self) -> list[str]:
         """The values that its log has, in order."""
         return [value for _, writes in self.log for _, value in writes]
 
+    @property
+    def acknowledging_group(self) -> AcknowledgingGroup:
+        assert isinstance(self.group, AcknowledgingGroup)
+        return self.group
+
+    async def start(self) -> None:
+        self.is_running = True
+        self.replication_paused = False
+        await super().start()
+        self.acknowledging_group.replicate()
+
+    def stop(self) -> None:
+        self.is_running = False
+        super().stop()
+
     def receive(self, log: list[Any], term: int) -> None:
-        if self.receives:
+        if self.receives and (self.is_running or not self.acknowledging_group.sync_replicas):
             super().receive(log, term)
-            assert isinstance(self.group, AcknowledgingGroup)
-            self.group.acknowledge()
+            self.acknowledging_group.acknowledge()
+
+    def demote(self, term: int) -> None:
+        if self.is_primary and term > self.term:
+            self.acknowledging_group.forget_unacknowledged()
+        super().demote(term)
 
 
 class AcknowledgingConnection(MemberConnection):
     """Delays the answer to a commit, and can pause replication."""
 
+    has_committed = False  # by the line that is answered next
+
+    def run(self, text: str) -> list[str]:
+        length = len(self.member.log)
+        lines = super().run(text)
+        self.has_committed = len(self.member.log) > length
+        return lines
+
     def ready(self, lines: list[str]) -> None:
-        if self.state != "I" or not lines or lines[0] not in COMMITTED:
+        group = self.member.group
+        has_committed, self.has_committed = self.has_committed, False
+        if not has_committed or not isinstance(group, AcknowledgingGroup):
             super().ready(lines)
             return
-        group = self.member.group
-        assert isinstance(group, AcknowledgingGroup)
         answer = super().ready
         group.when_acknowledged(len(self.member.log), lambda: answer(lines))
 
@@ -82,6 +133,9 @@
 
     def run_resume(self, words: list[str]) -> list[str]:
         self.member.replication_paused = False
+        group = self.member.group
+        if isinstance(group, AcknowledgingGroup):
+            group.replicate()
         return self.run_status([])
 
 
--- a/tests/support/platform_fleet.py
+++ b/tests/support/platform_fleet.py
@@ -281,9 +281,10 @@
         await member.start()
         self._heartbeats.append(asyncio.ensure_future(self._send_heartbeats(member)))
 
-    async def remove(self, member: Member) -> int:
+    async def remove(self, member: Member, host: str = "") -> int:
         """Announce that a member has ended."""
-        url = f"http://{self.control_hosts[0]}:{CONTROL_PORT}/instances/{member.instance}"
+        host = host or self.control_hosts[0]
+        url = f"http://{host}:{CONTROL_PORT}/instances/{member.instance}"
         return await self._call("DELETE", url)
 
     async def put(self, document: Any, host: str = "") -> int:
