Tests for two rules that were found by reading

Of equal logs one that may serve is promoted although it leaves, and an orphaned log is kept while its service is not in the configuration.

--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -322,6 +322,14 @@
             )
         self.check_promoted("m2")
 
+    def test_of_equal_logs_that_of_a_member_that_may_serve_is_preferred_even_if_it_leaves(self):
+        equal = {"leads": False, "term": 1, "received": Position(1, 9)}
+        self.members[1:] = [
+            member("m2", leaving=True, **equal),
+            member("m3", may_serve=False, **equal),
+        ]
+        self.check_promoted("m2")
+
     # Only the returned primary had what was acknowledged before the promotion of the lost one.
     def test_a_log_that_ends_in_an_older_term_is_promoted_if_no_other_ends_later(self):
         self.members = [
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -17,6 +17,7 @@
 from rowanrail.coordination.feature_level import LIVES_LEVEL
 from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.node import Coordinator
+from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusReader, StatusReply
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.members.channel import ChannelTransport, MemberDriver
@@ -397,6 +398,16 @@
 
         self.run_scenario(scenario)
 
+    # The service may be configured again, with replicas that acknowledge commits.
+    def test_an_orphaned_log_is_kept_while_its_service_is_not_configured(self):
+        async def scenario():
+            await self.end(self.platform.members[1])
+            with patch.object(CoordinationService, "is_configured", lambda service, name: False):
+                await asyncio.sleep(25.0)
+                self.assertEqual(len(self.leader().node.state.orphaned_logs), 1)
+
+        self.run_scenario(scenario)
+
     def test_a_primary_that_falls_silent_in_a_closed_zone_is_replaced(self):
         async def scenario():
             primary, *others = self.platform.members
