--- a/tests/coordination/test_failover.py
+++ b/tests/coordination/test_failover.py
@@ -34,13 +34,17 @@
     return ReportView(source, instance, proved_ago=2.0, failing_for=seconds, age=age)
 
 
+def silent_primary_and_replicas():
+    return [
+        member("m1", primary=True),
+        member("m2", leads=False, term=1, received=Position(1, 9)),
+        member("m3", leads=False, term=1, received=Position(1, 8)),
+    ]
+
+
 class FailoverTest(unittest.TestCase):
     def setUp(self):
-        self.members = [
-            member("m1", primary=True),
-            member("m2", leads=False, term=1, received=Position(1, 9)),
-            member("m3", leads=False, term=1, received=Position(1, 8)),
-        ]
+        self.members = silent_primary_and_replicas()
 
     def decide(
         self,
@@ -286,11 +290,7 @@
     """With acknowledging replicas, the promoted member has all commits that they acknowledged."""
 
     def setUp(self):
-        self.members = [
-            member("m1", primary=True),
-            member("m2", leads=False, term=1, received=Position(1, 9)),
-            member("m3", leads=False, term=1, received=Position(1, 8)),
-        ]
+        self.members = silent_primary_and_replicas()
 
     def decide(self, **changes):
         view = ServiceView(
