Soak: a successor that has just started is not one without a fault

The trace of one: i-2 was promoted with 1216 entries while it was leaving, ran 13 commits that no replica received (the one was down, the other received nothing), and ended without DELETE. Its successor i-2.2 started with 1229 entries; before it had announced itself the leader compared "i-1 3.1216", "i-2 no answer", "i-0.1 3.1184" and promoted i-1, which has all that was acknowledged. The check that reported asks for what a member has had for 2 s without a fault, and took the new name for a member that no fault had touched.

Change: the start of a successor counts as a fault of that member, as the start after a crash does.

--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -118,3 +118,5 @@
         del group.members[member.instance]
         self._fleet.members.remove(member)
         await self._fleet.add(successor)
+        # Not without a fault until it has run for a while: nobody knows of it yet.
+        self._soak.member_disturbed_at[name] = asyncio.get_running_loop().time()
