Orphaned logs are kept while only the primary has their commits

What callers saw: nothing; found by going through the rule with each event that changes who has a commit.

Cause: an orphaned log was forgotten once every present member had received what it may hold. With all replicas gone that is the primary alone. The copies that are left are then fewer than those that the failover counts on, and after a change of leader a member that had received a part could have been promoted.

Change: as many members as logs that an acknowledged commit is in, the primary's and those of the acknowledging replicas, must have it.

The 8 tests of the class pass.

--- a/src/rowanrail/coordination/orphaned_log_controller.py
+++ b/src/rowanrail/coordination/orphaned_log_controller.py
@@ -117,8 +117,12 @@
         self._decisions.note(ORPHANED_LOGS_FORGOTTEN, logs=names)
 
     async def _is_covered(self, service: str) -> bool:
-        """Return whether every member has received what the primary has now."""
-        if not self._acknowledging_replicas(service):
+        """Return whether every member has received what the primary has now.
+
+        There must be as many of them as of the logs that an acknowledged commit is in.
+        """
+        replicas = self._acknowledging_replicas(service)
+        if not replicas:
             return True
         before = await self._statuses(service)
         primary = _leader(before)
@@ -128,7 +132,8 @@
         after = await self._statuses(service)
         newest = before[primary]
         return (
-            _leader(after) == primary
+            len(after) > replicas
+            and _leader(after) == primary
             and after[primary].term == newest.term
             and all(status.received >= newest.received for status in after.values())
         )
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -389,7 +389,7 @@
 
         self.run_scenario(scenario)
 
-    def test_a_orphaned_log_is_forgotten_where_no_replica_acknowledges_commits(self):
+    def test_an_orphaned_log_is_forgotten_where_no_replica_acknowledges_commits(self):
         async def scenario():
             await self.end(self.platform.members[1])
             self.assertEqual(len(self.leader().node.state.orphaned_logs), 1)
@@ -515,7 +515,7 @@
         self.run_scenario(scenario)
 
     # A member that was removed without a successor would hold back failovers forever.
-    def test_a_orphaned_log_is_forgotten_once_all_members_have_what_it_may_hold(self):
+    def test_an_orphaned_log_is_forgotten_once_all_members_have_what_it_may_hold(self):
         async def scenario():
             self.receive_at_leaving_replica()
             await asyncio.sleep(1.0)
@@ -529,7 +529,17 @@
 
         self.run_scenario(scenario)
 
-    def test_a_orphaned_log_is_kept_while_its_member_may_still_run(self):
+    # Without a replica left, every member had what the logs may hold: the primary alone.
+    def test_an_orphaned_log_is_kept_while_only_the_primary_has_its_commits(self):
+        async def scenario():
+            for replica in (self.second, self.third):
+                await self.end(replica)
+            await asyncio.sleep(30.0)
+            self.assertEqual(len(self.leader().node.state.orphaned_logs), 2)
+
+        self.run_scenario(scenario)
+
+    def test_an_orphaned_log_is_kept_while_its_member_may_still_run(self):
         async def scenario():
             self.second.leaving = True
             await asyncio.sleep(1.0)
