--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -133,6 +133,8 @@
         self.ran = []  # (time, text, who)
         self.state = "ready"
         self.is_cut_off = False
+        self.work_seconds = lambda: 0.0  # of a read, a write or a commit, which hold a slot
+        self.free_slots = asyncio.Semaphore(slots)
         group.members[instance] = self
 
     @property
@@ -185,18 +187,36 @@
         self.writes = []
         self.values = {}
         self.prepared = {}
+        self.lines = asyncio.Queue()
 
     def connection_made(self, transport):
         self.transport = transport
         self.member.connections.add(self)
+        self.task = asyncio.ensure_future(self.work())
 
     def connection_lost(self, exc):
         self.member.connections.discard(self)
+        self.task.cancel()
 
     def data_received(self, data):
         *lines, self.buffer = (self.buffer + data).split(b"\r\n")
         for line in lines:
-            self.take(line.decode("latin-1"))
+            self.lines.put_nowait(line.decode("latin-1"))
+
+    async def work(self):
+        """Run the lines in order; reads, writes and commits hold a slot for their work."""
+        while True:
+            line = await self.lines.get()
+            words = line.split(" ")[2:]
+            if words[:1] == ["AFTER"]:
+                words = words[2:]
+            seconds = self.member.work_seconds()
+            if seconds and words and words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+                async with self.member.free_slots:
+                    await asyncio.sleep(seconds)
+                    self.take(line)
+            else:
+                self.take(line)
 
     def take(self, line):
         word, _, rest = line.partition(" ")
