--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,6 +26,7 @@
 
 CONFIG_APPLY_SECONDS = 4.0  # config-apply-ms
 CONTACT_SECONDS = 5.0  # contact-ms
+SKEW_SECONDS = 15.0  # max-skew-ms
 SLACK_SECONDS = 1.0
 ROUNDS = 8
 DOWN_SECONDS = 1.0
@@ -123,7 +124,11 @@
         await watching
         await asyncio.sleep(max(0.0, calm_at - time.monotonic()))
         if await is_broken(fleet, record, operator, version, x, y):
-            return True
+            # Well past every span that could excuse it, it must still be so.
+            settled_at = calm_at + SKEW_SECONDS
+            record.note(f"asked again after {SKEW_SECONDS:.0f} s more, in which nothing is disturbed")
+            await asyncio.sleep(max(0.0, settled_at - time.monotonic()))
+            return await is_broken(fleet, record, operator, version, x, y)
     return False
 
 
