--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -86,9 +86,10 @@
 class Group:
     """One service: a primary and its replicas, which receive each commit after a lag."""
 
-    def __init__(self, name, lag_seconds=0.008):
+    def __init__(self, name, lag_seconds=0.008, sync_replicas=0):
         self.name = name
         self.lag_seconds = lag_seconds
+        self.sync_replicas = sync_replicas
         self.term = 1
         self.members = {}
         self.signatures = set()
@@ -109,6 +110,20 @@
             if other is not member:
                 asyncio.get_running_loop().call_later(self.lag_seconds, other.receive, log)
 
+    def catch_up(self, member):
+        """Send a replica the primary's log, as it is when its pause ends."""
+        primary = self.primary
+        if primary is not None and not primary.is_dark:
+            log = list(primary.log)
+            asyncio.get_running_loop().call_later(self.lag_seconds, member.receive, log)
+
+    def has_replicated(self, member, length):
+        """Return whether as many replicas as must acknowledge a commit have received it."""
+        received = sum(
+            len(other.log) >= length for other in self.members.values() if other is not member
+        )
+        return received >= self.sync_replicas
+
     def promote(self, instance):
         member = self.members[instance]
         if member.is_primary:
@@ -116,6 +131,7 @@
         self.term += 1
         for other in self.members.values():
             other.is_primary = other is member
+            other.is_paused = False
             del other.log[len(member.log) :]
             for connection in other.connections:
                 connection.has_lost_lead = True
@@ -133,6 +149,8 @@
         self.ran = []  # (time, text, who)
         self.state = "ready"
         self.is_cut_off = False
+        self.is_dark = False  # it neither runs nor answers anything, nor sends its log
+        self.is_paused = False  # it receives nothing, by PAUSE
         self.work_seconds = lambda: 0.0  # of a read, a write or a commit, which hold a slot
         self.free_slots = asyncio.Semaphore(slots)
         group.members[instance] = self
@@ -142,7 +160,9 @@
         return f"{self.log[-1][0] if self.log else 1}.{len(self.log)}"
 
     def receive(self, log):
-        if not self.is_primary and len(log) > len(self.log) and log[-1][0] == self.group.term:
+        if self.is_paused or self.is_primary:
+            return
+        if len(log) > len(self.log) and log[-1][0] == self.group.term:
             self.log = list(log)
 
     def value(self, thing, writes=()):
@@ -207,18 +227,29 @@
         """Run the lines in order; reads, writes and commits hold a slot for their work."""
         while True:
             line = await self.lines.get()
+            while self.member.is_dark:
+                await asyncio.sleep(0.01)
             words = line.split(" ")[2:]
             if words[:1] == ["AFTER"]:
                 words = words[2:]
             seconds = self.member.work_seconds()
+            before = len(self.member.log)
             if seconds and words and words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
                 async with self.member.free_slots:
                     await asyncio.sleep(seconds)
-                    self.take(line)
+                    lines = self.take(line)
             else:
-                self.take(line)
+                lines = self.take(line)
+            if lines is None:
+                continue
+            if words and words[0] in ("WRITE", "EXECUTE", "COMMIT"):
+                length = len(self.member.log)
+                while length > before and not self.member.group.has_replicated(self.member, length):
+                    await asyncio.sleep(0.002)
+            self.ready(lines)
 
     def take(self, line):
+        """Handle a line; return those of its answer, None without one."""
         word, _, rest = line.partition(" ")
         if not self.is_started:
             fields = rest.split(" ")
@@ -229,14 +260,14 @@
             ):
                 self.transport.write(f"ERROR WRONGNODE {self.member.instance}\r\n".encode())
                 self.transport.close()
-                return
+                return None
             self.is_started = True
-            self.ready([])
-        elif word == "QUIT":
+            return []
+        if word == "QUIT":
             self.transport.close()
-        else:
-            request, _, text = rest.partition(" ")
-            self.ready(self.run(request, text))
+            return None
+        request, _, text = rest.partition(" ")
+        return self.run(request, text)
 
     def ready(self, lines):
         lines = [*lines, f"READY {self.state} {self.member.position}"]
@@ -311,6 +342,11 @@
             self.values, self.prepared = {}, {}
             return ["DONE -"]
         if words[0] in ("STATUS", "RESUME", "PAUSE", "DEMOTE"):
+            if words[0] == "PAUSE" and int(words[1]) > member.group.term and not member.is_primary:
+                member.is_paused = True
+            if words[0] == "RESUME" and member.is_paused:
+                member.is_paused = False
+                member.group.catch_up(member)
             if words[0] == "DEMOTE" and int(words[1]) > member.group.term and member.is_primary:
                 member.is_primary = False
                 for connection in member.connections:
@@ -329,12 +365,17 @@
         self.groups = {group.name: group for group in groups}
         self.promote_seconds = promote_seconds
         self.calls = []
+        self.is_cut_off = False  # nothing reaches it
         self._newest = {}
 
     async def start(self, host, port):
         self._server = await asyncio.start_server(self._serve, host, port)
 
     async def _serve(self, reader, writer):
+        if self.is_cut_off:
+            await asyncio.sleep(3.0)
+            writer.close()
+            return
         with contextlib.suppress(OSError, EOFError, ValueError, IndexError):
             await reader.readline()
             headers = {}
@@ -486,7 +527,7 @@
         address = ""
         await asyncio.sleep(random.random() * 0.5)
         while True:
-            if member.is_cut_off:
+            if member.is_cut_off or member.is_dark:
                 await asyncio.sleep(0.1)
                 continue
             body = json.dumps(member.heartbeat()).encode()
@@ -629,7 +670,7 @@
     } | changes
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, sync_replicas=0):
     """Return a configuration document."""
     return {
         "version": version,
@@ -641,7 +682,7 @@
                 "max-conns": 36,
                 "protocol": "h1",
                 "tls": False,
-                "sync-replicas": 0,
+                "sync-replicas": sync_replicas,
             }
             for name in services
         ],
