--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,12 +1,11 @@
-"""A failover that the platform could not carry out leaves the replicas paused for good.
+"""A gateway that starts together with the control nodes keeps a configuration that was never taken.
 
-The service has one acknowledging replica. Its primary goes dark for some seconds, while the
-platform's promote call is cut off. Both return, and nothing was promoted. At the end all processes
-are killed and start again. Writes must be served as before.
+Two operators change the configuration at once (X and Y, the same version), and in that moment all
+processes are killed. They start again a second later. Whichever change is then taken must be
+obeyed by every gateway that is in touch, ``config-apply-ms`` after its acknowledgement.
 """
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -19,108 +18,147 @@
     Group,
     Operator,
     configuration,
+    exchange,
     main,
+    probe,
     route,
 )
 
-RECOVER_SECONDS = 12.0  # recover-s
-DARK_SECONDS = 5.0
-CALM_SECONDS = 8.0
+CONFIG_APPLY_SECONDS = 4.0  # config-apply-ms
+CONTACT_SECONDS = 5.0  # contact-ms
+SKEW_SECONDS = 15.0  # max-skew-ms
+SLACK_SECONDS = 1.0
+ROUNDS = 8
 DOWN_SECONDS = 1.0
-MEASURED_SECONDS = 10.0
-QUARTER = 0.25
-CLIENTS = 6
-
-
-async def run_client(fleet, number, results, state):
-    """Send single writes on the primary's route, one after the other; note what came back."""
-    client = None
-    written = 0
-    while not state["over"]:
-        host = random.choice(list(fleet.gateways))
-        if client is None:
-            client = Client(host, fleet.front_port)
-            if not (await client.start("push")).startswith("READY"):
-                client.close()
-                client = None
-                results.append((time.monotonic(), "no session"))
-                await asyncio.sleep(0.2)
-                continue
-        written += 1
-        sent = time.monotonic()
-        lines = await client.ask(f"WRITE k{number} v{written}", seconds=4.0)
-        if len(lines) >= 2 and lines[-2].startswith("DONE "):
-            outcome = "served"
-        else:
-            outcome = lines[-2].split(" ")[1] if len(lines) >= 2 else "no answer"
-        results.append((sent, outcome))
-        if not lines:
-            client.close()
-            client = None
-        await asyncio.sleep(0.05)
-
-
-def share_served(results, since, until):
-    """Return the share of the requests sent in a span that were served, and all outcomes."""
-    outcomes = {}
-    for sent, outcome in results:
-        if since <= sent < until:
-            outcomes[outcome] = outcomes.get(outcome, 0) + 1
-    return outcomes.get("served", 0) / max(1, sum(outcomes.values())), outcomes
+SERVICES = ("registry-1", "registry-2")
+
+
+def documents(version):
+    """Return the configuration in force before, and the two changes on the next version."""
+    old = [route("alpha", "registry-1")]
+    x = [route("alpha", "registry-1"), route(f"xray{version}", "registry-1")]
+    y = [route("alpha", "registry-2"), route(f"yankee{version}", "registry-2")]
+    return (
+        configuration(version, old, SERVICES),
+        configuration(version + 5, x, SERVICES),
+        configuration(version + 5, y, SERVICES),
+    )
+
+
+async def race(fleet, record, x, y, has_trouble):
+    """Have two operators send X and Y at once; kill and start all processes if there is trouble."""
+    leader = fleet.seen_leader
+    others = [host for host in fleet.controls if host != leader]
+    version = x["version"]
+    first, second = Operator(fleet, "operator 1"), Operator(fleet, "operator 2")
+    if not has_trouble:
+        return await asyncio.gather(
+            first.put(x, leader, f"X (v{version})"), second.put(y, others[0], f"Y (v{version})")
+        )
+    import json
+
+    reader, writer = await asyncio.open_connection(leader, fleet.control_port)
+    record.note("all processes are killed while the two operators send their changes")
+    for host in others:
+        fleet.kill(host)
+    sent = asyncio.ensure_future(
+        exchange(reader, writer, leader, "PUT", "/config", json.dumps(x).encode())
+    )
+    record.note(f"operator 1 sends PUT /config X (v{version}) to {leader}")
+    await asyncio.sleep(0.02)  # a link between regions takes as long
+    for host in [leader, *fleet.gateways]:
+        fleet.kill(host)
+    answers = await asyncio.gather(sent, return_exceptions=True)
+    record.note(f"operator 1 got {answers} for X; the processes of {leader} are the last to end")
+    writer.close()
+    y_taken = asyncio.ensure_future(second.put(y, others[0], f"Y (v{version})"))
+    await asyncio.sleep(0.05)
+    x_taken = asyncio.ensure_future(first.put(x, others[1], f"X (v{version})"))
+    await asyncio.sleep(DOWN_SECONDS)
+    record.note("all processes start again")
+    for host in [*fleet.gateways, *fleet.controls]:
+        fleet.start_process(host)
+    return await asyncio.gather(x_taken, y_taken)
+
+
+async def watch(fleet, record, version, until):
+    """Keep opening sessions for the databases of both changes, as clients do; note the changes."""
+    seen = {}
+    while time.monotonic() < until():
+        for host in fleet.gateways:
+            for database in ("alpha", f"xray{version}", f"yankee{version}"):
+                answer = await probe(host, fleet.front_port, database)
+                if seen.get((host, database)) != answer:
+                    seen[host, database] = answer
+                    record.note(f"client at {host} for {database}: {answer}")
+        await asyncio.sleep(0.1)
 
 
 async def play(record, has_trouble, fleets):
-    group = Group("registry-1", sync_replicas=1)
-    fleet = Fleet(record, [group])
+    groups = [Group(name) for name in SERVICES]
+    fleet = Fleet(record, groups)
     fleets.append(fleet)
     await fleet.start()
-    operator = Operator(fleet, "operator")
-    routes = [route("push", "registry-1", **{"timeout-ms": 800, "target-latency-ms": 600})]
-    await operator.put(configuration(1, routes, ["registry-1"], sync_replicas=1))
+    operator = Operator(fleet, "operator 1")
+    for number in range(ROUNDS):
+        version = 10 * (number + 1)
+        old, x, y = documents(version)
+        await operator.put(old)
+        for host in fleet.gateways:
+            await fleet.until(lambda host=host: fleet.ready(host), 15, f"ready {host}")
+
+        async def leads():
+            return fleet.seen_leader
+
+        await fleet.until(leads, 10, "a leader")
+        await asyncio.sleep(2.0)
+        ends = [time.monotonic() + 90.0]
+        watching = asyncio.ensure_future(watch(fleet, record, version, lambda: ends[0]))
+        answers = await race(fleet, record, x, y, has_trouble)
+        taken_at = max(at for _, at in answers)
+        for host in fleet.gateways:
+            await fleet.until(lambda host=host: fleet.ready(host), 15, f"ready {host}")
+        calm_at = max(taken_at, time.monotonic()) + CONFIG_APPLY_SECONDS + SLACK_SECONDS
+        calm_at = max(calm_at, time.monotonic() + CONTACT_SECONDS + SLACK_SECONDS)
+        ends[0] = calm_at - 0.5
+        await watching
+        await asyncio.sleep(max(0.0, calm_at - time.monotonic()))
+        if await is_broken(fleet, record, operator, version, x, y):
+            # Well past every span that could excuse it, it must still be so.
+            settled_at = calm_at + SKEW_SECONDS
+            record.note(f"asked again after {SKEW_SECONDS:.0f} s more, in which nothing is disturbed")
+            await asyncio.sleep(max(0.0, settled_at - time.monotonic()))
+            return await is_broken(fleet, record, operator, version, x, y)
+    return False
+
+
+async def is_broken(fleet, record, operator, version, x, y):
+    """Return whether a gateway handles requests otherwise than the configuration in force says."""
+    held = await operator.read()
+    if held not in (x, y):
+        record.note(f"CONFIG: read back is neither X nor Y: {held}")
+        return True
+    name = "X" if held == x else "Y"
+    service = {r["host"]: r["service"] for r in held["routes"]}
+    record.note(f"in force and read back is {name} (v{held['version']}): {service}")
+    broken = False
     for host in fleet.gateways:
-        await fleet.until(lambda host=host: fleet.ready(host), 15, f"ready {host}")
-    await asyncio.sleep(4.0)
-    results, state = [], {"over": False}
-    began = time.monotonic()
-    clients = [
-        asyncio.ensure_future(run_client(fleet, number, results, state))
-        for number in range(CLIENTS)
-    ]
-    await asyncio.sleep(CALM_SECONDS)
-    primary = group.primary
-    if has_trouble:
-        record.note(f"{primary.instance} goes dark, and the promote call is cut off")
-        primary.is_dark = fleet.platform.is_cut_off = True
-    await asyncio.sleep(DARK_SECONDS)
-    if has_trouble:
-        primary.is_dark = fleet.platform.is_cut_off = False
-        record.note(f"both are back; promotions that reached the platform: {fleet.platform.calls}")
-        record.note(f"primary: {group.primary.instance}, term {group.term}")
-    await asyncio.sleep(CALM_SECONDS)
-    share, outcomes = share_served(results, began, time.monotonic())
-    record.note(f"before the final fault {share:.2f} of the writes are served: {outcomes}")
-    late, outcomes = share_served(results, time.monotonic() - CALM_SECONDS / 2, time.monotonic())
-    record.note(f"in the last {CALM_SECONDS / 2} s of it {late:.2f}: {outcomes}")
-    if has_trouble:
-        record.note("final fault: every process is killed")
-        for host in [*fleet.gateways, *fleet.controls]:
-            fleet.kill(host)
-        await asyncio.sleep(DOWN_SECONDS)
-        for host in [*fleet.gateways, *fleet.controls]:
-            fleet.start_process(host)
-    returned = time.monotonic()
-    await asyncio.sleep(RECOVER_SECONDS + MEASURED_SECONDS)
-    state["over"] = True
-    await asyncio.wait(clients, timeout=5.0)
-    since = returned + RECOVER_SECONDS
-    after, outcomes = share_served(results, since, since + MEASURED_SECONDS)
-    record.note(f"later than recover-s after the return {after:.2f} are served: {outcomes}")
-    record.note(f"promotions that reached the platform: {fleet.platform.calls}")
-    for member in group.members.values():
-        role = "primary" if member.is_primary else "replica"
-        paused = ", paused by PAUSE and never resumed" if member.is_paused else ""
-        record.note(f"{member.instance}: {role}, log {member.position}{paused}")
-    return share >= QUARTER and after < QUARTER
+        for database in ("alpha", f"xray{version}", f"yankee{version}"):
+            answer = await probe(host, fleet.front_port, database)
+            wanted = service.get(database)
+            fits = answer.startswith(f"ROW {wanted}/") if wanted else "NODB" in answer
+            if not fits:
+                # Ask again, so that an answer that is only late or busy is not taken for a break.
+                await asyncio.sleep(0.5)
+                answer = await probe(host, fleet.front_port, database)
+                fits = answer.startswith(f"ROW {wanted}/") if wanted else "NODB" in answer
+            is_other = (wanted and "NODB" in answer) or answer.startswith("ROW")
+            verdict = "fits" if fits else ("BREAKS CONFIG" if is_other else "no clear answer")
+            record.note(f"{host} {database}: {answer} ({verdict}; wanted {wanted or 'NODB'})")
+            broken = broken or verdict == "BREAKS CONFIG"
+    for host in fleet.controls:
+        record.note(f"read at {host}: version {(await operator.read(host))['version']}")
+    return broken
 
 
 if __name__ == "__main__":
