Obey only configurations and evacuations that are committed, also before a leader is known

Cause: a gateway that starts while the control nodes have no leader used the most up-to-date log of a majority, whose last entries may be uncommitted. The leader's reply with the older version was ignored as older, the gateway forgot that its configuration was provisional, and Y was ignored as not newer.

Change: the configuration and the evacuations of a log are used only if a majority holds the same ones in logs that end in the newest term each of these nodes knows; then every later leader has them (Raft: it needs the vote of one of them). Control nodes tell their term (appended field, 0 from an earlier version proves nothing) and only what is on their disks. Nothing uncommitted is in force any more, so that the code that replaced it is gone. Ruled out: replacing the provisional configuration by an older one as well, since a gateway that has obeyed X and returns is a regression, and X may never be sent again.

--- a/src/rowanrail/consensus/node.py
+++ b/src/rowanrail/consensus/node.py
@@ -188,6 +188,20 @@
             return
         await self._pending.wait_applied(index)
 
+    async def wait_durable(self, step: str) -> None:
+        """Wait until the log and the term in memory are on disk.
+
+        :param step: step that the error names.
+        :raises StorageError: if the storage has failed, or the node has stopped, so that they may
+            not be.
+        """
+        self.raise_if_failed(step)
+        while self.raft.has_unsaved_state:
+            if self._task is None or self._task.done():
+                raise StorageError("the node has stopped", step=step, peer=self.identity.node)
+            await asyncio.sleep(0)  # the node's task writes them
+            self.raise_if_failed(step)
+
     def receive(self, incoming: ConsensusMessage) -> None:
         """Handle a message from another node."""
         if self.failure is not None:
--- a/src/rowanrail/consensus/raft_state.py
+++ b/src/rowanrail/consensus/raft_state.py
@@ -101,6 +101,13 @@
             return now - self._progress.quorum_reply_time(self.membership.voters, now)
         return now - self._up_to_date_at
 
+    @property
+    def has_unsaved_state(self) -> bool:
+        """Whether the term, vote or log has changes that the caller has not yet taken to save."""
+        effects = self._effects
+        changes = (effects.hard_state, effects.install, effects.truncate_from)
+        return bool(effects.append) or any(change is not None for change in changes)
+
     def mark_applied(self, index: int) -> None:
         """Treat the entries up to ``index`` as committed and applied, after a restart."""
         self.commit_index = index
--- a/src/rowanrail/coordination/watches.py
+++ b/src/rowanrail/coordination/watches.py
@@ -125,7 +125,7 @@
         :mod:`rowanrail.gateway.discovery.provisional`.
         """
         assert isinstance(request, LoggedDirectoryRequest)
-        self._node.raise_if_failed("tell what is held")  # the log in memory is not what is on disk
+        await self._node.wait_durable("tell what is held")
         log = self._node.raft.log
         state = self._replay.replay(log)
         if self._replayed_updates.state is not state:
@@ -145,6 +145,7 @@
             log.last_index,
             sorted(log.membership.voters),
             directory,
+            self._node.raft.term,
         )
 
     def _may_answer(self, request: DirectoryRequest) -> bool:
--- a/src/rowanrail/directory/messages.py
+++ b/src/rowanrail/directory/messages.py
@@ -227,6 +227,8 @@
         Ids of the voters in the newest membership of the log.
     directory : DirectoryReply
         The state after the last entry.
+    term : int
+        The newest term that the node knows; 0 from an earlier version.
     """
 
     node: str
@@ -234,3 +236,4 @@
     last_index: int
     voters: list[str]
     directory: DirectoryReply
+    term: int = 0
--- a/src/rowanrail/gateway/discovery/control_plane_client.py
+++ b/src/rowanrail/gateway/discovery/control_plane_client.py
@@ -2,8 +2,9 @@
 
 At the start all control nodes are polled concurrently until one of them is up to date; from then on
 one node is polled. Before that the gateway uses the directory in the logs of a majority of the
-nodes, if it is available first. A node without a leader reports itself as not current, and the
-gateway polls the next one. Replies with a lower version or revision are ignored.
+nodes, if it is available first and its orders are known to be committed. A node without a leader
+reports itself as not current, and the gateway polls the next one. Replies with a lower version or
+revision are ignored.
 
 Makes the calls to control nodes and keeps the gateway's copy of the directory. Depends on
 :mod:`control_node_selector` for the node to poll, on :mod:`provisional` for replies of nodes that
@@ -66,9 +67,7 @@
 
     access: AccessControl
 
-    def apply(
-        self, configuration: RoutingConfiguration, replaces_provisional: bool = False
-    ) -> bool:
+    def apply(self, configuration: RoutingConfiguration) -> bool:
         """Apply a configuration, see :meth:`rowanrail.gateway.gateway.Gateway.apply`."""
 
     def set_directory(self, directory: Directory) -> None:
@@ -127,7 +126,6 @@
         self._version = 0
         self._plan = 0 if uses_plans else None
         self._evacuations = NO_REVISION
-        self._provisional_evacuations = NO_REVISION
         self._is_lost = False
         self._started_at = 0.0
         self._nearer_check_due = 0.0
@@ -237,7 +235,7 @@
         self._provisional.set_applied(directory)
         self._gateway.apply(parsed.unwrap())
         if directory.evacuations is not None:
-            self._provisional_evacuations = directory.evacuations.revision
+            self._evacuations = directory.evacuations.revision
             self._gateway.set_evacuations(directory.evacuations)
         self._gateway.set_directory(members)
         self._decisions.note(
@@ -322,9 +320,7 @@
             parsed = self._format.parse(zlib.decompress(reply.document))
             if isinstance(parsed, Success):
                 self._version = reply.version
-                replaces_provisional = self._provisional.is_superseded_by(reply)
-                self._gateway.apply(parsed.unwrap(), replaces_provisional=replaces_provisional)
-                self._provisional.clear()
+                self._gateway.apply(parsed.unwrap())
         self._apply_evacuations(reply)
         self._apply_directory(address, reply)
         if reply.plan is not None:
@@ -335,13 +331,11 @@
     def _apply_evacuations(self, reply: DirectoryReply) -> None:
         """Apply evacuations that are newer than the last ones.
 
-        A node that is not up to date may lack, after a restart, what the logs of a majority hold.
+        A node that is not up to date may lack, after a restart, what is committed.
         """
         evacuations = reply.evacuations
         if evacuations is None or evacuations.revision <= self._evacuations:
             return
-        if not reply.current and evacuations.revision <= self._provisional_evacuations:
-            return
         self._evacuations = evacuations.revision
         self._gateway.set_evacuations(evacuations)
 
--- a/src/rowanrail/gateway/events.py
+++ b/src/rowanrail/gateway/events.py
@@ -70,8 +70,8 @@
 PROVISIONAL_APPLIED = define(
     319,
     Level.INFO,
-    "provisional version {version} is in force, from the logs of a majority of the control nodes",
-    "The control nodes have no leader yet. A leader's reply replaces the provisional version.",
+    "version {version} is in force, committed by the logs of a majority of the control nodes",
+    "The control nodes have no leader yet. A leader's reply replaces the members.",
 )
 PLAN_TAKEN = define(
     355,
--- a/src/rowanrail/gateway/gateway.py
+++ b/src/rowanrail/gateway/gateway.py
@@ -183,17 +183,10 @@
 
     # Configuration and members
 
-    def apply(
-        self, configuration: RoutingConfiguration, replaces_provisional: bool = False
-    ) -> bool:
-        """Apply a configuration of a higher version; return whether it was applied.
-
-        With ``replaces_provisional`` a configuration of the same version is also applied.
-        """
+    def apply(self, configuration: RoutingConfiguration) -> bool:
+        """Apply a configuration of a higher version; return whether it was applied."""
         current = self.configuration
-        if current is not None and configuration.version < current.version + (
-            not replaces_provisional
-        ):
+        if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
         self._set_services(configuration)
--- a/tests/coordination/test_failed_storage.py
+++ b/tests/coordination/test_failed_storage.py
@@ -3,7 +3,10 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from rowanlab.simulator.world import World
+from rowanrail.coordination.commands import PutDocument
 from rowanrail.directory.messages import DirectoryRequest, GatewayReport, LoggedDirectoryRequest
 from rowanrail.kernel.errors import RowanrailError
 from rowanrail.model.members import MemberRecord
@@ -82,6 +85,27 @@
 
         self.run_scenario(scenario)
 
+    def test_an_entry_that_is_not_on_disk_yet_is_not_told(self):
+        # A majority that holds an entry proves that it is committed, also after a loss of power.
+        async def scenario():
+            leading = await self.leader()
+            process = self.controls.world.process(leading.name)
+
+            async def propose_and_ask():
+                consensus = leading.node.consensus
+                index = consensus.append(msgspec.msgpack.encode(PutDocument(2, b"2"))).index
+                reply = await leading.node.service.handle(LoggedDirectoryRequest("z1"))
+                return index, reply.last_index, consensus.raft.has_unsaved_state
+
+            index, told, is_unsaved = await self.controls.world.run_in(process, propose_and_ask())
+            self.assertGreaterEqual(told, index)
+            self.assertFalse(is_unsaved)
+            leading.disk.full = True
+            with self.assertRaises(RowanrailError):
+                await self.controls.world.run_in(process, propose_and_ask())
+
+        self.run_scenario(scenario)
+
     def test_calls_to_the_failed_node_are_served_by_the_next_leader(self):
         async def scenario():
             failed = await self.leader()
