Admit a control node whichever node it asks: forward the request to the leader

Seeds named the three machines other than the leader.

Cause: only the leader can admit a node, and a node that doesn't lead tried to do it itself in place of forwarding the request, as it does all others. A node with an empty disk knows its seeds alone. Its former identity kept its vote or was replaced by a standby, and the failed request left no trace.

Change: the asked node forwards the request, once. A node that is no member reads the control nodes of its settings again at each attempt, logs what kept it outside (RR0417, outside_seconds; silent_voters at the leader), and refuses at once what only a leader can serve. On the SQL side the same fault, and behind it another one: a node could not answer a leader that its settings don't name.

--- a/src/rowanlab/simulator/controls.py
+++ b/src/rowanlab/simulator/controls.py
@@ -89,6 +89,10 @@
         """Whether the process runs and has opened its data folder."""
         return self._world.process(self.name).alive and hasattr(self.node, "service")
 
+    def set_nodes(self, nodes: list[NodeAddress]) -> None:
+        """Set the control nodes that the settings name from the next start on."""
+        self._nodes = nodes
+
     def start(self, bootstrap: bool) -> None:
         """Start the node's process."""
         self.node = None
--- a/src/rowanrail/cluster/data_folder.py
+++ b/src/rowanrail/cluster/data_folder.py
@@ -7,11 +7,12 @@
 import asyncio
 import enum
 import random
+from collections.abc import Callable
 
 import msgspec
 
 from rowanrail.cluster.events import JOIN_REFUSED, NODE_JOINING
-from rowanrail.cluster.messages import JoinRequest, ReportsReply, ReportsRequest
+from rowanrail.cluster.messages import JoinRequest, NodesReply, ReportsReply, ReportsRequest
 from rowanrail.config.settings import NodeAddress
 from rowanrail.consensus.messages import Membership, Snapshot
 from rowanrail.consensus.policies import LearnerFirst
@@ -135,9 +136,17 @@
 
 
 async def join_until_admitted(
-    config: NodeConfig, identity: Identity, network: Network, is_member: asyncio.Event
+    config: NodeConfig,
+    identity: Identity,
+    network: Network,
+    is_member: asyncio.Event,
+    learn_addresses: Callable[[dict[str, str]], None] = lambda addresses: None,
 ) -> None:
-    """Request admission from the other nodes in turn until ``is_member`` is set."""
+    """Request admission from the other nodes in turn until ``is_member`` is set.
+
+    :param learn_addresses: is called with the addresses, by name, of the nodes that a reply tells;
+        the leader need not be among those of the settings.
+    """
     request = JoinRequest(
         config.name,
         identity.node,
@@ -149,7 +158,9 @@
             if node.name == config.name or is_member.is_set():
                 continue
             try:
-                await network.call(node.address, request, JOIN_TIMEOUT_SECONDS)
+                reply = await network.call(node.address, request, JOIN_TIMEOUT_SECONDS)
+                if isinstance(reply, NodesReply):
+                    learn_addresses({view.name: view.address for view in reply.nodes})
                 break
             except RowanrailError as error:
                 emit(JOIN_REFUSED, peer=node.name, error=error)
--- a/src/rowanrail/cluster/membership.py
+++ b/src/rowanrail/cluster/membership.py
@@ -16,6 +16,7 @@
 from rowanrail.kernel.errors import InvalidRequestError, RowanrailError
 
 MAX_LEARNER_LAG = 10  # entries behind the log's end at which a learner gets a vote
+VOTER_SILENCE_SECONDS = 2.0  # until a voter counts as lost: about four elections
 LEARNER_CHECK_INTERVAL_SECONDS = 0.2  # between checks for a learner to promote
 
 
@@ -188,6 +189,16 @@
             )
         return NodesReply(raft.term, views)
 
+    def silent_voters(self) -> int:
+        """Return how many voters have not answered this leader for a while; 0 if it isn't one."""
+        raft = self._node.raft
+        if not raft.is_leader:
+            return 0
+        now = asyncio.get_running_loop().time()
+        others = set(raft.membership.voters) - {self._node.identity.node}
+        silent = [raft.seconds_since_reply(node, now) >= VOTER_SILENCE_SECONDS for node in others]
+        return sum(silent)
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(LEARNER_CHECK_INTERVAL_SECONDS)
--- a/src/rowanrail/cluster/messages.py
+++ b/src/rowanrail/cluster/messages.py
@@ -5,6 +5,7 @@
 """
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rowanrail.rpc.codec import message
 
@@ -72,12 +73,16 @@
 
 @message("JoinRequest")
 class JoinRequest(msgspec.Struct, frozen=True):
-    """Request a node's admission as a learner."""
+    """Request a node's admission as a learner, which only the leader can grant.
+
+    :param is_forwarded: whether a node that doesn't lead has forwarded it.
+    """
 
     name: str
     node: str
     address: str
     cluster: str
+    is_forwarded: bool | UnsetType = UNSET
 
 
 @message("NodesRequest")
--- a/src/rowanrail/consensus/errors.py
+++ b/src/rowanrail/consensus/errors.py
@@ -2,7 +2,7 @@
 
 from rowanrail.kernel.errors import RowanrailError
 
-__all__ = ["LeadershipLostError", "NotLeaderError", "SupersededError"]
+__all__ = ["LeadershipLostError", "NotAdmittedError", "NotLeaderError", "SupersededError"]
 
 
 class NotLeaderError(RowanrailError):
@@ -19,6 +19,16 @@
         self.leader = leader
 
 
+class NotAdmittedError(RowanrailError):
+    """A request failed because the node is not in the membership and knows no leader.
+
+    The caller may retry at another node.
+    """
+
+    def __init__(self, node: str) -> None:
+        super().__init__(f"{node} is not a member of the control nodes yet", step="find leader")
+
+
 class SupersededError(RowanrailError):
     """Another leader's entry took the proposed entry's index; it will never be applied."""
 
--- a/src/rowanrail/coordination/daemon.py
+++ b/src/rowanrail/coordination/daemon.py
@@ -9,6 +9,7 @@
 import random
 import signal
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from pathlib import Path
 
 from rowanrail.config.settings import CoordinatorSettings
@@ -36,9 +37,12 @@
         """Return the response to an HTTP request."""
 
 
-async def run_coordinator(settings: CoordinatorSettings) -> None:
+async def run_coordinator(
+    settings: CoordinatorSettings, reload_settings: Callable[[], CoordinatorSettings | None]
+) -> None:
     """Run a control node until a stop signal.
 
+    :param reload_settings: returns the settings as they are now, None if they can't be used.
     :raises RowanrailError: if the folder or an address can't be used.
     """
     os.set_blocking(1, False)
@@ -50,7 +54,14 @@
     protocol = settings.protocol
     configuration_format = registry.create("configuration-format", protocol)
     node = Coordinator(
-        settings, network, disk, random.Random(), registry, decisions, configuration_format
+        settings,
+        network,
+        disk,
+        random.Random(),
+        registry,
+        decisions,
+        configuration_format,
+        lambda: (reload_settings() or settings).peers,
     )
     await node.start(
         registry.create("member-driver", protocol),
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -61,6 +61,14 @@
     "control nodes: voters {voters}, learners {learners}",
     "A control node was admitted, replaced or removed.",
 )
+NOT_ADMITTED = define(
+    417,
+    Level.WARNING,
+    "not a member of the control nodes for {seconds} s: {problems}",
+    "No control node that this one knows could have it admitted, so that it takes no part in a "
+    "majority. Expected for some seconds after a start with an empty data folder. If it persists, "
+    "name running control nodes in the settings; they are read again.",
+)
 PROMOTION_DECIDED = define(
     420,
     Level.WARNING,
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -22,6 +22,8 @@
         ("orphaned_logs", {}, len(state.orphaned_logs)),
         ("gateways", {}, len(state.gateways)),
         ("voters", {}, len(raft.membership.voters)),
+        ("silent_voters", {}, node.service.membership.silent_voters()),
+        ("outside_seconds", {}, node.outside_seconds),
         ("feature_level", {}, state.feature_level),
         ("evacuated_zones", {}, len(state.evacuations.zones)),
         ("failed", {}, float(node.consensus.failure is not None)),
--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from returns.result import Success
 
@@ -19,6 +19,7 @@
 from rowanrail.consensus.raft_types import RaftConfig
 from rowanrail.consensus.storage import Identity, Storage
 from rowanrail.coordination.change_logger import ChangeLogger
+from rowanrail.coordination.events import NOT_ADMITTED
 from rowanrail.coordination.failover_controller import FailoverController, Promoter
 from rowanrail.coordination.feature_controller import FeatureLevelController
 from rowanrail.coordination.moves import Placement, required_regions
@@ -62,8 +63,15 @@
         registry: Registry,
         decisions: DecisionLog,
         configuration_format: ConfigurationFormat,
+        read_seeds: Callable[[], list[str]] | None = None,
     ) -> None:
+        """Create a node that has not opened its data folder.
+
+        :param read_seeds: returns the RPC addresses of the control nodes that the settings name
+            now; by default those of ``settings``.
+        """
         self._settings = settings
+        self._read_seeds = read_seeds or (lambda: settings.peers)
         self._network = network
         self._storage = Storage(disk)
         self._random = randomness
@@ -72,6 +80,8 @@
         self._format = configuration_format
         self._listener: Listener | None = None
         self._joining: asyncio.Task[None] | None = None
+        self._outside_since: float | None = None
+        self._logged_problems: list[str] = []
         self._parsed_version = 0
         self._configuration: RoutingConfiguration | None = None
         self._placement_of = (-1, -1)
@@ -235,6 +245,12 @@
             fallback_address=lambda node: node.split("@")[0],
         )
 
+    @property
+    def outside_seconds(self) -> float:
+        """For how many seconds this node has not been in the membership; 0 if it is."""
+        since = self._outside_since
+        return 0.0 if since is None else self.service.now() - since
+
     async def _join_when_unheard(self, identity: Identity) -> None:
         """Request admission while this node is not a member, or hears no leader.
 
@@ -248,16 +264,41 @@
             await asyncio.sleep(ADMISSION_CHECK_INTERVAL_SECONDS)
             raft = self.consensus.raft
             is_new = identity.node not in raft.membership.addresses()
+            self._note_outside(is_new)
             unheard = raft.seconds_since_leader_contact(loop.time()) > LEADER_SILENCE_SECONDS
-            if raft.is_leader or not (is_new or unheard):
-                continue
-            addresses = {*self._settings.peers, *raft.membership.addresses().values()} - {name}
-            for address in sorted(addresses):
-                try:
-                    await self._network.call(address, request, ADMISSION_TIMEOUT_SECONDS)
-                    break
-                except RowanrailError:
-                    continue  # with the next address; all are tried again at the next check
+            if not raft.is_leader and (is_new or unheard):
+                await self._request_admission(request)
+
+    async def _request_admission(self, request: JoinRequest) -> None:
+        """Ask other nodes in turn, each of which forwards the request to the leader that it knows.
+
+        The settings are read again, as the control nodes that they named at the start may be gone.
+        """
+        known = self.consensus.raft.membership.addresses().values()
+        problems = []
+        for address in sorted({*self._read_seeds(), *known} - {request.address}):
+            try:
+                await self._network.call(address, request, ADMISSION_TIMEOUT_SECONDS)
+                return
+            except RowanrailError as error:
+                problems.append(f"{address}: {error}")
+        self._note_not_admitted(problems)
+
+    def _note_outside(self, is_outside: bool) -> None:
+        if not is_outside:
+            self._outside_since = None
+            self._logged_problems = []
+        elif self._outside_since is None:
+            self._outside_since = self.service.now()
+
+    def _note_not_admitted(self, problems: list[str]) -> None:
+        """Log why no node admitted this one, once for each set of reasons."""
+        if self._outside_since is None or problems == self._logged_problems:
+            return
+        self._logged_problems = problems
+        self._decisions.note(
+            NOT_ADMITTED, seconds=round(self.outside_seconds, 1), problems=problems
+        )
 
     def _on_change(self) -> None:
         self.service.notice_change()
--- a/src/rowanrail/coordination/service.py
+++ b/src/rowanrail/coordination/service.py
@@ -14,7 +14,12 @@
 
 from rowanrail.cluster.membership import MembershipManager
 from rowanrail.cluster.messages import BarrierReply, BarrierRequest, JoinRequest
-from rowanrail.consensus.errors import LeadershipLostError, NotLeaderError, SupersededError
+from rowanrail.consensus.errors import (
+    LeadershipLostError,
+    NotAdmittedError,
+    NotLeaderError,
+    SupersededError,
+)
 from rowanrail.consensus.messages import ConsensusMessage
 from rowanrail.consensus.node import CONSENSUS_MESSAGES, ConsensusNode
 from rowanrail.coordination.announcements import AnnouncementHandler
@@ -154,6 +159,7 @@
         All requests are idempotent: a version that is not newer, or a known record, has no effect.
 
         :param deadline: of the loop's clock; by default ``REQUEST_TIMEOUT_SECONDS`` from now.
+        :raises NotAdmittedError: at once, if this node is not a member and knows no leader.
         :raises RowanrailError: if no leader served it in time; it may still take effect.
         """
         loop = asyncio.get_running_loop()
@@ -164,6 +170,8 @@
             try:
                 async with asyncio.timeout_at(deadline):
                     return await self._on_leader(request)
+            except NotAdmittedError:
+                raise  # it can't learn of a leader in time; its callers can try another node
             except (RowanrailError, TimeoutError) as error:
                 if loop.time() + LEADER_CHECK_INTERVAL_SECONDS >= deadline:
                     raise TransportError(
@@ -176,6 +184,9 @@
             return await self._serve(request)
         leader = self.node.leader_address()
         if not leader:
+            raft = self.node.raft
+            if raft.node not in raft.membership.addresses():
+                raise NotAdmittedError(raft.node)
             raise NotLeaderError("", type(request).__name__)
         return await self._network.call(leader, request, LEADER_TIMEOUT_SECONDS)
 
@@ -236,7 +247,10 @@
 
     async def _join(self, request: msgspec.Struct) -> msgspec.Struct:
         assert isinstance(request, JoinRequest)
-        return await self.membership.join(request)
+        if request.is_forwarded:
+            return await self.membership.join(request)
+        # A node that has lost its disk may know none but nodes that don't lead.
+        return await self._on_leader(msgspec.structs.replace(request, is_forwarded=True))
 
     async def _set_evacuation(self, request: msgspec.Struct) -> msgspec.Struct:
         """Log an order; also a repeated one, since only its commit confirms what is in force."""
--- a/src/rowanrail/coordination/voters.py
+++ b/src/rowanrail/coordination/voters.py
@@ -9,12 +9,17 @@
 
 import msgspec
 
-from rowanrail.cluster.membership import MembershipManager, node_name, with_voter, without_voters
+from rowanrail.cluster.membership import (
+    VOTER_SILENCE_SECONDS,
+    MembershipManager,
+    node_name,
+    with_voter,
+    without_voters,
+)
 from rowanrail.consensus.messages import Membership
 from rowanrail.consensus.node import ConsensusNode
 
 MAX_STANDBY_LAG = 50  # entries behind the leader at which a learner still counts as caught up
-VOTER_SILENCE_SECONDS = 2.0  # until a learner may replace a silent voter: about four elections
 
 
 class ReplicationProgress(msgspec.Struct, frozen=True):
--- a/src/rowanrail/sql_control/node.py
+++ b/src/rowanrail/sql_control/node.py
@@ -50,6 +50,7 @@
         self._listener: Listener | None = None
         self._join_task: asyncio.Task[None] | None = None
         self._admitted = asyncio.Event()
+        self._addresses = {node.name: node.address for node in settings.nodes}
         self._reported_leader = ("", 0)
         self._reported_version = 0
         self._reported_failure = False
@@ -91,12 +92,13 @@
         self.service.census.start()
         if identity.node not in self.consensus.raft.membership.addresses():
             self._join_task = asyncio.ensure_future(
-                join_until_admitted(node_config, identity, self._network, self._admitted)
+                join_until_admitted(
+                    node_config, identity, self._network, self._admitted, self._addresses.update
+                )
             )
 
     def _create_consensus(self, identity: Identity) -> ConsensusNode:
         settings = self._settings
-        addresses = {node.name: node.address for node in settings.nodes}
         options = NodeOptions(
             raft=RaftConfig(settings.heartbeat_seconds, settings.election_timeout_seconds),
             snapshot_entries=settings.snapshot_entries,
@@ -109,7 +111,7 @@
             options,
             self._random,
             self._registry,
-            fallback_address=lambda node: addresses.get(node_name(node), ""),
+            fallback_address=lambda node: self._addresses.get(node_name(node), ""),
         )
 
     def _on_change(self) -> None:
--- a/src/rowanrail/sql_control/service.py
+++ b/src/rowanrail/sql_control/service.py
@@ -109,11 +109,17 @@
             await self.node.read_barrier()
             return BarrierReply(self.node.applied_index)
         if isinstance(request, JoinRequest):
-            return await self.members.join(request)
+            return await self._join(request)
         if isinstance(request, NodesRequest):
             return await self.members.nodes(request)
         raise TransportError(f"unexpected {type(request).__name__}", step="handle")
 
+    async def _join(self, request: JoinRequest) -> msgspec.Struct:
+        if request.is_forwarded:
+            return await self.members.join(request)
+        # The settings of the node that joins need not name the leader.
+        return await self.call_leader(msgspec.structs.replace(request, is_forwarded=True))
+
     async def _watch(self, request: WatchRequest) -> msgspec.Struct:
         confirmed = False
         if request.known_version == 0:
