Make promotion orders without an answer void, and give every pause of a replica an end

Cause: the leader forgot an order 1.6 s after it had been sent without an answer, and the next leader never knew it. Once the primary answered it counted as healthy: nothing made the order void, the replicas stayed paused without an owner, and one that started again acknowledged commits that the member named by the order could not receive.

Change: orders are in the replicated state until none can take effect: all of them name the member that leads, or a newer one for it was answered and 1.2 s have passed (feature level 3, command settle-orders). As soon as a member says that it leads, a newer order for it is sent, which changes nothing but the fencing token; if orders get no answer at all, the newest target is kept, so that late orders don't alternate. Meanwhile only those replicas receive that keep each acknowledged commit in the logs of all members that orders name. A pause is owned by the leader, which confirms with a majority that it leads before it pauses, and resumes until each replica has answered; a leader that takes over resumes the replicas of services whose commits are acknowledged by replicas. Planned moves wait for earlier orders. Ruled out: holding writes back until the order is known to be done (up to 12 s, or for good), and repeating the order for the replica (replaces a primary that serves).

--- a/src/rowanrail/cli/inspect.py
+++ b/src/rowanrail/cli/inspect.py
@@ -1,4 +1,4 @@
-"""``rowanrail inspect``: the contents of a control node's data folder, or the load of the fleet.
+"""``rowanrail inspect``: a control node's data folder, the load of the fleet, promotion orders.
 
 The folder is opened read-only.
 """
@@ -9,6 +9,7 @@
 import msgspec
 
 from rowanrail.cli.inspect_load import inspect_load
+from rowanrail.cli.inspect_orders import inspect_orders
 from rowanrail.cli.output import ExitCode, OutputFormat, fail, format_table, show
 from rowanrail.consensus.storage import Storage
 from rowanrail.kernel.disk import ReadOnlyDisk
@@ -86,6 +87,9 @@
     show(OutputFormat(output), view, format_table(("FIELD", "VALUE"), rows))
 
 
-@click.group(cls=_DefaultToFolder, commands=[inspect_folder, inspect_load])
+@click.group(cls=_DefaultToFolder, commands=[inspect_folder, inspect_load, inspect_orders])
 def inspect() -> None:
-    """Show a control node's data folder (DIR or `folder DIR`), or the fleet's load (`load`)."""
+    """Show a control node's data folder (DIR or `folder DIR`), or the fleet's load (`load`).
+
+    `orders` shows promotion orders without a known outcome, and paused replicas.
+    """
--- a/src/rowanrail/cli/inspect_load.py
+++ b/src/rowanrail/cli/inspect_load.py
@@ -48,7 +48,7 @@
     unreachable: list[str] = []
     for source in sources:
         try:
-            gateways.append(read_samples(_read(source)))
+            gateways.append(read_samples(read_source(source)))
         except (OSError, ValueError) as error:
             unreachable.append(f"{source}: {error}")
     if not gateways:
@@ -58,7 +58,14 @@
     show(OutputFormat(output), fleet, _tables(fleet))
 
 
-def _read(source: str) -> str:
+def read_source(source: str) -> str:
+    """Return the metrics in a file, or at ``IP:PORT/PATH``.
+
+    Raises
+    ------
+    OSError
+        If they can't be read.
+    """
     path = Path(source)
     if path.exists():
         return path.read_text()
--- a/src/rowanrail/coordination/commands.py
+++ b/src/rowanrail/coordination/commands.py
@@ -108,6 +108,13 @@
     logs: list[OrphanedLog]
 
 
+class SettleOrders(msgspec.Struct, frozen=True, tag="settle-orders"):
+    """Record that no promotion of a service up to a fencing token can take effect any more."""
+
+    service: str
+    token: int
+
+
 Command = (
     PutDocument
     | Announce
@@ -120,6 +127,7 @@
     | RaiseFeatureLevel
     | ReplaceLife
     | ForgetLogs
+    | SettleOrders
 )
 
 
--- a/src/rowanrail/coordination/events.py
+++ b/src/rowanrail/coordination/events.py
@@ -192,6 +192,39 @@
     "{instance} of {service} is a member again: it goes on announcing itself",
     "Its removal was that of an earlier life, or another member at its address is silent.",
 )
+PROMOTION_REPEATED = define(
+    423,
+    Level.WARNING,
+    "ordering that {instance} leads {service}, with token {token}: {reason}",
+    "An earlier order has no known outcome. The newer fencing token makes it void; for a member "
+    "that leads the order changes nothing.",
+)
+ORDERS_OUTSTANDING = define(
+    424,
+    Level.WARNING,
+    "orders for {service} may still be carried out: {orders}; replicas that receive: {receiving}",
+    "The platform has not answered these orders, given with their fencing tokens. Until a newer "
+    "one is answered, only replicas receive that keep acknowledged commits in the logs of the "
+    "members named. If it persists, the platform's promote call does not answer.",
+)
+ORDERS_SETTLED = define(
+    425,
+    Level.INFO,
+    "no order for {service} up to token {token} can take effect any more; {instance} leads",
+    "All replicas may receive again.",
+)
+ORDERS_NOT_SETTLED = define(
+    426,
+    Level.WARNING,
+    "orders and pauses of {service} are not settled yet: {reason}",
+    "The leader tries again shortly.",
+)
+REPLICAS_RESUMED = define(
+    427,
+    Level.INFO,
+    "replicas {replicas} of {service} receive again",
+    "The leader ended a pause that preceded a promotion, or may have.",
+)
 MOVE_BEGAN = define(
     480,
     Level.INFO,
--- a/src/rowanrail/coordination/failover.py
+++ b/src/rowanrail/coordination/failover.py
@@ -140,7 +140,7 @@
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """An action with its reason, and the member to promote if there is one."""
+    """An action with its reason, and the member to promote, or that leads, if there is one."""
 
     action: Action
     reason: str
@@ -182,13 +182,9 @@
         return Decision(Action.WAIT, "the primary serves")
     if not view.statuses_fresh:
         return Decision(Action.ASK_STATUSES, reason)
-    if any(
-        member.leads
-        and not member.is_incomplete
-        and not (member.record.leaving and view.is_move_overdue)
-        for member in view.members
-    ):
-        return Decision(Action.WAIT, "a member says that it leads")
+    leading = next((member for member in view.members if _still_leads(view, member)), None)
+    if leading is not None:
+        return Decision(Action.WAIT, "a member says that it leads", leading.record.instance)
     if not _covers_acknowledged_commits(view):
         return Decision(Action.WAIT, "too few replicas answer to know all that was acknowledged")
     candidate = _best_candidate(view)
@@ -203,6 +199,12 @@
     return Decision(Action.PROMOTE, reason, candidate.record.instance)
 
 
+def _still_leads(view: ServiceView, member: MemberView) -> bool:
+    """Return whether a member leads by its status and need not be replaced."""
+    is_overdue = member.record.leaving and view.is_move_overdue
+    return bool(member.leads) and not member.is_incomplete and not is_overdue
+
+
 def is_promotion_pending(view: ServiceView, attempt: AttemptView) -> bool:
     """Return whether an ordered promotion may still take effect."""
     if any(m.record.instance == attempt.instance and m.record.primary for m in view.members):
--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -19,7 +19,12 @@
 from rowanrail.consensus.errors import NotLeaderError
 from rowanrail.consensus.node import ConsensusNode
 from rowanrail.coordination.commands import IntendPromotion, Promotion
-from rowanrail.coordination.events import PROMOTION_ANSWERED, PROMOTION_DECIDED, PROMOTION_WAITS
+from rowanrail.coordination.events import (
+    PROMOTION_ANSWERED,
+    PROMOTION_DECIDED,
+    PROMOTION_REPEATED,
+    PROMOTION_WAITS,
+)
 from rowanrail.coordination.failover import (
     MAX_LEAVING_SECONDS,
     Action,
@@ -35,8 +40,10 @@
 from rowanrail.coordination.gateway_reconciler import GatewayReconciler
 from rowanrail.coordination.lost_logs import JoinPositions
 from rowanrail.coordination.moves import Demotion, Placement, decide_after_demotion
+from rowanrail.coordination.order_settler import REPEAT_REASON, OrderSettler, PromotionAttempt
 from rowanrail.coordination.orphaned_log_controller import OrphanedLogController
 from rowanrail.coordination.primary_mover import PrimaryMover
+from rowanrail.coordination.promotion_orders import PromotionOrder
 from rowanrail.coordination.service import CoordinationService
 from rowanrail.coordination.status_queries import StatusQueries, StatusReader, StatusReply
 from rowanrail.coordination.warm_up_sampling import WarmUpSampling
@@ -72,13 +79,6 @@
         """Send one promotion order; ``UNKNOWN`` means that it may still be carried out."""
 
 
-class _PromotionAttempt:
-    def __init__(self, instance: str, started_at: float) -> None:
-        self.instance = instance
-        self.started_at = started_at
-        self.accepted: bool | None = None
-
-
 class FailoverController:
     """Checks the primaries of all services while its node leads, and replaces lost ones.
 
@@ -131,6 +131,17 @@
         self._verifier = verifier
         self._acknowledging_replicas = acknowledging_replicas
         self._placement = placement
+        self._settler = OrderSettler(
+            node,
+            service,
+            self._queries,
+            lambda name: self.mover.askable(name),
+            self._may_ask,
+            acknowledging_replicas,
+            self._repeat_order,
+            decisions,
+            self._now,
+        )
         self.mover = PrimaryMover(
             service,
             self._queries,
@@ -142,6 +153,7 @@
             lambda: node.raft.is_established_leader,
             placement,
             self._now,
+            self._settler.note_void,
         )
         self._is_closed = is_closed
         self._orphaned_logs = OrphanedLogController(
@@ -156,7 +168,7 @@
         self._joined: dict[str, JoinPositions] = {}
         self._warm_up_seconds = warm_up_seconds
         self._sampling: WarmUpSampling | None = None
-        self._attempts: dict[str, _PromotionAttempt] = {}
+        self._attempts: dict[str, PromotionAttempt] = {}
         self._waiting_reasons: dict[str, str] = {}
         self._compared_logs: dict[str, list[str]] = {}  # in the last decision on a failover
         self._in_progress: set[str] = set()
@@ -171,6 +183,16 @@
         )
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def oldest_order_seconds(self) -> float:
+        """For how long the leader has known the oldest order without a known outcome."""
+        return self._settler.oldest_order_seconds
+
+    @property
+    def oldest_pause_seconds(self) -> float:
+        """For how long the replica has been paused that the leader paused first."""
+        return self._settler.oldest_pause_seconds
+
     def start(self) -> None:
         """Start the periodic checks."""
         self._task = asyncio.ensure_future(self._run())
@@ -215,6 +237,7 @@
         self._attempts.clear()
         self._compared_logs.clear()
         self.mover.reset()
+        self._settler.reset()
         self._orphaned_logs.reset()
         for tracker in self._trackers.values():
             tracker.close()
@@ -292,26 +315,42 @@
         demotion = self.mover.demotion(service)
         if demotion is None and self._is_healthy(service):
             self._waiting_reasons.pop(service, None)
-            self._move_if_due(service)
+            self._settle_or_move(service)
             return
         decision = self._decide(self._view(service, {}), demotion)
         if decision.action is not Action.WAIT:
-            if self._warm_up_sampling().may_ask_statuses(service, self._members(service)):
+            if self._may_ask(service):
                 self._begin(service, self._replace_primary(service, decision, demotion))
             return
         self._waiting_reasons.pop(service, None)
         if demotion is None:
-            self._move_if_due(service)
+            self._settle_or_move(service)
+
+    def _may_ask(self, service: str) -> bool:
+        return self._warm_up_sampling().may_ask_statuses(service, self._members(service))
 
     @staticmethod
     def _decide(view: ServiceView, demotion: Demotion | None) -> Decision:
         return decide(view) if demotion is None else decide_after_demotion(view, demotion)
 
-    def _move_if_due(self, service: str) -> None:
+    def _settle_or_move(self, service: str) -> None:
+        """Begin the next step for a service whose primary need not be replaced by force.
+
+        A move waits for earlier orders: one that is carried out after it would undo it.
+        """
         reason = self.mover.due_reason(service)
+        is_settled = self._settler.is_settled(service)
+        if is_settled and not reason:
+            return
         attempt = self._attempt_view(service, self._now())
-        if reason and not (attempt and is_promotion_pending(self._view(service, {}), attempt)):
+        if attempt and is_promotion_pending(self._view(service, {}), attempt):
+            return
+        if is_settled:
             self._begin(service, self.mover.move(service, reason))
+            return
+        step = self._settler.next_step(service, self._attempts.get(service))
+        if step is not None:
+            self._begin(service, step)
 
     def _begin(self, service: str, work: Coroutine[None, None, None]) -> None:
         """Run a move or a failover; there is one of them for each service at a time."""
@@ -349,10 +388,21 @@
             else:
                 self._log_waiting(service, first.reason, decision.reason)
                 if demotion is None:
+                    await self._settle_if_led(service, decision)
                     await self._move_if_overdue(service)
         except RowanrailError as error:
             self._log_waiting(service, first.reason, str(error))
 
+    async def _settle_if_led(self, service: str, decision: Decision) -> None:
+        """Begin to settle earlier orders as soon as a member says that it leads.
+
+        The samples and reports by which the primary counts as lost are up to seconds older.
+        """
+        if decision.instance and not self._settler.is_settled(service):
+            step = self._settler.next_step(service, self._attempts.get(service))
+            if step is not None:
+                await step
+
     async def _move_if_overdue(self, service: str) -> None:
         """Try the planned move of a leaving primary that could not be replaced by force.
 
@@ -378,7 +428,8 @@
         statuses = await self._pause_replicas(service, statuses)
         decision = self._compare_logs(service, statuses, demotion)
         if decision.action is not Action.PROMOTE:
-            await self._queries.query(self._replicas(service), Command(CommandKind.RESUME))
+            leading = [instance for instance, status in statuses.items() if status.leads]
+            await self._settler.resume(service, leading[0] if len(leading) == 1 else "")
         return decision
 
     def _compare_logs(
@@ -461,7 +512,7 @@
         attempt = self._attempts.get(service)
         if attempt is None:
             return None
-        return AttemptView(attempt.instance, now - attempt.started_at, attempt.accepted)
+        return AttemptView(attempt.order.instance, now - attempt.started_at, attempt.accepted)
 
     def _all_askable(self, service: str) -> list[MemberRecord] | None:
         """Return the members of a service, None if one of them must not be asked now."""
@@ -483,8 +534,7 @@
         RESUME ends the pause.
         """
         newest = max((status.term for status in statuses.values()), default=0)
-        command = Command(CommandKind.PAUSE, str(newest + 1))
-        paused = await self._queries.query(self._replicas(service), command)
+        paused = await self._settler.pause(service, self._replicas(service), newest + 1)
         others = {
             instance: status
             for instance, status in statuses.items()
@@ -510,8 +560,6 @@
         self, service: str, promotion: Promotion, reason: str, logs: Sequence[str] = ()
     ) -> None:
         """Order a promotion that is in the log; ``logs`` are those that were compared."""
-        attempt = _PromotionAttempt(promotion.instance, self._now())
-        self._attempts[service] = attempt
         self._decisions.note(
             PROMOTION_DECIDED,
             service=service,
@@ -521,9 +569,28 @@
             reason=reason,
             logs=list(logs),
         )
+        await self._call_platform(service, promotion)
+
+    async def _repeat_order(self, service: str, promotion: Promotion) -> None:
+        """Send an order that makes earlier ones void."""
+        self._decisions.note(
+            PROMOTION_REPEATED,
+            service=service,
+            instance=promotion.instance,
+            token=promotion.token,
+            reason=REPEAT_REASON,
+        )
+        await self._call_platform(service, promotion)
+
+    async def _call_platform(self, service: str, promotion: Promotion) -> None:
+        order = PromotionOrder(promotion.instance, promotion.token)
+        attempt = self._attempts[service] = PromotionAttempt(order, self._now())
         outcome = await self._promoter.promote(service, promotion.instance, promotion.token)
+        attempt.ended_at = self._now()
         if outcome is not PromotionOutcome.UNKNOWN:
             attempt.accepted = outcome is PromotionOutcome.ACCEPTED
+        if outcome is PromotionOutcome.REFUSED:
+            self._settler.note_void(promotion.token)
         self._decisions.note(
             PROMOTION_ANSWERED,
             service=service,
--- a/src/rowanrail/coordination/feature_level.py
+++ b/src/rowanrail/coordination/feature_level.py
@@ -9,16 +9,19 @@
 
 __all__ = [
     "EVACUATION_LEVEL",
-    "ORPHANED_LOGS_LEVEL",
     "LIVES_LEVEL",
     "NEWEST_LEVEL",
+    "ORDERS_LEVEL",
+    "ORPHANED_LOGS_LEVEL",
     "level_known_to_all",
 ]
 
 LIVES_LEVEL = 1  # members that return under their instance id, with a start time
 EVACUATION_LEVEL = 1  # evacuation of zones
 ORPHANED_LOGS_LEVEL = 2  # logs of members that are gone are stored, and forgotten
-NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, ORPHANED_LOGS_LEVEL)  # known to this version
+ORDERS_LEVEL = 3  # promotion orders that may still be carried out are stored, and settled
+# Known to this version.
+NEWEST_LEVEL = max(LIVES_LEVEL, EVACUATION_LEVEL, ORPHANED_LOGS_LEVEL, ORDERS_LEVEL)
 
 
 def level_known_to_all(nodes: Collection[str], answers: Mapping[str, int]) -> int:
--- a/src/rowanrail/coordination/gauges.py
+++ b/src/rowanrail/coordination/gauges.py
@@ -33,6 +33,8 @@
         readings.append(("announcements_rejected", {"reason": reason.value}, count))
     mover = node.failover.mover
     readings.append(("primaries_to_move", {}, len(mover.reasons)))
+    readings.append(("oldest_order_seconds", {}, node.failover.oldest_order_seconds))
+    readings.append(("oldest_pause_seconds", {}, node.failover.oldest_pause_seconds))
     for outcome in MOVE_OUTCOMES:
         readings.append(("primary_moves", {"outcome": outcome}, mover.counts[outcome]))
     for kind, counts in node.service.directory_counts.items():
--- a/src/rowanrail/coordination/primary_mover.py
+++ b/src/rowanrail/coordination/primary_mover.py
@@ -86,6 +86,8 @@
         Returns where primaries may be.
     now : callable
         Returns the monotonic time in seconds.
+    note_void : callable
+        Records by its fencing token that an order in the log was never sent.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         is_leading: Callable[[], bool],
         placement: Callable[[], Placement],
         now: Callable[[], float],
+        note_void: Callable[[int], None],
     ) -> None:
         self._service = service
         self._queries = queries
@@ -111,6 +114,7 @@
         self._is_leading = is_leading
         self._placement = placement
         self._now = now
+        self._note_void = note_void
         self.counts: Counter[str] = Counter()
         self._reasons: dict[str, str] = {}
         self._reasons_of = (-1, -1, -1)
@@ -354,6 +358,7 @@
         )
         position = await self._demote(former.record, term, former_line)
         if position is None:
+            self._note_void(promotion.token)
             self._wait(service, reason, "the primary does not answer the demotion")
             self._note_failure(service, "unanswered")
             return
@@ -361,6 +366,7 @@
         last = f"{position.term}.{position.index}"
         self._decisions.note(MOVE_DEMOTED, service=service, former=old, instance=new, position=last)
         if not await self._has_received(successor_line, position) or not self._is_leading():
+            self._note_void(promotion.token)
             return
         self._decisions.note(
             MOVE_CAUGHT_UP,
--- a/src/rowanrail/coordination/state.py
+++ b/src/rowanrail/coordination/state.py
@@ -25,15 +25,17 @@
     SetEvacuation,
     SetGateways,
     SetPlan,
+    SettleOrders,
 )
 from rowanrail.coordination.evacuations import changed_evacuations
-from rowanrail.coordination.feature_level import ORPHANED_LOGS_LEVEL
+from rowanrail.coordination.feature_level import ORDERS_LEVEL, ORPHANED_LOGS_LEVEL
 from rowanrail.coordination.history import DirectoryHistory
 from rowanrail.coordination.holders import RankedHolders
 from rowanrail.coordination.lives import LifeOrder, compare_starts, life_order
 from rowanrail.coordination.messages import PutOutcome, PutReply
 from rowanrail.coordination.orphaned_logs import OrphanedLog, OrphanedLogs
 from rowanrail.coordination.policies import FencingToken, IncarnationCheck
+from rowanrail.coordination.promotion_orders import PromotionOrders
 from rowanrail.directory.messages import NO_EVACUATIONS, Evacuations, GatewayRecord
 from rowanrail.model.members import MemberRecord, is_same_life
 from rowanrail.scheduling.plan import NO_PLAN, Plan
@@ -59,6 +61,8 @@
         Start of the life before the present one, for members that started again; 0 if not reported.
     orphaned_logs : list of OrphanedLog, or UnsetType
         Logs of members that are gone, which no member has taken over.
+    orders : dict of str to dict, or UnsetType
+        Members named by promotions that may still be carried out, by service and fencing token.
     """
 
     version: int
@@ -75,6 +79,7 @@
     ended_starts: dict[str, int] | UnsetType = UNSET
     earlier_starts: dict[str, int] | UnsetType = UNSET
     orphaned_logs: list[OrphanedLog] | UnsetType = UNSET
+    orders: dict[str, dict[int, str]] | UnsetType = UNSET
 
 
 EMPTY_STATE = StateSnapshot(0, b"", 0, {}, [], {}, {})
@@ -114,6 +119,7 @@
         self._successors: dict[tuple[str, int], None] = {}
         self.gateways = dict(saved.gateways)
         self.promotions = dict(saved.promotions)
+        self.orders = PromotionOrders(saved.orders or {})
         self.displaced = dict(saved.displaced)
         self.plan = saved.plan
         self.feature_level = saved.feature_level or 0
@@ -150,6 +156,7 @@
             {instance: start for instance, start in self.removed.items() if start} or UNSET,
             self.earlier_starts or UNSET,
             self.orphaned_logs.logs if is_stored and self.orphaned_logs else UNSET,
+            (self.feature_level >= ORDERS_LEVEL and self.orders.named) or UNSET,
         )
         return msgspec.msgpack.encode(saved)
 
@@ -171,6 +178,7 @@
             token = self._fence.token(entry.index)
             promotion = Promotion(command.instance, token, command.former)
             self.promotions[command.service] = promotion
+            self.orders.add(command.service, command.instance, token)
             return promotion
         if isinstance(command, SetPlan):
             return self._set_plan(command, entry.index)
@@ -183,6 +191,9 @@
         if isinstance(command, ForgetLogs):
             self.orphaned_logs.forget(command.logs)
             return None
+        if isinstance(command, SettleOrders):
+            self.orders.settle(command.service, command.token)
+            return None
         self._change = DirectoryChange(entry.index)
         if self._change_directory(command):
             self.revision = entry.index
@@ -298,6 +309,7 @@
         if record.instance not in self.members and self.orphaned_logs.take_over(record):
             self._remember_successor(record)
         if record.primary:
+            self.orders.note_primary(record.service, record.instance)
             self._demote_others(record)
         self._set_member(record)
 
--- a/tests/coordination/test_failover_controller.py
+++ b/tests/coordination/test_failover_controller.py
@@ -72,6 +72,11 @@
         self.sequence, self.received = 0, Position(1, 0)
         self.start_ms += 1000
 
+    def carry_out(self, command):
+        """Carry out a command that changes the member's replication."""
+        if command.kind is CommandKind.DEMOTE:
+            self.demote(int(command.text))
+
     def demote(self, term):
         if self.leads and term > self.term:
             self.leads, self.term = False, term
@@ -88,8 +93,7 @@
             member = self.member
             if not member.silent and command.kind not in member.deaf:
                 member.asked.add(command.kind)
-                if command.kind is CommandKind.DEMOTE:
-                    member.demote(int(command.text))
+                member.carry_out(command)
                 refused = command.kind is CommandKind.BEGIN and not member.leads
                 rows = [
                     msgspec.json.encode(StatusReply(member.leads, member.term, member.received))
--- a/tests/support/line_member.py
+++ b/tests/support/line_member.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 PROMOTE_SECONDS = 0.2
+UNANSWERED_SECONDS = 3600.0  # for which an order has no answer; callers give up before
 
 
 class Group:
@@ -300,12 +301,16 @@
 
 
 class Platform:
-    """The platform's promote call over HTTP, which refuses outdated fencing tokens."""
+    """The platform's promote call over HTTP, which refuses outdated fencing tokens.
+
+    ``late`` has the seconds after which each of the next orders is carried out without an answer.
+    """
 
     def __init__(self, groups: list[Group]) -> None:
         self.promote_seconds = PROMOTE_SECONDS
         self.groups = {group.name: group for group in groups}
         self.calls: list[tuple[str, int, str, int]] = []
+        self.late: list[float] = []
         self._newest: dict[str, int] = {}
 
     async def start(self, host: str, port: int) -> None:
@@ -320,6 +325,13 @@
 
     async def _promote(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if self.late:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late.pop(0), self._carry_out, request, body)
+            await asyncio.sleep(UNANSWERED_SECONDS)
+        return web.Response(status=self._carry_out(request, body))
+
+    def _carry_out(self, request: web.Request, body: Any) -> int:
         token = int(request.headers["Fence-Token"])
         status = 409 if token < self._newest.get(body["service"], 0) else 200
         self.calls.append((request.headers["Duty-Holder"], token, body["id"], status))
@@ -327,4 +339,4 @@
             self._newest[body["service"]] = token
             group = self.groups[body["service"]]
             asyncio.get_running_loop().call_later(self.promote_seconds, group.promote, body["id"])
-        return web.Response(status=status)
+        return status
