--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,7 @@
 MAXIMUM_CONNECTIONS = 16  # small enough that the gateways of a zone share connections
 FAULT_INTERVAL_SECONDS = (0.5, 2.0)
 OUTAGE_SECONDS = (0.3, 2.0)
+LATE_ORDER_SECONDS = (2.0, 12.0)  # after which an order without an answer is carried out
 MEMBER_PAUSE_SECONDS = (0.2, 1.2)
 PAUSE_INTERVAL_SECONDS = (2.0, 6.0)
 RECOVERY_SECONDS = 6.0
@@ -396,6 +397,8 @@
             self._slow_member,
             self._small_member,
         ]
+        if self.sync_replicas:
+            kinds.append(self._leave_order_unanswered)
         while True:
             await asyncio.sleep(self.random.uniform(*FAULT_INTERVAL_SECONDS))
             kind = self.random.choice(kinds)
@@ -625,6 +628,14 @@
             await member.start()
             del self.fleet.states[member.instance]
 
+    async def _leave_order_unanswered(self) -> None:
+        """Crash the primary, and have the order to replace it carried out late, without an answer.
+
+        The primary may be back before, and replicas may have started again.
+        """
+        self.fleet.platform.late = [self.random.uniform(*LATE_ORDER_SECONDS)]
+        await self.crash_primary()
+
     async def _deafen_replica(self) -> None:
         replicas = [member for member in self.fleet.members if not member.is_primary]
         member = self.random.choice(replicas)
@@ -635,6 +646,7 @@
         self.group.replicate()
 
     async def _clear_faults(self) -> None:
+        self.fleet.platform.late = []
         for host, process in list(self.fleet.processes.items()):
             if host in self.stopping:
                 await self._wait_for_exit(host)  # signalled by a fault that was cancelled
