Resume replicas that don't answer less often

After a change of the leader, a replica that stays dark, of a service whose commits replicas acknowledge, was resumed every 0.3 s, each time after a status query of all members, and the service was not checked meanwhile (as read, up to 0.6 s at a time; not measured).

Cause: one delay for the steps after an order and for replicas that don't answer. Now 2 s for the latter. The steps after an order are written one condition a line; they are the same.

--- a/src/rowanrail/coordination/order_settler.py
+++ b/src/rowanrail/coordination/order_settler.py
@@ -42,7 +42,8 @@
 # carried out just before that answer takes effect within this time, too.
 PROMOTION_EFFECT_SECONDS = 1.2
 ORDER_RETRY_SECONDS = 2.0  # between two orders that make earlier ones void
-STATUS_RETRY_SECONDS = 0.3  # until members are asked again that didn't answer
+STATUS_RETRY_SECONDS = 0.3  # between two steps for a service
+PAUSE_RETRY_SECONDS = 2.0  # until replicas are resumed again that didn't answer
 Step = Callable[[], Coroutine[None, None, None]]
 REPEAT_REASON = "an earlier order may still be carried out"
 
@@ -131,7 +132,7 @@
         self._paused_at: dict[str, dict[str, float]] = {}  # by service and member
         self._adopted: set[str] = set()  # services whose pauses of earlier leaders are known
         self._retry_at: dict[str, float] = {}
-        self._ordered_at: dict[str, float] = {}  # by this class
+        self._ordered_at: dict[str, float] = {}  # the last order that was to make others void
         self._held: set[int] = set()  # fencing tokens of orders after which replicas were chosen
         self._logged: dict[str, tuple[object, ...]] = {}
 
@@ -250,19 +251,23 @@
     ) -> Step | None:
         if not orders:
             return partial(self._end_pauses, service)
-        is_newest = attempt is not None and attempt.order.token == orders[-1].token
-        if attempt is None or not is_newest or (attempt.ended_at and not attempt.accepted):
-            return partial(self._make_void, service, orders) if self._may_order(service) else None
+        if attempt is None or attempt.order != orders[-1]:
+            return self._order_step(service, orders)
         if attempt.ended_at is None:
-            return None
+            return None  # its answer is awaited
+        if not attempt.accepted:
+            return self._order_step(service, orders)
         if self._now() - attempt.ended_at >= PROMOTION_EFFECT_SECONDS:
             return partial(self._confirm, service, orders)
         is_held = attempt.order.token in self._held
         return None if is_held else partial(self._hold, service, attempt.order)
 
-    def _may_order(self, service: str) -> bool:
-        ordered_ago = self._now() - self._ordered_at.get(service, -ORDER_RETRY_SECONDS)
-        return ordered_ago >= ORDER_RETRY_SECONDS
+    def _order_step(self, service: str, orders: list[PromotionOrder]) -> Step | None:
+        """Return the step that sends a newer order, None if the last one was sent just before."""
+        ordered_at = self._ordered_at.get(service)
+        if ordered_at is not None and self._now() - ordered_at < ORDER_RETRY_SECONDS:
+            return None
+        return partial(self._make_void, service, orders)
 
     async def _run(self, service: str, step: Step) -> None:
         try:
@@ -272,8 +277,11 @@
 
     async def _end_pauses(self, service: str) -> None:
         found = await self._find_primary(service)
-        if found is not None:
-            await self.resume(service, found.instance)
+        if found is None:
+            return
+        await self.resume(service, found.instance)
+        if service in self._paused_at:
+            self._retry_at[service] = self._now() + PAUSE_RETRY_SECONDS
 
     async def _find_primary(self, service: str) -> "_Primary | None":
         """Return the member that leads, None unless exactly one member says so."""
--- a/tests/coordination/test_late_orders.py
+++ b/tests/coordination/test_late_orders.py
@@ -307,6 +307,22 @@
 
         self.run_late(scenario, [NEVER])
 
+    def test_a_replica_that_is_dark_for_long_is_resumed_rarely(self):
+        # Each attempt keeps the service from being checked, and takes a slot of the others.
+        async def scenario():
+            self.third.silent = True
+            leader = self.leader()
+            leader.kill()
+            await asyncio.sleep(4.0)  # the next leader can't know whether it is paused
+            asked = self.second.command_count
+            await asyncio.sleep(10.0)
+            self.assertLessEqual(self.second.command_count - asked, 2 * 10.0 / 2.0)
+            self.third.silent, self.third.is_paused = False, True
+            await asyncio.sleep(3.0)
+            self.assertFalse(self.third.is_paused)
+
+        self.run_late(scenario)
+
     def test_a_refused_order_leaves_no_replica_paused(self):
         async def scenario():
             await self.lose_primary_for_a_while()
