Read the settings again only at a control node that is no member

A member that is cut off asks for admission every 0.3 s, and parsed the settings file each time since the change of admissions; it knows the others from the log. Found in reading; what it cost was not measured. tests.coordination.test_admission covers the node outside.

--- a/src/rowanrail/coordination/node.py
+++ b/src/rowanrail/coordination/node.py
@@ -272,11 +272,14 @@
     async def _request_admission(self, request: JoinRequest) -> None:
         """Ask other nodes in turn, each of which forwards the request to the leader that it knows.
 
-        The settings are read again, as the control nodes that they named at the start may be gone.
+        A node outside reads the settings again, as the control nodes that they named at the start
+        may be gone. A member that is cut off knows the others from the log.
         """
+        is_outside = self._outside_since is not None
+        seeds = self._read_seeds() if is_outside else self._settings.peers
         known = self.consensus.raft.membership.addresses().values()
         problems = []
-        for address in sorted({*self._read_seeds(), *known} - {request.address}):
+        for address in sorted({*seeds, *known} - {request.address}):
             try:
                 await self._network.call(address, request, ADMISSION_TIMEOUT_SECONDS)
                 return
