Let the member that an unanswered order names receive before the primary is back

What clients would have seen: acknowledged commits lost where an order without an answer takes effect just as the primary returns, while a replica that is new, or has started again, isn't paused: it acknowledges alone until the leader has noticed the primary's return.

That it saw this is not proved.

Change: once the answer to an order is overdue by 0.4 s, the member that it names is resumed, and the others stay paused. What the primary gets acknowledged from its return on is then in that member's log as well. Only services whose commits replicas acknowledge.

--- a/src/rowanrail/coordination/failover_controller.py
+++ b/src/rowanrail/coordination/failover_controller.py
@@ -585,6 +585,7 @@
     async def _call_platform(self, service: str, promotion: Promotion) -> None:
         order = PromotionOrder(promotion.instance, promotion.token)
         attempt = self._attempts[service] = PromotionAttempt(order, self._now())
+        self._settler.watch(service, attempt)
         outcome = await self._promoter.promote(service, promotion.instance, promotion.token)
         attempt.ended_at = self._now()
         if outcome is not PromotionOutcome.UNKNOWN:
--- a/src/rowanrail/coordination/order_settler.py
+++ b/src/rowanrail/coordination/order_settler.py
@@ -41,6 +41,7 @@
 # Between the answer to an order and its effect; the slowest takes 1 s. An older order that was
 # carried out just before that answer takes effect within this time, too.
 PROMOTION_EFFECT_SECONDS = 1.2
+ANSWER_SECONDS = 0.4  # after which an order's outcome may stay unknown; ten round trips
 ORDER_RETRY_SECONDS = 2.0  # between two orders that make earlier ones void
 STATUS_RETRY_SECONDS = 0.3  # between two steps for a service
 PAUSE_RETRY_SECONDS = 2.0  # until replicas are resumed again that didn't answer
@@ -218,6 +219,26 @@
                 if not record.primary:
                     paused.setdefault(record.instance, self._now())
 
+    def watch(self, service: str, attempt: PromotionAttempt) -> None:
+        """Let the member receive that an order names, once its answer is overdue.
+
+        The primary may return before the order's outcome is known, and be acknowledged by a replica
+        whose pause has ended, as it is new or has started again.
+        """
+        if self._acknowledging_replicas(service):
+            self._begin(self._resume_if_unanswered(service, attempt))
+
+    async def _resume_if_unanswered(self, service: str, attempt: PromotionAttempt) -> None:
+        await asyncio.sleep(ANSWER_SECONDS)
+        if attempt.ended_at is None:
+            await self.resume(service, "")
+
+    def _begin(self, work: Coroutine[None, None, None]) -> None:
+        """Run work that is not waited for, until this node no longer leads."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     # Settling
 
     def is_settled(self, service: str) -> bool:
@@ -304,9 +325,7 @@
             return
         self._ordered_at[service] = self._now()
         # Not awaited: the primary may be lost, and replaced, before the answer comes.
-        task = asyncio.ensure_future(self._order(service, promotion))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._begin(self._order(service, promotion))
         await asyncio.sleep(0)  # the order begins before the next check
 
     async def _hold(self, service: str, order: PromotionOrder) -> None:
--- a/tests/coordination/test_late_orders.py
+++ b/tests/coordination/test_late_orders.py
@@ -64,6 +64,7 @@
     acknowledged: dict = field(default_factory=dict)  # writes with their times
     lost: list = field(default_factory=list)
     takeovers: list = field(default_factory=list)
+    takes_effect_at: float = 0.0  # of an order without an answer, if that is given
     newest_token: int = 0
     written: int = 0
 
@@ -95,6 +96,8 @@
         late = self.late.pop(0) if self.late else self.then_late
         if not late:
             return self.accept(token, instance)
+        if self.takes_effect_at:
+            late = self.takes_effect_at - PROMOTE_SECONDS - self.now()
         if late != NEVER:
             asyncio.get_running_loop().call_later(late, self.accept, token, instance)
         await asyncio.sleep(CALL_TIMEOUT_SECONDS)
@@ -211,6 +214,23 @@
 
         self.run_late(scenario, [LATE_SECONDS])
 
+    def test_the_order_is_carried_out_as_the_primary_returns(self):
+        # A replica that started again, or a new one, acknowledged alone until the leader noticed.
+        async def scenario():
+            self.dark_at = self.platform.now()
+            self.platform.takes_effect_at = self.dark_at + DARK_SECONDS + 0.2
+            dark = asyncio.ensure_future(self.dark(self.first))
+            await self.wait_until(lambda: self.platform.orders)
+            named = self.platform.orders[0][2]
+            await asyncio.sleep(self.dark_at + DARK_SECONDS - 0.1 - self.platform.now())
+            other = next(m for m in (self.second, self.third) if m.instance != named)
+            other.is_paused = False
+            await dark
+            await asyncio.sleep(LATE_SECONDS)
+            self.assertEqual(self.platform.takeovers[0][1], named)
+
+        self.run_late(scenario, [NEVER])
+
     def test_no_order_is_ever_answered(self):
         async def scenario():
             await self.lose_primary_for_a_while()
