--- a/src/rowanrail/cli/inspect_orders.py
+++ b/src/rowanrail/cli/inspect_orders.py
@@ -13,7 +13,7 @@
 
 
 class OrdersView(msgspec.Struct):
-    """What one control node tells; ages in seconds, 0 without any. Only the leader knows them."""
+    """What one control node reports; ages in seconds, 0 without any. Only the leader has them."""
 
     source: str
     leads: bool
--- a/src/rowanrail/coordination/order_settler.py
+++ b/src/rowanrail/coordination/order_settler.py
@@ -125,7 +125,7 @@
         self.reset()
 
     def reset(self) -> None:
-        """Forget what this node knows as the leader, as it no longer leads."""
+        """Forget all that only a leader knows, as this node no longer leads."""
         for task in self._tasks:
             task.cancel()
         self._void: set[int] = set()  # fencing tokens of orders that were not sent, or refused
@@ -134,7 +134,7 @@
         self._adopted: set[str] = set()  # services whose pauses of earlier leaders are known
         self._retry_at: dict[str, float] = {}
         self._ordered_at: dict[str, float] = {}  # the last order that was to make others void
-        self._held: set[int] = set()  # fencing tokens of orders after which replicas were chosen
+        self._held: set[int] = set()  # fencing tokens of orders since which some replicas wait
         self._logged: dict[str, tuple[object, ...]] = {}
 
     # What is known
@@ -171,7 +171,7 @@
         Raises
         ------
         NotLeaderError
-            If this node doesn't lead any more: nobody would end the pause.
+            If this node doesn't lead any more, so that it could not end the pause.
         """
         await self._node.read_barrier()
         paused = self._paused_at.setdefault(service, {})
@@ -305,7 +305,7 @@
             self._retry_at[service] = self._now() + PAUSE_RETRY_SECONDS
 
     async def _find_primary(self, service: str) -> "_Primary | None":
-        """Return the member that leads, None unless exactly one member says so."""
+        """Return the only member that leads by its status, None if there is none or several."""
         statuses = await self._queries.query(self._members(service), Command(CommandKind.STATUS))
         leading = [instance for instance, status in statuses.items() if status.leads]
         if len(leading) != 1:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -46,6 +46,13 @@
         control.restart(lose_disk=True)
         await asyncio.sleep(seconds)
 
+    async def start_outside(self, control):
+        """Have a node lose its disk and start again with a seed that is gone."""
+        control.kill()
+        control.seeds = ["gone:8100"]
+        control.restart(lose_disk=True)
+        await asyncio.sleep(ADMISSION_SECONDS)
+
     def voters(self):
         """Return the names of the nodes that vote under the identity that they have now."""
         membership = self.leader.node.consensus.raft.membership
@@ -96,10 +103,7 @@
         # Those that the process has started with may be gone for good.
         async def scenario():
             lost, other = self.followers()
-            lost.kill()
-            lost.seeds = ["gone:8100"]
-            lost.restart(lose_disk=True)
-            await asyncio.sleep(ADMISSION_SECONDS)
+            await self.start_outside(lost)
             lost.seeds = ["gone:8100", other.api_address]
             await asyncio.sleep(2 * ADMISSION_SECONDS)
             self.assertEqual(self.voters(), ["n1", "n2", "n3"])
@@ -123,10 +127,7 @@
         # Its callers would wait for a leader that it can't know, instead of asking another node.
         async def scenario():
             lost, other = self.followers()
-            lost.kill()
-            lost.seeds = ["gone:8100"]
-            lost.restart(lose_disk=True)
-            await asyncio.sleep(ADMISSION_SECONDS)
+            await self.start_outside(lost)
             asked_at = asyncio.get_running_loop().time()
             with self.assertRaises(NotAdmittedError):
                 await self.controls.put(lost, 2)
--- a/tests/coordination/test_late_orders.py
+++ b/tests/coordination/test_late_orders.py
@@ -167,9 +167,14 @@
         self.assertNotEqual(self.platform.orders, [])
         self.detected_in = self.platform.orders[0][0] - self.dark_at
 
-    def longest_gap(self, until=None):
+    def other_replica(self):
+        """Return the replica that the first order doesn't name."""
+        named = self.platform.orders[0][2]
+        return next(m for m in (self.second, self.third) if m.instance != named)
+
+    def longest_gap(self):
         """Return the longest time without an acknowledged write since the primary was dark."""
-        until = until or self.platform.now()
+        until = self.platform.now()
         times = [at for at in self.platform.acknowledged.values() if self.dark_at <= at <= until]
         moments = [self.dark_at, *sorted(times), until]
         return max(later - earlier for earlier, later in zip(moments, moments[1:], strict=False))
@@ -205,8 +210,7 @@
         async def scenario():
             await self.lose_primary_for_a_while()
             await asyncio.sleep(1.0)
-            named = self.platform.orders[0][2]
-            other = next(m for m in (self.second, self.third) if m.instance != named)
+            other = self.other_replica()
             await self.dark(other, 1.0)
             other.is_paused = False
             await asyncio.sleep(LATE_SECONDS + 5.0)
@@ -221,13 +225,11 @@
             self.platform.takes_effect_at = self.dark_at + DARK_SECONDS + 0.2
             dark = asyncio.ensure_future(self.dark(self.first))
             await self.wait_until(lambda: self.platform.orders)
-            named = self.platform.orders[0][2]
             await asyncio.sleep(self.dark_at + DARK_SECONDS - 0.1 - self.platform.now())
-            other = next(m for m in (self.second, self.third) if m.instance != named)
-            other.is_paused = False
+            self.other_replica().is_paused = False
             await dark
             await asyncio.sleep(LATE_SECONDS)
-            self.assertEqual(self.platform.takeovers[0][1], named)
+            self.assertEqual(self.platform.takeovers[0][1], self.platform.orders[0][2])
 
         self.run_late(scenario, [NEVER])
 
@@ -235,8 +237,7 @@
         async def scenario():
             await self.lose_primary_for_a_while()
             await asyncio.sleep(1.0)
-            named = self.platform.orders[0][2]
-            other = next(m for m in (self.second, self.third) if m.instance != named)
+            other = self.other_replica()
             await self.dark(other, 1.0)
             other.is_paused = False
             await asyncio.sleep(4 * LATE_SECONDS)
@@ -248,19 +249,25 @@
             with self.subTest(needed=needed):
                 self.run_late(scenario, needed=needed, then_late=LATE_SECONDS)
 
+    async def kill_after_order(self, choose):
+        """Kill control nodes after the order, while the primary is dark; they are back later."""
+        self.dark_at = self.platform.now()
+        dark = asyncio.ensure_future(self.dark(self.first))
+        await self.wait_until(lambda: self.platform.orders)
+        self.detected_in = self.platform.orders[0][0] - self.dark_at
+        killed = choose()
+        for control in killed:
+            control.kill()
+        await asyncio.sleep(1.0)
+        for control in killed:
+            control.restart()
+        await dark
+        await asyncio.sleep(LATE_SECONDS + 5.0)
+        self.check_gap()
+
     def test_the_leader_is_killed_after_the_order(self):
         async def scenario():
-            self.dark_at = self.platform.now()
-            dark = asyncio.ensure_future(self.dark(self.first))
-            await self.wait_until(lambda: self.platform.orders)
-            self.detected_in = self.platform.orders[0][0] - self.dark_at
-            leader = self.leader()
-            leader.kill()
-            await asyncio.sleep(1.0)
-            leader.restart()
-            await dark
-            await asyncio.sleep(LATE_SECONDS + 5.0)
-            self.check_gap()
+            await self.kill_after_order(lambda: [self.leader()])
 
         for needed in (0, 1, 2):
             with self.subTest(needed=needed):
@@ -268,18 +275,7 @@
 
     def test_all_control_nodes_are_killed_after_the_order(self):
         async def scenario():
-            self.dark_at = self.platform.now()
-            dark = asyncio.ensure_future(self.dark(self.first))
-            await self.wait_until(lambda: self.platform.orders)
-            self.detected_in = self.platform.orders[0][0] - self.dark_at
-            for control in self.controls.nodes:
-                control.kill()
-            await asyncio.sleep(1.0)
-            for control in self.controls.nodes:
-                control.restart()
-            await dark
-            await asyncio.sleep(LATE_SECONDS + 5.0)
-            self.check_gap()
+            await self.kill_after_order(lambda: self.controls.nodes)
 
         for needed in (0, 1, 2):
             with self.subTest(needed=needed):
