--- a/src/rowanrail/coordination/order_settler.py
+++ b/src/rowanrail/coordination/order_settler.py
@@ -294,7 +294,8 @@
         try:
             await step()
         except RowanrailError as error:
-            self._log_once(service, ORDERS_NOT_SETTLED, str(error), reason=str(error))
+            if self._is_new(service, ORDERS_NOT_SETTLED, str(error)):
+                self._decisions.note(ORDERS_NOT_SETTLED, service=service, reason=str(error))
 
     async def _end_pauses(self, service: str) -> None:
         found = await self._find_primary(service)
@@ -345,15 +346,18 @@
             await self.pause(service, held, primary.newest_term + 1)
         if self._acknowledging_replicas(service):
             await self.resume(service, primary.instance)
-        orders = {order.instance: order.token for order in self.orders(service)}
-        self._log_once(
-            service, ORDERS_OUTSTANDING, sorted(allowed), orders=orders, receiving=sorted(allowed)
-        )
-
-    def _log_once(self, service: str, event: Event, key: object, **fields: object) -> None:
-        if self._logged.get(service) != (event.number, key):
-            self._logged[service] = (event.number, key)
-            self._decisions.note(event, service=service, **fields)
+        receiving = sorted(allowed)
+        if self._is_new(service, ORDERS_OUTSTANDING, receiving):
+            orders = {order.instance: order.token for order in self.orders(service)}
+            self._decisions.note(
+                ORDERS_OUTSTANDING, service=service, orders=orders, receiving=receiving
+            )
+
+    def _is_new(self, service: str, event: Event, content: object) -> bool:
+        """Return whether the last line on a service was another one, and remember this one."""
+        is_new = self._logged.get(service) != (event.number, content)
+        self._logged[service] = (event.number, content)
+        return is_new
 
     async def _confirm(self, service: str, orders: list[PromotionOrder]) -> None:
         """Settle the orders if the member leads that the newest one names, which was accepted."""
