--- a/tests/gateway/test_uncommitted_configuration.py
+++ b/tests/gateway/test_uncommitted_configuration.py
@@ -63,6 +63,8 @@
         self._logs = logs
         self._elected = asyncio.Event()
         self._change = OLD
+        self.logs_told = 0
+        self.replies = 0
 
     def elect(self, change):
         """Have a leader report a configuration."""
@@ -71,10 +73,12 @@
 
     async def call(self, address, request, timeout_seconds):
         if isinstance(request, LoggedDirectoryRequest):
+            self.logs_told += 1
             return self._logs[address]
         async with asyncio.timeout(10.0):
             await self._elected.wait()
         await asyncio.sleep(0.005)
+        self.replies += 1
         return reply(self._change)
 
 
@@ -95,11 +99,19 @@
         )
         client.start()
         self.addCleanup(client.stop)
-        await asyncio.sleep(0.03)
+        await self.wait_until(lambda: self.controls.logs_told == len(logs))
+        await asyncio.sleep(0.01)  # until the last one is processed
 
     async def elect(self, change):
+        """Have a leader report a configuration, and wait until the gateway has processed it."""
         self.controls.elect(change)
-        await asyncio.sleep(0.03)
+        already = self.controls.replies
+        await self.wait_until(lambda: self.controls.replies >= already + len(VOTERS) + 1)
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(10.0):
+            while not condition():
+                await asyncio.sleep(0.005)
 
     def obeyed(self):
         """Return the version and service that the gateway obeys, None without any."""
