Acknowledge a commit of acknowledging replicas only after its member confirmed that it still leads

Cause: a member that is replaced while a commit waits for replicas can still report success when other logs have become as long; by then the commit has been rolled back. The gateway passed that answer on, took the session's floor from it, and counted the replaced member as proved primary.

Ruled out: the second promotion drops what was in a log before it.

Change: where replicas acknowledge commits, the member is asked once more after its answer, on the same connection, by a plain BEGIN (no slot, refused by a member that has been replaced). The commit is acknowledged if the member led in the same term before it was sent the commit and after it had answered; between the two it led all the time, so that the replicas that it counted have the commit. Otherwise the outcome is unknown, at once, and neither a floor nor a proof is taken from the answer. Single and prepared writes, COMMIT, and what neighbours forward share this code. With sync-replicas 0 nothing more is sent. `rowanrail explain` has the cause; statements_total has the stage waits-for-confirmation.

Before: on the tests of what a replaced primary reports fail (writes, COMMIT, through a neighbour, with processes); with processes, after a demotion, writes rested for more than 5 s, since the gateway knew of a position that no log had.

--- a/src/rowanrail/explain/causes.py
+++ b/src/rowanrail/explain/causes.py
@@ -179,6 +179,19 @@
             f"{evidence.primary_failure}"
         ),
     ),
+    CauseRule(
+        "commit not confirmed",
+        "rowanrail.members.leadership.CommitVerifier.stands",
+        lambda evidence: (
+            evidence.outcome == Refusal.OUTCOME_UNKNOWN.value
+            and evidence.stage == Stage.WAITS_FOR_CONFIRMATION.value
+        ),
+        lambda evidence: (
+            f"{evidence.member} reported that it was committed, and it isn't known whether that "
+            f"member still led ({evidence.reason}); a successor may have rolled the commit back"
+            f"{evidence.primary_failure}"
+        ),
+    ),
     CauseRule(
         "outcome unknown",
         f"{_WORK}.attempts.refusal_without_answer",
--- a/src/rowanrail/gateway/policies.py
+++ b/src/rowanrail/gateway/policies.py
@@ -9,7 +9,7 @@
 from rowanrail.gateway.session_context import SessionContext, replay_session
 from rowanrail.kernel.registry import Registry, register
 from rowanrail.members.channel import Channel
-from rowanrail.members.leadership import LeadershipVerifier
+from rowanrail.members.leadership import CommitVerifier, LeadershipVerifier
 from rowanrail.model.statements import Command, Refusal
 from rowanrail.tenants.model import ClientIdentity
 
@@ -59,6 +59,7 @@
     """The policies that one gateway uses."""
 
     leadership_proof: LeadershipVerifier
+    commit_confirmation: CommitVerifier
     state_replay: StateReplay
     link_outcome: LinkOutcome
     key_check: KeyCheck
@@ -68,6 +69,7 @@
         """Create the registered policies."""
         return cls(
             registry.create("gateway-guard", "leadership-proof"),
+            registry.create("gateway-guard", "commit-confirmation"),
             registry.create("gateway-guard", "state-replay"),
             registry.create("gateway-guard", "link-outcome"),
             registry.create("gateway-guard", "key-check"),
--- a/src/rowanrail/gateway/work/autocommit_write.py
+++ b/src/rowanrail/gateway/work/autocommit_write.py
@@ -11,15 +11,14 @@
     step_after_write,
 )
 from rowanrail.gateway.work.commands import commands_for
-from rowanrail.gateway.work.freshness import note_commit
-from rowanrail.gateway.work.operation import Operation
+from rowanrail.gateway.work.committing import CommittingOperation
 from rowanrail.gateway.work.ports import StatementExecutor
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, busy_answer
 from rowanrail.members.channel import AnswerCallback, Channel
 from rowanrail.model.statements import Answer, Refusal, TypedStatement
 
 
-class AutocommitWrite(Operation):
+class AutocommitWrite(CommittingOperation):
     """An autocommit write at the primary; never sent again if it may have run."""
 
     def start(self, statement: TypedStatement, respond: AnswerCallback) -> None:
@@ -42,11 +41,29 @@
             self.service.primary.note_refused_connection(answer)
             self.retry_later(self._acquire_primary, busy_answer(answer.message))
             return
+        if not self._may_commit():
+            self._wait_for_proof()
+            return
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands += commands_for(self.statement, None, channel, self.session, self.names)
-        if not self.send(commands, self._on_answer):
+        if not self.send(commands, self._on_answer, following=self.confirmation_commands):
             self._wait_for_place()
 
+    def _may_commit(self) -> bool:
+        """Return whether a commit can be confirmed; record the term in which the member leads."""
+        if not self.service.spec.confirms_commits:
+            return True
+        self._term = self.service.primary.proved_term(self.member)
+        return self._term is not None
+
+    def _wait_for_proof(self) -> None:
+        """Retry once the member has proved to lead, so that its commits can be confirmed."""
+        self.release()
+        self.service.primary.request_sample()
+        self.retry_later(
+            self._acquire_primary, busy_answer(f"{self.member} has not proved yet that it leads")
+        )
+
     def _wait_for_place(self) -> None:
         pool = self.pool
         assert pool is not None
@@ -66,9 +83,7 @@
         self.note_answer(answer)
         instance = self.pool.record.instance
         if answer.refusal is None:
-            self.release()
-            note_commit(self.service, self.session, instance, self.sent_at, answer.position)
-            self.finish(answer)
+            self.acknowledge(answer)
             return
         if answer.refusal is Refusal.UNKNOWN_NAME and self.channel is not None:
             self.channel.prepared.clear()
--- a/src/rowanrail/gateway/work/connected.py
+++ b/src/rowanrail/gateway/work/connected.py
@@ -39,6 +39,7 @@
     WAITS_FOR_PRIMARY = "waits-for-primary"
     WAITS_FOR_CONNECTION = "waits-for-connection"
     SENT = "sent"
+    WAITS_FOR_CONFIRMATION = "waits-for-confirmation"  # that a commit stands
 
 
 class ConnectedStatement(Statement):
@@ -165,23 +166,28 @@
 
     # Connection
 
-    def send(self, commands: list[Command], respond: AnswerCallback) -> bool:
+    def send(self, commands: list[Command], respond: AnswerCallback, following: int = 0) -> bool:
         """Send commands; ``respond`` gets the answer to the last one.
 
         The connection is closed if an earlier one is refused.
 
+        Parameters
+        ----------
+        following : int
+            Commands that will follow them, for which a member that warms up must have places too.
+
         Returns
         -------
         bool
             False if nothing was sent, since the member warms up and gets no more statements now.
         """
         assert self.channel is not None
-        channel = self.channel
+        channel, places = self.channel, len(commands) + following
         if self.pool is not None and not self.service.take_places(
-            self.pool.record, len(commands), self.continues
+            self.pool.record, places, self.continues
         ):
             forget_unsent(channel, commands)
-            self.unsent_commands = len(commands)
+            self.unsent_commands = places
             return False
 
         if self.pool is not None and not self.continues:
--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -27,6 +27,7 @@
     "has_time_to_retry",
     "primary_unavailable_reason",
     "rejection_record",
+    "unconfirmed_answer",
     "base_retry_after_ms",
 ]
 
@@ -174,6 +175,28 @@
     return Answer(refusal=Refusal.BUSY, message=message)
 
 
+def unconfirmed_answer(instance: str, refusal: Refusal | None) -> Answer:
+    """Return the answer to a commit that its member reported, and that may have been rolled back.
+
+    Parameters
+    ----------
+    instance : str
+        The member.
+    refusal : Refusal or None
+        Its refusal of the BEGIN that was to confirm the commit; None if it leads in another term.
+
+    Examples
+    --------
+    >>> unconfirmed_answer("m1", Refusal.NOT_PRIMARY).message
+    'm1 reported the commit and did not confirm that it led until then: not-primary'
+    >>> unconfirmed_answer("m1", None).refusal
+    <Refusal.OUTCOME_UNKNOWN: 'outcome-unknown'>
+    """
+    reason = "it leads in another term" if refusal is None else refusal.value
+    message = f"{instance} reported the commit and did not confirm that it led until then: {reason}"
+    return Answer(refusal=Refusal.OUTCOME_UNKNOWN, message=message)
+
+
 def rejection_record(
     cause: RejectionCause, forecast: Forecast, left_ms: float, urgency: int, retry_after_ms: float
 ) -> Rejection:
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -23,9 +23,9 @@
     refusal_without_answer,
 )
 from rowanrail.gateway.work.commands import commands_for
+from rowanrail.gateway.work.committing import CommittingOperation
 from rowanrail.gateway.work.connected import Stage
-from rowanrail.gateway.work.freshness import earliest_sample_time, note_commit, prefetch_sample
-from rowanrail.gateway.work.operation import Operation
+from rowanrail.gateway.work.freshness import earliest_sample_time, prefetch_sample
 from rowanrail.gateway.work.ports import OtherGateways, StatementExecutor, TransactionExecution
 from rowanrail.gateway.work.refusals import NO_ANSWER_MESSAGE, busy_answer
 from rowanrail.kernel.clock import Scheduler
@@ -44,7 +44,7 @@
 )
 
 
-class Transaction(Operation):
+class Transaction(CommittingOperation):
     """A transaction on one connection.
 
     BEGIN is sent to a member only when the first statement arrives, so a transaction that is idle
@@ -261,6 +261,7 @@
             self._has_begun = True
             if not self.read_only:
                 self.service.primary.note_proof(instance, self.sent_at, answer.position)
+                self._term = None if answer.position is None else answer.position.term
             if self.respond is None:
                 self.end()
             else:
@@ -299,7 +300,8 @@
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
             ]
-            if not self.send(commands, self._on_commit_answer):
+            following = self.confirmation_commands if self.wrote else 0
+            if not self.send(commands, self._on_commit_answer, following):
                 self._wait_to_run()
             return
         if is_write(self.statement, self.session):
@@ -380,10 +382,11 @@
         if answer.refusal is None:
             if self.channel is not None:
                 self.channel.in_transaction = False
-            self.release()
             if self.wrote:
-                note_commit(self.service, self.session, instance, self.sent_at, answer.position)
-            self.finish(answer)
+                self.acknowledge(answer)
+            else:
+                self.release()
+                self.finish(answer)
             return
         if self._schedule_busy_retry(answer):
             return
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -1,8 +1,9 @@
 """Tracks the primary of a service by sampling its replication position.
 
 A sample proves that the member was primary when it answered: it comes from a plain BEGIN, a write
-or a commit that the member accepted, and a member that has been replaced refuses those. A member
-that refuses a connection because it has none free is alive and does not count as failed.
+or a commit that the member accepted, and a member that has been replaced refuses those. A commit
+that waited for replicas is a sample only once it is confirmed. A member that refuses a connection
+because it has none free is alive and does not count as failed.
 
 :class:`PrimaryTracker` holds the samples of one service and the reads that wait for one. It applies
 the rules of :class:`rowanrail.members.primary_state.PrimaryState` and
@@ -127,6 +128,11 @@
         """Whether the primary refused the last sampling connection for lack of a free one."""
         return self._sampler.is_at_connection_limit
 
+    def proved_term(self, instance: str) -> int | None:
+        """Return the term in which a member led at the newest sample, None if it wasn't the one."""
+        sample = self.sample
+        return sample.position.term if sample is not None and sample.instance == instance else None
+
     def has_sample_since(self, asked_since: float) -> bool:
         """Return whether there is a sample that was requested at ``asked_since`` or later."""
         return self.history.oldest_since(asked_since) is not None
--- a/src/rowanrail/model/routing.py
+++ b/src/rowanrail/model/routing.py
@@ -85,6 +85,14 @@
         """Whether the statements to a warming member are limited."""
         return self.warm_up_seconds > 0 and self.warm_up_rate > 0
 
+    @property
+    def confirms_commits(self) -> bool:
+        """Whether a commit is acknowledged only once its member has confirmed that it still leads.
+
+        Without acknowledging replicas, an answered commit may be rolled back in any case.
+        """
+        return self.acknowledging_replicas > 0
+
 
 class RoutingConfiguration(msgspec.Struct, frozen=True):
     """A version of the configuration.
--- a/tests/explain/test_causes.py
+++ b/tests/explain/test_causes.py
@@ -46,6 +46,18 @@
         text = describe_cause(answer(outcome="invalid", reason="no", stage="accepted"), [])
         self.assertEqual(text, "no (stage accepted, at no member)")
 
+    # The commit was said to have had no answer.
+    def test_an_unconfirmed_commit_names_the_member_that_reported_it(self):
+        stage = "waits-for-confirmation"
+        text = describe_cause(
+            answer(outcome="outcome-unknown", stage=stage, reason="not primary", member="m1"), []
+        )
+        self.assertEqual(
+            text,
+            "m1 reported that it was committed, and it isn't known whether that member still led "
+            "(not primary); a successor may have rolled the commit back",
+        )
+
     def test_a_rejection_by_the_holder_precedes_the_lack_of_a_holder(self):
         fields = {"outcome": "busy", "stage": "waits-for-holder", "reason": "crowded"}
         without_holder = describe_cause(answer(**fields), [])
--- a/tests/support/acknowledging_members.py
+++ b/tests/support/acknowledging_members.py
@@ -1,11 +1,35 @@
 """Stand-in members of a service whose commits are acknowledged once replicas have received them."""
 
+import enum
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from tests.support.line_member import Group, Member, MemberConnection
 
-__all__ = ["AcknowledgingConnection", "AcknowledgingGroup", "AcknowledgingMember"]
+__all__ = [
+    "AcknowledgingConnection",
+    "AcknowledgingGroup",
+    "AcknowledgingMember",
+    "ReplacedPrimary",
+]
+
+
+class ReplacedPrimary(enum.Enum):
+    """What a replaced primary does with commits that wait for replicas."""
+
+    SILENT = "never answers them"
+    REPORTS_SUCCESS = "reports success, although they are rolled back"
+    DISCONNECTS = "closes their connections"
+
+
+@dataclass
+class WaitingCommit:
+    """A commit that too few replicas have received."""
+
+    length: int  # of the log with it
+    answer: Callable[[], None]
+    disconnect: Callable[[], None]
 
 
 class AcknowledgingGroup(Group):
@@ -15,36 +39,52 @@
     """
 
     sync_replicas = 1
+    replaced_primary = ReplacedPrimary.SILENT
 
     def __init__(self, name: str) -> None:
         super().__init__(name)
-        self._waiting: list[tuple[int, Callable[[], None]]] = []  # length of the log, answer
+        self._waiting: list[WaitingCommit] = []
         self.acknowledged: set[str] = set()  # values
         self.promoted: list[str] = []
 
-    def when_acknowledged(self, length: int, answer: Callable[[], None]) -> None:
-        """Call ``answer`` once enough replicas have a log of this length."""
-        self._waiting.append((length, answer))
+    @property
+    def waiting(self) -> int:
+        """Number of commits that wait for replicas."""
+        return len(self._waiting)
+
+    def add_waiting(self, commit: WaitingCommit) -> None:
+        """Answer a commit once enough replicas have it."""
+        self._waiting.append(commit)
         self.acknowledge()
 
     def acknowledge(self) -> None:
         """Answer the commits that enough replicas have received."""
         waiting, self._waiting = self._waiting, []
-        for length, answer in waiting:
+        for commit in waiting:
             holding = sum(
-                not member.is_primary and len(member.log) >= length
+                not member.is_primary and len(member.log) >= commit.length
                 for member in self.members.values()
             )
             if holding >= self.sync_replicas:
-                _, writes = self.primary.log[length - 1]
+                _, writes = self.primary.log[commit.length - 1]
                 self.acknowledged.update(value for _, value in writes)
-                answer()
+                commit.answer()
             else:
-                self._waiting.append((length, answer))
+                self._waiting.append(commit)
+
+    def take_unacknowledged(self) -> list[WaitingCommit]:
+        """Return the commits that wait, for :meth:`end_unacknowledged`; they wait no longer."""
+        waiting, self._waiting = self._waiting, []
+        return waiting
 
-    def forget_unacknowledged(self) -> None:
-        """Leave the commits that were not acknowledged without an answer."""
-        self._waiting.clear()
+    def end_unacknowledged(self, commits: list[WaitingCommit]) -> None:
+        """Treat the commits of a replaced primary as ``replaced_primary`` says."""
+        for commit in commits:
+            match self.replaced_primary:
+                case ReplacedPrimary.REPORTS_SUCCESS:
+                    commit.answer()
+                case ReplacedPrimary.DISCONNECTS:
+                    commit.disconnect()
 
     def replicate(self) -> None:
         """Send the log of the primary, if one runs, to the members that receive."""
@@ -61,12 +101,12 @@
         if not isinstance(member, AcknowledgingMember) or not member.is_running:
             return
         self.promoted.append(instance)
-        if not member.is_primary:
-            self.forget_unacknowledged()
+        replaced = [] if member.is_primary else self.take_unacknowledged()
         super().promote(instance)
         for other in self.members.values():
             other.replication_paused = False
         self.replicate()
+        self.end_unacknowledged(replaced)
 
 
 class AcknowledgingMember(Member):
@@ -101,9 +141,11 @@
             self.acknowledging_group.acknowledge()
 
     def demote(self, term: int) -> None:
-        if self.is_primary and term > self.term:
-            self.acknowledging_group.forget_unacknowledged()
+        group = self.acknowledging_group
+        is_replaced = self.is_primary and term > self.term
+        replaced = group.take_unacknowledged() if is_replaced else []
         super().demote(term)
+        group.end_unacknowledged(replaced)
 
 
 class AcknowledgingConnection(MemberConnection):
@@ -124,7 +166,9 @@
             super().ready(lines)
             return
         answer = super().ready
-        group.when_acknowledged(len(self.member.log), lambda: answer(lines))
+        group.add_waiting(
+            WaitingCommit(len(self.member.log), lambda: answer(lines), self.transport.abort)
+        )
 
     def run_pause(self, words: list[str]) -> list[str]:
         if not self.member.is_primary and int(words[0]) > self.member.term:
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -235,7 +235,8 @@
         return self.decisions.written.decode().splitlines()
 
     def configure(self, version: int, **changes: Any) -> None:
-        services = {"db": ServiceSpec("db", changes.get("connections", 30))}
+        needed = changes.get("acknowledging_replicas", 0)
+        services = {"db": ServiceSpec("db", changes.get("connections", 30), needed)}
         allowed = routes(changes.get("without", ()))
         self.gateway.apply(RoutingConfiguration(version, allowed, services, 3.0))
 
