Soak: replaced primaries report success for commits that are rolled back, or close their connections

With acknowledging replicas no commit that a client was told may be rolled back: the oracle excused those that a promotion rolls back, as with sync-replicas 0. By the seed a replaced primary stays silent, disconnects, or reports success for the commits that wait for replicas.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -164,12 +164,16 @@
         if self._commit_positions.get(value_read, -1) < self._commit_positions[remaining[-1]]:
             self.add_problem(f"STALE: {value_read} was read after {remaining[-1]}")
 
-    def check_final_state(self, primary_values: set[str]) -> None:
-        """Check the outcome of all writes against the values in the primary's log."""
+    def check_final_state(self, primary_values: set[str], sync_replicas: int = 0) -> None:
+        """Check the outcome of all writes against the values in the primary's log.
+
+        With acknowledging replicas a promotion may roll back nothing that a client was told.
+        """
         for value in self._not_executed & set(self._commit_counts):
             self.add_problem(f"REFUSED: {value} was called not run, and was committed")
         for value in self.acknowledged:
-            if value not in primary_values and value not in self.rolled_back:
+            may_be_missing = value in self.rolled_back and not sync_replicas
+            if value not in primary_values and not may_be_missing:
                 self.add_problem(f"LOST: {value} was acknowledged and is not there")
         for values in self._atomic_writes:
             found = [value in primary_values for value in values]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 from tests.soak.tasks import end_tasks
 from tests.soak.zone_faults import FIRST_BORN_AGE_MS, WARM_UP, ZoneFaults
 from tests.soak.zone_rules import HomeRegions
+from tests.support.acknowledging_members import ReplacedPrimary
 from tests.support.line_member import Member
 from tests.support.platform_fleet import (
     DEFAULT_NETWORK,
@@ -264,6 +265,7 @@
         fleet.group.oracle, fleet.group.soak = self.oracle, self
         fleet.group.commit_times = []
         fleet.group.sync_replicas = self.sync_replicas
+        fleet.group.replaced_primary = list(ReplacedPrimary)[self.seed % 3]
         self.fleet, self.group = fleet, fleet.group
         if self.sync_replicas:
             self.replacements = Replacements(self)
@@ -306,7 +308,7 @@
             await self._check_config_versions()
             self.oracle.check_promotions(fleet.platform.calls)
             primary_values = {value for _, writes in fleet.group.primary.log for _, value in writes}
-            self.oracle.check_final_state(primary_values)
+            self.oracle.check_final_state(primary_values, self.sync_replicas)
         return self.oracle.verdict
 
     def build_config(self) -> dict[str, object]:
--- a/tests/support/acknowledging_members.py
+++ b/tests/support/acknowledging_members.py
@@ -19,8 +19,8 @@
     """What a replaced primary does with commits that wait for replicas."""
 
     SILENT = "never answers them"
-    REPORTS_SUCCESS = "reports success, although they are rolled back"
     DISCONNECTS = "closes their connections"
+    REPORTS_SUCCESS = "reports success, although they are rolled back"
 
 
 @dataclass
