Answer commits that wait for replicas at once when their member is known to be replaced

Callers saw: a write or COMMIT whose primary was replaced and never answered was told that its outcome is unknown only at the time limit of its route, 1 s here, although the gateway knew of the replacement long before.

Cause: nothing but the member's own answer and the time limit ended such a statement.

Change: with acknowledging replicas a commit can't be confirmed any more once its member has refused another command as not primary, or another member has proved to lead. It is answered then, as unknown, and its connection is closed. With sync-replicas 0 nothing changes.

Before: without this commit's changes to src/ its three new tests failed: with processes no answer came within 0.6 s, after a promotion and after a demotion, with a time limit of 1 s; in virtual time none at all.

--- a/src/rowanrail/gateway/services/service.py
+++ b/src/rowanrail/gateway/services/service.py
@@ -19,6 +19,7 @@
 from rowanrail.gateway.services.locality import Locality
 from rowanrail.gateway.services.member_estimates import MemberEstimates, ReadRequirements
 from rowanrail.gateway.services.member_probes import MemberProbes
+from rowanrail.gateway.services.pending_commits import PendingCommits
 from rowanrail.gateway.services.service_share import ServiceShare
 from rowanrail.gateway.services.warm_up_limits import WarmUpContext, WarmUpLimits
 from rowanrail.kernel.clock import Clock, Scheduler
@@ -75,6 +76,8 @@
         self.policies = policies
         self.primary = PrimaryTracker(spec.name, driver, scheduler, policies.leadership_proof)
         self.primary.on_proof = self._note_proof
+        self.pending_commits = PendingCommits()
+        self.primary.on_not_primary = self.pending_commits.end_at
         self.primary.is_closed = self.is_closed
         self.primary.set_lease_provider(self)
         self.pools: dict[str, MemberPool] = {}
@@ -412,6 +415,7 @@
         weights = self.estimates.weights
         if weights.claim_probe(instance, self.share.samplers):
             weights.note_probe_success(instance)
+        self.pending_commits.end_elsewhere(instance)
 
     def set_shards(self, shards: frozenset[Shard]) -> None:
         """Set the shards of the service whose statements are routed to this gateway."""
--- a/src/rowanrail/gateway/work/autocommit_write.py
+++ b/src/rowanrail/gateway/work/autocommit_write.py
@@ -46,7 +46,7 @@
             return
         commands = self.service.policies.state_replay.commands(channel, self.session)
         commands += commands_for(self.statement, None, channel, self.session, self.names)
-        if not self.send(commands, self._on_answer, following=self.confirmation_commands):
+        if not self.send_commit(commands, self._on_answer):
             self._wait_for_place()
 
     def _may_commit(self) -> bool:
--- a/src/rowanrail/gateway/work/committing.py
+++ b/src/rowanrail/gateway/work/committing.py
@@ -9,7 +9,8 @@
 from rowanrail.gateway.work.connected import Stage
 from rowanrail.gateway.work.freshness import note_commit
 from rowanrail.gateway.work.operation import Operation
-from rowanrail.gateway.work.refusals import unconfirmed_answer
+from rowanrail.gateway.work.refusals import replaced_answer, unconfirmed_answer
+from rowanrail.members.channel import AnswerCallback
 from rowanrail.model.statements import Answer, Command, CommandKind, Refusal
 
 __all__ = ["CommittingOperation"]
@@ -26,10 +27,30 @@
 
     _term: int | None = None  # in which the member proved to lead before it was sent the commit
 
-    @property
-    def confirmation_commands(self) -> int:
-        """Number of commands that follow a commit on its connection."""
-        return len(_CONFIRMATION_COMMANDS) if self.service.spec.confirms_commits else 0
+    def send_commit(self, commands: list[Command], respond: AnswerCallback) -> bool:
+        """Send commands of which the last one commits, as :meth:`send` does.
+
+        If its member turns out to be replaced before it answers, the commit can't be confirmed any
+        more: its outcome is unknown at once.
+        """
+        if not self.service.spec.confirms_commits:
+            return self.send(commands, respond)
+        instance, pending = self.member, self.service.pending_commits
+
+        def on_answer(answer: Answer) -> None:
+            pending.remove(instance, self._on_replaced)
+            respond(answer)
+
+        pending.add(instance, self._on_replaced)
+        is_sent = self.send(commands, on_answer, following=len(_CONFIRMATION_COMMANDS))
+        if not is_sent:
+            pending.remove(instance, self._on_replaced)
+        return is_sent
+
+    def _on_replaced(self) -> None:
+        if self.respond is not None:
+            self.finish(replaced_answer(self.member))
+            self.discard()
 
     def acknowledge(self, committed: Answer) -> None:
         """Answer a commit that its member reported as successful, if it is known to stand.
--- a/src/rowanrail/gateway/work/refusals.py
+++ b/src/rowanrail/gateway/work/refusals.py
@@ -27,6 +27,7 @@
     "has_time_to_retry",
     "primary_unavailable_reason",
     "rejection_record",
+    "replaced_answer",
     "unconfirmed_answer",
     "base_retry_after_ms",
 ]
@@ -175,6 +176,18 @@
     return Answer(refusal=Refusal.BUSY, message=message)
 
 
+def replaced_answer(instance: str) -> Answer:
+    """Return the answer to a commit whose member was replaced before it answered.
+
+    Examples
+    --------
+    >>> replaced_answer("m1").message
+    'm1 was replaced before it answered the commit'
+    """
+    message = f"{instance} was replaced before it answered the commit"
+    return Answer(refusal=Refusal.OUTCOME_UNKNOWN, message=message)
+
+
 def unconfirmed_answer(instance: str, refusal: Refusal | None) -> Answer:
     """Return the answer to a commit that its member reported, and that may have been rolled back.
 
--- a/src/rowanrail/gateway/work/transaction.py
+++ b/src/rowanrail/gateway/work/transaction.py
@@ -300,8 +300,8 @@
             commands = [
                 Command(CommandKind.STATEMENT, self.statement.text, self.statement.request_id)
             ]
-            following = self.confirmation_commands if self.wrote else 0
-            if not self.send(commands, self._on_commit_answer, following):
+            send = self.send_commit if self.wrote else self.send
+            if not send(commands, self._on_commit_answer):
                 self._wait_to_run()
             return
         if is_write(self.statement, self.session):
--- a/src/rowanrail/members/primary.py
+++ b/src/rowanrail/members/primary.py
@@ -60,6 +60,8 @@
         Called when the failure alarm is raised or cleared.
     on_proof : callable
         Called with the instance of each member that proved to be primary.
+    on_not_primary : callable
+        Called with the instance of each member that refused a command as it is not primary.
     on_unavailable : callable
         Called at each tick while the service is in use and the primary cannot, or may not, be
         sampled by this gateway.
@@ -76,6 +78,7 @@
         self.on_primary: Callable[[], None] = lambda: None
         self.on_alarm: Callable[[], None] = lambda: None
         self.on_proof: Callable[[str], None] = lambda instance: None
+        self.on_not_primary: Callable[[str], None] = lambda instance: None
         self.on_unavailable: Callable[[], None] = lambda: None
         self.is_closed: Callable[[MemberRecord], bool] = lambda record: False
         self.monitor_seconds = MONITOR_SECONDS
@@ -276,6 +279,7 @@
         """Record that a member refused a command because it is not primary."""
         if self.state.note_not_primary(instance, self._scheduler.time()):
             self._search()
+        self.on_not_primary(instance)
 
     def note_failure(self, instance: str) -> None:
         """Record that a member does not answer."""
--- a/tests/gateway/test_commit_confirmation.py
+++ b/tests/gateway/test_commit_confirmation.py
@@ -110,6 +110,33 @@
                 self.assertEqual(self.client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
                 self.assertLess(self.client.session.values.floors["db"], Position(1, 12))
 
+    # Clients waited until the time-out of their route for an answer that could not come.
+    def test_a_commit_is_in_doubt_at_once_when_another_member_proves_to_lead(self):
+        for begin in (self.begin_write, self.begin_commit):
+            with self.subTest(begin=begin.__name__):
+                self.setUp()
+                begin(self.client)
+                self.promote(self.harness.near, 2)
+                known = len(self.client.answers)
+                self.tracker.note_proof("m1", self.harness.clock.now, Position(1, 12))
+                self.assertEqual(len(self.client.answers), known)
+                self.tracker.note_proof("m2", self.harness.clock.now, self.harness.near.position)
+                self.assertEqual(len(self.client.answers), known + 1)
+                self.assertEqual(self.client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
+                self.assertIn("was replaced", self.client.answers[-1].message)
+
+    def test_a_commit_is_in_doubt_at_once_when_its_member_refuses_another_one(self):
+        for begin in (self.begin_write, self.begin_commit):
+            with self.subTest(begin=begin.__name__):
+                self.setUp()
+                begin(self.client)
+                self.harness.primary.primary = False
+                self.harness.client("orders").ask("WRITE b 2")
+                self.harness.clock.advance(0.05)
+                self.assertEqual(self.client.answers[-1].refusal, Refusal.OUTCOME_UNKNOWN)
+                pool = self.harness.gateway.services["db"].pools["m1"]
+                self.assertEqual(len(pool.connections.leases), 0)
+
     def test_a_client_that_leaves_meanwhile_keeps_no_connection_leased(self):
         pool = self.harness.gateway.services["db"].pools["m1"]
         for begin in (self.begin_write, self.begin_commit):
--- a/tests/platform/test_replaced_primary.py
+++ b/tests/platform/test_replaced_primary.py
@@ -84,6 +84,15 @@
                 lines = await self.check(ReplacedPrimary.REPORTS_SUCCESS, replace)
                 self.assertEqual({line.split(" ")[1] for line in lines}, {"INDOUBT"})
 
+    # Clients waited until the time-out of their route.
+    async def test_commits_that_a_replaced_primary_never_answers_are_in_doubt_before_their_time(
+        self,
+    ):
+        for replace in ("promote", "demote"):
+            with self.subTest(replace):
+                lines = await self.check(ReplacedPrimary.SILENT, replace)
+                self.assertEqual({line.split(" ")[1] for line in lines}, {"INDOUBT"})
+
     async def test_commits_whose_connection_a_replaced_primary_closes_are_in_doubt(self):
         lines = await self.check(ReplacedPrimary.DISCONNECTS, "promote")
         self.assertEqual({line.split(" ")[1] for line in lines}, {"INDOUBT"})
