--- a/tests/gateway/test_commit_confirmation.py
+++ b/tests/gateway/test_commit_confirmation.py
@@ -170,6 +170,17 @@
         self.assertIsNone(harness.client("orders").run("WRITE a 1").refusal)
         self.assertEqual([c.text for _, c in harness.primary.ran], ["WRITE a 1"])
 
+    # A write that was under way when the configuration changed was in doubt.
+    def test_the_configuration_at_the_time_of_sending_decides(self):
+        harness = GatewayHarness()
+        client = harness.client("orders")
+        harness.primary.script = [None]
+        client.ask("WRITE a 1")
+        harness.configure(2, acknowledging_replicas=1)
+        transport = harness.primary.transports[0]
+        transport.channel.answered(Answer(signature=b"sig", position=Position(1, 11)))
+        self.assertIsNone(client.answers[-1].refusal)
+
     def test_the_log_tells_that_a_commit_was_not_confirmed(self):
         self.begin_write(self.client)
         self.promote(self.harness.near, 2)
