--- a/tests/gateway/test_commit_confirmation.py
+++ b/tests/gateway/test_commit_confirmation.py
@@ -25,6 +25,12 @@
         self.harness.primary.script = [None]
         client.ask("WRITE a 1")
 
+    def begin_prepared(self, client: FakeClient) -> None:
+        """Send a prepared write, whose commit waits for replicas."""
+        client.run("PREPARE s WRITE q")
+        self.harness.primary.script = [None]
+        client.ask("EXECUTE s a 1")
+
     def begin_commit(self, client: FakeClient) -> None:
         """Send the COMMIT of a transaction that wrote, which waits for replicas."""
         client.run("BEGIN")
@@ -48,7 +54,7 @@
     # A replaced primary reported success for a commit that was rolled back, and the client was
     # told that it stands.
     def test_a_commit_that_a_replaced_primary_reports_is_in_doubt_at_once(self):
-        for begin in (self.begin_write, self.begin_commit):
+        for begin in (self.begin_write, self.begin_prepared, self.begin_commit):
             for position in (Position(1, 10), Position(1, 11), Position(2, 12)):
                 with self.subTest(begin=begin.__name__, position=position):
                     self.setUp()
